--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! See the crate description.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,19 @@
+//! Checked settings, configuration documents, index manifests and patches.
+//!
+//! Raw input (JSON with comments) is parsed into plain serde types and then
+//! turned into checked types with `TryFrom`. Everything past this crate works
+//! on the checked types only.
+
+mod document;
+mod manifest;
+mod names;
+
+pub use document::{
+    ConfigVersion, Document, DocumentError, HedgeDocument, IndexDocument, IndexEntry, IndexKey,
+    RepeatPolicy, ServerDocument, ServerEntry, ServerKey, ServerState, ServiceDocument,
+    ServiceEntry, ServiceKey, Topology, ZoneKey,
+};
+pub use manifest::{
+    IndexManifest, ManifestDocument, ManifestError, ShardEntry, SnapshotDocument, SnapshotMap,
+};
+pub use names::{IndexName, NameError, NodeName, ServerName, ServiceName, ShardName, ZoneName};
--- /dev/null
+++ b/crates/wire/src/control.rs
@@ -0,0 +1,151 @@
+//! Control messages: membership, leases, grants and configuration spread.
+
+use std::net::SocketAddr;
+
+use carobstep_config::{ConfigVersion, IndexName, NodeName, ServerName, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// A message from one node's control state to another's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ControlMessage {
+    /// Periodic summary; answered with what the sender lacks.
+    Gossip(GossipDigest),
+    /// Asks a recorded witness to vouch for the sender's lease.
+    Vouch(VouchRequest),
+    /// Tells a recorded witness that a lease was closed.
+    Close(CloseNotice),
+    /// Tells peers that a grant moved.
+    Granted(GrantNotice),
+    /// Asks for the configuration and manifests at or above the given ones.
+    Fetch {
+        /// Version that the asker has.
+        config: ConfigVersion,
+        /// Newest snapshot that the asker has of each index.
+        manifests: Vec<(IndexName, u64)>,
+    },
+}
+
+/// The answer to a [`ControlMessage`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// Nothing to say.
+    Done,
+    /// The receiver's own summary.
+    Gossip(GossipDigest),
+    /// Answer to a vouch request.
+    Vouch(VouchReply),
+    /// Newer configuration and manifests.
+    Fetched {
+        /// The configuration, when newer.
+        config: Option<ConfigCopy>,
+        /// The manifests that are newer.
+        manifests: Vec<ManifestCopy>,
+    },
+}
+
+/// What one node knows, in short.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GossipDigest {
+    /// The sender.
+    pub node: PeerRecord,
+    /// Highest configuration version seen.
+    pub config: ConfigVersion,
+    /// Newest snapshot seen of each index.
+    pub manifests: Vec<(IndexName, u64)>,
+    /// Other nodes seen lately.
+    pub peers: Vec<PeerRecord>,
+    /// Grants, newest epochs.
+    pub grants: Vec<GrantNotice>,
+    /// Signs that a backend server leaves.
+    pub signs: Vec<ServerSign>,
+}
+
+/// Address and incarnation of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRecord {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// Grows with each start of the node.
+    pub incarnation: u64,
+    /// Grows with each heartbeat of the incarnation.
+    pub heartbeat: u64,
+    /// Whether it is stopping.
+    pub stopping: bool,
+}
+
+/// A grant's current holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantNotice {
+    /// The backend server.
+    pub server: ServerName,
+    /// The holder, or `None` after a release.
+    pub holder: Option<NodeName>,
+    /// Incarnation of the holder.
+    pub incarnation: u64,
+    /// Epoch of the grant; grows with each move.
+    pub epoch: u64,
+}
+
+/// Asks a witness to vouch for a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VouchRequest {
+    /// The holder of the lease.
+    pub node: NodeName,
+    /// Incarnation of the holder.
+    pub incarnation: u64,
+    /// Number of the round that the answer must echo.
+    pub round: u64,
+}
+
+/// A witness's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VouchReply {
+    /// Number of the round.
+    pub round: u64,
+    /// Whether the witness vouches.
+    pub vouched: bool,
+}
+
+/// Tells that a lease was closed in the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CloseNotice {
+    /// The holder whose lease was closed.
+    pub node: NodeName,
+    /// Incarnation that was closed.
+    pub incarnation: u64,
+}
+
+/// A sign that a backend server leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerSign {
+    /// The backend server.
+    pub server: ServerName,
+    /// Number of the sign; a later one replaces an earlier one.
+    pub sequence: u64,
+    /// Whether the server leaves.
+    pub leaving: bool,
+}
+
+/// A configuration document with its version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigCopy {
+    /// Version of the document.
+    pub version: ConfigVersion,
+    /// The document as JSON text.
+    pub document: String,
+}
+
+/// A manifest as JSON text.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ManifestCopy {
+    /// The index.
+    pub index: IndexName,
+    /// Newest snapshot in the manifest.
+    pub snapshot: u64,
+    /// The manifest as JSON text.
+    pub document: String,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,35 @@
+//! Messages between nodes and the h2 streams that carry them.
+//!
+//! One request is one h2 stream. Its body is one bincode frame in each
+//! direction; resetting the stream cancels the request.
+
+mod control;
+mod reason;
+mod shard;
+
+pub use control::{
+    CloseNotice, ConfigCopy, ControlMessage, ControlReply, GossipDigest, GrantNotice, ManifestCopy,
+    PeerRecord, ServerSign, VouchReply, VouchRequest,
+};
+pub use reason::{Outcome, RefusalReason, RetryReason};
+pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
+
+use serde::{Deserialize, Serialize};
+
+/// The body of a request stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Run one shard request on a held backend server.
+    Shard(ShardRequest),
+    /// Exchange of membership, grants and configuration.
+    Control(ControlMessage),
+}
+
+/// The body of a reply stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// Answer to a shard request.
+    Shard(ShardReply),
+    /// Answer to a control message.
+    Control(ControlReply),
+}
--- /dev/null
+++ b/src/bin/carobstep.rs
@@ -0,0 +1,3 @@
+//! The operator's command-line client.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/carobstepd.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry VM.
+
+fn main() {}
