--- /dev/null
+++ b/crates/platform/src/call.rs
@@ -0,0 +1,211 @@
+//! Calls to the object API, their replies and their errors, as plain data.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// Kind of an object.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ObjectKind {
+    /// The configuration in force, one object named `current`.
+    Config,
+    /// Past configurations, named by version number.
+    History,
+    /// Index manifests, named by index.
+    Manifest,
+    /// Node leases, named by node.
+    Lease,
+    /// Grants of backend servers, named by server.
+    Grant,
+    /// Claims of requests that run at most once.
+    Claim,
+    /// Node status for operators, named by node.
+    Status,
+}
+
+/// Version of an object; grows with each write of any object.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ObjectVersion(pub u64);
+
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Condition {
+    /// The object must not exist.
+    Absent,
+    /// The object must exist at this version.
+    At(ObjectVersion),
+}
+
+/// A call to the object API.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ObjectCall {
+    /// Reads one object.
+    Get {
+        /// Kind of the object.
+        kind: ObjectKind,
+        /// Name of the object.
+        name: String,
+    },
+    /// Reads every object of a kind.
+    List {
+        /// Kind of the objects.
+        kind: ObjectKind,
+    },
+    /// Writes one object under a condition.
+    Put {
+        /// Kind of the object.
+        kind: ObjectKind,
+        /// Name of the object.
+        name: String,
+        /// Condition of the write.
+        condition: Condition,
+        /// The new value.
+        value: serde_json::Value,
+    },
+    /// Deletes one object at a version.
+    Delete {
+        /// Kind of the object.
+        kind: ObjectKind,
+        /// Name of the object.
+        name: String,
+        /// Version that must be current.
+        at: ObjectVersion,
+    },
+    /// Reads the list of live and leaving VMs.
+    ListVms,
+}
+
+/// An object with its version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredObject {
+    /// Name of the object.
+    pub name: String,
+    /// Its version.
+    pub version: ObjectVersion,
+    /// Its value.
+    pub value: serde_json::Value,
+}
+
+/// Answer of the object API.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ObjectReply {
+    /// The object of a `Get`.
+    Found(StoredObject),
+    /// A `Get` of an object that does not exist.
+    Missing,
+    /// The objects of a `List`, and the latest version when it was read.
+    Listed {
+        /// Latest version of the store.
+        version: ObjectVersion,
+        /// The objects.
+        items: Vec<StoredObject>,
+    },
+    /// A `Put` took effect.
+    Written(ObjectVersion),
+    /// A `Delete` took effect.
+    Deleted,
+    /// The condition of a `Put` or `Delete` failed; nothing changed.
+    ConditionFailed,
+    /// The VMs of a `ListVms`.
+    Vms(Vec<VmRecord>),
+}
+
+/// One VM of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmRecord {
+    /// Name of the VM.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// What runs on it.
+    pub role: VmRole,
+    /// Whether it is leaving.
+    pub state: VmState,
+    /// Its address in the form `ip:port`.
+    pub address: String,
+}
+
+/// What runs on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum VmRole {
+    /// An entry VM; its address is the peer address of its daemon.
+    Entry,
+    /// A backend server.
+    Backend,
+}
+
+/// Whether a VM is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum VmState {
+    /// Running.
+    Live,
+    /// About to stop.
+    Leaving,
+}
+
+/// A call that did not get its answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreError {
+    kind: StoreErrorKind,
+    message: String,
+}
+
+/// Kinds of [`StoreError`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum StoreErrorKind {
+    /// The call never left: it certainly has no effect.
+    NotSent,
+    /// The call was sent and no answer came: a write may have taken effect,
+    /// or may still take effect later.
+    AnswerLost,
+    /// The platform rejected the call for good.
+    Rejected,
+}
+
+impl StoreError {
+    /// Builds an error that names the call it belongs to.
+    #[must_use]
+    pub fn new(kind: StoreErrorKind, message: impl Into<String>) -> Self {
+        Self { kind, message: message.into() }
+    }
+
+    /// The kind of the error.
+    #[must_use]
+    pub const fn kind(&self) -> StoreErrorKind {
+        self.kind
+    }
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind, self.message)
+    }
+}
+
+impl std::error::Error for StoreError {}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,13 @@
-//! See the crate description.
+//! Client of the platform's object API.
+//!
+//! The platform holds configuration, manifests, leases, grants and claims.
+//! [`ObjectStore`] is the edge of the process: everything behind it speaks in
+//! [`ObjectCall`] and [`ObjectReply`] values, so that the decisions stay free
+//! of I/O.
+
+mod call;
+
+pub use call::{
+    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
+    StoredObject, VmRecord, VmRole, VmState,
+};
