--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -186,6 +186,9 @@
     AnswerLost,
     /// The platform rejected the call for good.
     Rejected,
+    /// The platform no longer has every change since the version that a watch
+    /// names: list the kind and watch again.
+    VersionGone,
 }
 
 impl StoreError {
