--- /dev/null
+++ b/crates/standin/src/metered.rs
@@ -0,0 +1,89 @@
+//! A TCP stream that counts its bytes and can send each reply twice.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Bytes that went through the connections of one listener.
+#[derive(Debug, Default)]
+pub(crate) struct ByteCounts {
+    /// Bytes received.
+    pub(crate) received: AtomicU64,
+    /// Bytes sent.
+    pub(crate) sent: AtomicU64,
+    /// Whether each burst of sent bytes goes out twice.
+    pub(crate) duplicate: AtomicBool,
+}
+
+/// A TCP stream that reports to a [`ByteCounts`].
+#[derive(Debug)]
+pub(crate) struct MeteredStream {
+    stream: TcpStream,
+    counts: Arc<ByteCounts>,
+    /// Bytes that wait to go out for the second time.
+    repeated: Vec<u8>,
+}
+
+impl MeteredStream {
+    /// Wraps a stream.
+    pub(crate) const fn new(stream: TcpStream, counts: Arc<ByteCounts>) -> Self {
+        Self { stream, counts, repeated: Vec::new() }
+    }
+
+    fn note_sent(&mut self, sent: &[u8]) {
+        self.counts.sent.fetch_add(sent.len() as u64, Ordering::Relaxed);
+        if self.counts.duplicate.load(Ordering::Relaxed) {
+            self.repeated.extend_from_slice(sent);
+        }
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let received = buffer.filled().len() - before;
+        self.counts.received.fetch_add(received as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let sent = ready!(Pin::new(&mut self.stream).poll_write(cx, buffer))?;
+        self.note_sent(&buffer[..sent]);
+        Poll::Ready(Ok(sent))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.repeated.is_empty() {
+            let this = &mut *self;
+            let sent = ready!(Pin::new(&mut this.stream).poll_write(cx, &this.repeated))?;
+            this.repeated.drain(..sent);
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
