Carry peer messages on h2 streams

One stream is one request, so that a reset cancels exactly that request and a reply can never reach another one. Keep-alive probes find a silent connection; it is replaced and its calls end as lost.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,15 +3,24 @@
 //! One request is one h2 stream. Its body is one bincode frame in each
 //! direction; resetting the stream cancels the request.
 
+mod client;
+mod codec;
 mod control;
+mod error;
 mod reason;
+mod server;
 mod shard;
+mod stream;
 
+pub use client::PeerPool;
+pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use control::{
     CloseNotice, ConfigCopy, ControlMessage, ControlReply, GossipDigest, GrantNotice, ManifestCopy,
     PeerRecord, ServerSign, VouchReply, VouchRequest,
 };
+pub use error::{WireError, WireErrorKind};
 pub use reason::{Outcome, RefusalReason, RetryReason};
+pub use server::{PeerHandler, serve_peers};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,131 @@
+//! Listener for peer nodes.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use h2::{RecvStream, server::SendResponse};
+use http::{Request, Response, StatusCode};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+    time::timeout,
+};
+
+use crate::{
+    PeerReply, PeerRequest,
+    codec::{decode, encode},
+    error::WireError,
+    stream::{CONNECTION_WINDOW_BYTES, MAX_STREAMS, STREAM_WINDOW_BYTES, read_frame},
+};
+
+/// Time for a peer to finish the handshake of a new connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for a peer to send the whole body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Answers requests of peer nodes.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Answers one request. The future is dropped when the peer cancels.
+    fn handle(&self, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
+
+    /// Counts a stream or connection that did not carry a valid request.
+    fn count_bad_input(&self);
+}
+
+/// Accepts peer connections until `stop` becomes `true`, then lets every
+/// stream in flight finish and returns.
+pub async fn serve_peers<H: PeerHandler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    let connection_stop = stop.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((socket, _)) = accepted else { continue };
+                let stop = connection_stop.clone();
+                connections.spawn(serve_connection(socket, handler.clone(), stop));
+            }
+            _ = stop.wait_for(|stop| *stop) => break,
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection<H: PeerHandler>(
+    socket: TcpStream,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Without the option, small replies wait for the acknowledgement of earlier ones.
+    let _ = socket.set_nodelay(true);
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .handshake::<_, Bytes>(socket);
+    let Ok(Ok(mut connection)) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
+        handler.count_bad_input();
+        return;
+    };
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => match accepted {
+                Some(Ok((request, respond))) => {
+                    tokio::spawn(serve_stream(request, respond, handler.clone()));
+                }
+                Some(Err(error)) => {
+                    if !error.is_io() && !error.is_go_away() {
+                        handler.count_bad_input();
+                    }
+                    return;
+                }
+                None => return,
+            },
+            _ = stop.wait_for(|stop| *stop), if !stopping => {
+                stopping = true;
+                connection.graceful_shutdown();
+            }
+        }
+    }
+}
+
+async fn serve_stream<H: PeerHandler>(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    handler: Arc<H>,
+) {
+    let Some(request) = read_request(request).await else {
+        handler.count_bad_input();
+        let mut response = Response::new(());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        // A failed send means that the peer has reset the stream.
+        let _ = respond.send_response(response, true);
+        return;
+    };
+    let reply = tokio::select! {
+        reply = handler.handle(request) => reply,
+        _ = std::future::poll_fn(|context| respond.poll_reset(context)) => return,
+    };
+    // A failed send means that the peer has reset the stream.
+    let _ = send_reply(&mut respond, &reply);
+}
+
+async fn read_request(request: Request<RecvStream>) -> Option<PeerRequest> {
+    let frame = timeout(BODY_TIMEOUT, read_frame(request.into_body())).await.ok()?.ok()?;
+    decode(&frame).ok()
+}
+
+fn send_reply(respond: &mut SendResponse<Bytes>, reply: &PeerReply) -> Result<(), WireError> {
+    let frame = encode(reply)?;
+    let mut body = respond
+        .send_response(Response::new(()), false)
+        .map_err(|error| crate::stream::lost(&error))?;
+    body.send_data(frame, true).map_err(|error| crate::stream::lost(&error))
+}
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,59 @@
+//! Bodies of h2 streams: one bounded frame in each direction.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use h2::RecvStream;
+
+use crate::{
+    codec::MAX_FRAME_BYTES,
+    error::{WireError, WireErrorKind},
+};
+
+/// Flow-control window of one stream, in bytes.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// Flow-control window of one connection, in bytes.
+pub(crate) const CONNECTION_WINDOW_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Streams that one connection may have open at the same time.
+pub(crate) const MAX_STREAMS: u32 = 16 * 1024;
+
+/// Time to open a connection and finish its handshake.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Interval between keep-alive probes of a connection.
+pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time after which an unanswered probe marks the connection as dead.
+pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Reads a whole body, which must stay within [`MAX_FRAME_BYTES`].
+pub(crate) async fn read_frame(mut body: RecvStream) -> Result<Bytes, WireError> {
+    let mut frame = BytesMut::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|error| lost(&error))?;
+        if frame.len() + chunk.len() > MAX_FRAME_BYTES {
+            let message = format!("frame is over {MAX_FRAME_BYTES} bytes");
+            return Err(WireError::new(WireErrorKind::Codec, message));
+        }
+        // A failure to return capacity means that the stream is already closed.
+        let _ = body.flow_control().release_capacity(chunk.len());
+        frame.extend_from_slice(&chunk);
+    }
+    Ok(frame.freeze())
+}
+
+/// Turns an h2 error after the request was sent into its kind.
+pub(crate) fn lost(error: &h2::Error) -> WireError {
+    let kind = match error.reason() {
+        Some(h2::Reason::REFUSED_STREAM) => WireErrorKind::NotSent,
+        _ => WireErrorKind::Lost,
+    };
+    WireError::new(kind, error.to_string())
+}
+
+/// Turns an h2 error before the request was sent into its kind.
+pub(crate) fn not_sent(error: &h2::Error) -> WireError {
+    WireError::new(WireErrorKind::NotSent, error.to_string())
+}
--- /dev/null
+++ b/crates/wire/tests/peer_streams.rs
@@ -0,0 +1,223 @@
+//! Calls over real loopback connections: replies, cancellation and error kinds.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use carobstep_config::ServerName;
+use carobstep_wire::{
+    Outcome, PeerHandler, PeerPool, PeerReply, PeerRequest, RefusalReason, RequestId, ShardReply,
+    ShardRequest, ShardResult, WireErrorKind, serve_peers,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::{Notify, watch},
+    time::{sleep, timeout},
+};
+
+/// Echoes bodies; a body of `hang` is never answered, a body of `gate` waits
+/// until the gate opens.
+#[derive(Default)]
+struct EchoHandler {
+    entered: Notify,
+    gate: Notify,
+    cancelled: Arc<AtomicUsize>,
+    bad_inputs: AtomicUsize,
+}
+
+struct CancelGuard(Arc<AtomicUsize>);
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl PeerHandler for EchoHandler {
+    async fn handle(&self, request: PeerRequest) -> PeerReply {
+        let PeerRequest::Shard(request) = request else {
+            panic!("only shard requests are sent here");
+        };
+        if request.body.as_ref() == b"hang" {
+            let _guard = CancelGuard(self.cancelled.clone());
+            std::future::pending::<()>().await;
+        }
+        if request.body.as_ref() == b"gate" {
+            self.entered.notify_one();
+            self.gate.notified().await;
+        }
+        PeerReply::Shard(ShardReply {
+            id: request.id,
+            shard: request.shard,
+            snapshot: request.snapshot,
+            result: ShardResult::Body(request.body),
+            queue_length: 0,
+            service_us: 1,
+        })
+    }
+
+    fn count_bad_input(&self) {
+        self.bad_inputs.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+async fn start() -> (SocketAddr, Arc<EchoHandler>, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = Arc::new(EchoHandler::default());
+    let (stop_sender, stop) = watch::channel(false);
+    tokio::spawn(serve_peers(listener, handler.clone(), stop));
+    (address, handler, stop_sender)
+}
+
+fn shard_request(id: u128, body: impl Into<Bytes>) -> PeerRequest {
+    PeerRequest::Shard(ShardRequest {
+        id: RequestId(id),
+        server: ServerName::try_from("server-1").unwrap(),
+        shard: None,
+        snapshot: Some(3),
+        budget_us: 1_000,
+        at_most_once: false,
+        hedge: false,
+        body: body.into(),
+    })
+}
+
+#[tokio::test]
+async fn thousands_of_crossed_calls_get_their_own_bodies() {
+    let (address, _handler, _stop) = start().await;
+    let pool = Arc::new(PeerPool::new());
+    let mut calls = Vec::new();
+    for id in 0..2_000u128 {
+        let pool = pool.clone();
+        calls.push(tokio::spawn(async move {
+            let body = Bytes::from(format!("body {id}"));
+            let reply = pool.call(address, &shard_request(id, body.clone())).await.unwrap();
+            let PeerReply::Shard(reply) = reply else { panic!("not a shard reply") };
+            assert_eq!(reply.id, RequestId(id));
+            assert_eq!(reply.result, ShardResult::Body(body));
+        }));
+    }
+    for call in calls {
+        call.await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn dropping_a_call_cancels_it_at_the_peer() {
+    let (address, handler, _stop) = start().await;
+    let pool = PeerPool::new();
+    let request = shard_request(1, &b"hang"[..]);
+    let call = timeout(Duration::from_millis(300), pool.call(address, &request)).await;
+    assert!(call.is_err());
+    for _ in 0..500 {
+        if handler.cancelled.load(Ordering::SeqCst) == 1 {
+            return;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the peer did not see the cancellation");
+}
+
+#[tokio::test]
+async fn an_unreachable_peer_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = PeerPool::new().call(address, &shard_request(1, "x")).await.unwrap_err();
+    assert_eq!(error.kind(), WireErrorKind::NotSent);
+}
+
+#[tokio::test]
+async fn a_peer_that_goes_silent_is_lost_and_then_replaced() {
+    let (address, _handler, _stop) = start().await;
+    let front = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let front_address = front.local_addr().unwrap();
+    let (silence_sender, silence) = watch::channel(false);
+    tokio::spawn(relay(front, address, silence));
+    let pool = PeerPool::new();
+    pool.call(front_address, &shard_request(1, "x")).await.unwrap();
+    silence_sender.send(true).unwrap();
+    let error = pool.call(front_address, &shard_request(2, "x")).await.unwrap_err();
+    assert_eq!(error.kind(), WireErrorKind::Lost);
+    silence_sender.send(false).unwrap();
+    pool.call(front_address, &shard_request(3, "x")).await.unwrap();
+}
+
+/// Forwards connections; a connection that meets `silence` forwards nothing more.
+async fn relay(front: TcpListener, back: SocketAddr, silence: watch::Receiver<bool>) {
+    loop {
+        let (mut near, _) = front.accept().await.unwrap();
+        let mut silence = silence.clone();
+        tokio::spawn(async move {
+            let mut far = TcpStream::connect(back).await.unwrap();
+            let silent = tokio::select! {
+                _ = tokio::io::copy_bidirectional(&mut near, &mut far) => false,
+                _ = silence.wait_for(|silent| *silent) => true,
+            };
+            if silent {
+                std::future::pending::<()>().await;
+            }
+        });
+    }
+}
+
+#[tokio::test]
+async fn garbage_is_counted_and_harms_no_other_call() {
+    let (address, handler, _stop) = start().await;
+    let pool = PeerPool::new();
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    socket.write_all(&[0xff; 512]).await.unwrap();
+    for _ in 0..500 {
+        if handler.bad_inputs.load(Ordering::SeqCst) == 1 {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(handler.bad_inputs.load(Ordering::SeqCst), 1);
+    pool.call(address, &shard_request(1, "x")).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_stopping_listener_finishes_what_is_in_flight() {
+    let (address, handler, stop) = start().await;
+    let pool = Arc::new(PeerPool::new());
+    let call = {
+        let pool = pool.clone();
+        tokio::spawn(async move { pool.call(address, &shard_request(2, "gate")).await })
+    };
+    handler.entered.notified().await;
+    stop.send(true).unwrap();
+    sleep(Duration::from_millis(50)).await;
+    handler.gate.notify_one();
+    let reply = call.await.unwrap().unwrap();
+    let PeerReply::Shard(reply) = reply else { panic!("not a shard reply") };
+    assert_eq!(reply.result, ShardResult::Body(Bytes::from_static(b"gate")));
+}
+
+#[test]
+fn refusals_keep_their_outcome_over_the_wire() {
+    for outcome in [Outcome::NotRun, Outcome::Unknown] {
+        let reply = PeerReply::Shard(ShardReply {
+            id: RequestId(9),
+            shard: None,
+            snapshot: None,
+            result: ShardResult::Refused {
+                outcome,
+                reason: RefusalReason::QueueFull,
+                retry_after_ms: 12,
+            },
+            queue_length: 3,
+            service_us: 0,
+        });
+        let frame = carobstep_wire::encode(&reply).unwrap();
+        assert_eq!(carobstep_wire::decode::<PeerReply>(&frame).unwrap(), reply);
+    }
+}
