Read and check the daemon's settings file

A settings file is parsed into a tree with ranges, so that each unknown key, wrong type, bad name, duplicate address and impossible limit is reported with its line, all in one go. Deserialising straight into serde types was ruled out: it stops at the first fault and loses the lines.

--- /dev/null
+++ b/crates/config/src/jsonc.rs
@@ -0,0 +1,99 @@
+//! JSON with comments: comments and trailing commas, nothing else beyond JSON.
+
+use std::fmt;
+
+use jsonc_parser::{
+    CollectOptions, ParseOptions, ast, errors::ParseError, parse_to_ast, parse_to_serde_value,
+};
+use serde_json::Value;
+
+const PARSE_OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// A text that is not JSON with comments, with the place of the fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JsoncError {
+    line: usize,
+    column: usize,
+    message: String,
+}
+
+impl JsoncError {
+    /// Line of the fault, counted from 1.
+    #[must_use]
+    pub const fn line(&self) -> usize {
+        self.line
+    }
+
+    /// The fault without its place.
+    #[must_use]
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+}
+
+impl fmt::Display for JsoncError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {} column {}: {}", self.line, self.column, self.message)
+    }
+}
+
+impl std::error::Error for JsoncError {}
+
+impl From<ParseError> for JsoncError {
+    fn from(error: ParseError) -> Self {
+        Self {
+            line: error.line_display(),
+            column: error.column_display(),
+            message: error.kind().to_string(),
+        }
+    }
+}
+
+/// Parses JSON with comments into a plain JSON value.
+///
+/// # Errors
+///
+/// Fails when the text is empty or malformed.
+pub fn parse_jsonc(text: &str) -> Result<Value, JsoncError> {
+    Ok(parse_to_serde_value(text, &PARSE_OPTIONS)?)
+}
+
+/// Parses JSON with comments into a tree that knows where each value stands.
+pub(crate) fn parse_tree(text: &str) -> Result<Option<ast::Value<'_>>, JsoncError> {
+    let result = parse_to_ast(text, &CollectOptions::default(), &PARSE_OPTIONS)?;
+    Ok(result.value)
+}
+
+/// Turns byte offsets of one text into line numbers.
+#[derive(Clone, Debug)]
+pub(crate) struct LineIndex {
+    starts: Vec<usize>,
+}
+
+impl LineIndex {
+    /// Line of a byte offset, counted from 1.
+    pub(crate) fn line(&self, offset: usize) -> usize {
+        self.starts.partition_point(|start| *start <= offset)
+    }
+}
+
+impl From<&str> for LineIndex {
+    fn from(text: &str) -> Self {
+        let mut starts = vec![0];
+        for (offset, _) in text.match_indices('\n') {
+            starts.push(offset + 1);
+        }
+        Self { starts }
+    }
+}
--- a/crates/config/src/names.rs
+++ b/crates/config/src/names.rs
@@ -88,6 +88,10 @@
     /// Name of an entry VM's daemon process.
     NodeName
 }
+name_type! {
+    /// Name of a region: a group of availability zones.
+    RegionName
+}
 name_type! {
     /// Name of an availability zone.
     ZoneName
--- /dev/null
+++ b/crates/config/src/settings/checker.rs
@@ -0,0 +1,142 @@
+//! Checks settings values and collects a fault for each bad one.
+
+use std::{fmt, net::SocketAddr, ops::RangeInclusive, time::Duration};
+
+use super::{error::SettingsFault, section::Located};
+
+/// Collects the faults found while a settings document is checked.
+pub(super) struct SettingsChecker {
+    faults: Vec<SettingsFault>,
+}
+
+/// A checked value with the place to blame when it clashes with another.
+///
+/// `line` is `None` for a default, which stands on no line.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Checked<T> {
+    pub(super) key: &'static str,
+    pub(super) value: T,
+    pub(super) line: Option<usize>,
+    /// Whether the written value was within its range.
+    pub(super) in_range: bool,
+}
+
+impl SettingsChecker {
+    pub(super) fn new(faults: Vec<SettingsFault>) -> Self {
+        Self { faults }
+    }
+
+    pub(super) fn into_faults(self) -> Vec<SettingsFault> {
+        self.faults
+    }
+
+    pub(super) fn fault(&mut self, line: usize, key: &str, message: impl Into<String>) {
+        self.faults.push(SettingsFault::new(line, key, message));
+    }
+
+    /// Checks a name; an absent one was reported when the file was read.
+    pub(super) fn name<T>(&mut self, key: &str, text: Option<Located<String>>) -> Option<T>
+    where
+        T: TryFrom<String, Error: fmt::Display>,
+    {
+        let text = text?;
+        match T::try_from(text.value) {
+            Ok(name) => Some(name),
+            Err(error) => {
+                self.fault(text.line, key, error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Checks an address of the form `ip:port`.
+    pub(super) fn address(
+        &mut self,
+        key: &'static str,
+        text: Option<&Located<String>>,
+    ) -> Option<Checked<SocketAddr>> {
+        let text = text?;
+        let Ok(value) = text.value.parse() else {
+            self.fault(text.line, key, format!("{:?} is not an ip:port address", text.value));
+            return None;
+        };
+        Some(Checked { key, value, line: Some(text.line), in_range: true })
+    }
+
+    /// Checks the address of a remote listener, which needs a definite port.
+    pub(super) fn remote_address(
+        &mut self,
+        key: &'static str,
+        text: Option<&Located<String>>,
+    ) -> Option<Checked<SocketAddr>> {
+        let checked = self.address(key, text)?;
+        if checked.value.port() != 0 && !checked.value.ip().is_unspecified() {
+            return Some(checked);
+        }
+        let message = format!("{} is not an address that can be reached", checked.value);
+        self.fault(checked.line.unwrap_or(1), key, message);
+        None
+    }
+
+    /// Checks a number against its range; an absent one takes the default.
+    pub(super) fn number(
+        &mut self,
+        key: &'static str,
+        number: Option<Located<u64>>,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Checked<u64> {
+        let Some(number) = number else {
+            return Checked { key, value: default, line: None, in_range: true };
+        };
+        if range.contains(&number.value) {
+            return Checked { key, value: number.value, line: Some(number.line), in_range: true };
+        }
+        let message = format!("{} is outside {} to {}", number.value, range.start(), range.end());
+        self.fault(number.line, key, message);
+        Checked { key, value: default, line: None, in_range: false }
+    }
+
+    /// Requires `low` to be less than `high`, unless one is already refused.
+    pub(super) fn less(&mut self, low: Checked<u64>, high: Checked<u64>) {
+        if !low.in_range || !high.in_range || low.value < high.value {
+            return;
+        }
+        // Two defaults never clash, so one of the two stands on a line.
+        let Some(line) = low.line.or(high.line) else { return };
+        let message = format!("{} is not less than {} {}", low.value, high.key, high.value);
+        self.fault(line, low.key, message);
+    }
+
+    /// Reports each address that two keys share.
+    ///
+    /// An unspecified IP number covers every other one with the same port;
+    /// port 0 stands for a port that the system picks.
+    pub(super) fn distinct(&mut self, addresses: &[Checked<SocketAddr>]) {
+        for (position, later) in addresses.iter().enumerate() {
+            let earlier = addresses[..position].iter().find(|earlier| overlap(earlier, later));
+            let Some(earlier) = earlier else { continue };
+            let message = format!("{} is already used by {}", later.value, earlier.key);
+            self.fault(later.line.unwrap_or(1), later.key, message);
+        }
+    }
+}
+
+fn overlap(one: &Checked<SocketAddr>, other: &Checked<SocketAddr>) -> bool {
+    let (one, other) = (one.value, other.value);
+    if one.port() == 0 || one.port() != other.port() {
+        return false;
+    }
+    one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified()
+}
+
+impl Checked<u64> {
+    pub(super) const fn millis(self) -> Duration {
+        Duration::from_millis(self.value)
+    }
+
+    /// The value as a count; the range checks keep it within 32 bits.
+    pub(super) fn count(self) -> usize {
+        usize::try_from(self.value).unwrap_or(usize::MAX)
+    }
+}
