Apply patches to the configuration and name the path of each fault

A document is read member by member, so that unknown keys, missing keys and values of the wrong type are all reported with their path; serde stops at the first. The topology is built with one index of addresses in place of a scan for each server, and refuses services without servers and addresses that no request can reach.

A patch names its base version. JSON Patch operations are bounded in number, path length, and the bytes and depth that copies and moves carry: a short list of copies of a value into itself doubles the document with each step.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,17 +5,20 @@
 //! on the checked types only.
 
 mod document;
+mod fault;
 mod jsonc;
 mod manifest;
 mod names;
+mod patch;
 mod record;
 mod settings;
+mod topology;
 
 pub use document::{
-    ConfigVersion, Document, DocumentError, HedgeDocument, IndexDocument, IndexEntry, IndexKey,
-    RepeatPolicy, ServerDocument, ServerEntry, ServerKey, ServerState, ServiceDocument,
-    ServiceEntry, ServiceKey, Topology, ZoneKey,
+    ConfigVersion, Document, DocumentTextError, HedgeDocument, IndexDocument, RepeatPolicy,
+    ServerDocument, ServerState, ServiceDocument,
 };
+pub use fault::DocumentError;
 pub use jsonc::{JsoncError, parse_jsonc};
 pub use manifest::{
     IndexManifest, ManifestDocument, ManifestError, ShardEntry, SnapshotDocument, SnapshotMap,
@@ -23,8 +26,15 @@
 pub use names::{
     IndexName, NameError, NodeName, RegionName, ServerName, ServiceName, ShardName, ZoneName,
 };
-pub use record::ConfigRecord;
+pub use patch::{
+    AuthorName, Patch, PatchBody, PatchDocument, PatchError, PatchErrorKind, PatchFormat, PatchId,
+    apply,
+};
+pub use record::{ConfigRecord, UtcTime};
 pub use settings::{
     GossipSettings, LeaseSettings, LimitSettings, LogLevel, Settings, SettingsDocument,
     SettingsError, SettingsFault, StopSettings,
 };
+pub use topology::{
+    IndexEntry, IndexKey, ServerEntry, ServerKey, ServiceEntry, ServiceKey, Topology, ZoneKey,
+};
--- a/crates/config/src/manifest.rs
+++ b/crates/config/src/manifest.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    document::{ServiceKey, Topology},
     names::{IndexName, ShardName},
+    topology::{ServiceKey, Topology},
 };
 
 /// The manifest of one index as its publisher writes it.
--- /dev/null
+++ b/crates/config/src/patch.rs
@@ -0,0 +1,216 @@
+//! Patches: numbered changes of the configuration document.
+
+mod error;
+mod operations;
+
+use serde_json::Value;
+
+pub use self::error::{PatchError, PatchErrorKind};
+use crate::{
+    document::{ConfigVersion, Document},
+    jsonc::parse_jsonc,
+    record::{ConfigRecord, UtcTime},
+    topology::Topology,
+};
+
+/// Largest stored configuration, in bytes; the platform's limit on a value.
+const MAX_RECORD_BYTES: usize = 1024 * 1024;
+
+/// Largest text of a patch, in bytes.
+const MAX_PATCH_BYTES: usize = 1024 * 1024;
+
+/// Longest patch identifier, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Longest author, in bytes.
+const MAX_AUTHOR_BYTES: usize = 128;
+
+/// A patch as an operator submits it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PatchDocument {
+    /// Version that the patch was built on.
+    pub base: ConfigVersion,
+    /// Identifier of the patch, unique for each change.
+    pub id: String,
+    /// Who submits it.
+    pub author: String,
+    /// When it is submitted.
+    pub time: UtcTime,
+    /// How `text` is to be read.
+    pub format: PatchFormat,
+    /// The change, in JSON with comments.
+    pub text: String,
+}
+
+/// How the text of a patch is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum PatchFormat {
+    /// A JSON merge patch (RFC 7396).
+    Merge,
+    /// A JSON Patch (RFC 6902).
+    Operations,
+}
+
+/// A checked patch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Patch {
+    /// Version that the patch was built on.
+    pub base: ConfigVersion,
+    /// Identifier of the patch.
+    pub id: PatchId,
+    /// Who submits it.
+    pub author: AuthorName,
+    /// When it is submitted.
+    pub time: UtcTime,
+    /// The change.
+    pub body: PatchBody,
+}
+
+/// The change that a patch makes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PatchBody {
+    /// Merged into the document (RFC 7396).
+    Merge(Value),
+    /// Applied one after another (RFC 6902).
+    Operations(json_patch::Patch),
+}
+
+/// Identifier of a patch: 1 to 64 bytes of letters, digits, `-`, `_` and `.`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PatchId(String);
+
+impl PatchId {
+    /// The identifier as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for PatchId {
+    type Error = PatchError;
+
+    fn try_from(id: String) -> Result<Self, PatchError> {
+        let bytes_ok =
+            id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+        if bytes_ok && (1..=MAX_ID_BYTES).contains(&id.len()) {
+            return Ok(Self(id));
+        }
+        Err(PatchError::malformed(format!(
+            "patch id {id:?} is not 1 to {MAX_ID_BYTES} bytes of letters, digits, \"-\", \"_\" and \".\""
+        )))
+    }
+}
+
+/// Who submits a patch: 1 to 128 bytes without control characters.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct AuthorName(String);
+
+impl AuthorName {
+    /// The author as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for AuthorName {
+    type Error = PatchError;
+
+    fn try_from(author: String) -> Result<Self, PatchError> {
+        let length_ok = (1..=MAX_AUTHOR_BYTES).contains(&author.len());
+        if length_ok && !author.chars().any(char::is_control) {
+            return Ok(Self(author));
+        }
+        Err(PatchError::malformed(format!(
+            "author {author:?} is not 1 to {MAX_AUTHOR_BYTES} bytes without control characters"
+        )))
+    }
+}
+
+impl TryFrom<PatchDocument> for Patch {
+    type Error = PatchError;
+
+    fn try_from(document: PatchDocument) -> Result<Self, PatchError> {
+        if document.text.len() > MAX_PATCH_BYTES {
+            return Err(PatchError::oversized("patch", document.text.len(), MAX_PATCH_BYTES));
+        }
+        let value = parse_jsonc(&document.text)
+            .map_err(|error| PatchError::malformed(format!("patch text: {error}")))?;
+        let body = match document.format {
+            PatchFormat::Merge => PatchBody::Merge(value),
+            PatchFormat::Operations => PatchBody::Operations(operations::parse(value)?),
+        };
+        Ok(Self {
+            base: document.base,
+            id: PatchId::try_from(document.id)?,
+            author: AuthorName::try_from(document.author)?,
+            time: document.time,
+            body,
+        })
+    }
+}
+
+/// Applies a patch to the configuration in force and checks the result.
+///
+/// # Errors
+///
+/// Fails as a conflict when the patch was built on another version. A patch
+/// whose result is not a valid document is refused whole.
+pub fn apply(current: &ConfigRecord, patch: &Patch) -> Result<ConfigRecord, PatchError> {
+    if patch.base != current.version {
+        return Err(PatchError::stale(patch.base, current.version));
+    }
+    let mut value = serde_json::to_value(&current.document)
+        .map_err(|error| PatchError::malformed(format!("configuration in force: {error}")))?;
+    match &patch.body {
+        PatchBody::Merge(merge) => json_patch::merge(&mut value, merge),
+        PatchBody::Operations(operations) => operations::apply(&mut value, operations)?,
+    }
+    let document = Document::try_from(&value).map_err(PatchError::from)?;
+    ConfigRecord::checked(current.version.next(), patch, document)
+}
+
+impl ConfigRecord {
+    /// Builds a record after checking its document and its size.
+    fn checked(
+        version: ConfigVersion,
+        patch: &Patch,
+        document: Document,
+    ) -> Result<Self, PatchError> {
+        Topology::try_from((version, &document))?;
+        let record = Self {
+            version,
+            patch_id: patch.id.as_str().to_owned(),
+            author: patch.author.as_str().to_owned(),
+            time: patch.time.to_string(),
+            document,
+        };
+        let size = serde_json::to_vec(&record).map_or(usize::MAX, |bytes| bytes.len());
+        if size > MAX_RECORD_BYTES {
+            return Err(PatchError::oversized("configuration", size, MAX_RECORD_BYTES));
+        }
+        Ok(record)
+    }
+
+    /// Builds the first configuration, which no patch can make.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the document is invalid or too large.
+    pub fn first(
+        id: &PatchId,
+        author: &AuthorName,
+        time: UtcTime,
+        document: Document,
+    ) -> Result<Self, PatchError> {
+        let patch = Patch {
+            base: ConfigVersion::default(),
+            id: id.clone(),
+            author: author.clone(),
+            time,
+            body: PatchBody::Merge(Value::Null),
+        };
+        Self::checked(ConfigVersion::default().next(), &patch, document)
+    }
+}
