--- /dev/null
+++ b/crates/bench/src/deployment.rs
@@ -0,0 +1,461 @@
+//! A scenario as running processes: platform, backend servers and nodes.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use carobstep_config::{
+    Document, HedgeDocument, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
+    ServiceDocument,
+};
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+use tokio::time;
+
+use crate::{
+    address::free_address,
+    error::{BenchError, BenchErrorKind},
+    http::{HttpCall, HttpClient},
+    process::{ProcessGroup, ProcessKey, ProcessSignal},
+    scenario::ScenarioPlan,
+    server::ServerPlan,
+};
+
+/// Program of the platform stand-in.
+const PLATFORM_PROGRAM: &str = "carobstep-standin-platform";
+
+/// Program of the backend server stand-in.
+const SERVER_PROGRAM: &str = "carobstep-standin-backend";
+
+/// Program of a node.
+const NODE_PROGRAM: &str = "carobstepd";
+
+/// Pause between two looks at a condition that is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Backend servers that one process hosts.
+const SERVERS_PER_PROCESS: usize = 64;
+
+/// What a deployment is built from.
+#[derive(Clone, Debug)]
+pub struct DeploymentOptions {
+    /// Directory of the programs.
+    pub bin_dir: PathBuf,
+    /// Directory for settings and logs; created when missing.
+    pub run_dir: PathBuf,
+    /// Seed of the backend servers' service times.
+    pub seed: u64,
+    /// Snapshots that the manifest lists and the servers hold.
+    pub snapshots: Vec<u64>,
+    /// Settings of every node that differ from the defaults, by JSON key.
+    pub node_settings: Value,
+}
+
+impl DeploymentOptions {
+    /// Options with the defaults of a small run.
+    #[must_use]
+    pub fn new(bin_dir: &Path, run_dir: &Path) -> Self {
+        Self {
+            bin_dir: bin_dir.to_owned(),
+            run_dir: run_dir.to_owned(),
+            seed: 1,
+            snapshots: vec![1],
+            node_settings: json!({}),
+        }
+    }
+}
+
+/// One node of a deployment.
+#[derive(Clone, Debug)]
+pub struct NodeProcess {
+    /// Name of the node.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: &'static str,
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for operators.
+    pub operators: SocketAddr,
+    /// Listener for peers.
+    pub peers: SocketAddr,
+    /// Its process; the last one after a restart.
+    pub process: Option<ProcessKey>,
+}
+
+/// A running deployment. Dropping it ends every process it started.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The plan it was built from.
+    pub plan: ScenarioPlan,
+    /// Its nodes.
+    pub nodes: Vec<NodeProcess>,
+    /// Its backend servers.
+    pub servers: Vec<ServerPlan>,
+    /// The platform stand-in's listener.
+    pub platform: SocketAddr,
+    /// Client for callers and control calls.
+    pub client: Arc<HttpClient>,
+    /// The processes.
+    pub group: ProcessGroup,
+    options: DeploymentOptions,
+}
+
+impl Deployment {
+    /// Starts the platform, seeds it, and starts backend servers and nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or the platform refuses the seed.
+    pub async fn start(plan: ScenarioPlan, options: DeploymentOptions) -> Result<Self, BenchError> {
+        let mut deployment = Self::prepare(plan, options)?;
+        deployment.start_platform().await?;
+        deployment.start_servers().await?;
+        deployment.seed().await?;
+        for position in 0..deployment.nodes.len() {
+            deployment.start_node(position).await?;
+        }
+        Ok(deployment)
+    }
+
+    /// Starts platform, seed and backend servers, but no node.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Deployment::start`].
+    pub async fn start_without_nodes(
+        plan: ScenarioPlan,
+        options: DeploymentOptions,
+    ) -> Result<Self, BenchError> {
+        let mut deployment = Self::prepare(plan, options)?;
+        deployment.start_platform().await?;
+        deployment.start_servers().await?;
+        deployment.seed().await?;
+        Ok(deployment)
+    }
+
+    fn prepare(plan: ScenarioPlan, options: DeploymentOptions) -> Result<Self, BenchError> {
+        fs::create_dir_all(&options.run_dir)
+            .map_err(|error| output_error(&options.run_dir, &error))?;
+        Ok(Self {
+            nodes: plan_nodes(&plan)?,
+            servers: ServerPlan::plan(&plan)?,
+            platform: free_address()?,
+            client: Arc::new(HttpClient::default()),
+            group: ProcessGroup::new(&options.bin_dir, &options.run_dir),
+            plan,
+            options,
+        })
+    }
+
+    async fn start_platform(&mut self) -> Result<(), BenchError> {
+        let args = ["--address".to_owned(), self.platform.to_string()];
+        self.group.spawn("platform", PLATFORM_PROGRAM, &args).await?;
+        Ok(())
+    }
+
+    async fn start_servers(&mut self) -> Result<(), BenchError> {
+        for position in 0..self.servers.len().div_ceil(SERVERS_PER_PROCESS) {
+            self.start_server_process(position).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_server_process(&mut self, position: usize) -> Result<(), BenchError> {
+        let first = position * SERVERS_PER_PROCESS;
+        let mut args = vec!["--seed".to_owned(), (self.options.seed + position as u64).to_string()];
+        let snapshots = &self.options.snapshots;
+        for server in self.servers.iter().skip(first).take(SERVERS_PER_PROCESS) {
+            args.push("--server".to_owned());
+            args.push(server.argument(snapshots));
+        }
+        let label = format!("servers-{position}");
+        let (key, _) = self.group.spawn(&label, SERVER_PROGRAM, &args).await?;
+        for server in self.servers.iter_mut().skip(first).take(SERVERS_PER_PROCESS) {
+            server.process = Some(key);
+        }
+        Ok(())
+    }
+
+    /// Starts a node that does not run, with the settings it had before.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not print its ready line.
+    pub async fn start_node(&mut self, position: usize) -> Result<(), BenchError> {
+        let node = &self.nodes[position];
+        let path = self.options.run_dir.join(format!("{}.jsonc", node.name));
+        let text = self.node_settings(position).to_string();
+        fs::write(&path, text).map_err(|error| output_error(&path, &error))?;
+        let args = ["--settings".to_owned(), path.display().to_string()];
+        let (key, _) = self.group.spawn(&node.name, NODE_PROGRAM, &args).await?;
+        self.nodes[position].process = Some(key);
+        Ok(())
+    }
+
+    fn node_settings(&self, position: usize) -> Value {
+        let node = &self.nodes[position];
+        let others = self.nodes.iter().filter(|other| other.name != node.name);
+        let seeds: Vec<String> = others.map(|other| other.peers.to_string()).collect();
+        let mut settings = json!({
+            "node": node.name,
+            "region": self.plan.region,
+            "zone": node.zone,
+            "callers": node.callers.to_string(),
+            "operators": node.operators.to_string(),
+            "peers": node.peers.to_string(),
+            "platform": self.platform.to_string(),
+            "seeds": seeds,
+        });
+        if let (Some(settings), Some(extra)) =
+            (settings.as_object_mut(), self.options.node_settings.as_object())
+        {
+            for (key, value) in extra {
+                settings.insert(key.clone(), value.clone());
+            }
+        }
+        settings
+    }
+
+    /// Sends a signal to a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node does not run.
+    pub fn signal_node(
+        &mut self,
+        position: usize,
+        signal: ProcessSignal,
+    ) -> Result<(), BenchError> {
+        let key = self.node_key(position)?;
+        self.group.signal(key, signal)
+    }
+
+    /// Waits until a node has exited; returns whether it reported success.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it still runs after `timeout`.
+    pub async fn wait_node(
+        &mut self,
+        position: usize,
+        timeout: Duration,
+    ) -> Result<bool, BenchError> {
+        let key = self.node_key(position)?;
+        let status = self.group.wait(key, timeout).await?;
+        Ok(status.success())
+    }
+
+    /// Whether a node's process runs.
+    pub fn is_running(&mut self, position: usize) -> bool {
+        match self.nodes[position].process {
+            Some(key) => self.group.is_running(key),
+            None => false,
+        }
+    }
+
+    fn node_key(&self, position: usize) -> Result<ProcessKey, BenchError> {
+        let node = &self.nodes[position];
+        node.process.ok_or_else(|| {
+            BenchError::new(BenchErrorKind::Process, format!("{} was never started", node.name))
+        })
+    }
+
+    /// Waits until every running node is ready and every server's grant held.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than `timeout`.
+    pub async fn wait_ready(&mut self, timeout: Duration) -> Result<(), BenchError> {
+        let wanted = self.servers.len();
+        let deadline = time::Instant::now() + timeout;
+        loop {
+            let (ready, held) = self.readiness().await;
+            if ready && held >= wanted {
+                return Ok(());
+            }
+            if time::Instant::now() >= deadline {
+                let message = format!(
+                    "after {timeout:?}: all nodes ready: {ready}, grants held: {held} of {wanted}"
+                );
+                return Err(BenchError::new(BenchErrorKind::Timeout, message));
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn readiness(&mut self) -> (bool, usize) {
+        let mut ready = true;
+        let mut held = 0;
+        for position in 0..self.nodes.len() {
+            if !self.is_running(position) {
+                continue;
+            }
+            let operators = self.nodes[position].operators;
+            ready &= self.client.expect(operators, &HttpCall::get("/readyz")).await.is_ok();
+            let status = self.client.expect(operators, &HttpCall::get("/v1/status")).await;
+            held += status.map_or(0, |status| held_grants(&status));
+        }
+        (ready, held)
+    }
+
+    /// Sums the counters of every running node that answers.
+    pub async fn counters(&mut self) -> IndexMap<String, u64> {
+        let mut sums = IndexMap::new();
+        for position in 0..self.nodes.len() {
+            if !self.is_running(position) {
+                continue;
+            }
+            let call = HttpCall::get("/v1/counters");
+            let Ok(counters) = self.client.expect(self.nodes[position].operators, &call).await
+            else {
+                continue;
+            };
+            let Some(counters) = counters.as_object() else { continue };
+            for (name, value) in counters {
+                *sums.entry(name.clone()).or_insert(0) += value.as_u64().unwrap_or(0);
+            }
+        }
+        sums.sort_keys();
+        sums
+    }
+
+    /// Sets faults of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not accept them.
+    pub async fn platform_faults(&self, faults: &Value) -> Result<(), BenchError> {
+        let call = HttpCall::post("/standin/faults", faults);
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    async fn seed(&self) -> Result<(), BenchError> {
+        let record = json!({
+            "version": 1,
+            "patch_id": "initial",
+            "author": "bench",
+            "time": "1970-01-01T00:00:00Z",
+            "document": self.document(),
+        });
+        self.create("history/1", &record).await?;
+        self.create("config/current", &record).await?;
+        let manifest = self.manifest(&self.options.snapshots);
+        self.create(&format!("manifest/{}", self.plan.index), &manifest).await?;
+        for node in &self.nodes {
+            self.list_vm(&node.name, node.zone, "entry", "live", node.peers).await?;
+        }
+        for server in &self.servers {
+            self.list_vm(&server.name, server.zone, "backend", "live", server.address).await?;
+        }
+        Ok(())
+    }
+
+    async fn create(&self, path: &str, value: &Value) -> Result<(), BenchError> {
+        let call = HttpCall::put(&format!("/objects/{path}"), value).header("if-none-match", "*");
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// Enters a VM into the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not accept it.
+    pub async fn list_vm(
+        &self,
+        name: &str,
+        zone: &str,
+        role: &str,
+        state: &str,
+        address: SocketAddr,
+    ) -> Result<(), BenchError> {
+        let record = json!({"zone": zone, "role": role, "state": state, "address": address});
+        let call = HttpCall::put(&format!("/standin/vms/{name}"), &record);
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// The configuration document of the deployment.
+    #[must_use]
+    pub fn document(&self) -> Document {
+        let mut document = Document::default();
+        for (name, group) in self.plan.services() {
+            let servers = self.servers.iter().filter(|server| server.service == name);
+            let servers = servers.map(|server| (server.name.clone(), server_document(server)));
+            let service = ServiceDocument {
+                repeat: group.repeat,
+                deadline_ms: millis(group.deadline),
+                hedge: hedge_document(group.repeat),
+                servers: servers.collect(),
+            };
+            document.services.insert(name, service);
+        }
+        let index = IndexDocument { deadline_ms: millis(self.plan.search_deadline) };
+        document.indexes.insert(self.plan.index.to_owned(), index);
+        document
+    }
+
+    /// The manifest of the index with the given snapshots, one shard on each
+    /// searched service.
+    #[must_use]
+    pub fn manifest(&self, snapshots: &[u64]) -> Value {
+        let services: Vec<String> = self.plan.searched_services().collect();
+        let mut list = Vec::new();
+        for number in snapshots {
+            let mut shards = IndexMap::new();
+            for (position, service) in services.iter().enumerate() {
+                shards.insert(format!("s{position:02}"), service.clone());
+            }
+            list.push(json!({"number": number, "shards": shards}));
+        }
+        json!({"index": self.plan.index, "snapshots": list})
+    }
+}
+
+fn plan_nodes(plan: &ScenarioPlan) -> Result<Vec<NodeProcess>, BenchError> {
+    let mut nodes = Vec::new();
+    for number in 0..plan.nodes_per_zone {
+        for zone in plan.zones {
+            nodes.push(NodeProcess {
+                name: format!("{zone}-{number}"),
+                zone,
+                callers: free_address()?,
+                operators: free_address()?,
+                peers: free_address()?,
+                process: None,
+            });
+        }
+    }
+    Ok(nodes)
+}
+
+fn server_document(server: &ServerPlan) -> ServerDocument {
+    ServerDocument {
+        zone: server.zone.to_owned(),
+        address: server.address.to_string(),
+        slots: server.slots,
+        connections: server.connections,
+        state: ServerState::Active,
+    }
+}
+
+fn hedge_document(repeat: RepeatPolicy) -> HedgeDocument {
+    match repeat {
+        RepeatPolicy::Idempotent => HedgeDocument::default(),
+        RepeatPolicy::AtMostOnce => HedgeDocument { hedge_percent: 0.0, retry_percent: 10.0 },
+    }
+}
+
+fn held_grants(status: &Value) -> usize {
+    status["grants"].as_array().map_or(0, Vec::len)
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn output_error(path: &Path, error: &std::io::Error) -> BenchError {
+    BenchError::new(BenchErrorKind::Output, format!("{}: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/bench/src/error.rs
@@ -0,0 +1,54 @@
+//! The error of this crate.
+
+use std::fmt;
+
+use strum::Display;
+
+/// A failure of an experiment or of the processes it runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BenchError {
+    kind: BenchErrorKind,
+    message: String,
+}
+
+/// Kinds of [`BenchError`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum BenchErrorKind {
+    /// The command line is malformed.
+    Usage,
+    /// A process did not start or ended early.
+    Process,
+    /// A process did not reach the expected state in time.
+    Timeout,
+    /// An HTTP call did not get its answer.
+    Http,
+    /// An HTTP call got an unexpected answer.
+    Answer,
+    /// A result could not be written.
+    Output,
+    /// The run ended but a check of its outcome failed.
+    Check,
+}
+
+impl BenchError {
+    /// Builds an error that names what failed.
+    #[must_use]
+    pub fn new(kind: BenchErrorKind, message: impl Into<String>) -> Self {
+        Self { kind, message: message.into() }
+    }
+
+    /// The kind of the error.
+    #[must_use]
+    pub const fn kind(&self) -> BenchErrorKind {
+        self.kind
+    }
+}
+
+impl fmt::Display for BenchError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind, self.message)
+    }
+}
+
+impl std::error::Error for BenchError {}
--- /dev/null
+++ b/crates/bench/src/http.rs
@@ -0,0 +1,211 @@
+//! A small HTTP/1.1 client with keep-alive, for callers and control calls.
+
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use serde_json::Value;
+use tokio::{net::TcpStream, time};
+
+use crate::error::{BenchError, BenchErrorKind};
+
+/// Longest time of a control call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// Status code.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl HttpAnswer {
+    /// The body as JSON, or null when it is none.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+}
+
+/// One call: method, path, header fields and body.
+#[derive(Clone, Debug)]
+pub struct HttpCall {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub path: String,
+    /// Header fields.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl HttpCall {
+    /// A call without a body.
+    #[must_use]
+    pub fn get(path: &str) -> Self {
+        Self::new(Method::GET, path, Bytes::new())
+    }
+
+    /// A POST of a JSON value.
+    #[must_use]
+    pub fn post(path: &str, body: &Value) -> Self {
+        Self::new(Method::POST, path, Bytes::from(body.to_string()))
+    }
+
+    /// A PUT of a JSON value.
+    #[must_use]
+    pub fn put(path: &str, body: &Value) -> Self {
+        Self::new(Method::PUT, path, Bytes::from(body.to_string()))
+    }
+
+    /// Adds a header field.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn new(method: Method, path: &str, body: Bytes) -> Self {
+        Self { method, path: path.to_owned(), headers: Vec::new(), body }
+    }
+
+    fn request(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>, BenchError> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(&self.path)
+            .header("host", address.to_string())
+            .header("content-type", "application/json");
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        request
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| http_error(address, self, &error.to_string()))
+    }
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct HttpClient {
+    idle: Mutex<IndexMap<SocketAddr, Vec<Sender>>>,
+}
+
+impl HttpClient {
+    /// Sends one call and reads the whole answer.
+    ///
+    /// A pooled connection that was closed before any byte of the call was
+    /// written is replaced once; every other failure is reported.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection opens or no whole answer arrives.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        call: &HttpCall,
+    ) -> Result<HttpAnswer, BenchError> {
+        while let Some(mut sender) = self.take(address) {
+            if sender.ready().await.is_err() {
+                continue;
+            }
+            match sender.send_request(call.request(address)?).await {
+                Ok(response) => return self.finish(address, call, sender, response).await,
+                Err(error) if error.is_canceled() => continue,
+                Err(error) => return Err(http_error(address, call, &describe(&error))),
+            }
+        }
+        let mut sender = connect(address, call).await?;
+        let response = sender
+            .send_request(call.request(address)?)
+            .await
+            .map_err(|error| http_error(address, call, &describe(&error)))?;
+        self.finish(address, call, sender, response).await
+    }
+
+    /// Sends a control call; fails unless the answer's status is a success.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`HttpClient::send`], after ten seconds, and on any status
+    /// other than 2xx.
+    pub async fn expect(&self, address: SocketAddr, call: &HttpCall) -> Result<Value, BenchError> {
+        let answer = time::timeout(CALL_TIMEOUT, self.send(address, call))
+            .await
+            .map_err(|_| http_error(address, call, "no answer in time"))??;
+        if answer.status.is_success() {
+            return Ok(answer.json());
+        }
+        let message = format!(
+            "{} {address}{}: status {}: {}",
+            call.method,
+            call.path,
+            answer.status,
+            String::from_utf8_lossy(&answer.body)
+        );
+        Err(BenchError::new(BenchErrorKind::Answer, message))
+    }
+
+    async fn finish(
+        &self,
+        address: SocketAddr,
+        call: &HttpCall,
+        sender: Sender,
+        response: http::Response<hyper::body::Incoming>,
+    ) -> Result<HttpAnswer, BenchError> {
+        let (head, body) = response.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| http_error(address, call, &describe(&error)))?
+            .to_bytes();
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.entry(address).or_default().push(sender);
+        }
+        Ok(HttpAnswer { status: head.status, headers: head.headers, body })
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        self.idle.lock().ok()?.get_mut(&address)?.pop()
+    }
+}
+
+async fn connect(address: SocketAddr, call: &HttpCall) -> Result<Sender, BenchError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| http_error(address, call, &format!("not connected: {error}")))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| http_error(address, call, &format!("no delay not set: {error}")))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| http_error(address, call, &describe(&error)))?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(inner) = source {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        source = inner.source();
+    }
+    text
+}
+
+fn http_error(address: SocketAddr, call: &HttpCall, message: &str) -> BenchError {
+    let message = format!("{} {address}{}: {message}", call.method, call.path);
+    BenchError::new(BenchErrorKind::Http, message)
+}
