--- /dev/null
+++ b/crates/node/src/counters.rs
@@ -0,0 +1,115 @@
+//! Counters of a node: one per refusal reason, retry reason and event.
+
+use std::{
+    array,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use carobstep_wire::{RefusalReason, RetryReason};
+use indexmap::IndexMap;
+use strum::{Display, EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
+
+/// Events that a node counts beside refusals and retries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum NodeEvent {
+    /// Searches taken from callers.
+    Searches,
+    /// Searches answered with every shard covered.
+    SearchesFull,
+    /// Searches answered with shards lacking.
+    SearchesPartial,
+    /// Shards that searches needed.
+    ShardsNeeded,
+    /// Service requests taken from callers.
+    ServiceRequests,
+    /// Service requests answered from a recorded outcome.
+    ServiceReplays,
+    /// Shard requests sent by this node as entry node.
+    EntryDispatches,
+    /// Hedged shard requests sent by this node as entry node.
+    EntryHedges,
+    /// Requests sent to backend servers by this node as holder.
+    ServerDispatches,
+    /// Connections opened to backend servers.
+    ConnectionsOpened,
+    /// Connections to backend servers given up while a request was on them.
+    ConnectionsAbandoned,
+    /// Requests of callers that were malformed or over a limit.
+    BadCallerInput,
+    /// Streams of peers that were malformed or over a limit.
+    BadPeerInput,
+    /// Requests of operators that were malformed or over a limit.
+    BadOperatorInput,
+    /// Control messages sent to peers.
+    ControlMessages,
+    /// Calls to the platform.
+    PlatformCalls,
+    /// Calls to the platform that got no answer.
+    PlatformFailures,
+    /// Grants taken.
+    GrantsTaken,
+    /// Grants released or lost.
+    GrantsDropped,
+    /// Configurations put in force.
+    ConfigsInForce,
+}
+
+/// Every counter of a node.
+#[derive(Debug)]
+pub struct CounterSet {
+    events: [AtomicU64; NodeEvent::COUNT],
+    refusals: [AtomicU64; RefusalReason::COUNT],
+    retries: [AtomicU64; RetryReason::COUNT],
+}
+
+impl Default for CounterSet {
+    fn default() -> Self {
+        Self {
+            events: array::from_fn(|_| AtomicU64::new(0)),
+            refusals: array::from_fn(|_| AtomicU64::new(0)),
+            retries: array::from_fn(|_| AtomicU64::new(0)),
+        }
+    }
+}
+
+impl CounterSet {
+    /// Counts one event.
+    pub fn event(&self, event: NodeEvent) {
+        self.events(event, 1);
+    }
+
+    /// Counts several events of one kind.
+    pub fn events(&self, event: NodeEvent, count: u64) {
+        self.events[event as usize].fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// Counts one refusal.
+    pub fn refusal(&self, reason: RefusalReason) {
+        self.refusals[reason as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts one retry.
+    pub fn retry(&self, reason: RetryReason) {
+        self.retries[reason as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Reads every counter by name: events as they are, refusals behind
+    /// `refused.`, retries behind `retried.`.
+    #[must_use]
+    pub fn read(&self) -> IndexMap<String, u64> {
+        let mut values = IndexMap::new();
+        for event in NodeEvent::iter() {
+            values.insert(event.to_string(), self.events[event as usize].load(Ordering::Relaxed));
+        }
+        for reason in RefusalReason::iter() {
+            let value = self.refusals[reason as usize].load(Ordering::Relaxed);
+            values.insert(format!("refused.{reason}"), value);
+        }
+        for reason in RetryReason::iter() {
+            let value = self.retries[reason as usize].load(Ordering::Relaxed);
+            values.insert(format!("retried.{reason}"), value);
+        }
+        values
+    }
+}
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,110 @@
+//! Log records as JSON lines on standard error.
+//!
+//! simplelog writes plain text only, so this module formats each record as one
+//! JSON object and hands the finished line to simplelog's writer.
+
+use std::{
+    io::stderr,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use log::{Level, LevelFilter, Log, Metadata, Record};
+use serde_json::{Map, Value, json};
+use simplelog::{ConfigBuilder, SharedLogger, WriteLogger};
+
+use crate::error::{NodeError, NodeErrorKind};
+
+/// Formats records as JSON lines and writes them through simplelog.
+struct JsonLogger {
+    writer: Box<WriteLogger<std::io::Stderr>>,
+    node: String,
+    zone: String,
+}
+
+/// Installs the logger for the whole process.
+///
+/// # Errors
+///
+/// Fails when the process already has a logger.
+pub fn install(level: LevelFilter, node: &str, zone: &str) -> Result<(), NodeError> {
+    let config = ConfigBuilder::new()
+        .set_time_level(LevelFilter::Off)
+        .set_max_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .build();
+    let writer = WriteLogger::new(level, config, stderr());
+    let logger = JsonLogger { writer, node: node.to_owned(), zone: zone.to_owned() };
+    log::set_max_level(level);
+    log::set_boxed_logger(Box::new(logger))
+        .map_err(|error| NodeError::new(NodeErrorKind::Log, format!("log: {error}")))
+}
+
+impl Log for JsonLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.writer.level()
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let line = self.format(record);
+        self.writer.log(
+            &Record::builder()
+                .level(record.level())
+                .target(record.target())
+                .args(format_args!("{line}"))
+                .build(),
+        );
+    }
+
+    fn flush(&self) {
+        self.writer.flush();
+    }
+}
+
+impl JsonLogger {
+    fn format(&self, record: &Record<'_>) -> Value {
+        let mut line = Map::new();
+        line.insert("time_ms".to_owned(), json!(unix_millis()));
+        line.insert("level".to_owned(), json!(level_name(record.level())));
+        line.insert("node".to_owned(), json!(self.node));
+        line.insert("zone".to_owned(), json!(self.zone));
+        line.insert("module".to_owned(), json!(record.target()));
+        line.insert("message".to_owned(), json!(record.args().to_string()));
+        // The visitor never fails, so neither does the visit.
+        let _ = record.key_values().visit(&mut FieldVisitor(&mut line));
+        Value::Object(line)
+    }
+}
+
+/// Copies the key-value pairs of a record into its line.
+struct FieldVisitor<'line>(&'line mut Map<String, Value>);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for FieldVisitor<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        self.0.insert(key.as_str().to_owned(), json!(value.to_string()));
+        Ok(())
+    }
+}
+
+const fn level_name(level: Level) -> &'static str {
+    match level {
+        Level::Error => "error",
+        Level::Warn => "warn",
+        Level::Info => "info",
+        Level::Debug => "debug",
+        Level::Trace => "trace",
+    }
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/problem.rs
@@ -0,0 +1,114 @@
+//! Problem documents (RFC 9457) and JSON answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobstep_wire::{Outcome, RefusalReason};
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use serde::Serialize;
+
+/// Body type of every answer.
+pub type AnswerBody = Full<Bytes>;
+
+/// A refusal as callers see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Problem {
+    #[serde(rename = "type")]
+    kind: &'static str,
+    title: &'static str,
+    status: u16,
+    detail: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_id: Option<String>,
+    outcome: Outcome,
+    reason: RefusalReason,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// Builds a problem whose status follows from its outcome and reason.
+    #[must_use]
+    pub fn new(outcome: Outcome, reason: RefusalReason, detail: impl Into<String>) -> Self {
+        let status = status_of(outcome, reason);
+        Self {
+            kind: "about:blank",
+            title: title_of(outcome),
+            status: status.as_u16(),
+            detail: detail.into(),
+            request_id: None,
+            outcome,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Adds the request's identifier.
+    #[must_use]
+    pub fn with_request(mut self, request: impl ToString) -> Self {
+        self.request_id = Some(request.to_string());
+        self
+    }
+
+    /// Adds the time after which a new attempt makes sense.
+    #[must_use]
+    pub fn with_retry_after(mut self, delay: Duration) -> Self {
+        self.retry_after_ms = Some(u64::try_from(delay.as_millis()).unwrap_or(u64::MAX).max(1));
+        self
+    }
+
+    /// The refusal reason.
+    #[must_use]
+    pub const fn reason(&self) -> RefusalReason {
+        self.reason
+    }
+
+    /// Turns the problem into an answer with `retry-after` where it applies.
+    #[must_use]
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = json_response(status, &self);
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        if let Some(delay) = self.retry_after_ms {
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(delay.div_ceil(1_000)));
+        }
+        response
+    }
+}
+
+const fn title_of(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ran => "request ran and failed",
+        Outcome::NotRun => "request not run",
+        Outcome::Unknown => "request outcome unknown",
+    }
+}
+
+const fn status_of(outcome: Outcome, reason: RefusalReason) -> StatusCode {
+    match (outcome, reason) {
+        (Outcome::Ran, _) => StatusCode::BAD_GATEWAY,
+        (Outcome::Unknown, RefusalReason::ClaimInProgress) => StatusCode::CONFLICT,
+        (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+        (Outcome::NotRun, RefusalReason::UnknownTarget) => StatusCode::NOT_FOUND,
+        (Outcome::NotRun, RefusalReason::ClaimMismatch) => StatusCode::UNPROCESSABLE_ENTITY,
+        (Outcome::NotRun, RefusalReason::BadRequest | RefusalReason::KeyMissing) => {
+            StatusCode::BAD_REQUEST
+        }
+        (Outcome::NotRun, RefusalReason::CallerLimit) => StatusCode::TOO_MANY_REQUESTS,
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Builds a JSON answer.
+#[must_use]
+pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<AnswerBody> {
+    // Serialising these plain structs fails only for maps with non-string keys.
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
