Test the kinds of errors that the platform client tells apart

Raw fakes refuse, close, truncate, hang, send garbage and go on without end; each case maps to one kind.

--- /dev/null
+++ b/crates/platform/tests/watches.rs
@@ -0,0 +1,128 @@
+//! A watch yields what it is sent and notices every way in which it breaks.
+
+use std::{net::SocketAddr, time::Duration};
+
+use carobstep_platform::{
+    HttpStore, ObjectKind, ObjectStore, ObjectVersion, StoreErrorKind, WatchEvent,
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+
+const SILENCE: Duration = Duration::from_millis(400);
+const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
+const EVENT: &str = "{\"name\":\"current\",\"version\":6,\"value\":{\"a\":1}}\n";
+
+struct Case {
+    name: &'static str,
+    /// Sent after the head, with a pause after each part.
+    parts: &'static [&'static str],
+    closes: bool,
+    /// Events before the error.
+    events: usize,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "silent from the start", parts: &[], closes: false, events: 0 },
+    Case { name: "silent after an event", parts: &[EVENT], closes: false, events: 1 },
+    Case { name: "kept alive, then silent", parts: &["\n", EVENT, "\n"], closes: false, events: 1 },
+    Case { name: "ended", parts: &[EVENT], closes: true, events: 1 },
+    Case {
+        name: "event in pieces",
+        parts: &["{\"name\":\"current\",\"ver", "sion\":6,\"value\":{\"a\"", ":1}}\n"],
+        closes: true,
+        events: 1,
+    },
+    Case {
+        name: "event without its end",
+        parts: &["{\"name\":\"current\""],
+        closes: true,
+        events: 0,
+    },
+    Case { name: "garbage", parts: &["hello\n", EVENT], closes: false, events: 0 },
+    Case { name: "old version", parts: &[EVENT, EVENT], closes: false, events: 1 },
+    Case {
+        name: "version of the start",
+        parts: &["{\"name\":\"current\",\"version\":5,\"value\":1}\n"],
+        closes: false,
+        events: 0,
+    },
+];
+
+async fn start_fake(
+    head: &'static str,
+    parts: &'static [&'static str],
+    closes: bool,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4096]).await;
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for part in parts {
+            stream.write_all(part.as_bytes()).await.unwrap();
+            tokio::time::sleep(SILENCE / 8).await;
+        }
+        if !closes {
+            let _ = stream.read(&mut [0; 1]).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_broken_watch_yields_its_events_and_one_error() {
+    for case in CASES {
+        let address = start_fake(HEAD, case.parts, case.closes).await;
+        let store = HttpStore::builder(address).watch_silence(SILENCE).build();
+        let mut watch = store.watch(ObjectKind::Config, ObjectVersion(5)).await.unwrap();
+        for _ in 0..case.events {
+            let event = watch.next().await.unwrap().unwrap();
+            let expected = WatchEvent {
+                name: "current".to_owned(),
+                version: ObjectVersion(6),
+                value: Some(json!({"a": 1})),
+            };
+            assert_eq!(event, expected, "{}", case.name);
+        }
+        let error = watch.next().await.unwrap().unwrap_err();
+        assert_eq!(error.kind(), StoreErrorKind::AnswerLost, "{}: {error}", case.name);
+        assert_eq!(watch.next().await, None, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn a_watch_that_does_not_start_has_its_kind() {
+    let cases = [
+        ("HTTP/1.1 410 X\r\ncontent-length: 0\r\n\r\n", StoreErrorKind::VersionGone),
+        ("HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n", StoreErrorKind::Rejected),
+        ("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n", StoreErrorKind::AnswerLost),
+        ("", StoreErrorKind::AnswerLost),
+    ];
+    for (head, expected) in cases {
+        let address = start_fake(head, &[], true).await;
+        let store = HttpStore::builder(address).build();
+        let error = store.watch(ObjectKind::Config, ObjectVersion(5)).await.unwrap_err();
+        assert_eq!(error.kind(), expected, "{head:?}: {error}");
+    }
+}
+
+#[tokio::test]
+async fn a_line_without_end_breaks_the_watch() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut sent = stream.write_all(HEAD.as_bytes()).await;
+        while sent.is_ok() {
+            sent = stream.write_all(&[b'x'; 65_536]).await;
+        }
+    });
+    let store = HttpStore::builder(address).build();
+    let mut watch = store.watch(ObjectKind::Config, ObjectVersion(5)).await.unwrap();
+    let error = watch.next().await.unwrap().unwrap_err();
+    assert_eq!(error.kind(), StoreErrorKind::AnswerLost, "{error}");
+}
