--- a/crates/standin/src/backend/faults.rs
+++ b/crates/standin/src/backend/faults.rs
@@ -62,7 +62,8 @@
 
 impl ServerFaults {
     /// No faults, with the snapshots that the server starts with.
-    pub(crate) const fn none(snapshots: Vec<u64>) -> Self {
+    #[must_use]
+    pub const fn none(snapshots: Vec<u64>) -> Self {
         Self {
             state: HealthState::Healthy,
             shed: false,
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -21,6 +21,7 @@
 
 pub use faults::{HealthState, ServerFaults, ServerFaultsPatch};
 pub use ledger::ServerReport;
+pub use service_time::ServiceTime;
 pub use settings::ServerSettings;
 
 use crate::{error::StandinError, http, metered::MeteredStream};
--- a/crates/standin/src/backend/service_time.rs
+++ b/crates/standin/src/backend/service_time.rs
@@ -14,20 +14,21 @@
 /// The times follow a log-normal distribution, whose mean is
 /// exp(mu + sigma^2 / 2) with sigma = [`LOG_DEVIATION`].
 #[derive(Debug)]
-pub(crate) struct ServiceTime {
+pub struct ServiceTime {
     mean: Duration,
     rng: StdRng,
 }
 
 impl ServiceTime {
     /// Builds a sampler.
-    pub(crate) fn new(mean: Duration, seed: u64) -> Self {
+    #[must_use]
+    pub fn new(mean: Duration, seed: u64) -> Self {
         Self { mean, rng: StdRng::seed_from_u64(seed) }
     }
 
     /// Draws the next service time; `warmth` is 0 for a server that has just
     /// started and 1 for a warm one.
-    pub(crate) fn draw(&mut self, faults: &ServerFaults, warmth: f64) -> Duration {
+    pub fn draw(&mut self, faults: &ServerFaults, warmth: f64) -> Duration {
         let base = self.log_normal();
         let straggles = self.rng.random::<f64>() * 100.0 < faults.straggle_percent;
         let straggle = if straggles { faults.straggle_factor } else { 1.0 };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use backend::{
     BackendStandin, HealthState, ServerFaults, ServerFaultsPatch, ServerReport, ServerSettings,
+    ServiceTime,
 };
 pub use error::StandinError;
 pub use platform::{
