--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -8,42 +8,35 @@
 /// A message from one node's control state to another's.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ControlMessage {
-    /// Periodic summary; answered with what the sender lacks.
+    /// Periodic summary; answered with the receiver's own.
     Gossip(GossipDigest),
     /// Asks a recorded witness to vouch for the sender's lease.
     Vouch(VouchRequest),
     /// Tells a recorded witness that a lease was closed.
     Close(CloseNotice),
-    /// Tells peers that a grant moved.
-    Granted(GrantNotice),
-    /// Asks for the configuration and manifests at or above the given ones.
-    Fetch {
-        /// Version that the asker has.
-        config: ConfigVersion,
-        /// Newest snapshot that the asker has of each index.
-        manifests: Vec<(IndexName, u64)>,
-    },
+    /// Tells peers that grants moved or that servers leave.
+    News(NewsNotice),
+    /// Asks for what the sender lacks.
+    Fetch(FetchRequest),
 }
 
 /// The answer to a [`ControlMessage`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ControlReply {
-    /// Nothing to say.
+    /// The message was taken in.
     Done,
     /// The receiver's own summary.
     Gossip(GossipDigest),
     /// Answer to a vouch request.
     Vouch(VouchReply),
-    /// Newer configuration and manifests.
-    Fetched {
-        /// The configuration, when newer.
-        config: Option<ConfigCopy>,
-        /// The manifests that are newer.
-        manifests: Vec<ManifestCopy>,
-    },
+    /// What the asker lacked.
+    Fetched(FetchReply),
 }
 
 /// What one node knows, in short.
+///
+/// Its size grows with the nodes of one zone and with the changes of the last
+/// seconds, not with the tables behind the hashes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GossipDigest {
     /// The sender.
@@ -52,14 +45,62 @@
     pub config: ConfigVersion,
     /// Newest snapshot seen of each index.
     pub manifests: Vec<(IndexName, u64)>,
-    /// Other nodes seen lately.
+    /// Heartbeats of the nodes of the sender's zone.
+    pub beats: Vec<PeerBeat>,
+    /// Hash of the sender's table of peers, heartbeats left out.
+    pub peers_hash: u64,
+    /// Hashes of the sender's table of grants, one for each bucket of servers.
+    pub grant_hashes: Vec<u32>,
+    /// What changed lately.
+    pub news: NewsNotice,
+}
+
+/// Changes of the last seconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NewsNotice {
+    /// Nodes that started or are stopping.
     pub peers: Vec<PeerRecord>,
-    /// Grants, newest epochs.
+    /// Grants that moved.
     pub grants: Vec<GrantNotice>,
     /// Signs that a backend server leaves.
     pub signs: Vec<ServerSign>,
 }
 
+/// A node's heartbeat in short form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    /// Hash of the node's name and incarnation.
+    pub id: u32,
+    /// Grows with each heartbeat of the incarnation.
+    pub heartbeat: u64,
+    /// Version of the node's lease object after its last renewal.
+    pub lease: u64,
+}
+
+/// What the sender of a [`ControlMessage::Fetch`] lacks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FetchRequest {
+    /// Configuration version that the asker has.
+    pub config: ConfigVersion,
+    /// Newest snapshot that the asker has of each index.
+    pub manifests: Vec<(IndexName, u64)>,
+    /// Whether to send the table of peers.
+    pub peers: bool,
+    /// Buckets of the table of grants to send.
+    pub grant_buckets: Vec<u8>,
+}
+
+/// Answer to a [`FetchRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FetchReply {
+    /// The configuration, when newer.
+    pub config: Option<ConfigCopy>,
+    /// The manifests that are newer.
+    pub manifests: Vec<ManifestCopy>,
+    /// Tables and signs that were asked for.
+    pub tables: NewsNotice,
+}
+
 /// Address and incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerRecord {
@@ -88,6 +129,8 @@
     pub incarnation: u64,
     /// Epoch of the grant; grows with each move.
     pub epoch: u64,
+    /// Version of the grant's object.
+    pub version: u64,
 }
 
 /// Asks a witness to vouch for a lease.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,8 +8,9 @@
 mod shard;
 
 pub use control::{
-    CloseNotice, ConfigCopy, ControlMessage, ControlReply, GossipDigest, GrantNotice, ManifestCopy,
-    PeerRecord, ServerSign, VouchReply, VouchRequest,
+    CloseNotice, ConfigCopy, ControlMessage, ControlReply, FetchReply, FetchRequest, GossipDigest,
+    GrantNotice, ManifestCopy, NewsNotice, PeerBeat, PeerRecord, ServerSign, VouchReply,
+    VouchRequest,
 };
 pub use reason::{Outcome, RefusalReason, RetryReason};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
