Send open-loop load and report latency, coverage, extra load and costs

Answers are checked against the manifest and the request, orders against the executions that the backend servers recorded. The report is written as JSON, text and an SVG plot drawn by plotters.

--- /dev/null
+++ b/crates/bench/src/answer.rs
@@ -0,0 +1,173 @@
+//! Callers' views: what an answer claims, checked against the manifest.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use serde_json::Value;
+
+use crate::http::HttpAnswer;
+
+/// What one request came to, as its caller sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallerView {
+    /// A search answer that fits the manifest.
+    Searched(SearchView),
+    /// A service request that ran.
+    Ran {
+        /// Whether the outcome was recorded by an earlier request.
+        replayed: bool,
+    },
+    /// Refused, and certainly not executed.
+    NotRun {
+        /// The refusal reason.
+        reason: String,
+        /// When a new attempt makes sense.
+        retry_after: Option<Duration>,
+    },
+    /// May or may not have executed.
+    Unknown {
+        /// The reason.
+        reason: String,
+    },
+    /// No whole answer arrived.
+    Cut(String),
+    /// An answer that contradicts the manifest, the request or the protocol.
+    False(String),
+}
+
+/// A search answer that fits the manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SearchView {
+    /// Snapshot of the answer.
+    pub snapshot: u64,
+    /// Shards covered.
+    pub covered: usize,
+    /// Reasons of the lacking shards.
+    pub lacking: Vec<String>,
+}
+
+/// The shards of each published snapshot.
+#[derive(Clone, Debug, Default)]
+pub struct ManifestCheck {
+    snapshots: IndexMap<u64, IndexSet<String>>,
+}
+
+impl ManifestCheck {
+    /// Adds the snapshots of a manifest; snapshots added earlier stay valid,
+    /// since a search may have been planned before they were dropped.
+    pub fn add(&mut self, manifest: &Value) {
+        for snapshot in manifest["snapshots"].as_array().into_iter().flatten() {
+            let Some(number) = snapshot["number"].as_u64() else { continue };
+            let shards = snapshot["shards"].as_object().into_iter().flatten();
+            self.snapshots.insert(number, shards.map(|(name, _)| name.clone()).collect());
+        }
+    }
+
+    /// Judges the answer to a search whose request body was `request`.
+    #[must_use]
+    pub fn search_view(&self, request: &Value, answer: &HttpAnswer) -> CallerView {
+        if !answer.status.is_success() {
+            return refusal_view(answer);
+        }
+        match self.read_search(request, &answer.json()) {
+            Ok(view) => CallerView::Searched(view),
+            Err(message) => CallerView::False(message),
+        }
+    }
+
+    fn read_search(&self, request: &Value, body: &Value) -> Result<SearchView, String> {
+        let number = body["snapshot"].as_u64().ok_or("the answer names no snapshot")?;
+        let shards = self
+            .snapshots
+            .get(&number)
+            .ok_or_else(|| format!("snapshot {number} was never published"))?;
+        let covered = names(&body["coverage"]["covered"], |item| item)?;
+        let lacking = names(&body["coverage"]["lacking"], |item| &item["shard"])?;
+        let mut named: IndexSet<&str> = IndexSet::new();
+        for shard in covered.iter().chain(&lacking) {
+            if !shards.contains(*shard) {
+                return Err(format!("snapshot {number} has no shard {shard}"));
+            }
+            if !named.insert(shard) {
+                return Err(format!("shard {shard} is listed twice"));
+            }
+        }
+        if named.len() != shards.len() {
+            return Err(format!("{} of {} shards are listed", named.len(), shards.len()));
+        }
+        check_results(request, number, &covered, &body["results"])?;
+        let reasons = body["coverage"]["lacking"].as_array().into_iter().flatten();
+        let reasons = reasons.map(|item| item["reason"].as_str().unwrap_or("none").to_owned());
+        Ok(SearchView { snapshot: number, covered: covered.len(), lacking: reasons.collect() })
+    }
+}
+
+/// Checks that exactly the covered shards have results, each of them from
+/// this snapshot and for this request.
+fn check_results(
+    request: &Value,
+    snapshot: u64,
+    covered: &[&str],
+    results: &Value,
+) -> Result<(), String> {
+    let results = results.as_array().ok_or("the answer has no results")?;
+    if results.len() != covered.len() {
+        return Err(format!("{} results for {} shards", results.len(), covered.len()));
+    }
+    let mut missing: IndexSet<&str> = covered.iter().copied().collect();
+    for result in results {
+        let shard = result["shard"].as_str().unwrap_or_default();
+        if !missing.swap_remove(shard) {
+            return Err(format!("a result for shard {shard:?} that is not covered"));
+        }
+        let body = &result["body"];
+        if body["shard"] != result["shard"] {
+            return Err(format!("the result of shard {shard} holds shard {}", body["shard"]));
+        }
+        if body["snapshot"].as_u64() != Some(snapshot) {
+            return Err(format!("the result of shard {shard} is of snapshot {}", body["snapshot"]));
+        }
+        if &body["echo"] != request {
+            return Err(format!("the result of shard {shard} answers another request"));
+        }
+    }
+    Ok(())
+}
+
+/// Judges the answer to a service request.
+#[must_use]
+pub fn service_view(answer: &HttpAnswer) -> CallerView {
+    if !answer.status.is_success() {
+        return refusal_view(answer);
+    }
+    let body = answer.json();
+    if body["outcome"] != "ran" {
+        return CallerView::False(format!(
+            "status {} with outcome {}",
+            answer.status, body["outcome"]
+        ));
+    }
+    CallerView::Ran { replayed: body["replayed"] == true }
+}
+
+fn refusal_view(answer: &HttpAnswer) -> CallerView {
+    let body = answer.json();
+    let reason = body["reason"].as_str().unwrap_or("none").to_owned();
+    match body["outcome"].as_str() {
+        Some("not_run") => {
+            let retry_after = body["retry_after_ms"].as_u64().map(Duration::from_millis);
+            CallerView::NotRun { reason, retry_after }
+        }
+        Some("unknown") => CallerView::Unknown { reason },
+        _ => CallerView::False(format!("status {} without an outcome", answer.status)),
+    }
+}
+
+fn names<'a>(
+    list: &'a Value,
+    field: impl Fn(&'a Value) -> &'a Value,
+) -> Result<Vec<&'a str>, String> {
+    let list = list.as_array().ok_or("the answer lacks a coverage list")?;
+    let names = list.iter().map(|item| field(item).as_str().ok_or("a shard without a name"));
+    names.collect::<Result<Vec<&str>, &str>>().map_err(str::to_owned)
+}
--- /dev/null
+++ b/crates/bench/src/balancer.rs
@@ -0,0 +1,89 @@
+//! The callers' balancer: spreads requests over the nodes that are ready.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{task::JoinHandle, time};
+
+use crate::{
+    deployment::NodeProcess,
+    http::{HttpCall, HttpClient},
+};
+
+/// Pause between two readiness probes of a node.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time of a readiness probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Gives out nodes in turn, leaving out those whose last probe failed.
+#[derive(Debug)]
+pub struct NodeBalancer {
+    targets: Arc<Vec<BalancerTarget>>,
+    next: AtomicUsize,
+    probes: Vec<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct BalancerTarget {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    ready: AtomicBool,
+}
+
+impl NodeBalancer {
+    /// Starts probing the nodes; all count as ready until a probe fails.
+    #[must_use]
+    pub fn start(nodes: &[NodeProcess]) -> Self {
+        let targets = nodes.iter().map(|node| BalancerTarget {
+            callers: node.callers,
+            operators: node.operators,
+            ready: AtomicBool::new(true),
+        });
+        let targets: Arc<Vec<BalancerTarget>> = Arc::new(targets.collect());
+        let probes = (0..targets.len()).map(|position| {
+            let targets = Arc::clone(&targets);
+            tokio::spawn(async move { probe(&targets[position]).await })
+        });
+        let probes = probes.collect();
+        Self { targets, next: AtomicUsize::new(0), probes }
+    }
+
+    /// The callers' listener of the next ready node; of any node when none is.
+    #[must_use]
+    pub fn pick(&self) -> SocketAddr {
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        for step in 0..self.targets.len() {
+            let target = &self.targets[(first + step) % self.targets.len()];
+            if target.ready.load(Ordering::Relaxed) {
+                return target.callers;
+            }
+        }
+        self.targets[first % self.targets.len()].callers
+    }
+}
+
+impl Drop for NodeBalancer {
+    fn drop(&mut self) {
+        for probe in &self.probes {
+            probe.abort();
+        }
+    }
+}
+
+async fn probe(target: &BalancerTarget) {
+    let client = HttpClient::default();
+    let call = HttpCall::get("/readyz");
+    loop {
+        let answer = time::timeout(PROBE_TIMEOUT, client.send(target.operators, &call)).await;
+        let ready = matches!(answer, Ok(Ok(answer)) if answer.status.is_success());
+        target.ready.store(ready, Ordering::Relaxed);
+        time::sleep(PROBE_INTERVAL).await;
+    }
+}
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -4,6 +4,8 @@
     env, io,
     path::{Path, PathBuf},
     process::{self, ExitCode},
+    str::FromStr,
+    time::Duration,
 };
 
 use getopts::{Matches, Options};
@@ -14,6 +16,9 @@
     demo::run_demo,
     deployment::DeploymentOptions,
     error::{BenchError, BenchErrorKind},
+    load::LoadOptions,
+    report::measure,
+    scenario::{ScenarioName, ScenarioPlan},
 };
 
 /// What the bench does.
@@ -22,12 +27,15 @@
 enum BenchCommand {
     /// Runs one search and one order through a whole deployment.
     Demo,
+    /// Sends open-loop load to a deployment and reports its figures.
+    Load,
 }
 
 impl BenchCommand {
     const fn summary(self) -> &'static str {
         match self {
             Self::Demo => "run one search and one order through a whole deployment",
+            Self::Load => "send open-loop load to a deployment and report its figures",
         }
     }
 }
@@ -57,15 +65,36 @@
     let options = deployment_options(matches)?;
     match command {
         BenchCommand::Demo => run_demo(options, &mut io::stdout()).await.map(drop),
+        BenchCommand::Load => load(options, matches).await,
     }
 }
 
+async fn load(options: DeploymentOptions, matches: &Matches) -> Result<(), BenchError> {
+    let run_dir = options.run_dir.clone();
+    let load = load_options(matches, options.seed)?;
+    let plan = scenario_plan(matches)?;
+    let (report, samples) = measure(plan, options, load).await?;
+    print!("{}", report.text());
+    report.write(&run_dir, "load", &samples)?;
+    println!("report: {}", run_dir.display());
+    if report.is_sound() {
+        return Ok(());
+    }
+    Err(BenchError::new(BenchErrorKind::Check, "an invariant was violated; see the report"))
+}
+
 fn flags() -> Options {
     let mut flags = Options::new();
     flags.optflag("h", "help", "print this help");
     flags.optopt("", "bin-dir", "directory of the programs [beside this one]", "DIR");
     flags.optopt("", "run-dir", "directory for settings and logs [a temporary one]", "DIR");
     flags.optopt("", "seed", "seed of arrivals and service times [1]", "N");
+    flags.optopt("", "scenario", "demo, perth or ireland [perth]", "NAME");
+    flags.optopt("", "nodes-per-zone", "nodes in each zone [2]", "N");
+    flags.optopt("", "rate", "mean searches per second [50]", "N");
+    flags.optopt("", "order-rate", "mean orders per second [5]", "N");
+    flags.optopt("", "seconds", "length of the load [10]", "N");
+    flags.optopt("", "warmup", "seconds at its start that are not reported [2]", "N");
     flags
 }
 
@@ -88,22 +117,41 @@
         None => env::temp_dir().join(format!("carobstep-bench-{}", process::id())),
     };
     let mut options = DeploymentOptions::new(&bin_dir, &run_dir);
-    if let Some(seed) = number(matches, "seed")? {
+    if let Some(seed) = parsed(matches, "seed")? {
         options.seed = seed;
     }
     Ok(options)
 }
 
+fn load_options(matches: &Matches, seed: u64) -> Result<LoadOptions, BenchError> {
+    Ok(LoadOptions {
+        search_rate: parsed(matches, "rate")?.unwrap_or(50.0),
+        order_rate: parsed(matches, "order-rate")?.unwrap_or(5.0),
+        length: Duration::from_secs(parsed(matches, "seconds")?.unwrap_or(10)),
+        warmup: Duration::from_secs(parsed(matches, "warmup")?.unwrap_or(2)),
+        seed,
+    })
+}
+
+fn scenario_plan(matches: &Matches) -> Result<ScenarioPlan, BenchError> {
+    let name = parsed(matches, "scenario")?.unwrap_or(ScenarioName::Perth);
+    let mut plan = ScenarioPlan::from(name);
+    if let Some(nodes) = parsed(matches, "nodes-per-zone")? {
+        plan.nodes_per_zone = nodes;
+    }
+    Ok(plan)
+}
+
 fn own_dir() -> Result<PathBuf, BenchError> {
     let program = env::current_exe()
         .map_err(|error| BenchError::new(BenchErrorKind::Process, error.to_string()))?;
     Ok(program.parent().unwrap_or(Path::new(".")).to_owned())
 }
 
-fn number(matches: &Matches, flag: &str) -> Result<Option<u64>, BenchError> {
+fn parsed<T: FromStr>(matches: &Matches, flag: &str) -> Result<Option<T>, BenchError> {
     let Some(text) = matches.opt_str(flag) else { return Ok(None) };
-    let number = text.parse();
-    number.map(Some).map_err(|_| usage_error(&format!("--{flag} {text:?} is not a whole number")))
+    let value = text.parse();
+    value.map(Some).map_err(|_| usage_error(&format!("--{flag} {text:?} is not a valid value")))
 }
 
 fn usage_error(message: &str) -> BenchError {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,21 +18,41 @@
 //! ```
 
 mod address;
+mod answer;
+mod arrivals;
+mod balancer;
 mod cli;
 mod demo;
 mod deployment;
 mod error;
 mod http;
+mod ledger;
+mod load;
+mod observe;
+mod plot;
 mod process;
+mod report;
 mod scenario;
 mod server;
+mod summary;
+mod usage;
 
 pub use address::free_address;
+pub use answer::{CallerView, ManifestCheck, SearchView, service_view};
+pub use arrivals::ArrivalProcess;
+pub use balancer::NodeBalancer;
 pub use cli::main;
 pub use demo::{DemoOutcome, run_demo};
 pub use deployment::{Deployment, DeploymentOptions, NodeProcess};
 pub use error::{BenchError, BenchErrorKind};
 pub use http::{HttpAnswer, HttpCall, HttpClient};
+pub use ledger::{ExecutionLedger, LedgerFaults};
+pub use load::{CallerSide, LoadOptions, LoadSample, SampleKind, order_body, run_load};
+pub use observe::{DeploymentCost, DeploymentReading, NodeCost};
+pub use plot::plot_latencies;
 pub use process::{ProcessGroup, ProcessKey, ProcessSignal};
+pub use report::{LoadReport, measure, measure_load};
 pub use scenario::{ScenarioName, ScenarioPlan, ServiceGroup};
 pub use server::{ServerPlan, ServerReport};
+pub use summary::{LatencySummary, OutcomeSummary};
+pub use usage::ProcessUsage;
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,197 @@
+//! Open-loop load on a deployment.
+//!
+//! Requests start at the times of a seeded arrival process, whether or not
+//! earlier ones have been answered, and latency counts from the intended
+//! start. Waiting for a slow answer therefore never hides later ones.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+use crate::{
+    answer::{CallerView, ManifestCheck, service_view},
+    arrivals::ArrivalProcess,
+    balancer::NodeBalancer,
+    deployment::Deployment,
+    http::{HttpCall, HttpClient},
+};
+
+/// Longest time a caller waits for an answer.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Adds to the seed of the search arrivals to get that of the orders.
+const ORDER_SEED_OFFSET: u64 = 0x6f72_6465;
+
+/// Rates and length of a load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadOptions {
+    /// Mean searches per second.
+    pub search_rate: f64,
+    /// Mean orders per second.
+    pub order_rate: f64,
+    /// Length of the load.
+    pub length: Duration,
+    /// Time at the start whose samples are left out.
+    pub warmup: Duration,
+    /// Seed of arrivals and payloads.
+    pub seed: u64,
+}
+
+/// What a request was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SampleKind {
+    /// A search of the scenario's index.
+    Search,
+    /// A request that runs at most once.
+    Order,
+}
+
+/// One request and what it came to.
+#[derive(Clone, Debug)]
+pub struct LoadSample {
+    /// What it was.
+    pub kind: SampleKind,
+    /// Intended start, as an offset from the start of the load.
+    pub at: Duration,
+    /// Time from the intended start to the end of the answer.
+    pub latency: Duration,
+    /// What the caller saw.
+    pub view: CallerView,
+    /// Idempotency key of an order.
+    pub key: Option<String>,
+}
+
+/// The callers of a deployment: where they send and how they judge answers.
+#[derive(Clone, Debug)]
+pub struct CallerSide {
+    /// Client with the callers' connections.
+    pub client: Arc<HttpClient>,
+    /// Balancer in front of the nodes.
+    pub balancer: Arc<NodeBalancer>,
+    /// Manifests that answers are checked against.
+    pub manifest: Arc<ManifestCheck>,
+    index: Arc<str>,
+    order_service: Arc<str>,
+    one_way: Duration,
+}
+
+impl CallerSide {
+    /// Callers of a deployment that accept the given snapshots.
+    #[must_use]
+    pub fn new(deployment: &Deployment, snapshots: &[u64]) -> Self {
+        let mut manifest = ManifestCheck::default();
+        manifest.add(&deployment.manifest(snapshots));
+        Self {
+            client: Arc::new(HttpClient::default()),
+            balancer: Arc::new(NodeBalancer::start(&deployment.nodes)),
+            manifest: Arc::new(manifest),
+            index: deployment.plan.index.into(),
+            order_service: deployment.plan.order_service.into(),
+            one_way: deployment.plan.caller_delay,
+        }
+    }
+
+    /// Sends one search with its own payload.
+    pub async fn search(&self, payload: u64) -> CallerView {
+        let body = json!({"payload": payload});
+        let call = HttpCall::post(&format!("/v1/search/{}", self.index), &body);
+        self.send(&call, |answer| self.manifest.search_view(&body, answer)).await
+    }
+
+    /// Sends one order under an idempotency key.
+    pub async fn order(&self, key: &str) -> CallerView {
+        let path = format!("/v1/services/{}", self.order_service);
+        let call = HttpCall::post(&path, &order_body(key)).header("idempotency-key", key);
+        self.send(&call, service_view).await
+    }
+
+    async fn send(
+        &self,
+        call: &HttpCall,
+        judge: impl Fn(&crate::http::HttpAnswer) -> CallerView,
+    ) -> CallerView {
+        time::sleep(self.one_way).await;
+        let answer = time::timeout(CALLER_TIMEOUT, self.client.send(self.balancer.pick(), call));
+        let view = match answer.await {
+            Ok(Ok(answer)) => judge(&answer),
+            Ok(Err(error)) => CallerView::Cut(error.to_string()),
+            Err(_) => CallerView::Cut(format!("no answer after {CALLER_TIMEOUT:?}")),
+        };
+        time::sleep(self.one_way).await;
+        view
+    }
+}
+
+/// Body of the order with a key; the same for every resend.
+#[must_use]
+pub fn order_body(key: &str) -> Value {
+    json!({"garment": "blazer", "order": key})
+}
+
+/// Runs a load to its end and returns the samples after the warm-up, in
+/// order of their intended starts.
+pub async fn run_load(side: &CallerSide, options: LoadOptions) -> Vec<LoadSample> {
+    let start = Instant::now();
+    let searches = drive(side, SampleKind::Search, options.search_rate, options, start);
+    let orders = drive(side, SampleKind::Order, options.order_rate, options, start);
+    let (mut samples, orders) = tokio::join!(searches, orders);
+    samples.extend(orders);
+    samples.retain(|sample| sample.at >= options.warmup);
+    samples.sort_by_key(|sample| sample.at);
+    samples
+}
+
+async fn drive(
+    side: &CallerSide,
+    kind: SampleKind,
+    rate: f64,
+    options: LoadOptions,
+    start: Instant,
+) -> Vec<LoadSample> {
+    let seed = match kind {
+        SampleKind::Search => options.seed,
+        SampleKind::Order => options.seed.wrapping_add(ORDER_SEED_OFFSET),
+    };
+    let mut payloads = StdRng::seed_from_u64(seed);
+    let mut requests = JoinSet::new();
+    let mut samples = Vec::new();
+    for at in ArrivalProcess::new(rate, seed) {
+        if at > options.length {
+            break;
+        }
+        time::sleep_until(start + at).await;
+        while let Some(sample) = requests.try_join_next() {
+            samples.extend(sample.ok());
+        }
+        let side = side.clone();
+        let payload: u64 = payloads.random();
+        requests.spawn(async move { request(&side, kind, payload, start, at).await });
+    }
+    while let Some(sample) = requests.join_next().await {
+        samples.extend(sample.ok());
+    }
+    samples
+}
+
+async fn request(
+    side: &CallerSide,
+    kind: SampleKind,
+    payload: u64,
+    start: Instant,
+    at: Duration,
+) -> LoadSample {
+    let key = match kind {
+        SampleKind::Search => None,
+        SampleKind::Order => Some(format!("order-{payload:016x}")),
+    };
+    let view = match &key {
+        None => side.search(payload).await,
+        Some(key) => side.order(key).await,
+    };
+    LoadSample { kind, at, latency: start.elapsed().saturating_sub(at), view, key }
+}
--- /dev/null
+++ b/crates/bench/src/observe.rs
@@ -0,0 +1,126 @@
+//! Readings of a deployment before and after a load, and their difference.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{
+    deployment::Deployment, error::BenchError, http::HttpCall, server::ServerReport,
+    usage::ProcessUsage,
+};
+
+/// One reading of every process of a deployment.
+#[derive(Clone, Debug, Default)]
+pub struct DeploymentReading {
+    usage: IndexMap<String, ProcessUsage>,
+    reports: IndexMap<String, ServerReport>,
+    services: IndexMap<String, String>,
+    counters: IndexMap<String, u64>,
+    calls: IndexMap<String, u64>,
+}
+
+/// What changed between two readings.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct DeploymentCost {
+    /// Processor share and memory of each node.
+    pub nodes: IndexMap<String, NodeCost>,
+    /// Executions that each service's servers recorded.
+    pub executed: IndexMap<String, u64>,
+    /// Limit violations that the servers recorded, since they started.
+    pub violations: u64,
+    /// Requests that the servers shed.
+    pub shed: u64,
+    /// Most connections open at one server at the same time.
+    pub peak_connections: u64,
+    /// Counters of the nodes, summed, without zeros.
+    pub counters: IndexMap<String, u64>,
+    /// Calls to the platform.
+    pub platform_calls: IndexMap<String, u64>,
+}
+
+/// Cost of one node between two readings.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct NodeCost {
+    /// Mean share of one core.
+    pub cores: f64,
+    /// Resident memory at the second reading, in bytes.
+    pub resident_bytes: u64,
+}
+
+impl DeploymentReading {
+    /// Reads every process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a backend server or the platform does not answer.
+    pub async fn take(deployment: &mut Deployment) -> Result<Self, BenchError> {
+        let mut reading = Self { counters: deployment.counters().await, ..Self::default() };
+        for node in &deployment.nodes {
+            let Some(process) = node.process else { continue };
+            let usage = ProcessUsage::read(deployment.group.pid(process));
+            reading.usage.insert(node.name.clone(), usage.unwrap_or_default());
+        }
+        for server in &deployment.servers {
+            let report = server.report(&deployment.client).await?;
+            reading.reports.insert(server.name.clone(), report);
+            reading.services.insert(server.name.clone(), server.service.clone());
+        }
+        let calls = HttpCall::get("/standin/calls");
+        let calls = deployment.client.expect(deployment.platform, &calls).await?;
+        flatten("", &calls, &mut reading.calls);
+        Ok(reading)
+    }
+
+    /// The change since an earlier reading, taken `span` ago.
+    #[must_use]
+    pub fn since(&self, earlier: &Self, span: Duration) -> DeploymentCost {
+        let mut cost = DeploymentCost {
+            counters: difference(&self.counters, &earlier.counters),
+            platform_calls: difference(&self.calls, &earlier.calls),
+            ..DeploymentCost::default()
+        };
+        for (node, usage) in &self.usage {
+            let before = earlier.usage.get(node).copied().unwrap_or_default();
+            let cores = usage.cpu.saturating_sub(before.cpu).as_secs_f64() / span.as_secs_f64();
+            let resident_bytes = usage.resident_bytes;
+            cost.nodes.insert(node.clone(), NodeCost { cores, resident_bytes });
+        }
+        for (server, report) in &self.reports {
+            let before = earlier.reports.get(server).cloned().unwrap_or_default();
+            let service = self.services[server].clone();
+            *cost.executed.entry(service).or_default() += report.executed - before.executed;
+            cost.violations += report.violations;
+            cost.shed += report.shed - before.shed;
+            cost.peak_connections = cost.peak_connections.max(report.peak_connections);
+        }
+        cost
+    }
+}
+
+fn difference(
+    after: &IndexMap<String, u64>,
+    before: &IndexMap<String, u64>,
+) -> IndexMap<String, u64> {
+    let mut changes = IndexMap::new();
+    for (name, value) in after {
+        let change = value.saturating_sub(before.get(name).copied().unwrap_or(0));
+        if change > 0 {
+            changes.insert(name.clone(), change);
+        }
+    }
+    changes
+}
+
+/// Collects the numbers of a JSON tree under their slash-separated paths.
+fn flatten(path: &str, value: &Value, numbers: &mut IndexMap<String, u64>) {
+    if let Some(number) = value.as_u64() {
+        numbers.insert(path.to_owned(), number);
+        return;
+    }
+    for (name, value) in value.as_object().into_iter().flatten() {
+        let path = if path.is_empty() { name.clone() } else { format!("{path}/{name}") };
+        flatten(&path, value, numbers);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,205 @@
+//! The report of a load: JSON for machines, text and plots for people.
+
+use std::{fs, path::Path, time::Duration};
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::{
+    deployment::{Deployment, DeploymentOptions},
+    error::{BenchError, BenchErrorKind},
+    ledger::{ExecutionLedger, LedgerFaults},
+    load::{CallerSide, LoadOptions, LoadSample, SampleKind, run_load},
+    observe::{DeploymentCost, DeploymentReading},
+    plot::plot_latencies,
+    scenario::ScenarioPlan,
+    summary::OutcomeSummary,
+};
+
+/// Longest time until every node is ready and every grant is held.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Figures of one load on one deployment.
+#[derive(Clone, Debug, Serialize)]
+pub struct LoadReport {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Seed of arrivals, payloads and service times.
+    pub seed: u64,
+    /// Mean searches per second.
+    pub search_rate: f64,
+    /// Mean orders per second.
+    pub order_rate: f64,
+    /// Length of the load in seconds, with the warm-up.
+    pub seconds: f64,
+    /// The searches.
+    pub searches: OutcomeSummary,
+    /// The orders.
+    pub orders: OutcomeSummary,
+    /// Executions per needed shard request, by service, over the whole load.
+    pub extra_load: IndexMap<String, f64>,
+    /// Executions per needed shard request over all searched services.
+    pub mean_extra_load: f64,
+    /// Executions of orders against what callers were told.
+    pub ledger: LedgerFaults,
+    /// What the processes spent, over the whole load.
+    pub cost: DeploymentCost,
+}
+
+impl LoadReport {
+    /// The report as lines of text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut lines = vec![format!(
+            "{}: {} nodes, {} searches/s, {} orders/s, {} s, seed {}",
+            self.scenario, self.nodes, self.search_rate, self.order_rate, self.seconds, self.seed
+        )];
+        lines.extend(outcome_lines("searches", &self.searches));
+        lines.extend(outcome_lines("orders", &self.orders));
+        lines.push(format!("extra load: {:.4}", self.mean_extra_load));
+        lines.push(format!("limit violations: {}", self.cost.violations));
+        lines.push(format!("peak connections of a server: {}", self.cost.peak_connections));
+        for (node, cost) in &self.cost.nodes {
+            let megabytes = cost.resident_bytes as f64 / 1e6;
+            lines.push(format!("{node}: {:.3} cores, {megabytes:.1} MB", cost.cores));
+        }
+        for (name, value) in self.cost.counters.iter().chain(&self.cost.platform_calls) {
+            lines.push(format!("{name}: {value}"));
+        }
+        lines.join("\n") + "\n"
+    }
+
+    /// Whether nothing was violated that must always hold.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        self.cost.violations == 0
+            && self.ledger == LedgerFaults::default()
+            && self.searches.false_answers == 0
+            && self.orders.false_answers == 0
+    }
+
+    /// Writes `NAME.json`, `NAME.txt` and `NAME.svg` into a directory.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file cannot be written.
+    pub fn write(&self, dir: &Path, name: &str, samples: &[LoadSample]) -> Result<(), BenchError> {
+        let json = serde_json::to_string_pretty(self)
+            .map_err(|error| BenchError::new(BenchErrorKind::Output, error.to_string()))?;
+        write_file(&dir.join(format!("{name}.json")), &json)?;
+        write_file(&dir.join(format!("{name}.txt")), &self.text())?;
+        write_file(&dir.join(format!("{name}.svg")), &plot_latencies(samples)?)
+    }
+}
+
+/// Starts a deployment, runs one load and reports it.
+///
+/// # Errors
+///
+/// Fails when a process does, or when the deployment does not become ready.
+pub async fn measure(
+    plan: ScenarioPlan,
+    deployment_options: DeploymentOptions,
+    options: LoadOptions,
+) -> Result<(LoadReport, Vec<LoadSample>), BenchError> {
+    let snapshots = deployment_options.snapshots.clone();
+    let mut deployment = Deployment::start(plan, deployment_options).await?;
+    deployment.wait_ready(READY_TIMEOUT).await?;
+    let side = CallerSide::new(&deployment, &snapshots);
+    measure_load(&mut deployment, &side, options).await
+}
+
+/// Runs one load on a running deployment and reports it.
+///
+/// # Errors
+///
+/// Fails when a backend server or the platform does not answer.
+pub async fn measure_load(
+    deployment: &mut Deployment,
+    side: &CallerSide,
+    options: LoadOptions,
+) -> Result<(LoadReport, Vec<LoadSample>), BenchError> {
+    let before = DeploymentReading::take(deployment).await?;
+    // The warm-up counts towards executions too, so its samples are kept
+    // until the executions have been compared with them.
+    let whole = LoadOptions { warmup: Duration::ZERO, ..options };
+    let all = run_load(side, whole).await;
+    let after = DeploymentReading::take(deployment).await?;
+    let cost = after.since(&before, options.length);
+    let ledger = ExecutionLedger::read(deployment, deployment.plan.order_service).await?;
+    let needed = all.iter().filter(|sample| sample.kind == SampleKind::Search).count();
+    let extra_load = extra_load(&deployment.plan, &cost, needed);
+    let mean_extra_load = extra_load.values().sum::<f64>() / extra_load.len().max(1) as f64;
+    let faults = ledger.compare(&all);
+    let samples: Vec<LoadSample> =
+        all.into_iter().filter(|sample| sample.at >= options.warmup).collect();
+    let report = LoadReport {
+        scenario: deployment.plan.name.to_string(),
+        nodes: deployment.nodes.len(),
+        seed: options.seed,
+        search_rate: options.search_rate,
+        order_rate: options.order_rate,
+        seconds: options.length.as_secs_f64(),
+        searches: OutcomeSummary::of(&samples, SampleKind::Search),
+        orders: OutcomeSummary::of(&samples, SampleKind::Order),
+        extra_load,
+        mean_extra_load,
+        ledger: faults,
+        cost,
+    };
+    Ok((report, samples))
+}
+
+/// Executions per search of each searched service, each of which holds one
+/// shard.
+fn extra_load(plan: &ScenarioPlan, cost: &DeploymentCost, needed: usize) -> IndexMap<String, f64> {
+    let mut ratios = IndexMap::new();
+    for service in plan.searched_services() {
+        let executed = cost.executed.get(&service).copied().unwrap_or(0);
+        ratios.insert(service, executed as f64 / needed.max(1) as f64);
+    }
+    ratios
+}
+
+fn outcome_lines(name: &str, summary: &OutcomeSummary) -> Vec<String> {
+    if summary.sent == 0 {
+        return vec![format!("{name}: none")];
+    }
+    let latency = summary.latency;
+    let mut lines = vec![
+        format!(
+            "{name}: {} sent, {} answered, {} full, coverage {:.5}, {} cut, {} false",
+            summary.sent,
+            summary.answered,
+            summary.full,
+            summary.mean_coverage,
+            summary.cut,
+            summary.false_answers
+        ),
+        format!(
+            "{name}: p50 {} us, p99 {} us, p99.9 {} us, max {} us",
+            latency.p50_us, latency.p99_us, latency.p999_us, latency.max_us
+        ),
+    ];
+    for (title, reasons) in [
+        ("lacking", &summary.lacking),
+        ("not run", &summary.not_run),
+        ("unknown", &summary.unknown),
+    ] {
+        for (reason, count) in reasons {
+            lines.push(format!("{name}: {title} {reason}: {count}"));
+        }
+    }
+    if let Some(fault) = &summary.first_fault {
+        lines.push(format!("{name}: first fault: {fault}"));
+    }
+    lines
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), BenchError> {
+    fs::write(path, text).map_err(|error| {
+        BenchError::new(BenchErrorKind::Output, format!("{}: {error}", path.display()))
+    })
+}
--- /dev/null
+++ b/crates/bench/tests/figures.rs
@@ -0,0 +1,60 @@
+//! Arrivals, latency figures and plots.
+
+use std::{process, time::Duration};
+
+use carobstep_bench::{
+    ArrivalProcess, CallerView, LatencySummary, LoadSample, OutcomeSummary, ProcessUsage,
+    SampleKind, SearchView, plot_latencies,
+};
+
+#[test]
+fn arrivals_repeat_with_their_seed_and_keep_their_rate() {
+    let arrivals = |seed| ArrivalProcess::new(100.0, seed).take(10_000).collect::<Vec<_>>();
+    assert_eq!(arrivals(1), arrivals(1));
+    assert_ne!(arrivals(1), arrivals(2));
+    let last = arrivals(1)[9_999].as_secs_f64();
+    assert!((95.0..105.0).contains(&last), "10,000 arrivals at 100/s took {last} s");
+    assert_eq!(ArrivalProcess::new(0.0, 1).next(), None);
+}
+
+#[test]
+fn latencies_are_summarised() {
+    let summary = LatencySummary::of((1..=1000).map(Duration::from_millis));
+    assert_eq!(summary.count, 1000);
+    assert!(summary.p50_us.abs_diff(500_000) < 1_000);
+    assert!(summary.p99_us.abs_diff(990_000) < 1_000);
+}
+
+fn search(millis: u64, lacking: usize) -> LoadSample {
+    let lacking = vec!["deadline_passed".to_owned(); lacking];
+    let view = SearchView { snapshot: 1, covered: 4 - lacking.len(), lacking };
+    LoadSample {
+        kind: SampleKind::Search,
+        at: Duration::ZERO,
+        latency: Duration::from_millis(millis),
+        view: CallerView::Searched(view),
+        key: None,
+    }
+}
+
+#[test]
+fn coverage_is_averaged_over_answers() {
+    let summary = OutcomeSummary::of(&[search(5, 0), search(9, 2)], SampleKind::Search);
+    assert_eq!((summary.answered, summary.full), (2, 1));
+    assert!((summary.mean_coverage - 0.75).abs() < 1e-9);
+    assert_eq!(summary.lacking["deadline_passed"], 2);
+}
+
+#[test]
+fn plots_are_svg() {
+    let samples: Vec<LoadSample> = (1..500).map(|millis| search(millis, 0)).collect();
+    assert!(plot_latencies(&samples).unwrap().contains("polyline"));
+    assert!(plot_latencies(&[]).unwrap().contains("</svg>"));
+}
+
+#[test]
+fn usage_of_this_process_is_read() {
+    let usage = ProcessUsage::read(process::id()).unwrap();
+    assert!(usage.resident_bytes > 0);
+    assert_eq!(ProcessUsage::read(0), None);
+}
