--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -13,12 +13,14 @@
 use tokio::runtime::Runtime;
 
 use crate::{
+    compare::{CompareOptions, MIN_ROUNDS, compare},
     demo::run_demo,
     deployment::DeploymentOptions,
     error::{BenchError, BenchErrorKind},
     load::LoadOptions,
-    report::measure,
+    report::{measure, write_json},
     scenario::{ScenarioName, ScenarioPlan},
+    variant::DeploymentVariant,
 };
 
 /// What the bench does.
@@ -29,6 +31,8 @@
     Demo,
     /// Sends open-loop load to a deployment and reports its figures.
     Load,
+    /// Compares two variants in alternating rounds.
+    Compare,
 }
 
 impl BenchCommand {
@@ -36,6 +40,7 @@
         match self {
             Self::Demo => "run one search and one order through a whole deployment",
             Self::Load => "send open-loop load to a deployment and report its figures",
+            Self::Compare => "compare two variants in alternating rounds",
         }
     }
 }
@@ -66,9 +71,28 @@
     match command {
         BenchCommand::Demo => run_demo(options, &mut io::stdout()).await.map(drop),
         BenchCommand::Load => load(options, matches).await,
+        BenchCommand::Compare => compare_variants(options, matches).await,
     }
 }
 
+async fn compare_variants(options: DeploymentOptions, matches: &Matches) -> Result<(), BenchError> {
+    let variant =
+        |flag| DeploymentVariant::try_from(matches.opt_str(flag).as_deref().unwrap_or(""));
+    let compare_options = CompareOptions {
+        rounds: parsed(matches, "rounds")?.unwrap_or(MIN_ROUNDS),
+        load: load_options(matches, options.seed)?,
+        variants: [variant("baseline")?, variant("rival")?],
+    };
+    let report = compare(&scenario_plan(matches)?, &options, &compare_options).await?;
+    print!("{}", report.text());
+    write_json(&options.run_dir.join("compare.json"), &report)?;
+    if report.unsound_runs == 0 {
+        return Ok(());
+    }
+    let message = format!("an invariant was violated in {} runs", report.unsound_runs);
+    Err(BenchError::new(BenchErrorKind::Check, message))
+}
+
 async fn load(options: DeploymentOptions, matches: &Matches) -> Result<(), BenchError> {
     let run_dir = options.run_dir.clone();
     let load = load_options(matches, options.seed)?;
@@ -95,6 +119,10 @@
     flags.optopt("", "order-rate", "mean orders per second [5]", "N");
     flags.optopt("", "seconds", "length of the load [10]", "N");
     flags.optopt("", "warmup", "seconds at its start that are not reported [2]", "N");
+    flags.optopt("", "server-faults", "faults that every backend server starts with", "JSON");
+    flags.optopt("", "rounds", "rounds of a comparison [5]", "N");
+    flags.optopt("", "baseline", "variant compared against [no change]", "KEY=VALUE,...");
+    flags.optopt("", "rival", "variant compared [no change]", "KEY=VALUE,...");
     flags
 }
 
@@ -120,6 +148,7 @@
     if let Some(seed) = parsed(matches, "seed")? {
         options.seed = seed;
     }
+    options.server_faults = parsed(matches, "server-faults")?;
     Ok(options)
 }
 
--- /dev/null
+++ b/crates/bench/src/compare.rs
@@ -0,0 +1,165 @@
+//! Comparison of two variants: alternating rounds and ratios with spread.
+
+use std::fmt::Write;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::{
+    deployment::DeploymentOptions,
+    error::{BenchError, BenchErrorKind},
+    load::LoadOptions,
+    report::{LoadReport, measure},
+    scenario::ScenarioPlan,
+    variant::DeploymentVariant,
+};
+
+/// Fewest rounds of a comparison.
+pub const MIN_ROUNDS: usize = 5;
+
+/// What a comparison runs.
+#[derive(Clone, Debug)]
+pub struct CompareOptions {
+    /// Number of rounds; each runs both variants once.
+    pub rounds: usize,
+    /// The load of each run; the round's number is added to its seed.
+    pub load: LoadOptions,
+    /// The baseline and its rival.
+    pub variants: [DeploymentVariant; 2],
+}
+
+/// One figure over all rounds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct FigureRatio {
+    /// The baseline's values by round.
+    pub baseline: Vec<f64>,
+    /// The rival's values by round.
+    pub rival: Vec<f64>,
+    /// Median of the rounds' ratios of rival to baseline.
+    pub median: f64,
+    /// Smallest ratio.
+    pub least: f64,
+    /// Largest ratio.
+    pub largest: f64,
+}
+
+impl FigureRatio {
+    /// Compares values that were taken in the same rounds; rounds whose
+    /// baseline is zero have no ratio.
+    #[must_use]
+    pub fn of(baseline: Vec<f64>, rival: Vec<f64>) -> Self {
+        let pairs = baseline.iter().zip(&rival);
+        let pairs = pairs.filter(|(baseline, _)| **baseline > 0.0);
+        let mut ratios: Vec<f64> = pairs.map(|(baseline, rival)| rival / baseline).collect();
+        ratios.sort_by(f64::total_cmp);
+        let at = |position: usize| ratios.get(position).copied().unwrap_or(f64::NAN);
+        let (median, least, largest) =
+            (at(ratios.len() / 2), at(0), at(ratios.len().saturating_sub(1)));
+        Self { baseline, rival, median, least, largest }
+    }
+}
+
+/// Figures of a comparison by name.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CompareReport {
+    /// The ratios.
+    pub figures: IndexMap<&'static str, FigureRatio>,
+    /// Runs in which something was violated that must always hold.
+    pub unsound_runs: usize,
+}
+
+impl CompareReport {
+    /// The report as a table.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = format!(
+            "{:<22}{:>12}{:>12}{:>9}{:>18}\n",
+            "figure", "baseline", "rival", "ratio", "least - largest"
+        );
+        for (name, figure) in &self.figures {
+            let (baseline, rival) = (median(&figure.baseline), median(&figure.rival));
+            let spread = format!("{:.3} - {:.3}", figure.least, figure.largest);
+            let median = figure.median;
+            // Writing to a string does not fail.
+            let _ =
+                writeln!(text, "{name:<22}{baseline:>12.4}{rival:>12.4}{median:>9.3}{spread:>18}");
+        }
+        text
+    }
+}
+
+/// Runs both variants in alternating order.
+///
+/// # Errors
+///
+/// Fails on fewer than [`MIN_ROUNDS`] rounds, and when a run fails.
+pub async fn compare(
+    plan: &ScenarioPlan,
+    deployment: &DeploymentOptions,
+    options: &CompareOptions,
+) -> Result<CompareReport, BenchError> {
+    if options.rounds < MIN_ROUNDS {
+        let message = format!("{} rounds are fewer than {MIN_ROUNDS}", options.rounds);
+        return Err(BenchError::new(BenchErrorKind::Usage, message));
+    }
+    let mut figures: IndexMap<&'static str, [Vec<f64>; 2]> = IndexMap::new();
+    let mut unsound_runs = 0;
+    for round in 0..options.rounds {
+        for turn in 0..2 {
+            // The order of the two variants changes with each round, so that
+            // a drift of the machine does not favour one of them.
+            let side = (round + turn) % 2;
+            let report = run_variant(plan, deployment, options, round, side).await?;
+            unsound_runs += usize::from(!report.is_sound());
+            for (name, value) in report_figures(&report) {
+                figures.entry(name).or_default()[side].push(value);
+            }
+        }
+    }
+    let figures = figures.into_iter();
+    let figures = figures.map(|(name, [baseline, rival])| (name, FigureRatio::of(baseline, rival)));
+    Ok(CompareReport { figures: figures.collect(), unsound_runs })
+}
+
+async fn run_variant(
+    plan: &ScenarioPlan,
+    deployment: &DeploymentOptions,
+    options: &CompareOptions,
+    round: usize,
+    side: usize,
+) -> Result<LoadReport, BenchError> {
+    let mut plan = plan.clone();
+    let mut deployment = deployment.clone();
+    deployment.run_dir = deployment.run_dir.join(format!("round-{round}-{side}"));
+    let mut load = options.load;
+    load.seed += round as u64;
+    deployment.seed = load.seed;
+    options.variants[side].apply(&mut plan, &mut deployment);
+    measure(plan, deployment, load).await.map(|(report, _)| report)
+}
+
+fn report_figures(report: &LoadReport) -> [(&'static str, f64); 10] {
+    let searches = &report.searches;
+    let millis = |micros: u64| micros as f64 / 1e3;
+    let cores: f64 = report.cost.nodes.values().map(|node| node.cores).sum();
+    let resident: u64 = report.cost.nodes.values().map(|node| node.resident_bytes).sum();
+    let calls: u64 = report.cost.platform_calls.values().sum();
+    [
+        ("search p50 ms", millis(searches.latency.p50_us)),
+        ("search p99 ms", millis(searches.latency.p99_us)),
+        ("search p99.9 ms", millis(searches.latency.p999_us)),
+        ("coverage", searches.mean_coverage),
+        ("extra load", report.mean_extra_load),
+        ("order p99 ms", millis(report.orders.latency.p99_us)),
+        ("orders answered", report.orders.answered as f64),
+        ("cores of all nodes", cores),
+        ("MB of all nodes", resident as f64 / 1e6),
+        ("platform calls", calls as f64),
+    ]
+}
+
+fn median(values: &[f64]) -> f64 {
+    let mut values = values.to_vec();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -53,6 +53,10 @@
     pub snapshots: Vec<u64>,
     /// Settings of every node that differ from the defaults, by JSON key.
     pub node_settings: Value,
+    /// Budgets of the services whose requests may be repeated.
+    pub hedge: HedgeDocument,
+    /// Faults that every backend server starts with.
+    pub server_faults: Option<Value>,
 }
 
 impl DeploymentOptions {
@@ -65,6 +69,8 @@
             seed: 1,
             snapshots: vec![1],
             node_settings: json!({}),
+            hedge: HedgeDocument::default(),
+            server_faults: None,
         }
     }
 }
@@ -161,6 +167,10 @@
         for position in 0..self.servers.len().div_ceil(SERVERS_PER_PROCESS) {
             self.start_server_process(position).await?;
         }
+        let Some(faults) = &self.options.server_faults else { return Ok(()) };
+        for server in &self.servers {
+            server.faults(&self.client, faults).await?;
+        }
         Ok(())
     }
 
@@ -387,7 +397,7 @@
             let service = ServiceDocument {
                 repeat: group.repeat,
                 deadline_ms: millis(group.deadline),
-                hedge: hedge_document(group.repeat),
+                hedge: self.hedge_document(group.repeat),
                 servers: servers.collect(),
             };
             document.services.insert(name, service);
@@ -397,6 +407,13 @@
         document
     }
 
+    fn hedge_document(&self, repeat: RepeatPolicy) -> HedgeDocument {
+        match repeat {
+            RepeatPolicy::Idempotent => self.options.hedge,
+            RepeatPolicy::AtMostOnce => HedgeDocument { hedge_percent: 0.0, ..self.options.hedge },
+        }
+    }
+
     /// The manifest of the index with the given snapshots, one shard on each
     /// searched service.
     #[must_use]
@@ -441,13 +458,6 @@
     }
 }
 
-fn hedge_document(repeat: RepeatPolicy) -> HedgeDocument {
-    match repeat {
-        RepeatPolicy::Idempotent => HedgeDocument::default(),
-        RepeatPolicy::AtMostOnce => HedgeDocument { hedge_percent: 0.0, retry_percent: 10.0 },
-    }
-}
-
 fn held_grants(status: &Value) -> usize {
     status["grants"].as_array().map_or(0, Vec::len)
 }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -86,9 +86,7 @@
     ///
     /// Fails when a file cannot be written.
     pub fn write(&self, dir: &Path, name: &str, samples: &[LoadSample]) -> Result<(), BenchError> {
-        let json = serde_json::to_string_pretty(self)
-            .map_err(|error| BenchError::new(BenchErrorKind::Output, error.to_string()))?;
-        write_file(&dir.join(format!("{name}.json")), &json)?;
+        write_json(&dir.join(format!("{name}.json")), self)?;
         write_file(&dir.join(format!("{name}.txt")), &self.text())?;
         write_file(&dir.join(format!("{name}.svg")), &plot_latencies(samples)?)
     }
@@ -198,6 +196,17 @@
     lines
 }
 
+/// Writes a value as JSON into a file.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn write_json(path: &Path, value: &impl Serialize) -> Result<(), BenchError> {
+    let json = serde_json::to_string_pretty(value)
+        .map_err(|error| BenchError::new(BenchErrorKind::Output, error.to_string()))?;
+    write_file(path, &json)
+}
+
 fn write_file(path: &Path, text: &str) -> Result<(), BenchError> {
     fs::write(path, text).map_err(|error| {
         BenchError::new(BenchErrorKind::Output, format!("{}: {error}", path.display()))
--- /dev/null
+++ b/crates/bench/src/variant.rs
@@ -0,0 +1,95 @@
+//! Variants of a deployment that a comparison sets against each other.
+
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use crate::{
+    deployment::DeploymentOptions,
+    error::{BenchError, BenchErrorKind},
+    scenario::ScenarioPlan,
+};
+
+/// Prefix of the keys that change the nodes' settings.
+const SETTINGS_PREFIX: &str = "settings.";
+
+/// What one side of a comparison does differently.
+///
+/// Parsed from `KEY=VALUE,...`; an empty text changes nothing. Keys are
+/// `bin-dir`, `nodes-per-zone`, `hedge-percent`, `retry-percent` and
+/// `settings.PATH` for a setting of the nodes, such as
+/// `settings.lease.term_ms`.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DeploymentVariant {
+    changes: Vec<VariantChange>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum VariantChange {
+    BinDir(PathBuf),
+    NodesPerZone(usize),
+    HedgePercent(f64),
+    RetryPercent(f64),
+    Setting(Vec<String>, Value),
+}
+
+impl TryFrom<&str> for DeploymentVariant {
+    type Error = BenchError;
+
+    fn try_from(text: &str) -> Result<Self, BenchError> {
+        let mut changes = Vec::new();
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            let change = parse_change(part).ok_or_else(|| {
+                let message = format!("variant {part:?} is not a known KEY=VALUE");
+                BenchError::new(BenchErrorKind::Usage, message)
+            })?;
+            changes.push(change);
+        }
+        Ok(Self { changes })
+    }
+}
+
+impl DeploymentVariant {
+    /// Changes a plan and its options to this variant.
+    pub fn apply(&self, plan: &mut ScenarioPlan, options: &mut DeploymentOptions) {
+        for change in &self.changes {
+            match change {
+                VariantChange::BinDir(dir) => options.bin_dir.clone_from(dir),
+                VariantChange::NodesPerZone(count) => plan.nodes_per_zone = *count,
+                VariantChange::HedgePercent(percent) => options.hedge.hedge_percent = *percent,
+                VariantChange::RetryPercent(percent) => options.hedge.retry_percent = *percent,
+                VariantChange::Setting(path, value) => {
+                    set(&mut options.node_settings, path, value);
+                }
+            }
+        }
+    }
+}
+
+fn parse_change(part: &str) -> Option<VariantChange> {
+    let (key, value) = part.split_once('=')?;
+    if let Some(path) = key.strip_prefix(SETTINGS_PREFIX) {
+        let path = path.split('.').map(str::to_owned).collect();
+        let value = serde_json::from_str(value).unwrap_or_else(|_| Value::from(value));
+        return Some(VariantChange::Setting(path, value));
+    }
+    match key {
+        "bin-dir" => Some(VariantChange::BinDir(PathBuf::from(value))),
+        "nodes-per-zone" => value.parse().ok().map(VariantChange::NodesPerZone),
+        "hedge-percent" => value.parse().ok().map(VariantChange::HedgePercent),
+        "retry-percent" => value.parse().ok().map(VariantChange::RetryPercent),
+        _ => None,
+    }
+}
+
+/// Sets a value inside a JSON object, creating the objects on its path.
+fn set(root: &mut Value, path: &[String], value: &Value) {
+    let mut place = root;
+    for step in path {
+        if !place.is_object() {
+            *place = Value::Object(serde_json::Map::new());
+        }
+        place = &mut place[step.as_str()];
+    }
+    *place = value.clone();
+}
