Add the decision core: queue, pool, router, searches and service requests

Pure state machines with time passed in. A holder's queue orders by deadline, keeps customers over their share behind the others and books a time for each refused caller. The router scores servers from the node's own observations; budgets bound hedges and retries.

--- /dev/null
+++ b/crates/dispatch/src/budget.rs
@@ -0,0 +1,85 @@
+//! Token buckets that bound extra load in percent of the first requests.
+
+use std::time::Duration;
+
+use carobstep_clock::BootTime;
+
+/// Largest number of tokens that a bucket keeps.
+const MAX_TOKENS: f64 = 20.0;
+
+/// Time in which an idle bucket regains one token of its reserve.
+const RESERVE_REFILL: Duration = Duration::from_secs(5);
+
+/// Rounding error allowed when tokens are compared.
+const ROUNDING: f64 = 1e-6;
+
+/// Earns a fraction of a token for each first request; extra requests take one.
+///
+/// The bucket has no other income, except for a reserve that lets a service
+/// with few requests retry at all. A bucket without a reserve never lets more
+/// extra requests pass than its ratio of the first ones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TokenBucket {
+    ratio: f64,
+    reserve: f64,
+    tokens: f64,
+    refilled: BootTime,
+}
+
+impl TokenBucket {
+    /// Builds a bucket that earns `ratio` of a token per first request.
+    ///
+    /// `reserve` tokens are there from the start and refill slowly.
+    #[must_use]
+    pub fn new(ratio: f64, reserve: f64, now: BootTime) -> Self {
+        let reserve = if ratio > 0.0 { reserve } else { 0.0 };
+        Self { ratio, reserve, tokens: reserve, refilled: now }
+    }
+
+    /// Changes the ratio and keeps the tokens, none for a ratio of zero.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.ratio = ratio;
+        if ratio <= 0.0 {
+            self.tokens = 0.0;
+            self.reserve = 0.0;
+        }
+    }
+
+    /// Tokens earned per first request.
+    #[must_use]
+    pub const fn ratio(&self) -> f64 {
+        self.ratio
+    }
+
+    /// Earns for one first request.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.ratio).min(MAX_TOKENS);
+    }
+
+    /// Takes one token for an extra request, or refuses it.
+    pub fn take(&mut self, now: BootTime) -> bool {
+        self.refill(now);
+        if self.tokens < 1.0 - ROUNDING {
+            return false;
+        }
+        self.tokens = (self.tokens - 1.0).max(0.0);
+        true
+    }
+
+    /// Gives back the token of an extra request that put no load on a server.
+    pub fn give_back(&mut self) {
+        if self.ratio > 0.0 {
+            self.tokens = (self.tokens + 1.0).min(MAX_TOKENS);
+        }
+    }
+
+    fn refill(&mut self, now: BootTime) {
+        if self.tokens >= self.reserve {
+            self.refilled = now;
+            return;
+        }
+        let earned = now.since(self.refilled).as_secs_f64() / RESERVE_REFILL.as_secs_f64();
+        self.tokens = (self.tokens + earned).min(self.reserve);
+        self.refilled = now;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/estimate.rs
@@ -0,0 +1,152 @@
+//! Running estimates of durations.
+
+use std::time::Duration;
+
+/// Weight of a new sample in a running mean.
+const SAMPLE_WEIGHT: f64 = 1.0 / 16.0;
+
+/// Running mean and mean deviation of a duration.
+///
+/// Both are exponentially weighted, as in RFC 6298's round-trip estimate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MeanEstimate {
+    mean_us: f64,
+    deviation_us: f64,
+    samples: u32,
+}
+
+impl MeanEstimate {
+    /// Adds one sample.
+    pub fn record(&mut self, sample: Duration) {
+        let sample_us = as_micros(sample);
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
+            self.mean_us = sample_us;
+            self.deviation_us = sample_us / 2.0;
+            return;
+        }
+        // The first samples weigh as in a plain mean, so that a bad first one fades fast.
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        let error_us = sample_us - self.mean_us;
+        self.mean_us += weight * error_us;
+        self.deviation_us += weight * (error_us.abs() - self.deviation_us);
+    }
+
+    /// Number of samples so far.
+    #[must_use]
+    pub const fn samples(&self) -> u32 {
+        self.samples
+    }
+
+    /// The mean in microseconds, zero before the first sample.
+    #[must_use]
+    pub const fn mean_us(&self) -> f64 {
+        self.mean_us
+    }
+
+    /// The mean absolute deviation in microseconds.
+    #[must_use]
+    pub const fn deviation_us(&self) -> f64 {
+        self.deviation_us
+    }
+
+    /// The mean, zero before the first sample.
+    #[must_use]
+    pub fn mean(&self) -> Duration {
+        from_micros(self.mean_us)
+    }
+}
+
+/// Converts a duration to microseconds.
+#[must_use]
+pub(crate) fn as_micros(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e6
+}
+
+/// Converts microseconds to a duration; negative values become zero.
+#[must_use]
+pub(crate) fn from_micros(micros: f64) -> Duration {
+    Duration::try_from_secs_f64(micros.max(0.0) / 1e6).unwrap_or(Duration::MAX)
+}
+
+/// Buckets per doubling of the duration.
+const BUCKETS_PER_DOUBLING: u32 = 8;
+
+/// Number of buckets: 24 doublings from 1 µs reach 16 s.
+const BUCKETS: usize = 24 * BUCKETS_PER_DOUBLING as usize;
+
+/// Weight at which all buckets are halved, so that old samples fade.
+const HALVING_WEIGHT: u32 = 4096;
+
+/// Fading histogram of durations with buckets of at most an eighth of a doubling.
+#[derive(Clone, Debug)]
+pub struct LatencyHistogram {
+    buckets: Box<[u16; BUCKETS]>,
+    total: u32,
+}
+
+impl Default for LatencyHistogram {
+    fn default() -> Self {
+        Self { buckets: Box::new([0; BUCKETS]), total: 0 }
+    }
+}
+
+impl LatencyHistogram {
+    /// Adds one sample.
+    pub fn record(&mut self, sample: Duration) {
+        if self.total >= HALVING_WEIGHT {
+            self.halve();
+        }
+        self.buckets[bucket_of(sample)] += 1;
+        self.total += 1;
+    }
+
+    /// Weight of the samples that have not faded.
+    #[must_use]
+    pub const fn weight(&self) -> u32 {
+        self.total
+    }
+
+    /// Upper edge of the bucket that holds the quantile, `None` without samples.
+    #[must_use]
+    pub fn quantile(&self, fraction: f64) -> Option<Duration> {
+        if self.total == 0 {
+            return None;
+        }
+        let rank = (f64::from(self.total) * fraction).ceil().max(1.0);
+        let mut seen = 0.0;
+        for (position, count) in self.buckets.iter().enumerate() {
+            seen += f64::from(*count);
+            if seen >= rank {
+                return Some(upper_edge(position));
+            }
+        }
+        Some(upper_edge(BUCKETS - 1))
+    }
+
+    fn halve(&mut self) {
+        self.total = 0;
+        for count in self.buckets.iter_mut() {
+            *count /= 2;
+            self.total += u32::from(*count);
+        }
+    }
+}
+
+/// Bucket of a duration: the doubling it lies in, then its eighth of it.
+fn bucket_of(sample: Duration) -> usize {
+    let micros = u64::try_from(sample.as_micros()).unwrap_or(u64::MAX).max(1);
+    let doubling = micros.ilog2();
+    let step =
+        if doubling >= 3 { (micros >> (doubling - 3)) & 7 } else { (micros << (3 - doubling)) & 7 };
+    let position = u64::from(doubling * BUCKETS_PER_DOUBLING) + step;
+    usize::try_from(position).unwrap_or(usize::MAX).min(BUCKETS - 1)
+}
+
+/// Upper edge of a bucket.
+fn upper_edge(position: usize) -> Duration {
+    let steps = BUCKETS_PER_DOUBLING as usize;
+    let doubling = (position / steps) as i32;
+    let step = (position % steps) as f64 + 1.0;
+    from_micros(2f64.powi(doubling) * (1.0 + step / steps as f64))
+}
--- /dev/null
+++ b/crates/dispatch/src/queue/waiting.rs
@@ -0,0 +1,104 @@
+//! The waiting requests of one queue in deadline order.
+
+use carobstep_clock::BootTime;
+
+use super::{TicketKey, share::CustomerKey};
+
+/// One waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WaitingTicket {
+    pub(super) deadline: BootTime,
+    pub(super) key: TicketKey,
+    pub(super) customer: CustomerKey,
+    pub(super) caller: u64,
+}
+
+/// Waiting requests, the earliest deadline last so that it is cheap to take.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WaitingList {
+    tickets: Vec<WaitingTicket>,
+}
+
+impl WaitingList {
+    pub(super) fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// The earliest deadline.
+    pub(super) fn first_deadline(&self) -> Option<BootTime> {
+        self.tickets.last().map(|ticket| ticket.deadline)
+    }
+
+    /// Adds a request behind those with the same deadline.
+    pub(super) fn insert(&mut self, ticket: WaitingTicket) {
+        let position = self.tickets.partition_point(|other| other.deadline > ticket.deadline);
+        self.tickets.insert(position, ticket);
+    }
+
+    /// Removes a request by its deadline and key.
+    pub(super) fn remove(&mut self, deadline: BootTime, key: TicketKey) {
+        let first = self.tickets.partition_point(|other| other.deadline > deadline);
+        for position in first..self.tickets.len() {
+            if self.tickets[position].key != key {
+                continue;
+            }
+            self.tickets.remove(position);
+            return;
+        }
+    }
+
+    /// Takes the earliest request of a customer within its share, else the earliest.
+    pub(super) fn take_next(
+        &mut self,
+        is_over: impl Fn(CustomerKey) -> bool,
+    ) -> Option<WaitingTicket> {
+        let last = self.tickets.len().checked_sub(1)?;
+        let within = self.tickets.iter().rposition(|ticket| !is_over(ticket.customer));
+        Some(self.tickets.remove(within.unwrap_or(last)))
+    }
+
+    /// Takes the request with the latest deadline of a customer over its share.
+    pub(super) fn take_last(
+        &mut self,
+        is_over: impl Fn(CustomerKey) -> bool,
+    ) -> Option<WaitingTicket> {
+        let position = self.tickets.iter().position(|ticket| is_over(ticket.customer))?;
+        Some(self.tickets.remove(position))
+    }
+
+    /// Takes a request whose deadline is before `earliest_end`.
+    pub(super) fn take_expired(&mut self, earliest_end: BootTime) -> Option<WaitingTicket> {
+        let last = self.tickets.last()?;
+        if last.deadline >= earliest_end {
+            return None;
+        }
+        self.tickets.pop()
+    }
+
+    /// Number of requests that go before a new one.
+    pub(super) fn count_ahead(
+        &self,
+        deadline: BootTime,
+        over: bool,
+        is_over: impl Fn(CustomerKey) -> bool,
+    ) -> usize {
+        let mut ahead = 0;
+        for ticket in &self.tickets {
+            let ticket_over = is_over(ticket.customer);
+            let same_class = ticket_over == over;
+            if (same_class && ticket.deadline <= deadline) || (over && !ticket_over) {
+                ahead += 1;
+            }
+        }
+        ahead
+    }
+
+    /// Takes all requests.
+    pub(super) fn drain(&mut self) -> Vec<WaitingTicket> {
+        std::mem::take(&mut self.tickets)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/request/target.rs
@@ -0,0 +1,269 @@
+//! One thing that must be answered: a shard of a search or a service request.
+
+use std::time::Duration;
+
+use carobstep_clock::BootTime;
+use carobstep_config::{RepeatPolicy, ServerKey, ServiceKey};
+use carobstep_wire::{Outcome, RefusalReason, RetryReason};
+
+use super::attempt::{Attempt, AttemptSend, AttemptTable};
+use crate::router::{AttemptKind, Observation, ObservedEnd, PickRequest, Router};
+
+/// Most attempts for one target, hedges included.
+const MAX_ATTEMPTS: u8 = 4;
+
+/// Most hedges for one target.
+const MAX_HEDGES: u8 = 2;
+
+/// Time that must be left for another attempt.
+const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(1);
+
+/// Servers remembered as tried.
+const TRIED_SERVERS: usize = MAX_ATTEMPTS as usize;
+
+/// State of one target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Target {
+    shard: usize,
+    service: Option<ServiceKey>,
+    snapshot: Option<u64>,
+    tried: [Option<ServerKey>; TRIED_SERVERS],
+    attempts: u8,
+    hedges: u8,
+    live: u8,
+    last_reason: RefusalReason,
+    hedge_due: BootTime,
+}
+
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum NextStep {
+    /// Another attempt is under way.
+    Wait,
+    /// Send another attempt.
+    Retry(AttemptSend, RetryReason),
+    /// Nothing more can be tried.
+    GiveUp(RefusalReason),
+}
+
+/// A failed attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failure {
+    pub(super) attempt: Attempt,
+    pub(super) outcome: Outcome,
+    pub(super) reason: RefusalReason,
+}
+
+impl Target {
+    pub(super) const fn new(shard: usize, service: ServiceKey, snapshot: Option<u64>) -> Self {
+        Self {
+            shard,
+            service: Some(service),
+            snapshot,
+            tried: [None; TRIED_SERVERS],
+            attempts: 0,
+            hedges: 0,
+            live: 0,
+            last_reason: RefusalReason::DeadlinePassed,
+            hedge_due: BootTime::MAX,
+        }
+    }
+
+    /// When the next hedge is due.
+    pub(super) const fn hedge_due(&self) -> BootTime {
+        self.hedge_due
+    }
+
+    /// Why the target has no answer at the deadline.
+    pub(super) const fn last_reason(&self) -> RefusalReason {
+        self.last_reason
+    }
+
+    /// Sends the first attempt.
+    pub(super) fn first(
+        &mut self,
+        now: BootTime,
+        router: &mut Router,
+        table: &mut AttemptTable,
+    ) -> Result<AttemptSend, RefusalReason> {
+        let service = self.service.ok_or(RefusalReason::UnknownTarget)?;
+        router.earn(service);
+        self.attempt(now, AttemptKind::First, router, table)
+            .ok_or_else(|| no_server_reason(router, service))
+    }
+
+    /// Sends a hedge if one is due, allowed and of use.
+    pub(super) fn hedge(
+        &mut self,
+        now: BootTime,
+        deadline: BootTime,
+        router: &mut Router,
+        table: &mut AttemptTable,
+    ) -> Option<AttemptSend> {
+        if now < self.hedge_due || self.live == 0 {
+            return None;
+        }
+        self.hedge_due = BootTime::MAX;
+        let service = self.service?;
+        if self.hedges >= MAX_HEDGES || self.attempts >= MAX_ATTEMPTS {
+            return None;
+        }
+        if deadline.since(now) < MIN_ATTEMPT_TIME || !router.take_hedge(now, service) {
+            return None;
+        }
+        let send = self.attempt(now, AttemptKind::Hedge, router, table);
+        if send.is_none() {
+            router.give_back_hedge(service);
+        }
+        self.hedges += u8::from(send.is_some());
+        send
+    }
+
+    /// Decides what follows a failed attempt.
+    pub(super) fn fail(
+        &mut self,
+        now: BootTime,
+        deadline: BootTime,
+        failure: &Failure,
+        router: &mut Router,
+        table: &mut AttemptTable,
+    ) -> NextStep {
+        self.live = self.live.saturating_sub(1);
+        let Some(service) = self.service else { return NextStep::GiveUp(failure.reason) };
+        if failure.attempt.hedge && is_untouched(failure) {
+            router.give_back_hedge(service);
+        } else {
+            self.last_reason = failure.reason;
+        }
+        if self.live > 0 {
+            return NextStep::Wait;
+        }
+        let Some(why) = self.retry_reason(failure, router, service) else {
+            return NextStep::GiveUp(self.last_reason);
+        };
+        if self.attempts >= MAX_ATTEMPTS || deadline.since(now) < MIN_ATTEMPT_TIME {
+            return NextStep::GiveUp(self.last_reason);
+        }
+        if why == RetryReason::HolderMoved {
+            self.forget(failure.attempt.server);
+        }
+        if !is_free(failure.reason) && !router.take_retry(now, service) {
+            return NextStep::GiveUp(self.last_reason);
+        }
+        match self.attempt(now, AttemptKind::Retry, router, table) {
+            Some(send) => NextStep::Retry(send, why),
+            None => NextStep::GiveUp(self.last_reason),
+        }
+    }
+
+    /// Notes that one attempt was answered.
+    pub(super) const fn answered(&mut self) {
+        self.live = self.live.saturating_sub(1);
+        self.hedge_due = BootTime::MAX;
+    }
+
+    /// Number of attempts under way.
+    pub(super) const fn live(&self) -> u8 {
+        self.live
+    }
+
+    /// Translates its keys to another topology.
+    pub(super) fn map_keys(
+        &mut self,
+        service: Option<ServiceKey>,
+        translate: impl Fn(ServerKey) -> Option<ServerKey>,
+    ) {
+        self.service = service;
+        for tried in &mut self.tried {
+            *tried = tried.and_then(&translate);
+        }
+    }
+
+    /// The service in the router's topology.
+    pub(super) const fn service(&self) -> Option<ServiceKey> {
+        self.service
+    }
+
+    fn attempt(
+        &mut self,
+        now: BootTime,
+        kind: AttemptKind,
+        router: &mut Router,
+        table: &mut AttemptTable,
+    ) -> Option<AttemptSend> {
+        let service = self.service?;
+        let request = PickRequest { service, exclude: &self.tried, kind, snapshot: self.snapshot };
+        let server = router.pick(now, &request)?;
+        self.tried[usize::from(self.attempts) % TRIED_SERVERS] = Some(server);
+        self.attempts += 1;
+        self.live += 1;
+        self.hedge_due = now + router.hedge_delay(service);
+        Some(table.send(now, self.shard, server, kind == AttemptKind::Hedge))
+    }
+
+    fn forget(&mut self, server: Option<ServerKey>) {
+        for tried in &mut self.tried {
+            if *tried == server {
+                *tried = None;
+            }
+        }
+    }
+
+    /// Why another attempt is allowed, `None` if it isn't.
+    fn retry_reason(
+        &self,
+        failure: &Failure,
+        router: &Router,
+        service: ServiceKey,
+    ) -> Option<RetryReason> {
+        let once = router.topology().service(service).repeat == RepeatPolicy::AtMostOnce;
+        match (failure.outcome, failure.reason) {
+            (Outcome::NotRun, RefusalReason::NotHolder) => Some(RetryReason::HolderMoved),
+            (Outcome::NotRun, _) => Some(RetryReason::NotRun),
+            (Outcome::Unknown, _) if !once => Some(RetryReason::UnknownRead),
+            (Outcome::Unknown | Outcome::Ran, _) => None,
+        }
+    }
+}
+
+/// Reports the end of an attempt to the router.
+pub(super) fn observe(
+    now: BootTime,
+    router: &mut Router,
+    attempt: &Attempt,
+    observation: Observation,
+) {
+    let Some(server) = attempt.server else { return };
+    let latency = now.since(attempt.sent);
+    router.observe(now, server, &Observation { latency, ..observation });
+}
+
+/// An observation without a reply.
+pub(super) const fn bare_observation(end: ObservedEnd, snapshot: Option<u64>) -> Observation {
+    Observation {
+        end,
+        latency: Duration::ZERO,
+        queue_length: 0,
+        service: Duration::ZERO,
+        retry_after: Duration::from_millis(50),
+        snapshot,
+    }
+}
+
+/// Whether the attempt put no work on a backend server.
+fn is_untouched(failure: &Failure) -> bool {
+    let own = ObservedEnd::from(failure.reason) == ObservedEnd::Refused;
+    failure.outcome == Outcome::NotRun && own
+}
+
+/// Whether a retry needs no budget, since the backend server did no work.
+const fn is_free(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::NotHolder | RefusalReason::SnapshotGone | RefusalReason::SnapshotAhead
+    )
+}
+
+fn no_server_reason(router: &Router, service: ServiceKey) -> RefusalReason {
+    if router.all_leaving(service) { RefusalReason::ServerLeaving } else { RefusalReason::NoHolder }
+}
