--- /dev/null
+++ b/crates/node/src/holder/mod.rs
@@ -0,0 +1,148 @@
+//! Backend servers whose grants this node holds.
+//!
+//! Each held server has one actor, which owns the queue and the connections of
+//! that server. The registry finds the actor for a shard request.
+
+mod actor;
+mod job;
+
+use std::sync::{
+    Arc, PoisonError, RwLock,
+    atomic::{AtomicU64, Ordering},
+};
+
+use carobstep_config::ServerName;
+use carobstep_wire::{Outcome, RefusalReason, ShardReply, ShardRequest, ShardResult};
+use indexmap::IndexMap;
+use ractor::{Actor, ActorRef};
+use tokio::sync::oneshot;
+
+pub use actor::{HolderMessage, ServerLimits};
+pub use job::{RunJob, RunKey};
+
+use self::actor::{HolderActor, HolderArguments};
+use crate::{
+    context::{DEFAULT_RETRY_AFTER, NodeContext},
+    error::{NodeError, NodeErrorKind},
+};
+
+/// Actors of the held backend servers.
+#[derive(Debug, Default)]
+pub struct HolderRegistry {
+    actors: RwLock<IndexMap<ServerName, ActorRef<HolderMessage>>>,
+    next_run: AtomicU64,
+}
+
+impl HolderRegistry {
+    /// Starts the actor of a newly held server.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the actor can't be started.
+    pub async fn start(
+        &self,
+        context: Arc<NodeContext>,
+        server: &ServerName,
+        limits: ServerLimits,
+    ) -> Result<(), NodeError> {
+        if self.find(server).is_some() {
+            return Ok(());
+        }
+        let arguments = HolderArguments { context, server: server.clone(), limits };
+        let (actor, _) = Actor::spawn(None, HolderActor, arguments).await.map_err(|error| {
+            NodeError::new(NodeErrorKind::Actor, format!("holder of server {server}: {error}"))
+        })?;
+        self.actors
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(server.clone(), actor);
+        Ok(())
+    }
+
+    /// Forgets the actor of a server that is no longer held, and stops it.
+    pub fn stop(&self, server: &ServerName) {
+        let actor = self
+            .actors
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .swap_remove(server);
+        if let Some(actor) = actor {
+            actor.stop(None);
+        }
+    }
+
+    /// Sends a message to the actor of a server, if it is held.
+    pub fn tell(&self, server: &ServerName, message: HolderMessage) {
+        if let Some(actor) = self.find(server) {
+            // A failed send means that the actor has stopped.
+            let _ = actor.cast(message);
+        }
+    }
+
+    /// Names of the held servers.
+    #[must_use]
+    pub fn servers(&self) -> Vec<ServerName> {
+        self.actors.read().unwrap_or_else(PoisonError::into_inner).keys().cloned().collect()
+    }
+
+    /// Runs a shard request on a held server. Dropping the future cancels it.
+    pub async fn run(&self, request: ShardRequest) -> ShardReply {
+        let Some(actor) = self.find(&request.server) else {
+            return refused_reply(&request, Outcome::NotRun, RefusalReason::NotHolder);
+        };
+        let run = RunKey(self.next_run.fetch_add(1, Ordering::Relaxed));
+        let fallback = refused_reply(&request, Outcome::Unknown, RefusalReason::PeerLost);
+        let (reply_sender, reply) = oneshot::channel();
+        let job = RunJob::new(run, request, reply_sender);
+        let mut guard = CancelGuard { actor: actor.clone(), run, armed: true };
+        if let Err(error) = actor.cast(HolderMessage::Run(job)) {
+            guard.armed = false;
+            return match error {
+                ractor::MessagingErr::SendErr(HolderMessage::Run(job)) => {
+                    refused_reply(&job.request, Outcome::NotRun, RefusalReason::NotHolder)
+                }
+                _ => fallback,
+            };
+        }
+        let reply = reply.await.unwrap_or(fallback);
+        guard.armed = false;
+        reply
+    }
+
+    fn find(&self, server: &ServerName) -> Option<ActorRef<HolderMessage>> {
+        self.actors.read().unwrap_or_else(PoisonError::into_inner).get(server).cloned()
+    }
+}
+
+/// Cancels a run when the future that waits for it is dropped.
+struct CancelGuard {
+    actor: ActorRef<HolderMessage>,
+    run: RunKey,
+    armed: bool,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            // A failed send means that the actor has stopped.
+            let _ = self.actor.cast(HolderMessage::Cancel(self.run));
+        }
+    }
+}
+
+/// Builds the reply for a request that was given up with the default delay.
+pub fn refused_reply(
+    request: &ShardRequest,
+    outcome: Outcome,
+    reason: RefusalReason,
+) -> ShardReply {
+    let retry_after_ms = u64::try_from(DEFAULT_RETRY_AFTER.as_millis()).unwrap_or(u64::MAX);
+    ShardReply {
+        id: request.id,
+        shard: request.shard.clone(),
+        snapshot: request.snapshot,
+        result: ShardResult::Refused { outcome, reason, retry_after_ms },
+        queue_length: 0,
+        service_us: 0,
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod reason;
 mod server;
 mod shard;
+mod shard_codec;
 mod stream;
 
 pub use client::PeerPool;
--- a/crates/wire/src/shard.rs
+++ b/crates/wire/src/shard.rs
@@ -19,7 +19,10 @@
 }
 
 /// One request to one backend server, sent from an entry node to the holder.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+///
+/// Every search sends one per shard, so that its encoding is written by hand
+/// in the `shard_codec` module.
+#[derive(Clone, Debug, PartialEq)]
 pub struct ShardRequest {
     /// Identifier that the reply must echo.
     pub id: RequestId,
@@ -35,12 +38,16 @@
     pub at_most_once: bool,
     /// Whether the request is a hedge, which never waits in a queue.
     pub hedge: bool,
+    /// Digest of the customer that the request is charged to.
+    pub customer: u64,
+    /// Digest of the identity that a refused caller presents again.
+    pub caller: u64,
     /// Body for the backend server.
     pub body: Bytes,
 }
 
 /// The holder's answer to a [`ShardRequest`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ShardReply {
     /// Identifier of the request.
     pub id: RequestId,
--- /dev/null
+++ b/crates/wire/src/shard_codec.rs
@@ -0,0 +1,117 @@
+//! Hand-written encoding of the two hot types, shard requests and replies.
+//!
+//! Both are tuples of fixed length: field names never travel, and the visitors
+//! build the value in place without an intermediate map.
+
+use std::fmt;
+
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{Error, SeqAccess, Visitor},
+    ser::SerializeTuple,
+};
+
+use crate::shard::{ShardReply, ShardRequest};
+
+/// Fields of an encoded [`ShardRequest`].
+const REQUEST_FIELDS: usize = 10;
+
+/// Fields of an encoded [`ShardReply`].
+const REPLY_FIELDS: usize = 6;
+
+impl Serialize for ShardRequest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(REQUEST_FIELDS)?;
+        tuple.serialize_element(&self.id)?;
+        tuple.serialize_element(&self.server)?;
+        tuple.serialize_element(&self.shard)?;
+        tuple.serialize_element(&self.snapshot)?;
+        tuple.serialize_element(&self.budget_us)?;
+        tuple.serialize_element(&self.at_most_once)?;
+        tuple.serialize_element(&self.hedge)?;
+        tuple.serialize_element(&self.customer)?;
+        tuple.serialize_element(&self.caller)?;
+        tuple.serialize_element(&self.body)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for ShardRequest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(REQUEST_FIELDS, RequestVisitor)
+    }
+}
+
+struct RequestVisitor;
+
+impl<'de> Visitor<'de> for RequestVisitor {
+    type Value = ShardRequest;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a shard request of {REQUEST_FIELDS} fields")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<ShardRequest, A::Error> {
+        Ok(ShardRequest {
+            id: next(&mut fields, 0)?,
+            server: next(&mut fields, 1)?,
+            shard: next(&mut fields, 2)?,
+            snapshot: next(&mut fields, 3)?,
+            budget_us: next(&mut fields, 4)?,
+            at_most_once: next(&mut fields, 5)?,
+            hedge: next(&mut fields, 6)?,
+            customer: next(&mut fields, 7)?,
+            caller: next(&mut fields, 8)?,
+            body: next(&mut fields, 9)?,
+        })
+    }
+}
+
+impl Serialize for ShardReply {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(REPLY_FIELDS)?;
+        tuple.serialize_element(&self.id)?;
+        tuple.serialize_element(&self.shard)?;
+        tuple.serialize_element(&self.snapshot)?;
+        tuple.serialize_element(&self.result)?;
+        tuple.serialize_element(&self.queue_length)?;
+        tuple.serialize_element(&self.service_us)?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for ShardReply {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(REPLY_FIELDS, ReplyVisitor)
+    }
+}
+
+struct ReplyVisitor;
+
+impl<'de> Visitor<'de> for ReplyVisitor {
+    type Value = ShardReply;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a shard reply of {REPLY_FIELDS} fields")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut fields: A) -> Result<ShardReply, A::Error> {
+        Ok(ShardReply {
+            id: next(&mut fields, 0)?,
+            shard: next(&mut fields, 1)?,
+            snapshot: next(&mut fields, 2)?,
+            result: next(&mut fields, 3)?,
+            queue_length: next(&mut fields, 4)?,
+            service_us: next(&mut fields, 5)?,
+        })
+    }
+}
+
+/// Reads the field at `position`, or fails with the number of fields so far.
+fn next<'de, A, T>(fields: &mut A, position: usize) -> Result<T, A::Error>
+where
+    A: SeqAccess<'de>,
+    T: Deserialize<'de>,
+{
+    fields.next_element()?.ok_or_else(|| A::Error::invalid_length(position, &"more fields"))
+}
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -86,6 +86,8 @@
         budget_us: 1_000,
         at_most_once: false,
         hedge: false,
+        customer: 0,
+        caller: 0,
         body: body.into(),
     })
 }
