Run leases, grants, takeovers and gossip in the control state

Heartbeats of the zone travel as short hashes in each digest; tables are compared by bucket hashes and repaired by a fetch, so that a digest grows with the zone and with recent changes only.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -126,9 +126,13 @@
         self.witnesses = witnesses;
     }
 
-    /// The renewal certainly had no effect and never will.
-    pub fn abandon_renewal(&mut self) {
-        self.attempt = None;
+    /// The renewal sent last certainly had no effect and never will.
+    ///
+    /// Earlier ones that are unsettled still may have one.
+    pub fn fail_renewal(&mut self) {
+        if self.attempt.as_ref().is_some_and(|attempt| attempt.first_sent == attempt.last_sent) {
+            self.attempt = None;
+        }
     }
 
     /// Another node closed the lease.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,18 +25,26 @@
 //! assert!(guard.may_dispatch(sent + timing.term, &timing));
 //! ```
 
+mod assignment;
 mod event;
 mod lease;
 mod options;
+mod peers;
+mod random;
 mod record;
+mod routes;
+mod signs;
+mod spread;
 mod state;
 mod takeover;
 mod witness;
 
+pub use assignment::assign_servers;
 pub use event::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, Route};
 pub use lease::{LeaseGuard, LeaseState};
 pub use options::{ControlOptions, GossipTiming, GrantTiming, LeaseTiming};
 pub use record::{ConfigRecord, GrantMark, GrantRecord, LeaseMark, LeaseRecord, StatusRecord};
-pub use state::ControlState;
+pub use spread::{ConfigEntry, ConfigSpread, SpreadError};
+pub use state::{ControlState, NodePhase};
 pub use takeover::{LeaseView, Takeover, TakeoverState, TakeoverStep};
 pub use witness::Witness;
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -100,6 +100,8 @@
     pub vm_poll: Duration,
     /// Time between two readings of the configuration by a watcher.
     pub config_poll: Duration,
+    /// Longest time that a stopping node waits for the platform.
+    pub stop: Duration,
     /// How long a sign that a server leaves outlasts signs that it does not.
     pub sign_hold: Duration,
 }
@@ -113,6 +115,7 @@
             retry: Duration::from_millis(500),
             vm_poll: Duration::from_secs(2),
             config_poll: Duration::from_secs(15),
+            stop: Duration::from_secs(10),
             sign_hold: Duration::from_secs(60),
         }
     }
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,157 @@
+//! The table of other nodes and their heartbeats.
+
+use carobstep_clock::BootTime;
+use carobstep_config::{NodeName, ZoneName};
+use carobstep_platform::ObjectVersion;
+use carobstep_wire::{PeerBeat, PeerRecord};
+use indexmap::IndexMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// One known node.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerEntry {
+    pub(crate) record: PeerRecord,
+    /// When the heartbeat last grew, `None` before the first one.
+    pub(crate) fresh_at: Option<BootTime>,
+    /// When the record itself last changed.
+    pub(crate) changed_at: BootTime,
+    /// Newest lease version that the node reported, and when it was heard.
+    pub(crate) lease: (ObjectVersion, BootTime),
+    /// Whether the last connection to the node worked.
+    pub(crate) reachable: bool,
+    id: u32,
+}
+
+/// Known nodes by name, the own one left out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerTable {
+    entries: IndexMap<NodeName, PeerEntry>,
+    names: IndexMap<u32, NodeName>,
+}
+
+/// Short hash of a node's name and incarnation.
+pub(crate) fn beat_id(record: &PeerRecord) -> u32 {
+    let text = format!("{}\0{}", record.node, record.incarnation);
+    (xxh3_64(text.as_bytes()) & u64::from(u32::MAX)) as u32
+}
+
+/// Whether `new` replaces `old`: incarnations grow, and stopping is final.
+fn replaces(new: &PeerRecord, old: &PeerRecord) -> bool {
+    (new.incarnation, new.stopping) > (old.incarnation, old.stopping)
+}
+
+impl PeerTable {
+    pub(crate) fn get(&self, node: &NodeName) -> Option<&PeerEntry> {
+        self.entries.get(node)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.entries.values()
+    }
+
+    /// Takes in a record; returns whether the set of nodes changed.
+    pub(crate) fn merge(&mut self, now: BootTime, record: PeerRecord) -> bool {
+        let Some(entry) = self.entries.get_mut(&record.node) else {
+            self.insert(now, record);
+            return true;
+        };
+        if replaces(&record, &entry.record) {
+            let restarted = record.incarnation > entry.record.incarnation;
+            self.names.swap_remove(&entry.id);
+            let fresh_at = if restarted { None } else { entry.fresh_at };
+            let lease = entry.lease;
+            self.insert(now, record.clone());
+            let entry = &mut self.entries[&record.node];
+            entry.fresh_at = if record.heartbeat > 0 { Some(now) } else { fresh_at };
+            entry.lease = if restarted { entry.lease } else { lease };
+            return true;
+        }
+        if record.incarnation == entry.record.incarnation {
+            entry.beat(now, record.heartbeat);
+        }
+        false
+    }
+
+    fn insert(&mut self, now: BootTime, record: PeerRecord) {
+        let id = beat_id(&record);
+        let fresh_at = (record.heartbeat > 0).then_some(now);
+        self.names.insert(id, record.node.clone());
+        let lease = (ObjectVersion(0), now);
+        let node = record.node.clone();
+        let entry = PeerEntry { record, fresh_at, changed_at: now, lease, reachable: true, id };
+        self.entries.insert(node, entry);
+    }
+
+    /// Takes in a heartbeat; returns `false` when the node is unknown.
+    pub(crate) fn merge_beat(&mut self, now: BootTime, beat: PeerBeat) -> bool {
+        let Some(node) = self.names.get(&beat.id) else { return false };
+        let Some(entry) = self.entries.get_mut(node) else { return false };
+        entry.beat(now, beat.heartbeat);
+        if ObjectVersion(beat.lease) > entry.lease.0 {
+            entry.lease = (ObjectVersion(beat.lease), now);
+        }
+        true
+    }
+
+    /// A connection to the node opened or broke.
+    pub(crate) fn seen(&mut self, node: &NodeName, reachable: bool) {
+        if let Some(entry) = self.entries.get_mut(node) {
+            entry.reachable = reachable;
+        }
+    }
+
+    /// Forgets nodes that were not heard of for `age`.
+    pub(crate) fn prune(&mut self, now: BootTime, age: Duration) {
+        let names = &mut self.names;
+        self.entries.retain(|_, entry| {
+            let last = entry.fresh_at.unwrap_or(entry.changed_at);
+            let keep = now < last + age;
+            if !keep {
+                names.swap_remove(&entry.id);
+            }
+            keep
+        });
+    }
+}
+
+impl PeerEntry {
+    fn beat(&mut self, now: BootTime, heartbeat: u64) {
+        if heartbeat > self.record.heartbeat {
+            self.record.heartbeat = heartbeat;
+            self.fresh_at = Some(now);
+        }
+    }
+
+    /// Whether the heartbeat grew within `timeout` and the node takes work.
+    pub(crate) fn is_live(&self, now: BootTime, timeout: Duration) -> bool {
+        !self.record.stopping && self.is_fresh(now, timeout)
+    }
+
+    /// Whether the heartbeat grew within `timeout`.
+    pub(crate) fn is_fresh(&self, now: BootTime, timeout: Duration) -> bool {
+        self.fresh_at.is_some_and(|fresh_at| now < fresh_at + timeout)
+    }
+
+    pub(crate) fn is_in(&self, zone: &ZoneName) -> bool {
+        self.record.zone == *zone
+    }
+
+    /// Heartbeat in short form.
+    pub(crate) fn short(&self) -> PeerBeat {
+        let PeerRecord { heartbeat, .. } = self.record;
+        PeerBeat { id: self.id, heartbeat, lease: self.lease.0.0 }
+    }
+
+    /// Contribution to the hash of a table of peers.
+    pub(crate) fn hash(&self) -> u64 {
+        record_hash(&self.record)
+    }
+}
+
+/// Hash of a record, its heartbeat left out.
+pub(crate) fn record_hash(record: &PeerRecord) -> u64 {
+    let text =
+        format!("{}\0{}\0{}\0{}", record.node, record.incarnation, record.stopping, record.address);
+    xxh3_64(text.as_bytes())
+}
--- /dev/null
+++ b/crates/control/src/routes.rs
@@ -0,0 +1,104 @@
+//! The table of grants as far as the node has heard of them.
+
+use carobstep_clock::BootTime;
+use carobstep_config::ServerName;
+use carobstep_platform::{ObjectVersion, StoredObject};
+use carobstep_wire::GrantNotice;
+use indexmap::IndexMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::record::{GrantMark, GrantRecord};
+
+/// Buckets of the table that are compared and fetched one by one.
+pub(crate) const GRANT_BUCKETS: usize = 16;
+
+/// Newest notice of each grant, of all zones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GrantTable {
+    entries: IndexMap<ServerName, GrantEntry>,
+    hashes: [u32; GRANT_BUCKETS],
+}
+
+#[derive(Clone, Debug)]
+struct GrantEntry {
+    notice: GrantNotice,
+    changed_at: BootTime,
+}
+
+fn bucket_of(server: &ServerName) -> usize {
+    (xxh3_64(server.as_str().as_bytes()) % GRANT_BUCKETS as u64) as usize
+}
+
+fn hash_of(notice: &GrantNotice) -> u32 {
+    let text = format!("{}\0{}", notice.server, notice.version);
+    (xxh3_64(text.as_bytes()) & u64::from(u32::MAX)) as u32
+}
+
+/// The notice of a grant object.
+pub(crate) fn notice_of(record: &GrantRecord, version: ObjectVersion) -> GrantNotice {
+    GrantNotice {
+        server: record.server.clone(),
+        holder: (record.state == GrantMark::Held).then(|| record.holder.clone()),
+        incarnation: record.incarnation,
+        epoch: record.epoch,
+        version: version.0,
+    }
+}
+
+/// Reads a grant object.
+pub(crate) fn read_grant(object: &StoredObject) -> Result<GrantNotice, serde_json::Error> {
+    let record: GrantRecord = serde_json::from_value(object.value.clone())?;
+    Ok(notice_of(&record, object.version))
+}
+
+impl GrantTable {
+    pub(crate) fn get(&self, server: &ServerName) -> Option<&GrantNotice> {
+        self.entries.get(server).map(|entry| &entry.notice)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &GrantNotice> {
+        self.entries.values().map(|entry| &entry.notice)
+    }
+
+    /// Takes in a notice; returns whether it was news.
+    pub(crate) fn merge(&mut self, now: BootTime, notice: GrantNotice) -> bool {
+        let bucket = bucket_of(&notice.server);
+        if let Some(old) = self.get(&notice.server) {
+            if old.version >= notice.version {
+                return false;
+            }
+            self.hashes[bucket] ^= hash_of(old);
+        }
+        self.hashes[bucket] ^= hash_of(&notice);
+        let server = notice.server.clone();
+        self.entries.insert(server, GrantEntry { notice, changed_at: now });
+        true
+    }
+
+    /// Hash of each bucket.
+    pub(crate) fn hashes(&self) -> Vec<u32> {
+        self.hashes.to_vec()
+    }
+
+    /// Buckets whose hash differs from a peer's.
+    pub(crate) fn differing(&self, hashes: &[u32]) -> Vec<u8> {
+        let pairs = self.hashes.iter().zip(hashes);
+        let numbered = (0u8..).zip(pairs);
+        numbered.filter(|(_, (own, other))| own != other).map(|(bucket, _)| bucket).collect()
+    }
+
+    /// Notices that changed within `age`.
+    pub(crate) fn changed_within(&self, now: BootTime, age: Duration) -> Vec<GrantNotice> {
+        let changed = self.entries.values().filter(|entry| now < entry.changed_at + age);
+        changed.map(|entry| entry.notice.clone()).collect()
+    }
+
+    /// Notices of some buckets.
+    pub(crate) fn of_buckets(&self, buckets: &[u8]) -> Vec<GrantNotice> {
+        let wanted = |notice: &&GrantNotice| {
+            buckets.iter().any(|bucket| usize::from(*bucket) == bucket_of(&notice.server))
+        };
+        self.iter().filter(wanted).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/own_lease.rs
@@ -0,0 +1,318 @@
+//! The node's own lease: opening, renewing, outage and release.
+
+use carobstep_clock::BootTime;
+use carobstep_config::NodeName;
+use carobstep_platform::{Condition, ObjectKind, ObjectReply, ObjectVersion, StoredObject};
+use carobstep_wire::{ControlMessage, VouchRequest};
+
+use super::{
+    ControlState, NodePhase,
+    calls::{Purpose, WriteOutcome},
+    pursuit::PursuitKey,
+};
+use crate::{
+    event::ControlEffect,
+    lease::{LeaseGuard, LeaseState},
+    record::{LeaseMark, LeaseRecord},
+};
+
+/// Rounds of vouch requests within one fence time.
+const VOUCH_ROUNDS: u32 = 3;
+
+/// The own lease and the calls about it.
+#[derive(Debug)]
+pub(super) struct OwnLease {
+    pub(super) guard: LeaseGuard<NodeName>,
+    pub(super) incarnation: u64,
+    pub(super) next_at: BootTime,
+    /// When the first write of this incarnation was confirmed.
+    pub(super) opened_at: Option<BootTime>,
+    /// Whether the VM list has shown this node.
+    pub(super) listed: bool,
+    /// Version after the last confirmed write.
+    pub(super) version: ObjectVersion,
+    /// Incarnation of an earlier process at another address.
+    replacing: Option<PursuitKey>,
+    renewal: u64,
+    condition: Option<Condition>,
+    busy: bool,
+    vouch_at: BootTime,
+    vouch_round: u64,
+}
+
+impl OwnLease {
+    pub(super) fn new(node: NodeName, incarnation: u64, now: BootTime) -> Self {
+        Self {
+            guard: LeaseGuard::new(node),
+            incarnation: incarnation.max(1),
+            next_at: now,
+            opened_at: None,
+            listed: false,
+            version: ObjectVersion(0),
+            replacing: None,
+            renewal: 0,
+            condition: None,
+            busy: false,
+            vouch_at: now,
+            vouch_round: 0,
+        }
+    }
+
+    fn adopt(&mut self, now: BootTime, version: ObjectVersion) {
+        self.renewal += 1;
+        self.version = version;
+        self.condition = Some(Condition::At(version));
+        self.opened_at.get_or_insert(now);
+    }
+}
+
+impl ControlState {
+    pub(super) fn advance_lease(&mut self) {
+        self.advance_vouches();
+        if self.lease.busy || self.now < self.lease.next_at {
+            return;
+        }
+        if self.lease.guard.state() == LeaseState::Released || !self.may_open() {
+            return;
+        }
+        self.lease.busy = true;
+        match self.lease.condition {
+            Some(condition) => self.write_lease(condition),
+            None => {
+                let node = self.options.node.clone();
+                self.get(Purpose::LeaseRead, ObjectKind::Lease, node.as_str());
+            }
+        }
+    }
+
+    /// Whether an earlier process of the same name is sure to be gone.
+    fn may_open(&mut self) -> bool {
+        let Some(key) = &self.lease.replacing else { return true };
+        let ended = self.pursuits.get(key).is_some_and(super::Pursuit::is_proven);
+        if ended {
+            self.lease.replacing = None;
+            self.lease.condition = None;
+        }
+        ended
+    }
+
+    fn write_lease(&mut self, condition: Condition) {
+        let leaving = self.phase == NodePhase::Leaving;
+        let live: Vec<NodeName> = self.live_zone_nodes();
+        let witnesses = self.lease.guard.begin_renewal(self.now, &live);
+        let record = LeaseRecord {
+            node: self.options.node.clone(),
+            zone: self.options.zone.clone(),
+            region: self.options.region.clone(),
+            incarnation: self.lease.incarnation,
+            term_ms: u64::try_from(self.options.lease.term.as_millis()).unwrap_or(u64::MAX),
+            renewal: self.lease.renewal + 1,
+            witnesses,
+            peers: self.options.peer_address,
+            operators: self.options.operators_address,
+            listed: self.lease.listed,
+            state: if leaving { LeaseMark::Released } else { LeaseMark::Open },
+        };
+        let name = self.options.node.clone();
+        let purpose =
+            Purpose::LeaseWrite { incarnation: self.lease.incarnation, mark: record.state };
+        self.put(purpose, ObjectKind::Lease, name.as_str(), condition, &record);
+        self.lease.next_at = self.now + self.options.lease.renew;
+    }
+
+    pub(super) fn take_lease_write(
+        &mut self,
+        incarnation: u64,
+        mark: LeaseMark,
+        outcome: WriteOutcome,
+    ) {
+        self.lease.busy = false;
+        if incarnation != self.lease.incarnation {
+            self.lease.condition = None;
+            return;
+        }
+        match outcome {
+            WriteOutcome::Written(version) if mark == LeaseMark::Released => {
+                self.lease.version = version;
+                self.lease.guard.release();
+            }
+            WriteOutcome::Written(version) => {
+                self.lease.guard.confirm();
+                self.lease.adopt(self.now, version);
+                if self.phase == NodePhase::Leaving {
+                    self.lease.next_at = self.now;
+                }
+            }
+            WriteOutcome::Failed => {
+                self.lease.guard.fail_renewal();
+                self.lease.next_at = self.now + self.options.grant.retry;
+            }
+            WriteOutcome::Conflict => {
+                self.lease.condition = None;
+                self.lease.next_at = self.now;
+            }
+            WriteOutcome::Unknown => {
+                self.lease.condition = None;
+                self.lease.next_at = self.now + self.options.grant.retry;
+            }
+        }
+    }
+
+    pub(super) fn take_lease_read(&mut self, reply: Option<ObjectReply>) {
+        self.lease.busy = false;
+        match reply {
+            Some(ObjectReply::Found(object)) => self.take_own_record(&object),
+            Some(ObjectReply::Missing) => self.take_lease_missing(),
+            _ => self.lease.next_at = self.now + self.options.grant.retry,
+        }
+    }
+
+    fn take_own_record(&mut self, object: &StoredObject) {
+        self.lease.next_at = self.now + self.options.grant.retry;
+        let record = match serde_json::from_value::<LeaseRecord>(object.value.clone()) {
+            Ok(record) => record,
+            Err(error) => {
+                self.reject(format!("lease/{}", object.name), &error);
+                return;
+            }
+        };
+        // A stale reading is older than what was confirmed already.
+        if object.version < self.lease.version {
+            return;
+        }
+        self.lease.next_at = self.now;
+        if record.incarnation == self.lease.incarnation && self.lease.is_own(&record) {
+            self.settle_own_record(&record, object.version);
+        } else if self.lease.opened_at.is_none() {
+            self.follow_record(&record, object.version);
+        } else if record.incarnation > self.lease.incarnation {
+            self.yield_name();
+        } else {
+            self.lease.next_at = self.now + self.options.grant.retry;
+        }
+    }
+
+    fn settle_own_record(&mut self, record: &LeaseRecord, version: ObjectVersion) {
+        match record.state {
+            LeaseMark::Open => {
+                if record.renewal == self.lease.renewal + 1 && self.lease.guard.is_unsettled() {
+                    self.lease.guard.read_back();
+                    self.lease.adopt(self.now, version);
+                }
+                self.lease.version = version;
+                self.lease.condition = Some(Condition::At(version));
+            }
+            LeaseMark::Closed => self.reopen_lease(Some(version)),
+            LeaseMark::Released => self.lease.guard.release(),
+        }
+    }
+
+    /// Takes the name over from an earlier process.
+    ///
+    /// An earlier process at the same address is gone, because this one has
+    /// bound the address. At another address it has to be proven to be gone.
+    fn follow_record(&mut self, record: &LeaseRecord, version: ObjectVersion) {
+        self.lease.incarnation = self.lease.incarnation.max(record.incarnation + 1);
+        self.lease.condition = Some(Condition::At(version));
+        if record.peers == self.options.peer_address || record.state == LeaseMark::Released {
+            return;
+        }
+        let key = PursuitKey { node: self.options.node.clone(), incarnation: record.incarnation };
+        if self.pursuits.get(&key).is_some_and(super::Pursuit::is_proven) {
+            return;
+        }
+        self.start_pursuit(key.clone());
+        self.lease.replacing = Some(key);
+    }
+
+    fn take_lease_missing(&mut self) {
+        self.lease.next_at = self.now;
+        if self.lease.opened_at.is_some() {
+            self.reopen_lease(None);
+        }
+        self.lease.condition = Some(Condition::Absent);
+    }
+
+    /// Drops everything of a closed incarnation and goes on with the next.
+    pub(super) fn reopen_lease(&mut self, version: Option<ObjectVersion>) {
+        self.lease.guard.close();
+        self.drop_all_holds();
+        self.witness.close(self.options.node.clone(), self.lease.incarnation);
+        let node = self.options.node.clone();
+        let mut next = OwnLease::new(node, self.lease.incarnation + 1, self.now);
+        next.listed = self.lease.listed;
+        next.version = version.unwrap_or_default();
+        next.condition = version.map(Condition::At);
+        next.busy = self.lease.busy;
+        self.lease = next;
+        self.routes_changed = true;
+    }
+
+    /// Another process uses the name: this one must not go on.
+    fn yield_name(&mut self) {
+        self.lease.guard.close();
+        self.drop_all_holds();
+        let name = format!("lease/{}", self.options.node);
+        let message = "a newer process uses the name of this node".to_owned();
+        self.outbox.push(ControlEffect::Rejected { object: name, message });
+        self.begin_stop();
+        self.stop_at = self.now;
+    }
+
+    /// Whether a renewal was confirmed lately.
+    pub(super) fn reaches_platform(&self) -> bool {
+        let timing = &self.options.lease;
+        let renewed_at = self.lease.guard.term_end(timing) - timing.term;
+        self.lease.guard.state() == LeaseState::Open && self.now < renewed_at + 2 * timing.renew
+    }
+
+    /// Asks the recorded witnesses to vouch while renewals fail.
+    fn advance_vouches(&mut self) {
+        let timing = self.options.lease;
+        let due = self.lease.guard.term_end(&timing) - timing.fence;
+        let open = self.lease.guard.state() == LeaseState::Open;
+        if !open || self.now < due || self.now < self.lease.vouch_at {
+            return;
+        }
+        self.lease.vouch_at = self.now + timing.fence / VOUCH_ROUNDS;
+        self.lease.vouch_round += 1;
+        let request = VouchRequest {
+            node: self.options.node.clone(),
+            incarnation: self.lease.incarnation,
+            round: self.lease.vouch_round,
+        };
+        let witnesses: Vec<NodeName> = self.lease.guard.witnesses().cloned().collect();
+        for witness in witnesses {
+            let Some(peer) = self.peers.get(&witness) else { continue };
+            let to = peer.record.address;
+            let incarnation = self.lease.incarnation;
+            let purpose = Purpose::Vouch { witness, incarnation, sent_at: self.now };
+            self.send(purpose, to, ControlMessage::Vouch(request.clone()));
+        }
+    }
+
+    pub(super) fn take_vouch(&mut self, witness: NodeName, incarnation: u64, sent_at: BootTime) {
+        if incarnation == self.lease.incarnation {
+            self.lease.guard.vouched(witness, sent_at);
+        }
+    }
+
+    /// Takes in the notice that a lease was closed.
+    pub(super) fn take_close(&mut self, node: NodeName, incarnation: u64) {
+        let own = node == self.options.node && incarnation == self.lease.incarnation;
+        self.witness.close(node, incarnation);
+        if own && self.lease.guard.state() == LeaseState::Open {
+            self.reopen_lease(None);
+        }
+    }
+}
+
+impl OwnLease {
+    /// Whether a record of the same incarnation was written by this process.
+    ///
+    /// Before the first write of this process, a record that already carries
+    /// its incarnation belongs to an earlier one.
+    fn is_own(&self, record: &LeaseRecord) -> bool {
+        self.opened_at.is_some() || (self.guard.is_unsettled() && record.renewal == 1)
+    }
+}
