Add the operator's command line

`carobstep` shows, compares and patches the configuration, follows a version until every node has it, and lists nodes, zones, grants, servers and counters.

Submitting is a pure state machine over a chart. The base is archived before it is replaced, so that the version after a base can always be read; a lost answer is settled by the patch id found there. A write is repeated only under its first condition: of any number of copies at most one can succeed, also when one lands late.

--- /dev/null
+++ b/crates/client/src/difference.rs
@@ -0,0 +1,67 @@
+//! Differences between two configuration documents.
+
+use serde::Serialize;
+use serde_json::Value;
+
+/// One member that differs.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct MemberChange {
+    /// JSON pointer of the member.
+    pub path: String,
+    /// Its value before; absent when it was added.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub before: Option<Value>,
+    /// Its value after; absent when it was removed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub after: Option<Value>,
+}
+
+impl MemberChange {
+    /// The change as a line that starts with `+`, `-` or `~`.
+    #[must_use]
+    pub fn to_line(&self) -> String {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => format!("~ {}: {before} -> {after}", self.path),
+            (Some(before), None) => format!("- {}: {before}", self.path),
+            (None, Some(after)) => format!("+ {}: {after}", self.path),
+            (None, None) => format!("  {}", self.path),
+        }
+    }
+}
+
+/// Lists the members that differ, in the order of `before` and then of `after`.
+#[must_use]
+pub fn differences(before: &Value, after: &Value) -> Vec<MemberChange> {
+    let mut changes = Vec::new();
+    compare("", before, after, &mut changes);
+    changes
+}
+
+fn compare(path: &str, before: &Value, after: &Value, changes: &mut Vec<MemberChange>) {
+    let (Value::Object(old), Value::Object(new)) = (before, after) else {
+        if before != after {
+            changes.push(change(path, Some(before), Some(after)));
+        }
+        return;
+    };
+    for (name, value) in old {
+        let path = child_path(path, name);
+        match new.get(name) {
+            Some(kept) => compare(&path, value, kept, changes),
+            None => changes.push(change(&path, Some(value), None)),
+        }
+    }
+    for (name, value) in new {
+        if !old.contains_key(name) {
+            changes.push(change(&child_path(path, name), None, Some(value)));
+        }
+    }
+}
+
+fn change(path: &str, before: Option<&Value>, after: Option<&Value>) -> MemberChange {
+    MemberChange { path: path.to_owned(), before: before.cloned(), after: after.cloned() }
+}
+
+fn child_path(path: &str, member: &str) -> String {
+    format!("{path}/{}", member.replace('~', "~0").replace('/', "~1"))
+}
--- /dev/null
+++ b/crates/client/src/error.rs
@@ -0,0 +1,114 @@
+//! Errors of the command line and the exit code of each kind.
+
+use std::{fmt, process::ExitCode};
+
+use carobstep_platform::{StoreError, StoreErrorKind};
+use serde_json::{Value, json};
+use strum::{Display, EnumIter};
+
+/// How the program ends; the numbers never change their meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum ExitStatus {
+    /// The command did what it was asked.
+    Success = 0,
+    /// A failure without a code of its own.
+    Failure = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// Another change came first; nothing changed.
+    Conflict = 3,
+    /// The version, node or object does not exist.
+    NotFound = 4,
+    /// The time given was not enough.
+    Timeout = 5,
+    /// The platform could not be reached; nothing changed.
+    Unreachable = 6,
+    /// The patch or document is not valid; nothing changed.
+    Refused = 7,
+    /// A write was sent and its effect is not known.
+    Unknown = 8,
+}
+
+impl ExitStatus {
+    /// Its line in the help text.
+    #[must_use]
+    pub const fn summary(self) -> &'static str {
+        match self {
+            Self::Success => "done",
+            Self::Failure => "failed in a way without a code of its own",
+            Self::Usage => "the command line is wrong",
+            Self::Conflict => "another change came first; nothing changed",
+            Self::NotFound => "the version, node or object does not exist",
+            Self::Timeout => "the time given was not enough",
+            Self::Unreachable => "the platform could not be used; nothing changed",
+            Self::Refused => "the patch or document is not valid; nothing changed",
+            Self::Unknown => "a write was sent and its effect is not known",
+        }
+    }
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status as u8)
+    }
+}
+
+/// Why a command failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientError {
+    status: ExitStatus,
+    message: String,
+    details: Value,
+}
+
+impl ClientError {
+    /// Builds an error that ends the program with `status`.
+    #[must_use]
+    pub fn new(status: ExitStatus, message: impl Into<String>) -> Self {
+        Self { status, message: message.into(), details: Value::Null }
+    }
+
+    /// Adds members to the error's JSON form.
+    #[must_use]
+    pub fn with_details(mut self, details: Value) -> Self {
+        self.details = details;
+        self
+    }
+
+    /// The error for machines.
+    #[must_use]
+    pub fn to_value(&self) -> Value {
+        json!({
+            "error": self.status.to_string(),
+            "exit_code": self.status as u8,
+            "message": self.message,
+            "details": self.details,
+        })
+    }
+
+    /// The exit status of the error.
+    #[must_use]
+    pub const fn status(&self) -> ExitStatus {
+        self.status
+    }
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+impl From<StoreError> for ClientError {
+    /// An error of a call that only reads.
+    fn from(error: StoreError) -> Self {
+        let status = match error.kind() {
+            StoreErrorKind::NotSent | StoreErrorKind::AnswerLost => ExitStatus::Unreachable,
+            StoreErrorKind::Rejected | StoreErrorKind::VersionGone => ExitStatus::Failure,
+        };
+        Self::new(status, error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/client/src/follow.rs
@@ -0,0 +1,136 @@
+//! Waits until every node has a configuration in force.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_config::ConfigVersion;
+use carobstep_platform::ObjectStore;
+use serde::Serialize;
+use tokio::time::{self, Instant};
+
+use crate::{
+    error::{ClientError, ExitStatus},
+    fleet::{NodeAnswer, NodeRoster},
+    nodes::NodeApi,
+    output::{CommandReport, ReportPrinter},
+    platform::current,
+    run::print,
+};
+
+/// Pause between two rounds of questions.
+const ROUND_PAUSE: Duration = Duration::from_millis(250);
+
+/// How far a configuration has spread.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct SpreadProgress {
+    /// The version that is followed.
+    pub version: ConfigVersion,
+    /// Nodes that have it, or a later one, in force.
+    pub reached: usize,
+    /// Nodes that must have it.
+    pub awaited: usize,
+    /// The nodes that are waited for.
+    pub waiting_for: Vec<String>,
+}
+
+impl SpreadProgress {
+    /// Judges the answers of one round.
+    #[must_use]
+    pub fn new(version: ConfigVersion, answers: &[NodeAnswer]) -> Self {
+        let mut progress = Self { version, reached: 0, awaited: 0, waiting_for: Vec::new() };
+        for node in answers {
+            if !node.is_awaited() {
+                continue;
+            }
+            progress.awaited += 1;
+            if node.config_version().is_some_and(|running| running >= version) {
+                progress.reached += 1;
+                continue;
+            }
+            progress.waiting_for.push(describe(node));
+        }
+        progress
+    }
+
+    /// Whether every node that must have the version has it.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.awaited > 0 && self.waiting_for.is_empty()
+    }
+
+    fn report(&self, elapsed: Duration) -> CommandReport {
+        let mut plain = format!(
+            "version {}: {} of {} nodes after {:.1} s",
+            self.version,
+            self.reached,
+            self.awaited,
+            elapsed.as_secs_f64()
+        );
+        if !self.waiting_for.is_empty() {
+            plain.push_str(&format!("; waiting for {}", self.waiting_for.join(", ")));
+        }
+        let mut value = serde_json::to_value(self).unwrap_or_default();
+        value["elapsed_ms"] = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX).into();
+        value["done"] = self.is_complete().into();
+        CommandReport { plain, value }
+    }
+}
+
+fn describe(node: &NodeAnswer) -> String {
+    match (&node.answer, node.config_version()) {
+        (Ok(_), Some(version)) => format!("{} (has {version})", node.entry.node),
+        (Ok(_), None) => format!("{} (has none)", node.entry.node),
+        (Err(silence), _) => format!("{} ({})", node.entry.node, silence.0),
+    }
+}
+
+/// Follows `version`, or the one in force, until every node has it.
+///
+/// While the platform is down, the nodes that it last named are asked.
+///
+/// # Errors
+///
+/// Fails after `timeout`, or when the platform is down from the start.
+pub async fn follow<A: NodeApi>(
+    store: &impl ObjectStore,
+    api: &Arc<A>,
+    version: Option<ConfigVersion>,
+    timeout: Duration,
+    printer: &mut ReportPrinter<'_>,
+) -> Result<(), ClientError> {
+    let version = match version {
+        Some(version) => version,
+        None => current(store).await?.version,
+    };
+    let start = Instant::now();
+    let mut roster = NodeRoster::read(store).await?;
+    let mut shown = None;
+    loop {
+        let progress = SpreadProgress::new(version, &roster.ask(api, "/v1/status").await);
+        let elapsed = start.elapsed();
+        if shown.as_ref() != Some(&progress) {
+            print(printer, &progress.report(elapsed))?;
+        }
+        if progress.is_complete() {
+            return Ok(());
+        }
+        if elapsed >= timeout {
+            return Err(timed_out(&progress, timeout));
+        }
+        shown = Some(progress);
+        time::sleep(ROUND_PAUSE.min(timeout.saturating_sub(elapsed))).await;
+        if let Ok(newer) = NodeRoster::read(store).await {
+            roster = newer;
+        }
+    }
+}
+
+fn timed_out(progress: &SpreadProgress, timeout: Duration) -> ClientError {
+    let message = format!(
+        "version {} is in force on {} of {} nodes after {} s",
+        progress.version,
+        progress.reached,
+        progress.awaited,
+        timeout.as_secs()
+    );
+    ClientError::new(ExitStatus::Timeout, message)
+}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,1 +1,39 @@
-//! See the crate description.
+//! The operator's command line.
+//!
+//! `carobstep` reads and patches the configuration that the platform stores,
+//! and asks the nodes what they have in force. The flags are documented where
+//! they are defined, in `command.rs`; every exit code is an [`ExitStatus`].
+//!
+//! ```
+//! use carobstep_client::{CommandLine, OperatorCommand, OutputFormat};
+//!
+//! let args = ["nodes", "--platform", "127.0.0.1:7001", "--json"].map(String::from);
+//! let line = CommandLine::try_from(&args[..]).unwrap();
+//! let CommandLine::Run { format, command, .. } = line else { unreachable!() };
+//! assert_eq!((format, command), (OutputFormat::Json, OperatorCommand::Nodes));
+//! ```
+
+mod command;
+mod configuration;
+mod difference;
+mod error;
+mod fleet;
+mod follow;
+mod nodes;
+mod output;
+mod platform;
+mod publish;
+mod run;
+mod submission;
+mod submit;
+mod tables;
+
+pub use command::{CommandLine, CommandName, OperatorCommand, help};
+pub use difference::{MemberChange, differences};
+pub use error::{ClientError, ExitStatus};
+pub use fleet::{NodeAnswer, NodeEntry, NodePresence, NodeRoster};
+pub use follow::SpreadProgress;
+pub use nodes::{HttpNodeApi, NodeApi, NodeSilence};
+pub use output::{CommandReport, OutputFormat, ReportPrinter, TextTable};
+pub use run::{main, run_command};
+pub use submission::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep};
--- /dev/null
+++ b/crates/client/src/platform.rs
@@ -0,0 +1,103 @@
+//! Typed reads of the platform's objects.
+
+use carobstep_config::{ConfigRecord, ConfigVersion, UtcTime};
+use carobstep_platform::{
+    ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoredObject, VmRecord,
+};
+use serde_json::Value;
+
+use crate::error::{ClientError, ExitStatus};
+
+/// Name of the configuration in force.
+pub(crate) const CURRENT_NAME: &str = "current";
+
+/// Reads a stored configuration.
+pub(crate) fn read_record(
+    kind: ObjectKind,
+    object: &StoredObject,
+) -> Result<ConfigRecord, ClientError> {
+    serde_json::from_value(object.value.clone()).map_err(|error| {
+        let message = format!("{kind}/{} is not a configuration: {error}", object.name);
+        ClientError::new(ExitStatus::Failure, message)
+    })
+}
+
+/// The JSON form of a configuration.
+pub(crate) fn record_value(record: &ConfigRecord) -> Value {
+    serde_json::to_value(record).unwrap_or_default()
+}
+
+/// Seconds since 1970 on the operator's machine.
+pub(crate) fn now() -> UtcTime {
+    UtcTime::now()
+}
+
+/// Reads one object, or `None` when it does not exist.
+pub(crate) async fn get(
+    store: &impl ObjectStore,
+    kind: ObjectKind,
+    name: &str,
+) -> Result<Option<StoredObject>, ClientError> {
+    match store.call(ObjectCall::Get { kind, name: name.to_owned() }).await? {
+        ObjectReply::Found(object) => Ok(Some(object)),
+        ObjectReply::Missing => Ok(None),
+        reply => Err(unexpected(&reply)),
+    }
+}
+
+/// Reads every object of a kind.
+pub(crate) async fn list(
+    store: &impl ObjectStore,
+    kind: ObjectKind,
+) -> Result<Vec<StoredObject>, ClientError> {
+    match store.call(ObjectCall::List { kind }).await? {
+        ObjectReply::Listed { items, .. } => Ok(items),
+        reply => Err(unexpected(&reply)),
+    }
+}
+
+/// Reads the list of VMs.
+pub(crate) async fn list_vms(store: &impl ObjectStore) -> Result<Vec<VmRecord>, ClientError> {
+    match store.call(ObjectCall::ListVms).await? {
+        ObjectReply::Vms(records) => Ok(records),
+        reply => Err(unexpected(&reply)),
+    }
+}
+
+/// Reads the configuration in force.
+pub(crate) async fn current(store: &impl ObjectStore) -> Result<ConfigRecord, ClientError> {
+    let object = get(store, ObjectKind::Config, CURRENT_NAME).await?;
+    let object = object.ok_or_else(|| {
+        ClientError::new(ExitStatus::NotFound, "the platform holds no configuration")
+    })?;
+    read_record(ObjectKind::Config, &object)
+}
+
+/// Reads a configuration from the history, or `None` when it is not there.
+pub(crate) async fn past(
+    store: &impl ObjectStore,
+    version: ConfigVersion,
+) -> Result<Option<ConfigRecord>, ClientError> {
+    let object = get(store, ObjectKind::History, &version.to_string()).await?;
+    object.map(|object| read_record(ObjectKind::History, &object)).transpose()
+}
+
+/// Reads the configuration of a version, in force or past.
+pub(crate) async fn at_version(
+    store: &impl ObjectStore,
+    version: ConfigVersion,
+) -> Result<ConfigRecord, ClientError> {
+    let record = current(store).await?;
+    if record.version == version {
+        return Ok(record);
+    }
+    past(store, version).await?.ok_or_else(|| {
+        let message =
+            format!("version {version} does not exist; version {} is in force", record.version);
+        ClientError::new(ExitStatus::NotFound, message)
+    })
+}
+
+pub(crate) fn unexpected(reply: &ObjectReply) -> ClientError {
+    ClientError::new(ExitStatus::Failure, format!("unexpected reply of the platform: {reply:?}"))
+}
--- /dev/null
+++ b/crates/client/src/run.rs
@@ -0,0 +1,158 @@
+//! Runs a command against the platform and the nodes.
+
+use std::{
+    fs,
+    io::{self, Read, Write},
+    path::Path,
+    process::ExitCode,
+    sync::Arc,
+};
+
+use carobstep_config::{Patch, PatchDocument};
+use carobstep_platform::{HttpStore, ObjectStore};
+use eyre::{Report, WrapErr};
+use tokio::runtime;
+
+use crate::{
+    command::{CommandLine, OperatorCommand, help},
+    configuration,
+    error::{ClientError, ExitStatus},
+    follow::follow,
+    nodes::{HttpNodeApi, NodeApi},
+    output::{CommandReport, OutputFormat, ReportPrinter},
+    platform::now,
+    publish, submit, tables,
+};
+
+/// Largest file that a command reads, in bytes.
+const MAX_FILE_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Runs the command line without the program's name.
+#[must_use]
+pub fn main(args: &[String]) -> ExitCode {
+    let line = match CommandLine::try_from(args) {
+        Ok(line) => line,
+        Err(error) => return fail(OutputFormat::Plain, &error.into()),
+    };
+    let format = match &line {
+        CommandLine::Run { format, .. } => *format,
+        CommandLine::Help | CommandLine::Version => OutputFormat::Plain,
+    };
+    match run_line(line) {
+        Ok(()) => ExitStatus::Success.into(),
+        Err(report) => fail(format, &report),
+    }
+}
+
+/// Tells the error on the standard error output, in the form asked for.
+fn fail(format: OutputFormat, report: &Report) -> ExitCode {
+    let error = report.downcast_ref::<ClientError>();
+    match (format, error) {
+        (OutputFormat::Json, Some(error)) => eprintln!("{}", error.to_value()),
+        _ => eprintln!("carobstep: {report:#}"),
+    }
+    error.map_or(ExitStatus::Failure, ClientError::status).into()
+}
+
+fn run_line(line: CommandLine) -> Result<(), Report> {
+    let mut out = io::stdout();
+    let (platform, format, command) = match line {
+        CommandLine::Help => {
+            return out.write_all(help().as_bytes()).wrap_err("write the help text");
+        }
+        CommandLine::Version => {
+            return writeln!(out, "carobstep {}", env!("CARGO_PKG_VERSION"))
+                .wrap_err("write the version");
+        }
+        CommandLine::Run { platform, format, command } => (platform, format, command),
+    };
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("start the runtime")?;
+    let mut printer = ReportPrinter::new(format, &mut out);
+    let running = async {
+        let store = HttpStore::builder(platform).build();
+        run_command(command, &store, &Arc::new(HttpNodeApi), &mut printer).await
+    };
+    Ok(runtime.block_on(running)?)
+}
+
+/// Runs one command and prints its report.
+///
+/// # Errors
+///
+/// Fails as the command does; the error knows its exit status.
+pub async fn run_command<A: NodeApi>(
+    command: OperatorCommand,
+    store: &impl ObjectStore,
+    api: &Arc<A>,
+    printer: &mut ReportPrinter<'_>,
+) -> Result<(), ClientError> {
+    let report = match command {
+        OperatorCommand::Show { version } => configuration::show(store, version).await?,
+        OperatorCommand::Diff { from, to } => configuration::diff(store, from, to).await?,
+        OperatorCommand::Submit { base, format, path, id, author } => {
+            let document = PatchDocument {
+                base,
+                id: id.as_str().to_owned(),
+                author: author.as_str().to_owned(),
+                time: now(),
+                format,
+                text: read_file(&path)?,
+            };
+            let patch = Patch::try_from(document).map_err(|error| submit::refusal(&error))?;
+            submit::submit(store, patch).await?
+        }
+        OperatorCommand::History { count } => configuration::history(store, count).await?,
+        OperatorCommand::Follow { version, timeout } => {
+            return follow(store, api, version, timeout, printer).await;
+        }
+        OperatorCommand::Nodes => tables::nodes(store, api).await?,
+        OperatorCommand::Zones => tables::zones(store, api).await?,
+        OperatorCommand::Grants => tables::grants(store).await?,
+        OperatorCommand::Servers => tables::servers(store).await?,
+        OperatorCommand::Counters { node } => tables::counters(store, api, node.as_deref()).await?,
+        OperatorCommand::Init { path, id, author } => {
+            publish::init(store, &id, &author, &read_file(&path)?).await?
+        }
+        OperatorCommand::Publish { index, path } => {
+            publish::publish(store, &index, &read_file(&path)?).await?
+        }
+    };
+    print(printer, &report)
+}
+
+/// Prints a report.
+pub(crate) fn print(
+    printer: &mut ReportPrinter<'_>,
+    report: &CommandReport,
+) -> Result<(), ClientError> {
+    printer.print(report).map_err(|error| {
+        ClientError::new(ExitStatus::Failure, format!("write to the standard output: {error}"))
+    })
+}
+
+fn read_file(path: &Path) -> Result<String, ClientError> {
+    let input: Box<dyn Read> = if path == Path::new("-") {
+        Box::new(io::stdin())
+    } else {
+        Box::new(fs::File::open(path).map_err(|error| file_error(path, &error))?)
+    };
+    let mut text = String::new();
+    let mut limited = input.take(MAX_FILE_BYTES + 1);
+    limited.read_to_string(&mut text).map_err(|error| file_error(path, &error))?;
+    if text.len() as u64 > MAX_FILE_BYTES {
+        let message = format!("file {}: larger than {MAX_FILE_BYTES} bytes", path.display());
+        return Err(ClientError::new(ExitStatus::Refused, message));
+    }
+    Ok(text)
+}
+
+fn file_error(path: &Path, error: &io::Error) -> ClientError {
+    let status = match error.kind() {
+        io::ErrorKind::NotFound => ExitStatus::NotFound,
+        _ => ExitStatus::Failure,
+    };
+    ClientError::new(status, format!("file {}: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/client/src/submit.rs
@@ -0,0 +1,126 @@
+//! Submits a patch and reports how it ended.
+
+use carobstep_config::{ConfigRecord, ConfigVersion, Patch, PatchError};
+use carobstep_platform::ObjectStore;
+use serde_json::json;
+use tokio::time;
+
+use crate::{
+    configuration::{change_lines, record_differences, title},
+    error::{ClientError, ExitStatus},
+    output::CommandReport,
+    platform::{current, past},
+    submission::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep},
+};
+
+/// Submits a patch.
+///
+/// # Errors
+///
+/// Fails as a conflict, a refusal, an unusable platform or an unknown effect;
+/// the message says whether anything changed.
+pub async fn submit(store: &impl ObjectStore, patch: Patch) -> Result<CommandReport, ClientError> {
+    let id = patch.id.as_str().to_owned();
+    match run(store, patch).await? {
+        SubmitOutcome::Accepted { record, in_force, proof, archived } => {
+            Ok(accepted_report(&record, in_force, proof, archived))
+        }
+        SubmitOutcome::Conflict { base, in_force } => {
+            Err(conflict_error(store, base, in_force).await)
+        }
+        SubmitOutcome::Refused(error) => Err(refusal(&error)),
+        SubmitOutcome::NoConfiguration => {
+            let message = "the platform holds no configuration; nothing changed";
+            Err(ClientError::new(ExitStatus::NotFound, message))
+        }
+        SubmitOutcome::Unavailable(reason) => {
+            let message = format!("{reason}; nothing changed");
+            Err(ClientError::new(ExitStatus::Unreachable, message))
+        }
+        SubmitOutcome::Unknown(reason) => {
+            let message = format!(
+                "{reason}; the patch may be in force: submit it again with --id {id} to learn"
+            );
+            Err(ClientError::new(ExitStatus::Unknown, message)
+                .with_details(json!({"patch_id": id})))
+        }
+    }
+}
+
+/// Makes the calls of a submission until it is over.
+async fn run(store: &impl ObjectStore, patch: Patch) -> Result<SubmitOutcome, ClientError> {
+    let mut submission = PatchSubmission::try_from(patch)
+        .map_err(|error| ClientError::new(ExitStatus::Failure, error.to_string()))?;
+    let mut step = submission.start();
+    loop {
+        let (call, pause) = match step {
+            SubmitStep::Call { call, pause } => (call, pause),
+            SubmitStep::Finish(outcome) => return Ok(*outcome),
+        };
+        time::sleep(pause).await;
+        step = submission.advance(store.call(call).await);
+    }
+}
+
+/// Turns a refused patch into an error of the command line.
+pub(crate) fn refusal(error: &PatchError) -> ClientError {
+    let message = format!("patch refused, nothing changed:\n{}", error.lines().join("\n"));
+    ClientError::new(ExitStatus::Refused, message).with_details(json!({"faults": error.lines()}))
+}
+
+fn accepted_report(
+    record: &ConfigRecord,
+    in_force: ConfigVersion,
+    proof: AcceptanceProof,
+    archived: bool,
+) -> CommandReport {
+    let mut lines = vec![format!("accepted: {}", title(record))];
+    match proof {
+        AcceptanceProof::Reply => {}
+        AcceptanceProof::ReadBack => {
+            lines.push("the platform's answer was lost; the patch id was read back".to_owned());
+        }
+        AcceptanceProof::EarlierRun => {
+            lines.push("it was accepted before; this run wrote nothing".to_owned());
+        }
+    }
+    if in_force > record.version {
+        lines.push(format!("version {in_force} is in force by now"));
+    }
+    if !archived {
+        lines.push("the history lacks it until the next patch is submitted".to_owned());
+    }
+    let value = json!({
+        "accepted": true,
+        "version": record.version,
+        "patch_id": record.patch_id,
+        "in_force": in_force,
+        "proof": proof.to_string(),
+        "archived": archived,
+    });
+    CommandReport { plain: lines.join("\n"), value }
+}
+
+/// Builds the error of a stale patch, which shows both versions.
+async fn conflict_error(
+    store: &impl ObjectStore,
+    base: ConfigVersion,
+    in_force: ConfigVersion,
+) -> ClientError {
+    let mut lines = vec![format!(
+        "conflict, nothing changed: the patch was built on version {base}, version {in_force} is in force"
+    )];
+    // The conflict is certain; failing to show more of it must not hide it.
+    if let (Ok(after), Ok(before)) = (current(store).await, past(store, base).await) {
+        match before {
+            Some(before) => {
+                lines.push(format!("base:     {}", title(&before)));
+                lines.push(format!("in force: {}", title(&after)));
+                lines.push(change_lines(&record_differences(&before, &after)));
+            }
+            None => lines.push(format!("in force: {}", title(&after))),
+        }
+    }
+    ClientError::new(ExitStatus::Conflict, lines.join("\n"))
+        .with_details(json!({"base": base, "in_force": in_force}))
+}
--- /dev/null
+++ b/crates/client/src/tables.rs
@@ -0,0 +1,296 @@
+//! Tables of nodes, availability zones, grants, backend servers and counters.
+
+use std::sync::Arc;
+
+use carobstep_config::{ServerState, Topology};
+use carobstep_platform::{ObjectKind, ObjectStore, StoredObject, VmState};
+use indexmap::IndexMap;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::{
+    error::{ClientError, ExitStatus},
+    fleet::{NodeAnswer, NodePresence, NodeRoster},
+    nodes::NodeApi,
+    output::{CommandReport, TextTable, cell},
+    platform::{current, list, list_vms},
+};
+
+#[derive(Serialize)]
+struct NodeRow {
+    node: String,
+    zone: String,
+    presence: NodePresence,
+    config_version: Option<u64>,
+    operators: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    silence: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<Value>,
+}
+
+impl From<&NodeAnswer> for NodeRow {
+    fn from(node: &NodeAnswer) -> Self {
+        Self {
+            node: node.entry.node.clone(),
+            zone: node.entry.zone.clone(),
+            presence: node.presence,
+            config_version: node.config_version().map(|version| version.0),
+            operators: node.entry.operators.map(|address| address.to_string()),
+            silence: node.answer.as_ref().err().map(|silence| silence.0.clone()),
+            status: node.answer.as_ref().ok().cloned(),
+        }
+    }
+}
+
+/// The nodes with the configuration that each has in force.
+///
+/// # Errors
+///
+/// Fails when the platform does.
+pub async fn nodes<A: NodeApi>(
+    store: &impl ObjectStore,
+    api: &Arc<A>,
+) -> Result<CommandReport, ClientError> {
+    let answers = NodeRoster::read(store).await?.ask(api, "/v1/status").await;
+    let rows: Vec<_> = answers.iter().map(NodeRow::from).collect();
+    let mut table = TextTable::new(&["NODE", "ZONE", "STATE", "CONFIG", "OPERATORS", "NOTE"]);
+    for row in &rows {
+        table.push([
+            row.node.clone(),
+            row.zone.clone(),
+            row.presence.to_string(),
+            cell(row.config_version),
+            cell(row.operators.as_ref()),
+            cell(row.silence.as_ref()),
+        ]);
+    }
+    Ok(CommandReport::from_rows(&table, &rows))
+}
+
+#[derive(Default, Serialize)]
+struct ZoneRow {
+    zone: String,
+    nodes: usize,
+    answering: usize,
+    servers: usize,
+    slots: u64,
+    connections: u64,
+}
+
+/// The availability zones with their nodes and what is lent in them.
+///
+/// # Errors
+///
+/// Fails when the platform does or holds no configuration.
+pub async fn zones<A: NodeApi>(
+    store: &impl ObjectStore,
+    api: &Arc<A>,
+) -> Result<CommandReport, ClientError> {
+    let topology = topology(store).await?;
+    let mut zones: IndexMap<String, ZoneRow> = IndexMap::new();
+    for (_, server) in topology.servers() {
+        let row = zones.entry(topology.zone(server.zone).to_string()).or_default();
+        row.servers += 1;
+        row.slots += u64::from(server.slots);
+        row.connections += u64::from(server.connections);
+    }
+    for node in NodeRoster::read(store).await?.ask(api, "/v1/status").await {
+        if node.presence == NodePresence::Gone {
+            continue;
+        }
+        let row = zones.entry(node.entry.zone.clone()).or_default();
+        row.nodes += 1;
+        row.answering += usize::from(node.presence == NodePresence::Answering);
+    }
+    zones.sort_keys();
+    let mut table =
+        TextTable::new(&["ZONE", "NODES", "ANSWERING", "SERVERS", "SLOTS", "CONNECTIONS"]);
+    let mut rows = Vec::with_capacity(zones.len());
+    for (zone, row) in zones {
+        table.push([
+            zone.clone(),
+            row.nodes.to_string(),
+            row.answering.to_string(),
+            row.servers.to_string(),
+            row.slots.to_string(),
+            row.connections.to_string(),
+        ]);
+        rows.push(ZoneRow { zone, ..row });
+    }
+    Ok(CommandReport::from_rows(&table, &rows))
+}
+
+#[derive(Serialize)]
+struct GrantRow {
+    server: String,
+    holder: Option<String>,
+    incarnation: Option<u64>,
+    epoch: Option<u64>,
+}
+
+impl From<&StoredObject> for GrantRow {
+    fn from(object: &StoredObject) -> Self {
+        let number = |key: &str| object.value.get(key).and_then(Value::as_u64);
+        Self {
+            server: object.name.clone(),
+            holder: object.value.get("holder").and_then(Value::as_str).map(str::to_owned),
+            incarnation: number("incarnation"),
+            epoch: number("epoch"),
+        }
+    }
+}
+
+/// The grants with their holders.
+///
+/// # Errors
+///
+/// Fails when the platform does.
+pub async fn grants(store: &impl ObjectStore) -> Result<CommandReport, ClientError> {
+    let mut rows: Vec<_> =
+        list(store, ObjectKind::Grant).await?.iter().map(GrantRow::from).collect();
+    rows.sort_by(|one, other| one.server.cmp(&other.server));
+    let mut table = TextTable::new(&["SERVER", "HOLDER", "INCARNATION", "EPOCH"]);
+    for row in &rows {
+        table.push([
+            row.server.clone(),
+            cell(row.holder.as_ref()),
+            cell(row.incarnation),
+            cell(row.epoch),
+        ]);
+    }
+    Ok(CommandReport::from_rows(&table, &rows))
+}
+
+#[derive(Serialize)]
+struct ServerRow {
+    server: String,
+    service: String,
+    zone: String,
+    address: String,
+    slots: u16,
+    connections: u16,
+    state: ServerState,
+    vm: Option<VmState>,
+    holder: Option<String>,
+}
+
+/// The backend servers with what is lent of them and who holds them.
+///
+/// # Errors
+///
+/// Fails when the platform does or holds no configuration.
+pub async fn servers(store: &impl ObjectStore) -> Result<CommandReport, ClientError> {
+    let topology = topology(store).await?;
+    let grants = list(store, ObjectKind::Grant).await?;
+    let holders: IndexMap<String, Option<String>> =
+        grants.iter().map(GrantRow::from).map(|row| (row.server, row.holder)).collect();
+    let vms: IndexMap<String, VmState> =
+        list_vms(store).await?.into_iter().map(|record| (record.name, record.state)).collect();
+    let mut rows = Vec::new();
+    for (_, server) in topology.servers() {
+        rows.push(ServerRow {
+            server: server.name.to_string(),
+            service: topology.service(server.service).name.to_string(),
+            zone: topology.zone(server.zone).to_string(),
+            address: server.address.to_string(),
+            slots: server.slots,
+            connections: server.connections,
+            state: server.state,
+            vm: vms.get(server.name.as_str()).copied(),
+            holder: holders.get(server.name.as_str()).cloned().flatten(),
+        });
+    }
+    let mut table = TextTable::new(&[
+        "SERVER",
+        "SERVICE",
+        "ZONE",
+        "ADDRESS",
+        "SLOTS",
+        "CONNECTIONS",
+        "STATE",
+        "VM",
+        "HOLDER",
+    ]);
+    for row in &rows {
+        table.push([
+            row.server.clone(),
+            row.service.clone(),
+            row.zone.clone(),
+            row.address.clone(),
+            row.slots.to_string(),
+            row.connections.to_string(),
+            row.state.to_string(),
+            cell(row.vm),
+            cell(row.holder.as_ref()),
+        ]);
+    }
+    Ok(CommandReport::from_rows(&table, &rows))
+}
+
+/// The counters of one node, or the sums over all nodes that answer.
+///
+/// # Errors
+///
+/// Fails when the platform does, and when the named node is unknown or silent.
+pub async fn counters<A: NodeApi>(
+    store: &impl ObjectStore,
+    api: &Arc<A>,
+    node: Option<&str>,
+) -> Result<CommandReport, ClientError> {
+    let mut answers = NodeRoster::read(store).await?.ask(api, "/v1/counters").await;
+    if let Some(name) = node {
+        answers.retain(|answer| answer.entry.node == name);
+        check_node(name, &answers)?;
+    }
+    let mut totals: IndexMap<String, u64> = IndexMap::new();
+    let mut by_node = IndexMap::new();
+    let mut silent = Vec::new();
+    for node in answers {
+        let Ok(answer) = node.answer else {
+            silent.push(node.entry.node);
+            continue;
+        };
+        for (name, value) in answer.as_object().into_iter().flatten() {
+            *totals.entry(name.clone()).or_default() += value.as_u64().unwrap_or(0);
+        }
+        by_node.insert(node.entry.node, answer);
+    }
+    Ok(counter_report(&totals, &by_node, &silent))
+}
+
+fn check_node(name: &str, answers: &[NodeAnswer]) -> Result<(), ClientError> {
+    let Some(node) = answers.first() else {
+        let message = format!("node {name:?} does not exist");
+        return Err(ClientError::new(ExitStatus::NotFound, message));
+    };
+    let Err(silence) = &node.answer else { return Ok(()) };
+    let message = format!("node {name} does not answer: {}", silence.0);
+    Err(ClientError::new(ExitStatus::Failure, message))
+}
+
+fn counter_report(
+    totals: &IndexMap<String, u64>,
+    by_node: &IndexMap<String, Value>,
+    silent: &[String],
+) -> CommandReport {
+    let mut table = TextTable::new(&["COUNTER", "VALUE"]);
+    for (name, value) in totals.iter().filter(|(_, value)| **value > 0) {
+        table.push([name.clone(), value.to_string()]);
+    }
+    let mut plain = table.to_text();
+    plain.push_str(&format!("\n{} nodes answered", by_node.len()));
+    if !silent.is_empty() {
+        plain.push_str(&format!("; no answer from {}", silent.join(", ")));
+    }
+    let value = json!({"totals": totals, "nodes": by_node, "silent": silent});
+    CommandReport { plain, value }
+}
+
+async fn topology(store: &impl ObjectStore) -> Result<Topology, ClientError> {
+    let record = current(store).await?;
+    Topology::try_from((record.version, &record.document)).map_err(|error| {
+        let message = format!("configuration {} in force: {error}", record.version);
+        ClientError::new(ExitStatus::Failure, message)
+    })
+}
