--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -140,7 +140,7 @@
 async fn violations(deployment: &Deployment) -> Result<u64, BenchError> {
     let mut violations = 0;
     for server in &deployment.servers {
-        violations += server.report(&deployment.client).await?.violations;
+        violations += server.summary(&deployment.client).await?.violations;
     }
     Ok(violations)
 }
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -37,7 +37,7 @@
 /// Pause between two looks at a condition that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Backend servers that one process hosts.
+/// Backend servers that one process hosts unless the options say otherwise.
 const SERVERS_PER_PROCESS: usize = 64;
 
 /// What a deployment is built from.
@@ -57,6 +57,8 @@
     pub hedge: HedgeDocument,
     /// Faults that every backend server starts with.
     pub server_faults: Option<Value>,
+    /// Backend servers that one process hosts.
+    pub servers_per_process: usize,
 }
 
 impl DeploymentOptions {
@@ -71,6 +73,7 @@
             node_settings: json!({}),
             hedge: HedgeDocument::default(),
             server_faults: None,
+            servers_per_process: SERVERS_PER_PROCESS,
         }
     }
 }
@@ -90,6 +93,8 @@
     pub peers: SocketAddr,
     /// Its process; the last one after a restart.
     pub process: Option<ProcessKey>,
+    /// Whether its process is frozen.
+    pub frozen: bool,
 }
 
 /// A running deployment. Dropping it ends every process it started.
@@ -164,7 +169,7 @@
     }
 
     async fn start_servers(&mut self) -> Result<(), BenchError> {
-        for position in 0..self.servers.len().div_ceil(SERVERS_PER_PROCESS) {
+        for position in 0..self.servers.len().div_ceil(self.options.servers_per_process) {
             self.start_server_process(position).await?;
         }
         let Some(faults) = &self.options.server_faults else { return Ok(()) };
@@ -175,16 +180,18 @@
     }
 
     async fn start_server_process(&mut self, position: usize) -> Result<(), BenchError> {
-        let first = position * SERVERS_PER_PROCESS;
-        let mut args = vec!["--seed".to_owned(), (self.options.seed + position as u64).to_string()];
-        let snapshots = &self.options.snapshots;
-        for server in self.servers.iter().skip(first).take(SERVERS_PER_PROCESS) {
+        let count = self.options.servers_per_process;
+        let first = position * count;
+        let mut args = Vec::new();
+        let servers = self.servers.iter().enumerate().skip(first).take(count);
+        for (number, server) in servers {
+            let seed = self.options.seed.wrapping_add(number as u64);
             args.push("--server".to_owned());
-            args.push(server.argument(snapshots));
+            args.push(server.argument(seed, &self.options.snapshots));
         }
         let label = format!("servers-{position}");
         let (key, _) = self.group.spawn(&label, SERVER_PROGRAM, &args).await?;
-        for server in self.servers.iter_mut().skip(first).take(SERVERS_PER_PROCESS) {
+        for server in self.servers.iter_mut().skip(first).take(count) {
             server.process = Some(key);
         }
         Ok(())
@@ -203,6 +210,7 @@
         let args = ["--settings".to_owned(), path.display().to_string()];
         let (key, _) = self.group.spawn(&node.name, NODE_PROGRAM, &args).await?;
         self.nodes[position].process = Some(key);
+        self.nodes[position].frozen = false;
         Ok(())
     }
 
@@ -241,6 +249,7 @@
         signal: ProcessSignal,
     ) -> Result<(), BenchError> {
         let key = self.node_key(position)?;
+        self.nodes[position].frozen = signal == ProcessSignal::Freeze;
         self.group.signal(key, signal)
     }
 
@@ -259,10 +268,10 @@
         Ok(status.success())
     }
 
-    /// Whether a node's process runs.
+    /// Whether a node's process runs and is not frozen.
     pub fn is_running(&mut self, position: usize) -> bool {
         match self.nodes[position].process {
-            Some(key) => self.group.is_running(key),
+            Some(key) => !self.nodes[position].frozen && self.group.is_running(key),
             None => false,
         }
     }
@@ -356,7 +365,7 @@
         let manifest = self.manifest(&self.options.snapshots);
         self.create(&format!("manifest/{}", self.plan.index), &manifest).await?;
         for node in &self.nodes {
-            self.list_vm(&node.name, node.zone, "entry", "live", node.peers).await?;
+            self.list_node(node, "live").await?;
         }
         for server in &self.servers {
             self.list_vm(&server.name, server.zone, "backend", "live", server.address).await?;
@@ -364,11 +373,46 @@
         Ok(())
     }
 
+    /// Replaces an object of the platform, whatever its version is.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object does not exist or changes meanwhile.
+    pub async fn replace(&self, path: &str, value: &Value) -> Result<(), BenchError> {
+        let path = format!("/objects/{path}");
+        let current = self.client.send(self.platform, &HttpCall::get(&path)).await?;
+        let tag = current.headers.get("etag").and_then(|tag| tag.to_str().ok());
+        let tag = tag.ok_or_else(|| {
+            BenchError::new(BenchErrorKind::Answer, format!("{path} has no version"))
+        })?;
+        let call = HttpCall::put(&path, value).header("if-match", tag);
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// Removes a VM from the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not accept it.
+    pub async fn unlist_vm(&self, name: &str) -> Result<(), BenchError> {
+        let call = HttpCall::delete(&format!("/standin/vms/{name}"));
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
     async fn create(&self, path: &str, value: &Value) -> Result<(), BenchError> {
         let call = HttpCall::put(&format!("/objects/{path}"), value).header("if-none-match", "*");
         self.client.expect(self.platform, &call).await.map(drop)
     }
 
+    /// Enters a node's VM into the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not accept it.
+    pub async fn list_node(&self, node: &NodeProcess, state: &str) -> Result<(), BenchError> {
+        self.list_vm(&node.name, node.zone, "entry", state, node.peers).await
+    }
+
     /// Enters a VM into the platform's list.
     ///
     /// # Errors
@@ -382,7 +426,13 @@
         state: &str,
         address: SocketAddr,
     ) -> Result<(), BenchError> {
-        let record = json!({"zone": zone, "role": role, "state": state, "address": address});
+        let record = json!({
+            "name": name,
+            "zone": zone,
+            "role": role,
+            "state": state,
+            "address": address,
+        });
         let call = HttpCall::put(&format!("/standin/vms/{name}"), &record);
         self.client.expect(self.platform, &call).await.map(drop)
     }
@@ -442,6 +492,7 @@
                 operators: free_address()?,
                 peers: free_address()?,
                 process: None,
+                frozen: false,
             });
         }
     }
--- a/crates/bench/src/http.rs
+++ b/crates/bench/src/http.rs
@@ -57,6 +57,12 @@
         Self::new(Method::GET, path, Bytes::new())
     }
 
+    /// A DELETE.
+    #[must_use]
+    pub fn delete(path: &str) -> Self {
+        Self::new(Method::DELETE, path, Bytes::new())
+    }
+
     /// A POST of a JSON value.
     #[must_use]
     pub fn post(path: &str, body: &Value) -> Self {
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -98,7 +98,11 @@
 
     /// Sends one search with its own payload.
     pub async fn search(&self, payload: u64) -> CallerView {
-        let body = json!({"payload": payload});
+        self.search_with(json!({"payload": payload})).await
+    }
+
+    /// Sends one search with a given body.
+    pub async fn search_with(&self, body: Value) -> CallerView {
         let call = HttpCall::post(&format!("/v1/search/{}", self.index), &body);
         self.send(&call, |answer| self.manifest.search_view(&body, answer)).await
     }
--- a/crates/bench/src/observe.rs
+++ b/crates/bench/src/observe.rs
@@ -32,6 +32,8 @@
     pub violations: u64,
     /// Requests that the servers shed.
     pub shed: u64,
+    /// Connections opened to the servers.
+    pub connections_opened: u64,
     /// Most connections open at one server at the same time.
     pub peak_connections: u64,
     /// Counters of the nodes, summed, without zeros.
@@ -63,7 +65,7 @@
             reading.usage.insert(node.name.clone(), usage.unwrap_or_default());
         }
         for server in &deployment.servers {
-            let report = server.report(&deployment.client).await?;
+            let report = server.summary(&deployment.client).await?;
             reading.reports.insert(server.name.clone(), report);
             reading.services.insert(server.name.clone(), server.service.clone());
         }
@@ -90,9 +92,12 @@
         for (server, report) in &self.reports {
             let before = earlier.reports.get(server).cloned().unwrap_or_default();
             let service = self.services[server].clone();
-            *cost.executed.entry(service).or_default() += report.executed - before.executed;
+            *cost.executed.entry(service).or_default() +=
+                report.executed.saturating_sub(before.executed);
             cost.violations += report.violations;
-            cost.shed += report.shed - before.shed;
+            cost.shed += report.shed.saturating_sub(before.shed);
+            cost.connections_opened +=
+                report.connections_opened.saturating_sub(before.connections_opened);
             cost.peak_connections = cost.peak_connections.max(report.peak_connections);
         }
         cost
--- a/crates/bench/src/server.rs
+++ b/crates/bench/src/server.rs
@@ -44,20 +44,29 @@
 /// What a backend server recorded.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct ServerReport {
-    /// Requests executed.
+    /// Requests whose work was started.
     pub executed: u64,
-    /// Executions by request id or idempotency key.
+    /// Requests whose work was stopped before its end.
+    #[serde(default)]
+    pub cancelled: u64,
+    /// Started work by request id and by idempotency key.
     #[serde(default)]
     pub executions: IndexMap<String, u64>,
     /// Most requests that ran at the same time.
     pub peak_running: u64,
     /// Most connections that were open at the same time.
     pub peak_connections: u64,
+    /// Connections opened since the start.
+    #[serde(default)]
+    pub connections_opened: u64,
     /// Times a lent limit was exceeded.
     pub violations: u64,
     /// Requests shed.
     #[serde(default)]
     pub shed: u64,
+    /// Requests refused because the server leaves.
+    #[serde(default)]
+    pub draining: u64,
 }
 
 impl ServerPlan {
@@ -92,11 +101,11 @@
 
     /// The stand-in's `--server` argument.
     #[must_use]
-    pub fn argument(&self, snapshots: &[u64]) -> String {
+    pub fn argument(&self, seed: u64, snapshots: &[u64]) -> String {
         let snapshots: Vec<String> = snapshots.iter().map(u64::to_string).collect();
         format!(
             "name={},address={},control={},slots={},connections={},service-us={},\
-             connect-delay-us={},delay-us={},snapshots={}",
+             connect-delay-us={},delay-us={},seed={seed},snapshots={}",
             self.name,
             self.address,
             self.control,
@@ -105,7 +114,7 @@
             self.service_time.as_micros(),
             self.connect_delay.as_micros(),
             self.path_delay.as_micros(),
-            snapshots.join(":"),
+            snapshots.join("+"),
         )
     }
 
@@ -125,7 +134,20 @@
     ///
     /// Fails when the stand-in does not answer or its report is malformed.
     pub async fn report(&self, client: &HttpClient) -> Result<ServerReport, BenchError> {
-        let value = client.expect(self.control, &HttpCall::get("/standin/report")).await?;
+        self.read(client, "/standin/report").await
+    }
+
+    /// Reads what the server recorded, without the single executions.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`ServerPlan::report`].
+    pub async fn summary(&self, client: &HttpClient) -> Result<ServerReport, BenchError> {
+        self.read(client, "/standin/summary").await
+    }
+
+    async fn read(&self, client: &HttpClient, path: &str) -> Result<ServerReport, BenchError> {
+        let value = client.expect(self.control, &HttpCall::get(path)).await?;
         serde_json::from_value(value).map_err(|error| {
             let message = format!("report of {}: {error}", self.name);
             BenchError::new(BenchErrorKind::Answer, message)
