--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -352,14 +352,31 @@
         self.client.expect(self.platform, &call).await.map(drop)
     }
 
+    /// Makes `document` the configuration of a version, provided that the
+    /// version before it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another version is in force or another write wins.
+    pub async fn submit(&self, version: u64, document: &Value) -> Result<(), BenchError> {
+        let path = "/objects/config/current";
+        let current = self.client.send(self.platform, &HttpCall::get(path)).await?;
+        let in_force = current.json()["version"].as_u64();
+        let tag = current.headers.get("etag").and_then(|tag| tag.to_str().ok());
+        let (Some(tag), true) = (tag, in_force == Some(version - 1)) else {
+            let message = format!("version {in_force:?} is in force, not {}", version - 1);
+            return Err(BenchError::new(BenchErrorKind::Answer, message));
+        };
+        let record = config_record(version, document);
+        let call = HttpCall::put(path, &record).header("if-match", tag);
+        self.client.expect(self.platform, &call).await?;
+        self.create(&format!("history/{version}"), &record).await
+    }
+
     async fn seed(&self) -> Result<(), BenchError> {
-        let record = json!({
-            "version": 1,
-            "patch_id": "initial",
-            "author": "bench",
-            "time": "1970-01-01T00:00:00Z",
-            "document": self.document(),
-        });
+        let document = serde_json::to_value(self.document())
+            .map_err(|error| BenchError::new(BenchErrorKind::Output, error.to_string()))?;
+        let record = config_record(1, &document);
         self.create("history/1", &record).await?;
         self.create("config/current", &record).await?;
         let manifest = self.manifest(&self.options.snapshots);
@@ -499,6 +516,16 @@
     Ok(nodes)
 }
 
+fn config_record(version: u64, document: &Value) -> Value {
+    json!({
+        "version": version,
+        "patch_id": format!("bench-{version}"),
+        "author": "bench",
+        "time": "1970-01-01T00:00:00Z",
+        "document": document,
+    })
+}
+
 fn server_document(server: &ServerPlan) -> ServerDocument {
     ServerDocument {
         zone: server.zone.to_owned(),
--- /dev/null
+++ b/crates/bench/tests/deployment.rs
@@ -0,0 +1,69 @@
+//! A deployment's platform and backend servers start, and its seed is read
+//! back as the checked types that nodes use.
+
+use std::path::{Path, PathBuf};
+
+use carobstep_bench::{
+    Deployment, DeploymentOptions, HttpCall, ScenarioName, ScenarioPlan, ServerReport,
+};
+use carobstep_config::{
+    ConfigVersion, Document, IndexManifest, ManifestDocument, ServerState, Topology,
+};
+use serde_json::json;
+
+async fn start(name: &str, scenario: ScenarioName) -> Deployment {
+    let bin_dir = Path::new(env!("CARGO_BIN_EXE_carobstep-bench")).parent().unwrap();
+    let run_dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let options = DeploymentOptions::new(bin_dir, &run_dir);
+    Deployment::start_without_nodes(ScenarioPlan::from(scenario), options).await.unwrap()
+}
+
+async fn read(deployment: &Deployment, path: &str) -> serde_json::Value {
+    deployment.client.expect(deployment.platform, &HttpCall::get(path)).await.unwrap()
+}
+
+#[tokio::test]
+async fn seeds_are_valid_configurations_and_manifests() {
+    for scenario in [ScenarioName::Demo, ScenarioName::Perth, ScenarioName::Ireland] {
+        let deployment = start(&format!("seed-{scenario}"), scenario).await;
+        let record = read(&deployment, "/objects/config/current").await;
+        let document: Document = serde_json::from_value(record["document"].clone()).unwrap();
+        let topology = Topology::try_from((ConfigVersion(1), &document)).unwrap();
+        assert_eq!(topology.servers().count(), deployment.servers.len());
+        assert!(topology.servers().all(|(_, server)| server.state == ServerState::Active));
+        let path = format!("/objects/manifest/{}", deployment.plan.index);
+        let manifest: ManifestDocument =
+            serde_json::from_value(read(&deployment, &path).await).unwrap();
+        let manifest = IndexManifest::try_from((&topology, &manifest)).unwrap();
+        assert_eq!(manifest.newest().shards.len(), deployment.plan.searched_services().count());
+        let vms = read(&deployment, "/vms").await;
+        let listed = vms["vms"].as_array().unwrap().len();
+        assert_eq!(listed, deployment.servers.len() + deployment.nodes.len());
+    }
+}
+
+#[tokio::test]
+async fn a_submission_needs_the_version_before_it() {
+    let deployment = start("submit", ScenarioName::Demo).await;
+    let document = serde_json::to_value(deployment.document()).unwrap();
+    assert!(deployment.submit(3, &document).await.is_err());
+    deployment.submit(2, &document).await.unwrap();
+    assert!(deployment.submit(2, &document).await.is_err());
+    assert_eq!(read(&deployment, "/objects/config/current").await["version"], 2);
+    assert_eq!(read(&deployment, "/objects/history/2").await["version"], 2);
+}
+
+#[tokio::test]
+async fn reports_hold_what_a_backend_server_executed() {
+    let deployment = start("report", ScenarioName::Demo).await;
+    let server = &deployment.servers[0];
+    let call = HttpCall::post("/query", &json!({"payload": 1}))
+        .header("x-request-id", "0123456789abcdef0123456789abcdef")
+        .header("idempotency-key", "key-1");
+    let answer = deployment.client.expect(server.address, &call).await.unwrap();
+    assert_eq!(answer["echo"], json!({"payload": 1}));
+    let report = server.report(&deployment.client).await.unwrap();
+    assert_eq!((report.executed, report.executions["key-1"]), (1, 1));
+    let summary = server.summary(&deployment.client).await.unwrap();
+    assert_eq!(ServerReport { executions: summary.executions.clone(), ..report }, summary);
+}
