--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -34,6 +34,7 @@
 mod process;
 mod report;
 mod scenario;
+mod seed;
 mod server;
 mod summary;
 mod usage;
--- /dev/null
+++ b/crates/bench/src/seed.rs
@@ -0,0 +1,198 @@
+//! What a deployment keeps in the platform: configuration, manifests and VMs.
+
+use std::{net::SocketAddr, time::Duration};
+
+use carobstep_config::{
+    Document, HedgeDocument, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
+    ServiceDocument,
+};
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+
+use crate::{
+    deployment::{Deployment, NodeProcess},
+    error::{BenchError, BenchErrorKind},
+    http::HttpCall,
+    server::ServerPlan,
+};
+
+impl Deployment {
+    /// Sets faults of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not accept them.
+    pub async fn platform_faults(&self, faults: &Value) -> Result<(), BenchError> {
+        let call = HttpCall::post("/standin/faults", faults);
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// Makes `document` the configuration of a version, provided that the
+    /// version before it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another version is in force or another write wins.
+    pub async fn submit(&self, version: u64, document: &Value) -> Result<(), BenchError> {
+        let path = "/objects/config/current";
+        let current = self.client.send(self.platform, &HttpCall::get(path)).await?;
+        let in_force = current.json()["version"].as_u64();
+        let tag = current.headers.get("etag").and_then(|tag| tag.to_str().ok());
+        let (Some(tag), true) = (tag, in_force == Some(version - 1)) else {
+            let message = format!("version {in_force:?} is in force, not {}", version - 1);
+            return Err(BenchError::new(BenchErrorKind::Answer, message));
+        };
+        let record = config_record(version, document);
+        let call = HttpCall::put(path, &record).header("if-match", tag);
+        self.client.expect(self.platform, &call).await?;
+        self.create(&format!("history/{version}"), &record).await
+    }
+
+    pub(crate) async fn seed(&self) -> Result<(), BenchError> {
+        let document = serde_json::to_value(self.document())
+            .map_err(|error| BenchError::new(BenchErrorKind::Output, error.to_string()))?;
+        let record = config_record(1, &document);
+        self.create("history/1", &record).await?;
+        self.create("config/current", &record).await?;
+        let manifest = self.manifest(&self.options.snapshots);
+        self.create(&format!("manifest/{}", self.plan.index), &manifest).await?;
+        for node in &self.nodes {
+            self.list_node(node, "live").await?;
+        }
+        for server in &self.servers {
+            self.list_vm(&server.name, server.zone, "backend", "live", server.address).await?;
+        }
+        Ok(())
+    }
+
+    /// Replaces an object of the platform, whatever its version is.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object does not exist or changes meanwhile.
+    pub async fn replace(&self, path: &str, value: &Value) -> Result<(), BenchError> {
+        let path = format!("/objects/{path}");
+        let current = self.client.send(self.platform, &HttpCall::get(&path)).await?;
+        let tag = current.headers.get("etag").and_then(|tag| tag.to_str().ok());
+        let tag = tag.ok_or_else(|| {
+            BenchError::new(BenchErrorKind::Answer, format!("{path} has no version"))
+        })?;
+        let call = HttpCall::put(&path, value).header("if-match", tag);
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// Removes a VM from the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not accept it.
+    pub async fn unlist_vm(&self, name: &str) -> Result<(), BenchError> {
+        let call = HttpCall::delete(&format!("/standin/vms/{name}"));
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    async fn create(&self, path: &str, value: &Value) -> Result<(), BenchError> {
+        let call = HttpCall::put(&format!("/objects/{path}"), value).header("if-none-match", "*");
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// Enters a node's VM into the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not accept it.
+    pub async fn list_node(&self, node: &NodeProcess, state: &str) -> Result<(), BenchError> {
+        self.list_vm(&node.name, node.zone, "entry", state, node.peers).await
+    }
+
+    /// Enters a VM into the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not accept it.
+    pub async fn list_vm(
+        &self,
+        name: &str,
+        zone: &str,
+        role: &str,
+        state: &str,
+        address: SocketAddr,
+    ) -> Result<(), BenchError> {
+        let record = json!({
+            "name": name,
+            "zone": zone,
+            "role": role,
+            "state": state,
+            "address": address,
+        });
+        let call = HttpCall::put(&format!("/standin/vms/{name}"), &record);
+        self.client.expect(self.platform, &call).await.map(drop)
+    }
+
+    /// The configuration document of the deployment.
+    #[must_use]
+    pub fn document(&self) -> Document {
+        let mut document = Document::default();
+        for (name, group) in self.plan.services() {
+            let servers = self.servers.iter().filter(|server| server.service == name);
+            let servers = servers.map(|server| (server.name.clone(), server_document(server)));
+            let service = ServiceDocument {
+                repeat: group.repeat,
+                deadline_ms: millis(group.deadline),
+                hedge: self.hedge_document(group.repeat),
+                servers: servers.collect(),
+            };
+            document.services.insert(name, service);
+        }
+        let index = IndexDocument { deadline_ms: millis(self.plan.search_deadline) };
+        document.indexes.insert(self.plan.index.to_owned(), index);
+        document
+    }
+
+    fn hedge_document(&self, repeat: RepeatPolicy) -> HedgeDocument {
+        match repeat {
+            RepeatPolicy::Idempotent => self.options.hedge,
+            RepeatPolicy::AtMostOnce => HedgeDocument { hedge_percent: 0.0, ..self.options.hedge },
+        }
+    }
+
+    /// The manifest of the index with the given snapshots, one shard on each
+    /// searched service.
+    #[must_use]
+    pub fn manifest(&self, snapshots: &[u64]) -> Value {
+        let services: Vec<String> = self.plan.searched_services().collect();
+        let mut list = Vec::new();
+        for number in snapshots {
+            let mut shards = IndexMap::new();
+            for (position, service) in services.iter().enumerate() {
+                shards.insert(format!("s{position:02}"), service.clone());
+            }
+            list.push(json!({"number": number, "shards": shards}));
+        }
+        json!({"index": self.plan.index, "snapshots": list})
+    }
+}
+
+fn config_record(version: u64, document: &Value) -> Value {
+    json!({
+        "version": version,
+        "patch_id": format!("bench-{version}"),
+        "author": "bench",
+        "time": "1970-01-01T00:00:00Z",
+        "document": document,
+    })
+}
+
+fn server_document(server: &ServerPlan) -> ServerDocument {
+    ServerDocument {
+        zone: server.zone.to_owned(),
+        address: server.address.to_string(),
+        slots: server.slots,
+        connections: server.connections,
+        state: ServerState::Active,
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
