--- a/crates/bench/src/answer.rs
+++ b/crates/bench/src/answer.rs
@@ -35,6 +35,19 @@
     False(String),
 }
 
+impl CallerView {
+    /// Whether the caller got a result: a search with every shard, or a
+    /// service request that ran.
+    #[must_use]
+    pub const fn is_served(&self) -> bool {
+        match self {
+            Self::Searched(search) => search.lacking.is_empty(),
+            Self::Ran { .. } => true,
+            _ => false,
+        }
+    }
+}
+
 /// A search answer that fits the manifest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SearchView {
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -119,6 +119,8 @@
     flags.optopt("", "order-rate", "mean orders per second [5]", "N");
     flags.optopt("", "seconds", "length of the load [10]", "N");
     flags.optopt("", "warmup", "seconds at its start that are not reported [2]", "N");
+    flags.optflag("", "come-back", "refused callers come back once, when they were told to");
+    flags.optopt("", "service-ms", "mean service time of every backend server", "N");
     flags.optopt("", "server-faults", "faults that every backend server starts with", "JSON");
     flags.optopt("", "rounds", "rounds of a comparison [5]", "N");
     flags.optopt("", "baseline", "variant compared against [no change]", "KEY=VALUE,...");
@@ -159,6 +161,7 @@
         length: Duration::from_secs(parsed(matches, "seconds")?.unwrap_or(10)),
         warmup: Duration::from_secs(parsed(matches, "warmup")?.unwrap_or(2)),
         seed,
+        come_back: matches.opt_present("come-back"),
     })
 }
 
@@ -168,6 +171,11 @@
     if let Some(nodes) = parsed(matches, "nodes-per-zone")? {
         plan.nodes_per_zone = nodes;
     }
+    if let Some(millis) = parsed(matches, "service-ms")? {
+        for group in &mut plan.groups {
+            group.service_time = Duration::from_millis(millis);
+        }
+    }
     Ok(plan)
 }
 
--- a/crates/bench/src/ledger.rs
+++ b/crates/bench/src/ledger.rs
@@ -71,7 +71,9 @@
         let mut views: IndexMap<&str, Vec<&CallerView>> = IndexMap::new();
         for sample in samples {
             let (SampleKind::Order, Some(key)) = (sample.kind, &sample.key) else { continue };
-            views.entry(key).or_default().push(&sample.view);
+            let views = views.entry(key).or_default();
+            views.push(&sample.view);
+            views.extend(&sample.later);
         }
         let repeated = self.executions.values().filter(|count| **count > 1).count() as u64;
         let mut faults = LedgerFaults { repeated, ..LedgerFaults::default() };
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -40,6 +40,8 @@
     pub warmup: Duration,
     /// Seed of arrivals and payloads.
     pub seed: u64,
+    /// Whether a caller that was told a time to come back does so, once.
+    pub come_back: bool,
 }
 
 /// What a request was.
@@ -64,6 +66,8 @@
     pub view: CallerView,
     /// Idempotency key of an order.
     pub key: Option<String>,
+    /// What the caller saw when it came back; `None` when it did not.
+    pub later: Option<CallerView>,
 }
 
 /// The callers of a deployment: where they send and how they judge answers.
@@ -174,7 +178,8 @@
         }
         let side = side.clone();
         let payload: u64 = payloads.random();
-        requests.spawn(async move { request(&side, kind, payload, start, at).await });
+        let come_back = options.come_back;
+        requests.spawn(async move { request(&side, kind, payload, start, at, come_back).await });
     }
     while let Some(sample) = requests.join_next().await {
         samples.extend(sample.ok());
@@ -188,14 +193,25 @@
     payload: u64,
     start: Instant,
     at: Duration,
+    come_back: bool,
 ) -> LoadSample {
     let key = match kind {
         SampleKind::Search => None,
         SampleKind::Order => Some(format!("order-{payload:016x}")),
     };
-    let view = match &key {
+    let view = send(side, key.as_deref(), payload).await;
+    let latency = start.elapsed().saturating_sub(at);
+    let mut later = None;
+    if let (true, CallerView::NotRun { retry_after: Some(span), .. }) = (come_back, &view) {
+        time::sleep(*span).await;
+        later = Some(send(side, key.as_deref(), payload).await);
+    }
+    LoadSample { kind, at, latency, view, key, later }
+}
+
+async fn send(side: &CallerSide, key: Option<&str>, payload: u64) -> CallerView {
+    match key {
         None => side.search(payload).await,
         Some(key) => side.order(key).await,
-    };
-    LoadSample { kind, at, latency: start.elapsed().saturating_sub(at), view, key }
+    }
 }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -190,6 +190,12 @@
             lines.push(format!("{name}: {title} {reason}: {count}"));
         }
     }
+    if summary.refusal_latency.count > 0 {
+        lines.push(format!(
+            "{name}: refusals p99 {} us, {} of {} callers that came back were served",
+            summary.refusal_latency.p99_us, summary.served_later, summary.came_back
+        ));
+    }
     if let Some(fault) = &summary.first_fault {
         lines.push(format!("{name}: first fault: {fault}"));
     }
--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -69,6 +69,10 @@
     pub not_run: IndexMap<String, u64>,
     /// Unknown outcomes by reason.
     pub unknown: IndexMap<String, u64>,
+    /// Refused callers that came back at the time they were told.
+    pub came_back: u64,
+    /// Of these, the ones that were served.
+    pub served_later: u64,
     /// Requests without a whole answer.
     pub cut: u64,
     /// Answers that contradict the manifest, the request or the protocol.
@@ -91,6 +95,9 @@
         for sample in &samples {
             summary.sent += 1;
             coverage_sum += summary.count(&sample.view);
+            summary.came_back += u64::from(sample.later.is_some());
+            summary.served_later +=
+                u64::from(sample.later.as_ref().is_some_and(CallerView::is_served));
         }
         if summary.answered > 0 {
             summary.mean_coverage = coverage_sum / summary.answered as f64;
--- a/crates/bench/tests/answer.rs
+++ b/crates/bench/tests/answer.rs
@@ -162,6 +162,7 @@
         latency: Duration::ZERO,
         view,
         key: Some(key.to_owned()),
+        later: None,
     }
 }
 
--- a/crates/bench/tests/figures.rs
+++ b/crates/bench/tests/figures.rs
@@ -34,6 +34,7 @@
         latency: Duration::from_millis(millis),
         view: CallerView::Searched(view),
         key: None,
+        later: None,
     }
 }
 
