--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -8,10 +8,7 @@
     time::Duration,
 };
 
-use carobstep_config::{
-    Document, HedgeDocument, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
-    ServiceDocument,
-};
+use carobstep_config::HedgeDocument;
 use indexmap::IndexMap;
 use serde_json::{Value, json};
 use tokio::time;
@@ -37,7 +34,7 @@
 /// Pause between two looks at a condition that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Backend servers that one process hosts.
+/// Backend servers that one process hosts unless the options say otherwise.
 const SERVERS_PER_PROCESS: usize = 64;
 
 /// What a deployment is built from.
@@ -53,6 +50,12 @@
     pub snapshots: Vec<u64>,
     /// Settings of every node that differ from the defaults, by JSON key.
     pub node_settings: Value,
+    /// Budgets of the services whose requests may be repeated.
+    pub hedge: HedgeDocument,
+    /// Faults that every backend server starts with.
+    pub server_faults: Option<Value>,
+    /// Backend servers that one process hosts.
+    pub servers_per_process: usize,
 }
 
 impl DeploymentOptions {
@@ -65,6 +68,9 @@
             seed: 1,
             snapshots: vec![1],
             node_settings: json!({}),
+            hedge: HedgeDocument::default(),
+            server_faults: None,
+            servers_per_process: SERVERS_PER_PROCESS,
         }
     }
 }
@@ -84,6 +90,8 @@
     pub peers: SocketAddr,
     /// Its process; the last one after a restart.
     pub process: Option<ProcessKey>,
+    /// Whether its process is frozen.
+    pub frozen: bool,
 }
 
 /// A running deployment. Dropping it ends every process it started.
@@ -101,7 +109,7 @@
     pub client: Arc<HttpClient>,
     /// The processes.
     pub group: ProcessGroup,
-    options: DeploymentOptions,
+    pub(crate) options: DeploymentOptions,
 }
 
 impl Deployment {
@@ -158,23 +166,29 @@
     }
 
     async fn start_servers(&mut self) -> Result<(), BenchError> {
-        for position in 0..self.servers.len().div_ceil(SERVERS_PER_PROCESS) {
+        for position in 0..self.servers.len().div_ceil(self.options.servers_per_process) {
             self.start_server_process(position).await?;
         }
+        let Some(faults) = &self.options.server_faults else { return Ok(()) };
+        for server in &self.servers {
+            server.faults(&self.client, faults).await?;
+        }
         Ok(())
     }
 
     async fn start_server_process(&mut self, position: usize) -> Result<(), BenchError> {
-        let first = position * SERVERS_PER_PROCESS;
-        let mut args = vec!["--seed".to_owned(), (self.options.seed + position as u64).to_string()];
-        let snapshots = &self.options.snapshots;
-        for server in self.servers.iter().skip(first).take(SERVERS_PER_PROCESS) {
+        let count = self.options.servers_per_process;
+        let first = position * count;
+        let mut args = Vec::new();
+        let servers = self.servers.iter().enumerate().skip(first).take(count);
+        for (number, server) in servers {
+            let seed = self.options.seed.wrapping_add(number as u64);
             args.push("--server".to_owned());
-            args.push(server.argument(snapshots));
+            args.push(server.argument(seed, &self.options.snapshots));
         }
         let label = format!("servers-{position}");
         let (key, _) = self.group.spawn(&label, SERVER_PROGRAM, &args).await?;
-        for server in self.servers.iter_mut().skip(first).take(SERVERS_PER_PROCESS) {
+        for server in self.servers.iter_mut().skip(first).take(count) {
             server.process = Some(key);
         }
         Ok(())
@@ -193,6 +207,7 @@
         let args = ["--settings".to_owned(), path.display().to_string()];
         let (key, _) = self.group.spawn(&node.name, NODE_PROGRAM, &args).await?;
         self.nodes[position].process = Some(key);
+        self.nodes[position].frozen = false;
         Ok(())
     }
 
@@ -231,6 +246,7 @@
         signal: ProcessSignal,
     ) -> Result<(), BenchError> {
         let key = self.node_key(position)?;
+        self.nodes[position].frozen = signal == ProcessSignal::Freeze;
         self.group.signal(key, signal)
     }
 
@@ -249,10 +265,10 @@
         Ok(status.success())
     }
 
-    /// Whether a node's process runs.
+    /// Whether a node's process runs and is not frozen.
     pub fn is_running(&mut self, position: usize) -> bool {
         match self.nodes[position].process {
-            Some(key) => self.group.is_running(key),
+            Some(key) => !self.nodes[position].frozen && self.group.is_running(key),
             None => false,
         }
     }
@@ -264,42 +280,52 @@
         })
     }
 
-    /// Waits until every running node is ready and every server's grant held.
+    /// Waits until every running node is ready and knows a running holder of
+    /// every backend server's grant, and every holder knows of its grants.
     ///
     /// # Errors
     ///
     /// Fails when that takes longer than `timeout`.
     pub async fn wait_ready(&mut self, timeout: Duration) -> Result<(), BenchError> {
-        let wanted = self.servers.len();
         let deadline = time::Instant::now() + timeout;
         loop {
-            let (ready, held) = self.readiness().await;
-            if ready && held >= wanted {
-                return Ok(());
-            }
+            let Err(missing) = self.check_ready().await else { return Ok(()) };
             if time::Instant::now() >= deadline {
-                let message = format!(
-                    "after {timeout:?}: all nodes ready: {ready}, grants held: {held} of {wanted}"
-                );
+                let message = format!("after {timeout:?}: {missing}");
                 return Err(BenchError::new(BenchErrorKind::Timeout, message));
             }
             time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    async fn readiness(&mut self) -> (bool, usize) {
-        let mut ready = true;
-        let mut held = 0;
+    /// Says what is missing until the deployment is ready.
+    async fn check_ready(&mut self) -> Result<(), String> {
+        let mut statuses: IndexMap<String, Value> = IndexMap::new();
         for position in 0..self.nodes.len() {
             if !self.is_running(position) {
                 continue;
             }
-            let operators = self.nodes[position].operators;
-            ready &= self.client.expect(operators, &HttpCall::get("/readyz")).await.is_ok();
-            let status = self.client.expect(operators, &HttpCall::get("/v1/status")).await;
-            held += status.map_or(0, |status| held_grants(&status));
+            let node = &self.nodes[position];
+            let call = HttpCall::get("/v1/status");
+            let status = self.client.expect(node.operators, &call).await;
+            let status = status.map_err(|error| error.to_string())?;
+            if status["ready"] != true {
+                return Err(format!("node {} is not ready", node.name));
+            }
+            statuses.insert(node.name.clone(), status);
+        }
+        for server in &self.servers {
+            for (node, status) in &statuses {
+                let route = status["routes"][&server.name].as_str();
+                let Some(holder) = route.and_then(|holder| statuses.get(holder)) else {
+                    return Err(format!("node {node} routes {} to {route:?}", server.name));
+                };
+                if !lists(&holder["held"], &server.name) {
+                    return Err(format!("{route:?} does not hold {}", server.name));
+                }
+            }
         }
-        (ready, held)
+        Ok(())
     }
 
     /// Sums the counters of every running node that answers.
@@ -322,96 +348,6 @@
         sums.sort_keys();
         sums
     }
-
-    /// Sets faults of the platform stand-in.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the stand-in does not accept them.
-    pub async fn platform_faults(&self, faults: &Value) -> Result<(), BenchError> {
-        let call = HttpCall::post("/standin/faults", faults);
-        self.client.expect(self.platform, &call).await.map(drop)
-    }
-
-    async fn seed(&self) -> Result<(), BenchError> {
-        let record = json!({
-            "version": 1,
-            "patch_id": "initial",
-            "author": "bench",
-            "time": "1970-01-01T00:00:00Z",
-            "document": self.document(),
-        });
-        self.create("history/1", &record).await?;
-        self.create("config/current", &record).await?;
-        let manifest = self.manifest(&self.options.snapshots);
-        self.create(&format!("manifest/{}", self.plan.index), &manifest).await?;
-        for node in &self.nodes {
-            self.list_vm(&node.name, node.zone, "entry", "live", node.peers).await?;
-        }
-        for server in &self.servers {
-            self.list_vm(&server.name, server.zone, "backend", "live", server.address).await?;
-        }
-        Ok(())
-    }
-
-    async fn create(&self, path: &str, value: &Value) -> Result<(), BenchError> {
-        let call = HttpCall::put(&format!("/objects/{path}"), value).header("if-none-match", "*");
-        self.client.expect(self.platform, &call).await.map(drop)
-    }
-
-    /// Enters a VM into the platform's list.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform does not accept it.
-    pub async fn list_vm(
-        &self,
-        name: &str,
-        zone: &str,
-        role: &str,
-        state: &str,
-        address: SocketAddr,
-    ) -> Result<(), BenchError> {
-        let record = json!({"zone": zone, "role": role, "state": state, "address": address});
-        let call = HttpCall::put(&format!("/standin/vms/{name}"), &record);
-        self.client.expect(self.platform, &call).await.map(drop)
-    }
-
-    /// The configuration document of the deployment.
-    #[must_use]
-    pub fn document(&self) -> Document {
-        let mut document = Document::default();
-        for (name, group) in self.plan.services() {
-            let servers = self.servers.iter().filter(|server| server.service == name);
-            let servers = servers.map(|server| (server.name.clone(), server_document(server)));
-            let service = ServiceDocument {
-                repeat: group.repeat,
-                deadline_ms: millis(group.deadline),
-                hedge: hedge_document(group.repeat),
-                servers: servers.collect(),
-            };
-            document.services.insert(name, service);
-        }
-        let index = IndexDocument { deadline_ms: millis(self.plan.search_deadline) };
-        document.indexes.insert(self.plan.index.to_owned(), index);
-        document
-    }
-
-    /// The manifest of the index with the given snapshots, one shard on each
-    /// searched service.
-    #[must_use]
-    pub fn manifest(&self, snapshots: &[u64]) -> Value {
-        let services: Vec<String> = self.plan.searched_services().collect();
-        let mut list = Vec::new();
-        for number in snapshots {
-            let mut shards = IndexMap::new();
-            for (position, service) in services.iter().enumerate() {
-                shards.insert(format!("s{position:02}"), service.clone());
-            }
-            list.push(json!({"number": number, "shards": shards}));
-        }
-        json!({"index": self.plan.index, "snapshots": list})
-    }
 }
 
 fn plan_nodes(plan: &ScenarioPlan) -> Result<Vec<NodeProcess>, BenchError> {
@@ -425,35 +361,15 @@
                 operators: free_address()?,
                 peers: free_address()?,
                 process: None,
+                frozen: false,
             });
         }
     }
     Ok(nodes)
 }
 
-fn server_document(server: &ServerPlan) -> ServerDocument {
-    ServerDocument {
-        zone: server.zone.to_owned(),
-        address: server.address.to_string(),
-        slots: server.slots,
-        connections: server.connections,
-        state: ServerState::Active,
-    }
-}
-
-fn hedge_document(repeat: RepeatPolicy) -> HedgeDocument {
-    match repeat {
-        RepeatPolicy::Idempotent => HedgeDocument::default(),
-        RepeatPolicy::AtMostOnce => HedgeDocument { hedge_percent: 0.0, retry_percent: 10.0 },
-    }
-}
-
-fn held_grants(status: &Value) -> usize {
-    status["grants"].as_array().map_or(0, Vec::len)
-}
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+fn lists(list: &Value, name: &str) -> bool {
+    list.as_array().is_some_and(|list| list.iter().any(|item| item == name))
 }
 
 fn output_error(path: &Path, error: &std::io::Error) -> BenchError {
