--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -48,6 +48,18 @@
 #[serde(transparent)]
 pub struct ObjectVersion(pub u64);
 
+/// Longest accepted object name, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
+/// Whether a text can name an object: 1 to 256 unreserved characters of a URL,
+/// and not a path of dots.
+#[must_use]
+pub fn is_object_name(name: &str) -> bool {
+    let length_ok = (1..=MAX_NAME_BYTES).contains(&name.len());
+    let bytes_ok = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte));
+    length_ok && bytes_ok && name != "." && name != ".."
+}
+
 /// Condition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Condition {
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use crate::call::{
     Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-    StoredObject, VmRecord,
+    StoredObject, VmRecord, is_object_name,
 };
 
 /// Largest accepted value of an object, as JSON.
@@ -16,9 +16,6 @@
 /// Largest accepted reply.
 pub(crate) const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
 
-/// Longest accepted object name.
-const MAX_NAME_BYTES: usize = 256;
-
 /// A reply that was read to its end.
 #[derive(Debug)]
 pub(crate) struct ReplyParts {
@@ -106,9 +103,7 @@
 }
 
 fn object_path(kind: ObjectKind, name: &str) -> Result<String, StoreError> {
-    let length_ok = (1..=MAX_NAME_BYTES).contains(&name.len());
-    let bytes_ok = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte));
-    if !length_ok || !bytes_ok || name == "." || name == ".." {
+    if !is_object_name(name) {
         let message = format!("object name {name:?} does not fit into a path segment");
         return Err(rejected(&message));
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use call::{
     Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-    StoredObject, VmRecord, VmRole, VmState,
+    StoredObject, VmRecord, VmRole, VmState, is_object_name,
 };
 pub use claim::{
     AttemptId, ClaimDecision, ClaimError, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState,
--- a/crates/standin/src/platform/request.rs
+++ b/crates/standin/src/platform/request.rs
@@ -1,13 +1,10 @@
 //! Requests of the object API, checked.
 
-use carobstep_platform::{Condition, ObjectKind, ObjectVersion};
+use carobstep_platform::{Condition, ObjectKind, ObjectVersion, is_object_name};
 use http::{HeaderMap, Method, StatusCode, Uri, header, request};
 
 use super::calls::CallMethod;
 
-/// Longest accepted object name.
-const MAX_NAME_BYTES: usize = 256;
-
 /// A request of the object API; the value of a write comes in its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ApiRequest {
@@ -110,9 +107,7 @@
 }
 
 fn parse_name(name: &str) -> Result<String, RequestError> {
-    let length_ok = (1..=MAX_NAME_BYTES).contains(&name.len());
-    let bytes_ok = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte));
-    if length_ok && bytes_ok {
+    if is_object_name(name) {
         return Ok(name.to_owned());
     }
     Err(RequestError::new(StatusCode::BAD_REQUEST, format!("bad object name {name:?}")))
