--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -12,6 +12,7 @@
     client::conn::http1::{SendRequest, handshake},
 };
 use hyper_util::rt::TokioIo;
+use serde::Deserialize;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -40,12 +41,28 @@
     pub shard: Option<ShardName>,
     /// Snapshot, for searches.
     pub snapshot: Option<u64>,
+    /// Key of a request that must run at most once.
+    pub idempotency_key: Option<String>,
     /// Time left until the deadline.
     pub budget: Duration,
     /// Body to send.
     pub body: Bytes,
 }
 
+/// What a backend server says of itself; it may lag or mislead.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct HealthReport {
+    state: String,
+}
+
+impl HealthReport {
+    /// Whether the server says that it drains.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.state == "draining"
+    }
+}
+
 /// What one exchange came to.
 #[derive(Debug)]
 pub enum BackendResult {
@@ -149,12 +166,25 @@
         if let Some(snapshot) = request.snapshot {
             builder = builder.header("x-snapshot", snapshot);
         }
+        if let Some(key) = &request.idempotency_key {
+            builder = builder.header("idempotency-key", key);
+        }
         builder.body(Full::new(request.body.clone()))
     }
 
-    /// Closes an idle connection.
-    pub fn close(self) {
-        self.driver.abort();
+    /// Asks for the server's health; `None` when the connection gave no answer
+    /// in time.
+    pub async fn probe(&mut self, limit: Duration) -> Option<HealthReport> {
+        let head = Request::get("/health")
+            .header(http::header::HOST, self.host.clone())
+            .body(Full::default())
+            .ok()?;
+        let exchange = async {
+            let response = self.sender.send_request(head).await.ok()?;
+            let body = read_body(response.into_body()).await?;
+            serde_json::from_slice(&body).ok()
+        };
+        timeout(limit, exchange).await.ok()?
     }
 
     /// Gives the connection up while a request may still be on it, and returns
--- /dev/null
+++ b/crates/node/src/callers.rs
@@ -0,0 +1,162 @@
+//! The callers' listener: searches and service requests.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use carobstep_wire::{Outcome, RefusalReason};
+use http::{HeaderMap, Method, Request, Response};
+use hyper::body::Incoming;
+
+use crate::{
+    context::{DEFAULT_RETRY_AFTER, NodeContext},
+    counters::NodeEvent,
+    http_listener::{BodyFailure, ListenerLimits, RequestHandler, read_body},
+    identity::CallerIdentity,
+    problem::{AnswerBody, Problem},
+    search::{SearchRequest, run_search},
+    service::{ServiceRequest, run_service},
+};
+
+/// Longest accepted idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Answers requests of callers.
+#[derive(Debug)]
+pub struct CallerHandler {
+    context: Arc<NodeContext>,
+    limits: ListenerLimits,
+}
+
+/// What a path asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallerTarget<'path> {
+    Search(&'path str),
+    Service(&'path str),
+}
+
+impl CallerHandler {
+    /// Builds the handler.
+    #[must_use]
+    pub const fn new(context: Arc<NodeContext>, limits: ListenerLimits) -> Self {
+        Self { context, limits }
+    }
+
+    async fn answer(
+        &self,
+        identity: CallerIdentity,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        let (head, body) = request.into_parts();
+        let target = find_target(&head.method, head.uri.path())?;
+        if !self.context.latest_view().ready {
+            let detail = format!("node {} has no configuration yet", self.context.settings.node);
+            return Err(
+                not_run(RefusalReason::NotReady, detail).with_retry_after(DEFAULT_RETRY_AFTER)
+            );
+        }
+        let Ok(_permit) = self.context.in_flight.try_acquire() else {
+            let detail = format!("node {} is at its limit", self.context.settings.node);
+            return Err(
+                not_run(RefusalReason::CallerLimit, detail).with_retry_after(DEFAULT_RETRY_AFTER)
+            );
+        };
+        let deadline = read_deadline(&head.headers)?;
+        let key = read_key(&head.headers)?;
+        let body = read_body(body, self.limits).await.map_err(body_problem)?;
+        serde_json::from_slice::<serde::de::IgnoredAny>(&body).map_err(|error| {
+            not_run(RefusalReason::BadRequest, format!("request body is not JSON: {error}"))
+        })?;
+        let context = self.context.clone();
+        match target {
+            CallerTarget::Search(index) => {
+                let index = index.to_owned();
+                Ok(run_search(context, SearchRequest { identity, index, deadline, body }).await)
+            }
+            CallerTarget::Service(service) => {
+                let service = service.to_owned();
+                let request = ServiceRequest { identity, service, key, deadline, body };
+                Ok(run_service(context, request).await)
+            }
+        }
+    }
+}
+
+impl RequestHandler for CallerHandler {
+    async fn handle(&self, remote: SocketAddr, request: Request<Incoming>) -> Response<AnswerBody> {
+        let identity = CallerIdentity::read(request.headers(), &remote.ip().to_string());
+        let id = identity.request;
+        match self.answer(identity, request).await {
+            Ok(response) => response,
+            Err(problem) => {
+                if problem.reason() == RefusalReason::BadRequest {
+                    self.context.counters.event(NodeEvent::BadCallerInput);
+                }
+                self.context.counters.refusal(problem.reason());
+                problem.with_request(id).into_response()
+            }
+        }
+    }
+
+    fn count_bad_input(&self) {
+        self.context.counters.event(NodeEvent::BadCallerInput);
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.context.stopping.load(Ordering::Relaxed)
+    }
+}
+
+fn find_target<'path>(method: &Method, path: &'path str) -> Result<CallerTarget<'path>, Problem> {
+    let target = if let Some(index) = path.strip_prefix("/v1/search/") {
+        CallerTarget::Search(index)
+    } else if let Some(service) = path.strip_prefix("/v1/services/") {
+        CallerTarget::Service(service)
+    } else {
+        return Err(not_run(RefusalReason::UnknownTarget, format!("no such path: {path:?}")));
+    };
+    if method != Method::POST {
+        let detail = format!("method {method} is not POST");
+        return Err(not_run(RefusalReason::BadRequest, detail));
+    }
+    Ok(target)
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
+    let Some(value) = headers.get("x-deadline-ms") else { return Ok(None) };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    match millis {
+        Some(millis) if millis > 0 => Ok(Some(Duration::from_millis(millis))),
+        _ => {
+            let detail = format!("header x-deadline-ms: {value:?} is not a positive number");
+            Err(not_run(RefusalReason::BadRequest, detail))
+        }
+    }
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
+    let key = value.to_str().ok().filter(|key| {
+        (1..=MAX_KEY_BYTES).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic())
+    });
+    key.map(|key| Some(key.to_owned())).ok_or_else(|| {
+        let detail =
+            format!("header idempotency-key is not 1 to {MAX_KEY_BYTES} visible ASCII characters");
+        not_run(RefusalReason::BadRequest, detail)
+    })
+}
+
+fn body_problem(failure: BodyFailure) -> Problem {
+    let detail = match failure {
+        BodyFailure::TooLarge => "request body is over the limit",
+        BodyFailure::TooSlow => "request body did not arrive in time",
+        BodyFailure::Broken => "request body ended early",
+    };
+    not_run(RefusalReason::BadRequest, detail)
+}
+
+fn not_run(reason: RefusalReason, detail: impl Into<String>) -> Problem {
+    Problem::new(Outcome::NotRun, reason, detail)
+}
--- a/crates/node/src/holder/actor.rs
+++ b/crates/node/src/holder/actor.rs
@@ -148,10 +148,8 @@
     fn new(arguments: HolderArguments, myself: ActorRef<HolderMessage>) -> Self {
         let HolderArguments { context, server, limits } = arguments;
         let now = BootTime::now();
-        let queue = ServerQueue::new(
-            QueueLimits { slots: limits.slots, waiting: limits.waiting },
-            now,
-        );
+        let queue =
+            ServerQueue::new(QueueLimits { slots: limits.slots, waiting: limits.waiting }, now);
         let pool = ConnectionPool::new(pool_limits(limits));
         Self {
             context,
@@ -265,6 +263,7 @@
                 id: job.request.id,
                 shard: job.request.shard.clone(),
                 snapshot: job.request.snapshot,
+                idempotency_key: job.request.idempotency_key.clone(),
                 budget: Duration::ZERO,
                 body: job.request.body.clone(),
             },
@@ -398,12 +397,7 @@
         });
     }
 
-    fn opened(
-        &mut self,
-        now: BootTime,
-        key: ConnectionKey,
-        connection: Option<BackendConnection>,
-    ) {
+    fn opened(&mut self, now: BootTime, key: ConnectionKey, connection: Option<BackendConnection>) {
         match connection {
             Some(connection) => {
                 self.pool.opened(now, key);
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -52,20 +52,13 @@
         let (actor, _) = Actor::spawn(None, HolderActor, arguments).await.map_err(|error| {
             NodeError::new(NodeErrorKind::Actor, format!("holder of server {server}: {error}"))
         })?;
-        self.actors
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(server.clone(), actor);
+        self.actors.write().unwrap_or_else(PoisonError::into_inner).insert(server.clone(), actor);
         Ok(())
     }
 
     /// Forgets the actor of a server that is no longer held, and stops it.
     pub fn stop(&self, server: &ServerName) {
-        let actor = self
-            .actors
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .swap_remove(server);
+        let actor = self.actors.write().unwrap_or_else(PoisonError::into_inner).swap_remove(server);
         if let Some(actor) = actor {
             actor.stop(None);
         }
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobstep_wire::{Outcome, RefusalReason};
+use carobstep_wire::{Outcome, RefusalReason, RequestId};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use serde::Serialize;
@@ -46,7 +46,7 @@
 
     /// Adds the request's identifier.
     #[must_use]
-    pub fn with_request(mut self, request: impl ToString) -> Self {
+    pub fn with_request(mut self, request: RequestId) -> Self {
         self.request_id = Some(request.to_string());
         self
     }
--- /dev/null
+++ b/crates/node/src/service.rs
@@ -0,0 +1,192 @@
+//! One service request: to one backend server, at most once where configured.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_clock::BootTime;
+use carobstep_config::{RepeatPolicy, ServiceEntry, ServiceKey};
+use carobstep_dispatch::{RequestAction, SinglePlan, SingleReport, SingleState};
+use carobstep_wire::{Outcome, RefusalReason, RequestId};
+use http::{Response, StatusCode};
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use crate::{
+    attempts::{AttemptEnd, AttemptSet, RequestTemplate},
+    context::{NodeContext, NodeView},
+    counters::NodeEvent,
+    identity::CallerIdentity,
+    problem::{AnswerBody, Problem, json_response},
+};
+
+/// A service request as a caller asked for it.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// Who asks.
+    pub identity: CallerIdentity,
+    /// Name of the service.
+    pub service: String,
+    /// The caller's idempotency key.
+    pub key: Option<String>,
+    /// Deadline asked for, if shorter than the service's.
+    pub deadline: Option<Duration>,
+    /// Body for the backend server.
+    pub body: Bytes,
+}
+
+/// The answer to a service request that ran.
+#[derive(Debug, Serialize)]
+struct ServiceAnswer<'body> {
+    request_id: String,
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "is_false")]
+    replayed: bool,
+    body: &'body RawValue,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+/// Runs one service request to its answer.
+pub async fn run_service(
+    context: Arc<NodeContext>,
+    request: ServiceRequest,
+) -> Response<AnswerBody> {
+    context.counters.event(NodeEvent::ServiceRequests);
+    let started = BootTime::now();
+    let id = request.identity.request;
+    let view = context.latest_view();
+    let Some(key) = view.topology.find_service(&request.service) else {
+        let detail = format!("service {:?} is not configured", request.service);
+        let problem = Problem::new(Outcome::NotRun, RefusalReason::UnknownTarget, detail);
+        return refuse(&context, id, problem);
+    };
+    let entry = view.topology.service(key);
+    let deadline =
+        started + request.deadline.map_or(entry.deadline, |span| span.min(entry.deadline));
+    match entry.repeat {
+        RepeatPolicy::Idempotent => {
+            let report = run_single(&context, &view, key, &request, deadline).await;
+            answer(&context, id, &request.service, &report, false)
+        }
+        RepeatPolicy::AtMostOnce => {
+            crate::order::run_order(context, view.clone(), key, request, deadline).await
+        }
+    }
+}
+
+/// Sends the request to a backend server, again where that is allowed.
+pub async fn run_single(
+    context: &Arc<NodeContext>,
+    view: &NodeView,
+    service: ServiceKey,
+    request: &ServiceRequest,
+    deadline: BootTime,
+) -> SingleReport {
+    let entry: &ServiceEntry = view.topology.service(service);
+    let once = entry.repeat == RepeatPolicy::AtMostOnce;
+    let template = RequestTemplate {
+        identity: request.identity.clone(),
+        body: request.body.clone(),
+        snapshot: None,
+        idempotency_key: once.then(|| request.key.clone()).flatten(),
+    };
+    let plan = SinglePlan {
+        id: request.identity.attempt_seed(),
+        deadline,
+        service,
+        topology: view.topology.clone(),
+    };
+    let mut attempts = AttemptSet::new(context.clone(), template);
+    let mut state = SingleState::new(plan);
+    let mut actions = Vec::new();
+    state.start(BootTime::now(), &mut context.lock_router(), &mut actions);
+    carry_out(context, &mut attempts, &mut actions);
+    while !state.is_finished() {
+        let ended = attempts.next(state.next_wakeup()).await;
+        step(context, &mut state, ended, &mut actions);
+        carry_out(context, &mut attempts, &mut actions);
+    }
+    state.into_report()
+}
+
+fn step(
+    context: &NodeContext,
+    state: &mut SingleState,
+    ended: Option<AttemptEnd>,
+    actions: &mut Vec<RequestAction>,
+) {
+    let now = BootTime::now();
+    let router = &mut context.lock_router();
+    let Some(ended) = ended else { return state.on_timer(now, router, actions) };
+    match ended.result {
+        Ok(reply) => state.on_reply(now, ended.attempt, reply, router, actions),
+        Err(failure) => {
+            let (outcome, reason) = (failure.outcome, failure.reason);
+            state.on_failure(now, ended.attempt, outcome, reason, router, actions);
+        }
+    }
+}
+
+fn carry_out(context: &NodeContext, attempts: &mut AttemptSet, actions: &mut Vec<RequestAction>) {
+    for action in actions.drain(..) {
+        match action {
+            RequestAction::Send(send) => {
+                let name = context.lock_router().topology().server(send.server).name.clone();
+                attempts.send(&send, name, None);
+            }
+            RequestAction::Cancel { attempt } => attempts.cancel(attempt),
+            RequestAction::CountRetry(reason) => context.counters.retry(reason),
+            RequestAction::CountRefusal(reason) => context.counters.refusal(reason),
+            RequestAction::Replan { .. } | RequestAction::Finish => {}
+        }
+    }
+}
+
+/// Turns a finished request into the caller's answer.
+#[must_use]
+pub fn answer(
+    context: &NodeContext,
+    id: RequestId,
+    service: &str,
+    report: &SingleReport,
+    replayed: bool,
+) -> Response<AnswerBody> {
+    if let Some(body) = &report.body {
+        return ran(id, body, replayed);
+    }
+    let reason = report.reason.unwrap_or(RefusalReason::ServerError);
+    let detail = format!("service {service:?}: {reason}");
+    let mut problem = Problem::new(report.outcome, reason, detail);
+    if report.outcome == Outcome::NotRun {
+        problem = problem.with_retry_after(report.retry_after);
+    }
+    refuse(context, id, problem)
+}
+
+/// Answers with the body of a request that ran.
+#[must_use]
+pub fn ran(id: RequestId, body: &[u8], replayed: bool) -> Response<AnswerBody> {
+    let quoted;
+    let body: &RawValue = match serde_json::from_slice(body) {
+        Ok(body) => body,
+        Err(_) => {
+            // A body that is not JSON is handed on as a JSON string.
+            quoted =
+                serde_json::value::to_raw_value(&String::from_utf8_lossy(body)).unwrap_or_default();
+            &quoted
+        }
+    };
+    let answer =
+        ServiceAnswer { request_id: id.to_string(), outcome: Outcome::Ran, replayed, body };
+    json_response(StatusCode::OK, &answer)
+}
+
+/// Counts and answers a refusal.
+#[must_use]
+pub fn refuse(context: &NodeContext, id: RequestId, problem: Problem) -> Response<AnswerBody> {
+    context.counters.refusal(problem.reason());
+    problem.with_request(id).into_response()
+}
--- a/crates/wire/src/shard.rs
+++ b/crates/wire/src/shard.rs
@@ -34,8 +34,8 @@
     pub snapshot: Option<u64>,
     /// Time left until the deadline when the request was sent, in microseconds.
     pub budget_us: u64,
-    /// Whether the request must run at most once.
-    pub at_most_once: bool,
+    /// Key of a request that must run at most once.
+    pub idempotency_key: Option<String>,
     /// Whether the request is a hedge, which never waits in a queue.
     pub hedge: bool,
     /// Digest of the customer that the request is charged to.
--- a/crates/wire/src/shard_codec.rs
+++ b/crates/wire/src/shard_codec.rs
@@ -27,7 +27,7 @@
         tuple.serialize_element(&self.shard)?;
         tuple.serialize_element(&self.snapshot)?;
         tuple.serialize_element(&self.budget_us)?;
-        tuple.serialize_element(&self.at_most_once)?;
+        tuple.serialize_element(&self.idempotency_key)?;
         tuple.serialize_element(&self.hedge)?;
         tuple.serialize_element(&self.customer)?;
         tuple.serialize_element(&self.caller)?;
@@ -58,7 +58,7 @@
             shard: next(&mut fields, 2)?,
             snapshot: next(&mut fields, 3)?,
             budget_us: next(&mut fields, 4)?,
-            at_most_once: next(&mut fields, 5)?,
+            idempotency_key: next(&mut fields, 5)?,
             hedge: next(&mut fields, 6)?,
             customer: next(&mut fields, 7)?,
             caller: next(&mut fields, 8)?,
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -24,7 +24,7 @@
             shard: shard.map(|shard| ShardName::try_from(shard).unwrap()),
             snapshot,
             budget_us: numbers.1,
-            at_most_once: flags.0,
+            idempotency_key: flags.0.then(|| "key-1".to_owned()),
             hedge: flags.1,
             customer: numbers.2,
             caller: numbers.3,
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -84,7 +84,7 @@
         shard: None,
         snapshot: Some(3),
         budget_us: 1_000,
-        at_most_once: false,
+        idempotency_key: None,
         hedge: false,
         customer: 0,
         caller: 0,
