Give up idle connections to the platform after a silent one

A timeout on one connection closes the idle ones too: they may have gone the same way, and each would cost a call its whole timeout.

--- a/crates/platform/src/http_store.rs
+++ b/crates/platform/src/http_store.rs
@@ -119,7 +119,7 @@
             let mut failure = match sending {
                 Ok(Ok(response)) => return Ok((sender, response)),
                 Ok(Err(failure)) => failure,
-                Err(_) => return Err(self.lost("no answer in time")),
+                Err(_) => return Err(self.timed_out("no answer in time")),
             };
             match failure.take_message() {
                 Some(unsent) if reused => request = unsent,
@@ -142,7 +142,7 @@
         let collecting = Limited::new(body, MAX_REPLY_BYTES).collect();
         let collected = timeout_at(deadline, collecting)
             .await
-            .map_err(|_| self.lost("the answer stopped before its end"))?;
+            .map_err(|_| self.timed_out("the answer stopped before its end"))?;
         let body = match collected {
             Ok(collected) => collected.to_bytes(),
             Err(error) if error.is::<LengthLimitError>() => {
@@ -155,6 +155,12 @@
         Ok(ReplyParts { status: head.status, headers: head.headers, body })
     }
 
+    /// Also gives up the idle connections, which may be as silent.
+    fn timed_out(&self, reason: &str) -> StoreError {
+        self.pool.clear();
+        self.lost(reason)
+    }
+
     fn lost(&self, reason: &str) -> StoreError {
         let message = format!("platform {}: {reason}", self.pool.address());
         StoreError::new(StoreErrorKind::AnswerLost, message)
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -19,6 +20,10 @@
 /// Idle connections that are kept for reuse.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// Age at which an idle connection is closed rather than used: something
+/// between the two ends may have lost track of it.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(15);
+
 /// The sending half of one connection.
 pub(crate) type RequestSender = SendRequest<Full<Bytes>>;
 
@@ -26,7 +31,13 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     address: SocketAddr,
-    idle: Mutex<Vec<RequestSender>>,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: RequestSender,
+    since: Instant,
 }
 
 impl ConnectionPool {
@@ -51,7 +62,21 @@
     }
 
     fn pop(&self) -> Option<RequestSender> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop()
+        let mut idle = self.lock_idle();
+        idle.retain(|connection| connection.since.elapsed() < MAX_IDLE_AGE);
+        idle.pop().map(|connection| connection.sender)
+    }
+
+    /// Closes every idle connection.
+    ///
+    /// When one connection has gone silent, the others may have as well; new
+    /// ones tell whether the platform is there.
+    pub(crate) fn clear(&self) {
+        self.lock_idle().clear();
+    }
+
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns a connection whose last reply was read to its end.
@@ -59,9 +84,9 @@
         if sender.is_closed() {
             return;
         }
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.lock_idle();
         if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(sender);
+            idle.push(IdleConnection { sender, since: Instant::now() });
         }
     }
 
--- a/crates/platform/tests/error_kinds.rs
+++ b/crates/platform/tests/error_kinds.rs
@@ -1,6 +1,6 @@
 //! Each way in which a call can fail maps to exactly one kind of error.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_platform::{
     Condition, HttpStore, MAX_VALUE_BYTES, ObjectCall, ObjectKind, ObjectReply, ObjectStore,
@@ -10,6 +10,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Barrier,
     task::JoinSet,
 };
 
@@ -285,3 +286,45 @@
     let error = store.call(call_of(Subject::Put)).await.unwrap_err();
     assert_eq!(error.kind(), StoreErrorKind::AnswerLost, "{error}");
 }
+
+/// Answers the first `answers` requests and is silent on their connections
+/// afterwards, while connections that come later work.
+async fn start_forgetting_fake(answers: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let first_answers = Arc::new(Barrier::new(answers));
+    tokio::spawn(async move {
+        let mut accepted = 0;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let is_first = accepted < answers;
+            accepted += 1;
+            let first_answers = first_answers.clone();
+            tokio::spawn(async move {
+                while read_request(&mut stream).await {
+                    if is_first {
+                        first_answers.wait().await;
+                    }
+                    let reply = b"HTTP/1.1 200 OK\r\netag: \"4\"\r\ncontent-length: 2\r\n\r\n{}";
+                    stream.write_all(reply).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn one_silent_connection_costs_the_idle_ones_their_trust() {
+    let address = start_forgetting_fake(3).await;
+    let store = Arc::new(HttpStore::builder(address).timeout(CALL_TIMEOUT).build());
+    let mut first_calls = JoinSet::new();
+    for _ in 0..3 {
+        let store = store.clone();
+        first_calls.spawn(async move { store.call(call_of(Subject::Get)).await.unwrap() });
+    }
+    first_calls.join_all().await;
+    // The barrier of the fake waits for a second request on all three connections.
+    let error = store.call(call_of(Subject::Get)).await.unwrap_err();
+    assert_eq!(error.kind(), StoreErrorKind::AnswerLost, "{error}");
+    store.call(call_of(Subject::Get)).await.unwrap();
+}
--- a/crates/standin/src/backend/execution.rs
+++ b/crates/standin/src/backend/execution.rs
@@ -73,7 +73,7 @@
     };
     let end = tokio::select! {
         biased;
-        () = sleep(work) => WorkEnd::Completed,
+        () = state.pause(work) => WorkEnd::Completed,
         () = passed => WorkEnd::DeadlinePassed,
         () = cancelled => return,
     };
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -4,12 +4,13 @@
 mod execution;
 mod faults;
 mod ledger;
+mod pause;
 mod query;
 mod service_time;
 mod settings;
 mod state;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -27,6 +28,9 @@
 use crate::{error::StandinError, http, metered::MeteredStream};
 use state::ServerState;
 
+/// Time after which an idle control connection is closed.
+const CONTROL_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// A running backend server stand-in; it stops when dropped.
 #[derive(Debug)]
 pub struct BackendStandin {
@@ -117,11 +121,15 @@
 async fn serve_queries(stream: TcpStream, state: Arc<ServerState>) {
     let connection = state.open_connection();
     let _ = stream.set_nodelay(true);
-    sleep(state.settings().connect_delay()).await;
+    state.pause(state.settings().connect_delay()).await;
     let stream = MeteredStream::new(stream, state.bytes());
     let service = service_fn(|request| query::answer(&state, connection.id(), request));
-    let _ = http::server().serve_connection(TokioIo::new(stream), service).await;
-    sleep(state.held_time(connection.id())).await;
+    let idle_timeout = state.settings().idle_timeout();
+    let _ = http::server(idle_timeout).serve_connection(TokioIo::new(stream), service).await;
+    let held_time = state.held_time(connection.id());
+    if !held_time.is_zero() {
+        sleep(held_time).await;
+    }
 }
 
 async fn accept_controls(listener: TcpListener, state: Arc<ServerState>) {
@@ -139,5 +147,6 @@
 
 async fn serve_controls(stream: TcpStream, state: Arc<ServerState>) {
     let service = service_fn(|request| control::answer(&state, request));
-    let _ = http::server().serve_connection(TokioIo::new(stream), service).await;
+    let _ =
+        http::server(CONTROL_IDLE_TIMEOUT).serve_connection(TokioIo::new(stream), service).await;
 }
--- a/crates/standin/src/backend/query.rs
+++ b/crates/standin/src/backend/query.rs
@@ -6,10 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::de::IgnoredAny;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep},
-};
+use tokio::{sync::mpsc, time::Instant};
 
 use super::{
     execution::{self, WorkEnd},
@@ -38,7 +35,7 @@
 ) -> Reply {
     silence(state, connection_id).await;
     let delay = state.settings().delay();
-    sleep(delay).await;
+    state.pause(delay).await;
     let (parts, body) = request.into_parts();
     let reply = match (&parts.method, parts.uri.path()) {
         (&Method::POST, "/query") => {
@@ -54,7 +51,7 @@
         (&Method::GET, "/health") => health(state),
         _ => problem(StatusCode::NOT_FOUND, "no such path"),
     };
-    sleep(delay).await;
+    state.pause(delay).await;
     silence(state, connection_id).await;
     Ok(reply)
 }
--- a/crates/standin/src/backend/settings.rs
+++ b/crates/standin/src/backend/settings.rs
@@ -8,7 +8,7 @@
 
 /// Keys of the text form, for error messages.
 const KEYS: &str = "name, address, control, slots, connections, service-us, connect-delay-us, \
-                    delay-us, cancel-us, seed, snapshots";
+                    delay-us, cancel-us, idle-ms, seed, snapshots";
 
 /// What a backend server stand-in starts with.
 ///
@@ -44,6 +44,8 @@
     pub delay_us: u64,
     /// Time until an execution stops after its connection closed, in microseconds.
     pub cancel_us: u64,
+    /// Time after which an idle connection is closed, in milliseconds.
+    pub idle_ms: u64,
     /// Seed of the service times.
     pub seed: u64,
     /// Snapshots that the server holds; none means every snapshot.
@@ -63,6 +65,7 @@
             connect_delay_us: 0,
             delay_us: 0,
             cancel_us: 0,
+            idle_ms: 60_000,
             seed: 1,
             snapshots: Vec::new(),
         }
@@ -84,6 +87,11 @@
     pub(crate) const fn cancel_delay(&self) -> Duration {
         Duration::from_micros(self.cancel_us)
     }
+
+    /// Time after which an idle connection is closed.
+    pub(crate) const fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_ms)
+    }
 }
 
 impl TryFrom<&str> for ServerSettings {
@@ -106,6 +114,7 @@
                 "connect-delay-us" => settings.connect_delay_us = parse(key, value)?,
                 "delay-us" => settings.delay_us = parse(key, value)?,
                 "cancel-us" => settings.cancel_us = parse(key, value)?,
+                "idle-ms" => settings.idle_ms = parse(key, value)?,
                 "seed" => settings.seed = parse(key, value)?,
                 "snapshots" => settings.snapshots = parse_snapshots(value)?,
                 _ => {
--- a/crates/standin/src/backend/state.rs
+++ b/crates/standin/src/backend/state.rs
@@ -11,6 +11,7 @@
 use super::{
     faults::{ServerFaults, ServerFaultsPatch},
     ledger::{LoadLedger, ServerReport},
+    pause::PauseTimer,
     service_time::ServiceTime,
     settings::ServerSettings,
 };
@@ -46,6 +47,7 @@
     ledger: Mutex<LoadLedger>,
     service_time: Mutex<ServiceTime>,
     last_echo: Mutex<Option<ReplyEcho>>,
+    pause_timer: PauseTimer,
     bytes: Arc<ByteCounts>,
 }
 
@@ -59,6 +61,7 @@
             ledger: Mutex::new(LoadLedger::new(settings.slots, settings.connections)),
             service_time: Mutex::new(ServiceTime::new(mean, settings.seed)),
             last_echo: Mutex::new(None),
+            pause_timer: PauseTimer::default(),
             bytes: Arc::new(ByteCounts::default()),
             settings,
         }
@@ -113,6 +116,11 @@
         Duration::from_millis(lock(&self.faults).faults.silent_hold_ms)
     }
 
+    /// Sleeps for `span`, which may be shorter than the timer's tick.
+    pub(crate) async fn pause(&self, span: Duration) {
+        self.pause_timer.pause(span).await;
+    }
+
     /// Draws the service time of the next request.
     pub(crate) fn draw_service_time(&self) -> Duration {
         let (faults, warmth) = {
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -19,8 +19,8 @@
 use serde::Serialize;
 use tokio::{sync::mpsc, time::timeout};
 
-/// Time within which a client sends the whole of its headers, and then of its body.
-const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which a client sends the whole of a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Largest request head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -43,13 +43,11 @@
 
 impl std::error::Error for ConnectionDropped {}
 
-/// An HTTP/1.1 server that bounds the size and the time of request heads.
-pub(crate) fn server() -> http1::Builder {
+/// An HTTP/1.1 server that closes a connection when a request's head is too
+/// large, or is not there `head_timeout` after the connection became idle.
+pub(crate) fn server(head_timeout: Duration) -> http1::Builder {
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(CLIENT_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES);
+    builder.timer(TokioTimer::new()).header_read_timeout(head_timeout).max_buf_size(MAX_HEAD_BYTES);
     builder
 }
 
@@ -106,7 +104,7 @@
         return Err(too_large());
     }
     let collecting = Limited::new(body, limit).collect();
-    let Ok(collected) = timeout(CLIENT_TIMEOUT, collecting).await else {
+    let Ok(collected) = timeout(BODY_TIMEOUT, collecting).await else {
         return Err(problem(StatusCode::REQUEST_TIMEOUT, "the body did not end in time"));
     };
     match collected {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -9,7 +9,7 @@
 mod vms;
 mod watch;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_platform::{ObjectKind, ObjectVersion, VmRecord};
 use hyper::service::service_fn;
@@ -26,6 +26,9 @@
 use crate::{error::StandinError, http, metered::MeteredStream};
 use state::{ConnectionState, PlatformState};
 
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// What a platform stand-in starts with.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -152,7 +155,7 @@
     let stream = MeteredStream::new(stream, state.bytes());
     let connection = Arc::new(ConnectionState::default());
     let service = service_fn(|request| routes::answer(&state, &connection, request));
-    let serving = http::server().serve_connection(TokioIo::new(stream), service);
+    let serving = http::server(IDLE_TIMEOUT).serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         _ = serving => {}
         () = state.severed(&connection) => {}
--- a/crates/standin/tests/backend_limits.rs
+++ b/crates/standin/tests/backend_limits.rs
@@ -71,6 +71,17 @@
     assert_eq!((report.connections_opened, report.completed, report.violations), (1, 5, 0));
 }
 
+#[tokio::test]
+async fn an_idle_connection_is_closed() {
+    let server = start(ServerSettings { idle_ms: 50, ..ServerSettings::default() }).await;
+    let mut caller = Caller::connect(server.address()).await;
+    caller.query(&[("x-request-id", "r1")], "{}").await.reply();
+    until(|| server.report().connections == 0).await;
+    let end = caller.query_or_silence("r2").await;
+    assert!(matches!(end, QueryEnd::Broken), "{end:?}");
+    assert_eq!(server.report().executed, 1);
+}
+
 #[tokio::test]
 async fn executions_are_counted_by_request_id_and_by_key() {
     let server = start(ServerSettings::default()).await;
--- a/crates/standin/tests/server_settings.rs
+++ b/crates/standin/tests/server_settings.rs
@@ -19,7 +19,7 @@
 #[test]
 fn every_field_can_be_set() {
     let text = "name=b1,address=127.0.0.1:7001,control=127.0.0.1:7002,slots=3,connections=9,\
-                service-us=11,connect-delay-us=12,delay-us=13,cancel-us=14,seed=15,snapshots=1+2";
+                service-us=11,connect-delay-us=12,delay-us=13,cancel-us=14,idle-ms=16,seed=15,snapshots=1+2";
     let expected = ServerSettings {
         name: "b1".to_owned(),
         address: "127.0.0.1:7001".parse().unwrap(),
@@ -30,6 +30,7 @@
         connect_delay_us: 12,
         delay_us: 13,
         cancel_us: 14,
+        idle_ms: 16,
         seed: 15,
         snapshots: vec![1, 2],
     };
