Cut a zone from the platform by silence and send a watch's backlog at once

A partition drops packets rather than connections, so a zone can also be made silent. A watch now sends what it already owes before it first waits; the backlog used to come with the first keep-alive line, a second late, and what was due during a short silence was lost.

--- a/crates/standin/src/platform/calls.rs
+++ b/crates/standin/src/platform/calls.rs
@@ -2,7 +2,7 @@
 
 use carobstep_platform::ObjectKind;
 use indexmap::IndexMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 use tokio::time::Instant;
 
@@ -32,7 +32,7 @@
 }
 
 /// What the platform has counted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallReport {
     /// All calls.
     pub total: u64,
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -21,6 +21,8 @@
     pub vm_lag_ms: u64,
     /// Availability zones whose connections are dropped.
     pub cut_zones: Vec<String>,
+    /// Availability zones whose calls and watches get no answer.
+    pub silent_zones: Vec<String>,
 }
 
 /// A change of the faults; a missing field stays as it is.
@@ -43,6 +45,8 @@
     pub vm_lag_ms: Option<u64>,
     /// New value of [`PlatformFaults::cut_zones`].
     pub cut_zones: Option<Vec<String>>,
+    /// New value of [`PlatformFaults::silent_zones`].
+    pub silent_zones: Option<Vec<String>>,
 }
 
 impl PlatformFaults {
@@ -58,10 +62,22 @@
         if let Some(zones) = patch.cut_zones {
             self.cut_zones = zones;
         }
+        if let Some(zones) = patch.silent_zones {
+            self.silent_zones = zones;
+        }
     }
 
     /// Whether a connection from `zone` is dropped.
     pub(crate) fn severs(&self, zone: Option<&str>) -> bool {
-        self.down || zone.is_some_and(|zone| self.cut_zones.iter().any(|cut| cut == zone))
+        self.down || names_zone(&self.cut_zones, zone)
+    }
+
+    /// Whether nothing gets through between the platform and `zone`.
+    pub(crate) fn silences(&self, zone: Option<&str>) -> bool {
+        self.silent || names_zone(&self.silent_zones, zone)
     }
 }
+
+fn names_zone(zones: &[String], zone: Option<&str>) -> bool {
+    zone.is_some_and(|zone| zones.iter().any(|named| named == zone))
+}
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -38,7 +38,7 @@
         state.counter().report.dropped += 1;
         return Err(ConnectionDropped);
     }
-    if faults.silent {
+    if faults.silences(zone) {
         state.counter().report.dropped += 1;
         return pending().await;
     }
@@ -50,21 +50,26 @@
         Ok(value) => value,
         Err(refusal) => return Ok(refusal),
     };
-    sleep(Duration::from_millis(faults.delay_ms)).await;
+    state.delay().await;
     state.counter().count(api_request.method(), api_request.kind(), zone, Instant::now());
-    carry_out(state, api_request, value)
+    carry_out(state, zone, api_request, value)
 }
 
 fn zone_of(parts: &request::Parts) -> Option<&str> {
     parts.headers.get("x-zone").and_then(|zone| zone.to_str().ok())
 }
 
-fn carry_out(state: &Arc<PlatformState>, request: ApiRequest, value: Bytes) -> Reply {
+fn carry_out(
+    state: &Arc<PlatformState>,
+    zone: Option<&str>,
+    request: ApiRequest,
+    value: Bytes,
+) -> Reply {
     match request {
         ApiRequest::Get { kind, name } => Ok(get(state, kind, &name)),
         ApiRequest::List { kind } => Ok(list(state, kind)),
         ApiRequest::Vms => Ok(json(StatusCode::OK, &serde_json::json!({"vms": state.read_vms()}))),
-        ApiRequest::Watch { kind, after } => Ok(match watch::start(state, kind, after) {
+        ApiRequest::Watch { kind, after } => Ok(match watch::start(state, zone, kind, after) {
             Ok(body) => Response::new(body),
             Err(_) => problem(StatusCode::GONE, "the version is too old"),
         }),
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -10,7 +10,10 @@
 
 use bytes::Bytes;
 use carobstep_platform::{Condition, ObjectKind, ObjectVersion, VmRecord};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 use super::{
     PlatformSettings,
@@ -93,9 +96,9 @@
         self.faults.borrow().clone()
     }
 
-    /// Whether calls and watches wait without end.
-    pub(crate) fn is_silent(&self) -> bool {
-        self.faults.borrow().silent
+    /// Whether nothing gets through between the platform and `zone`.
+    pub(crate) fn is_silent(&self, zone: Option<&str>) -> bool {
+        self.faults.borrow().silences(zone)
     }
 
     /// Changes the faults.
@@ -107,6 +110,14 @@
         self.wake_watches();
     }
 
+    /// Waits as long as a slow platform does before it acts.
+    pub(crate) async fn delay(&self) {
+        let millis = self.faults.borrow().delay_ms;
+        if millis > 0 {
+            sleep(Duration::from_millis(millis)).await;
+        }
+    }
+
     /// Takes one of the answers that are to be lost, if any is left.
     pub(crate) fn take_lost_answer(&self) -> bool {
         self.faults.send_if_modified(|faults| {
--- a/crates/standin/src/platform/watch.rs
+++ b/crates/standin/src/platform/watch.rs
@@ -21,12 +21,13 @@
 /// Counts a watch as open while it lives.
 struct OpenWatch {
     state: Arc<PlatformState>,
+    zone: Option<String>,
 }
 
 impl OpenWatch {
-    fn new(state: &Arc<PlatformState>) -> Self {
+    fn new(state: &Arc<PlatformState>, zone: Option<&str>) -> Self {
         state.counter().report.open_watches += 1;
-        Self { state: Arc::clone(state) }
+        Self { state: Arc::clone(state), zone: zone.map(str::to_owned) }
     }
 }
 
@@ -39,54 +40,68 @@
 /// Starts a watch, unless its first change has left the log.
 pub(crate) fn start(
     state: &Arc<PlatformState>,
+    zone: Option<&str>,
     kind: ObjectKind,
     after: ObjectVersion,
 ) -> Result<ReplyBody, VersionGone> {
     state.table().changes(kind, after)?;
     let (parts, receiver) = mpsc::channel(PART_QUEUE_LENGTH);
-    let watch = OpenWatch::new(state);
+    let watch = OpenWatch::new(state, zone);
     tokio::spawn(async move {
         tokio::select! {
-            () = send_changes(&watch.state, kind, after, &parts) => {}
+            () = watch.send_changes(kind, after, &parts) => {}
             () = parts.closed() => {}
         }
     });
     Ok(ChannelBody::boxed(receiver))
 }
 
-async fn send_changes(
-    state: &PlatformState,
-    kind: ObjectKind,
-    after: ObjectVersion,
-    parts: &mpsc::Sender<Result<Bytes, ConnectionDropped>>,
-) {
-    let mut last = after;
-    let mut wakeups = state.subscribe();
-    // The first blank line makes the reply's head leave at once.
-    let mut part = Bytes::from_static(b"\n");
-    loop {
-        sleep(Duration::from_millis(state.faults().delay_ms)).await;
-        if !part.is_empty() && !state.is_silent() && parts.send(Ok(part)).await.is_err() {
-            return;
-        }
-        let keep_alive = tokio::select! {
-            _ = wakeups.changed() => false,
-            () = sleep(KEEP_ALIVE_INTERVAL) => true,
-        };
-        part = Bytes::new();
-        if state.is_silent() {
-            continue;
+impl OpenWatch {
+    /// Sends changes until the watch breaks.
+    ///
+    /// What is due while the connection is silent goes out when it no longer
+    /// is, as TCP would send it again.
+    async fn send_changes(
+        &self,
+        kind: ObjectKind,
+        after: ObjectVersion,
+        parts: &mpsc::Sender<Result<Bytes, ConnectionDropped>>,
+    ) {
+        let mut last = after;
+        let mut wakeups = self.state.subscribe();
+        // The first blank line makes the reply's head leave at once.
+        let mut keep_alive = true;
+        loop {
+            if !self.state.is_silent(self.zone.as_deref()) {
+                let part = self.next_part(kind, &mut last, keep_alive);
+                let is_broken = part.is_err();
+                self.state.delay().await;
+                if part != Ok(Bytes::new()) && parts.send(part).await.is_err() || is_broken {
+                    return;
+                }
+            }
+            keep_alive = tokio::select! {
+                _ = wakeups.changed() => false,
+                () = sleep(KEEP_ALIVE_INTERVAL) => true,
+            };
         }
-        let changes = state.table().changes(kind, last);
-        let Ok(changes) = changes else {
-            let _ = parts.send(Err(ConnectionDropped)).await;
-            return;
-        };
-        if let Some(change) = changes.last() {
-            last = change.version;
-            part = write_lines(&changes);
-        } else if keep_alive {
-            part = Bytes::from_static(b"\n");
+    }
+
+    /// The lines that are due, which may be none.
+    fn next_part(
+        &self,
+        kind: ObjectKind,
+        last: &mut ObjectVersion,
+        keep_alive: bool,
+    ) -> Result<Bytes, ConnectionDropped> {
+        let changes = self.state.table().changes(kind, *last).map_err(|_| ConnectionDropped)?;
+        match changes.last() {
+            Some(change) => {
+                *last = change.version;
+                Ok(write_lines(&changes))
+            }
+            None if keep_alive => Ok(Bytes::from_static(b"\n")),
+            None => Ok(Bytes::new()),
         }
     }
 }
--- a/crates/standin/tests/bad_requests.rs
+++ b/crates/standin/tests/bad_requests.rs
@@ -134,3 +134,12 @@
     let reply = ask(platform.address(), b"GET /vms HTTP/1.1\r\nhost: x\r\n\r\n").await;
     assert!(reply.starts_with("HTTP/1.1 200"), "{reply:?}");
 }
+
+#[tokio::test]
+async fn a_client_that_never_ends_its_head_is_closed() {
+    let settings = ServerSettings { idle_ms: 50, ..ServerSettings::default() };
+    let server = BackendStandin::start(settings).await.unwrap();
+    let reply = ask(server.address(), b"POST /query HTT").await;
+    assert!(reply.is_empty() || reply.starts_with("HTTP/1.1 408"), "{reply:?}");
+    assert_eq!(server.report().executed, 0);
+}
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -223,6 +223,23 @@
     assert_eq!(cut.call(get("seed")).await, Ok(ObjectReply::Found(stored("seed", 2, 3))));
 }
 
+#[tokio::test]
+async fn a_silent_zone_is_alone_in_losing_the_platform() {
+    let platform = start().await;
+    let near = client(&platform, "zone-a");
+    let cut = client(&platform, "zone-b");
+    let mut near_watch = near.watch(KIND, ObjectVersion(1)).await.unwrap();
+    let mut cut_watch = cut.watch(KIND, ObjectVersion(1)).await.unwrap();
+    let zones = Some(vec!["zone-b".to_owned()]);
+    platform.apply_faults(PlatformFaultsPatch { silent_zones: zones, ..Default::default() });
+    near.call(put("seed", at(1), 3)).await.unwrap();
+    assert_eq!(next_event(&mut near_watch).await, Ok(event("seed", 2, Some(3))));
+    assert_eq!(kind_of(&cut, put("seed", at(2), 4)).await, StoreErrorKind::AnswerLost);
+    let error = next_event(&mut cut_watch).await.unwrap_err();
+    assert!(error.to_string().contains("silent"), "{error}");
+    assert_eq!(near.call(get("seed")).await, Ok(ObjectReply::Found(stored("seed", 2, 3))));
+}
+
 #[tokio::test]
 async fn watches_show_each_change_of_their_kind_once() {
     let platform = start().await;
@@ -245,6 +262,19 @@
     assert_eq!(platform.report().open_watches, 1);
 }
 
+#[tokio::test]
+async fn changes_during_a_short_silence_come_after_it() {
+    let platform = start().await;
+    let writer = client(&platform, "zone-a");
+    let mut watch = client(&platform, "zone-b").watch(KIND, ObjectVersion(1)).await.unwrap();
+    let zones = Some(vec!["zone-b".to_owned()]);
+    platform.apply_faults(PlatformFaultsPatch { silent_zones: zones, ..Default::default() });
+    writer.call(put("seed", at(1), 3)).await.unwrap();
+    let zones = Some(Vec::new());
+    platform.apply_faults(PlatformFaultsPatch { silent_zones: zones, ..Default::default() });
+    assert_eq!(next_event(&mut watch).await, Ok(event("seed", 2, Some(3))));
+}
+
 #[tokio::test]
 async fn a_watch_outlives_its_silence_limit_when_nothing_changes() {
     let platform = start().await;
