Test the command line against a platform that loses, delays and races calls

Each of the 16807 sequences of seven faults over the first five calls of a submission must end in a report that matches what the store holds, with at most one version made by the patch and no gap in the history.

--- a/crates/client/src/submission.rs
+++ b/crates/client/src/submission.rs
@@ -91,6 +91,11 @@
     },
     /// The patch does not fit the configuration; nothing changed.
     Refused(PatchError),
+    /// The patch id belongs to another change; nothing changed.
+    IdReused {
+        /// Version that the other change made.
+        version: ConfigVersion,
+    },
     /// The platform holds no configuration; nothing changed.
     NoConfiguration,
     /// The platform could not be used; nothing changed.
@@ -233,6 +238,9 @@
         if self.plan.is_some() {
             return self.proceed(SubmitEvent::BaseInForce);
         }
+        if before.patch_id == self.patch.id.as_str() {
+            return self.finish(SubmitOutcome::IdReused { version: before.version });
+        }
         match apply(&before, &self.patch) {
             Ok(after) => {
                 self.plan = Some(WritePlan { at, before, after });
@@ -281,8 +289,8 @@
         if expected.as_ref().ok() == found {
             return self.proceed(SubmitEvent::OwnConfirmed);
         }
-        let message = format!("patch id {:?} was used for another change", self.patch.id.as_str());
-        self.finish(SubmitOutcome::Unavailable(message))
+        let version = self.patch.base.next();
+        self.finish(SubmitOutcome::IdReused { version })
     }
 
     fn retry(&mut self, reason: &str) -> SubmitStep {
--- a/crates/client/src/submit.rs
+++ b/crates/client/src/submit.rs
@@ -29,6 +29,12 @@
             Err(conflict_error(store, base, in_force).await)
         }
         SubmitOutcome::Refused(error) => Err(refusal(&error)),
+        SubmitOutcome::IdReused { version } => {
+            let message = format!(
+                "nothing changed: patch id {id} belongs to the change that made version {version}"
+            );
+            Err(ClientError::new(ExitStatus::Refused, message))
+        }
         SubmitOutcome::NoConfiguration => {
             let message = "the platform holds no configuration; nothing changed";
             Err(ClientError::new(ExitStatus::NotFound, message))
--- /dev/null
+++ b/crates/client/tests/client/command_line.rs
@@ -0,0 +1,76 @@
+//! Reading of the command line.
+
+use std::time::Duration;
+
+use carobstep_client::{CommandLine, ExitStatus, OperatorCommand, help};
+use carobstep_config::ConfigVersion;
+use yare::parameterized;
+
+fn parse(line: &str) -> Result<CommandLine, String> {
+    let args: Vec<_> = line.split_whitespace().map(str::to_owned).collect();
+    CommandLine::try_from(&args[..]).map_err(|error| {
+        assert_eq!(error.status(), ExitStatus::Usage);
+        error.to_string()
+    })
+}
+
+#[parameterized(
+    nothing = { "", "a command is missing" },
+    unknown_command = { "shwo", "command \"shwo\" does not exist" },
+    unknown_flag = { "show --all", "Unrecognized option: 'all'" },
+    flag_twice = { "show --at 1 --at 2", "Option 'at' given more than once" },
+    foreign_flag = { "nodes --base 3", "command nodes does not take --base" },
+    operands = { "diff 1", "command diff takes 2 operands, not 1: carobstep diff A B" },
+    no_platform = { "nodes", "--platform is missing" },
+    bad_platform = { "nodes --platform here", "--platform \"here\" is not an ip:port address" },
+    version_zero = {
+        "show --at 0 --platform 127.0.0.1:1",
+        "--at \"0\" is not a version: a whole number of at least 1",
+    },
+    no_patch = {
+        "submit --base 1 --platform 127.0.0.1:1",
+        "submit takes one of --merge and --json-patch",
+    },
+    two_patches = {
+        "submit --base 1 --merge a --json-patch b --platform 127.0.0.1:1",
+        "submit takes one of --merge and --json-patch",
+    },
+    no_base = { "submit --merge a --platform 127.0.0.1:1", "--base is missing" },
+    bad_id = {
+        "init f --id a/b --platform 127.0.0.1:1",
+        "patch id \"a/b\" is not 1 to 64 bytes of letters, digits, \"-\", \"_\" and \".\"",
+    },
+    timeout = {
+        "follow --timeout 0 --platform 127.0.0.1:1",
+        "--timeout \"0\" is not a whole number from 1 to 86400",
+    },
+)]
+fn usage_error(line: &str, expected: &str) {
+    assert_eq!(parse(line).expect_err("a usage error"), expected);
+}
+
+#[test]
+fn defaults() {
+    let CommandLine::Run { command, .. } = parse("follow --platform 127.0.0.1:1").unwrap() else {
+        panic!("not a command");
+    };
+    let timeout = Duration::from_secs(60);
+    assert_eq!(command, OperatorCommand::Follow { version: None, timeout });
+    let line = parse("diff 3 4 --platform 127.0.0.1:1").unwrap();
+    let CommandLine::Run { command, .. } = line else { panic!("not a command") };
+    let (from, to) = (ConfigVersion(3), ConfigVersion(4));
+    assert_eq!(command, OperatorCommand::Diff { from, to });
+}
+
+#[test]
+fn help_goes_before_faults() {
+    assert_eq!(parse("shwo --help"), Ok(CommandLine::Help));
+    assert_eq!(parse("-V"), Ok(CommandLine::Version));
+}
+
+#[test]
+fn help_lists_every_exit_code() {
+    for code in 0..=8 {
+        assert!(help().contains(&format!("\n    {code}  ")), "code {code}");
+    }
+}
--- /dev/null
+++ b/crates/client/tests/client/submission.rs
@@ -0,0 +1,208 @@
+//! Submissions against a platform that loses, delays and races calls.
+
+use carobstep_client::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep};
+use carobstep_config::{ConfigVersion, Patch};
+
+use crate::support::{
+    CallFault::{self, AnswerLost, Answered, Late, NotSent, Raced, RequestLost, Stale},
+    FakePlatform, patch,
+};
+
+const CHANGE: &str = r#"{"services": {"orders": {"deadline_ms": 1500}}}"#;
+
+const ID: &str = "p1";
+
+fn run(platform: &FakePlatform, patch: Patch) -> SubmitOutcome {
+    let mut submission = PatchSubmission::try_from(patch).expect("the chart");
+    let mut step = submission.start();
+    loop {
+        match step {
+            SubmitStep::Call { call, .. } => step = submission.advance(platform.make(call)),
+            SubmitStep::Finish(outcome) => return *outcome,
+        }
+    }
+}
+
+/// An outcome without its record.
+fn brief(outcome: &SubmitOutcome) -> String {
+    match outcome {
+        SubmitOutcome::Accepted { record, in_force, proof, archived } => {
+            format!("accepted {} of {in_force} by {proof}, archived {archived}", record.version)
+        }
+        SubmitOutcome::Conflict { base, in_force } => format!("conflict {base} {in_force}"),
+        SubmitOutcome::Refused(error) => format!("refused {error}"),
+        SubmitOutcome::IdReused { version } => format!("id reused at {version}"),
+        SubmitOutcome::NoConfiguration => "no configuration".to_owned(),
+        SubmitOutcome::Unavailable(reason) => format!("unavailable {reason}"),
+        SubmitOutcome::Unknown(reason) => format!("unknown {reason}"),
+    }
+}
+
+struct FaultCase {
+    name: &'static str,
+    faults: &'static [CallFault],
+    expected: &'static str,
+}
+
+const FAULT_CASES: &[FaultCase] = &[
+    FaultCase { name: "clean", faults: &[], expected: "accepted 2 of 2 by reply, archived true" },
+    FaultCase {
+        name: "answer of the write lost",
+        faults: &[Answered, Answered, AnswerLost],
+        expected: "accepted 2 of 2 by read_back, archived true",
+    },
+    FaultCase {
+        name: "write lost on its way, then repeated",
+        faults: &[Answered, Answered, RequestLost],
+        expected: "accepted 2 of 2 by reply, archived true",
+    },
+    FaultCase {
+        name: "write lands after its reader and before its copy",
+        faults: &[Answered, Answered, Late],
+        expected: "accepted 2 of 2 by read_back, archived true",
+    },
+    FaultCase {
+        name: "answer lost, then another operator builds on it",
+        faults: &[Answered, Answered, AnswerLost, Raced],
+        expected: "accepted 2 of 3 by read_back, archived true",
+    },
+    FaultCase {
+        name: "answer lost, then two others build on it",
+        faults: &[Answered, Answered, AnswerLost, Raced, Raced],
+        expected: "accepted 2 of 3 by read_back, archived true",
+    },
+    FaultCase {
+        name: "another operator is first before the write",
+        faults: &[Answered, Answered, Raced],
+        expected: "conflict 1 2",
+    },
+    FaultCase {
+        name: "another operator is first before the read",
+        faults: &[Raced],
+        expected: "conflict 1 2",
+    },
+    FaultCase {
+        name: "write lost on its way and another operator is first",
+        faults: &[Answered, Answered, RequestLost, Raced],
+        expected: "conflict 1 2",
+    },
+    FaultCase {
+        name: "answer lost, then a stale read",
+        faults: &[Answered, Answered, AnswerLost, Stale],
+        expected: "accepted 2 of 2 by read_back, archived true",
+    },
+    FaultCase {
+        name: "platform down throughout",
+        faults: &[NotSent; 9],
+        expected: "unavailable not_sent: refused",
+    },
+    FaultCase {
+        name: "platform down right after the write",
+        faults: &[
+            Answered, Answered, AnswerLost, NotSent, NotSent, NotSent, NotSent, NotSent, NotSent,
+            NotSent, NotSent,
+        ],
+        expected: "unknown not_sent: refused",
+    },
+    FaultCase {
+        name: "platform down before the history is written",
+        faults: &[
+            Answered, Answered, Answered, NotSent, NotSent, NotSent, NotSent, NotSent, NotSent,
+            NotSent, NotSent, NotSent,
+        ],
+        expected: "accepted 2 of 2 by reply, archived false",
+    },
+];
+
+#[test]
+fn outcome_of_each_fault() {
+    for case in FAULT_CASES {
+        let platform = FakePlatform::with_example();
+        platform.fail(case.faults);
+        let outcome = run(&platform, patch(1, ID, CHANGE));
+        assert_eq!(brief(&outcome), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn second_run_finds_the_first() {
+    let platform = FakePlatform::with_example();
+    run(&platform, patch(1, ID, CHANGE));
+    let again = run(&platform, patch(1, ID, CHANGE));
+    assert_eq!(brief(&again), "accepted 2 of 2 by earlier_run, archived true");
+    run(&platform, patch(2, "p2", "{}"));
+    run(&platform, patch(3, "p3", "{}"));
+    let again = run(&platform, patch(1, ID, CHANGE));
+    assert_eq!(brief(&again), "accepted 2 of 4 by earlier_run, archived true");
+    assert_eq!(platform.current().version, ConfigVersion(4));
+}
+
+#[test]
+fn reused_id_is_no_earlier_run() {
+    let platform = FakePlatform::with_example();
+    run(&platform, patch(1, ID, CHANGE));
+    let other = r#"{"services": {"orders": {"deadline_ms": 900}}}"#;
+    assert_eq!(brief(&run(&platform, patch(1, ID, other))), "id reused at 2");
+    assert_eq!(brief(&run(&platform, patch(2, ID, CHANGE))), "id reused at 2");
+    assert_eq!(platform.current().version, ConfigVersion(2));
+}
+
+#[test]
+fn nothing_to_patch() {
+    let outcome = run(&FakePlatform::default(), patch(1, ID, CHANGE));
+    assert_eq!(outcome, SubmitOutcome::NoConfiguration);
+}
+
+#[test]
+fn refused_patch_writes_nothing() {
+    let platform = FakePlatform::with_example();
+    let outcome = run(&platform, patch(1, ID, r#"{"services": {"orders": {"slots": 1}}}"#));
+    assert_eq!(brief(&outcome), "refused /services/orders/slots: unknown key with value 1");
+    assert_eq!(platform.calls(), 1);
+}
+
+const FAULTS: [CallFault; 7] = [Answered, NotSent, RequestLost, AnswerLost, Late, Stale, Raced];
+
+/// Calls at the start of a submission that may each meet any fault.
+const FAULTY_CALLS: u32 = 5;
+
+/// Every sequence of faults: what is reported must be what the store shows.
+#[test]
+fn report_is_true_under_every_sequence_of_faults() {
+    let mut sequences = 0;
+    for number in 0..FAULTS.len().pow(FAULTY_CALLS) {
+        let faults: Vec<_> = (0..FAULTY_CALLS)
+            .map(|place| FAULTS[number / FAULTS.len().pow(place) % FAULTS.len()])
+            .collect();
+        check_sequence(&faults);
+        sequences += 1;
+    }
+    assert_eq!(sequences, 16_807);
+}
+
+fn check_sequence(faults: &[CallFault]) {
+    let platform = FakePlatform::with_example();
+    platform.fail(faults);
+    let outcome = run(&platform, patch(1, ID, CHANGE));
+    let current = platform.current();
+    let mut owned = Vec::new();
+    for version in 1..=current.version.0 {
+        let record = match version == current.version.0 {
+            true => Some(current.clone()),
+            false => platform.past(version),
+        };
+        let record = record.unwrap_or_else(|| panic!("{faults:?}: history lacks {version}"));
+        if record.patch_id == ID {
+            owned.push(version);
+        }
+    }
+    let told = brief(&outcome);
+    match outcome {
+        SubmitOutcome::Accepted { proof, .. } => {
+            assert_eq!(owned, [2], "{faults:?}: {told}");
+            assert_ne!(proof, AcceptanceProof::EarlierRun, "{faults:?}: {told}");
+        }
+        SubmitOutcome::Unknown(_) => assert!(owned.len() <= 1, "{faults:?}: {told}"),
+        _ => assert!(owned.is_empty(), "{faults:?}: {told}"),
+    }
+}
