--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,13 +10,15 @@
 mod reason;
 mod server;
 mod shard;
+mod shard_codec;
 mod stream;
 
 pub use client::PeerPool;
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use control::{
-    CloseNotice, ConfigCopy, ControlMessage, ControlReply, GossipDigest, GrantNotice, ManifestCopy,
-    PeerRecord, ServerSign, VouchReply, VouchRequest,
+    CloseNotice, ConfigCopy, ControlMessage, ControlReply, FetchReply, FetchRequest, GossipDigest,
+    GrantNotice, ManifestCopy, NewsNotice, PeerBeat, PeerRecord, ServerSign, VouchReply,
+    VouchRequest,
 };
 pub use error::{WireError, WireErrorKind};
 pub use reason::{Outcome, RefusalReason, RetryReason};
