Test grants of a zone under stops, deaths, cuts and lost answers

Replicas of a service now go to different nodes before the even share counts; a full node passes one server on so that the shares stay even.

--- a/crates/control/src/assignment.rs
+++ b/crates/control/src/assignment.rs
@@ -1,5 +1,7 @@
 //! Which node of a zone should hold which backend server.
 
+use std::cmp::Reverse;
+
 use carobstep_config::{NodeName, ServerName, ServiceKey, Topology, ZoneName};
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64;
@@ -17,35 +19,37 @@
 /// The `count` nodes with the highest scores for `key`.
 pub(crate) fn top_nodes(key: &str, nodes: &[NodeName], count: usize) -> Vec<NodeName> {
     let mut ranked: Vec<&NodeName> = nodes.iter().collect();
-    ranked.sort_by_key(|node| std::cmp::Reverse(score(key, node)));
+    ranked.sort_by_key(|node| Reverse(score(key, node)));
     ranked.into_iter().take(count).cloned().collect()
 }
 
 /// Assigns every backend server of `zone` to one of `nodes`.
 ///
-/// Each server goes to the node with the highest rendezvous score among those
-/// that have room: no node gets more than its even share, rounded up, and the
-/// replicas of a service go to different nodes while there are enough. All
-/// nodes that see the same topology and the same nodes compute the same.
+/// The replicas of a service go to different nodes while there are enough.
+/// Among those nodes each server goes to the one with the highest rendezvous
+/// score that has room, where room is the even share, rounded up; where none
+/// has room, one of its servers moves on if it can. All nodes that see the same
+/// topology and the same nodes compute the same.
 #[must_use]
 pub fn assign_servers(
     topology: &Topology,
     zone: &ZoneName,
     nodes: &[NodeName],
 ) -> IndexMap<ServerName, NodeName> {
-    let mut assignment = IndexMap::new();
-    let Some(zone_key) = topology.find_zone(zone.as_str()) else { return assignment };
+    let Some(zone_key) = topology.find_zone(zone.as_str()) else { return IndexMap::new() };
     if nodes.is_empty() {
-        return assignment;
+        return IndexMap::new();
     }
     let local: Vec<_> =
         topology.servers().map(|(_, entry)| entry).filter(|entry| entry.zone == zone_key).collect();
     let mut desk = AssignmentDesk::new(nodes, local.len());
     for entry in local {
-        let node = desk.place(&entry.name, entry.service);
-        assignment.insert(entry.name.clone(), node);
+        desk.place(&entry.name, entry.service);
     }
-    assignment
+    desk.placements
+        .into_iter()
+        .map(|placement| (placement.server.clone(), nodes[placement.at].clone()))
+        .collect()
 }
 
 /// Work in progress of one assignment.
@@ -54,24 +58,58 @@
     share: usize,
     loads: Vec<usize>,
     replicas: IndexSet<(ServiceKey, usize)>,
+    placements: Vec<Placement<'a>>,
+}
+
+struct Placement<'a> {
+    server: &'a ServerName,
+    service: ServiceKey,
+    at: usize,
 }
 
 impl<'a> AssignmentDesk<'a> {
     fn new(nodes: &'a [NodeName], servers: usize) -> Self {
         let share = servers.div_ceil(nodes.len());
-        Self { nodes, share, loads: vec![0; nodes.len()], replicas: IndexSet::new() }
+        let loads = vec![0; nodes.len()];
+        Self { nodes, share, loads, replicas: IndexSet::new(), placements: Vec::new() }
     }
 
-    fn place(&mut self, server: &ServerName, service: ServiceKey) -> NodeName {
-        let mut best = (false, false, 0, 0);
+    fn place(&mut self, server: &'a ServerName, service: ServiceKey) {
+        let mut best = (false, Reverse(usize::MAX), 0, 0);
         for (at, node) in self.nodes.iter().enumerate() {
-            let has_room = self.loads[at] < self.share;
-            let is_apart = !self.replicas.contains(&(service, at));
-            best = best.max((has_room, is_apart, score(server.as_str(), node), at));
+            let excess = (self.loads[at] + 1).saturating_sub(self.share);
+            let apart = self.is_apart(service, at);
+            best = best.max((apart, Reverse(excess), score(server.as_str(), node), at));
+        }
+        let (_, Reverse(excess), _, at) = best;
+        if excess > 0 {
+            self.make_room(at);
         }
-        let (_, _, _, at) = best;
         self.loads[at] += 1;
         self.replicas.insert((service, at));
-        self.nodes[at].clone()
+        self.placements.push(Placement { server, service, at });
+    }
+
+    fn is_apart(&self, service: ServiceKey, at: usize) -> bool {
+        !self.replicas.contains(&(service, at))
+    }
+
+    /// Moves one server of a full node to a node that has room, if one can.
+    fn make_room(&mut self, from: usize) {
+        for number in 0..self.placements.len() {
+            let Placement { service, at, .. } = self.placements[number];
+            if at != from {
+                continue;
+            }
+            let has_room = |to: &usize| self.loads[*to] < self.share;
+            let mut rooms = (0..self.nodes.len()).filter(has_room);
+            let Some(to) = rooms.find(|to| self.is_apart(service, *to)) else { continue };
+            self.placements[number].at = to;
+            self.replicas.swap_remove(&(service, from));
+            self.replicas.insert((service, to));
+            self.loads[from] -= 1;
+            self.loads[to] += 1;
+            return;
+        }
     }
 }
--- /dev/null
+++ b/crates/control/tests/grants.rs
@@ -0,0 +1,193 @@
+//! Grants of one zone: spread, handed over, taken over, kept in an outage.
+
+mod support;
+
+use std::time::Duration;
+
+use carobstep_control::{ControlEvent, NodePhase};
+use carobstep_platform::ObjectKind;
+use support::{TestZone, options, server};
+
+const START: Duration = Duration::from_secs(10);
+
+macro_rules! assert_loads {
+    ($zone:expr, $loads:expr) => {
+        assert_eq!($zone.loads(), $loads, "at {:?}", $zone.now)
+    };
+}
+
+fn assert_single_holders(zone: &TestZone, services: usize) {
+    for service in 0..services {
+        for replica in 0..2 {
+            let name = server(&format!("s{service}-{replica}"));
+            assert_eq!(zone.dispatchers(&name).len(), 1, "server {name}");
+        }
+    }
+}
+
+#[test]
+fn servers_spread_evenly_and_replicas_apart() {
+    let mut zone = TestZone::new(3, 6);
+    zone.run(START);
+    assert_loads!(zone, [4, 4, 4]);
+    assert_single_holders(&zone, 6);
+    for service in 0..6 {
+        let first = zone.dispatchers(&server(&format!("s{service}-0")));
+        let second = zone.dispatchers(&server(&format!("s{service}-1")));
+        assert_ne!(first, second, "service {service}");
+    }
+}
+
+#[test]
+fn every_node_routes_to_the_holder() {
+    let mut zone = TestZone::new(3, 2);
+    zone.run(START);
+    let name = server("s1-0");
+    let holder = zone.dispatchers(&name)[0];
+    for node in &zone.nodes {
+        let route = node.state.holder_of(&name).unwrap();
+        assert_eq!(route.address, zone.nodes[holder].address);
+    }
+}
+
+#[test]
+fn a_new_node_gets_its_share() {
+    let mut zone = TestZone::new(2, 6);
+    zone.run(START);
+    assert_loads!(zone, [6, 6]);
+    zone.add(options(2, "z1"));
+    zone.run(Duration::from_secs(20));
+    assert_loads!(zone, [4, 4, 4]);
+    assert_single_holders(&zone, 6);
+}
+
+#[test]
+fn a_stopping_node_hands_over_and_finishes() {
+    let mut zone = TestZone::new(3, 6);
+    zone.run(START);
+    zone.tell(0, ControlEvent::Stop);
+    zone.run(Duration::from_secs(3));
+    assert!(zone.nodes[0].stopped);
+    assert_eq!(zone.nodes[0].state.phase(), NodePhase::Stopped);
+    assert_eq!(zone.loads()[0], 0);
+    assert_single_holders(&zone, 6);
+    zone.run(Duration::from_secs(10));
+    assert_loads!(zone, [0, 6, 6]);
+    assert_single_holders(&zone, 6);
+    assert_eq!(zone.store.value(ObjectKind::Lease, "n0")["state"], "released");
+}
+
+#[test]
+fn a_release_waits_until_the_server_is_idle() {
+    let mut zone = TestZone::new(2, 1);
+    zone.run(START);
+    zone.nodes[0].drains = false;
+    zone.tell(0, ControlEvent::Stop);
+    zone.run(Duration::from_secs(3));
+    assert!(!zone.nodes[0].stopped);
+    assert_loads!(zone, [1, 1]);
+    let held = zone.nodes[0].state.held_grants().next().unwrap().0.clone();
+    assert!(zone.dispatchers(&held).is_empty());
+    zone.tell(0, ControlEvent::ServerIdle { server: held, idle: true });
+    zone.run(Duration::from_secs(1));
+    assert_loads!(zone, [0, 2]);
+}
+
+#[test]
+fn grants_of_a_dead_node_move_after_the_lapse() {
+    let mut zone = TestZone::new(3, 6);
+    zone.run(START);
+    zone.nodes[0].alive = false;
+    zone.run(Duration::from_secs(8));
+    assert_loads!(zone, [4, 4, 4]);
+    zone.run(Duration::from_secs(12));
+    assert_loads!(zone, [4, 6, 6]);
+    assert_single_holders(&zone, 6);
+}
+
+#[test]
+fn two_nodes_of_two_move_nothing_without_the_list() {
+    let mut zone = TestZone::new(2, 2);
+    zone.run(START);
+    zone.nodes[0].alive = false;
+    zone.run(Duration::from_secs(60));
+    assert_loads!(zone, [2, 2]);
+}
+
+#[test]
+fn a_restarted_node_takes_its_grants_back() {
+    let mut zone = TestZone::new(2, 2);
+    zone.run(START);
+    zone.nodes[0].alive = false;
+    zone.run(Duration::from_secs(1));
+    zone.restart(0, options(0, "z1"));
+    zone.run(Duration::from_secs(6));
+    assert_loads!(zone, [2, 2]);
+    assert_eq!(zone.nodes[0].state.incarnation(), 2);
+    assert_single_holders(&zone, 2);
+}
+
+#[test]
+fn a_zone_without_platform_keeps_dispatching() {
+    let mut zone = TestZone::new(3, 3);
+    zone.run(START);
+    for node in &mut zone.nodes {
+        node.reaches_store = false;
+    }
+    zone.run(Duration::from_secs(120));
+    assert_single_holders(&zone, 3);
+    for node in &mut zone.nodes {
+        node.reaches_store = true;
+    }
+    zone.run(Duration::from_secs(20));
+    assert_single_holders(&zone, 3);
+    assert_loads!(zone, [2, 2, 2]);
+}
+
+#[test]
+fn a_node_cut_off_from_everything_stops_and_is_replaced() {
+    let mut zone = TestZone::new(3, 3);
+    zone.run(START);
+    zone.nodes[0].reaches_store = false;
+    zone.cut = vec![(0, 1), (0, 2)];
+    zone.run(Duration::from_secs(25));
+    assert_single_holders(&zone, 3);
+    assert_eq!(zone.loads()[1..], [3, 3]);
+    zone.nodes[0].reaches_store = true;
+    zone.cut.clear();
+    zone.run(Duration::from_secs(25));
+    assert_single_holders(&zone, 3);
+    assert_loads!(zone, [2, 2, 2]);
+}
+
+#[test]
+fn lost_answers_are_settled_by_reading_back() {
+    let mut zone = TestZone::new(2, 4);
+    zone.nodes[0].lose_answers = 4;
+    zone.nodes[1].lose_answers = 4;
+    zone.run(Duration::from_secs(15));
+    assert_single_holders(&zone, 4);
+    for at in 0..2 {
+        zone.nodes[at].lose_answers = 3;
+    }
+    zone.run(Duration::from_secs(15));
+    assert_single_holders(&zone, 4);
+    zone.nodes[0].lose_answers = 3;
+    zone.tell(0, ControlEvent::Stop);
+    zone.run(Duration::from_secs(8));
+    assert_loads!(zone, [0, 8]);
+}
+
+#[test]
+fn a_node_gone_from_the_list_is_replaced_in_a_zone_of_two() {
+    let mut zone = TestZone::new(2, 2);
+    for at in 0..2 {
+        zone.store.vms.push(support::entry_vm(at, "z1"));
+    }
+    zone.run(START);
+    zone.nodes[0].alive = false;
+    zone.store.vms.remove(0);
+    zone.run(Duration::from_secs(15));
+    assert_loads!(zone, [2, 4]);
+    assert_single_holders(&zone, 2);
+}
