Run orders under claims and answer resends with the recorded outcome

The claim is taken before anything is sent and its outcome recorded before the caller is answered; both go on when the caller disconnects, and a stopping node waits for them.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -57,7 +57,7 @@
                 not_run(RefusalReason::NotReady, detail).with_retry_after(DEFAULT_RETRY_AFTER)
             );
         }
-        let Ok(_permit) = self.context.in_flight.try_acquire() else {
+        let Ok(permit) = self.context.in_flight.clone().try_acquire_owned() else {
             let detail = format!("node {} is at its limit", self.context.settings.node);
             return Err(
                 not_run(RefusalReason::CallerLimit, detail).with_retry_after(DEFAULT_RETRY_AFTER)
@@ -78,7 +78,7 @@
             CallerTarget::Service(service) => {
                 let service = service.to_owned();
                 let request = ServiceRequest { identity, service, key, deadline, body };
-                Ok(run_service(context, request).await)
+                Ok(run_service(context, request, permit).await)
             }
         }
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -65,7 +65,7 @@
     /// Whether the process was asked to stop.
     pub stopping: AtomicBool,
     /// Permits for requests of callers in flight.
-    pub in_flight: Semaphore,
+    pub in_flight: Arc<Semaphore>,
     /// Latest view.
     pub view: watch::Receiver<Arc<NodeView>>,
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -151,7 +151,7 @@
         control_actor: OnceLock::new(),
         holders: HolderRegistry::default(),
         stopping: AtomicBool::new(false),
-        in_flight: Semaphore::new(settings.limits.in_flight),
+        in_flight: Arc::new(Semaphore::new(settings.limits.in_flight)),
         view,
         settings,
     })
@@ -187,6 +187,9 @@
     let _ = node.stop_callers.send(true);
     let drained = timeout(stop.drain_timeout, async {
         let _ = node.callers.await;
+        // Orders go on after their callers have disconnected.
+        let all = u32::try_from(node.context.settings.limits.in_flight).unwrap_or(u32::MAX);
+        let _ = node.context.in_flight.acquire_many(all).await;
         let _ = node.handed_over.wait_for(|finished| *finished).await;
     });
     if drained.await.is_err() {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -10,12 +10,14 @@
 use http::{Response, StatusCode};
 use serde::Serialize;
 use serde_json::value::RawValue;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     attempts::{AttemptEnd, AttemptSet, RequestTemplate},
     context::{NodeContext, NodeView},
     counters::NodeEvent,
     identity::CallerIdentity,
+    order::run_order,
     problem::{AnswerBody, Problem, json_response},
 };
 
@@ -53,6 +55,7 @@
 pub async fn run_service(
     context: Arc<NodeContext>,
     request: ServiceRequest,
+    permit: OwnedSemaphorePermit,
 ) -> Response<AnswerBody> {
     context.counters.event(NodeEvent::ServiceRequests);
     let started = BootTime::now();
@@ -69,10 +72,10 @@
     match entry.repeat {
         RepeatPolicy::Idempotent => {
             let report = run_single(&context, &view, key, &request, deadline).await;
-            answer(&context, id, &request.service, &report, false)
+            answer(&context, id, &request.service, &report)
         }
         RepeatPolicy::AtMostOnce => {
-            crate::order::run_order(context, view.clone(), key, request, deadline).await
+            run_order(context, view.clone(), key, request, deadline, permit).await
         }
     }
 }
@@ -152,10 +155,9 @@
     id: RequestId,
     service: &str,
     report: &SingleReport,
-    replayed: bool,
 ) -> Response<AnswerBody> {
     if let Some(body) = &report.body {
-        return ran(id, body, replayed);
+        return ran(id, body, false);
     }
     let reason = report.reason.unwrap_or(RefusalReason::ServerError);
     let detail = format!("service {service:?}: {reason}");
