--- a/crates/standin/src/backend/service_time.rs
+++ b/crates/standin/src/backend/service_time.rs
@@ -12,7 +12,7 @@
 /// Draws service times around a mean.
 ///
 /// The times follow a log-normal distribution, whose mean is
-/// exp(mu + sigma^2 / 2) with sigma = [`LOG_DEVIATION`].
+/// exp(mu + sigma^2 / 2) with sigma = `LOG_DEVIATION`.
 #[derive(Debug)]
 pub struct ServiceTime {
     mean: Duration,
