Keep requests away from peers that do not answer probes

The kernel accepts connections for a frozen process, so a new connection proved nothing.

Change: a call without a reply for 50 ms asks for a probe; a pong that is 50 ms late makes the peer suspect and the router avoids it; after 250 ms its calls end as lost. A new connection counts once its first pong came. A failed connection is not tried again for 200 ms, and one task per peer checks for its return.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,9 +7,7 @@
 };
 
 use carobstep_clock::BootTime;
-use carobstep_config::{
-    IndexManifest, IndexName, NodeName, ServerKey, ServerName, Settings, Topology,
-};
+use carobstep_config::{IndexManifest, IndexName, ServerKey, ServerName, Settings, Topology};
 use carobstep_control::{ControlEvent, ControlState, Route};
 use carobstep_dispatch::Router;
 use carobstep_platform::HttpStore;
@@ -17,7 +15,7 @@
     Outcome, PeerPool, PeerReply, PeerRequest, RefusalReason, ShardReply, ShardRequest,
     WireErrorKind,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use ractor::ActorRef;
 use tokio::sync::{Semaphore, watch};
 
@@ -62,6 +60,8 @@
     pub control_actor: OnceLock<ActorRef<ControlInput>>,
     /// Held backend servers.
     pub holders: HolderRegistry,
+    /// Peer addresses that do not answer probes.
+    pub unusable_peers: Mutex<IndexSet<SocketAddr>>,
     /// Whether the process was asked to stop.
     pub stopping: AtomicBool,
     /// Permits for requests of callers in flight.
@@ -96,6 +96,41 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sets whether requests may go to a peer; `false` when nothing changed.
+    pub fn set_peer_usable(&self, address: SocketAddr, usable: bool) -> bool {
+        let changed = {
+            let mut unusable = self.lock_unusable();
+            if usable { unusable.swap_remove(&address) } else { unusable.insert(address) }
+        };
+        if changed {
+            self.apply_routes(&self.latest_view());
+        }
+        changed
+    }
+
+    /// Whether a peer does not answer probes.
+    #[must_use]
+    pub fn is_unusable(&self, address: SocketAddr) -> bool {
+        self.lock_unusable().contains(&address)
+    }
+
+    /// Tells the router which servers have a holder that can be reached.
+    pub fn apply_routes(&self, view: &NodeView) {
+        let mut router = self.lock_router();
+        let unusable = self.lock_unusable();
+        if !Arc::ptr_eq(router.topology(), &view.topology) {
+            return;
+        }
+        for (key, route) in (0..).map(ServerKey).zip(&view.routes) {
+            let usable = route.as_ref().is_some_and(|route| !unusable.contains(&route.address));
+            router.set_usable(key, usable);
+        }
+    }
+
+    fn lock_unusable(&self) -> MutexGuard<'_, IndexSet<SocketAddr>> {
+        self.unusable_peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this node may send a request to a backend server now.
     ///
     /// # Errors
@@ -175,9 +210,10 @@
         self.routes.get(key.index())?.as_ref()
     }
 
-    /// Nodes that hold at least one grant, in order of first appearance.
-    pub fn holders(&self) -> impl Iterator<Item = &NodeName> {
-        self.routes.iter().flatten().map(|route| &route.node)
+    /// Whether any route leads to a peer address.
+    #[must_use]
+    pub fn leads_to(&self, address: SocketAddr) -> bool {
+        self.routes.iter().flatten().any(|route| route.address == address)
     }
 }
 
--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -280,7 +280,6 @@
         for (key, entry) in self.topology.servers() {
             let route = control.holder_of(&entry.name);
             let leaving = leaving_servers.contains(&entry.name);
-            router.set_usable(key, route.is_some());
             router.set_leaving(now, key, leaving);
             if route.as_ref().is_some_and(|route| route.node == self.context.settings.node) {
                 let limits = self.limits_of(entry, leaving);
@@ -296,7 +295,9 @@
             manifests: self.checked_manifests(),
             ready: self.ready,
         };
-        self.view.send_replace(Arc::new(view));
+        let view = Arc::new(view);
+        self.context.apply_routes(&view);
+        self.view.send_replace(view);
     }
 
     /// Manifests that fit the configuration in force.
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -37,6 +37,7 @@
     http_listener::{ListenerLimits, serve_http},
     metrics,
     operators::OperatorHandler,
+    peer_watch::watch_peers,
     peers::NodePeerHandler,
 };
 
@@ -94,7 +95,9 @@
     };
     let (view_sender, view) = watch::channel(Arc::new(NodeView::default()));
     let (finished, handed_over) = watch::channel(false);
-    let context = Arc::new(build_context(settings, &listeners, view)?);
+    let (peers, news) = PeerPool::new();
+    let context = Arc::new(build_context(settings, &listeners, peers, view)?);
+    tokio::spawn(watch_peers(context.clone(), news));
     let arguments = ControlArguments { context: context.clone(), view: view_sender, finished };
     let (actor, _) = Actor::spawn(None, ControlActor, arguments)
         .await
@@ -112,6 +115,7 @@
 fn build_context(
     settings: Settings,
     listeners: &NodeListeners,
+    peers: PeerPool,
     view: watch::Receiver<Arc<NodeView>>,
 ) -> Result<NodeContext, NodeError> {
     let now = BootTime::now();
@@ -145,11 +149,12 @@
     Ok(NodeContext {
         counters: Arc::new(CounterSet::default()),
         store: Arc::new(store),
-        peers: PeerPool::new(),
+        peers,
         control: Mutex::new(ControlState::new(options, now)),
         router: Mutex::new(Router::new(Arc::default(), zone.as_str(), random_seed, now)),
         control_actor: OnceLock::new(),
         holders: HolderRegistry::default(),
+        unusable_peers: Mutex::default(),
         stopping: AtomicBool::new(false),
         in_flight: Arc::new(Semaphore::new(settings.limits.in_flight)),
         view,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod operators;
 mod order;
+mod peer_watch;
 mod peers;
 mod problem;
 mod search;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,20 +1,25 @@
 //! Calls to peer nodes: one kept connection per address.
 
 use std::{
+    convert::Infallible,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
 };
 
 use h2::{Ping, PingPong, client::SendRequest};
 use indexmap::IndexMap;
+use strum::Display;
 use tokio::{
     net::TcpStream,
-    sync::{Mutex as AsyncMutex, watch},
-    time::{sleep, timeout},
+    sync::{
+        Mutex as AsyncMutex, Notify,
+        mpsc::{self, UnboundedReceiver, UnboundedSender},
+        oneshot, watch,
+    },
+    time::{Instant, sleep, timeout},
 };
 
 use bytes::Bytes;
@@ -24,34 +29,80 @@
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
     stream::{
-        CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_INTERVAL, PING_TIMEOUT,
-        STREAM_WINDOW_BYTES, lost, not_sent, read_frame,
+        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_INTERVAL,
+        PING_SLOW, PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent, read_frame,
     },
 };
 
+/// What the pool knows of a peer's health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum PeerHealth {
+    /// It answers probes.
+    Reachable,
+    /// A probe is late; calls in flight may still be answered.
+    Suspect,
+    /// It can't be connected, or its connection was given up.
+    Unreachable,
+}
+
+/// A change of a peer's health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerNews {
+    /// The peer.
+    pub address: SocketAddr,
+    /// Its health.
+    pub health: PeerHealth,
+}
+
 /// Connections to peer nodes, one per address, opened on first use.
 ///
 /// Dropping the future of a call resets its stream, which cancels the call at
 /// the peer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerPool {
-    slots: Mutex<IndexMap<SocketAddr, Arc<AsyncMutex<Option<PeerConnection>>>>>,
+    news: UnboundedSender<PeerNews>,
+    slots: Mutex<IndexMap<SocketAddr, Arc<AsyncMutex<PeerSlot>>>>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
 }
 
+/// What is known of the connection to one address.
+#[derive(Debug, Default)]
+enum PeerSlot {
+    /// Nothing was tried yet.
+    #[default]
+    Empty,
+    /// A connection was opened; it may have died since.
+    Open(PeerConnection),
+    /// The last attempt failed.
+    Failed {
+        /// When the next attempt may start.
+        retry_at: Instant,
+    },
+}
+
 #[derive(Clone, Debug)]
 struct PeerConnection {
     sender: SendRequest<Bytes>,
     /// Becomes `true` when the connection is closed or its peer is silent.
     dead: watch::Receiver<bool>,
+    /// Asks for a probe ahead of the interval.
+    suspicion: Arc<Notify>,
 }
 
 impl PeerPool {
-    /// Builds an empty pool.
+    /// Builds an empty pool that reports the health of its peers.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new() -> (Self, UnboundedReceiver<PeerNews>) {
+        let (news, receiver) = mpsc::unbounded_channel();
+        let pool = Self {
+            news,
+            slots: Mutex::default(),
+            sent_bytes: AtomicU64::new(0),
+            received_bytes: AtomicU64::new(0),
+        };
+        (pool, receiver)
     }
 
     /// Body bytes sent and received so far.
@@ -71,6 +122,9 @@
 
     /// Sends one request and waits for its reply.
     ///
+    /// A peer that does not reply is probed; when the probe stays unanswered
+    /// too, all calls on the connection end at once.
+    ///
     /// # Errors
     ///
     /// `NotSent` when no byte of the request left, `Lost` when it was sent and
@@ -84,6 +138,7 @@
         let connection = self.connection(address).await?;
         self.sent_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
         let mut dead = connection.dead.clone();
+        let suspicion = connection.suspicion.clone();
         // A reply that came in together with the end of the connection counts.
         tokio::select! {
             biased;
@@ -96,31 +151,62 @@
                 let message = format!("connection to peer {address} went silent or closed");
                 Err(WireError::new(WireErrorKind::Lost, message))
             }
+            never = suspect(&suspicion) => match never {},
         }
     }
 
+    /// Finds out whether a peer can be connected, unless a connection is open.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` when it can't.
+    pub async fn check(&self, address: SocketAddr) -> Result<(), WireError> {
+        self.connection(address).await.map(|_| ())
+    }
+
     async fn connection(&self, address: SocketAddr) -> Result<PeerConnection, WireError> {
         let slot = {
             let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
             slots.entry(address).or_default().clone()
         };
         let mut slot = slot.lock().await;
-        if let Some(connection) = slot.as_ref()
-            && !*connection.dead.borrow()
-        {
-            return Ok(connection.clone());
+        match &*slot {
+            PeerSlot::Open(connection) if !*connection.dead.borrow() => {
+                return Ok(connection.clone());
+            }
+            PeerSlot::Failed { retry_at } if Instant::now() < *retry_at => {
+                let message = format!("peer {address} could not be connected a moment ago");
+                return Err(WireError::new(WireErrorKind::NotSent, message));
+            }
+            _ => {}
         }
-        let connection = connect(address).await?;
-        *slot = Some(connection.clone());
-        Ok(connection)
+        // A call that is dropped while it connects counts as a failed attempt.
+        *slot = PeerSlot::Failed { retry_at: Instant::now() + CONNECT_PAUSE };
+        let connection = connect(address, self.news.clone()).await;
+        *slot = match &connection {
+            Ok(connection) => PeerSlot::Open(connection.clone()),
+            Err(_) => {
+                tell(&self.news, address, PeerHealth::Unreachable);
+                PeerSlot::Failed { retry_at: Instant::now() + CONNECT_PAUSE }
+            }
+        };
+        connection
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<PeerConnection, WireError> {
+fn tell(news: &UnboundedSender<PeerNews>, address: SocketAddr, health: PeerHealth) {
+    // A failed send means that nobody wants the news.
+    let _ = news.send(PeerNews { address, health });
+}
+
+async fn connect(
+    address: SocketAddr,
+    news: UnboundedSender<PeerNews>,
+) -> Result<PeerConnection, WireError> {
     let fail = |text: String| {
         WireError::new(WireErrorKind::NotSent, format!("connect to peer {address}: {text}"))
     };
-    let handshake = async {
+    let opened = async {
         let socket = TcpStream::connect(address).await.map_err(|error| fail(error.to_string()))?;
         socket.set_nodelay(true).map_err(|error| fail(error.to_string()))?;
         h2::client::Builder::new()
@@ -131,33 +217,77 @@
             .await
             .map_err(|error| fail(error.to_string()))
     };
-    let (sender, mut connection) = timeout(CONNECT_TIMEOUT, handshake)
+    let (sender, mut connection) = timeout(CONNECT_TIMEOUT, opened)
         .await
         .map_err(|_| fail(format!("no answer within {CONNECT_TIMEOUT:?}")))??;
     let (dead_sender, dead) = watch::channel(false);
+    let (pong_sender, pong) = oneshot::channel();
+    let suspicion = Arc::new(Notify::new());
     let pings = connection.ping_pong();
+    let probe_suspicion = suspicion.clone();
     tokio::spawn(async move {
+        let report = |health| tell(&news, address, health);
         tokio::select! {
             _ = connection => {}
-            () = probe(pings) => {}
+            () = probe(pings, &probe_suspicion, pong_sender, &report) => {}
         }
+        report(PeerHealth::Unreachable);
         // The receivers may all be gone, and then nobody needs the news.
         let _ = dead_sender.send(true);
     });
-    Ok(PeerConnection { sender, dead })
+    // The kernel accepts connections for a process that is frozen, so that only
+    // a pong shows that the peer works.
+    match timeout(CONNECT_TIMEOUT, pong).await {
+        Ok(Ok(())) => Ok(PeerConnection { sender, dead, suspicion }),
+        _ => Err(fail("no pong".to_owned())),
+    }
 }
 
-/// Sends keep-alive probes until one stays unanswered.
-async fn probe(pings: Option<PingPong>) {
-    let Some(mut pings) = pings else {
-        return std::future::pending().await;
-    };
+/// Sends keep-alive probes, one at once, until one stays unanswered.
+async fn probe(
+    pings: Option<PingPong>,
+    suspicion: &Notify,
+    first: oneshot::Sender<()>,
+    report: &impl Fn(PeerHealth),
+) {
+    let Some(mut pings) = pings else { return };
+    let mut first = Some(first);
+    let mut healthy = false;
     loop {
-        sleep(PING_INTERVAL).await;
-        let answered = timeout(PING_TIMEOUT, pings.ping(Ping::opaque())).await;
+        let pong = timeout(PING_TIMEOUT, pings.ping(Ping::opaque()));
+        tokio::pin!(pong);
+        let early = timeout(PING_SLOW, pong.as_mut()).await;
+        if early.is_err() && healthy {
+            healthy = false;
+            report(PeerHealth::Suspect);
+        }
+        let answered = match early {
+            Ok(answered) => answered,
+            Err(_) => pong.await,
+        };
         if !matches!(answered, Ok(Ok(_))) {
             return;
         }
+        if !healthy {
+            healthy = true;
+            report(PeerHealth::Reachable);
+        }
+        if let Some(first) = first.take() {
+            // A failed send means that nobody waits for the connection any more.
+            let _ = first.send(());
+        }
+        tokio::select! {
+            () = sleep(PING_INTERVAL) => {}
+            () = suspicion.notified() => {}
+        }
+    }
+}
+
+/// Asks for probes while a call stays without a reply; never returns.
+async fn suspect(suspicion: &Notify) -> Infallible {
+    loop {
+        sleep(SUSPECT_AFTER).await;
+        suspicion.notify_one();
     }
 }
 
@@ -166,7 +296,7 @@
     address: SocketAddr,
     frame: Bytes,
 ) -> Result<Bytes, WireError> {
-    let mut sender = timeout(Duration::from_secs(1), sender.ready())
+    let mut sender = timeout(CONNECT_TIMEOUT, sender.ready())
         .await
         .map_err(|_| {
             let message = format!("peer {address} accepts no further stream");
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 mod shard_codec;
 mod stream;
 
-pub use client::PeerPool;
+pub use client::{PeerHealth, PeerNews, PeerPool};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use control::{
     CloseNotice, ConfigCopy, ControlMessage, ControlReply, FetchReply, FetchRequest, GossipDigest,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -19,14 +19,23 @@
 /// Streams that one connection may have open at the same time.
 pub(crate) const MAX_STREAMS: u32 = 16 * 1024;
 
-/// Time to open a connection and finish its handshake.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time to open a connection, finish its handshake and get a first pong.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for which a peer that could not be connected is not tried again.
+pub(crate) const CONNECT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Interval between keep-alive probes of a connection.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time after which an unanswered probe marks the connection as dead.
-pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time after which an unanswered probe makes the peer suspect.
+pub(crate) const PING_SLOW: Duration = Duration::from_millis(50);
+
+/// Time after which a call without a reply asks for a probe.
+pub(crate) const SUSPECT_AFTER: Duration = Duration::from_millis(50);
 
 /// Reads a whole body, which must stay within [`MAX_FRAME_BYTES`].
 pub(crate) async fn read_frame(mut body: RecvStream) -> Result<Bytes, WireError> {
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use carobstep_config::ServerName;
 use carobstep_wire::{
-    Outcome, PeerHandler, PeerPool, PeerReply, PeerRequest, RefusalReason, RequestId, ShardReply,
-    ShardRequest, ShardResult, WireErrorKind, serve_peers,
+    Outcome, PeerHandler, PeerHealth, PeerNews, PeerPool, PeerReply, PeerRequest, RefusalReason,
+    RequestId, ShardReply, ShardRequest, ShardResult, WireErrorKind, serve_peers,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -95,7 +95,7 @@
 #[tokio::test]
 async fn thousands_of_crossed_calls_get_their_own_bodies() {
     let (address, _handler, _stop) = start().await;
-    let pool = Arc::new(PeerPool::new());
+    let pool = Arc::new(PeerPool::new().0);
     let mut calls = Vec::new();
     for id in 0..2_000u128 {
         let pool = pool.clone();
@@ -115,7 +115,7 @@
 #[tokio::test]
 async fn dropping_a_call_cancels_it_at_the_peer() {
     let (address, handler, _stop) = start().await;
-    let pool = PeerPool::new();
+    let (pool, _news) = PeerPool::new();
     let request = shard_request(1, &b"hang"[..]);
     let call = timeout(Duration::from_millis(300), pool.call(address, &request)).await;
     assert!(call.is_err());
@@ -133,7 +133,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let error = PeerPool::new().call(address, &shard_request(1, "x")).await.unwrap_err();
+    let error = PeerPool::new().0.call(address, &shard_request(1, "x")).await.unwrap_err();
     assert_eq!(error.kind(), WireErrorKind::NotSent);
 }
 
@@ -144,15 +144,31 @@
     let front_address = front.local_addr().unwrap();
     let (silence_sender, silence) = watch::channel(false);
     tokio::spawn(relay(front, address, silence));
-    let pool = PeerPool::new();
+    let (pool, mut news) = PeerPool::new();
     pool.call(front_address, &shard_request(1, "x")).await.unwrap();
     silence_sender.send(true).unwrap();
     let error = pool.call(front_address, &shard_request(2, "x")).await.unwrap_err();
     assert_eq!(error.kind(), WireErrorKind::Lost);
+    let order = [PeerHealth::Reachable, PeerHealth::Suspect, PeerHealth::Unreachable];
+    for health in order {
+        assert_eq!(news.recv().await.unwrap(), PeerNews { address: front_address, health });
+    }
     silence_sender.send(false).unwrap();
     pool.call(front_address, &shard_request(3, "x")).await.unwrap();
 }
 
+#[tokio::test]
+async fn a_frozen_peer_that_still_accepts_is_not_sent() {
+    // The listener's backlog completes connections that nobody serves.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (pool, _news) = PeerPool::new();
+    for id in 0..3 {
+        let error = pool.call(address, &shard_request(id, "x")).await.unwrap_err();
+        assert_eq!(error.kind(), WireErrorKind::NotSent);
+    }
+}
+
 /// Forwards connections; a connection that meets `silence` forwards nothing more.
 async fn relay(front: TcpListener, back: SocketAddr, silence: watch::Receiver<bool>) {
     loop {
@@ -174,7 +190,7 @@
 #[tokio::test]
 async fn garbage_is_counted_and_harms_no_other_call() {
     let (address, handler, _stop) = start().await;
-    let pool = PeerPool::new();
+    let (pool, _news) = PeerPool::new();
     let mut socket = TcpStream::connect(address).await.unwrap();
     socket.write_all(&[0xff; 512]).await.unwrap();
     for _ in 0..500 {
@@ -190,7 +206,7 @@
 #[tokio::test]
 async fn a_stopping_listener_finishes_what_is_in_flight() {
     let (address, handler, stop) = start().await;
-    let pool = Arc::new(PeerPool::new());
+    let pool = Arc::new(PeerPool::new().0);
     let call = {
         let pool = pool.clone();
         tokio::spawn(async move { pool.call(address, &shard_request(2, "gate")).await })
