--- a/crates/platform/src/claim.rs
+++ b/crates/platform/src/claim.rs
@@ -90,7 +90,6 @@
 
 /// The value of a claim object.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ClaimRecord {
     /// The caller's idempotency key.
     pub key: String,
