--- a/crates/platform/src/http_store.rs
+++ b/crates/platform/src/http_store.rs
@@ -7,7 +7,10 @@
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     call::{ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind},
@@ -23,6 +26,9 @@
 /// Silence after which a watch counts as broken; the platform sends a line each second.
 const DEFAULT_WATCH_SILENCE: Duration = Duration::from_secs(3);
 
+/// Calls that may be under way at a time, unless the builder is told otherwise.
+const DEFAULT_MAX_CALLS: usize = 64;
+
 /// Options of an [`HttpStore`].
 #[derive(Clone, Debug)]
 pub struct HttpStoreBuilder {
@@ -30,6 +36,7 @@
     zone: Option<ZoneName>,
     timeout: Duration,
     watch_silence: Duration,
+    max_calls: usize,
 }
 
 impl HttpStoreBuilder {
@@ -54,6 +61,16 @@
         self
     }
 
+    /// Sets how many calls may be under way at a time; watches don't count.
+    ///
+    /// A call beyond that waits for its turn, and is not sent when its time is
+    /// up first. Callers that must not wait for one another use a store each.
+    #[must_use]
+    pub const fn max_calls(mut self, max_calls: usize) -> Self {
+        self.max_calls = max_calls;
+        self
+    }
+
     /// Builds the store; nothing is connected yet.
     #[must_use]
     pub fn build(self) -> HttpStore {
@@ -62,6 +79,7 @@
             zone: self.zone.and_then(|zone| HeaderValue::from_str(zone.as_str()).ok()),
             timeout: self.timeout,
             watch_silence: self.watch_silence,
+            turns: Semaphore::new(self.max_calls),
         }
     }
 }
@@ -73,6 +91,7 @@
     zone: Option<HeaderValue>,
     timeout: Duration,
     watch_silence: Duration,
+    turns: Semaphore,
 }
 
 impl HttpStore {
@@ -84,6 +103,7 @@
             zone: None,
             timeout: DEFAULT_CALL_TIMEOUT,
             watch_silence: DEFAULT_WATCH_SILENCE,
+            max_calls: DEFAULT_MAX_CALLS,
         }
     }
 
@@ -171,6 +191,10 @@
     async fn call(&self, call: ObjectCall) -> Result<ObjectReply, StoreError> {
         let request = self.finish_request(exchange::request_of(&call)?);
         let deadline = Instant::now() + self.timeout;
+        let Ok(_turn) = timeout_at(deadline, self.turns.acquire()).await else {
+            let message = format!("platform {}: too many calls under way", self.pool.address());
+            return Err(StoreError::new(StoreErrorKind::NotSent, message));
+        };
         let reply = self.exchange(request, deadline).await?;
         exchange::reply_of(&call, &reply)
     }
--- a/crates/platform/tests/error_kinds.rs
+++ b/crates/platform/tests/error_kinds.rs
@@ -328,3 +328,14 @@
     assert_eq!(error.kind(), StoreErrorKind::AnswerLost, "{error}");
     store.call(call_of(Subject::Get)).await.unwrap();
 }
+
+#[tokio::test]
+async fn a_call_that_does_not_get_its_turn_is_not_sent() {
+    let address = start_fake(Script::SendAndHang("")).await;
+    for (max_calls, expected) in [(0, StoreErrorKind::NotSent), (1, StoreErrorKind::AnswerLost)] {
+        let builder = HttpStore::builder(address).timeout(CALL_TIMEOUT);
+        let store = builder.max_calls(max_calls).build();
+        let error = store.call(call_of(Subject::Put)).await.unwrap_err();
+        assert_eq!(error.kind(), expected, "{error}");
+    }
+}
