Serve callers while the node stops; widen the margin after a cancellation

Being not ready is for the balancer only.

The stand-in stops cancelled work when its task is scheduled, so that the margin of 10 ms was short of the scheduling delay; it is 20 ms now.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -51,7 +51,8 @@
     ) -> Result<Response<AnswerBody>, Problem> {
         let (head, body) = request.into_parts();
         let target = find_target(&head.method, head.uri.path())?;
-        if !self.context.latest_view().ready {
+        // A stopping node is not ready for the balancer, but it serves what still comes.
+        if !self.context.latest_view().ready && !self.is_stopping() {
             let detail = format!("node {} has no configuration yet", self.context.settings.node);
             return Err(
                 not_run(RefusalReason::NotReady, detail).with_retry_after(DEFAULT_RETRY_AFTER)
--- a/crates/node/src/holder/actor.rs
+++ b/crates/node/src/holder/actor.rs
@@ -39,7 +39,7 @@
 
 /// How long a server may go on with a cancelled request after it closed its
 /// end of the connection.
-const CANCEL_MARGIN: Duration = Duration::from_millis(10);
+const CANCEL_MARGIN: Duration = Duration::from_millis(20);
 
 /// Idle connections kept beyond one per slot.
 const SPARE_CONNECTIONS: u16 = 1;
