Look into the history before writing to it, and test the client over sockets

A create-only write whose answer is lost says nothing. With writes slower than the bound of a call, submitting used up its tries on archiving the base, which had been there all along. The history is now read first; in the usual case that costs the same number of calls.

--- a/crates/client/src/follow.rs
+++ b/crates/client/src/follow.rs
@@ -19,6 +19,9 @@
 /// Pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest time without a line of progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
+
 /// How far a configuration has spread.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct SpreadProgress {
@@ -104,11 +107,14 @@
     let start = Instant::now();
     let mut roster = NodeRoster::read(store).await?;
     let mut shown = None;
+    let mut shown_at = Duration::ZERO;
     loop {
         let progress = SpreadProgress::new(version, &roster.ask(api, "/v1/status").await);
         let elapsed = start.elapsed();
-        if shown.as_ref() != Some(&progress) {
+        let is_due = elapsed >= shown_at + PROGRESS_INTERVAL;
+        if is_due || shown.as_ref() != Some(&progress) {
             print(printer, &progress.report(elapsed))?;
+            shown_at = elapsed;
         }
         if progress.is_complete() {
             return Ok(());
--- a/crates/client/src/nodes.rs
+++ b/crates/client/src/nodes.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1;
+use hyper::{body::Body, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::{net::TcpStream, time};
@@ -61,6 +61,9 @@
     if !status.is_success() {
         return Err(NodeSilence(format!("status {status}")));
     }
+    if answer.body().size_hint().lower() > MAX_ANSWER_BYTES as u64 {
+        return Err(NodeSilence(format!("answer is longer than {MAX_ANSWER_BYTES} bytes")));
+    }
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
     let bytes = body.collect().await.map_err(|error| silence(&error))?.to_bytes();
     driver.abort();
--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -6,6 +6,7 @@
     path::Path,
     process::ExitCode,
     sync::Arc,
+    time::Duration,
 };
 
 use carobstep_config::{Patch, PatchDocument};
@@ -27,6 +28,10 @@
 /// Largest file that a command reads, in bytes.
 const MAX_FILE_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Bound of one call to the platform; longer than that of the nodes, since an
+/// operator would rather wait than learn of a slow platform.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Runs the command line without the program's name.
 #[must_use]
 pub fn main(args: &[String]) -> ExitCode {
@@ -72,7 +77,7 @@
         .wrap_err("start the runtime")?;
     let mut printer = ReportPrinter::new(format, &mut out);
     let running = async {
-        let store = HttpStore::builder(platform).build();
+        let store = HttpStore::builder(platform).timeout(CALL_TIMEOUT).build();
         run_command(command, &store, &Arc::new(HttpNodeApi), &mut printer).await
     };
     Ok(runtime.block_on(running)?)
--- a/crates/client/src/submission.rs
+++ b/crates/client/src/submission.rs
@@ -32,11 +32,13 @@
 #[strum(serialize_all = "snake_case")]
 enum SubmitPhase {
     Reading,
+    Checking,
     Archiving,
     Writing,
     Settling,
     Comparing,
     Recording,
+    Confirming,
     Finished,
 }
 
@@ -48,6 +50,7 @@
     OwnFound,
     OwnConfirmed,
     Archived,
+    Unarchived,
     Written,
     Failed,
     Ended,
@@ -177,9 +180,13 @@
             (SubmitPhase::Reading, ObjectReply::Missing) => {
                 self.finish(SubmitOutcome::NoConfiguration)
             }
-            (SubmitPhase::Archiving, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
+            (SubmitPhase::Checking, ObjectReply::Found(_))
+            | (SubmitPhase::Archiving, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
                 self.proceed(SubmitEvent::Archived)
             }
+            (SubmitPhase::Checking | SubmitPhase::Confirming, ObjectReply::Missing) => {
+                self.proceed(SubmitEvent::Unarchived)
+            }
             (SubmitPhase::Writing, ObjectReply::Written(_)) => self.on_written(),
             (SubmitPhase::Writing, ObjectReply::ConditionFailed) => {
                 self.retry("the platform refused the write but shows no newer version")
@@ -194,7 +201,8 @@
             (SubmitPhase::Comparing, ObjectReply::Missing) => {
                 self.proceed(SubmitEvent::OwnConfirmed)
             }
-            (SubmitPhase::Recording, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
+            (SubmitPhase::Confirming, ObjectReply::Found(_))
+            | (SubmitPhase::Recording, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
                 self.finish_accepted(true)
             }
             (phase, reply) => {
@@ -310,7 +318,7 @@
 
     fn give_up(&mut self, reason: String) -> SubmitStep {
         match self.phase {
-            SubmitPhase::Recording => self.finish_accepted(false),
+            SubmitPhase::Recording | SubmitPhase::Confirming => self.finish_accepted(false),
             _ if self.doubtful => self.finish(SubmitOutcome::Unknown(reason)),
             _ => self.finish(SubmitOutcome::Unavailable(reason)),
         }
@@ -344,8 +352,12 @@
     fn call(&self, pause: Duration) -> SubmitStep {
         let base = self.patch.base;
         let call = match (self.phase, &self.plan, &self.accepted) {
-            (SubmitPhase::Settling, ..) => get(ObjectKind::History, &base.next().to_string()),
-            (SubmitPhase::Comparing, ..) => get(ObjectKind::History, &base.to_string()),
+            (SubmitPhase::Settling | SubmitPhase::Confirming, ..) => {
+                get(ObjectKind::History, &base.next().to_string())
+            }
+            (SubmitPhase::Checking | SubmitPhase::Comparing, ..) => {
+                get(ObjectKind::History, &base.to_string())
+            }
             (SubmitPhase::Archiving, Some(plan), _) => archive(&plan.before),
             (SubmitPhase::Writing, Some(plan), _) => ObjectCall::Put {
                 kind: ObjectKind::Config,
--- a/crates/client/src/tables.rs
+++ b/crates/client/src/tables.rs
@@ -16,6 +16,9 @@
     platform::{current, list, list_vms},
 };
 
+/// State of a grant whose holder has given it up.
+const RELEASED_STATE: &str = "released";
+
 #[derive(Serialize)]
 struct NodeRow {
     node: String,
@@ -127,16 +130,27 @@
     holder: Option<String>,
     incarnation: Option<u64>,
     epoch: Option<u64>,
+    state: Option<String>,
+}
+
+impl GrantRow {
+    /// The holder, unless it has released the grant.
+    fn present_holder(self) -> Option<String> {
+        let released = self.state.as_deref() == Some(RELEASED_STATE);
+        self.holder.filter(|_| !released)
+    }
 }
 
 impl From<&StoredObject> for GrantRow {
     fn from(object: &StoredObject) -> Self {
         let number = |key: &str| object.value.get(key).and_then(Value::as_u64);
+        let text = |key: &str| object.value.get(key).and_then(Value::as_str).map(str::to_owned);
         Self {
             server: object.name.clone(),
-            holder: object.value.get("holder").and_then(Value::as_str).map(str::to_owned),
+            holder: text("holder"),
             incarnation: number("incarnation"),
             epoch: number("epoch"),
+            state: text("state"),
         }
     }
 }
@@ -150,13 +164,14 @@
     let mut rows: Vec<_> =
         list(store, ObjectKind::Grant).await?.iter().map(GrantRow::from).collect();
     rows.sort_by(|one, other| one.server.cmp(&other.server));
-    let mut table = TextTable::new(&["SERVER", "HOLDER", "INCARNATION", "EPOCH"]);
+    let mut table = TextTable::new(&["SERVER", "HOLDER", "STATE", "EPOCH", "INCARNATION"]);
     for row in &rows {
         table.push([
             row.server.clone(),
             cell(row.holder.as_ref()),
-            cell(row.incarnation),
+            cell(row.state.as_ref()),
             cell(row.epoch),
+            cell(row.incarnation),
         ]);
     }
     Ok(CommandReport::from_rows(&table, &rows))
@@ -183,8 +198,11 @@
 pub async fn servers(store: &impl ObjectStore) -> Result<CommandReport, ClientError> {
     let topology = topology(store).await?;
     let grants = list(store, ObjectKind::Grant).await?;
-    let holders: IndexMap<String, Option<String>> =
-        grants.iter().map(GrantRow::from).map(|row| (row.server, row.holder)).collect();
+    let holders: IndexMap<String, Option<String>> = grants
+        .iter()
+        .map(GrantRow::from)
+        .map(|row| (row.server.clone(), row.present_holder()))
+        .collect();
     let vms: IndexMap<String, VmState> =
         list_vms(store).await?.into_iter().map(|record| (record.name, record.state)).collect();
     let mut rows = Vec::new();
--- a/crates/client/tests/client/commands.rs
+++ b/crates/client/tests/client/commands.rs
@@ -1,6 +1,6 @@
 //! Whole commands against a platform and nodes in memory.
 
-use std::{fs, path::PathBuf, sync::Arc};
+use std::sync::Arc;
 
 use carobstep_client::{ClientError, CommandLine, ExitStatus, ReportPrinter, run_command};
 use carobstep_platform::{ObjectKind, VmRecord, VmRole, VmState};
@@ -8,29 +8,12 @@
 
 use crate::support::{
     CallFault::{self, AnswerLost, Answered, NotSent, RequestLost},
-    EXAMPLE, FakeNodes, FakePlatform, status,
+    EXAMPLE, FakeNodes, FakePlatform, ScratchFile, status,
 };
 
 /// Arguments that every run adds.
 const PLATFORM: [&str; 2] = ["--platform", "127.0.0.1:1"];
 
-/// A scratch file that is deleted at the end of its test.
-struct ScratchFile(PathBuf);
-
-impl ScratchFile {
-    fn new(name: &str, text: &str) -> Self {
-        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        fs::write(&path, text).unwrap();
-        Self(path)
-    }
-}
-
-impl Drop for ScratchFile {
-    fn drop(&mut self) {
-        let _ = fs::remove_file(&self.0);
-    }
-}
-
 async fn run(
     platform: &FakePlatform,
     nodes: &Arc<FakeNodes>,
@@ -153,7 +136,7 @@
         let platform = FakePlatform::with_example();
         platform.fail(case.faults);
         let file = ScratchFile::new(&format!("submit-{}.jsonc", case.name), case.text);
-        let path = file.0.to_str().unwrap();
+        let path = file.path();
         let args = ["submit", "--base", case.base, "--merge", path, "--id", "p1"];
         match (run_alone(&platform, &args).await, case.expected) {
             (Ok(text), Ok(part)) => assert!(text.contains(part), "{}: {text}", case.name),
@@ -171,7 +154,7 @@
 async fn conflict_shows_both_versions() {
     let platform = FakePlatform::with_example();
     let file = ScratchFile::new("conflict.jsonc", MERGE);
-    let path = file.0.to_str().unwrap();
+    let path = file.path();
     let args = ["submit", "--base", "1", "--merge", path, "--author"];
     run_alone(&platform, &[&args[..], &["ann"]].concat()).await.expect("the first patch");
     let error = run_alone(&platform, &[&args[..], &["bob"]].concat()).await.expect_err("conflict");
@@ -187,7 +170,7 @@
 async fn versions_are_shown_compared_and_listed() {
     let platform = FakePlatform::with_example();
     let file = ScratchFile::new("versions.jsonc", r#"{"indexes": {"garments": null}}"#);
-    let path = file.0.to_str().unwrap();
+    let path = file.path();
     let submit = ["submit", "--base", "1", "--merge", path, "--id", "p2", "--author", "ann"];
     run_alone(&platform, &submit).await.expect("the patch");
 
@@ -229,8 +212,9 @@
 #[tokio::test]
 async fn zones_grants_servers_and_counters() {
     let (platform, nodes) = fleet();
-    let grant = json!({"holder": "n1", "incarnation": 4, "epoch": 9});
-    platform.store(ObjectKind::Grant, "orders-a", grant);
+    let grant = |state| json!({"holder": "n1", "incarnation": 4, "epoch": 9, "state": state});
+    platform.store(ObjectKind::Grant, "orders-a", grant("held"));
+    platform.store(ObjectKind::Grant, "orders-b", grant("released"));
     let zones = run(&platform, &nodes, &["zones"]).await.unwrap();
     let expected = "\
 ZONE     NODES  ANSWERING  SERVERS  SLOTS  CONNECTIONS
@@ -239,11 +223,17 @@
 ";
     assert_eq!(zones, expected);
     let grants = run(&platform, &nodes, &["grants"]).await.unwrap();
-    assert!(grants.ends_with("\norders-a  n1      4            9\n"), "{grants}");
+    let expected = "\
+SERVER    HOLDER  STATE     EPOCH  INCARNATION
+orders-a  n1      held      9      4
+orders-b  n1      released  9      4
+";
+    assert_eq!(grants, expected);
     let servers = run(&platform, &nodes, &["servers", "--json"]).await.unwrap();
     let servers: Value = serde_json::from_str(&servers).unwrap();
     assert_eq!(servers[2]["server"], "orders-a");
     assert_eq!(servers[2]["holder"], "n1");
+    assert_eq!(servers[3]["holder"], Value::Null);
     assert_eq!(servers[3]["state"], "draining");
     let counters = run(&platform, &nodes, &["counters"]).await.unwrap();
     assert!(counters.contains("\nqueued          2\n"), "{counters}");
@@ -273,7 +263,7 @@
 #[tokio::test(start_paused = true)]
 async fn init_stores_once() {
     let file = ScratchFile::new("init.jsonc", EXAMPLE);
-    let path = file.0.to_str().unwrap();
+    let path = file.path();
     for faults in [&[][..], &[AnswerLost], &[RequestLost], &[NotSent]] {
         let platform = FakePlatform::default();
         platform.fail(faults);
@@ -331,7 +321,7 @@
         platform.store(ObjectKind::Manifest, "garments", published.clone());
         platform.fail(&[Answered, Answered, AnswerLost]);
         let file = ScratchFile::new(&format!("publish-{}.jsonc", case.name), case.text);
-        let args = ["publish", "garments", file.0.to_str().unwrap()];
+        let args = ["publish", "garments", file.path()];
         let found = run_alone(&platform, &args).await;
         let found = found.map_err(|error| (error.status(), error.to_string()));
         let expected = case.expected.map(str::to_owned);
--- a/crates/client/tests/client/main.rs
+++ b/crates/client/tests/client/main.rs
@@ -2,5 +2,6 @@
 
 mod command_line;
 mod commands;
+mod edges;
 mod submission;
 mod support;
--- a/crates/client/tests/client/support.rs
+++ b/crates/client/tests/client/support.rs
@@ -2,7 +2,9 @@
 
 use std::{
     collections::VecDeque,
+    fs,
     net::SocketAddr,
+    path::PathBuf,
     sync::{LazyLock, Mutex},
 };
 
@@ -274,3 +276,26 @@
     })
     .unwrap()
 }
+
+/// A scratch file that is deleted at the end of its test.
+pub struct ScratchFile(PathBuf);
+
+impl ScratchFile {
+    /// Writes a file of the build's directory for temporary files.
+    pub fn new(name: &str, text: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    /// Its path as an argument.
+    pub fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for ScratchFile {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
