--- a/crates/client/tests/client/main.rs
+++ b/crates/client/tests/client/main.rs
@@ -3,5 +3,6 @@
 mod command_line;
 mod commands;
 mod edges;
+mod pages;
 mod submission;
 mod support;
--- a/crates/config/src/jsonc.rs
+++ b/crates/config/src/jsonc.rs
@@ -1,6 +1,6 @@
 //! JSON with comments: comments and trailing commas, nothing else beyond JSON.
 
-use std::fmt;
+use std::{collections::HashSet, fmt};
 
 use jsonc_parser::{
     CollectOptions, ParseOptions, ast, errors::ParseError, parse_to_ast, parse_to_serde_value,
@@ -64,11 +64,46 @@
 ///
 /// # Errors
 ///
-/// Fails when the text is empty or malformed.
+/// Fails when the text is malformed, and when a member stands twice in an
+/// object: the earlier of the two would be lost without a word.
 pub fn parse_jsonc(text: &str) -> Result<Value, JsoncError> {
+    if let Some(tree) = parse_tree(text)? {
+        refuse_twins(&tree, text)?;
+    }
     Ok(parse_to_serde_value(text, &PARSE_OPTIONS)?)
 }
 
+fn refuse_twins(tree: &ast::Value<'_>, text: &str) -> Result<(), JsoncError> {
+    match tree {
+        ast::Value::Object(object) => {
+            let mut seen = HashSet::with_capacity(object.properties.len());
+            for property in &object.properties {
+                if !seen.insert(property.name.as_str()) {
+                    return Err(twin_error(property, text));
+                }
+                refuse_twins(&property.value, text)?;
+            }
+        }
+        ast::Value::Array(array) => {
+            for element in &array.elements {
+                refuse_twins(element, text)?;
+            }
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+fn twin_error(property: &ast::ObjectProp<'_>, text: &str) -> JsoncError {
+    let start = property.range.start;
+    let line_start = text[..start].rfind('\n').map_or(0, |newline| newline + 1);
+    JsoncError {
+        line: LineIndex::from(text).line(start),
+        column: text[line_start..start].chars().count() + 1,
+        message: format!("member {:?} stands twice", property.name.as_str()),
+    }
+}
+
 /// Parses JSON with comments into a tree that knows where each value stands.
 pub(crate) fn parse_tree(text: &str) -> Result<Option<ast::Value<'_>>, JsoncError> {
     let result = parse_to_ast(text, &CollectOptions::default(), &PARSE_OPTIONS)?;
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -71,6 +71,10 @@
         r#"{"services": {"s": {"deadline_ms": 1, "hedge": {"hedge_percent": 101}, "servers": {}}}}"#,
         "/services/s/servers: lists no server; /services/s/hedge/hedge_percent: 101 is not a percentage",
     },
+    twice = {
+        "{\"indexes\": {\n  \"i\": {\"deadline_ms\": 1}, \"i\": {\"deadline_ms\": 2}}}",
+        "line 2 column 28: member \"i\" stands twice",
+    },
     syntax = { "{\n\"services\": ]", "line 2 column 13: Unexpected close bracket" },
 )]
 fn document_fault(text: &str, expected: &str) {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use carobstep_config::{LogLevel, Settings};
+use carobstep_config::{LogLevel, Settings, parse_jsonc};
 use yare::parameterized;
 
 const EXAMPLE: &str = include_str!("../../../examples/carobstepd.jsonc");
 
+const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
+
 const LEAST: &str = r#"{
   "node": "n1", "region": "r1", "zone": "z1",
   "callers": "127.0.0.1:1", "operators": "127.0.0.1:2",
@@ -122,3 +124,18 @@
     let error = Settings::parse("f", text).expect_err("a fault");
     assert_eq!(error.to_string(), expected);
 }
+
+#[test]
+fn page_lists_every_key_and_default() {
+    let example = parse_jsonc(EXAMPLE).expect("example settings");
+    for (key, value) in example.as_object().expect("an object") {
+        let Some(section) = value.as_object() else {
+            assert!(PAGE.contains(&format!("| `{key}` |")), "{key}");
+            continue;
+        };
+        for (name, value) in section {
+            let row = format!("| `{key}.{name}` | {value} |");
+            assert!(PAGE.contains(&row), "{row}");
+        }
+    }
+}
