Remove old versions from the history on request

Patches in place of whole configurations were ruled out: the form of a history object is fixed by API.md.

A stale base that the history no longer reaches is a conflict when the patch id is new, and unknown when it was given, since it may have been used before.

--- a/crates/client/src/command.rs
+++ b/crates/client/src/command.rs
@@ -17,6 +17,9 @@
 /// Time that `follow` waits unless told otherwise.
 const DEFAULT_FOLLOW: Duration = Duration::from_secs(60);
 
+/// Least versions that `prune` keeps; submissions read the newest ones.
+const MIN_KEPT: u64 = 100;
+
 /// Longest time that `follow` may be told to wait, in seconds.
 const MAX_FOLLOW_SECONDS: u64 = 86_400;
 
@@ -48,6 +51,8 @@
     Init,
     /// See [`OperatorCommand::Publish`].
     Publish,
+    /// See [`OperatorCommand::Prune`].
+    Prune,
 }
 
 impl CommandName {
@@ -63,6 +68,7 @@
             Self::Counters => "[--node NAME]",
             Self::Init => "FILE [--id ID] [--author A]",
             Self::Publish => "INDEX FILE",
+            Self::Prune => "--keep N",
         }
     }
 
@@ -80,6 +86,7 @@
             Self::Counters => "show refusal, retry and event counters",
             Self::Init => "store the first configuration",
             Self::Publish => "publish the manifest of an index",
+            Self::Prune => "remove all but the newest N versions from the history",
         }
     }
 
@@ -92,6 +99,7 @@
             Self::Follow => &["at", "timeout"],
             Self::Counters => &["node"],
             Self::Init => &["id", "author"],
+            Self::Prune => &["keep"],
             Self::Diff
             | Self::Nodes
             | Self::Zones
@@ -133,8 +141,8 @@
         format: PatchFormat,
         /// File that holds the patch; `-` is the standard input.
         path: PathBuf,
-        /// Identifier of the patch.
-        id: PatchId,
+        /// Identifier of the patch, or `None` for a random one.
+        id: Option<PatchId>,
         /// Who submits it.
         author: AuthorName,
     },
@@ -167,8 +175,8 @@
     Init {
         /// File that holds the document; `-` is the standard input.
         path: PathBuf,
-        /// Identifier to record.
-        id: PatchId,
+        /// Identifier to record, or `None` for a random one.
+        id: Option<PatchId>,
         /// Who stores it.
         author: AuthorName,
     },
@@ -179,6 +187,11 @@
         /// File that holds the manifest; `-` is the standard input.
         path: PathBuf,
     },
+    /// Removes old versions from the history.
+    Prune {
+        /// Versions to keep.
+        keep: u64,
+    },
 }
 
 /// A checked command line.
@@ -259,6 +272,7 @@
     flags.optopt("", "id", "identifier of the patch [a random one]", "ID");
     flags.optopt("", "author", "who submits [the environment's USER]", "A");
     flags.optopt("", "count", "most versions to list [20]", "N");
+    flags.optopt("", "keep", "versions to keep, at least 100", "N");
     flags.optopt("", "timeout", "longest wait in seconds [60]", "S");
     flags.optopt("", "node", "show one node only", "NAME");
     flags.optflag("h", "help", "print this help");
@@ -325,6 +339,10 @@
             index: operands[0].clone(),
             path: PathBuf::from(&operands[1]),
         },
+        CommandName::Prune => {
+            let keep = number_flag(matches, "keep", MIN_KEPT..=u64::MAX)?;
+            OperatorCommand::Prune { keep: keep.ok_or_else(|| usage("--keep is missing"))? }
+        }
     };
     Ok(command)
 }
@@ -344,9 +362,9 @@
     })
 }
 
-fn patch_id(matches: &Matches) -> Result<PatchId, ClientError> {
-    let id = matches.opt_str("id").unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
-    PatchId::try_from(id).map_err(|error| usage(error.to_string()))
+fn patch_id(matches: &Matches) -> Result<Option<PatchId>, ClientError> {
+    let id = matches.opt_str("id").map(PatchId::try_from).transpose();
+    id.map_err(|error| usage(error.to_string()))
 }
 
 fn author(matches: &Matches) -> Result<AuthorName, ClientError> {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -22,6 +22,7 @@
 mod nodes;
 mod output;
 mod platform;
+mod prune;
 mod publish;
 mod run;
 mod submission;
--- /dev/null
+++ b/crates/client/src/prune.rs
@@ -0,0 +1,92 @@
+//! Removes old versions from the history.
+//!
+//! The oldest go first, so that what is left is always one run of versions up
+//! to the one in force, also when a run is cut short. That makes the oldest
+//! one findable by bisection.
+
+use std::time::Duration;
+
+use carobstep_config::ConfigVersion;
+use carobstep_platform::{ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoreErrorKind};
+use serde_json::json;
+use tokio::time;
+
+use crate::{
+    error::{ClientError, ExitStatus},
+    output::CommandReport,
+    platform::{current, get, unexpected},
+};
+
+/// Tries for each version.
+const REMOVE_ATTEMPTS: u32 = 6;
+
+/// Pause between two tries.
+const REMOVE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Removes every version but the newest `keep`.
+///
+/// # Errors
+///
+/// Fails when the platform does; what was removed until then stays removed.
+pub async fn prune(store: &impl ObjectStore, keep: u64) -> Result<CommandReport, ClientError> {
+    let newest = current(store).await?.version.0;
+    let first_kept = newest.saturating_sub(keep.saturating_sub(1)).max(1);
+    let oldest = oldest_version(store, newest).await?;
+    for version in oldest..first_kept {
+        remove(store, ConfigVersion(version)).await.map_err(|error| {
+            let message = format!("{error}; removed {} versions", version - oldest);
+            ClientError::new(error.status(), message)
+        })?;
+    }
+    let removed = first_kept.saturating_sub(oldest);
+    let left = oldest.max(first_kept);
+    let plain = format!("removed {removed} versions; versions {left} to {newest} are left");
+    let value = json!({"removed": removed, "oldest": left, "newest": newest});
+    Ok(CommandReport { plain, value })
+}
+
+/// The oldest version of the history, given the one in force.
+async fn oldest_version(store: &impl ObjectStore, newest: u64) -> Result<u64, ClientError> {
+    let (mut low, mut high) = (1, newest);
+    while low < high {
+        let middle = low + (high - low) / 2;
+        match get(store, ObjectKind::History, &middle.to_string()).await? {
+            Some(_) => high = middle,
+            None => low = middle + 1,
+        }
+    }
+    Ok(low)
+}
+
+/// Removes one version; removing it twice does no harm.
+async fn remove(store: &impl ObjectStore, version: ConfigVersion) -> Result<(), ClientError> {
+    let name = version.to_string();
+    let mut reason = String::new();
+    for _ in 0..REMOVE_ATTEMPTS {
+        match try_remove(store, &name).await {
+            Ok(()) => return Ok(()),
+            Err(error) if error.status() != ExitStatus::Unreachable => return Err(error),
+            Err(error) => reason = error.to_string(),
+        }
+        time::sleep(REMOVE_PAUSE).await;
+    }
+    Err(ClientError::new(ExitStatus::Unreachable, reason))
+}
+
+async fn try_remove(store: &impl ObjectStore, name: &str) -> Result<(), ClientError> {
+    let Some(object) = get(store, ObjectKind::History, name).await? else { return Ok(()) };
+    let call =
+        ObjectCall::Delete { kind: ObjectKind::History, name: name.to_owned(), at: object.version };
+    match store.call(call).await {
+        Ok(ObjectReply::Deleted) => Ok(()),
+        Ok(ObjectReply::ConditionFailed) => {
+            let message = format!("history/{name} changed while it was removed");
+            Err(ClientError::new(ExitStatus::Unreachable, message))
+        }
+        Ok(reply) => Err(unexpected(&reply)),
+        Err(error) if error.kind() == StoreErrorKind::Rejected => {
+            Err(ClientError::new(ExitStatus::Failure, error.to_string()))
+        }
+        Err(error) => Err(error.into()),
+    }
+}
--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use carobstep_config::{Patch, PatchDocument};
+use carobstep_config::{Patch, PatchDocument, PatchId};
 use carobstep_platform::{HttpStore, ObjectStore};
 use eyre::{Report, WrapErr};
 use tokio::runtime;
@@ -22,14 +22,15 @@
     nodes::{HttpNodeApi, NodeApi},
     output::{CommandReport, OutputFormat, ReportPrinter},
     platform::now,
+    prune::prune,
     publish, submit, tables,
 };
 
 /// Largest file that a command reads, in bytes.
 const MAX_FILE_BYTES: u64 = 4 * 1024 * 1024;
 
-/// Bound of one call to the platform; longer than that of the nodes, since an
-/// operator would rather wait than learn of a slow platform.
+/// Bound of one call to the platform. A lost answer takes longer to settle
+/// than a slow one takes to arrive, so it is longer than that of the nodes.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs the command line without the program's name.
@@ -90,16 +91,17 @@
         OperatorCommand::Show { version } => configuration::show(store, version).await?,
         OperatorCommand::Diff { from, to } => configuration::diff(store, from, to).await?,
         OperatorCommand::Submit { base, format, path, id, author } => {
+            let id_is_fresh = id.is_none();
             let document = PatchDocument {
                 base,
-                id: id.as_str().to_owned(),
+                id: id.map_or_else(random_id, String::from),
                 author: author.as_str().to_owned(),
                 time: now(),
                 format,
                 text: read_file(&path)?,
             };
             let patch = Patch::try_from(document).map_err(|error| submit::refusal(&error))?;
-            submit::submit(store, patch).await?
+            submit::submit(store, patch, id_is_fresh).await?
         }
         OperatorCommand::History { count } => configuration::history(store, count).await?,
         OperatorCommand::Follow { version, timeout } => {
@@ -111,11 +113,14 @@
         OperatorCommand::Servers => tables::servers(store).await?,
         OperatorCommand::Counters { node } => tables::counters(store, api, node.as_deref()).await?,
         OperatorCommand::Init { path, id, author } => {
+            let id = id.map_or_else(|| PatchId::try_from(random_id()), Ok);
+            let id = id.map_err(|error| submit::refusal(&error))?;
             publish::init(store, &id, &author, &read_file(&path)?).await?
         }
         OperatorCommand::Publish { index, path } => {
             publish::publish(store, &index, &read_file(&path)?).await?
         }
+        OperatorCommand::Prune { keep } => prune(store, keep).await?,
     };
     print(printer, &report)
 }
@@ -130,6 +135,10 @@
     })
 }
 
+fn random_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
 fn read_file(path: &Path) -> Result<String, ClientError> {
     let input: Box<dyn Read> = if path == Path::new("-") {
         Box::new(io::stdin())
--- a/crates/client/src/submission.rs
+++ b/crates/client/src/submission.rs
@@ -140,6 +140,8 @@
     failures: u32,
     /// Whether a write was sent whose effect is not known.
     doubtful: bool,
+    /// Whether no earlier run can have used the patch id.
+    id_is_fresh: bool,
 }
 
 impl TryFrom<Patch> for PatchSubmission {
@@ -158,11 +160,19 @@
             proof: AcceptanceProof::EarlierRun,
             failures: 0,
             doubtful: false,
+            id_is_fresh: false,
         })
     }
 }
 
 impl PatchSubmission {
+    /// Declares that no earlier run can have used the patch id.
+    #[must_use]
+    pub fn with_fresh_id(mut self) -> Self {
+        self.id_is_fresh = true;
+        self
+    }
+
     /// The first step.
     #[must_use]
     pub fn start(&self) -> SubmitStep {
@@ -192,11 +202,7 @@
                 self.retry("the platform refused the write but shows no newer version")
             }
             (SubmitPhase::Settling, ObjectReply::Found(object)) => self.on_successor(&object),
-            (SubmitPhase::Settling, ObjectReply::Missing) => {
-                let version = self.patch.base.next();
-                let message = format!("history/{version} is missing, so its patch id is not known");
-                self.finish(SubmitOutcome::Unknown(message))
-            }
+            (SubmitPhase::Settling, ObjectReply::Missing) => self.on_missing_successor(),
             (SubmitPhase::Comparing, ObjectReply::Found(object)) => self.on_base(&object),
             (SubmitPhase::Comparing, ObjectReply::Missing) => {
                 self.proceed(SubmitEvent::OwnConfirmed)
@@ -273,6 +279,16 @@
         }
     }
 
+    /// Decides when the version after the base was removed from the history.
+    fn on_missing_successor(&mut self) -> SubmitStep {
+        if self.id_is_fresh && !self.doubtful {
+            return self.finish_conflict();
+        }
+        let version = self.patch.base.next();
+        let message = format!("history/{version} is missing, so its patch id is not known");
+        self.finish(SubmitOutcome::Unknown(message))
+    }
+
     /// Decides by the record that followed the base: ours or another's.
     fn on_successor_record(&mut self, record: ConfigRecord) -> SubmitStep {
         if record.patch_id != self.patch.id.as_str() {
--- a/crates/client/src/submit.rs
+++ b/crates/client/src/submit.rs
@@ -13,15 +13,24 @@
     submission::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep},
 };
 
-/// Submits a patch.
+/// Submits a patch; `id_is_fresh` tells that no earlier run can have used its id.
 ///
 /// # Errors
 ///
 /// Fails as a conflict, a refusal, an unusable platform or an unknown effect;
 /// the message says whether anything changed.
-pub async fn submit(store: &impl ObjectStore, patch: Patch) -> Result<CommandReport, ClientError> {
+pub async fn submit(
+    store: &impl ObjectStore,
+    patch: Patch,
+    id_is_fresh: bool,
+) -> Result<CommandReport, ClientError> {
     let id = patch.id.as_str().to_owned();
-    match run(store, patch).await? {
+    let mut submission = PatchSubmission::try_from(patch)
+        .map_err(|error| ClientError::new(ExitStatus::Failure, error.to_string()))?;
+    if id_is_fresh {
+        submission = submission.with_fresh_id();
+    }
+    match run(store, submission).await {
         SubmitOutcome::Accepted { record, in_force, proof, archived } => {
             Ok(accepted_report(&record, in_force, proof, archived))
         }
@@ -54,14 +63,12 @@
 }
 
 /// Makes the calls of a submission until it is over.
-async fn run(store: &impl ObjectStore, patch: Patch) -> Result<SubmitOutcome, ClientError> {
-    let mut submission = PatchSubmission::try_from(patch)
-        .map_err(|error| ClientError::new(ExitStatus::Failure, error.to_string()))?;
+async fn run(store: &impl ObjectStore, mut submission: PatchSubmission) -> SubmitOutcome {
     let mut step = submission.start();
     loop {
         let (call, pause) = match step {
             SubmitStep::Call { call, pause } => (call, pause),
-            SubmitStep::Finish(outcome) => return Ok(*outcome),
+            SubmitStep::Finish(outcome) => return *outcome,
         };
         time::sleep(pause).await;
         step = submission.advance(store.call(call).await);
--- a/crates/client/tests/client/command_line.rs
+++ b/crates/client/tests/client/command_line.rs
@@ -40,6 +40,10 @@
         "init f --id a/b --platform 127.0.0.1:1",
         "patch id \"a/b\" is not 1 to 64 bytes of letters, digits, \"-\", \"_\" and \".\"",
     },
+    keep = {
+        "prune --keep 99 --platform 127.0.0.1:1",
+        "--keep \"99\" is not a whole number from 100 to 18446744073709551615",
+    },
     timeout = {
         "follow --timeout 0 --platform 127.0.0.1:1",
         "--timeout \"0\" is not a whole number from 1 to 86400",
--- a/crates/client/tests/client/commands.rs
+++ b/crates/client/tests/client/commands.rs
@@ -288,6 +288,31 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn prune_keeps_the_newest() {
+    let platform = FakePlatform::with_example();
+    let mut record = platform.current();
+    for _ in 0..149 {
+        record.version = record.version.next();
+        platform.commit(&record);
+    }
+    let prune = ["prune", "--keep", "120"];
+    // The fifth removal is cut short; the next run goes on from there.
+    let mut faults = vec![Answered; 1 + 8 + 4 * 2];
+    faults.extend([AnswerLost, NotSent, NotSent, NotSent, NotSent, NotSent]);
+    faults.extend([NotSent; 3]);
+    platform.fail(&faults);
+    let error = run_alone(&platform, &prune).await.expect_err("the platform is down");
+    assert_eq!(error.status(), ExitStatus::Unreachable);
+    platform.fail(&[]);
+    let report = run_alone(&platform, &prune).await.unwrap();
+    assert!(report.ends_with("; versions 31 to 150 are left\n"), "{report}");
+    assert_eq!(platform.past(30), None);
+    assert!((31..=150).all(|version| platform.past(version).is_some()));
+    let report = run_alone(&platform, &prune).await.unwrap();
+    assert_eq!(report, "removed 0 versions; versions 31 to 150 are left\n");
+}
+
 struct PublishCase {
     name: &'static str,
     text: &'static str,
--- a/crates/client/tests/client/submission.rs
+++ b/crates/client/tests/client/submission.rs
@@ -2,6 +2,7 @@
 
 use carobstep_client::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep};
 use carobstep_config::{ConfigVersion, Patch};
+use carobstep_platform::ObjectKind;
 
 use crate::support::{
     CallFault::{self, AnswerLost, Answered, Late, NotSent, Raced, RequestLost, Stale},
@@ -13,7 +14,10 @@
 const ID: &str = "p1";
 
 fn run(platform: &FakePlatform, patch: Patch) -> SubmitOutcome {
-    let mut submission = PatchSubmission::try_from(patch).expect("the chart");
+    run_submission(platform, PatchSubmission::try_from(patch).expect("the chart"))
+}
+
+fn run_submission(platform: &FakePlatform, mut submission: PatchSubmission) -> SubmitOutcome {
     let mut step = submission.start();
     loop {
         match step {
@@ -147,6 +151,20 @@
     assert_eq!(platform.current().version, ConfigVersion(2));
 }
 
+#[test]
+fn base_older_than_the_history() {
+    let platform = FakePlatform::with_example();
+    for base in 1..4 {
+        run(&platform, patch(base, &format!("p{base}"), "{}"));
+    }
+    platform.remove(ObjectKind::History, "2");
+    let told = "unknown history/2 is missing, so its patch id is not known";
+    assert_eq!(brief(&run(&platform, patch(1, "q", "{}"))), told);
+    let submission = PatchSubmission::try_from(patch(1, "q", "{}")).expect("the chart");
+    let outcome = run_submission(&platform, submission.with_fresh_id());
+    assert_eq!(brief(&outcome), "conflict 1 4");
+}
+
 #[test]
 fn nothing_to_patch() {
     let outcome = run(&FakePlatform::default(), patch(1, ID, CHANGE));
--- a/crates/client/tests/client/support.rs
+++ b/crates/client/tests/client/support.rs
@@ -90,6 +90,11 @@
         self.state.lock().unwrap().write(kind, name, value);
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: ObjectKind, name: &str) {
+        self.state.lock().unwrap().objects.shift_remove(&(kind, name.to_owned()));
+    }
+
     /// Stores a configuration as in force and in the history.
     pub fn commit(&self, record: &ConfigRecord) {
         let value = serde_json::to_value(record).unwrap();
@@ -208,7 +213,14 @@
                 }
                 ObjectReply::Written(self.write(kind, &name, value))
             }
-            ObjectCall::Delete { .. } => ObjectReply::ConditionFailed,
+            ObjectCall::Delete { kind, name, at } => {
+                let key = (kind, name);
+                if self.objects.get(&key).is_none_or(|object| object.version != at) {
+                    return ObjectReply::ConditionFailed;
+                }
+                self.objects.shift_remove(&key);
+                ObjectReply::Deleted
+            }
             ObjectCall::ListVms => ObjectReply::Vms(self.vms.clone()),
         }
     }
--- a/crates/config/src/document/reader.rs
+++ b/crates/config/src/document/reader.rs
@@ -21,18 +21,27 @@
 
 /// A document text that is not JSON with comments, or not a document.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum DocumentTextError {
-    /// The text is not JSON with comments.
+pub struct DocumentTextError {
+    kind: DocumentTextErrorKind,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum DocumentTextErrorKind {
     Syntax(JsoncError),
-    /// The JSON value is not a document.
     Form(DocumentError),
 }
 
+impl From<DocumentTextErrorKind> for DocumentTextError {
+    fn from(kind: DocumentTextErrorKind) -> Self {
+        Self { kind }
+    }
+}
+
 impl fmt::Display for DocumentTextError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Syntax(error) => error.fmt(f),
-            Self::Form(error) => error.fmt(f),
+        match &self.kind {
+            DocumentTextErrorKind::Syntax(error) => error.fmt(f),
+            DocumentTextErrorKind::Form(error) => error.fmt(f),
         }
     }
 }
@@ -47,8 +56,8 @@
     /// Names the line of a syntax fault, or the path of each unknown key,
     /// missing key and value of the wrong type.
     pub fn parse(text: &str) -> Result<Self, DocumentTextError> {
-        let value = parse_jsonc(text).map_err(DocumentTextError::Syntax)?;
-        Self::try_from(&value).map_err(DocumentTextError::Form)
+        let value = parse_jsonc(text).map_err(DocumentTextErrorKind::Syntax)?;
+        Self::try_from(&value).map_err(|error| DocumentTextErrorKind::Form(error).into())
     }
 }
 
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -102,6 +102,12 @@
     }
 }
 
+impl From<PatchId> for String {
+    fn from(id: PatchId) -> Self {
+        id.0
+    }
+}
+
 /// Who submits a patch: 1 to 128 bytes without control characters.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct AuthorName(String);
