--- a/crates/client/src/command.rs
+++ b/crates/client/src/command.rs
@@ -1,27 +1,9 @@
-//! The commands and their flags, and the command line they are read from.
+//! The commands, what each takes, and their checked forms.
 
-use std::{env, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{path::PathBuf, time::Duration};
 
 use carobstep_config::{AuthorName, ConfigVersion, PatchFormat, PatchId};
-use getopts::{Matches, Options};
-use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
-
-use crate::{
-    error::{ClientError, ExitStatus},
-    output::OutputFormat,
-};
-
-/// Versions that `history` lists unless told otherwise.
-const DEFAULT_HISTORY: u64 = 20;
-
-/// Time that `follow` waits unless told otherwise.
-const DEFAULT_FOLLOW: Duration = Duration::from_secs(60);
-
-/// Least versions that `prune` keeps; submissions read the newest ones.
-const MIN_KEPT: u64 = 100;
-
-/// Longest time that `follow` may be told to wait, in seconds.
-const MAX_FOLLOW_SECONDS: u64 = 86_400;
+use strum::{Display, EnumIter, EnumString};
 
 /// Name of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumIter, EnumString)]
@@ -57,7 +39,7 @@
 
 impl CommandName {
     /// Operands and flags, as the help text shows them.
-    const fn synopsis(self) -> &'static str {
+    pub(crate) const fn synopsis(self) -> &'static str {
         match self {
             Self::Show => "[--at N]",
             Self::Diff => "A B",
@@ -72,7 +54,8 @@
         }
     }
 
-    const fn summary(self) -> &'static str {
+    /// What the command does, in a line.
+    pub(crate) const fn summary(self) -> &'static str {
         match self {
             Self::Show => "show the configuration in force, or a past version",
             Self::Diff => "show what differs between two versions",
@@ -91,7 +74,7 @@
     }
 
     /// Flags that the command takes besides the global ones.
-    const fn flags(self) -> &'static [&'static str] {
+    pub(crate) const fn flags(self) -> &'static [&'static str] {
         match self {
             Self::Show => &["at"],
             Self::Submit => &["base", "merge", "json-patch", "id", "author"],
@@ -109,7 +92,8 @@
         }
     }
 
-    const fn operands(self) -> usize {
+    /// Operands that the command takes.
+    pub(crate) const fn operands(self) -> usize {
         match self {
             Self::Diff | Self::Publish => 2,
             Self::Init => 1,
@@ -193,216 +177,3 @@
         keep: u64,
     },
 }
-
-/// A checked command line.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CommandLine {
-    /// Print the help text.
-    Help,
-    /// Print the version.
-    Version,
-    /// Run a command.
-    Run {
-        /// Address of the platform's object API.
-        platform: SocketAddr,
-        /// Form of the output.
-        format: OutputFormat,
-        /// The command.
-        command: OperatorCommand,
-    },
-}
-
-impl TryFrom<&[String]> for CommandLine {
-    type Error = ClientError;
-
-    /// Reads the arguments without the program's name.
-    fn try_from(args: &[String]) -> Result<Self, ClientError> {
-        let matches = flags().parse(args).map_err(|error| usage(error.to_string()))?;
-        if matches.opt_present("help") {
-            return Ok(Self::Help);
-        }
-        if matches.opt_present("version") {
-            return Ok(Self::Version);
-        }
-        let Some((name, operands)) = matches.free.split_first() else {
-            return Err(usage("a command is missing"));
-        };
-        let name: CommandName =
-            name.parse().map_err(|_| usage(format!("command {name:?} does not exist")))?;
-        check_shape(name, operands, &matches)?;
-        let platform = required(&matches, "platform")?;
-        let platform = platform
-            .parse()
-            .map_err(|_| usage(format!("--platform {platform:?} is not an ip:port address")))?;
-        let format = match matches.opt_present("json") {
-            true => OutputFormat::Json,
-            false => OutputFormat::Plain,
-        };
-        let command = read_command(name, operands, &matches)?;
-        Ok(Self::Run { platform, format, command })
-    }
-}
-
-/// The help text.
-#[must_use]
-pub fn help() -> String {
-    let mut brief =
-        String::from("Usage: carobstep COMMAND --platform IP:PORT [FLAGS]\n\nCommands:\n");
-    for name in CommandName::iter() {
-        let line = format!("{name} {}", name.synopsis());
-        brief.push_str(&format!("    {}\n        {}\n", line.trim_end(), name.summary()));
-    }
-    brief.push_str("\nA FILE is JSON with comments; - is the standard input.");
-    let mut text = flags().usage(&brief);
-    text.push_str("\nExit codes:\n");
-    for status in ExitStatus::iter() {
-        text.push_str(&format!("    {}  {}\n", status as u8, status.summary()));
-    }
-    text
-}
-
-fn flags() -> Options {
-    let mut flags = Options::new();
-    flags.optopt("", "platform", "address of the platform's object API", "IP:PORT");
-    flags.optflag("", "json", "print JSON, one value a line");
-    flags.optopt("", "at", "version of the configuration", "N");
-    flags.optopt("", "base", "version that the patch was built on", "N");
-    flags.optopt("", "merge", "JSON merge patch (RFC 7396)", "FILE");
-    flags.optopt("", "json-patch", "JSON Patch (RFC 6902)", "FILE");
-    flags.optopt("", "id", "identifier of the patch [a random one]", "ID");
-    flags.optopt("", "author", "who submits [the environment's USER]", "A");
-    flags.optopt("", "count", "most versions to list [20]", "N");
-    flags.optopt("", "keep", "versions to keep, at least 100", "N");
-    flags.optopt("", "timeout", "longest wait in seconds [60]", "S");
-    flags.optopt("", "node", "show one node only", "NAME");
-    flags.optflag("h", "help", "print this help");
-    flags.optflag("V", "version", "print the program's version");
-    flags
-}
-
-/// Refuses operands and flags that the command does not take.
-fn check_shape(
-    name: CommandName,
-    operands: &[String],
-    matches: &Matches,
-) -> Result<(), ClientError> {
-    if operands.len() != name.operands() {
-        let message = format!(
-            "command {name} takes {} operands, not {}: carobstep {name} {}",
-            name.operands(),
-            operands.len(),
-            name.synopsis()
-        );
-        return Err(usage(message));
-    }
-    for other in CommandName::iter() {
-        for flag in other.flags() {
-            if matches.opt_present(flag) && !name.flags().contains(flag) {
-                return Err(usage(format!("command {name} does not take --{flag}")));
-            }
-        }
-    }
-    Ok(())
-}
-
-fn read_command(
-    name: CommandName,
-    operands: &[String],
-    matches: &Matches,
-) -> Result<OperatorCommand, ClientError> {
-    let command = match name {
-        CommandName::Show => OperatorCommand::Show { version: version_flag(matches, "at")? },
-        CommandName::Diff => OperatorCommand::Diff {
-            from: version("A", &operands[0])?,
-            to: version("B", &operands[1])?,
-        },
-        CommandName::Submit => read_submit(matches)?,
-        CommandName::History => OperatorCommand::History {
-            count: number_flag(matches, "count", 1..=100_000)?.unwrap_or(DEFAULT_HISTORY),
-        },
-        CommandName::Follow => OperatorCommand::Follow {
-            version: version_flag(matches, "at")?,
-            timeout: number_flag(matches, "timeout", 1..=MAX_FOLLOW_SECONDS)?
-                .map_or(DEFAULT_FOLLOW, Duration::from_secs),
-        },
-        CommandName::Nodes => OperatorCommand::Nodes,
-        CommandName::Zones => OperatorCommand::Zones,
-        CommandName::Grants => OperatorCommand::Grants,
-        CommandName::Servers => OperatorCommand::Servers,
-        CommandName::Counters => OperatorCommand::Counters { node: matches.opt_str("node") },
-        CommandName::Init => OperatorCommand::Init {
-            path: PathBuf::from(&operands[0]),
-            id: patch_id(matches)?,
-            author: author(matches)?,
-        },
-        CommandName::Publish => OperatorCommand::Publish {
-            index: operands[0].clone(),
-            path: PathBuf::from(&operands[1]),
-        },
-        CommandName::Prune => {
-            let keep = number_flag(matches, "keep", MIN_KEPT..=u64::MAX)?;
-            OperatorCommand::Prune { keep: keep.ok_or_else(|| usage("--keep is missing"))? }
-        }
-    };
-    Ok(command)
-}
-
-fn read_submit(matches: &Matches) -> Result<OperatorCommand, ClientError> {
-    let (format, path) = match (matches.opt_str("merge"), matches.opt_str("json-patch")) {
-        (Some(path), None) => (PatchFormat::Merge, path),
-        (None, Some(path)) => (PatchFormat::Operations, path),
-        _ => return Err(usage("submit takes one of --merge and --json-patch")),
-    };
-    Ok(OperatorCommand::Submit {
-        base: version("--base", &required(matches, "base")?)?,
-        format,
-        path: PathBuf::from(path),
-        id: patch_id(matches)?,
-        author: author(matches)?,
-    })
-}
-
-fn patch_id(matches: &Matches) -> Result<Option<PatchId>, ClientError> {
-    let id = matches.opt_str("id").map(PatchId::try_from).transpose();
-    id.map_err(|error| usage(error.to_string()))
-}
-
-fn author(matches: &Matches) -> Result<AuthorName, ClientError> {
-    let author = matches.opt_str("author").or_else(|| env::var("USER").ok());
-    let author = author.unwrap_or_else(|| "unknown".to_owned());
-    AuthorName::try_from(author).map_err(|error| usage(error.to_string()))
-}
-
-fn required(matches: &Matches, flag: &str) -> Result<String, ClientError> {
-    matches.opt_str(flag).ok_or_else(|| usage(format!("--{flag} is missing")))
-}
-
-fn version_flag(matches: &Matches, flag: &str) -> Result<Option<ConfigVersion>, ClientError> {
-    matches.opt_str(flag).map(|text| version(&format!("--{flag}"), &text)).transpose()
-}
-
-fn version(label: &str, text: &str) -> Result<ConfigVersion, ClientError> {
-    match text.parse() {
-        Ok(number) if number > 0 => Ok(ConfigVersion(number)),
-        _ => Err(usage(format!("{label} {text:?} is not a version: a whole number of at least 1"))),
-    }
-}
-
-fn number_flag(
-    matches: &Matches,
-    flag: &str,
-    range: std::ops::RangeInclusive<u64>,
-) -> Result<Option<u64>, ClientError> {
-    let Some(text) = matches.opt_str(flag) else { return Ok(None) };
-    match text.parse() {
-        Ok(number) if range.contains(&number) => Ok(Some(number)),
-        _ => {
-            let (low, high) = (range.start(), range.end());
-            Err(usage(format!("--{flag} {text:?} is not a whole number from {low} to {high}")))
-        }
-    }
-}
-
-fn usage(message: impl Into<String>) -> ClientError {
-    ClientError::new(ExitStatus::Usage, message)
-}
--- a/crates/client/src/difference.rs
+++ b/crates/client/src/difference.rs
@@ -1,5 +1,6 @@
 //! Differences between two configuration documents.
 
+use carobstep_config::child_path;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -61,7 +62,3 @@
 fn change(path: &str, before: Option<&Value>, after: Option<&Value>) -> MemberChange {
     MemberChange { path: path.to_owned(), before: before.cloned(), after: after.cloned() }
 }
-
-fn child_path(path: &str, member: &str) -> String {
-    format!("{path}/{}", member.replace('~', "~0").replace('/', "~1"))
-}
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `carobstep` reads and patches the configuration that the platform stores,
 //! and asks the nodes what they have in force. The flags are documented where
-//! they are defined, in `command.rs`; every exit code is an [`ExitStatus`].
+//! they are defined, in `command_line.rs`; every exit code is an [`ExitStatus`].
 //!
 //! ```
 //! use carobstep_client::{CommandLine, OperatorCommand, OutputFormat};
@@ -14,6 +14,7 @@
 //! ```
 
 mod command;
+mod command_line;
 mod configuration;
 mod difference;
 mod error;
@@ -29,7 +30,8 @@
 mod submit;
 mod tables;
 
-pub use command::{CommandLine, CommandName, OperatorCommand, help};
+pub use command::{CommandName, OperatorCommand};
+pub use command_line::{CommandLine, help};
 pub use difference::{MemberChange, differences};
 pub use error::{ClientError, ExitStatus};
 pub use fleet::{NodeAnswer, NodeEntry, NodePresence, NodeRoster};
--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -15,7 +15,8 @@
 use tokio::runtime;
 
 use crate::{
-    command::{CommandLine, OperatorCommand, help},
+    command::OperatorCommand,
+    command_line::{CommandLine, help},
     configuration,
     error::{ClientError, ExitStatus},
     follow::follow,
--- a/crates/config/src/document/reader.rs
+++ b/crates/config/src/document/reader.rs
@@ -10,6 +10,7 @@
 use crate::{
     fault::{DocumentError, FaultList, child_path},
     jsonc::{JsoncError, parse_jsonc},
+    shorten::shorten,
 };
 
 const STRING: &str = "a string";
@@ -212,14 +213,6 @@
     }
 }
 
-/// Longest piece of a value that a message quotes, in characters.
-const MAX_EXCERPT_CHARS: usize = 60;
-
 fn excerpt(value: &Value) -> String {
-    let whole = value.to_string();
-    let mut short: String = whole.chars().take(MAX_EXCERPT_CHARS).collect();
-    if short.len() < whole.len() {
-        short.push_str("...");
-    }
-    short
+    shorten(&value.to_string())
 }
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -69,7 +69,14 @@
 }
 
 /// JSON pointer (RFC 6901) of a member below `path`.
-pub(crate) fn child_path(path: &str, member: &str) -> String {
+///
+/// ```
+/// use carobstep_config::child_path;
+///
+/// assert_eq!(child_path("/services", "a/b"), "/services/a~1b");
+/// ```
+#[must_use]
+pub fn child_path(path: &str, member: &str) -> String {
     let escaped = member.replace('~', "~0").replace('/', "~1");
     format!("{path}/{escaped}")
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,13 +12,14 @@
 mod patch;
 mod record;
 mod settings;
+mod shorten;
 mod topology;
 
 pub use document::{
     ConfigVersion, Document, DocumentTextError, HedgeDocument, IndexDocument, RepeatPolicy,
     ServerDocument, ServerState, ServiceDocument,
 };
-pub use fault::DocumentError;
+pub use fault::{DocumentError, child_path};
 pub use jsonc::{JsoncError, parse_jsonc};
 pub use manifest::{
     IndexManifest, ManifestDocument, ManifestError, ShardEntry, SnapshotDocument, SnapshotMap,
--- a/crates/config/src/settings/section.rs
+++ b/crates/config/src/settings/section.rs
@@ -8,7 +8,7 @@
 };
 
 use super::error::SettingsFault;
-use crate::jsonc::LineIndex;
+use crate::{jsonc::LineIndex, shorten::shorten};
 
 /// A value and the line it stands on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,15 +186,6 @@
     texts
 }
 
-/// Longest piece of the file that a message quotes, in characters.
-const MAX_EXCERPT_CHARS: usize = 60;
-
 fn excerpt(text: &str, range: Range) -> String {
-    let whole = text.get(range.start..range.end).unwrap_or_default();
-    let first_line = whole.lines().next().unwrap_or_default();
-    let mut short: String = first_line.chars().take(MAX_EXCERPT_CHARS).collect();
-    if short.len() < whole.len() {
-        short.push_str("...");
-    }
-    short
+    shorten(text.get(range.start..range.end).unwrap_or_default())
 }
