--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -6,41 +6,40 @@
     path::Path,
     process::ExitCode,
     sync::Arc,
+    time::Duration,
 };
 
-use carobstep_config::{Patch, PatchDocument};
+use carobstep_config::{Patch, PatchDocument, PatchId};
 use carobstep_platform::{HttpStore, ObjectStore};
 use eyre::{Report, WrapErr};
 use tokio::runtime;
 
 use crate::{
-    command::{CommandLine, OperatorCommand, help},
+    command::OperatorCommand,
+    command_line::{CommandLine, help},
     configuration,
     error::{ClientError, ExitStatus},
     follow::follow,
     nodes::{HttpNodeApi, NodeApi},
     output::{CommandReport, OutputFormat, ReportPrinter},
     platform::now,
+    prune::prune,
     publish, submit, tables,
 };
 
 /// Largest file that a command reads, in bytes.
 const MAX_FILE_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Bound of one call to the platform. A lost answer takes longer to settle
+/// than a slow one takes to arrive, so it is longer than that of the nodes.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Runs the command line without the program's name.
 #[must_use]
 pub fn main(args: &[String]) -> ExitCode {
-    let line = match CommandLine::try_from(args) {
-        Ok(line) => line,
-        Err(error) => return fail(OutputFormat::Plain, &error.into()),
-    };
-    let format = match &line {
-        CommandLine::Run { format, .. } => *format,
-        CommandLine::Help | CommandLine::Version => OutputFormat::Plain,
-    };
-    match run_line(line) {
+    match run_line(args) {
         Ok(()) => ExitStatus::Success.into(),
-        Err(report) => fail(format, &report),
+        Err(report) => fail(OutputFormat::from_args(args), &report),
     }
 }
 
@@ -54,9 +53,9 @@
     error.map_or(ExitStatus::Failure, ClientError::status).into()
 }
 
-fn run_line(line: CommandLine) -> Result<(), Report> {
+fn run_line(args: &[String]) -> Result<(), Report> {
     let mut out = io::stdout();
-    let (platform, format, command) = match line {
+    let (platform, format, command) = match CommandLine::try_from(args)? {
         CommandLine::Help => {
             return out.write_all(help().as_bytes()).wrap_err("write the help text");
         }
@@ -72,7 +71,7 @@
         .wrap_err("start the runtime")?;
     let mut printer = ReportPrinter::new(format, &mut out);
     let running = async {
-        let store = HttpStore::builder(platform).build();
+        let store = HttpStore::builder(platform).timeout(CALL_TIMEOUT).build();
         run_command(command, &store, &Arc::new(HttpNodeApi), &mut printer).await
     };
     Ok(runtime.block_on(running)?)
@@ -93,16 +92,17 @@
         OperatorCommand::Show { version } => configuration::show(store, version).await?,
         OperatorCommand::Diff { from, to } => configuration::diff(store, from, to).await?,
         OperatorCommand::Submit { base, format, path, id, author } => {
+            let id_is_fresh = id.is_none();
             let document = PatchDocument {
                 base,
-                id: id.as_str().to_owned(),
+                id: id.map_or_else(random_id, String::from),
                 author: author.as_str().to_owned(),
                 time: now(),
                 format,
                 text: read_file(&path)?,
             };
             let patch = Patch::try_from(document).map_err(|error| submit::refusal(&error))?;
-            submit::submit(store, patch).await?
+            submit::submit(store, patch, id_is_fresh).await?
         }
         OperatorCommand::History { count } => configuration::history(store, count).await?,
         OperatorCommand::Follow { version, timeout } => {
@@ -114,11 +114,14 @@
         OperatorCommand::Servers => tables::servers(store).await?,
         OperatorCommand::Counters { node } => tables::counters(store, api, node.as_deref()).await?,
         OperatorCommand::Init { path, id, author } => {
+            let id = id.map_or_else(|| PatchId::try_from(random_id()), Ok);
+            let id = id.map_err(|error| submit::refusal(&error))?;
             publish::init(store, &id, &author, &read_file(&path)?).await?
         }
         OperatorCommand::Publish { index, path } => {
             publish::publish(store, &index, &read_file(&path)?).await?
         }
+        OperatorCommand::Prune { keep } => prune(store, keep).await?,
     };
     print(printer, &report)
 }
@@ -133,6 +136,10 @@
     })
 }
 
+fn random_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
 fn read_file(path: &Path) -> Result<String, ClientError> {
     let input: Box<dyn Read> = if path == Path::new("-") {
         Box::new(io::stdin())
--- a/crates/client/tests/client/main.rs
+++ b/crates/client/tests/client/main.rs
@@ -2,5 +2,7 @@
 
 mod command_line;
 mod commands;
+mod edges;
+mod pages;
 mod submission;
 mod support;
--- a/crates/client/tests/client/support.rs
+++ b/crates/client/tests/client/support.rs
@@ -2,7 +2,9 @@
 
 use std::{
     collections::VecDeque,
+    fs,
     net::SocketAddr,
+    path::PathBuf,
     sync::{LazyLock, Mutex},
 };
 
@@ -88,6 +90,11 @@
         self.state.lock().unwrap().write(kind, name, value);
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: ObjectKind, name: &str) {
+        self.state.lock().unwrap().objects.shift_remove(&(kind, name.to_owned()));
+    }
+
     /// Stores a configuration as in force and in the history.
     pub fn commit(&self, record: &ConfigRecord) {
         let value = serde_json::to_value(record).unwrap();
@@ -206,7 +213,14 @@
                 }
                 ObjectReply::Written(self.write(kind, &name, value))
             }
-            ObjectCall::Delete { .. } => ObjectReply::ConditionFailed,
+            ObjectCall::Delete { kind, name, at } => {
+                let key = (kind, name);
+                if self.objects.get(&key).is_none_or(|object| object.version != at) {
+                    return ObjectReply::ConditionFailed;
+                }
+                self.objects.shift_remove(&key);
+                ObjectReply::Deleted
+            }
             ObjectCall::ListVms => ObjectReply::Vms(self.vms.clone()),
         }
     }
@@ -235,6 +249,7 @@
 #[derive(Debug, Default)]
 pub struct FakeNodes {
     answers: Mutex<IndexMap<u16, Value>>,
+    asked: Mutex<IndexMap<u16, usize>>,
 }
 
 impl FakeNodes {
@@ -242,10 +257,16 @@
     pub fn answer(&self, port: u16, value: Value) {
         self.answers.lock().unwrap().insert(port, value);
     }
+
+    /// Times that the node at a port was asked.
+    pub fn asked(&self, port: u16) -> usize {
+        self.asked.lock().unwrap().get(&port).copied().unwrap_or(0)
+    }
 }
 
 impl NodeApi for FakeNodes {
     async fn get(&self, address: SocketAddr, _: &'static str) -> Result<Value, NodeSilence> {
+        *self.asked.lock().unwrap().entry(address.port()).or_default() += 1;
         let answer = self.answers.lock().unwrap().get(&address.port()).cloned();
         answer.ok_or_else(|| NodeSilence("silent".to_owned()))
     }
@@ -274,3 +295,26 @@
     })
     .unwrap()
 }
+
+/// A scratch file that is deleted at the end of its test.
+pub struct ScratchFile(PathBuf);
+
+impl ScratchFile {
+    /// Writes a file of the build's directory for temporary files.
+    pub fn new(name: &str, text: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    /// Its path as an argument.
+    pub fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for ScratchFile {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
