Prove what must hold under failure with whole deployments

Each proof runs the demonstration's deployment as processes, kills, freezes, cuts or races them, and is judged by the backend servers' reports and by every answer, checked against the manifest and the request. The proofs run one after another, since deployments that compete for the processor look like failing nodes.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,7 +2,13 @@
 
 use std::{env, process::ExitCode};
 
-fn main() -> eyre::Result<ExitCode> {
+fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
-    Ok(carobstep_bench::main(&args)?)
+    match carobstep_bench::main(&args).map_err(eyre::Report::from) {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("carobstep-bench: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- a/crates/bench/src/seed.rs
+++ b/crates/bench/src/seed.rs
@@ -35,7 +35,7 @@
     /// Fails when another version is in force or another write wins.
     pub async fn submit(&self, version: u64, document: &Value) -> Result<(), BenchError> {
         let path = "/objects/config/current";
-        let current = self.client.send(self.platform, &HttpCall::get(path)).await?;
+        let current = self.client.expect_answer(self.platform, &HttpCall::get(path)).await?;
         let in_force = current.json()["version"].as_u64();
         let tag = current.headers.get("etag").and_then(|tag| tag.to_str().ok());
         let (Some(tag), true) = (tag, in_force == Some(version - 1)) else {
@@ -72,7 +72,7 @@
     /// Fails when the object does not exist or changes meanwhile.
     pub async fn replace(&self, path: &str, value: &Value) -> Result<(), BenchError> {
         let path = format!("/objects/{path}");
-        let current = self.client.send(self.platform, &HttpCall::get(&path)).await?;
+        let current = self.client.expect_answer(self.platform, &HttpCall::get(&path)).await?;
         let tag = current.headers.get("etag").and_then(|tag| tag.to_str().ok());
         let tag = tag.ok_or_else(|| {
             BenchError::new(BenchErrorKind::Answer, format!("{path} has no version"))
--- /dev/null
+++ b/crates/bench/tests/proofs/limits.rs
@@ -0,0 +1,78 @@
+//! What was lent of a backend server is never exceeded, whatever happens to
+//! the holder of its grant.
+
+use carobstep_bench::ProcessSignal;
+
+use crate::support::{LEASE_TERM, ProofRun, options, pause};
+
+const SEARCH_RATE: f64 = 60.0;
+const ORDER_RATE: f64 = 10.0;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_when_holders_are_killed_and_restarted() {
+    let mut run = ProofRun::start("limits-killed").await;
+    let load = run.load(SEARCH_RATE, ORDER_RATE, 14);
+    for victim in [0, 4] {
+        pause(1_000).await;
+        run.kill_node(victim).await;
+        pause(3_000).await;
+        run.restart_node(victim).await;
+        pause(1_500).await;
+    }
+    run.require_recovery().await;
+    let samples = load.await.unwrap();
+    let (searches, orders) = run.require_sound(&samples).await;
+    assert!(searches.answered > 0 && orders.answered > 0);
+}
+
+struct FreezeCase {
+    name: &'static str,
+    nodes_per_zone: usize,
+    unlisted: bool,
+}
+
+const FREEZE_CASES: [FreezeCase; 3] = [
+    FreezeCase { name: "pair-listed", nodes_per_zone: 2, unlisted: false },
+    FreezeCase { name: "pair-unlisted", nodes_per_zone: 2, unlisted: true },
+    FreezeCase { name: "three-listed", nodes_per_zone: 3, unlisted: false },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_when_a_frozen_holder_wakes_after_its_lease() {
+    for case in FREEZE_CASES {
+        println!("case {}", case.name);
+        let name = format!("limits-frozen-{}", case.name);
+        let mut run = ProofRun::start_with(options(&name), case.nodes_per_zone).await;
+        let load = run.load(SEARCH_RATE, ORDER_RATE, 12);
+        pause(1_500).await;
+        run.deployment.signal_node(0, ProcessSignal::Freeze).unwrap();
+        let node = run.deployment.nodes[0].clone();
+        if case.unlisted {
+            run.deployment.unlist_vm(&node.name).await.unwrap();
+        }
+        tokio::time::sleep(LEASE_TERM * 3).await;
+        run.deployment.signal_node(0, ProcessSignal::Resume).unwrap();
+        run.deployment.list_node(&node, "live").await.unwrap();
+        run.require_recovery().await;
+        let samples = load.await.unwrap();
+        run.require_sound(&samples).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_when_connections_go_silent_and_are_replaced() {
+    let run = ProofRun::start("limits-silent").await;
+    let load = run.load(SEARCH_RATE, ORDER_RATE, 10);
+    pause(1_500).await;
+    for server in &run.deployment.servers {
+        let faults = serde_json::json!({"silent": true, "silent_hold_ms": 1_000});
+        server.faults(&run.deployment.client, &faults).await.unwrap();
+    }
+    pause(5_000).await;
+    for server in &run.deployment.servers {
+        let faults = serde_json::json!({"silent": false});
+        server.faults(&run.deployment.client, &faults).await.unwrap();
+    }
+    let samples = load.await.unwrap();
+    run.require_sound(&samples).await;
+}
--- /dev/null
+++ b/crates/bench/tests/proofs/support.rs
@@ -0,0 +1,141 @@
+//! A deployment under load, and the checks that every proof ends with.
+
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use carobstep_bench::{
+    CallerSide, Deployment, DeploymentOptions, ExecutionLedger, LedgerFaults, LoadOptions,
+    LoadSample, OutcomeSummary, ProcessSignal, SampleKind, ScenarioName, ScenarioPlan, run_load,
+};
+use serde_json::json;
+use tokio::{
+    sync::{Mutex, MutexGuard},
+    task::JoinHandle,
+};
+
+pub const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Lease term and fence of the proofs; a takeover takes a few seconds.
+pub const LEASE_TERM: Duration = Duration::from_millis(2_000);
+
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// One proof's deployment. Only one exists at a time.
+pub struct ProofRun {
+    pub deployment: Deployment,
+    pub side: CallerSide,
+    _turn: MutexGuard<'static, ()>,
+}
+
+pub fn options(name: &str) -> DeploymentOptions {
+    let bin_dir = Path::new(env!("CARGO_BIN_EXE_carobstep-bench")).parent().unwrap();
+    let run_dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut options = DeploymentOptions::new(bin_dir, &run_dir);
+    options.node_settings = json!({
+        "lease": {"term_ms": 2_000, "renew_ms": 500, "drift_ms": 200, "fence_ms": 800},
+        "gossip": {"interval_ms": 200, "fanout": 3, "peer_timeout_ms": 1_500},
+    });
+    options
+}
+
+impl ProofRun {
+    pub async fn start(name: &str) -> Self {
+        Self::start_with(options(name), 2).await
+    }
+
+    pub async fn start_with(options: DeploymentOptions, nodes_per_zone: usize) -> Self {
+        let turn = TURN.lock().await;
+        let mut plan = ScenarioPlan::from(ScenarioName::Demo);
+        plan.nodes_per_zone = nodes_per_zone;
+        let snapshots = options.snapshots.clone();
+        let mut deployment = Deployment::start(plan, options).await.unwrap();
+        deployment.wait_ready(READY_TIMEOUT).await.unwrap();
+        let side = CallerSide::new(&deployment, &snapshots);
+        Self { deployment, side, _turn: turn }
+    }
+
+    /// Starts searches and orders in the background.
+    pub fn load(&self, search_rate: f64, order_rate: f64, seconds: u64) -> LoadTask {
+        self.load_seeded(search_rate, order_rate, seconds, 1)
+    }
+
+    /// Like [`ProofRun::load`]; loads on one deployment need seeds of their
+    /// own, or their orders share idempotency keys.
+    pub fn load_seeded(
+        &self,
+        search_rate: f64,
+        order_rate: f64,
+        seconds: u64,
+        seed: u64,
+    ) -> LoadTask {
+        let side = self.side.clone();
+        let options = LoadOptions {
+            search_rate,
+            order_rate,
+            length: Duration::from_secs(seconds),
+            warmup: Duration::ZERO,
+            seed,
+            come_back: false,
+        };
+        tokio::spawn(async move { run_load(&side, options).await })
+    }
+
+    /// Kills a node without warning and takes its VM off the list.
+    pub async fn kill_node(&mut self, position: usize) {
+        self.deployment.signal_node(position, ProcessSignal::Kill).unwrap();
+        self.deployment.wait_node(position, READY_TIMEOUT).await.unwrap();
+        let name = self.deployment.nodes[position].name.clone();
+        self.deployment.unlist_vm(&name).await.unwrap();
+    }
+
+    /// Starts a node again and puts its VM back on the list.
+    pub async fn restart_node(&mut self, position: usize) {
+        let node = self.deployment.nodes[position].clone();
+        self.deployment.list_node(&node, "live").await.unwrap();
+        self.deployment.start_node(position).await.unwrap();
+    }
+
+    /// Requires that every grant is held and that every shard can be reached.
+    pub async fn require_recovery(&mut self) {
+        self.deployment.wait_ready(READY_TIMEOUT).await.unwrap();
+    }
+
+    /// Requires what must hold in every run; returns searches and orders.
+    pub async fn require_sound(&self, samples: &[LoadSample]) -> (OutcomeSummary, OutcomeSummary) {
+        let searches = OutcomeSummary::of(samples, SampleKind::Search);
+        let orders = OutcomeSummary::of(samples, SampleKind::Order);
+        println!("searches: {}", brief(&searches));
+        println!("orders: {}", brief(&orders));
+        for server in &self.deployment.servers {
+            let report = server.summary(&self.deployment.client).await.unwrap();
+            assert_eq!(report.violations, 0, "{}: {report:?}", server.name);
+        }
+        let service = self.deployment.plan.order_service;
+        let ledger = ExecutionLedger::read(&self.deployment, service).await.unwrap();
+        assert_eq!(ledger.compare(samples), LedgerFaults::default());
+        assert_eq!(searches.false_answers, 0, "{:?}", searches.first_fault);
+        assert_eq!(orders.false_answers, 0, "{:?}", orders.first_fault);
+        (searches, orders)
+    }
+}
+
+fn brief(summary: &OutcomeSummary) -> String {
+    format!(
+        "{} sent, {} answered, {} full, {} cut, lacking {:?}, not run {:?}, unknown {:?}",
+        summary.sent,
+        summary.answered,
+        summary.full,
+        summary.cut,
+        summary.lacking,
+        summary.not_run,
+        summary.unknown
+    )
+}
+
+pub type LoadTask = JoinHandle<Vec<LoadSample>>;
+
+pub async fn pause(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
