Bound the queue's goodput, promises and fairness on a paused clock

A full set of bookings made later promises untrue: at three times the capacity 49 of 100 callers were served when they came back.

--- a/crates/dispatch/src/queue/mod.rs
+++ b/crates/dispatch/src/queue/mod.rs
@@ -154,7 +154,7 @@
         match self.check(now, &ticket) {
             Ok(()) => self.admit(now, ticket),
             Err(reason) => {
-                let retry_after = self.book(now, ticket.caller);
+                let retry_after = self.book(now, ticket.caller, ticket.customer);
                 Admission::Refused { reason, retry_after }
             }
         }
@@ -194,7 +194,7 @@
     pub fn poll(&mut self, now: BootTime) -> Option<QueueEvent> {
         self.expire(now);
         if let Some((dropped, reason)) = self.dropped.pop() {
-            let retry_after = self.book(now, dropped.caller);
+            let retry_after = self.book(now, dropped.caller, dropped.customer);
             return Some(QueueEvent::Refused { key: dropped.key, reason, retry_after });
         }
         if now < self.blocked_until || !self.has_slot() {
@@ -314,7 +314,7 @@
             self.waiting.count_ahead(ticket.deadline, over, |customer| shares.is_over(customer));
         let mut wait_us = (ahead as f64 + 1.0) * self.interval_us();
         if !redeemed {
-            let booked = self.bookings.expected_by(start + from_micros(wait_us));
+            let booked = self.bookings.expected_by(start + from_micros(wait_us), over);
             wait_us += booked * self.interval_us();
         }
         if wait_us > slack_us * WAIT_SHARE {
@@ -375,11 +375,12 @@
     }
 
     /// Books a time for a refused caller.
-    fn book(&mut self, now: BootTime, caller: u64) -> Duration {
+    fn book(&mut self, now: BootTime, caller: u64, customer: CustomerKey) -> Duration {
+        let over = self.shares.is_over(customer);
         let backlog = self.waiting.len() as f64 + 1.0;
         let drained = now.max(self.blocked_until) + from_micros(backlog * self.interval_us());
         let spacing = from_micros(self.interval_us() / BOOKED_SHARE).max(MIN_SPACING);
-        self.bookings.book(caller, drained, spacing).since(now)
+        self.bookings.book(caller, over, drained, spacing).since(now)
     }
 
     fn has_slot(&self) -> bool {
--- /dev/null
+++ b/crates/dispatch/tests/queue_rules.rs
@@ -0,0 +1,187 @@
+//! Single decisions of the holder's queue.
+
+use std::time::Duration;
+
+use carobstep_clock::BootTime;
+use carobstep_dispatch::{
+    Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
+};
+use carobstep_wire::RefusalReason;
+
+const SERVICE: Duration = Duration::from_millis(10);
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+fn ticket(deadline: u64) -> QueueTicket {
+    QueueTicket { deadline: at(deadline), hedge: false, customer: CustomerKey(1), caller: deadline }
+}
+
+fn hedge(deadline: u64) -> QueueTicket {
+    QueueTicket { hedge: true, ..ticket(deadline) }
+}
+
+/// A queue whose service time is known to be 10 ms.
+fn queue(slots: u16) -> ServerQueue {
+    let mut queue = ServerQueue::new(QueueLimits { slots, waiting: 3 }, at(0));
+    for _ in 0..64 {
+        let key = dispatched(queue.offer(at(0), ticket(1_000)));
+        queue.finish(at(0), key, Some(SERVICE));
+    }
+    queue
+}
+
+fn dispatched(admission: Admission) -> TicketKey {
+    match admission {
+        Admission::Dispatch(key) => key,
+        other => panic!("expected a dispatch, got {other:?}"),
+    }
+}
+
+fn queued(admission: Admission) -> TicketKey {
+    match admission {
+        Admission::Queued(key) => key,
+        other => panic!("expected a wait, got {other:?}"),
+    }
+}
+
+macro_rules! assert_refused {
+    ($admission:expr, $reason:ident) => {
+        match $admission {
+            Admission::Refused { reason, .. } => assert_eq!(reason, RefusalReason::$reason),
+            other => panic!("expected a refusal, got {other:?}"),
+        }
+    };
+}
+
+#[test]
+fn earliest_deadline_goes_first() {
+    let mut queue = queue(1);
+    let running = dispatched(queue.offer(at(0), ticket(500)));
+    let late = queued(queue.offer(at(0), ticket(400)));
+    let early = queued(queue.offer(at(0), ticket(300)));
+    assert_eq!(queue.poll(at(1)), None);
+    queue.finish(at(10), running, Some(SERVICE));
+    assert_eq!(queue.poll(at(10)), Some(QueueEvent::Dispatch(early)));
+    assert_eq!(queue.poll(at(10)), None);
+    queue.finish(at(20), early, Some(SERVICE));
+    assert_eq!(queue.poll(at(20)), Some(QueueEvent::Dispatch(late)));
+}
+
+#[test]
+fn running_never_exceeds_the_slots() {
+    for slots in 1..=4 {
+        let mut queue = queue(slots);
+        for _ in 0..slots {
+            dispatched(queue.offer(at(0), ticket(500)));
+        }
+        queued(queue.offer(at(0), ticket(500)));
+        assert_eq!(queue.poll(at(1)), None);
+        assert_eq!(queue.running(), usize::from(slots));
+    }
+}
+
+#[test]
+fn unreachable_deadline_is_refused_at_once() {
+    let mut queue = queue(1);
+    assert_refused!(queue.offer(at(0), ticket(5)), DeadlineUnreachable);
+    dispatched(queue.offer(at(0), ticket(500)));
+    assert_refused!(queue.offer(at(0), ticket(15)), DeadlineUnreachable);
+}
+
+#[test]
+fn waiting_request_is_dropped_before_it_is_late() {
+    let mut queue = queue(1);
+    dispatched(queue.offer(at(0), ticket(500)));
+    let key = queued(queue.offer(at(0), ticket(50)));
+    let wakeup = queue.next_wakeup().expect("a wake-up");
+    assert!(wakeup <= at(40), "{wakeup:?}");
+    assert_eq!(queue.poll(at(39)), None);
+    let event = queue.poll(at(41));
+    let reason = RefusalReason::DeadlineUnreachable;
+    assert!(
+        matches!(event, Some(QueueEvent::Refused { key: dropped, reason: why, .. }) if dropped == key && why == reason),
+        "{event:?}"
+    );
+}
+
+#[test]
+fn hedge_never_waits() {
+    let mut queue = queue(2);
+    dispatched(queue.offer(at(0), hedge(500)));
+    dispatched(queue.offer(at(0), ticket(500)));
+    assert_refused!(queue.offer(at(0), hedge(500)), QueueFull);
+    queued(queue.offer(at(0), ticket(500)));
+    queue.set_slots(at(0), 3);
+    assert_refused!(queue.offer(at(0), hedge(500)), QueueFull);
+}
+
+#[test]
+fn cancelled_request_is_never_dispatched() {
+    let mut queue = queue(1);
+    let running = dispatched(queue.offer(at(0), ticket(500)));
+    let waiting = queued(queue.offer(at(0), ticket(400)));
+    assert!(queue.cancel(at(1), waiting));
+    assert!(!queue.cancel(at(1), waiting));
+    assert!(!queue.cancel(at(1), running));
+    queue.finish(at(10), running, None);
+    assert_eq!(queue.poll(at(10)), None);
+    assert_eq!(queue.running(), 0);
+}
+
+#[test]
+fn takeover_dispatches_nothing_before_its_time() {
+    let mut queue = queue(1);
+    queue.block_until(at(100));
+    assert_refused!(queue.offer(at(0), ticket(90)), GrantFenced);
+    assert_refused!(queue.offer(at(0), hedge(500)), QueueFull);
+    let key = queued(queue.offer(at(0), ticket(500)));
+    assert_eq!(queue.poll(at(99)), None);
+    assert_eq!(queue.next_wakeup(), Some(at(100)));
+    assert_eq!(queue.poll(at(100)), Some(QueueEvent::Dispatch(key)));
+}
+
+#[test]
+fn abandoned_request_keeps_its_slot() {
+    let mut queue = queue(1);
+    let running = dispatched(queue.offer(at(0), ticket(500)));
+    queue.hold_slot(at(60));
+    queue.finish(at(10), running, None);
+    let key = queued(queue.offer(at(20), ticket(500)));
+    assert_eq!(queue.poll(at(59)), None);
+    assert_eq!(queue.running(), 1);
+    assert_eq!(queue.next_wakeup(), Some(at(60)));
+    assert_eq!(queue.poll(at(60)), Some(QueueEvent::Dispatch(key)));
+}
+
+#[test]
+fn closed_queue_refuses_what_waits_and_what_comes() {
+    let mut queue = queue(1);
+    let running = dispatched(queue.offer(at(0), ticket(500)));
+    queued(queue.offer(at(0), ticket(400)));
+    queue.close(RefusalReason::ServerLeaving);
+    let event = queue.poll(at(1));
+    let reason = RefusalReason::ServerLeaving;
+    assert!(
+        matches!(event, Some(QueueEvent::Refused { reason: why, .. }) if why == reason),
+        "{event:?}"
+    );
+    assert_eq!(queue.poll(at(1)), None);
+    assert_refused!(queue.offer(at(1), ticket(500)), ServerLeaving);
+    queue.finish(at(10), running, Some(SERVICE));
+    queue.reopen();
+    dispatched(queue.offer(at(11), ticket(500)));
+}
+
+#[test]
+fn fewer_slots_cut_nothing_and_start_nothing() {
+    let mut queue = queue(2);
+    let first = dispatched(queue.offer(at(0), ticket(500)));
+    dispatched(queue.offer(at(0), ticket(500)));
+    queued(queue.offer(at(0), ticket(500)));
+    queue.set_slots(at(1), 1);
+    queue.finish(at(10), first, Some(SERVICE));
+    assert_eq!(queue.poll(at(10)), None);
+    assert_eq!(queue.running(), 1);
+}
--- /dev/null
+++ b/crates/dispatch/tests/support/mod.rs
@@ -0,0 +1,83 @@
+//! A paused clock, seeded samples and a model of one backend server behind its queue.
+
+#![allow(dead_code)]
+
+pub mod fleet;
+pub mod queue_run;
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use carobstep_clock::BootTime;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+/// Events in time order; events at the same time keep their order.
+pub struct Timeline<E> {
+    heap: BinaryHeap<Reverse<(BootTime, u64, usize)>>,
+    events: Vec<Option<E>>,
+    count: u64,
+    pub now: BootTime,
+}
+
+impl<E> Timeline<E> {
+    pub fn new() -> Self {
+        let now = BootTime::from_millis(1_000);
+        Self { heap: BinaryHeap::new(), events: Vec::new(), count: 0, now }
+    }
+
+    pub fn at(&mut self, time: BootTime, event: E) {
+        self.events.push(Some(event));
+        self.heap.push(Reverse((time.max(self.now), self.count, self.events.len() - 1)));
+        self.count += 1;
+    }
+
+    pub fn after(&mut self, span: Duration, event: E) {
+        self.at(self.now + span, event);
+    }
+
+    pub fn next(&mut self) -> Option<E> {
+        let Reverse((time, _, position)) = self.heap.pop()?;
+        self.now = time;
+        self.events[position].take()
+    }
+}
+
+/// Seeded samples of durations.
+pub struct Samples(pub SmallRng);
+
+impl Samples {
+    pub fn new(seed: u64) -> Self {
+        Self(SmallRng::seed_from_u64(seed))
+    }
+
+    pub fn unit(&mut self) -> f64 {
+        self.0.random::<f64>()
+    }
+
+    pub fn chance(&mut self, share: f64) -> bool {
+        self.unit() < share
+    }
+
+    /// Exponential with the given mean.
+    pub fn exponential(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(-(1.0 - self.unit()).ln())
+    }
+
+    /// Erlang of four stages: mean as given, half the spread of an exponential.
+    pub fn erlang(&mut self, mean: Duration) -> Duration {
+        (0..4).map(|_| self.exponential(mean / 4)).sum()
+    }
+}
+
+/// The sample at a quantile.
+pub fn quantile(samples: &mut [Duration], fraction: f64) -> Duration {
+    if samples.is_empty() {
+        return Duration::ZERO;
+    }
+    samples.sort_unstable();
+    let rank = (samples.len() as f64 * fraction).ceil() as usize;
+    samples[rank.clamp(1, samples.len()) - 1]
+}
+
+pub fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1e3
+}
