Let the condition chart decide, and hedge again when a hedge was not possible

Straggling requests no longer eject a server: slowness is judged by the time on the server, without the queue, and single samples are cut off.

--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -5,6 +5,12 @@
 /// Weight of a new sample in a running mean.
 const SAMPLE_WEIGHT: f64 = 1.0 / 16.0;
 
+/// Multiple of the mean at which samples are cut off.
+const CUT_FACTOR: f64 = 3.0;
+
+/// Samples before any is cut off.
+const CUT_SAMPLES: u32 = 8;
+
 /// Running mean and mean deviation of a duration.
 ///
 /// Both are exponentially weighted, as in RFC 6298's round-trip estimate.
@@ -32,6 +38,16 @@
         self.deviation_us += weight * (error_us.abs() - self.deviation_us);
     }
 
+    /// Adds one sample, cut off at a few times the mean.
+    ///
+    /// A single straggler thus moves the mean little, while a server that
+    /// became slow still raises it with each sample.
+    pub fn record_cut(&mut self, sample: Duration) {
+        let longest = from_micros(self.mean_us * CUT_FACTOR);
+        let known = self.samples >= CUT_SAMPLES;
+        self.record(if known { sample.min(longest) } else { sample });
+    }
+
     /// Number of samples so far.
     #[must_use]
     pub const fn samples(&self) -> u32 {
--- a/crates/dispatch/src/request/target.rs
+++ b/crates/dispatch/src/request/target.rs
@@ -15,6 +15,12 @@
 /// Most hedges for one target.
 const MAX_HEDGES: u8 = 2;
 
+/// Part of the hedge delay after which a hedge that was not possible is tried again.
+const HEDGE_RETRY_PART: u32 = 4;
+
+/// Most doublings of that time.
+const MAX_HEDGE_DOUBLINGS: u8 = 6;
+
 /// Time that must be left for another attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(1);
 
@@ -30,6 +36,7 @@
     tried: [Option<ServerKey>; TRIED_SERVERS],
     attempts: u8,
     hedges: u8,
+    hedge_tries: u8,
     live: u8,
     last_reason: RefusalReason,
     hedge_due: BootTime,
@@ -63,6 +70,7 @@
             tried: [None; TRIED_SERVERS],
             attempts: 0,
             hedges: 0,
+            hedge_tries: 0,
             live: 0,
             last_reason: RefusalReason::DeadlinePassed,
             hedge_due: BootTime::MAX,
@@ -108,6 +116,8 @@
         if self.hedges >= MAX_HEDGES || self.attempts >= MAX_ATTEMPTS {
             return None;
         }
+        // A hedge that is not possible now may be later.
+        self.retry_hedge(now, router.hedge_delay(service));
         if deadline.since(now) < MIN_ATTEMPT_TIME || !router.take_hedge(now, service) {
             return None;
         }
@@ -132,6 +142,7 @@
         let Some(service) = self.service else { return NextStep::GiveUp(failure.reason) };
         if failure.attempt.hedge && is_untouched(failure) {
             router.give_back_hedge(service);
+            self.take_back_hedge(now, failure.attempt.server, router.hedge_delay(service));
         } else {
             self.last_reason = failure.reason;
         }
@@ -194,13 +205,33 @@
         let service = self.service?;
         let request = PickRequest { service, exclude: &self.tried, kind, snapshot: self.snapshot };
         let server = router.pick(now, &request)?;
-        self.tried[usize::from(self.attempts) % TRIED_SERVERS] = Some(server);
+        self.note_tried(server);
         self.attempts += 1;
         self.live += 1;
         self.hedge_due = now + router.hedge_delay(service);
         Some(table.send(now, self.shard, server, kind == AttemptKind::Hedge))
     }
 
+    fn note_tried(&mut self, server: ServerKey) {
+        let free = self.tried.iter().position(Option::is_none);
+        self.tried[free.unwrap_or(TRIED_SERVERS - 1)] = Some(server);
+    }
+
+    /// Lets the same server be hedged again after its holder refused a hedge.
+    fn take_back_hedge(&mut self, now: BootTime, server: Option<ServerKey>, delay: Duration) {
+        self.hedges = self.hedges.saturating_sub(1);
+        self.attempts = self.attempts.saturating_sub(1);
+        self.retry_hedge(now, delay);
+        self.forget(server);
+    }
+
+    /// Waits a part of the hedge delay, longer each time.
+    fn retry_hedge(&mut self, now: BootTime, delay: Duration) {
+        let wait = delay / HEDGE_RETRY_PART;
+        self.hedge_due = now + wait.saturating_mul(1 << self.hedge_tries.min(MAX_HEDGE_DOUBLINGS));
+        self.hedge_tries = self.hedge_tries.saturating_add(1);
+    }
+
     fn forget(&mut self, server: Option<ServerKey>) {
         for tried in &mut self.tried {
             if *tried == server {
--- a/crates/dispatch/src/router/condition.rs
+++ b/crates/dispatch/src/router/condition.rs
@@ -1,5 +1,8 @@
 //! The condition of a backend server, seen from one entry node.
 
+use std::sync::LazyLock;
+
+use carobstep_chart::StateChart;
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 /// Condition that decides how much load a server gets.
@@ -32,16 +35,20 @@
     Restored,
 }
 
+/// The chart of a server's condition.
+static CHART: LazyLock<StateChart<Condition, ConditionEvent>> = LazyLock::new(|| {
+    let text = include_str!("../../charts/condition.jsonc");
+    StateChart::parse(text).expect("charts/condition.jsonc is a valid chart")
+});
+
 impl Condition {
-    /// The condition after an event.
-    pub(super) const fn after(self, event: ConditionEvent) -> Self {
-        match (self, event) {
-            (_, ConditionEvent::Drained) => Self::Leaving,
-            (Self::Leaving, ConditionEvent::Restored) => Self::Cold,
-            (Self::Cold, ConditionEvent::RampDone) => Self::Warm,
-            (Self::Cold | Self::Warm, ConditionEvent::Tripped) => Self::Ejected,
-            (Self::Ejected, ConditionEvent::ProbePassed) => Self::Cold,
-            _ => self,
-        }
+    /// The condition of a server that nothing is known of.
+    pub(super) fn initial() -> Self {
+        CHART.initial()
+    }
+
+    /// The condition after an event; one that the chart ignores changes nothing.
+    pub(super) fn after(self, event: ConditionEvent) -> Self {
+        CHART.next(self, event).unwrap_or(self)
     }
 }
--- a/crates/dispatch/src/router/mod.rs
+++ b/crates/dispatch/src/router/mod.rs
@@ -50,6 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct Router {
     topology: Arc<Topology>,
+    zone_name: String,
     own_zone: Option<ZoneKey>,
     servers: Vec<ServerStats>,
     services: Vec<ServiceStats>,
@@ -60,11 +61,19 @@
     /// Builds a router that has observed nothing; `seed` drives its sampling.
     #[must_use]
     pub fn new(topology: Arc<Topology>, own_zone: &str, seed: u64, now: BootTime) -> Self {
+        let zone_name = own_zone.to_owned();
         let own_zone = topology.find_zone(own_zone);
         let servers = topology.servers().map(|(_, entry)| fresh_server(entry.state, now)).collect();
         let services =
             topology.services().map(|(_, entry)| ServiceStats::new(entry, now)).collect();
-        Self { topology, own_zone, servers, services, rng: SmallRng::seed_from_u64(seed) }
+        Self {
+            topology,
+            zone_name,
+            own_zone,
+            servers,
+            services,
+            rng: SmallRng::seed_from_u64(seed),
+        }
     }
 
     /// The topology that the keys of this router belong to.
@@ -76,9 +85,7 @@
     /// Moves to another topology and keeps what was learnt, by name.
     pub fn set_topology(&mut self, now: BootTime, topology: Arc<Topology>) {
         let old = std::mem::replace(&mut self.topology, topology);
-        if let Some(zone) = self.own_zone {
-            self.own_zone = self.topology.find_zone(old.zone(zone).as_str());
-        }
+        self.own_zone = self.topology.find_zone(&self.zone_name);
         let mut servers = Vec::with_capacity(self.servers.len());
         for (_, entry) in self.topology.servers() {
             let known = old.find_server(entry.name.as_str());
@@ -104,8 +111,9 @@
         self.services = services;
     }
 
-    /// Sets the own zone by name; used when the first topology did not know it.
+    /// Changes the node's own zone.
     pub fn set_own_zone(&mut self, zone: &str) {
+        self.zone_name = zone.to_owned();
         self.own_zone = self.topology.find_zone(zone);
     }
 
@@ -310,19 +318,19 @@
         best
     }
 
-    /// Smallest mean latency of the server's peers, zero if none is known.
+    /// Smallest mean time on the server's peers, zero if none is known.
     fn best_peer_us(&self, service: ServiceKey, server: ServerKey) -> f64 {
         let mut best_us = f64::INFINITY;
         for peer in &self.topology.service(service).servers {
             let stats = &self.servers[peer.index()];
-            let known = stats.latency.samples() >= stats::EJECT_SAMPLES;
+            let known = stats.service.samples() >= stats::EJECT_SAMPLES;
             if *peer == server || !known || !stats.is_open() {
                 continue;
             }
             if stats.condition == Condition::Ejected {
                 continue;
             }
-            best_us = best_us.min(stats.latency.mean_us());
+            best_us = best_us.min(stats.service.mean_us());
         }
         if best_us.is_finite() { best_us } else { 0.0 }
     }
--- a/crates/dispatch/src/router/service.rs
+++ b/crates/dispatch/src/router/service.rs
@@ -20,8 +20,11 @@
 /// Part of the hedge budget that the delay aims at.
 const HEDGE_AIM: f64 = 0.9;
 
-/// Smallest quantile that a hedge waits for.
-const MIN_HEDGE_QUANTILE: f64 = 0.9;
+/// Quantile of the latencies that is free of stragglers.
+const COMMON_QUANTILE: f64 = 0.9;
+
+/// A request is a straggler after this many times the common latency.
+const STRAGGLER_FACTOR: u32 = 2;
 
 /// Shortest hedge delay.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(1);
@@ -92,13 +95,19 @@
     }
 
     /// Chooses the delay so that about the budgeted part of the requests is hedged.
+    ///
+    /// Where stragglers are more than the budget, that delay would lie among
+    /// them; it is then cut to a multiple of the common latency, and the budget
+    /// decides which stragglers are hedged.
     fn refresh(&mut self) {
         self.since_refresh = 0;
         if self.latencies.weight() < HEDGE_SAMPLES {
             return;
         }
-        let fraction = (1.0 - self.hedges.ratio() * HEDGE_AIM).max(MIN_HEDGE_QUANTILE);
-        let delay = self.latencies.quantile(fraction).unwrap_or(Duration::MAX);
-        self.hedge_delay = delay.max(MIN_HEDGE_DELAY);
+        let fraction = (1.0 - self.hedges.ratio() * HEDGE_AIM).max(COMMON_QUANTILE);
+        let budgeted = self.latencies.quantile(fraction).unwrap_or(Duration::MAX);
+        let common = self.latencies.quantile(COMMON_QUANTILE).unwrap_or(Duration::MAX);
+        let straggling = common.saturating_mul(STRAGGLER_FACTOR);
+        self.hedge_delay = budgeted.min(straggling).max(MIN_HEDGE_DELAY);
     }
 }
--- a/crates/dispatch/src/router/stats.rs
+++ b/crates/dispatch/src/router/stats.rs
@@ -17,10 +17,10 @@
 /// A server is ejected when it is this many times slower than its best peer.
 pub(super) const EJECT_SLOWNESS: f64 = 4.0;
 
-/// Samples before a server's latency counts against it.
+/// Samples before a server's time counts against it.
 pub(super) const EJECT_SAMPLES: u32 = 8;
 
-/// Smallest difference of latencies that leads to an ejection.
+/// Smallest difference of times that leads to an ejection.
 const EJECT_DIFFERENCE_US: f64 = 1_000.0;
 
 /// Time from an ejection to the first probe.
@@ -44,6 +44,9 @@
 /// Time for which a reported queue length counts.
 const QUEUE_STALE: Duration = Duration::from_millis(200);
 
+/// Time for which a reported queue keeps hedges away.
+const HEDGE_QUEUE_STALE: Duration = Duration::from_millis(20);
+
 /// Longest time that a refusal of the holder keeps requests away.
 const MAX_AVOID: Duration = Duration::from_millis(100);
 
@@ -115,7 +118,8 @@
     pub(super) condition: Condition,
     pub(super) in_flight: u32,
     pub(super) latency: MeanEstimate,
-    service_us: f64,
+    /// Time on the server, without the queue.
+    pub(super) service: MeanEstimate,
     queue_length: u16,
     seen: BootTime,
     avoid_until: BootTime,
@@ -131,10 +135,10 @@
     pub(super) fn new(now: BootTime) -> Self {
         Self {
             usable: false,
-            condition: Condition::Cold,
+            condition: Condition::initial(),
             in_flight: 0,
             latency: MeanEstimate::default(),
-            service_us: 0.0,
+            service: MeanEstimate::default(),
             queue_length: 0,
             seen: BootTime::ZERO,
             avoid_until: BootTime::ZERO,
@@ -152,6 +156,7 @@
         self.cold_since = now;
         self.failure_rate = 0.0;
         self.latency = MeanEstimate::default();
+        self.service = MeanEstimate::default();
     }
 
     /// Whether it takes new requests at all.
@@ -166,8 +171,8 @@
 
     /// Whether a hedge may go there: warm, and nothing known to wait.
     pub(super) fn takes_hedge(&self, now: BootTime) -> bool {
-        let queue_seen = now.since(self.seen) < QUEUE_STALE && self.queue_length > 0;
-        self.condition == Condition::Warm && !queue_seen && now >= self.avoid_until
+        let queue_seen = now.since(self.seen) < HEDGE_QUEUE_STALE && self.queue_length > 0;
+        self.condition == Condition::Warm && !queue_seen
     }
 
     /// Whether an ejected server is due for a probe.
@@ -189,7 +194,8 @@
         let mut expected_us = self.latency.mean_us() * fresh + hinted_us * (1.0 - fresh);
         expected_us *= f64::from(self.in_flight + 1);
         if now.since(self.seen) < QUEUE_STALE {
-            expected_us += f64::from(self.queue_length) * self.service_us / f64::from(slots.max(1));
+            expected_us +=
+                f64::from(self.queue_length) * self.service.mean_us() / f64::from(slots.max(1));
         }
         if now < self.avoid_until {
             expected_us *= AVOID_FACTOR;
@@ -236,12 +242,16 @@
             ObservedEnd::Cancelled => {
                 // The whole latency is unknown but at least this long.
                 let long = as_micros(observation.latency) > self.latency.mean_us();
-                if long && self.latency.samples() > 0 {
-                    self.latency.record(observation.latency);
-                    self.seen = now;
-                    return self.check_slowness(now, peer_us);
+                if !long || self.latency.samples() == 0 {
+                    return None;
                 }
-                None
+                self.latency.record_cut(observation.latency);
+                self.seen = now;
+                if self.queue_length > 0 {
+                    return None;
+                }
+                self.service.record_cut(observation.latency);
+                self.check_slowness(now, peer_us)
             }
         }
     }
@@ -254,11 +264,13 @@
     ) -> Option<ConditionEvent> {
         self.failure_rate -= FAILURE_WEIGHT * self.failure_rate;
         self.note_queue(now, observation);
-        let latency_us = as_micros(observation.latency);
+        let known = !observation.service.is_zero();
+        let service = if known { observation.service } else { observation.latency };
         if self.condition == Condition::Ejected {
-            return self.judge_probe(now, latency_us, peer_us);
+            return self.judge_probe(now, as_micros(service), peer_us);
         }
-        self.latency.record(observation.latency);
+        self.latency.record_cut(observation.latency);
+        self.service.record_cut(service);
         if let Some(event) = self.check_slowness(now, peer_us) {
             return Some(event);
         }
@@ -273,10 +285,10 @@
     fn judge_probe(
         &mut self,
         now: BootTime,
-        latency_us: f64,
+        service_us: f64,
         peer_us: f64,
     ) -> Option<ConditionEvent> {
-        if is_slow(latency_us, peer_us) {
+        if is_slow(service_us, peer_us) {
             self.schedule_probe(now);
             return None;
         }
@@ -299,8 +311,8 @@
     }
 
     fn check_slowness(&mut self, now: BootTime, peer_us: f64) -> Option<ConditionEvent> {
-        let known = self.latency.samples() >= EJECT_SAMPLES;
-        if !known || !is_slow(self.latency.mean_us(), peer_us) {
+        let known = self.service.samples() >= EJECT_SAMPLES;
+        if !known || !is_slow(self.service.mean_us(), peer_us) {
             return None;
         }
         self.schedule_probe(now);
@@ -316,14 +328,11 @@
     fn note_queue(&mut self, now: BootTime, observation: &Observation) {
         self.seen = now;
         self.queue_length = observation.queue_length;
-        if !observation.service.is_zero() {
-            self.service_us = as_micros(observation.service);
-        }
     }
 }
 
-fn is_slow(latency_us: f64, peer_us: f64) -> bool {
+fn is_slow(service_us: f64, peer_us: f64) -> bool {
     peer_us > 0.0
-        && latency_us > peer_us * EJECT_SLOWNESS
-        && latency_us > peer_us + EJECT_DIFFERENCE_US
+        && service_us > peer_us * EJECT_SLOWNESS
+        && service_us > peer_us + EJECT_DIFFERENCE_US
 }
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -1,1 +1,453 @@
+//! Searches from one entry node over the servers of a few services.
 
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_clock::BootTime;
+use carobstep_config::{
+    ConfigVersion, Document, IndexManifest, ManifestDocument, ServerKey, SnapshotMap, Topology,
+};
+use carobstep_dispatch::{
+    Admission, AttemptKey, AttemptSend, CustomerKey, QueryPlan, QueryState, QueueEvent,
+    QueueLimits, QueueTicket, RequestAction, Router, ServerQueue, TicketKey,
+};
+use carobstep_wire::{Outcome, RefusalReason, RequestId, RetryReason, ShardReply, ShardResult};
+
+use super::{Samples, Timeline};
+
+/// One-way time between the entry node and a holder.
+const HOP: Duration = Duration::from_micros(500);
+
+/// Time until a holder gives up a silent connection.
+const SILENCE: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FaultKind {
+    /// Takes this many times as long.
+    Slow(f64),
+    /// Refuses everything before starting it.
+    Shed,
+    /// Accepts and never answers.
+    Silent,
+    /// Reports this load, whatever is true.
+    ReportsLoad(f64),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    pub server: usize,
+    pub from_ms: u64,
+    pub until_ms: u64,
+    pub kind: FaultKind,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct FleetRun {
+    pub shards: usize,
+    pub replicas: usize,
+    pub slots: u16,
+    pub service: Duration,
+    /// Offered load as a part of what all slots can serve.
+    pub load: f64,
+    pub straggle: f64,
+    pub straggle_factor: f64,
+    pub hedge_percent: f64,
+    pub retry_percent: f64,
+    pub at_most_once: bool,
+    pub deadline_ms: u64,
+    pub faults: &'static [Fault],
+    pub seconds: u64,
+    pub seed: u64,
+}
+
+/// One finished query.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    pub at: Duration,
+    pub latency: Duration,
+    pub covered: usize,
+    pub lacking: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct FleetFigures {
+    pub answers: Vec<Answer>,
+    /// Time to the reply of each covered shard.
+    pub shard_latencies: Vec<Duration>,
+    pub needed: u64,
+    /// Requests that servers started, per server.
+    pub started: Vec<u64>,
+    /// Attempts that arrived at each server: time since the start.
+    pub arrivals: Vec<Vec<Duration>>,
+    pub hedges: u64,
+    pub retries: u64,
+    /// Retries sent: time since the start.
+    pub retry_times: Vec<Duration>,
+    pub first_times: Vec<Duration>,
+    /// Hedges that a holder put into its queue.
+    pub hedges_queued: u64,
+    pub peak_running: usize,
+}
+
+enum Event {
+    Query,
+    Arrive { query: u64, send: AttemptSend },
+    Done { server: usize, key: TicketKey, service: Duration },
+    Reply { query: u64, attempt: AttemptKey, reply: ShardReply },
+    Lost { query: u64, attempt: AttemptKey },
+    Cancel { query: u64, attempt: AttemptKey },
+    QueueWake(usize),
+    QueryWake(u64),
+}
+
+struct Server {
+    queue: ServerQueue,
+    jobs: HashMap<TicketKey, (u64, AttemptSend)>,
+}
+
+struct Running {
+    state: QueryState,
+    started: BootTime,
+    wakeup: BootTime,
+}
+
+struct Fleet {
+    config: FleetRun,
+    timeline: Timeline<Event>,
+    start: BootTime,
+    samples: Samples,
+    router: Router,
+    map: Arc<SnapshotMap>,
+    servers: Vec<Server>,
+    queries: HashMap<u64, Running>,
+    tickets: HashMap<(u64, AttemptKey), (usize, TicketKey)>,
+    count: u64,
+    figures: FleetFigures,
+}
+
+/// A topology of one service per shard, with its replicas in two zones.
+pub fn topology(config: &FleetRun) -> Topology {
+    let mut services = String::new();
+    for shard in 0..config.shards {
+        let mut servers = String::new();
+        for replica in 0..config.replicas {
+            let port = 1_000 + shard * config.replicas + replica;
+            servers += &format!(
+                r#"{}"s{shard}-{replica}": {{"zone": "z{}", "address": "127.0.0.1:{port}", "slots": {}, "connections": 25}}"#,
+                if replica == 0 { "" } else { "," },
+                replica % 2,
+                config.slots,
+            );
+        }
+        services += &format!(
+            r#"{}"svc{shard}": {{"repeat": "{}", "deadline_ms": {}, "hedge": {{"hedge_percent": {}, "retry_percent": {}}}, "servers": {{{servers}}}}}"#,
+            if shard == 0 { "" } else { "," },
+            if config.at_most_once { "at_most_once" } else { "idempotent" },
+            config.deadline_ms,
+            config.hedge_percent,
+            config.retry_percent,
+        );
+    }
+    let document: Document =
+        serde_json::from_str(&format!(r#"{{"services": {{{services}}}}}"#)).expect("a document");
+    Topology::try_from((ConfigVersion(1), &document)).expect("a topology")
+}
+
+/// The snapshot that covers every service of [`topology`].
+pub fn snapshot(topology: &Topology, number: u64) -> Arc<SnapshotMap> {
+    let mut shards = Vec::new();
+    for (_, service) in topology.services() {
+        shards.push(format!(r#""shard-{0}": "{0}""#, service.name));
+    }
+    let text = format!(
+        r#"{{"index": "garments", "snapshots": [{{"number": {number}, "shards": {{{}}}}}]}}"#,
+        shards.join(",")
+    );
+    let document: ManifestDocument = serde_json::from_str(&text).expect("a manifest");
+    let manifest = IndexManifest::try_from((topology, &document)).expect("a manifest");
+    Arc::new(manifest.newest().clone())
+}
+
+pub fn run(config: FleetRun) -> FleetFigures {
+    let timeline = Timeline::new();
+    let start = timeline.now;
+    let topology = Arc::new(topology(&config));
+    let mut router = Router::new(Arc::clone(&topology), "z0", config.seed, start);
+    let limits = QueueLimits { slots: config.slots, waiting: 256 };
+    let mut servers = Vec::new();
+    for (key, _) in topology.servers() {
+        router.set_usable(key, true);
+        servers.push(Server { queue: ServerQueue::new(limits, start), jobs: HashMap::new() });
+    }
+    let figures = FleetFigures {
+        started: vec![0; servers.len()],
+        arrivals: vec![Vec::new(); servers.len()],
+        ..FleetFigures::default()
+    };
+    let mut fleet = Fleet {
+        config,
+        timeline,
+        start,
+        samples: Samples::new(config.seed),
+        map: snapshot(&topology, 7),
+        router,
+        servers,
+        queries: HashMap::new(),
+        tickets: HashMap::new(),
+        count: 0,
+        figures,
+    };
+    fleet.timeline.after(Duration::ZERO, Event::Query);
+    let end = start + Duration::from_secs(config.seconds);
+    while let Some(event) = fleet.timeline.next() {
+        if fleet.timeline.now > end {
+            break;
+        }
+        fleet.handle(event);
+    }
+    fleet.figures
+}
+
+impl Fleet {
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Query => self.begin_query(),
+            Event::Arrive { query, send } => self.arrive(query, send),
+            Event::Done { server, key, service } => self.serve(server, key, service),
+            Event::Reply { query, attempt, reply } => {
+                let now = self.timeline.now;
+                self.step(query, |state, router, actions| {
+                    state.on_reply(now, attempt, reply, router, actions);
+                });
+            }
+            Event::Lost { query, attempt } => {
+                let (now, reason) = (self.timeline.now, RefusalReason::ConnectionSilent);
+                self.step(query, |state, router, actions| {
+                    state.on_failure(now, attempt, Outcome::Unknown, reason, router, actions);
+                });
+            }
+            Event::Cancel { query, attempt } => self.cancel(query, attempt),
+            Event::QueueWake(server) => self.drain(server),
+            Event::QueryWake(query) => {
+                let now = self.timeline.now;
+                self.step(query, |state, router, actions| state.on_timer(now, router, actions));
+            }
+        }
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.timeline.now.since(self.start)
+    }
+
+    fn fault(&self, server: usize) -> Option<FaultKind> {
+        let at = self.elapsed().as_millis() as u64;
+        let active = |fault: &&Fault| {
+            fault.server == server && (fault.from_ms..fault.until_ms).contains(&at)
+        };
+        self.config.faults.iter().find(active).map(|fault| fault.kind)
+    }
+
+    fn begin_query(&mut self) {
+        let config = self.config;
+        let slots = f64::from(config.slots) * config.replicas as f64;
+        let gap = config.service.div_f64(config.load * slots);
+        let gap = self.samples.exponential(gap);
+        self.timeline.after(gap, Event::Query);
+        for server in 0..self.servers.len() {
+            if let Some(FaultKind::ReportsLoad(load)) = self.fault(server) {
+                self.router.hint_load(ServerKey(server as u16), load);
+            }
+        }
+        self.count += 1;
+        let now = self.timeline.now;
+        let plan = QueryPlan {
+            id: RequestId(u128::from(self.count) << 64 | u128::from(self.count)),
+            deadline: now + Duration::from_millis(config.deadline_ms),
+            map: Arc::clone(&self.map),
+            topology: Arc::clone(self.router.topology()),
+        };
+        self.figures.needed += config.shards as u64;
+        self.figures.first_times.push(self.elapsed());
+        let state = QueryState::new(plan, now);
+        let query = Running { state, started: now, wakeup: BootTime::MAX };
+        self.queries.insert(self.count, query);
+        self.step(self.count, |state, router, actions| state.start(now, router, actions));
+    }
+
+    fn step(
+        &mut self,
+        query: u64,
+        event: impl FnOnce(&mut QueryState, &mut Router, &mut Vec<RequestAction>),
+    ) {
+        let Some(running) = self.queries.get_mut(&query) else { return };
+        let mut actions = Vec::new();
+        event(&mut running.state, &mut self.router, &mut actions);
+        let wakeup = running.state.next_wakeup();
+        if wakeup != running.wakeup {
+            running.wakeup = wakeup;
+            self.timeline.at(wakeup, Event::QueryWake(query));
+        }
+        for action in actions {
+            match action {
+                RequestAction::Send(send) => {
+                    self.timeline.after(HOP, Event::Arrive { query, send });
+                }
+                RequestAction::Cancel { attempt } => {
+                    self.timeline.after(HOP, Event::Cancel { query, attempt });
+                }
+                RequestAction::CountRetry(RetryReason::Hedge) => self.figures.hedges += 1,
+                RequestAction::CountRetry(_) => {
+                    self.figures.retries += 1;
+                    self.figures.retry_times.push(self.elapsed());
+                }
+                RequestAction::CountRefusal(_) | RequestAction::Replan { .. } => {}
+                RequestAction::Finish => self.finish(query),
+            }
+        }
+    }
+
+    fn finish(&mut self, query: u64) {
+        let Some(running) = self.queries.remove(&query) else { return };
+        let report = running.state.into_report();
+        let covered = report.covered().count();
+        let lacking = report.lacking().count();
+        assert_eq!(covered + lacking, self.config.shards);
+        self.figures.answers.push(Answer {
+            at: running.started.since(self.start),
+            latency: self.timeline.now.since(running.started),
+            covered,
+            lacking,
+        });
+    }
+
+    fn arrive(&mut self, query: u64, send: AttemptSend) {
+        let now = self.timeline.now;
+        let server = send.server.index();
+        let at = self.elapsed();
+        self.figures.arrivals[server].push(at);
+        let fault = self.fault(server);
+        if fault == Some(FaultKind::Shed) {
+            return self.reply_refused(query, send, RefusalReason::ServerShed, Duration::ZERO);
+        }
+        if fault == Some(FaultKind::Silent) {
+            self.timeline.after(SILENCE, Event::Lost { query, attempt: send.attempt });
+            return;
+        }
+        let ticket = QueueTicket {
+            deadline: send.deadline,
+            hedge: send.hedge,
+            customer: CustomerKey(1),
+            caller: query,
+        };
+        match self.servers[server].queue.offer(now, ticket) {
+            Admission::Dispatch(key) => {
+                self.servers[server].jobs.insert(key, (query, send));
+                self.dispatch(server, key);
+            }
+            Admission::Queued(key) => {
+                self.figures.hedges_queued += u64::from(send.hedge);
+                self.servers[server].jobs.insert(key, (query, send));
+            }
+            Admission::Refused { reason, retry_after } => {
+                self.reply_refused(query, send, reason, retry_after);
+            }
+        }
+        if let Some(key) = self.ticket_of(server, query, send.attempt) {
+            self.tickets.insert((query, send.attempt), (server, key));
+        }
+        self.drain(server);
+    }
+
+    fn ticket_of(&self, server: usize, query: u64, attempt: AttemptKey) -> Option<TicketKey> {
+        let mut jobs = self.servers[server].jobs.iter();
+        jobs.find(|(_, job)| job.0 == query && job.1.attempt == attempt).map(|(key, _)| *key)
+    }
+
+    fn dispatch(&mut self, server: usize, key: TicketKey) {
+        self.figures.started[server] += 1;
+        let mut service = self.samples.erlang(self.config.service);
+        if self.samples.chance(self.config.straggle) {
+            service = service.mul_f64(self.config.straggle_factor);
+        }
+        if let Some(FaultKind::Slow(factor)) = self.fault(server) {
+            service = service.mul_f64(factor);
+        }
+        self.figures.peak_running =
+            self.figures.peak_running.max(self.servers[server].queue.running());
+        self.timeline.after(service, Event::Done { server, key, service });
+    }
+
+    fn serve(&mut self, server: usize, key: TicketKey, service: Duration) {
+        let now = self.timeline.now;
+        let Some((query, send)) = self.servers[server].jobs.remove(&key) else { return };
+        self.servers[server].queue.finish(now, key, Some(service));
+        self.tickets.remove(&(query, send.attempt));
+        let entry = &self.map.shards[send.shard];
+        let reply = ShardReply {
+            id: send.id,
+            shard: Some(entry.name.clone()),
+            snapshot: Some(self.map.number),
+            result: ShardResult::Body(Bytes::from_static(b"{}")),
+            queue_length: self.servers[server].queue.waiting() as u16,
+            service_us: service.as_micros() as u64,
+        };
+        let warm = self.elapsed() > Duration::from_secs(5);
+        if let Some(running) = self.queries.get(&query).filter(|_| warm) {
+            self.figures.shard_latencies.push((now + HOP).since(running.started));
+        }
+        self.timeline.after(HOP, Event::Reply { query, attempt: send.attempt, reply });
+        self.drain(server);
+    }
+
+    fn reply_refused(
+        &mut self,
+        query: u64,
+        send: AttemptSend,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        let retry_after_ms = retry_after.as_millis() as u64;
+        let outcome = Outcome::NotRun;
+        let reply = ShardReply {
+            id: send.id,
+            shard: None,
+            snapshot: None,
+            result: ShardResult::Refused { outcome, reason, retry_after_ms },
+            queue_length: self.servers[send.server.index()].queue.waiting() as u16,
+            service_us: 0,
+        };
+        self.timeline.after(HOP, Event::Reply { query, attempt: send.attempt, reply });
+    }
+
+    /// A cancelled request is dropped from the queue or stopped on the server.
+    fn cancel(&mut self, query: u64, attempt: AttemptKey) {
+        let now = self.timeline.now;
+        let Some((server, key)) = self.tickets.remove(&(query, attempt)) else { return };
+        if self.servers[server].jobs.remove(&key).is_none() {
+            return;
+        }
+        if !self.servers[server].queue.cancel(now, key) {
+            self.servers[server].queue.finish(now, key, None);
+        }
+        self.drain(server);
+    }
+
+    fn drain(&mut self, server: usize) {
+        let now = self.timeline.now;
+        while let Some(event) = self.servers[server].queue.poll(now) {
+            match event {
+                QueueEvent::Dispatch(key) => self.dispatch(server, key),
+                QueueEvent::Refused { key, reason, retry_after } => {
+                    let job = self.servers[server].jobs.remove(&key);
+                    let Some((query, send)) = job else { continue };
+                    self.tickets.remove(&(query, send.attempt));
+                    self.reply_refused(query, send, reason, retry_after);
+                }
+            }
+        }
+        if let Some(wakeup) = self.servers[server].queue.next_wakeup() {
+            let wakeup = wakeup.max(now) + Duration::from_micros(1);
+            self.timeline.at(wakeup, Event::QueueWake(server));
+        }
+    }
+}
