--- /dev/null
+++ b/crates/control/tests/spread_model.rs
@@ -0,0 +1,143 @@
+//! Exhaustive search of configuration spread: a version in force never
+//! reverts, and nodes that reach each other end up with the newest one.
+
+use carobstep_control::ConfigSpread;
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+use serde_json::json;
+
+const NODES: usize = 3;
+const VERSIONS: u64 = 4;
+
+/// The platform's version, the version in force at each node, and copies that
+/// are still on their way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct SpreadState {
+    platform: u64,
+    nodes: [u64; NODES],
+    copies: [Option<u64>; NODES],
+    /// The highest version that each node ever had in force.
+    highest: [u64; NODES],
+}
+
+const START: SpreadState =
+    SpreadState { platform: 1, nodes: [0; NODES], copies: [None; NODES], highest: [0; NODES] };
+
+/// How a node takes in an offered version.
+#[derive(Clone, Copy)]
+enum Adoption {
+    /// The product's rule.
+    Product,
+    /// The newest arrival wins.
+    LastArrival,
+}
+
+fn spread_at(version: u64) -> ConfigSpread {
+    let mut spread = ConfigSpread::default();
+    if version > 0 {
+        spread.offer_record(&record(version)).expect("the document is valid");
+    }
+    spread
+}
+
+fn record(version: u64) -> serde_json::Value {
+    json!({"version": version, "document": {}})
+}
+
+impl SpreadState {
+    fn offer(&mut self, node: usize, version: u64, adoption: Adoption) {
+        let mut spread = spread_at(self.nodes[node]);
+        spread.offer_record(&record(version)).expect("the document is valid");
+        self.nodes[node] = match adoption {
+            Adoption::Product => spread.version().0,
+            Adoption::LastArrival => version,
+        };
+        self.highest[node] = self.highest[node].max(self.nodes[node]);
+    }
+
+    fn has_reverted(&self) -> bool {
+        self.nodes != self.highest
+    }
+}
+
+/// A patch is accepted; a node reads the platform, perhaps a stale version; a
+/// node sends its copy to another; a copy arrives; a node restarts empty.
+fn successors(state: &SpreadState, adoption: Adoption) -> Vec<SpreadState> {
+    let mut next = Vec::new();
+    if state.platform < VERSIONS {
+        next.push(SpreadState { platform: state.platform + 1, ..state.clone() });
+    }
+    for node in 0..NODES {
+        for stale in 1..=state.platform {
+            let mut after = state.clone();
+            after.offer(node, stale, adoption);
+            next.push(after);
+        }
+        let mut restarted = state.clone();
+        restarted.nodes[node] = 0;
+        restarted.highest[node] = 0;
+        next.push(restarted);
+        if let Some(version) = state.copies[node] {
+            let mut after = state.clone();
+            after.copies[node] = None;
+            after.offer(node, version, adoption);
+            next.push(after);
+        }
+        for from in 0..NODES {
+            let copy =
+                spread_at(state.nodes[from]).config_after(carobstep_config::ConfigVersion(0));
+            let Some(copy) = copy.filter(|_| from != node) else { continue };
+            let mut after = state.clone();
+            after.copies[node] = Some(copy.version.0);
+            next.push(after);
+        }
+    }
+    next
+}
+
+#[test]
+fn a_version_in_force_never_reverts() {
+    let states = bfs_reach(START, |state| successors(state, Adoption::Product));
+    let mut count = 0;
+    for state in states {
+        count += 1;
+        assert!(!state.has_reverted(), "{state:?}");
+    }
+    println!("configuration spread: {count} states");
+}
+
+#[test]
+fn the_search_sees_a_reverting_node() {
+    let path =
+        bfs(&START, |state| successors(state, Adoption::LastArrival), SpreadState::has_reverted);
+    let path = path.expect("a later arrival of an older version reverts a node");
+    println!("{path:#?}");
+}
+
+/// From every reachable state, one exchange of each node with every other one
+/// brings the newest version to all, because nobody skips what it lacks.
+#[test]
+fn exchanges_bring_the_newest_version_to_every_node() {
+    for state in bfs_reach(START, |state| successors(state, Adoption::Product)) {
+        let newest = state.nodes.into_iter().max().unwrap_or(0);
+        let mut after = state.clone();
+        for from in 0..NODES {
+            for to in 0..NODES {
+                exchange(&mut after, from, to);
+                exchange(&mut after, to, from);
+            }
+        }
+        assert_eq!(after.nodes, [newest; NODES], "{state:?}");
+    }
+}
+
+fn exchange(state: &mut SpreadState, from: usize, to: usize) {
+    let sender = spread_at(state.nodes[from]);
+    let mut receiver = spread_at(state.nodes[to]);
+    if !receiver.lacks(sender.version(), &[]) {
+        return;
+    }
+    if let Some(copy) = sender.config_after(receiver.version()) {
+        receiver.offer_copy(copy).expect("the document is valid");
+    }
+    state.nodes[to] = receiver.version().0;
+}
