--- a/crates/platform/tests/error_kinds.rs
+++ b/crates/platform/tests/error_kinds.rs
@@ -26,6 +26,8 @@
     SendAndClose(&'static str),
     /// Reads the request, sends these bytes and then nothing.
     SendAndHang(&'static str),
+    /// Reads the request, sends this status and closes.
+    Status(u16),
     /// Reads the request and sends a list that does not end.
     EndlessList,
 }
@@ -93,18 +95,18 @@
         Err(StoreErrorKind::AnswerLost),
     ),
     case("list without end", Script::EndlessList, Subject::List, Err(StoreErrorKind::AnswerLost)),
-    case("status 500", status("500"), Subject::Put, Err(StoreErrorKind::AnswerLost)),
-    case("status 503", status("503"), Subject::Delete, Err(StoreErrorKind::AnswerLost)),
-    case("status 302", status("302"), Subject::Put, Err(StoreErrorKind::AnswerLost)),
-    case("status 400", status("400"), Subject::Put, Err(StoreErrorKind::Rejected)),
-    case("status 413", status("413"), Subject::Put, Err(StoreErrorKind::Rejected)),
-    case("status 428", status("428"), Subject::Delete, Err(StoreErrorKind::Rejected)),
-    case("put of no such path", status("404"), Subject::Put, Err(StoreErrorKind::Rejected)),
-    case("VMs of no such path", status("404"), Subject::Vms, Err(StoreErrorKind::Rejected)),
-    case("missing", status("404"), Subject::Get, Ok(())),
-    case("condition of a put", status("412"), Subject::Put, Ok(())),
-    case("condition of a deletion", status("412"), Subject::Delete, Ok(())),
-    case("deletion of a missing object", status("404"), Subject::Delete, Ok(())),
+    case("status 500", Script::Status(500), Subject::Put, Err(StoreErrorKind::AnswerLost)),
+    case("status 503", Script::Status(503), Subject::Delete, Err(StoreErrorKind::AnswerLost)),
+    case("status 302", Script::Status(302), Subject::Put, Err(StoreErrorKind::AnswerLost)),
+    case("status 400", Script::Status(400), Subject::Put, Err(StoreErrorKind::Rejected)),
+    case("status 413", Script::Status(413), Subject::Put, Err(StoreErrorKind::Rejected)),
+    case("status 428", Script::Status(428), Subject::Delete, Err(StoreErrorKind::Rejected)),
+    case("put of no such path", Script::Status(404), Subject::Put, Err(StoreErrorKind::Rejected)),
+    case("VMs of no such path", Script::Status(404), Subject::Vms, Err(StoreErrorKind::Rejected)),
+    case("missing", Script::Status(404), Subject::Get, Ok(())),
+    case("condition of a put", Script::Status(412), Subject::Put, Ok(())),
+    case("condition of a deletion", Script::Status(412), Subject::Delete, Ok(())),
+    case("deletion of a missing object", Script::Status(404), Subject::Delete, Ok(())),
 ];
 
 const fn case(
@@ -116,20 +118,6 @@
     Case { name, script, subject, expected }
 }
 
-const fn status(code: &'static str) -> Script {
-    match code.as_bytes() {
-        b"302" => Script::SendAndClose("HTTP/1.1 302 X\r\ncontent-length: 0\r\n\r\n"),
-        b"400" => Script::SendAndClose("HTTP/1.1 400 X\r\ncontent-length: 0\r\n\r\n"),
-        b"404" => Script::SendAndClose("HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n"),
-        b"412" => Script::SendAndClose("HTTP/1.1 412 X\r\ncontent-length: 0\r\n\r\n"),
-        b"413" => Script::SendAndClose("HTTP/1.1 413 X\r\ncontent-length: 0\r\n\r\n"),
-        b"428" => Script::SendAndClose("HTTP/1.1 428 X\r\ncontent-length: 0\r\n\r\n"),
-        b"500" => Script::SendAndClose("HTTP/1.1 500 X\r\ncontent-length: 0\r\n\r\n"),
-        b"503" => Script::SendAndClose("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"),
-        _ => panic!("no script for this status"),
-    }
-}
-
 fn call_of(subject: Subject) -> ObjectCall {
     let kind = ObjectKind::Claim;
     let name = "c1".to_owned();
@@ -186,6 +174,10 @@
     match script {
         Script::Refuse => {}
         Script::SendAndClose(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap(),
+        Script::Status(code) => {
+            let reply = format!("HTTP/1.1 {code} X\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(reply.as_bytes()).await.unwrap();
+        }
         Script::SendAndHang(bytes) => {
             stream.write_all(bytes.as_bytes()).await.unwrap();
             // Ends when the client gives up on the connection.
--- a/crates/standin/tests/backend_faults.rs
+++ b/crates/standin/tests/backend_faults.rs
@@ -6,7 +6,6 @@
 
 use carobstep_standin::{BackendStandin, HealthState, ServerFaultsPatch, ServerSettings};
 use common::{Caller, QueryEnd, until};
-use http::StatusCode;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -28,78 +27,35 @@
     name: &'static str,
     change: fn(&mut ServerFaultsPatch),
     snapshot: &'static str,
-    status: StatusCode,
+    status: u16,
     not_run: &'static str,
     executed: u64,
 }
 
 const REFUSAL_CASES: &[RefusalCase] = &[
-    RefusalCase {
-        name: "none",
-        change: |_| {},
-        snapshot: "7",
-        status: StatusCode::OK,
-        not_run: "",
-        executed: 1,
-    },
-    RefusalCase {
-        name: "shed",
-        change: |patch| patch.shed = Some(true),
-        snapshot: "7",
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        not_run: "shed",
-        executed: 0,
-    },
-    RefusalCase {
-        name: "draining",
-        change: |patch| patch.state = Some(HealthState::Draining),
-        snapshot: "7",
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        not_run: "draining",
-        executed: 0,
-    },
-    RefusalCase {
-        name: "snapshot gone",
-        change: |_| {},
-        snapshot: "5",
-        status: StatusCode::CONFLICT,
-        not_run: "snapshot-gone",
-        executed: 0,
-    },
-    RefusalCase {
-        name: "snapshot ahead",
-        change: |_| {},
-        snapshot: "8",
-        status: StatusCode::CONFLICT,
-        not_run: "snapshot-ahead",
-        executed: 0,
-    },
-    RefusalCase {
-        name: "snapshots changed",
-        change: |patch| patch.snapshots = Some(vec![8]),
-        snapshot: "7",
-        status: StatusCode::CONFLICT,
-        not_run: "snapshot-gone",
-        executed: 0,
-    },
-    RefusalCase {
-        name: "every snapshot",
-        change: |patch| patch.snapshots = Some(Vec::new()),
-        snapshot: "99",
-        status: StatusCode::OK,
-        not_run: "",
-        executed: 1,
-    },
-    RefusalCase {
-        name: "error after the work",
-        change: |patch| patch.error500 = Some(true),
-        snapshot: "7",
-        status: StatusCode::INTERNAL_SERVER_ERROR,
-        not_run: "",
-        executed: 1,
-    },
+    refusal("none", |_| {}, "7", 200, "", 1),
+    refusal("shed", |patch| patch.shed = Some(true), "7", 503, "shed", 0),
+    refusal("draining", |patch| patch.state = Some(DRAINING), "7", 503, "draining", 0),
+    refusal("snapshot gone", |_| {}, "5", 409, "snapshot-gone", 0),
+    refusal("snapshot ahead", |_| {}, "8", 409, "snapshot-ahead", 0),
+    refusal("moved on", |patch| patch.snapshots = Some(vec![8]), "7", 409, "snapshot-gone", 0),
+    refusal("every snapshot", |patch| patch.snapshots = Some(Vec::new()), "99", 200, "", 1),
+    refusal("error after the work", |patch| patch.error500 = Some(true), "7", 500, "", 1),
 ];
 
+const DRAINING: HealthState = HealthState::Draining;
+
+const fn refusal(
+    name: &'static str,
+    change: fn(&mut ServerFaultsPatch),
+    snapshot: &'static str,
+    status: u16,
+    not_run: &'static str,
+    executed: u64,
+) -> RefusalCase {
+    RefusalCase { name, change, snapshot, status, not_run, executed }
+}
+
 #[tokio::test]
 async fn refusals_tell_whether_the_work_started() {
     for case in REFUSAL_CASES {
@@ -108,7 +64,7 @@
         let mut caller = Caller::connect(server.address()).await;
         let headers = [("x-request-id", "r1"), ("x-snapshot", case.snapshot)];
         let reply = caller.query(&headers, "{}").await.reply();
-        assert_eq!(reply.status, case.status, "{}", case.name);
+        assert_eq!(reply.status.as_u16(), case.status, "{}", case.name);
         assert_eq!(reply.header("x-not-run"), case.not_run, "{}", case.name);
         assert_eq!(server.report().executed, case.executed, "{}", case.name);
     }
--- a/crates/standin/tests/claims.rs
+++ b/crates/standin/tests/claims.rs
@@ -58,7 +58,7 @@
 
 struct WriteCase {
     name: &'static str,
-    faults: fn(&mut PlatformFaultsPatch),
+    lost_answers: u32,
     before: Before,
     condition: Condition,
     expected: SettleEnd,
@@ -66,48 +66,29 @@
 }
 
 const WRITE_CASES: &[WriteCase] = &[
-    WriteCase {
-        name: "no fault",
-        faults: |_| {},
-        before: Before::Nothing,
-        condition: Condition::Absent,
-        expected: SettleEnd::Written(ObjectVersion(1)),
-        calls: 1,
-    },
-    WriteCase {
-        name: "exists",
-        faults: |_| {},
-        before: Before::OtherObject,
-        condition: Condition::Absent,
-        expected: SettleEnd::LostRace,
-        calls: 1,
-    },
-    WriteCase {
-        name: "own object exists, but this write did not make it",
-        faults: |_| {},
-        before: Before::SameObject,
-        condition: Condition::Absent,
-        expected: SettleEnd::LostRace,
-        calls: 1,
-    },
-    WriteCase {
-        name: "answer lost",
-        faults: |patch| patch.lose_answers = Some(1),
-        before: Before::Nothing,
-        condition: Condition::Absent,
-        expected: SettleEnd::Written(ObjectVersion(1)),
-        calls: 2,
-    },
-    WriteCase {
-        name: "answer of a replacement lost",
-        faults: |patch| patch.lose_answers = Some(1),
-        before: Before::OtherObject,
-        condition: Condition::At(ObjectVersion(1)),
-        expected: SettleEnd::Written(ObjectVersion(2)),
-        calls: 2,
-    },
+    write_case("no fault", 0, Before::Nothing, Condition::Absent, written(1), 1),
+    write_case("exists", 0, Before::OtherObject, Condition::Absent, SettleEnd::LostRace, 1),
+    // The object carries the marker, but this write did not make it.
+    write_case("own", 0, Before::SameObject, Condition::Absent, SettleEnd::LostRace, 1),
+    write_case("answer lost", 1, Before::Nothing, Condition::Absent, written(1), 2),
+    write_case("replaced", 1, Before::OtherObject, Condition::At(ObjectVersion(1)), written(2), 2),
 ];
 
+const fn written(version: u64) -> SettleEnd {
+    SettleEnd::Written(ObjectVersion(version))
+}
+
+const fn write_case(
+    name: &'static str,
+    lost_answers: u32,
+    before: Before,
+    condition: Condition,
+    expected: SettleEnd,
+    calls: u64,
+) -> WriteCase {
+    WriteCase { name, lost_answers, before, condition, expected, calls }
+}
+
 #[tokio::test]
 async fn a_write_is_settled_with_few_calls() {
     for case in WRITE_CASES {
@@ -128,9 +109,8 @@
             settle_write(&store, &earlier, within(AMPLE)).await;
         }
         let calls_before = platform.report().total;
-        let mut patch = PlatformFaultsPatch::default();
-        (case.faults)(&mut patch);
-        platform.apply_faults(patch);
+        let lose_answers = Some(case.lost_answers);
+        platform.apply_faults(PlatformFaultsPatch { lose_answers, ..Default::default() });
         let own = write(case.condition, "own");
         let outcome = settle_write(&store, &own, within(AMPLE)).await;
         assert_eq!(outcome.end, case.expected, "{}", case.name);
@@ -211,64 +191,33 @@
 }
 
 const RESEND_CASES: &[ResendCase] = &[
-    ResendCase {
-        name: "open",
-        recorded: None,
-        body: "b",
-        sight: OwnerSight::Present,
-        expected: ClaimEnd::InProgress,
-    },
-    ResendCase {
-        name: "owner gone",
-        recorded: None,
-        body: "b",
-        sight: OwnerSight::Gone,
-        expected: replay(ClaimOutcome::Unknown),
-    },
-    ResendCase {
-        name: "abandoned by this node",
-        recorded: None,
-        body: "b",
-        sight: OwnerSight::Abandoned,
-        expected: ClaimEnd::Acquired(ObjectVersion(2)),
-    },
-    ResendCase {
-        name: "other body",
-        recorded: None,
-        body: "c",
-        sight: OwnerSight::Gone,
-        expected: ClaimEnd::Mismatch,
-    },
-    ResendCase {
-        name: "ran",
-        recorded: Some(ClaimOutcome::Ran),
-        body: "b",
-        sight: OwnerSight::Present,
-        expected: replay(ClaimOutcome::Ran),
-    },
-    ResendCase {
-        name: "ran, other body",
-        recorded: Some(ClaimOutcome::Ran),
-        body: "c",
-        sight: OwnerSight::Present,
-        expected: ClaimEnd::Mismatch,
-    },
-    ResendCase {
-        name: "unknown",
-        recorded: Some(ClaimOutcome::Unknown),
-        body: "b",
-        sight: OwnerSight::Gone,
-        expected: replay(ClaimOutcome::Unknown),
-    },
-    ResendCase {
-        name: "not run",
-        recorded: Some(ClaimOutcome::NotRun),
-        body: "b",
-        sight: OwnerSight::Present,
-        expected: ClaimEnd::Acquired(ObjectVersion(3)),
-    },
+    resend("open", None, "b", OwnerSight::Present, ClaimEnd::InProgress),
+    resend("owner gone", None, "b", OwnerSight::Gone, replay(UNKNOWN)),
+    resend("abandoned by this node", None, "b", OwnerSight::Abandoned, acquired(2)),
+    resend("other body", None, "c", OwnerSight::Gone, ClaimEnd::Mismatch),
+    resend("ran", Some(RAN), "b", OwnerSight::Present, replay(RAN)),
+    resend("ran, other body", Some(RAN), "c", OwnerSight::Present, ClaimEnd::Mismatch),
+    resend("unknown", Some(UNKNOWN), "b", OwnerSight::Gone, replay(UNKNOWN)),
+    resend("not run", Some(ClaimOutcome::NotRun), "b", OwnerSight::Present, acquired(3)),
 ];
 
+const RAN: ClaimOutcome = ClaimOutcome::Ran;
+const UNKNOWN: ClaimOutcome = ClaimOutcome::Unknown;
+
+const fn resend(
+    name: &'static str,
+    recorded: Option<ClaimOutcome>,
+    body: &'static str,
+    sight: OwnerSight,
+    expected: ClaimEnd,
+) -> ResendCase {
+    ResendCase { name, recorded, body, sight, expected }
+}
+
+const fn acquired(version: u64) -> ClaimEnd {
+    ClaimEnd::Acquired(ObjectVersion(version))
+}
+
 const fn replay(outcome: ClaimOutcome) -> ClaimEnd {
     ClaimEnd::Replay(RecordedOutcome { outcome, answer: None })
 }
