--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -32,7 +32,7 @@
 
 /// Bound of one call to the platform. A lost answer takes longer to settle
 /// than a slow one takes to arrive, so it is longer than that of the nodes.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Runs the command line without the program's name.
 #[must_use]
