--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -18,7 +18,7 @@
 use carobstep_platform::HttpStore;
 use carobstep_wire::{PeerPool, serve_peers};
 use ractor::Actor;
-use serde_json::json;
+use serde::Serialize;
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -51,9 +51,14 @@
     peers: TcpListener,
 }
 
-/// Running listeners and the signals that stop them.
-struct RunningNode {
+/// A node in this process: its listeners and the signals that stop them.
+///
+/// It must be started within a tokio runtime and keeps running until
+/// [`RunningNode::stop`].
+#[derive(Debug)]
+pub struct RunningNode {
     context: Arc<NodeContext>,
+    addresses: NodeAddresses,
     stop_callers: watch::Sender<bool>,
     stop_others: watch::Sender<bool>,
     handed_over: watch::Receiver<bool>,
@@ -61,6 +66,17 @@
     peers: JoinHandle<()>,
 }
 
+/// Addresses that the listeners of a node are bound to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct NodeAddresses {
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for operators and the balancer.
+    pub operators: SocketAddr,
+    /// Listener for other nodes.
+    pub peers: SocketAddr,
+}
+
 /// Runs a node until SIGTERM or SIGINT, then stops it gracefully.
 ///
 /// Prints one line, `ready` and the listener addresses as JSON, to standard
@@ -72,12 +88,15 @@
 pub async fn run(settings: Settings) -> Result<(), NodeError> {
     let mut terminate = stop_signal(SignalKind::terminate())?;
     let mut interrupt = stop_signal(SignalKind::interrupt())?;
-    let node = start(settings).await?;
+    let node = RunningNode::start(settings).await?;
+    let addresses = serde_json::to_string(&node.addresses()).unwrap_or_default();
+    println!("ready {addresses}");
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop(node).await;
+    node.stop().await;
+    log::logger().flush();
     Ok(())
 }
 
@@ -87,37 +106,96 @@
     })
 }
 
-async fn start(settings: Settings) -> Result<RunningNode, NodeError> {
-    let listeners = NodeListeners {
-        callers: bind("callers", settings.callers).await?,
-        operators: bind("operators", settings.operators).await?,
-        peers: bind("peers", settings.peers).await?,
-    };
-    let (view_sender, view) = watch::channel(Arc::new(NodeView::default()));
-    let (finished, handed_over) = watch::channel(false);
-    let (peers, news) = PeerPool::new();
-    let context = Arc::new(build_context(settings, &listeners, peers, view)?);
-    tokio::spawn(watch_peers(context.clone(), news));
-    let arguments = ControlArguments { context: context.clone(), view: view_sender, finished };
-    let (actor, _) = Actor::spawn(None, ControlActor, arguments)
-        .await
-        .map_err(|error| NodeError::new(NodeErrorKind::Actor, format!("control: {error}")))?;
-    // The cell was empty until now, so that setting it can't fail.
-    let _ = context.control_actor.set(actor);
-    if let Some(address) = context.settings.metrics {
-        let client = metrics::build_client(address, context.settings.node.as_str())?;
-        tokio::spawn(metrics::report(client, context.counters.clone()));
+impl RunningNode {
+    /// Binds the listeners and starts the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a listener, an actor or the metrics client can't be started.
+    pub async fn start(settings: Settings) -> Result<Self, NodeError> {
+        let listeners = NodeListeners {
+            callers: bind("callers", settings.callers).await?,
+            operators: bind("operators", settings.operators).await?,
+            peers: bind("peers", settings.peers).await?,
+        };
+        let addresses = listeners.addresses()?;
+        let (view_sender, view) = watch::channel(Arc::new(NodeView::default()));
+        let (finished, handed_over) = watch::channel(false);
+        let (peers, news) = PeerPool::new();
+        let context = Arc::new(build_context(settings, addresses, peers, view));
+        tokio::spawn(watch_peers(context.clone(), news));
+        let arguments = ControlArguments { context: context.clone(), view: view_sender, finished };
+        let (actor, _) = Actor::spawn(None, ControlActor, arguments)
+            .await
+            .map_err(|error| NodeError::new(NodeErrorKind::Actor, format!("control: {error}")))?;
+        // The cell was empty until now, so that setting it can't fail.
+        let _ = context.control_actor.set(actor);
+        if let Some(address) = context.settings.metrics {
+            let client = metrics::build_client(address, context.settings.node.as_str())?;
+            tokio::spawn(metrics::report(client, context.counters.clone()));
+        }
+        Ok(serve(context, addresses, listeners, handed_over))
+    }
+
+    /// Addresses that the listeners are bound to.
+    #[must_use]
+    pub const fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    /// Every counter of the node.
+    #[must_use]
+    pub fn counters(&self) -> &CounterSet {
+        &self.context.counters
+    }
+
+    /// Stops in four steps: not ready, grants handed over, callers drained,
+    /// peers drained. Each step has the time that the settings give.
+    pub async fn stop(mut self) {
+        let stop = self.context.settings.stop;
+        log::info!("stopping");
+        self.context.stopping.store(true, Ordering::Relaxed);
+        self.context.tell_control(ControlEvent::Stop);
+        sleep(stop.notice).await;
+        // The receivers may be gone already, and then there is nothing to stop.
+        let _ = self.stop_callers.send(true);
+        if timeout(stop.drain_timeout, self.drain()).await.is_err() {
+            log::warn!("stop: requests or grants were left after {:?}", stop.drain_timeout);
+        }
+        let _ = self.stop_others.send(true);
+        if timeout(stop.drain_timeout, self.peers).await.is_err() {
+            log::warn!("stop: peer streams were left after {:?}", stop.drain_timeout);
+        }
+        log::info!("stopped");
+    }
+
+    /// Waits for the callers' requests and for the handover of the grants.
+    async fn drain(&mut self) {
+        // A listener task that panicked has no requests left either.
+        let _ = (&mut self.callers).await;
+        // Orders go on after their callers have disconnected.
+        let all = u32::try_from(self.context.settings.limits.in_flight).unwrap_or(u32::MAX);
+        let _ = self.context.in_flight.acquire_many(all).await;
+        let _ = self.handed_over.wait_for(|finished| *finished).await;
+    }
+}
+
+impl NodeListeners {
+    fn addresses(&self) -> Result<NodeAddresses, NodeError> {
+        Ok(NodeAddresses {
+            callers: local_address(&self.callers)?,
+            operators: local_address(&self.operators)?,
+            peers: local_address(&self.peers)?,
+        })
     }
-    announce(&listeners);
-    Ok(serve(context, listeners, handed_over))
 }
 
 fn build_context(
     settings: Settings,
-    listeners: &NodeListeners,
+    addresses: NodeAddresses,
     peers: PeerPool,
     view: watch::Receiver<Arc<NodeView>>,
-) -> Result<NodeContext, NodeError> {
+) -> NodeContext {
     let now = BootTime::now();
     let random_seed = RandomState::new().hash_one(settings.node.as_str());
     let incarnation = unix_millis();
@@ -125,8 +203,8 @@
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         region: settings.region.to_string(),
-        peer_address: local_address(&listeners.peers)?,
-        operators_address: local_address(&listeners.operators)?,
+        peer_address: addresses.peers,
+        operators_address: addresses.operators,
         incarnation,
         seeds: settings.seeds.clone(),
         random_seed,
@@ -146,7 +224,7 @@
     };
     let store = HttpStore::builder(settings.platform).zone(settings.zone.clone()).build();
     let zone = settings.zone.clone();
-    Ok(NodeContext {
+    NodeContext {
         counters: Arc::new(CounterSet::default()),
         store: Arc::new(store),
         peers,
@@ -159,11 +237,12 @@
         in_flight: Arc::new(Semaphore::new(settings.limits.in_flight)),
         view,
         settings,
-    })
+    }
 }
 
 fn serve(
     context: Arc<NodeContext>,
+    addresses: NodeAddresses,
     listeners: NodeListeners,
     handed_over: watch::Receiver<bool>,
 ) -> RunningNode {
@@ -177,35 +256,7 @@
     tokio::spawn(serve_http(listeners.operators, operators, operator_limits, others_stop.clone()));
     let peers = Arc::new(NodePeerHandler::new(context.clone()));
     let peers = tokio::spawn(serve_peers(listeners.peers, peers, others_stop));
-    RunningNode { context, stop_callers, stop_others, handed_over, callers, peers }
-}
-
-/// Stops in four steps: not ready, grants handed over, callers drained, peers
-/// drained. Each step has the time that the settings give.
-async fn stop(mut node: RunningNode) {
-    let stop = node.context.settings.stop;
-    log::info!("stopping");
-    node.context.stopping.store(true, Ordering::Relaxed);
-    node.context.tell_control(ControlEvent::Stop);
-    sleep(stop.notice).await;
-    // The receivers may be gone already, and then there is nothing to stop.
-    let _ = node.stop_callers.send(true);
-    let drained = timeout(stop.drain_timeout, async {
-        let _ = node.callers.await;
-        // Orders go on after their callers have disconnected.
-        let all = u32::try_from(node.context.settings.limits.in_flight).unwrap_or(u32::MAX);
-        let _ = node.context.in_flight.acquire_many(all).await;
-        let _ = node.handed_over.wait_for(|finished| *finished).await;
-    });
-    if drained.await.is_err() {
-        log::warn!("stop: requests or grants were left after {:?}", stop.drain_timeout);
-    }
-    let _ = node.stop_others.send(true);
-    if timeout(stop.drain_timeout, node.peers).await.is_err() {
-        log::warn!("stop: peer streams were left after {:?}", stop.drain_timeout);
-    }
-    log::info!("stopped");
-    log::logger().flush();
+    RunningNode { context, addresses, stop_callers, stop_others, handed_over, callers, peers }
 }
 
 async fn bind(name: &str, address: SocketAddr) -> Result<TcpListener, NodeError> {
@@ -220,16 +271,6 @@
         .map_err(|error| NodeError::new(NodeErrorKind::Listener, format!("listener: {error}")))
 }
 
-fn announce(listeners: &NodeListeners) {
-    let address = |listener: &TcpListener| listener.local_addr().map(|at| at.to_string()).ok();
-    let line = json!({
-        "callers": address(&listeners.callers),
-        "operators": address(&listeners.operators),
-        "peers": address(&listeners.peers),
-    });
-    println!("ready {line}");
-}
-
 const fn caller_limits(limits: LimitSettings) -> ListenerLimits {
     ListenerLimits {
         body_bytes: limits.body_bytes,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,6 @@
 pub use args::DaemonArgs;
 pub use callers::CallerHandler;
 pub use counters::{CounterSet, NodeEvent};
-pub use daemon::run;
+pub use daemon::{NodeAddresses, RunningNode, run};
 pub use error::{NodeError, NodeErrorKind};
 pub use main_entry::main;
