Measure hedging, retries and routing under faults on a paused clock

An ejected server now needs three probes in a row: a server ten times slower answered one probe fast in about twelve and came back cold, with 1.6 % of the load instead of 0.3 %. Cancelled attempts count twice their time, and a reported queue counts only while it is fresh.

--- a/crates/dispatch/src/router/stats.rs
+++ b/crates/dispatch/src/router/stats.rs
@@ -29,6 +29,9 @@
 /// Longest time between two probes.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(1);
 
+/// Probes in a row that must pass; a slow server answers some requests fast.
+const PASSED_PROBES: u8 = 3;
+
 /// Time over which a cold server's share grows to the whole.
 const RAMP: Duration = Duration::from_secs(2);
 
@@ -53,6 +56,9 @@
 /// Time for which a server is passed over for a snapshot that it lacks.
 const SNAPSHOT_AVOID: Duration = Duration::from_millis(500);
 
+/// Assumed whole time of a cancelled request, as a multiple of the time it had.
+const CANCELLED_FACTOR: u32 = 2;
+
 /// Factor on the score of a server that just refused.
 const AVOID_FACTOR: f64 = 8.0;
 
@@ -121,12 +127,14 @@
     /// Time on the server, without the queue.
     pub(super) service: MeanEstimate,
     queue_length: u16,
+    queue_seen: BootTime,
     seen: BootTime,
     avoid_until: BootTime,
     failure_rate: f64,
     cold_since: BootTime,
     ejections: u8,
     probe_at: BootTime,
+    passed_probes: u8,
     lacking: Option<(u64, BootTime)>,
     load_hint: f64,
 }
@@ -140,12 +148,14 @@
             latency: MeanEstimate::default(),
             service: MeanEstimate::default(),
             queue_length: 0,
+            queue_seen: BootTime::ZERO,
             seen: BootTime::ZERO,
             avoid_until: BootTime::ZERO,
             failure_rate: 0.0,
             cold_since: now,
             ejections: 0,
             probe_at: BootTime::ZERO,
+            passed_probes: 0,
             lacking: None,
             load_hint: 0.0,
         }
@@ -171,8 +181,7 @@
 
     /// Whether a hedge may go there: warm, and nothing known to wait.
     pub(super) fn takes_hedge(&self, now: BootTime) -> bool {
-        let queue_seen = now.since(self.seen) < HEDGE_QUEUE_STALE && self.queue_length > 0;
-        self.condition == Condition::Warm && !queue_seen
+        self.condition == Condition::Warm && self.known_queue(now, HEDGE_QUEUE_STALE) == 0
     }
 
     /// Whether an ejected server is due for a probe.
@@ -193,10 +202,8 @@
         let hinted_us = prior_us * (1.0 + self.load_hint);
         let mut expected_us = self.latency.mean_us() * fresh + hinted_us * (1.0 - fresh);
         expected_us *= f64::from(self.in_flight + 1);
-        if now.since(self.seen) < QUEUE_STALE {
-            expected_us +=
-                f64::from(self.queue_length) * self.service.mean_us() / f64::from(slots.max(1));
-        }
+        let queue_length = f64::from(self.known_queue(now, QUEUE_STALE));
+        expected_us += queue_length * self.service.mean_us() / f64::from(slots.max(1));
         if now < self.avoid_until {
             expected_us *= AVOID_FACTOR;
         }
@@ -206,6 +213,11 @@
         expected_us / self.weight(now)
     }
 
+    /// Queue length reported within the given time, else zero.
+    fn known_queue(&self, now: BootTime, stale: Duration) -> u16 {
+        if now.since(self.queue_seen) < stale { self.queue_length } else { 0 }
+    }
+
     /// Share of a warm server's load that it takes now.
     fn weight(&self, now: BootTime) -> f64 {
         if self.condition != Condition::Cold {
@@ -247,10 +259,10 @@
                 }
                 self.latency.record_cut(observation.latency);
                 self.seen = now;
-                if self.queue_length > 0 {
+                if self.known_queue(now, QUEUE_STALE) > 0 {
                     return None;
                 }
-                self.service.record_cut(observation.latency);
+                self.service.record_cut(observation.latency * CANCELLED_FACTOR);
                 self.check_slowness(now, peer_us)
             }
         }
@@ -292,6 +304,11 @@
             self.schedule_probe(now);
             return None;
         }
+        self.passed_probes += 1;
+        if self.passed_probes < PASSED_PROBES {
+            self.probe_at = now;
+            return None;
+        }
         self.restart_ramp(now);
         Some(ConditionEvent::ProbePassed)
     }
@@ -322,11 +339,13 @@
     fn schedule_probe(&mut self, now: BootTime) {
         let delay = PROBE_DELAY * 2u32.pow(u32::from(self.ejections.min(4)));
         self.probe_at = now + delay.min(MAX_PROBE_DELAY);
+        self.passed_probes = 0;
         self.ejections = self.ejections.saturating_add(1);
     }
 
     fn note_queue(&mut self, now: BootTime, observation: &Observation) {
         self.seen = now;
+        self.queue_seen = now;
         self.queue_length = observation.queue_length;
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/faults.rs
@@ -0,0 +1,187 @@
+//! Retries and routing while servers fail, on a paused clock with fixed seeds.
+//!
+//! `cargo test -p carobstep-dispatch --test faults -- --nocapture` prints the figures.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    fleet::{Answer, Fault, FaultKind, FleetFigures, FleetRun, run},
+    millis, quantile,
+};
+
+/// Time within which all is as before once the fault has ended.
+const MAX_RECOVERY: Duration = Duration::from_secs(2);
+
+/// p99 that counts as recovered, as a multiple of the p99 before.
+const RECOVERED_FACTOR: f64 = 1.2;
+
+/// Part of a service's load that one of three equal servers takes.
+const FAIR_SHARE: f64 = 1.0 / 3.0;
+
+/// Retries that each service may send without having earned them.
+const RETRY_RESERVE: f64 = 3.0;
+
+/// Seconds in which a service regains one retry of its reserve.
+const RESERVE_REFILL_SECS: f64 = 5.0;
+
+const BASE: FleetRun = FleetRun {
+    shards: 3,
+    replicas: 3,
+    slots: 2,
+    service: Duration::from_millis(5),
+    load: 0.4,
+    straggle: 0.0,
+    straggle_factor: 1.0,
+    hedge_percent: 2.0,
+    retry_percent: 10.0,
+    at_most_once: false,
+    deadline_ms: 170,
+    faults: &[],
+    seconds: 30,
+    seed: 1,
+};
+
+const fn fault(server: usize, from_ms: u64, until_ms: u64, kind: FaultKind) -> Fault {
+    Fault { server, from_ms, until_ms, kind }
+}
+
+/// One replica of each service sheds, then all do, then none.
+const SHEDDING: &[Fault] = &[
+    fault(0, 10_000, 20_000, FaultKind::Shed),
+    fault(3, 10_000, 20_000, FaultKind::Shed),
+    fault(6, 10_000, 20_000, FaultKind::Shed),
+    fault(1, 15_000, 20_000, FaultKind::Shed),
+    fault(2, 15_000, 20_000, FaultKind::Shed),
+    fault(4, 15_000, 20_000, FaultKind::Shed),
+    fault(5, 15_000, 20_000, FaultKind::Shed),
+    fault(7, 15_000, 20_000, FaultKind::Shed),
+    fault(8, 15_000, 20_000, FaultKind::Shed),
+];
+
+fn between(figures: &FleetFigures, from: Duration, until: Duration) -> Vec<Answer> {
+    let answers = figures.answers.iter().copied();
+    answers.filter(|answer| (from..until).contains(&answer.at)).collect()
+}
+
+fn p99(answers: &[Answer]) -> Duration {
+    let mut latencies: Vec<_> = answers.iter().map(|answer| answer.latency).collect();
+    quantile(&mut latencies, 0.99)
+}
+
+fn coverage(answers: &[Answer]) -> f64 {
+    let covered: usize = answers.iter().map(|answer| answer.covered).sum();
+    let all: usize = answers.iter().map(|answer| answer.covered + answer.lacking).sum();
+    covered as f64 / all.max(1) as f64
+}
+
+fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+#[test]
+fn shedding_servers_get_no_more_retries_than_budgeted() {
+    let figures = run(FleetRun { faults: SHEDDING, ..BASE });
+    let phases = [
+        ("before", secs(5), secs(10)),
+        ("a third sheds", secs(10), secs(15)),
+        ("all shed", secs(15), secs(20)),
+        ("just after", secs(20), secs(20) + MAX_RECOVERY),
+        ("recovered", secs(20) + MAX_RECOVERY, secs(30)),
+    ];
+    let before = between(&figures, phases[0].1, phases[0].2);
+    for (name, from, until) in phases {
+        let answers = between(&figures, from, until);
+        let span = from..until;
+        let retries = figures.retry_times.iter().filter(|at| span.contains(*at)).count();
+        println!(
+            "{name}: {} searches, coverage {:.4}, p99 {:.1} ms, retries {retries}",
+            answers.len(),
+            coverage(&answers),
+            millis(p99(&answers)),
+        );
+    }
+    let services = BASE.shards as f64;
+    let first = figures.needed as f64;
+    let reserve = RETRY_RESERVE + BASE.seconds as f64 / RESERVE_REFILL_SECS;
+    let budget = first * BASE.retry_percent / 100.0 + reserve * services;
+    println!("retries {} of at most {budget:.0}", figures.retries);
+    assert!(figures.retries as f64 <= budget);
+    let shedding = between(&figures, secs(15), secs(20));
+    let during = secs(15)..secs(20);
+    let retries = figures.retry_times.iter().filter(|at| during.contains(*at)).count();
+    let earned = shedding.len() as f64 * services * BASE.retry_percent / 100.0;
+    // Each service may have saved up to 20 retries.
+    assert!(retries as f64 <= earned + 20.0 * services, "{retries} retries of {earned}");
+    let recovered = between(&figures, secs(20) + MAX_RECOVERY, secs(30));
+    assert_eq!(coverage(&recovered), 1.0);
+    let factor = p99(&recovered).div_duration_f64(p99(&before));
+    assert!(factor <= RECOVERED_FACTOR, "p99 {factor} of that before");
+}
+
+struct RoutingCase {
+    name: &'static str,
+    faults: &'static [Fault],
+}
+
+/// Server 0 is bad from second 10 to second 20.
+const ROUTING: &[RoutingCase] = &[
+    RoutingCase {
+        name: "ten times slower",
+        faults: &[fault(0, 10_000, 20_000, FaultKind::Slow(10.0))],
+    },
+    RoutingCase {
+        name: "ten times slower, health misleads",
+        faults: &[
+            fault(0, 10_000, 20_000, FaultKind::Slow(10.0)),
+            fault(1, 0, 30_000, FaultKind::ReportsLoad(10.0)),
+            fault(2, 0, 30_000, FaultKind::ReportsLoad(10.0)),
+        ],
+    },
+    RoutingCase { name: "silent", faults: &[fault(0, 10_000, 20_000, FaultKind::Silent)] },
+    RoutingCase { name: "sheds", faults: &[fault(0, 10_000, 20_000, FaultKind::Shed)] },
+    RoutingCase {
+        name: "cold: five times slower for 2 s",
+        faults: &[
+            fault(0, 10_000, 15_000, FaultKind::Shed),
+            fault(0, 15_000, 17_000, FaultKind::Slow(5.0)),
+        ],
+    },
+];
+
+/// Time from the start of the fault after which the p99 of the rest is in its bound.
+fn time_until_back(figures: &FleetFigures, bound: Duration) -> Option<Duration> {
+    let step = Duration::from_millis(250);
+    let mut times = (0..32u32).map(|steps| step * steps);
+    times.find(|time| p99(&between(figures, secs(10) + *time, secs(20))) <= bound)
+}
+
+#[test]
+fn bad_server_loses_its_load() {
+    for case in ROUTING {
+        let figures = run(FleetRun { faults: case.faults, load: 0.3, ..BASE });
+        let before = between(&figures, secs(5), secs(10));
+        let during = between(&figures, secs(12), secs(20));
+        let after = between(&figures, secs(22), secs(30));
+        let span = secs(12)..secs(20);
+        let arrivals = |server: usize| {
+            figures.arrivals[server].iter().filter(|at| span.contains(*at)).count() as f64
+        };
+        let share = arrivals(0) / (arrivals(0) + arrivals(1) + arrivals(2));
+        let back = time_until_back(&figures, p99(&before).mul_f64(RECOVERED_FACTOR));
+        println!(
+            "{}: p99 before {:.1} ms, during {:.1} ms, after {:.1} ms; coverage {:.4}; back after {back:?}; share of load on it {share:.4}",
+            case.name,
+            millis(p99(&before)),
+            millis(p99(&during)),
+            millis(p99(&after)),
+            coverage(&during),
+        );
+        assert!(share < FAIR_SHARE / 2.0, "{}: share {share}", case.name);
+        let factor = p99(&during).div_duration_f64(p99(&before));
+        assert!(factor <= RECOVERED_FACTOR, "{}: p99 {factor} of that before", case.name);
+        let factor = p99(&after).div_duration_f64(p99(&before));
+        assert!(factor <= RECOVERED_FACTOR, "{}: p99 {factor} of that before", case.name);
+    }
+}
--- a/crates/dispatch/tests/hedging.rs
+++ b/crates/dispatch/tests/hedging.rs
@@ -1,20 +1,28 @@
 //! Hedging with a budget against none, on a paused clock with fixed seeds.
+//!
+//! `cargo test -p carobstep-dispatch --test hedging -- --nocapture` prints the figures.
 
 mod support;
 
 use std::time::Duration;
 
 use support::{
-    fleet::{FleetRun, run},
+    fleet::{FleetFigures, FleetRun, run},
     millis, quantile,
 };
 
+/// p99 with hedging, as a part of the p99 without.
+const MAX_P99_SHARE: f64 = 0.5;
+
+/// Time after which the estimates have settled.
+const WARM_UP: Duration = Duration::from_secs(5);
+
 const BASE: FleetRun = FleetRun {
-    shards: 1,
+    shards: 6,
     replicas: 2,
     slots: 2,
     service: Duration::from_millis(5),
-    load: 0.3,
+    load: 0.2,
     straggle: 0.01,
     straggle_factor: 10.0,
     hedge_percent: 2.0,
@@ -22,39 +30,101 @@
     at_most_once: false,
     deadline_ms: 1_000,
     faults: &[],
-    seconds: 60,
+    seconds: 20,
     seed: 1,
 };
 
+struct HedgeCase {
+    shards: usize,
+    straggle: f64,
+    hedge_percent: f64,
+    load: f64,
+}
+
+/// Cases that meet the target for the p99 of the whole search.
+const CASES: &[HedgeCase] = &[
+    HedgeCase { shards: 6, straggle: 0.01, hedge_percent: 2.0, load: 0.2 },
+    HedgeCase { shards: 6, straggle: 0.01, hedge_percent: 5.0, load: 0.2 },
+    HedgeCase { shards: 6, straggle: 0.01, hedge_percent: 5.0, load: 0.4 },
+    HedgeCase { shards: 50, straggle: 0.01, hedge_percent: 2.0, load: 0.2 },
+    HedgeCase { shards: 50, straggle: 0.01, hedge_percent: 5.0, load: 0.2 },
+    HedgeCase { shards: 1, straggle: 0.05, hedge_percent: 5.0, load: 0.2 },
+    HedgeCase { shards: 6, straggle: 0.05, hedge_percent: 5.0, load: 0.2 },
+];
+
+/// Cases printed for the record, in which the target for the p99 is out of reach.
+///
+/// A budget of 2 % can't cover stragglers of 5 %. With more load both slots of
+/// the other replica are often taken, and no hedge waits for one.
+const BEYOND: &[HedgeCase] = &[
+    HedgeCase { shards: 6, straggle: 0.01, hedge_percent: 2.0, load: 0.4 },
+    HedgeCase { shards: 50, straggle: 0.01, hedge_percent: 2.0, load: 0.4 },
+    HedgeCase { shards: 1, straggle: 0.05, hedge_percent: 2.0, load: 0.2 },
+    HedgeCase { shards: 6, straggle: 0.05, hedge_percent: 5.0, load: 0.4 },
+    HedgeCase { shards: 50, straggle: 0.05, hedge_percent: 5.0, load: 0.2 },
+];
+
+fn p99(figures: &FleetFigures) -> Duration {
+    let settled = figures.answers.iter().filter(|answer| answer.at > WARM_UP);
+    let mut latencies: Vec<_> = settled.map(|answer| answer.latency).collect();
+    quantile(&mut latencies, 0.99)
+}
+
+fn extra_percent(figures: &FleetFigures) -> f64 {
+    let started: u64 = figures.started.iter().sum();
+    100.0 * (started as f64 / figures.needed as f64 - 1.0)
+}
+
+/// Compares hedging with none and returns the ratio of their p99.
+fn compare(case: &HedgeCase) -> f64 {
+    let seconds = if case.shards == 1 { 60 } else { BASE.seconds };
+    let config = FleetRun {
+        shards: case.shards,
+        straggle: case.straggle,
+        hedge_percent: case.hedge_percent,
+        load: case.load,
+        seconds,
+        ..BASE
+    };
+    let plain = run(FleetRun { hedge_percent: 0.0, ..config });
+    let hedged = run(config);
+    let ratio = p99(&hedged).div_duration_f64(p99(&plain));
+    let extra = extra_percent(&hedged);
+    println!(
+        "{} shards, stragglers {}, budget {}%, load {}: p99 {:.1} ms, hedged {:.1} ms ({ratio:.2}x), extra {extra:.2}%, hedges sent {}",
+        case.shards,
+        case.straggle,
+        case.hedge_percent,
+        case.load,
+        millis(p99(&plain)),
+        millis(p99(&hedged)),
+        hedged.hedges,
+    );
+    assert!(extra <= case.hedge_percent, "extra load {extra}%");
+    assert_eq!(hedged.hedges_queued, 0, "hedges in a queue");
+    assert!(hedged.peak_running <= usize::from(config.slots), "slots exceeded");
+    ratio
+}
+
 #[test]
-fn prints() {
-    for shards in [1, 6, 50] {
-        for straggle in [0.01, 0.05] {
-            for load in [0.2, 0.4] {
-                for hedge_percent in [0.0, 2.0, 5.0] {
-                    let seconds = if shards == 1 { 60 } else { 20 };
-                    let mut figures =
-                        run(FleetRun { shards, straggle, load, hedge_percent, seconds, ..BASE });
-                    let mut latencies: Vec<_> = figures
-                        .answers
-                        .iter()
-                        .filter(|answer| answer.at > Duration::from_secs(5))
-                        .map(|answer| answer.latency)
-                        .collect();
-                    let started: u64 = figures.started.iter().sum();
-                    println!(
-                        "{shards} shards, stragglers {straggle}, load {load}, hedge {hedge_percent}%: shard p50 {:.1} p99 {:.1} p99.9 {:.1}, query p50 {:.1} p99 {:.1} ms, extra {:.2}%, hedges {}, retries {}",
-                        millis(quantile(&mut figures.shard_latencies, 0.5)),
-                        millis(quantile(&mut figures.shard_latencies, 0.99)),
-                        millis(quantile(&mut figures.shard_latencies, 0.999)),
-                        millis(quantile(&mut latencies, 0.5)),
-                        millis(quantile(&mut latencies, 0.99)),
-                        100.0 * (started as f64 / figures.needed as f64 - 1.0),
-                        figures.hedges,
-                        figures.retries,
-                    );
-                }
-            }
-        }
+fn hedging_halves_p99_within_its_budget() {
+    for case in CASES {
+        let ratio = compare(case);
+        assert!(ratio <= MAX_P99_SHARE, "p99 ratio {ratio}");
     }
 }
+
+#[test]
+fn hedging_keeps_its_budget_where_it_helps_little() {
+    for case in BEYOND {
+        let ratio = compare(case);
+        assert!(ratio <= 1.05, "p99 ratio {ratio}");
+    }
+}
+
+#[test]
+fn at_most_once_is_never_hedged() {
+    let figures = run(FleetRun { at_most_once: true, hedge_percent: 5.0, ..BASE });
+    assert_eq!(figures.hedges, 0);
+    assert_eq!(extra_percent(&figures), 0.0);
+}
