--- /dev/null
+++ b/crates/dispatch/tests/support/design.rs
@@ -0,0 +1,149 @@
+//! One node's decision state at a part of the size to design for.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_clock::BootTime;
+use carobstep_config::{ServerKey, SnapshotMap, Topology};
+use carobstep_dispatch::{
+    Admission, CustomerKey, QueryPlan, QueryState, QueueLimits, QueueTicket, RequestAction, Router,
+    ServerQueue,
+};
+use carobstep_wire::{RequestId, ShardReply, ShardResult};
+
+use super::fleet::{FleetRun, topology};
+
+/// Backend servers at the full size.
+pub const SERVERS: usize = 1_700;
+
+/// Nodes at the full size.
+pub const NODES: usize = 430;
+
+/// Shard requests of one query.
+pub const SHARDS: usize = 56;
+
+/// Time that a server takes in these runs.
+const SERVICE: Duration = Duration::from_micros(900);
+
+/// The router and the held queues of one node.
+pub struct Node {
+    pub router: Router,
+    pub queues: Vec<ServerQueue>,
+    maps: Vec<Arc<SnapshotMap>>,
+    actions: Vec<RequestAction>,
+    now: BootTime,
+    count: u64,
+}
+
+/// A topology of two servers per service.
+pub fn design_topology(servers: usize) -> Arc<Topology> {
+    let config = FleetRun {
+        shards: servers / 2,
+        replicas: 2,
+        slots: 4,
+        service: SERVICE,
+        load: 0.0,
+        straggle: 0.0,
+        straggle_factor: 1.0,
+        hedge_percent: 2.0,
+        retry_percent: 10.0,
+        at_most_once: false,
+        deadline_ms: 170,
+        faults: &[],
+        seconds: 0,
+        seed: 1,
+    };
+    Arc::new(topology(&config))
+}
+
+/// Snapshots of `shards` shards each, spread over all services.
+fn snapshots(topology: &Topology, shards: usize) -> Vec<Arc<SnapshotMap>> {
+    let whole = super::fleet::snapshot(topology, 7);
+    let mut maps = Vec::new();
+    for part in whole.shards.chunks(shards) {
+        let mut entries = part.to_vec();
+        for entry in whole.shards.iter().take(shards - part.len()) {
+            entries.push(entry.clone());
+        }
+        maps.push(Arc::new(SnapshotMap { number: 7, shards: entries }));
+    }
+    maps
+}
+
+impl Node {
+    pub fn new(topology: &Arc<Topology>, shards: usize, held: usize) -> Self {
+        let now = BootTime::from_millis(1_000);
+        let mut router = Router::new(Arc::clone(topology), "z0", 1, now);
+        for server in 0..topology.servers().count() {
+            router.set_usable(ServerKey(server as u16), true);
+        }
+        let limits = QueueLimits { slots: 4, waiting: 256 };
+        let queues = (0..held).map(|_| ServerQueue::new(limits, now)).collect();
+        let maps = snapshots(topology, shards);
+        Self { router, queues, maps, actions: Vec::with_capacity(4 * shards), now, count: 0 }
+    }
+
+    /// Plans, routes and finishes one query as its entry node.
+    pub fn query(&mut self) -> usize {
+        self.count += 1;
+        self.now += Duration::from_millis(1);
+        let map = Arc::clone(&self.maps[self.count as usize % self.maps.len()]);
+        let plan = QueryPlan {
+            id: RequestId(u128::from(self.count)),
+            deadline: self.now + Duration::from_millis(170),
+            map: Arc::clone(&map),
+            topology: Arc::clone(self.router.topology()),
+        };
+        let mut query = QueryState::new(plan, self.now);
+        query.start(self.now, &mut self.router, &mut self.actions);
+        let sends = self.actions.len();
+        for position in 0..sends {
+            let RequestAction::Send(send) = self.actions[position] else { continue };
+            let reply = ShardReply {
+                id: send.id,
+                shard: Some(map.shards[send.shard].name.clone()),
+                snapshot: Some(map.number),
+                result: ShardResult::Body(Bytes::from_static(b"{}")),
+                queue_length: 0,
+                service_us: 900,
+            };
+            let at = self.now + SERVICE;
+            query.on_reply(at, send.attempt, reply, &mut self.router, &mut self.actions);
+            std::hint::black_box(query.next_wakeup());
+        }
+        self.actions.clear();
+        let report = query.into_report();
+        assert_eq!(report.lacking().count(), 0);
+        report.shards.len()
+    }
+
+    /// Admits and finishes `requests` shard requests as their holder.
+    ///
+    /// Half of the requests find all slots taken and wait.
+    pub fn hold(&mut self, requests: usize) {
+        for _ in 0..requests / 8 {
+            self.count += 1;
+            self.now += Duration::from_micros(300);
+            let position = self.count as usize % self.queues.len();
+            let queue = &mut self.queues[position];
+            let mut running = [None; 8];
+            for (place, key) in running.iter_mut().enumerate() {
+                let ticket = QueueTicket {
+                    deadline: self.now + Duration::from_millis(170),
+                    hedge: false,
+                    customer: CustomerKey(self.count % 16),
+                    caller: self.count * 8 + place as u64,
+                };
+                *key = match queue.offer(self.now, ticket) {
+                    Admission::Dispatch(key) | Admission::Queued(key) => Some(key),
+                    Admission::Refused { .. } => None,
+                };
+                std::hint::black_box(queue.next_wakeup());
+            }
+            for key in running.into_iter().flatten() {
+                while queue.poll(self.now).is_some() {}
+                queue.finish(self.now + SERVICE, key, Some(SERVICE));
+            }
+        }
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod design;
 pub mod fleet;
 pub mod queue_run;
 
