--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -62,7 +62,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Connection {
     phase: ConnectionPhase,
+    /// Start of the phase, or the last progress in it.
     since: BootTime,
+    /// When a request last used it; probes do not count.
+    used: BootTime,
 }
 
 /// Accounting of the lent connections of one backend server.
@@ -75,13 +78,21 @@
     limits: PoolLimits,
     connections: SlotMap<ConnectionKey, Connection>,
     idle: Vec<ConnectionKey>,
+    abandoned: usize,
+    closing: usize,
 }
 
 impl ConnectionPool {
     /// Builds a pool without connections.
     #[must_use]
     pub fn new(limits: PoolLimits) -> Self {
-        Self { limits, connections: SlotMap::with_key(), idle: Vec::new() }
+        Self {
+            limits,
+            connections: SlotMap::with_key(),
+            idle: Vec::new(),
+            abandoned: 0,
+            closing: 0,
+        }
     }
 
     /// Finds a connection for a request.
@@ -117,13 +128,16 @@
 
     /// Reports that a request or a probe ended with a reusable connection.
     pub fn release(&mut self, now: BootTime, key: ConnectionKey) {
-        let Some(connection) = self.connections.get(key) else { return };
+        let Some(connection) = self.connections.get_mut(key) else { return };
         if matches!(
             connection.phase,
             ConnectionPhase::Idle | ConnectionPhase::Abandoned { .. } | ConnectionPhase::Closing
         ) {
             return;
         }
+        if connection.phase != ConnectionPhase::Probing {
+            connection.used = now;
+        }
         self.set_phase(now, key, ConnectionPhase::Idle);
         self.idle.push(key);
     }
@@ -137,7 +151,9 @@
     /// Reports that a connection is closed for certain.
     pub fn closed(&mut self, key: ConnectionKey) {
         self.idle.retain(|idle| *idle != key);
-        self.connections.remove(key);
+        if let Some(connection) = self.connections.remove(key) {
+            self.uncount(connection.phase);
+        }
     }
 
     /// The next thing to do; call until `None`, at each wakeup.
@@ -146,8 +162,7 @@
         if let Some(event) = self.poll_timeouts(now) {
             return Some(event);
         }
-        let live = self.connections.len() - self.abandoned();
-        if live < usize::from(self.limits.warm) {
+        if self.live() < usize::from(self.limits.warm) {
             return self.open(now, true).map(PoolEvent::Open);
         }
         None
@@ -159,7 +174,7 @@
         self.connections.values().filter_map(|connection| self.due(connection)).min()
     }
 
-    /// Changes the limits; surplus idle connections are closed by [`Self::poll`].
+    /// Changes the limits; [`Self::poll`] closes idle connections over them at once.
     pub fn set_limits(&mut self, limits: PoolLimits) {
         self.limits = limits;
     }
@@ -172,11 +187,8 @@
 
     /// Connections given up but not closed for certain.
     #[must_use]
-    pub fn abandoned(&self) -> usize {
-        let given_up = |connection: &&Connection| {
-            matches!(connection.phase, ConnectionPhase::Abandoned { .. })
-        };
-        self.connections.values().filter(given_up).count()
+    pub const fn abandoned(&self) -> usize {
+        self.abandoned
     }
 
     /// Open connections that no request uses.
@@ -192,12 +204,26 @@
             return None;
         }
         let phase = ConnectionPhase::Opening { warm_up };
-        Some(self.connections.insert(Connection { phase, since: now }))
+        Some(self.connections.insert(Connection { phase, since: now, used: now }))
     }
 
     fn set_phase(&mut self, now: BootTime, key: ConnectionKey, phase: ConnectionPhase) {
-        if let Some(connection) = self.connections.get_mut(key) {
-            *connection = Connection { phase, since: now };
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let old = std::mem::replace(&mut connection.phase, phase);
+        connection.since = now;
+        self.uncount(old);
+        match phase {
+            ConnectionPhase::Abandoned { .. } => self.abandoned += 1,
+            ConnectionPhase::Closing => self.closing += 1,
+            _ => {}
+        }
+    }
+
+    const fn uncount(&mut self, phase: ConnectionPhase) {
+        match phase {
+            ConnectionPhase::Abandoned { .. } => self.abandoned -= 1,
+            ConnectionPhase::Closing => self.closing -= 1,
+            _ => {}
         }
     }
 
@@ -207,8 +233,10 @@
             ConnectionPhase::Opening { .. } | ConnectionPhase::Busy | ConnectionPhase::Probing => {
                 Some(connection.since + self.limits.progress_timeout)
             }
+            ConnectionPhase::Idle if self.over_limit() => Some(connection.since),
             ConnectionPhase::Idle if self.surplus() => {
-                Some(connection.since + self.limits.idle_timeout.min(self.limits.probe_interval))
+                let probe = connection.since + self.limits.probe_interval;
+                Some(probe.min(connection.used + self.limits.idle_timeout))
             }
             ConnectionPhase::Idle => Some(connection.since + self.limits.probe_interval),
             ConnectionPhase::Abandoned { until } => Some(until),
@@ -216,13 +244,24 @@
         }
     }
 
+    /// Whether more connections are open than are kept warm.
     fn surplus(&self) -> bool {
-        let live = self.connections.len() - self.abandoned();
-        live > usize::from(self.limits.warm) || live > usize::from(self.limits.connections)
+        self.live() > usize::from(self.limits.warm)
+    }
+
+    /// Whether more connections count than are lent, after the limit was lowered.
+    fn over_limit(&self) -> bool {
+        self.connections.len() - self.closing > usize::from(self.limits.connections)
+    }
+
+    /// Connections that are open or being opened and not given up.
+    fn live(&self) -> usize {
+        self.connections.len() - self.abandoned - self.closing
     }
 
     fn poll_timeouts(&mut self, now: BootTime) -> Option<PoolEvent> {
         let surplus = self.surplus();
+        let over_limit = self.over_limit();
         let key = self
             .connections
             .iter()
@@ -232,8 +271,8 @@
         match connection.phase {
             ConnectionPhase::Idle => {
                 self.idle.retain(|idle| *idle != key);
-                let long_idle = now.since(connection.since) >= self.limits.idle_timeout;
-                if surplus && long_idle {
+                let long_idle = now.since(connection.used) >= self.limits.idle_timeout;
+                if over_limit || (surplus && long_idle) {
                     self.set_phase(now, key, ConnectionPhase::Closing);
                     return Some(PoolEvent::Close(key));
                 }
@@ -248,8 +287,13 @@
     }
 
     fn expire_abandoned(&mut self, now: BootTime) {
+        if self.abandoned == 0 {
+            return;
+        }
+        let before = self.connections.len();
         self.connections.retain(|_, connection| {
             !matches!(connection.phase, ConnectionPhase::Abandoned { until } if until <= now)
         });
+        self.abandoned -= before - self.connections.len();
     }
 }
