--- a/crates/client/src/submission.rs
+++ b/crates/client/src/submission.rs
@@ -32,11 +32,13 @@
 #[strum(serialize_all = "snake_case")]
 enum SubmitPhase {
     Reading,
+    Checking,
     Archiving,
     Writing,
     Settling,
     Comparing,
     Recording,
+    Confirming,
     Finished,
 }
 
@@ -48,6 +50,7 @@
     OwnFound,
     OwnConfirmed,
     Archived,
+    Unarchived,
     Written,
     Failed,
     Ended,
@@ -137,6 +140,8 @@
     failures: u32,
     /// Whether a write was sent whose effect is not known.
     doubtful: bool,
+    /// Whether no earlier run can have used the patch id.
+    id_is_fresh: bool,
 }
 
 impl TryFrom<Patch> for PatchSubmission {
@@ -155,11 +160,19 @@
             proof: AcceptanceProof::EarlierRun,
             failures: 0,
             doubtful: false,
+            id_is_fresh: false,
         })
     }
 }
 
 impl PatchSubmission {
+    /// Declares that no earlier run can have used the patch id.
+    #[must_use]
+    pub fn with_fresh_id(mut self) -> Self {
+        self.id_is_fresh = true;
+        self
+    }
+
     /// The first step.
     #[must_use]
     pub fn start(&self) -> SubmitStep {
@@ -177,24 +190,25 @@
             (SubmitPhase::Reading, ObjectReply::Missing) => {
                 self.finish(SubmitOutcome::NoConfiguration)
             }
-            (SubmitPhase::Archiving, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
+            (SubmitPhase::Checking, ObjectReply::Found(_))
+            | (SubmitPhase::Archiving, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
                 self.proceed(SubmitEvent::Archived)
             }
+            (SubmitPhase::Checking | SubmitPhase::Confirming, ObjectReply::Missing) => {
+                self.proceed(SubmitEvent::Unarchived)
+            }
             (SubmitPhase::Writing, ObjectReply::Written(_)) => self.on_written(),
             (SubmitPhase::Writing, ObjectReply::ConditionFailed) => {
                 self.retry("the platform refused the write but shows no newer version")
             }
             (SubmitPhase::Settling, ObjectReply::Found(object)) => self.on_successor(&object),
-            (SubmitPhase::Settling, ObjectReply::Missing) => {
-                let version = self.patch.base.next();
-                let message = format!("history/{version} is missing, so its patch id is not known");
-                self.finish(SubmitOutcome::Unknown(message))
-            }
+            (SubmitPhase::Settling, ObjectReply::Missing) => self.on_missing_successor(),
             (SubmitPhase::Comparing, ObjectReply::Found(object)) => self.on_base(&object),
             (SubmitPhase::Comparing, ObjectReply::Missing) => {
                 self.proceed(SubmitEvent::OwnConfirmed)
             }
-            (SubmitPhase::Recording, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
+            (SubmitPhase::Confirming, ObjectReply::Found(_))
+            | (SubmitPhase::Recording, ObjectReply::Written(_) | ObjectReply::ConditionFailed) => {
                 self.finish_accepted(true)
             }
             (phase, reply) => {
@@ -265,6 +279,16 @@
         }
     }
 
+    /// Decides when the version after the base was removed from the history.
+    fn on_missing_successor(&mut self) -> SubmitStep {
+        if self.id_is_fresh && !self.doubtful {
+            return self.finish_conflict();
+        }
+        let version = self.patch.base.next();
+        let message = format!("history/{version} is missing, so its patch id is not known");
+        self.finish(SubmitOutcome::Unknown(message))
+    }
+
     /// Decides by the record that followed the base: ours or another's.
     fn on_successor_record(&mut self, record: ConfigRecord) -> SubmitStep {
         if record.patch_id != self.patch.id.as_str() {
@@ -310,7 +334,7 @@
 
     fn give_up(&mut self, reason: String) -> SubmitStep {
         match self.phase {
-            SubmitPhase::Recording => self.finish_accepted(false),
+            SubmitPhase::Recording | SubmitPhase::Confirming => self.finish_accepted(false),
             _ if self.doubtful => self.finish(SubmitOutcome::Unknown(reason)),
             _ => self.finish(SubmitOutcome::Unavailable(reason)),
         }
@@ -344,8 +368,12 @@
     fn call(&self, pause: Duration) -> SubmitStep {
         let base = self.patch.base;
         let call = match (self.phase, &self.plan, &self.accepted) {
-            (SubmitPhase::Settling, ..) => get(ObjectKind::History, &base.next().to_string()),
-            (SubmitPhase::Comparing, ..) => get(ObjectKind::History, &base.to_string()),
+            (SubmitPhase::Settling | SubmitPhase::Confirming, ..) => {
+                get(ObjectKind::History, &base.next().to_string())
+            }
+            (SubmitPhase::Checking | SubmitPhase::Comparing, ..) => {
+                get(ObjectKind::History, &base.to_string())
+            }
             (SubmitPhase::Archiving, Some(plan), _) => archive(&plan.before),
             (SubmitPhase::Writing, Some(plan), _) => ObjectCall::Put {
                 kind: ObjectKind::Config,
