Close slow first requests only, and give claims a platform client of their own

hyper's head timeout also closes idle keep-alive connections, which can cut a request that is sent at that moment. The first request of a connection must now arrive in time; later the connection may idle for 90 s.

A burst of orders shares its platform calls with nothing else, so that lease renewals never wait behind it.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -50,6 +50,9 @@
     pub counters: Arc<CounterSet>,
     /// Client of the platform.
     pub store: Arc<HttpStore>,
+    /// Client of the platform for claims, so that a burst of orders can't hold
+    /// up lease renewals.
+    pub claim_store: Arc<HttpStore>,
     /// Connections to peer nodes.
     pub peers: PeerPool,
     /// Membership, leases and grants.
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -222,11 +222,12 @@
         },
         grant: carobstep_control::GrantTiming::default(),
     };
-    let store = HttpStore::builder(settings.platform).zone(settings.zone.clone()).build();
+    let build_store = || HttpStore::builder(settings.platform).zone(settings.zone.clone()).build();
     let zone = settings.zone.clone();
     NodeContext {
         counters: Arc::new(CounterSet::default()),
-        store: Arc::new(store),
+        store: Arc::new(build_store()),
+        claim_store: Arc::new(build_store()),
         peers,
         control: Mutex::new(ControlState::new(options, now)),
         router: Mutex::new(Router::new(Arc::default(), zone.as_str(), random_seed, now)),
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -12,13 +12,19 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Notify, watch},
     task::JoinSet,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::problem::AnswerBody;
 
+/// Time for which an idle HTTP/1.1 connection is kept open.
+///
+/// It is longer than the idle timeout of common balancers, so that the side
+/// which sends requests is the one that closes.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(90);
+
 /// Streams that one HTTP/2 connection may have open at the same time.
 const MAX_HTTP2_STREAMS: u32 = 1024;
 
@@ -108,7 +114,9 @@
 ) {
     // Without the option, small answers wait for the acknowledgement of earlier ones.
     let _ = socket.set_nodelay(true);
+    let first_request = Notify::new();
     let service = service_fn(|request| {
+        first_request.notify_one();
         let handler = handler.clone();
         async move {
             let mut response = handler.handle(remote, request).await;
@@ -123,8 +131,16 @@
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stopping = false;
+    let mut started = false;
+    let first_deadline = sleep(limits.read_timeout);
+    tokio::pin!(first_deadline);
     loop {
         tokio::select! {
+            () = first_request.notified(), if !started => started = true,
+            () = first_deadline.as_mut(), if !started => {
+                handler.count_bad_input();
+                return;
+            }
             ended = connection.as_mut() => {
                 if ended.is_err_and(|error| is_bad_input(error.as_ref())) {
                     handler.count_bad_input();
@@ -144,7 +160,7 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.read_timeout)
+        .header_read_timeout(KEEP_ALIVE_TIMEOUT)
         .max_buf_size(limits.header_bytes.max(8 * 1024));
     builder
         .http2()
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -109,7 +109,7 @@
         let limit = self.deadline.since(BootTime::now()) / CLAIM_SHARE;
         let sight = |record: &ClaimRecord| owner_sight(&self.context, record);
         let deadline = Instant::now() + limit;
-        acquire_claim(self.context.store.as_ref(), &self.claim, sight, deadline).await
+        acquire_claim(self.context.claim_store.as_ref(), &self.claim, sight, deadline).await
     }
 
     async fn dispatch(self, version: ObjectVersion) -> Response<AnswerBody> {
@@ -132,7 +132,7 @@
         let Self { context, claim, .. } = self;
         let recording = tokio::spawn(async move {
             let deadline = Instant::now() + RECORD_LIMIT;
-            let store = context.store.as_ref();
+            let store = context.claim_store.as_ref();
             record_claim(store, &claim, version, outcome, body, deadline).await
         });
         // After the wait the caller is answered anyway: it has the outcome.
@@ -145,7 +145,7 @@
         let claim = self.claim.clone();
         tokio::spawn(async move {
             let deadline = Instant::now() + RECORD_LIMIT;
-            abandon_claim(context.store.as_ref(), &claim, deadline).await
+            abandon_claim(context.claim_store.as_ref(), &claim, deadline).await
         });
     }
 
