Write log lines from a thread of their own

Daemons wrote their log lines from the request threads, so that a disk that blocks writers blocks every request.

Change: lines wait in a bounded queue; when it is full they are dropped and the number is logged.

--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,11 +1,15 @@
 //! Log records as JSON lines on standard error.
 //!
 //! simplelog writes plain text only, so this module formats each record as one
-//! JSON object and hands the finished line to simplelog's writer.
+//! JSON object and hands the finished line to simplelog's writer. That writer
+//! only queues the line: a thread of its own writes to standard error, so that
+//! a slow disk or pipe behind it never holds up a request.
 
 use std::{
-    io::stderr,
-    time::{SystemTime, UNIX_EPOCH},
+    io::{self, Write},
+    sync::mpsc::{Receiver, SyncSender, sync_channel},
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
@@ -14,9 +18,31 @@
 
 use crate::error::{NodeError, NodeErrorKind};
 
+/// Lines that may wait to be written; further ones are dropped and counted.
+const QUEUED_LINES: usize = 8192;
+
+/// Longest wait for queued lines when the log is flushed.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What the writing thread gets.
+enum LogTask {
+    /// Write these bytes.
+    Line(Vec<u8>),
+    /// Confirm that everything before this was written.
+    Flush(SyncSender<()>),
+}
+
+/// The writing end of the queue.
+struct LogQueue {
+    tasks: SyncSender<LogTask>,
+    /// The line that is being put together.
+    line: Vec<u8>,
+    dropped: u64,
+}
+
 /// Formats records as JSON lines and writes them through simplelog.
 struct JsonLogger {
-    writer: Box<WriteLogger<std::io::Stderr>>,
+    writer: Box<WriteLogger<LogQueue>>,
     node: String,
     zone: String,
 }
@@ -34,13 +60,75 @@
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    let writer = WriteLogger::new(level, config, stderr());
+    let writer = WriteLogger::new(level, config, LogQueue::start()?);
     let logger = JsonLogger { writer, node: node.to_owned(), zone: zone.to_owned() };
     log::set_max_level(level);
     log::set_boxed_logger(Box::new(logger))
         .map_err(|error| NodeError::new(NodeErrorKind::Log, format!("log: {error}")))
 }
 
+impl LogQueue {
+    fn start() -> Result<Self, NodeError> {
+        let (tasks, queued) = sync_channel(QUEUED_LINES);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&queued))
+            .map_err(|error| NodeError::new(NodeErrorKind::Log, format!("log thread: {error}")))?;
+        Ok(Self { tasks, line: Vec::new(), dropped: 0 })
+    }
+
+    /// Queues the finished line, and before it a note about dropped ones.
+    fn queue_line(&mut self) {
+        if self.dropped > 0 {
+            let line =
+                json!({ "level": "warn", "message": "log lines dropped", "count": self.dropped });
+            if self.tasks.try_send(LogTask::Line(format!("{line}\n").into_bytes())).is_ok() {
+                self.dropped = 0;
+            }
+        }
+        let line = std::mem::take(&mut self.line);
+        if self.tasks.try_send(LogTask::Line(line)).is_err() {
+            self.dropped += 1;
+        }
+    }
+}
+
+impl Write for LogQueue {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if !bytes.ends_with(b"\n") {
+            return Ok(bytes.len());
+        }
+        self.queue_line();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let (done, written) = sync_channel(1);
+        if self.tasks.try_send(LogTask::Flush(done)).is_ok() {
+            // After the wait the process ends without the last lines.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+        Ok(())
+    }
+}
+
+/// Writes queued lines to standard error until the queue's other end is gone.
+fn write_lines(queued: &Receiver<LogTask>) {
+    for task in queued {
+        match task {
+            LogTask::Line(bytes) => {
+                // Without standard error there is nowhere to report the failure.
+                let _ = io::stderr().write_all(&bytes);
+            }
+            LogTask::Flush(done) => {
+                // The flush may have given up waiting.
+                let _ = done.send(());
+            }
+        }
+    }
+}
+
 impl Log for JsonLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         metadata.level() <= self.writer.level()
