Send a returning caller to the server that booked it, and keep live keys only

Servers of ended attempts are no longer translated to another topology, which could look up a key of a third one.

--- a/crates/dispatch/src/queue/booking.rs
+++ b/crates/dispatch/src/queue/booking.rs
@@ -11,7 +11,13 @@
 const EARLY_GRACE: Duration = Duration::from_millis(20);
 
 /// How long after its time a booking may be redeemed.
-const LATE_GRACE: Duration = Duration::from_millis(100);
+///
+/// A caller that several servers refused comes back at the latest of their
+/// times, and any of them must still know it.
+const LATE_GRACE: Duration = Duration::from_secs(1);
+
+/// How long after its time capacity is held for a booking.
+const HOLD_GRACE: Duration = Duration::from_millis(100);
 
 /// Weight of one kept or missed booking in the show rate.
 const SHOW_WEIGHT: f64 = 1.0 / 32.0;
@@ -91,13 +97,15 @@
         }
     }
 
-    /// Expected number of callers that still come back by `until`.
+    /// Expected number of callers that come back between `now` and `until`.
     ///
     /// Bookings of customers over their share do not count against the others.
-    pub(super) fn expected_by(&self, until: BootTime, over_share: bool) -> f64 {
+    pub(super) fn expected_by(&self, now: BootTime, until: BootTime, over_share: bool) -> f64 {
+        let overdue = now - HOLD_GRACE;
+        let first = self.bookings.partition_point(|booking| booking.due < overdue);
         let due = self.bookings.partition_point(|booking| booking.due <= until);
         let mut open = 0.0;
-        for booking in self.bookings.iter().take(due) {
+        for booking in self.bookings.iter().take(due).skip(first) {
             if booking.redeemed || (booking.over_share && !over_share) {
                 continue;
             }
--- a/crates/dispatch/src/queue/mod.rs
+++ b/crates/dispatch/src/queue/mod.rs
@@ -314,7 +314,7 @@
             self.waiting.count_ahead(ticket.deadline, over, |customer| shares.is_over(customer));
         let mut wait_us = (ahead as f64 + 1.0) * self.interval_us();
         if !redeemed {
-            let booked = self.bookings.expected_by(start + from_micros(wait_us), over);
+            let booked = self.bookings.expected_by(now, start + from_micros(wait_us), over);
             wait_us += booked * self.interval_us();
         }
         if wait_us > slack_us * WAIT_SHARE {
--- a/crates/dispatch/src/request/attempt.rs
+++ b/crates/dispatch/src/request/attempt.rs
@@ -90,6 +90,11 @@
         RequestId((self.seed.0 >> 64 << 64) | u128::from(low))
     }
 
+    /// Identity that the caller presents again.
+    pub(super) const fn caller(&self) -> u64 {
+        caller_of(self.seed)
+    }
+
     /// Adds an attempt and describes how to send it.
     pub(super) fn send(
         &mut self,
@@ -129,6 +134,9 @@
     /// Translates the servers of live attempts to another topology.
     pub(super) fn map_servers(&mut self, translate: impl Fn(ServerKey) -> Option<ServerKey>) {
         for attempt in &mut self.attempts {
+            if !attempt.live {
+                continue;
+            }
             attempt.server = attempt.server.and_then(&translate);
         }
     }
--- a/crates/dispatch/src/request/query.rs
+++ b/crates/dispatch/src/request/query.rs
@@ -53,6 +53,7 @@
     open: usize,
     table: AttemptTable,
     counts: RequestCounts,
+    retry_after: Option<Duration>,
     snapshot_lacking: usize,
     move_asked: bool,
     move_pending: bool,
@@ -75,6 +76,7 @@
             started: now,
             finish_at,
             counts: RequestCounts::default(),
+            retry_after: None,
             snapshot_lacking: 0,
             move_asked: false,
             move_pending: false,
@@ -140,6 +142,7 @@
             }
             ShardResult::Refused { outcome, reason, retry_after_ms } => {
                 let retry_after = Duration::from_millis(retry_after_ms);
+                self.retry_after = self.retry_after.max(Some(retry_after));
                 let observed = Observation { end: reason.into(), retry_after, ..observed };
                 observe(now, router, &attempt, observed);
                 self.fail(now, Failure { attempt, outcome, reason }, router, actions);
@@ -263,6 +266,12 @@
         self.finished
     }
 
+    /// The topology that the servers of the latest actions belong to.
+    #[must_use]
+    pub const fn topology(&self) -> &Arc<Topology> {
+        &self.plan.topology
+    }
+
     /// The snapshot of the current plan.
     #[must_use]
     pub fn snapshot(&self) -> u64 {
@@ -275,7 +284,8 @@
         let unanswered = RefusalReason::DeadlinePassed;
         let results = self.results.into_iter();
         let shards = results.map(|result| result.unwrap_or(Err(unanswered))).collect();
-        AnswerReport { map: self.plan.map, shards, counts: self.counts }
+        let retry_after = self.retry_after;
+        AnswerReport { map: self.plan.map, shards, retry_after, counts: self.counts }
     }
 }
 
--- a/crates/dispatch/src/request/report.rs
+++ b/crates/dispatch/src/request/report.rs
@@ -1,6 +1,6 @@
 //! What a finished search reports.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use carobstep_config::{ShardName, SnapshotMap};
@@ -28,6 +28,8 @@
     pub map: Arc<SnapshotMap>,
     /// Body or reason per shard, in the order of the snapshot's shards.
     pub shards: Vec<Result<Bytes, RefusalReason>>,
+    /// When a caller that lacks shards finds capacity for them.
+    pub retry_after: Option<Duration>,
     /// Attempts by what they were for.
     pub counts: RequestCounts,
 }
--- a/crates/dispatch/src/request/single.rs
+++ b/crates/dispatch/src/request/single.rs
@@ -121,7 +121,7 @@
             ShardResult::Refused { outcome, reason, retry_after_ms } => {
                 let retry_after = Duration::from_millis(retry_after_ms);
                 self.retry_after =
-                    Some(self.retry_after.map_or(retry_after, |known| known.min(retry_after)));
+                    Some(self.retry_after.map_or(retry_after, |known| known.max(retry_after)));
                 let observed = Observation { end: reason.into(), retry_after, ..observed };
                 observe(now, router, &attempt, observed);
                 self.fail(now, Failure { attempt, outcome, reason }, router, actions);
@@ -177,6 +177,12 @@
         self.target.hedge_due().min(self.plan.deadline)
     }
 
+    /// The topology that the servers of the latest actions belong to.
+    #[must_use]
+    pub const fn topology(&self) -> &Arc<Topology> {
+        &self.plan.topology
+    }
+
     /// Whether the report is complete.
     #[must_use]
     pub const fn is_finished(&self) -> bool {
--- a/crates/dispatch/src/request/target.rs
+++ b/crates/dispatch/src/request/target.rs
@@ -203,7 +203,13 @@
         table: &mut AttemptTable,
     ) -> Option<AttemptSend> {
         let service = self.service?;
-        let request = PickRequest { service, exclude: &self.tried, kind, snapshot: self.snapshot };
+        let request = PickRequest {
+            service,
+            exclude: &self.tried,
+            kind,
+            snapshot: self.snapshot,
+            caller: table.caller(),
+        };
         let server = router.pick(now, &request)?;
         self.note_tried(server);
         self.attempts += 1;
@@ -266,7 +272,10 @@
 ) {
     let Some(server) = attempt.server else { return };
     let latency = now.since(attempt.sent);
-    router.observe(now, server, &Observation { latency, ..observation });
+    // A hedge is refused by any queue, so its refusal is no sign of overload.
+    let hedge_refused = attempt.hedge && observation.end == ObservedEnd::Overloaded;
+    let end = if hedge_refused { ObservedEnd::Refused } else { observation.end };
+    router.observe(now, server, &Observation { end, latency, ..observation });
 }
 
 /// An observation without a reply.
@@ -283,8 +292,9 @@
 
 /// Whether the attempt put no work on a backend server.
 fn is_untouched(failure: &Failure) -> bool {
-    let own = ObservedEnd::from(failure.reason) == ObservedEnd::Refused;
-    failure.outcome == Outcome::NotRun && own
+    let end = ObservedEnd::from(failure.reason);
+    let untouched = matches!(end, ObservedEnd::Refused | ObservedEnd::Overloaded);
+    failure.outcome == Outcome::NotRun && untouched
 }
 
 /// Whether a retry needs no budget, since the backend server did no work.
--- a/crates/dispatch/src/router/mod.rs
+++ b/crates/dispatch/src/router/mod.rs
@@ -9,6 +9,7 @@
 use carobstep_clock::BootTime;
 use carobstep_config::{RepeatPolicy, ServerKey, ServerState, ServiceKey, Topology, ZoneKey};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use service::ServiceStats;
 use stats::ServerStats;
@@ -44,6 +45,8 @@
     pub kind: AttemptKind,
     /// The snapshot that the server must hold.
     pub snapshot: Option<u64>,
+    /// Identity that the caller presents again when it was refused.
+    pub caller: u64,
 }
 
 /// Per-node view of all backend servers, with the budgets for extra load.
@@ -167,6 +170,7 @@
         let servers = &topology.service(request.service).servers;
         let chosen = self
             .pick_probe(now, request, servers)
+            .or_else(|| self.pick_booked(now, request, servers))
             .or_else(|| self.pick_best(now, request, servers))
             .or_else(|| self.pick_any(now, request, servers))?;
         let stats = &mut self.servers[chosen.index()];
@@ -183,7 +187,7 @@
         if let Some(event) = stats.observe(now, observation, peer_us) {
             stats.condition = stats.condition.after(event);
         }
-        self.services[service.index()].record(observation);
+        self.services[service.index()].record(now, observation);
     }
 
     /// Time after which a second attempt of the service's requests is worth it.
@@ -241,6 +245,41 @@
         None
     }
 
+    /// The caller's own server while the service is overloaded.
+    ///
+    /// Rendezvous hashing with the slots as weights, so that a refused caller
+    /// that comes back through any node reaches the server that booked a time
+    /// for it.
+    fn pick_booked(
+        &self,
+        now: BootTime,
+        request: &PickRequest<'_>,
+        servers: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let overloaded = self.services[request.service.index()].is_overloaded(now);
+        if !overloaded || request.kind != AttemptKind::First {
+            return None;
+        }
+        let mut best = None;
+        let mut best_rank = f64::INFINITY;
+        for server in servers {
+            let stats = &self.servers[server.index()];
+            let fit = stats.is_open() && stats.condition != Condition::Ejected;
+            if !fit || stats.lacks(request.snapshot, now) {
+                continue;
+            }
+            let entry = self.topology.server(*server);
+            let hash = xxh3_64_with_seed(entry.name.as_str().as_bytes(), request.caller);
+            let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+            let rank = -unit.ln() / f64::from(entry.slots);
+            if rank < best_rank {
+                best_rank = rank;
+                best = Some(*server);
+            }
+        }
+        best
+    }
+
     /// The better of two sampled servers, or the best of a few.
     fn pick_best(
         &mut self,
--- a/crates/dispatch/src/router/service.rs
+++ b/crates/dispatch/src/router/service.rs
@@ -29,6 +29,9 @@
 /// Shortest hedge delay.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(1);
 
+/// Time for which a service counts as overloaded after a refusal.
+const OVERLOAD_MEMORY: Duration = Duration::from_millis(500);
+
 /// Retries that a service may send before it earned any.
 const RETRY_RESERVE: f64 = 3.0;
 
@@ -41,6 +44,7 @@
     mean: MeanEstimate,
     hedge_delay: Duration,
     since_refresh: u32,
+    overloaded_until: BootTime,
 }
 
 impl ServiceStats {
@@ -52,6 +56,7 @@
             mean: MeanEstimate::default(),
             hedge_delay: Duration::MAX,
             since_refresh: 0,
+            overloaded_until: BootTime::ZERO,
         }
     }
 
@@ -74,8 +79,16 @@
         self.mean.mean_us()
     }
 
+    /// Whether a queue of the service refused a request a short while ago.
+    pub(super) fn is_overloaded(&self, now: BootTime) -> bool {
+        now < self.overloaded_until
+    }
+
     /// Takes in one attempt; a cancelled one took at least that long.
-    pub(super) fn record(&mut self, observation: &Observation) {
+    pub(super) fn record(&mut self, now: BootTime, observation: &Observation) {
+        if observation.end == ObservedEnd::Overloaded {
+            self.overloaded_until = now + OVERLOAD_MEMORY;
+        }
         let counts = match observation.end {
             ObservedEnd::Answered => true,
             ObservedEnd::Cancelled => observation.latency >= self.hedge_delay,
--- a/crates/dispatch/src/router/stats.rs
+++ b/crates/dispatch/src/router/stats.rs
@@ -73,7 +73,9 @@
 pub enum ObservedEnd {
     /// The whole reply came.
     Answered,
-    /// The holder's queue or the path to the holder refused it; not the server's fault.
+    /// The holder's queue was too long for it.
+    Overloaded,
+    /// The path to the server refused it; not the server's fault.
     Refused,
     /// The server shed it, failed, or went silent.
     Failed,
@@ -95,6 +97,9 @@
             | RefusalReason::ServerError => Self::Failed,
             RefusalReason::SnapshotGone | RefusalReason::SnapshotAhead => Self::SnapshotLacking,
             RefusalReason::DeadlinePassed | RefusalReason::Cancelled => Self::Cancelled,
+            RefusalReason::DeadlineUnreachable
+            | RefusalReason::QueueFull
+            | RefusalReason::CallerLimit => Self::Overloaded,
             _ => Self::Refused,
         }
     }
@@ -242,7 +247,7 @@
         match observation.end {
             ObservedEnd::Answered => self.observe_answer(now, observation, peer_us),
             ObservedEnd::Failed => self.observe_failure(now),
-            ObservedEnd::Refused => {
+            ObservedEnd::Refused | ObservedEnd::Overloaded => {
                 self.avoid_until = now + observation.retry_after.min(MAX_AVOID);
                 self.note_queue(now, observation);
                 None
--- a/crates/dispatch/tests/faults.rs
+++ b/crates/dispatch/tests/faults.rs
@@ -38,6 +38,7 @@
     retry_percent: 10.0,
     at_most_once: false,
     deadline_ms: 170,
+    returning: false,
     faults: &[],
     seconds: 30,
     seed: 1,
@@ -185,3 +186,40 @@
         assert!(factor <= RECOVERED_FACTOR, "{}: p99 {factor} of that before", case.name);
     }
 }
+
+/// Callers that are served when they come back as told.
+const MIN_KEPT: f64 = 0.9;
+
+struct OverloadCase {
+    shards: usize,
+    load: f64,
+    retry_percent: f64,
+}
+
+const OVERLOADS: &[OverloadCase] = &[
+    OverloadCase { shards: 1, load: 1.5, retry_percent: 10.0 },
+    OverloadCase { shards: 1, load: 3.0, retry_percent: 10.0 },
+    OverloadCase { shards: 1, load: 3.0, retry_percent: 0.0 },
+    OverloadCase { shards: 3, load: 1.5, retry_percent: 10.0 },
+];
+
+#[test]
+fn refused_callers_reach_the_server_that_booked_them() {
+    for case in OVERLOADS {
+        let figures = run(FleetRun {
+            shards: case.shards,
+            load: case.load,
+            retry_percent: case.retry_percent,
+            returning: true,
+            seconds: 20,
+            ..BASE
+        });
+        let kept = figures.kept as f64 / figures.returned as f64;
+        println!(
+            "{} shards, load {}, retries {}%: {} came back, {kept:.3} served; retries {}",
+            case.shards, case.load, case.retry_percent, figures.returned, figures.retries,
+        );
+        assert!(figures.returned > 500);
+        assert!(case.shards > 1 || kept >= MIN_KEPT, "{kept}");
+    }
+}
--- a/crates/dispatch/tests/hedging.rs
+++ b/crates/dispatch/tests/hedging.rs
@@ -29,6 +29,7 @@
     retry_percent: 10.0,
     at_most_once: false,
     deadline_ms: 1_000,
+    returning: false,
     faults: &[],
     seconds: 20,
     seed: 1,
--- a/crates/dispatch/tests/query_rules.rs
+++ b/crates/dispatch/tests/query_rules.rs
@@ -27,6 +27,7 @@
     retry_percent: 50.0,
     at_most_once: false,
     deadline_ms: 100,
+    returning: false,
     faults: &[],
     seconds: 0,
     seed: 1,
--- a/crates/dispatch/tests/support/design.rs
+++ b/crates/dispatch/tests/support/design.rs
@@ -49,6 +49,7 @@
         retry_percent: 10.0,
         at_most_once: false,
         deadline_ms: 170,
+        returning: false,
         faults: &[],
         seconds: 0,
         seed: 1,
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -9,7 +9,7 @@
 };
 use carobstep_dispatch::{
     Admission, AttemptKey, AttemptSend, CustomerKey, QueryPlan, QueryState, QueueEvent,
-    QueueLimits, QueueTicket, RequestAction, Router, ServerQueue, TicketKey,
+    QueueLimits, QueueTicket, RequestAction, Router, ServerQueue, TicketKey, caller_of,
 };
 use carobstep_wire::{Outcome, RefusalReason, RequestId, RetryReason, ShardReply, ShardResult};
 
@@ -55,6 +55,8 @@
     pub retry_percent: f64,
     pub at_most_once: bool,
     pub deadline_ms: u64,
+    /// Whether callers whose search lacks shards come back when told.
+    pub returning: bool,
     pub faults: &'static [Fault],
     pub seconds: u64,
     pub seed: u64,
@@ -87,10 +89,14 @@
     /// Hedges that a holder put into its queue.
     pub hedges_queued: u64,
     pub peak_running: usize,
+    /// Searches of callers that came back, and those of them that lack nothing.
+    pub returned: u64,
+    pub kept: u64,
 }
 
 enum Event {
     Query,
+    Return(u64),
     Arrive { query: u64, send: AttemptSend },
     Done { server: usize, key: TicketKey, service: Duration },
     Reply { query: u64, attempt: AttemptKey, reply: ShardReply },
@@ -109,6 +115,8 @@
     state: QueryState,
     started: BootTime,
     wakeup: BootTime,
+    caller: u64,
+    returned: bool,
 }
 
 struct Fleet {
@@ -122,6 +130,7 @@
     queries: HashMap<u64, Running>,
     tickets: HashMap<(u64, AttemptKey), (usize, TicketKey)>,
     count: u64,
+    callers: u64,
     figures: FleetFigures,
 }
 
@@ -195,6 +204,7 @@
         queries: HashMap::new(),
         tickets: HashMap::new(),
         count: 0,
+        callers: 0,
         figures,
     };
     fleet.timeline.after(Duration::ZERO, Event::Query);
@@ -211,7 +221,8 @@
 impl Fleet {
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Query => self.begin_query(),
+            Event::Query => self.arrive_query(),
+            Event::Return(caller) => self.begin_query(caller, true),
             Event::Arrive { query, send } => self.arrive(query, send),
             Event::Done { server, key, service } => self.serve(server, key, service),
             Event::Reply { query, attempt, reply } => {
@@ -247,7 +258,7 @@
         self.config.faults.iter().find(active).map(|fault| fault.kind)
     }
 
-    fn begin_query(&mut self) {
+    fn arrive_query(&mut self) {
         let config = self.config;
         let slots = f64::from(config.slots) * config.replicas as f64;
         let gap = config.service.div_f64(config.load * slots);
@@ -258,10 +269,16 @@
                 self.router.hint_load(ServerKey(server as u16), load);
             }
         }
+        self.callers += 1;
+        self.begin_query(self.callers, false);
+    }
+
+    fn begin_query(&mut self, caller: u64, returned: bool) {
+        let config = self.config;
         self.count += 1;
         let now = self.timeline.now;
         let plan = QueryPlan {
-            id: RequestId(u128::from(self.count) << 64 | u128::from(self.count)),
+            id: RequestId(u128::from(caller) << 64 | u128::from(self.count)),
             deadline: now + Duration::from_millis(config.deadline_ms),
             map: Arc::clone(&self.map),
             topology: Arc::clone(self.router.topology()),
@@ -269,7 +286,7 @@
         self.figures.needed += config.shards as u64;
         self.figures.first_times.push(self.elapsed());
         let state = QueryState::new(plan, now);
-        let query = Running { state, started: now, wakeup: BootTime::MAX };
+        let query = Running { state, started: now, wakeup: BootTime::MAX, caller, returned };
         self.queries.insert(self.count, query);
         self.step(self.count, |state, router, actions| state.start(now, router, actions));
     }
@@ -308,10 +325,19 @@
 
     fn finish(&mut self, query: u64) {
         let Some(running) = self.queries.remove(&query) else { return };
+        let (caller, returned) = (running.caller, running.returned);
         let report = running.state.into_report();
         let covered = report.covered().count();
         let lacking = report.lacking().count();
         assert_eq!(covered + lacking, self.config.shards);
+        if returned {
+            self.figures.returned += 1;
+            self.figures.kept += u64::from(lacking == 0);
+        } else if lacking > 0 && self.config.returning {
+            let trip = Duration::from_millis(3).mul_f64(self.samples.unit());
+            let retry_after = report.retry_after.unwrap_or(Duration::from_millis(250));
+            self.timeline.after(retry_after + trip, Event::Return(caller));
+        }
         self.figures.answers.push(Answer {
             at: running.started.since(self.start),
             latency: self.timeline.now.since(running.started),
@@ -337,7 +363,7 @@
             deadline: send.deadline,
             hedge: send.hedge,
             customer: CustomerKey(1),
-            caller: query,
+            caller: caller_of(send.id),
         };
         match self.servers[server].queue.offer(now, ticket) {
             Admission::Dispatch(key) => {
