--- a/crates/dispatch/tests/queue_policy.rs
+++ b/crates/dispatch/tests/queue_policy.rs
@@ -121,6 +121,8 @@
             let fifo = config(server, load, Policy::Fifo);
             let mut plain = run(fifo);
             print(&fifo, &mut plain);
+            let lifo = config(server, load, Policy::Lifo);
+            print(&lifo, &mut run(lifo));
             let figures = run(config(server, load, Policy::Deadline));
             if load.loads[0] < 1.5 {
                 continue;
--- a/crates/dispatch/tests/support/queue_run.rs
+++ b/crates/dispatch/tests/support/queue_run.rs
@@ -18,6 +18,8 @@
     Deadline,
     /// First in, first out; refuses nothing.
     Fifo,
+    /// Last in, first out; refuses nothing.
+    Lifo,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -71,8 +73,8 @@
     samples: Samples,
     queue: ServerQueue,
     jobs: HashMap<TicketKey, Job>,
-    fifo: VecDeque<Job>,
-    fifo_running: u16,
+    plain: VecDeque<Job>,
+    plain_running: u16,
     callers: u64,
     end: BootTime,
     warm: BootTime,
@@ -94,8 +96,8 @@
         samples: Samples::new(config.seed),
         queue,
         jobs: HashMap::new(),
-        fifo: VecDeque::new(),
-        fifo_running: 0,
+        plain: VecDeque::new(),
+        plain_running: 0,
         callers: 0,
         end,
         warm,
@@ -130,7 +132,7 @@
                 self.complete(job);
                 match key {
                     Some(key) => self.queue.finish(self.timeline.now, key, Some(service)),
-                    None => self.fifo_running -= 1,
+                    None => self.plain_running -= 1,
                 }
             }
             Event::Wake => {}
@@ -151,8 +153,8 @@
         if returned && now >= self.warm && deadline < self.end {
             self.figures.returned += 1;
         }
-        if self.config.policy == Policy::Fifo {
-            self.fifo.push_back(job);
+        if self.config.policy != Policy::Deadline {
+            self.plain.push_back(job);
             return;
         }
         let customer = CustomerKey(customer as u64);
@@ -202,9 +204,11 @@
     }
 
     fn drain(&mut self) {
-        while self.fifo_running < self.config.slots {
-            let Some(job) = self.fifo.pop_front() else { break };
-            self.fifo_running += 1;
+        while self.plain_running < self.config.slots {
+            let lifo = self.config.policy == Policy::Lifo;
+            let job = if lifo { self.plain.pop_back() } else { self.plain.pop_front() };
+            let Some(job) = job else { break };
+            self.plain_running += 1;
             self.dispatch(None, job);
         }
         while let Some(event) = self.queue.poll(self.timeline.now) {
