Pause before a failed grant write is tried again, and test random faults

An acquisition or a release that was never sent was retried at once, without end, while the platform was down and the own lease still valid. Found by the random faults, which check at every moment that one node at most may start requests to a server, and that each server is held again after them.

A taker reads the lease of a node that started again instead of waiting for the lapse, and vouch requests go out twice per fence time, to stay within the traffic bound in an outage of a full zone.

--- a/crates/control/src/state/gossip.rs
+++ b/crates/control/src/state/gossip.rs
@@ -205,7 +205,9 @@
     pub(super) fn take_digest(&mut self, digest: GossipDigest) {
         let from = digest.node.address;
         let inside = digest.node.zone == self.options.zone;
+        let node = digest.node.node.clone();
         self.merge_peer(digest.node);
+        self.peers.seen(&node, true);
         self.take_news(digest.news);
         let mut unknown = false;
         for beat in digest.beats {
--- a/crates/control/src/state/holds.rs
+++ b/crates/control/src/state/holds.rs
@@ -261,12 +261,9 @@
                 self.acquisitions.swap_remove(server);
                 self.finish_acquisition(record, version, clean);
             }
-            WriteOutcome::Failed => {
-                self.acquisitions.swap_remove(server);
-            }
-            WriteOutcome::Conflict => {
+            WriteOutcome::Failed | WriteOutcome::Conflict => {
                 acquisition.record = None;
-                acquisition.retry_at = self.now;
+                acquisition.retry_at = self.now + self.options.grant.retry;
             }
             WriteOutcome::Unknown => acquisition.retry_at = self.now,
         }
@@ -361,7 +358,7 @@
                 return;
             }
             let wanted = stopping || self.assignment.has_left(server, &self.options.node, before);
-            if hold.is_leaving() || !wanted {
+            if hold.is_leaving() || !wanted || self.now < hold.retry_at {
                 continue;
             }
             hold.step = HoldStep::Draining;
--- a/crates/control/src/state/own_lease.rs
+++ b/crates/control/src/state/own_lease.rs
@@ -17,7 +17,7 @@
 };
 
 /// Rounds of vouch requests within one fence time.
-const VOUCH_ROUNDS: u32 = 3;
+const VOUCH_ROUNDS: u32 = 2;
 
 /// The own lease and the calls about it.
 #[derive(Debug)]
--- a/crates/control/src/state/pursuit.rs
+++ b/crates/control/src/state/pursuit.rs
@@ -28,6 +28,8 @@
 pub(super) struct Pursuit {
     takeover: Takeover<NodeName>,
     lease: Option<LeaseRecord>,
+    /// Whether the lease was read again in the step before.
+    reread: bool,
     busy: bool,
     next_at: BootTime,
 }
@@ -87,7 +89,8 @@
             return;
         }
         let takeover = Takeover::new(key.incarnation);
-        let pursuit = Pursuit { takeover, lease: None, busy: false, next_at: self.now };
+        let next_at = self.now;
+        let pursuit = Pursuit { takeover, lease: None, reread: false, busy: false, next_at };
         self.pursuits.insert(key, pursuit);
     }
 
@@ -126,12 +129,16 @@
 
     fn step_pursuit(&mut self, key: &PursuitKey) {
         let retry_at = self.now + self.options.grant.retry;
-        let heard = self.peers.get(&key.node);
-        let heard = heard.filter(|peer| peer.record.incarnation == key.incarnation);
+        let peer = self.peers.get(&key.node);
+        let restarted = peer.is_some_and(|peer| peer.record.incarnation > key.incarnation);
+        let heard = peer.filter(|peer| peer.record.incarnation == key.incarnation);
         let reported = heard.map(|peer| peer.lease);
         let Some(pursuit) = self.pursuits.get_mut(key) else { return };
         pursuit.next_at = retry_at;
-        if pursuit.lease.is_none() {
+        // The lease of a node that started again is about to show it.
+        let reread = restarted && !pursuit.reread;
+        pursuit.reread = reread;
+        if pursuit.lease.is_none() || reread {
             self.read_pursued(key);
             return;
         }
@@ -141,7 +148,7 @@
         match pursuit.takeover.step(self.now, &self.options.lease) {
             TakeoverStep::Wait(until) => {
                 pursuit.next_at = until.min(retry_at);
-                self.sources.want_vms(self.now);
+                self.sources.want_vms();
             }
             TakeoverStep::Close(version) => self.close_lease(key, version),
             TakeoverStep::Tell(witnesses) => self.tell_witnesses(key, witnesses),
@@ -199,7 +206,7 @@
     }
 
     fn tell_witnesses(&mut self, key: &PursuitKey, witnesses: Vec<NodeName>) {
-        self.sources.want_vms(self.now);
+        self.sources.want_vms();
         let notice = CloseNotice { node: key.node.clone(), incarnation: key.incarnation };
         for witness in witnesses {
             if witness == self.options.node && key.node != self.options.node {
--- a/crates/control/src/state/sources.rs
+++ b/crates/control/src/state/sources.rs
@@ -32,6 +32,9 @@
 /// Size of one VM of the list.
 const VM_RECORD_BYTES: usize = 100;
 
+/// Readings of the VM list that a node skips while it waits to be listed.
+const UNLISTED_PAUSE: u32 = 5;
+
 /// Time between two look-ups of holders whose address is not known.
 const LOOKUP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -107,7 +110,7 @@
     }
 
     /// Asks for a reading of the VM list as soon as its rate allows.
-    pub(super) fn want_vms(&mut self, _now: BootTime) {
+    pub(super) fn want_vms(&mut self) {
         self.vms.wanted = true;
     }
 }
@@ -371,8 +374,11 @@
     }
 
     fn advance_vms(&mut self, watcher: bool) {
-        let wanted = watcher || self.sources.vms.wanted;
-        if self.sources.vms.busy || !wanted || self.now < self.sources.vms.next_at {
+        let vms = &self.sources.vms;
+        let pause = self.options.grant.vm_poll * UNLISTED_PAUSE;
+        let unlisted = !self.lease.listed && self.now >= vms.next_at + pause;
+        let wanted = watcher || vms.wanted || unlisted;
+        if vms.busy || !wanted || self.now < vms.next_at {
             return;
         }
         self.sources.vms.busy = true;
@@ -386,7 +392,7 @@
         let seconds = (vms.len() * VM_RECORD_BYTES / VM_LIST_BYTES) as u64;
         let pause = self.options.grant.vm_poll.max(Duration::from_secs(seconds));
         self.sources.vms.next_at = self.now + pause;
-        self.sources.vms.wanted = !self.lease.listed;
+        self.sources.vms.wanted = false;
         self.take_listed_servers(&vms);
         let entries = vms.iter().filter(|vm| vm.role == VmRole::Entry);
         let addresses: Vec<SocketAddr> = entries.filter_map(|vm| vm.address.parse().ok()).collect();
--- /dev/null
+++ b/crates/control/tests/zone/faults.rs
@@ -0,0 +1,95 @@
+//! Random faults, one after another and together: at every moment at most one
+//! node may start requests to a server, and afterwards each server is held.
+
+use std::time::Duration;
+
+use crate::support::{TestZone, options, server};
+
+const SEEDS: u64 = 40;
+const SERVICES: usize = 3;
+const FAULT_SECONDS: u64 = 120;
+const CALM: Duration = Duration::from_secs(60);
+
+/// Xorshift generator (Marsaglia 2003) behind the choice of faults.
+struct FaultSource(u64);
+
+impl FaultSource {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        usize::try_from(self.0 % bound as u64).unwrap()
+    }
+}
+
+fn inject(zone: &mut TestZone, source: &mut FaultSource) {
+    let nodes = zone.nodes.len();
+    let at = source.below(nodes);
+    match source.below(10) {
+        0 | 1 => zone.nodes[at].alive = !zone.nodes[at].alive,
+        2 | 3 => zone.nodes[at].reaches_store = !zone.nodes[at].reaches_store,
+        4 | 5 => toggle_link(zone, at, source.below(nodes)),
+        6 => zone.nodes[at].lose_answers += 2,
+        7 => {
+            zone.restart(at, options(at, "z1"));
+        }
+        8 => {
+            let down = source.below(2) == 0;
+            for node in &mut zone.nodes {
+                node.reaches_store = !down;
+            }
+        }
+        _ => zone.cut.clear(),
+    }
+}
+
+fn toggle_link(zone: &mut TestZone, one: usize, other: usize) {
+    let link = (one.min(other), one.max(other));
+    if zone.cut.contains(&link) {
+        zone.cut.retain(|cut| *cut != link);
+    } else {
+        zone.cut.push(link);
+    }
+}
+
+fn check(zone: &TestZone, seed: u64) {
+    for service in 0..SERVICES {
+        for replica in 0..2 {
+            let name = server(&format!("s{service}-{replica}"));
+            let able = zone.dispatchers(&name);
+            assert!(able.len() <= 1, "seed {seed}, server {name}: {able:?} at {:?}", zone.now);
+        }
+    }
+}
+
+fn run_seed(nodes: usize, seed: u64) {
+    let mut zone = TestZone::new(nodes, SERVICES);
+    let mut source = FaultSource(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
+    zone.run(Duration::from_secs(10));
+    for _ in 0..FAULT_SECONDS {
+        if source.below(4) == 0 {
+            inject(&mut zone, &mut source);
+            check(&zone, seed);
+        }
+        for _ in 0..10 {
+            zone.run(Duration::from_millis(100));
+            check(&zone, seed);
+        }
+    }
+    zone.cut.clear();
+    for node in &mut zone.nodes {
+        node.alive = true;
+        node.reaches_store = true;
+        node.lose_answers = 0;
+    }
+    zone.run(CALM);
+    let held: usize = zone.loads().iter().sum();
+    assert_eq!(held, 2 * SERVICES, "seed {seed}: {:?}", zone.loads());
+}
+
+#[test]
+fn faults_never_let_two_nodes_dispatch() {
+    for seed in 0..SEEDS {
+        run_seed(2 + usize::try_from(seed % 3).unwrap(), seed);
+    }
+}
--- a/crates/control/tests/grants.rs
+++ b/crates/control/tests/zone/grants.rs
@@ -1,12 +1,10 @@
 //! Grants of one zone: spread, handed over, taken over, kept in an outage.
 
-mod support;
-
 use std::time::Duration;
 
-use carobstep_control::{ControlEvent, NodePhase};
+use crate::support::{TestZone, address, entry_vm, options, server};
+use carobstep_control::{ControlEvent, LeaseState, NodePhase};
 use carobstep_platform::ObjectKind;
-use support::{TestZone, options, server};
 
 const START: Duration = Duration::from_secs(10);
 
@@ -182,7 +180,7 @@
 fn a_node_gone_from_the_list_is_replaced_in_a_zone_of_two() {
     let mut zone = TestZone::new(2, 2);
     for at in 0..2 {
-        zone.store.vms.push(support::entry_vm(at, "z1"));
+        zone.store.vms.push(entry_vm(at, "z1"));
     }
     zone.run(START);
     zone.nodes[0].alive = false;
@@ -191,3 +189,36 @@
     assert_loads!(zone, [2, 4]);
     assert_single_holders(&zone, 2);
 }
+
+#[test]
+fn replacing_every_node_one_by_one_keeps_each_server_held() {
+    let mut zone = TestZone::new(3, 6);
+    zone.run(START);
+    for at in 0..3 {
+        zone.add(options(at + 3, "z1"));
+        zone.run(Duration::from_secs(5));
+        zone.tell(at, ControlEvent::Stop);
+        zone.run(Duration::from_secs(5));
+        assert!(zone.nodes[at].stopped, "node {at}");
+        zone.nodes[at].alive = false;
+        assert_single_holders(&zone, 6);
+    }
+    zone.run(START);
+    assert_loads!(zone, [0, 0, 0, 4, 4, 4]);
+}
+
+#[test]
+fn a_process_at_another_address_waits_until_the_earlier_one_is_proven_gone() {
+    let mut zone = TestZone::new(3, 3);
+    zone.run(START);
+    zone.nodes[0].alive = false;
+    let mut moved = options(0, "z1");
+    moved.peer_address = address(9);
+    zone.add(moved);
+    zone.run(Duration::from_secs(5));
+    assert_eq!(zone.nodes[3].state.lease_state(), LeaseState::Opening);
+    zone.run(Duration::from_secs(25));
+    assert_eq!(zone.nodes[3].state.lease_state(), LeaseState::Open);
+    assert_loads!(zone, [2, 2, 2, 2]);
+    assert_single_holders(&zone, 3);
+}
--- /dev/null
+++ b/crates/control/tests/zone/spread.rs
@@ -0,0 +1,157 @@
+//! Configuration, membership and leaving servers across nodes.
+
+use std::time::Duration;
+
+use crate::support::{TestZone, config, name, options, server};
+use carobstep_control::{ControlEffect, ControlEvent, NodePhase};
+use carobstep_platform::{ObjectKind, VmRecord, VmRole, VmState};
+use serde_json::json;
+
+const START: Duration = Duration::from_secs(10);
+
+/// Most that a node may send for control, with headers left out.
+const CONTROL_BYTES_PER_SECOND: usize = 13_000;
+
+fn versions(zone: &TestZone) -> Vec<u64> {
+    zone.nodes.iter().map(|node| node.state.config_version().0).collect()
+}
+
+fn leaving(zone: &TestZone, text: &str) -> usize {
+    let name = server(text);
+    let nodes = zone.nodes.iter();
+    nodes.filter(|node| node.state.leaving_servers().any(|other| *other == name)).count()
+}
+
+#[test]
+fn a_new_configuration_reaches_nodes_that_do_not_watch() {
+    let mut zone = TestZone::new(9, 4);
+    zone.run(START);
+    zone.store.write(ObjectKind::Config, "current", config(2, 5));
+    zone.run(Duration::from_secs(1));
+    assert_eq!(versions(&zone), [2; 9]);
+    zone.run(START);
+    assert_eq!(zone.loads().iter().sum::<usize>(), 10);
+}
+
+#[test]
+fn an_older_configuration_is_ignored() {
+    let mut zone = TestZone::new(3, 4);
+    zone.store.write(ObjectKind::Config, "current", config(7, 4));
+    zone.run(START);
+    zone.store.write(ObjectKind::Config, "current", config(6, 4));
+    zone.run(START);
+    assert_eq!(versions(&zone), [7; 3]);
+}
+
+#[test]
+fn a_node_that_starts_in_an_outage_takes_the_configuration_from_peers() {
+    let mut zone = TestZone::new(3, 4);
+    zone.run(START);
+    zone.add(options(3, "z1"));
+    zone.nodes[3].reaches_store = false;
+    zone.run(Duration::from_secs(3));
+    assert_eq!(zone.nodes[3].state.phase(), NodePhase::Serving);
+    assert_eq!(versions(&zone), [1; 4]);
+    assert_eq!(zone.nodes[3].state.held_grants().count(), 0);
+    assert!(zone.nodes[3].state.holder_of(&server("s0-0")).is_some());
+}
+
+#[test]
+fn a_node_without_configuration_is_not_ready() {
+    let mut zone = TestZone::new(1, 1);
+    zone.nodes[0].reaches_store = false;
+    zone.run(START);
+    assert_eq!(zone.nodes[0].state.phase(), NodePhase::Starting);
+    assert!(!zone.nodes[0].seen.contains(&ControlEffect::Ready(true)));
+    zone.nodes[0].reaches_store = true;
+    zone.run(START);
+    assert!(zone.nodes[0].seen.contains(&ControlEffect::Ready(true)));
+}
+
+#[test]
+fn a_cut_zone_catches_up_and_never_reverts() {
+    let mut zone = TestZone::new(3, 1);
+    for at in 3..6 {
+        zone.add(options(at, "z2"));
+    }
+    zone.run(START);
+    for node in &mut zone.nodes[3..] {
+        node.reaches_store = false;
+    }
+    zone.cut = (0..3).flat_map(|at| (3..6).map(move |other| (at, other))).collect();
+    zone.store.write(ObjectKind::Config, "current", config(2, 1));
+    zone.run(START);
+    assert_eq!(versions(&zone), [2, 2, 2, 1, 1, 1]);
+    zone.cut.clear();
+    zone.run(Duration::from_secs(18));
+    assert_eq!(versions(&zone), [2; 6]);
+}
+
+#[test]
+fn other_zones_learn_where_grants_are() {
+    let mut zone = TestZone::new(2, 2);
+    zone.add(options(2, "z2"));
+    zone.run(START);
+    let holder = zone.dispatchers(&server("s0-0"))[0];
+    let route = zone.nodes[2].state.holder_of(&server("s0-0")).unwrap();
+    assert_eq!(route.node, name(holder));
+    zone.tell(holder, ControlEvent::Stop);
+    zone.run(Duration::from_secs(3));
+    let route = zone.nodes[2].state.holder_of(&server("s0-0")).unwrap();
+    assert_eq!(route.node, name(1 - holder));
+}
+
+#[test]
+fn the_first_sign_of_a_leaving_server_outlasts_older_ones() {
+    let mut zone = TestZone::new(4, 2);
+    zone.run(START);
+    zone.tell(1, ControlEvent::ServerSeen { server: server("s0-0"), leaving: true });
+    assert_eq!(leaving(&zone, "s0-0"), 4);
+    zone.tell(2, ControlEvent::ServerSeen { server: server("s0-0"), leaving: false });
+    zone.run(Duration::from_secs(30));
+    assert_eq!(leaving(&zone, "s0-0"), 4);
+}
+
+#[test]
+fn a_server_leaves_when_the_list_or_the_configuration_says_so() {
+    let mut zone = TestZone::new(3, 2);
+    let vm = VmRecord {
+        name: "s0-0".to_owned(),
+        zone: "z1".to_owned(),
+        role: VmRole::Backend,
+        state: VmState::Live,
+        address: "127.0.0.1:20000".to_owned(),
+    };
+    zone.store.vms.push(vm);
+    zone.run(START);
+    assert_eq!(leaving(&zone, "s0-0"), 0);
+    zone.store.vms[0].state = VmState::Leaving;
+    zone.run(Duration::from_secs(3));
+    assert_eq!(leaving(&zone, "s0-0"), 3);
+    let mut drained = config(2, 2);
+    drained["document"]["services"]["s1"]["servers"]["s1-1"]["state"] = json!("draining");
+    zone.store.write(ObjectKind::Config, "current", drained);
+    zone.run(Duration::from_secs(1));
+    assert_eq!(leaving(&zone, "s1-1"), 3);
+    zone.store.write(ObjectKind::Config, "current", config(3, 2));
+    zone.run(Duration::from_secs(1));
+    assert_eq!(leaving(&zone, "s1-1"), 0);
+}
+
+#[test]
+fn control_traffic_of_a_full_zone_stays_within_its_bound() {
+    const NODES: usize = 43;
+    const SECONDS: usize = 20;
+    let mut zone = TestZone::new(NODES, 85);
+    zone.run(Duration::from_secs(20));
+    for node in &mut zone.nodes {
+        node.bytes_sent = 0;
+    }
+    zone.store.calls = 0;
+    zone.run(Duration::from_secs(SECONDS as u64));
+    let most = zone.nodes.iter().map(|node| node.bytes_sent).max().unwrap_or(0) / SECONDS;
+    let calls = zone.store.calls as usize / SECONDS;
+    println!("{most} bytes sent per second by the busiest of {NODES} nodes, {calls} calls/s");
+    assert!(most < CONTROL_BYTES_PER_SECOND, "{most}");
+    assert_eq!(zone.loads().iter().sum::<usize>(), 170);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/zone/support.rs
@@ -19,6 +19,9 @@
 /// Step of the clock.
 const STEP: Duration = Duration::from_millis(100);
 
+/// Events of one step; more mean that a node retries without a pause.
+const MAX_EVENTS: usize = 100_000;
+
 /// Objects with versions, as the platform keeps them.
 #[derive(Default)]
 pub struct Store {
@@ -231,7 +234,10 @@
     }
 
     fn settle(&mut self) {
+        let mut events = 0;
         while let Some((at, event)) = self.pending.pop_front() {
+            events += 1;
+            assert!(events < MAX_EVENTS, "events lead to events without end: {event:?}");
             let node = &mut self.nodes[at];
             if !node.alive {
                 continue;
