Make three proofs fail when their rule is left out

With the lease check, the unknown outcome or the comparison of versions left out, three proofs still passed. Frozen holders now wake to slow servers whose slots are all taken and to searches that were sent to them meanwhile. The cuts at each step run before the draining one, which had kept the servers out of use for the rest of the table; each case now requires that orders were executed, or were not. The configuration proof shows nodes an older version.

A silent new connection executes nothing, since the stand-in goes silent before it reads the request; the table says so.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -17,7 +17,7 @@
     answer::{CallerView, ManifestCheck, service_view},
     arrivals::ArrivalProcess,
     balancer::NodeBalancer,
-    deployment::Deployment,
+    deployment::{Deployment, NodeProcess},
     http::{HttpCall, HttpClient},
 };
 
@@ -100,6 +100,13 @@
         }
     }
 
+    /// The same callers, sending to one node only.
+    #[must_use]
+    pub fn pinned(&self, node: &NodeProcess) -> Self {
+        let balancer = Arc::new(NodeBalancer::start(std::slice::from_ref(node)));
+        Self { balancer, ..self.clone() }
+    }
+
     /// Sends one search with its own payload.
     pub async fn search(&self, payload: u64) -> CallerView {
         self.search_with(json!({"payload": payload})).await
--- a/crates/bench/tests/proofs/configuration.rs
+++ b/crates/bench/tests/proofs/configuration.rs
@@ -65,6 +65,24 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn does_not_revert_when_the_platform_shows_an_older_version() {
+    let mut run = ProofRun::start("config-older").await;
+    let mut last = BTreeMap::new();
+    let older = HttpCall::get("/objects/config/current");
+    let older = run.deployment.client.expect(run.deployment.platform, &older).await.unwrap();
+    for version in 2..=4 {
+        assert!(submit(&run, version).await);
+        require_in_force(&mut run, version, &mut last).await;
+    }
+    run.deployment.replace("config/current", &older).await.unwrap();
+    for _ in 0..40 {
+        let versions = read_versions(&mut run, &mut last).await;
+        assert!(versions.iter().all(|version| *version == 4), "{versions:?}");
+        pause(100).await;
+    }
+}
+
 struct OutageCase {
     name: &'static str,
     during: &'static str,
--- a/crates/bench/tests/proofs/limits.rs
+++ b/crates/bench/tests/proofs/limits.rs
@@ -1,9 +1,12 @@
 //! What was lent of a backend server is never exceeded, whatever happens to
 //! the holder of its grant.
 
-use carobstep_bench::ProcessSignal;
+use std::time::Duration;
 
-use crate::support::{LEASE_TERM, ProofRun, options, pause};
+use carobstep_bench::{LoadOptions, NodeProcess, ProcessSignal, run_load};
+use serde_json::json;
+
+use crate::support::{LEASE_TERM, LoadTask, ProofRun, options, pause};
 
 const SEARCH_RATE: f64 = 60.0;
 const ORDER_RATE: f64 = 10.0;
@@ -43,6 +46,11 @@
         println!("case {}", case.name);
         let name = format!("limits-frozen-{}", case.name);
         let mut run = ProofRun::start_with(options(&name), case.nodes_per_zone).await;
+        // Slow servers keep every slot taken, so that one request too many shows.
+        for server in &run.deployment.servers {
+            let faults = json!({"slow_factor": 20.0});
+            server.faults(&run.deployment.client, &faults).await.unwrap();
+        }
         let load = run.load(SEARCH_RATE, ORDER_RATE, 12);
         pause(1_500).await;
         run.deployment.signal_node(0, ProcessSignal::Freeze).unwrap();
@@ -51,26 +59,43 @@
             run.deployment.unlist_vm(&node.name).await.unwrap();
         }
         tokio::time::sleep(LEASE_TERM * 3).await;
+        let burst = stale_burst(&run, &node);
+        pause(500).await;
         run.deployment.signal_node(0, ProcessSignal::Resume).unwrap();
         run.deployment.list_node(&node, "live").await.unwrap();
         run.require_recovery().await;
-        let samples = load.await.unwrap();
+        let mut samples = load.await.unwrap();
+        samples.extend(burst.await.unwrap());
         run.require_sound(&samples).await;
     }
 }
 
+/// Sends searches to a frozen node, which finds them when it wakes.
+fn stale_burst(run: &ProofRun, node: &NodeProcess) -> LoadTask {
+    let side = run.side.pinned(node);
+    let options = LoadOptions {
+        search_rate: 200.0,
+        order_rate: 0.0,
+        length: Duration::from_millis(400),
+        warmup: Duration::ZERO,
+        seed: 2,
+        come_back: false,
+    };
+    tokio::spawn(async move { run_load(&side, options).await })
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hold_when_connections_go_silent_and_are_replaced() {
     let run = ProofRun::start("limits-silent").await;
     let load = run.load(SEARCH_RATE, ORDER_RATE, 10);
     pause(1_500).await;
     for server in &run.deployment.servers {
-        let faults = serde_json::json!({"silent": true, "silent_hold_ms": 1_000});
+        let faults = json!({"silent": true, "silent_hold_ms": 1_000});
         server.faults(&run.deployment.client, &faults).await.unwrap();
     }
     pause(5_000).await;
     for server in &run.deployment.servers {
-        let faults = serde_json::json!({"silent": false});
+        let faults = json!({"silent": false});
         server.faults(&run.deployment.client, &faults).await.unwrap();
     }
     let samples = load.await.unwrap();
--- a/crates/bench/tests/proofs/not_run.rs
+++ b/crates/bench/tests/proofs/not_run.rs
@@ -11,24 +11,36 @@
 struct CutCase {
     name: &'static str,
     faults: &'static str,
-    /// Whether an order that reaches a faulty server may be answered as run.
+    /// Whether orders are executed under the fault.
+    executes: bool,
+    /// Whether an order may be answered as run under the fault.
     may_run: bool,
 }
 
-/// Cuts at each step between the holder and the backend server.
+macro_rules! cut_case {
+    ($name:literal, $faults:literal, executes: $executes:literal, may_run: $may_run:literal) => {
+        CutCase { name: $name, faults: $faults, executes: $executes, may_run: $may_run }
+    };
+}
+
+/// Cuts at each step between the holder and the backend server. Draining
+/// comes last, since a server that drained stays out of use for a while.
 const CASES: [CutCase; 7] = [
-    CutCase { name: "shed", faults: r#"{"shed": true}"#, may_run: false },
-    CutCase { name: "draining", faults: r#"{"state": "draining"}"#, may_run: false },
-    CutCase { name: "silent", faults: r#"{"silent": true}"#, may_run: true },
-    CutCase { name: "silent-new", faults: r#"{"silent_new": true}"#, may_run: true },
-    CutCase { name: "truncated", faults: r#"{"truncate": true}"#, may_run: false },
-    CutCase { name: "failed", faults: r#"{"error500": true}"#, may_run: false },
-    CutCase { name: "other-reply", faults: r#"{"swap_echo": true}"#, may_run: true },
+    cut_case!("shed", r#"{"shed": true}"#, executes: false, may_run: false),
+    cut_case!("truncated", r#"{"truncate": true}"#, executes: true, may_run: false),
+    cut_case!("failed", r#"{"error500": true}"#, executes: true, may_run: false),
+    cut_case!("other reply", r#"{"swap_echo": true}"#, executes: true, may_run: true),
+    cut_case!("silent", r#"{"silent": true}"#, executes: true, may_run: true),
+    cut_case!("silent new", r#"{"silent_new": true}"#, executes: false, may_run: true),
+    cut_case!("draining", r#"{"state": "draining"}"#, executes: false, may_run: false),
 ];
 
 const HEALED: &str = r#"{"shed": false, "state": "healthy", "silent": false, "silent_new": false,
     "truncate": false, "error500": false, "swap_echo": false}"#;
 
+/// Resends of an order that shows whether the servers work again.
+const MAX_TRIES: usize = 100;
+
 async fn set_order_faults(run: &ProofRun, faults: &str) {
     let faults = serde_json::from_str(faults).unwrap();
     for server in &run.deployment.servers {
@@ -39,19 +51,42 @@
     }
 }
 
+async fn executed(run: &ProofRun) -> u64 {
+    let mut executed = 0;
+    for server in &run.deployment.servers {
+        if server.service != run.deployment.plan.order_service {
+            continue;
+        }
+        executed += server.summary(&run.deployment.client).await.unwrap().executed;
+    }
+    executed
+}
+
+async fn require_healed(run: &ProofRun, case: &str) {
+    for number in 0..MAX_TRIES {
+        let key = format!("healed-{}-{number}", case.replace(' ', "-"));
+        if run.side.order(&key).await == (CallerView::Ran { replayed: false }) {
+            return;
+        }
+        pause(100).await;
+    }
+    panic!("{case}: no order runs after the fault");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn is_true_when_backend_servers_fail_at_each_step() {
-    let mut run = ProofRun::start("not-run-steps").await;
+    let run = ProofRun::start("not-run-steps").await;
     for (position, case) in CASES.into_iter().enumerate() {
         println!("case {}", case.name);
+        require_healed(&run, case.name).await;
+        let before = executed(&run).await;
         set_order_faults(&run, case.faults).await;
         let samples = run.load_seeded(0.0, ORDER_RATE, 3, position as u64).await.unwrap();
         run.require_sound(&samples).await;
+        assert_eq!(executed(&run).await > before, case.executes, "{}", case.name);
         let ran = samples.iter().any(|sample| matches!(sample.view, CallerView::Ran { .. }));
         assert!(case.may_run || !ran, "{}", case.name);
         set_order_faults(&run, HEALED).await;
-        run.require_recovery().await;
-        pause(500).await;
     }
 }
 
