Show lease, takeovers and live peers in a node's status, and offer a brief form

docs/API.md promised the lease state and the peers, but the status had neither. Each status also listed a route for every backend server, about 85 KB at 1,700 servers, although `carobstep follow` and the tables of nodes and zones read one number from it.

GET /v1/status?brief=true leaves out every member that grows with the fleet, and the client asks for that form. A second path was weighed: two names for one thing, so the query stays.

--- a/crates/client/src/follow.rs
+++ b/crates/client/src/follow.rs
@@ -10,7 +10,7 @@
 use crate::{
     error::{ClientError, ExitStatus},
     fleet::{NodeAnswer, NodeRoster},
-    nodes::NodeApi,
+    nodes::{BRIEF_STATUS_PATH, NodeApi},
     output::{CommandReport, ReportPrinter},
     platform::current,
     run::print,
@@ -139,7 +139,7 @@
     let mut shown_at = Duration::ZERO;
     loop {
         roster.forget(|node| tracker.has_reached(node));
-        let progress = tracker.observe(&roster.ask(api, "/v1/status").await);
+        let progress = tracker.observe(&roster.ask(api, BRIEF_STATUS_PATH).await);
         let elapsed = start.elapsed();
         let is_due = elapsed >= shown_at + PROGRESS_INTERVAL;
         if is_due || shown.as_ref() != Some(&progress) {
--- a/crates/client/src/nodes.rs
+++ b/crates/client/src/nodes.rs
@@ -10,6 +10,9 @@
 use serde_json::Value;
 use tokio::{net::TcpStream, time};
 
+/// Path of a node's status without what grows with the fleet.
+pub(crate) const BRIEF_STATUS_PATH: &str = "/v1/status?brief=true";
+
 /// Longest wait for a node's answer, connecting included.
 const NODE_TIMEOUT: Duration = Duration::from_secs(2);
 
--- a/crates/client/src/tables.rs
+++ b/crates/client/src/tables.rs
@@ -11,7 +11,7 @@
 use crate::{
     error::{ClientError, ExitStatus},
     fleet::{NodeAnswer, NodePresence, NodeRoster},
-    nodes::NodeApi,
+    nodes::{BRIEF_STATUS_PATH, NodeApi},
     output::{CommandReport, TextTable, cell},
     platform::{current, list, list_vms},
 };
@@ -55,7 +55,7 @@
     store: &impl ObjectStore,
     api: &Arc<A>,
 ) -> Result<CommandReport, ClientError> {
-    let answers = NodeRoster::read(store).await?.ask(api, "/v1/status").await;
+    let answers = NodeRoster::read(store).await?.ask(api, BRIEF_STATUS_PATH).await;
     let rows: Vec<_> = answers.iter().map(NodeRow::from).collect();
     let mut table = TextTable::new(&["NODE", "ZONE", "STATE", "CONFIG", "OPERATORS", "NOTE"]);
     for row in &rows {
@@ -98,7 +98,7 @@
         row.slots += u64::from(server.slots);
         row.connections += u64::from(server.connections);
     }
-    for node in NodeRoster::read(store).await?.ask(api, "/v1/status").await {
+    for node in NodeRoster::read(store).await?.ask(api, BRIEF_STATUS_PATH).await {
         if node.presence == NodePresence::Gone {
             continue;
         }
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -5,6 +5,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
+use carobstep_clock::BootTime;
 use carobstep_config::{ConfigVersion, IndexName, NodeName, ServerName, ZoneName};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -13,7 +14,7 @@
 use serde_json::json;
 
 use crate::{
-    context::NodeContext,
+    context::{NodeContext, NodeView},
     counters::NodeEvent,
     http_listener::RequestHandler,
     problem::{AnswerBody, json_response},
@@ -25,22 +26,53 @@
     context: Arc<NodeContext>,
 }
 
-/// What `GET /v1/status` shows.
+/// Query of `GET /v1/status` that leaves [`StatusDetails`] out.
+const BRIEF_QUERY: &str = "brief=true";
+
+/// What `GET /v1/status` shows in its brief form.
 #[derive(Debug, Serialize)]
 struct NodeStatus {
     node: NodeName,
     zone: ZoneName,
     region: String,
+    incarnation: u64,
+    phase: String,
     ready: bool,
     stopping: bool,
     config_version: ConfigVersion,
     snapshots: IndexMap<IndexName, u64>,
+    lease: LeaseStatus,
+    #[serde(flatten)]
+    details: Option<StatusDetails>,
+}
+
+/// The node's own lease.
+#[derive(Debug, Serialize)]
+struct LeaseStatus {
+    state: String,
+    /// Whether the last renewal is younger than the term.
+    renewed: bool,
+}
+
+/// The part of the status that grows with the fleet.
+#[derive(Debug, Serialize)]
+struct StatusDetails {
     held: Vec<ServerName>,
+    epochs: IndexMap<ServerName, u64>,
+    takeovers: Vec<TakeoverStatus>,
+    live_peers: Vec<NodeName>,
+    leaving_servers: Vec<ServerName>,
     routes: IndexMap<ServerName, NodeName>,
     peer_bytes_sent: u64,
     peer_bytes_received: u64,
-    #[serde(flatten)]
-    control: serde_json::Value,
+}
+
+/// One takeover under way.
+#[derive(Debug, Serialize)]
+struct TakeoverStatus {
+    node: NodeName,
+    incarnation: u64,
+    step: String,
 }
 
 impl OperatorHandler {
@@ -50,30 +82,55 @@
         Self { context }
     }
 
-    fn status(&self) -> NodeStatus {
+    fn status(&self, brief: bool) -> NodeStatus {
         let context = &self.context;
         let view = context.latest_view();
-        let mut routes = IndexMap::new();
-        for (key, entry) in view.topology.servers() {
-            if let Some(route) = view.route_of(key) {
-                routes.insert(entry.name.clone(), route.node.clone());
-            }
-        }
         let snapshots = view.manifests.iter();
-        let (peer_bytes_sent, peer_bytes_received) = context.peers.traffic();
+        let details = (!brief).then(|| self.details(&view));
+        let control = context.lock_control();
         NodeStatus {
             node: context.settings.node.clone(),
             zone: context.settings.zone.clone(),
             region: context.settings.region.to_string(),
+            incarnation: control.incarnation(),
+            phase: control.phase().to_string(),
             ready: self.is_ready(),
             stopping: context.stopping.load(Ordering::Relaxed),
             config_version: view.topology.version(),
             snapshots: snapshots.map(|(name, map)| (name.clone(), map.newest().number)).collect(),
-            held: context.holders.servers(),
+            lease: LeaseStatus {
+                state: control.lease_state().to_string(),
+                renewed: control.is_lease_renewed(BootTime::now()),
+            },
+            details,
+        }
+    }
+
+    fn details(&self, view: &NodeView) -> StatusDetails {
+        let mut routes = IndexMap::new();
+        for (key, entry) in view.topology.servers() {
+            if let Some(route) = view.route_of(key) {
+                routes.insert(entry.name.clone(), route.node.clone());
+            }
+        }
+        let (peer_bytes_sent, peer_bytes_received) = self.context.peers.traffic();
+        let held = self.context.holders.servers();
+        let control = self.context.lock_control();
+        let epochs = control.held_grants().map(|(server, epoch)| (server.clone(), epoch));
+        let peers = control.live_peers(BootTime::now());
+        let mut takeovers = Vec::new();
+        for (node, incarnation, step) in control.takeovers() {
+            takeovers.push(TakeoverStatus { node: node.clone(), incarnation, step });
+        }
+        StatusDetails {
+            held,
+            epochs: epochs.collect(),
+            takeovers,
+            live_peers: peers.map(|peer| peer.node.clone()).collect(),
+            leaving_servers: control.leaving_servers().cloned().collect(),
             routes,
             peer_bytes_sent,
             peer_bytes_received,
-            control: json!({}),
         }
     }
 
@@ -106,7 +163,10 @@
         match request.uri().path() {
             "/livez" => json_response(StatusCode::OK, &json!({ "live": true })),
             "/readyz" => self.readiness(),
-            "/v1/status" => json_response(StatusCode::OK, &self.status()),
+            "/v1/status" => {
+                let brief = request.uri().query() == Some(BRIEF_QUERY);
+                json_response(StatusCode::OK, &self.status(brief))
+            }
             "/v1/counters" => json_response(StatusCode::OK, &self.context.counters.read()),
             path => {
                 self.context.counters.event(NodeEvent::BadOperatorInput);
