Log each refused request with its identifier, reason and outcome

A refusal could be counted but not found in the log. Problem documents are now built and logged, at debug level, in one place; counting and answering a refusal stood in three.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -15,7 +15,7 @@
     counters::NodeEvent,
     http_listener::{BodyFailure, ListenerLimits, RequestHandler, read_body},
     identity::CallerIdentity,
-    problem::{AnswerBody, Problem},
+    problem::{AnswerBody, Problem, refuse},
     search::{SearchRequest, run_search},
     service::{ServiceRequest, run_service},
 };
@@ -95,8 +95,7 @@
                 if problem.reason() == RefusalReason::BadRequest {
                     self.context.counters.event(NodeEvent::BadCallerInput);
                 }
-                self.context.counters.refusal(problem.reason());
-                problem.with_request(id).into_response()
+                refuse(&self.context.counters, id, problem)
             }
         }
     }
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -23,8 +23,8 @@
 use crate::{
     context::{DEFAULT_RETRY_AFTER, NodeContext, NodeView},
     counters::NodeEvent,
-    problem::{AnswerBody, Problem},
-    service::{ServiceRequest, answer, ran, refuse, run_single},
+    problem::{AnswerBody, Problem, refuse},
+    service::{ServiceRequest, answer, ran, run_single},
 };
 
 /// Part of the deadline that taking the claim may use up.
@@ -55,7 +55,7 @@
     let Some(key) = request.key.clone() else {
         let detail = format!("service {:?} requires the header idempotency-key", request.service);
         let problem = Problem::new(Outcome::NotRun, RefusalReason::KeyMissing, detail);
-        return refuse(&context, id, problem);
+        return refuse(&context.counters, id, problem);
     };
     let claim = ClaimRequest {
         service: view.topology.service(service).name.clone(),
@@ -74,7 +74,7 @@
     work.await.unwrap_or_else(|error| {
         let detail = format!("order ended early: {error}");
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
-        refuse(&context, id, problem)
+        refuse(&context.counters, id, problem)
     })
 }
 
@@ -158,14 +158,14 @@
         }
         let detail = format!("service {:?}: the recorded outcome is unknown", self.claim.service);
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
-        refuse(&self.context, id, problem)
+        refuse(&self.context.counters, id, problem)
     }
 
     fn in_progress(&self) -> Response<AnswerBody> {
         let detail = format!("service {:?}: the key's request is in progress", self.claim.service);
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ClaimInProgress, detail)
             .with_retry_after(DEFAULT_RETRY_AFTER);
-        refuse(&self.context, self.request.identity.request, problem)
+        refuse(&self.context.counters, self.request.identity.request, problem)
     }
 
     fn refuse(&self, reason: RefusalReason, text: &str) -> Response<AnswerBody> {
@@ -174,7 +174,7 @@
         if reason == RefusalReason::PlatformDown {
             problem = problem.with_retry_after(DEFAULT_RETRY_AFTER);
         }
-        refuse(&self.context, self.request.identity.request, problem)
+        refuse(&self.context.counters, self.request.identity.request, problem)
     }
 }
 
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -8,6 +8,8 @@
 use http_body_util::Full;
 use serde::Serialize;
 
+use crate::counters::CounterSet;
+
 /// Body type of every answer.
 pub type AnswerBody = Full<Bytes>;
 
@@ -19,8 +21,7 @@
     title: &'static str,
     status: u16,
     detail: String,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    request_id: Option<String>,
+    request_id: String,
     outcome: Outcome,
     reason: RefusalReason,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -37,20 +38,13 @@
             title: title_of(outcome),
             status: status.as_u16(),
             detail: detail.into(),
-            request_id: None,
+            request_id: String::new(),
             outcome,
             reason,
             retry_after_ms: None,
         }
     }
 
-    /// Adds the request's identifier.
-    #[must_use]
-    pub fn with_request(mut self, request: RequestId) -> Self {
-        self.request_id = Some(request.to_string());
-        self
-    }
-
     /// Adds the time after which a new attempt makes sense.
     #[must_use]
     pub fn with_retry_after(mut self, delay: Duration) -> Self {
@@ -64,9 +58,12 @@
         self.reason
     }
 
-    /// Turns the problem into an answer with `retry-after` where it applies.
+    /// Turns the problem into the answer to a request, with `retry-after`
+    /// where it applies, and logs it.
     #[must_use]
-    pub fn into_response(self) -> Response<AnswerBody> {
+    pub fn into_response(mut self, request: RequestId) -> Response<AnswerBody> {
+        self.request_id = request.to_string();
+        self.log();
         let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = json_response(status, &self);
         let headers = response.headers_mut();
@@ -76,6 +73,22 @@
         }
         response
     }
+
+    fn log(&self) {
+        log::debug!(
+            request_id = self.request_id.as_str(),
+            reason:% = self.reason,
+            outcome:% = self.outcome;
+            "refused: {}", self.detail
+        );
+    }
+}
+
+/// Counts and answers the refusal of a request.
+#[must_use]
+pub fn refuse(counters: &CounterSet, request: RequestId, problem: Problem) -> Response<AnswerBody> {
+    counters.refusal(problem.reason);
+    problem.into_response(request)
 }
 
 const fn title_of(outcome: Outcome) -> &'static str {
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -16,7 +16,7 @@
     context::{DEFAULT_RETRY_AFTER, NodeContext},
     counters::NodeEvent,
     identity::CallerIdentity,
-    problem::{AnswerBody, Problem, json_response},
+    problem::{AnswerBody, Problem, json_response, refuse},
 };
 
 /// A search as a caller asked for it.
@@ -81,10 +81,7 @@
     let id = request.identity.request;
     let run = match SearchRun::plan(context.clone(), &request, started) {
         Ok(run) => run,
-        Err(problem) => {
-            context.counters.refusal(problem.reason());
-            return problem.with_request(id).into_response();
-        }
+        Err(problem) => return refuse(&context.counters, id, problem),
     };
     run.finish(id).await
 }
@@ -242,9 +239,8 @@
         let detail =
             format!("index {:?}: none of {} shards answered", index.as_str(), lacking.len());
         return Problem::new(outcome, first.reason, detail)
-            .with_request(id)
             .with_retry_after(delay)
-            .into_response();
+            .into_response(id);
     }
     let retry_after_ms = (!complete).then(|| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
     let answer = SearchAnswer {
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -18,7 +18,7 @@
     counters::NodeEvent,
     identity::CallerIdentity,
     order::run_order,
-    problem::{AnswerBody, Problem, json_response},
+    problem::{AnswerBody, Problem, json_response, refuse},
 };
 
 /// A service request as a caller asked for it.
@@ -64,7 +64,7 @@
     let Some(key) = view.topology.find_service(&request.service) else {
         let detail = format!("service {:?} is not configured", request.service);
         let problem = Problem::new(Outcome::NotRun, RefusalReason::UnknownTarget, detail);
-        return refuse(&context, id, problem);
+        return refuse(&context.counters, id, problem);
     };
     let entry = view.topology.service(key);
     let deadline =
@@ -165,7 +165,7 @@
     if report.outcome == Outcome::NotRun {
         problem = problem.with_retry_after(report.retry_after);
     }
-    refuse(context, id, problem)
+    refuse(&context.counters, id, problem)
 }
 
 /// Answers with the body of a request that ran.
@@ -185,10 +185,3 @@
         ServiceAnswer { request_id: id.to_string(), outcome: Outcome::Ran, replayed, body };
     json_response(StatusCode::OK, &answer)
 }
-
-/// Counts and answers a refusal.
-#[must_use]
-pub fn refuse(context: &NodeContext, id: RequestId, problem: Problem) -> Response<AnswerBody> {
-    context.counters.refusal(problem.reason());
-    problem.with_request(id).into_response()
-}
