Send one HTTP call from the bench's command line

Pages and scripts need an HTTP client, and curl is not on every machine. `carobstep-bench call` sends one call, prints status and body, and fails unless the status is a success and the body holds the expected text.

--- /dev/null
+++ b/crates/bench/src/call.rs
@@ -0,0 +1,133 @@
+//! One HTTP call from the command line, for pages and scripts.
+
+use std::{io::Write, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use getopts::Matches;
+use http::Method;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::{
+    error::{BenchError, BenchErrorKind},
+    http::{HttpAnswer, HttpCall, HttpClient},
+};
+
+/// Pause between two attempts of a call that waits for success.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest time of one attempt.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One call and what its answer has to be.
+#[derive(Clone, Debug)]
+pub struct CallOptions {
+    /// Listener that is called.
+    pub address: SocketAddr,
+    /// The call.
+    pub call: HttpCall,
+    /// Text that the body of the answer must contain.
+    pub expected: Option<String>,
+    /// Time during which the call is repeated until it succeeds.
+    pub wait: Duration,
+}
+
+impl TryFrom<&Matches> for CallOptions {
+    type Error = BenchError;
+
+    fn try_from(matches: &Matches) -> Result<Self, BenchError> {
+        let address = matches.opt_str("node").ok_or_else(|| usage("--node is missing"))?;
+        let address = address
+            .parse()
+            .map_err(|_| usage(&format!("--node {address:?} is not of the form ip:port")))?;
+        let wait = matches.opt_get("wait").map_err(|_| usage("--wait is not a number"))?;
+        Ok(Self {
+            address,
+            call: read_call(matches)?,
+            expected: matches.opt_str("expect"),
+            wait: Duration::from_secs(wait.unwrap_or(0)),
+        })
+    }
+}
+
+fn read_call(matches: &Matches) -> Result<HttpCall, BenchError> {
+    let targets = [
+        ("get", Method::GET, ""),
+        ("post", Method::POST, ""),
+        ("delete", Method::DELETE, ""),
+        ("search", Method::POST, "/v1/search/"),
+        ("service", Method::POST, "/v1/services/"),
+    ];
+    let mut calls = Vec::new();
+    for (flag, method, prefix) in targets {
+        let Some(name) = matches.opt_str(flag) else { continue };
+        let call = HttpCall::get(&format!("{prefix}{name}"));
+        calls.push(HttpCall { method, ..call });
+    }
+    let [call] = calls.as_mut_slice() else {
+        return Err(usage("give one of --get, --post, --delete, --search and --service"));
+    };
+    let mut call = call.clone();
+    call.body = Bytes::from(matches.opt_str("body").unwrap_or_default());
+    let headers =
+        [("key", "idempotency-key"), ("deadline-ms", "x-deadline-ms"), ("id", "x-request-id")];
+    for (flag, header) in headers {
+        if let Some(value) = matches.opt_str(flag) {
+            call = call.header(header, value);
+        }
+    }
+    Ok(call)
+}
+
+/// Sends the call, prints the answer's status and body, and checks it.
+///
+/// # Errors
+///
+/// Fails when no answer comes, when its status is not a success, and when it
+/// lacks the expected text; within the waiting time the call is sent again.
+pub async fn run_call(options: &CallOptions, output: &mut impl Write) -> Result<(), BenchError> {
+    let deadline = Instant::now() + options.wait;
+    let client = HttpClient::default();
+    loop {
+        let result = attempt(&client, options).await;
+        let is_last = Instant::now() + RETRY_PAUSE >= deadline;
+        match result {
+            Ok(answer) if is_last || fault(options, &answer).is_none() => {
+                print(output, &answer)?;
+                return fault(options, &answer).map_or(Ok(()), Err);
+            }
+            Err(error) if is_last => return Err(error),
+            _ => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn attempt(client: &HttpClient, options: &CallOptions) -> Result<HttpAnswer, BenchError> {
+    let sent = timeout(ATTEMPT_TIMEOUT, client.send(options.address, &options.call)).await;
+    sent.unwrap_or_else(|_| {
+        let message = format!("{}: no answer within {ATTEMPT_TIMEOUT:?}", options.address);
+        Err(BenchError::new(BenchErrorKind::Timeout, message))
+    })
+}
+
+fn fault(options: &CallOptions, answer: &HttpAnswer) -> Option<BenchError> {
+    if !answer.status.is_success() {
+        let message = format!("{}: status {}", options.call.path, answer.status);
+        return Some(BenchError::new(BenchErrorKind::Answer, message));
+    }
+    let expected = options.expected.as_deref()?;
+    if String::from_utf8_lossy(&answer.body).contains(expected) {
+        return None;
+    }
+    let message = format!("{}: the answer lacks {expected:?}", options.call.path);
+    Some(BenchError::new(BenchErrorKind::Answer, message))
+}
+
+fn print(output: &mut impl Write, answer: &HttpAnswer) -> Result<(), BenchError> {
+    let body = String::from_utf8_lossy(&answer.body);
+    writeln!(output, "{} {body}", answer.status.as_u16())
+        .map_err(|error| BenchError::new(BenchErrorKind::Output, error.to_string()))
+}
+
+fn usage(message: &str) -> BenchError {
+    BenchError::new(BenchErrorKind::Usage, message)
+}
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -13,6 +13,7 @@
 use tokio::runtime::Runtime;
 
 use crate::{
+    call::{CallOptions, run_call},
     compare::{CompareOptions, MIN_ROUNDS, compare},
     demo::run_demo,
     deployment::DeploymentOptions,
@@ -33,6 +34,8 @@
     Load,
     /// Compares two variants in alternating rounds.
     Compare,
+    /// Sends one HTTP call and prints the answer.
+    Call,
 }
 
 impl BenchCommand {
@@ -41,6 +44,7 @@
             Self::Demo => "run one search and one order through a whole deployment",
             Self::Load => "send open-loop load to a deployment and report its figures",
             Self::Compare => "compare two variants in alternating rounds",
+            Self::Call => "send one HTTP call and print the answer",
         }
     }
 }
@@ -72,6 +76,7 @@
         BenchCommand::Demo => run_demo(options, &mut io::stdout()).await.map(drop),
         BenchCommand::Load => load(options, matches).await,
         BenchCommand::Compare => compare_variants(options, matches).await,
+        BenchCommand::Call => run_call(&CallOptions::try_from(matches)?, &mut io::stdout()).await,
     }
 }
 
@@ -125,6 +130,18 @@
     flags.optopt("", "rounds", "rounds of a comparison [5]", "N");
     flags.optopt("", "baseline", "variant compared against [no change]", "KEY=VALUE,...");
     flags.optopt("", "rival", "variant compared [no change]", "KEY=VALUE,...");
+    flags.optopt("", "node", "listener that a call goes to", "IP:PORT");
+    flags.optopt("", "get", "read a path", "PATH");
+    flags.optopt("", "post", "post the body to a path", "PATH");
+    flags.optopt("", "delete", "delete a path", "PATH");
+    flags.optopt("", "search", "search an index with the body", "INDEX");
+    flags.optopt("", "service", "send the body to a service", "NAME");
+    flags.optopt("", "body", "body of a call [empty]", "JSON");
+    flags.optopt("", "key", "idempotency key of a call", "KEY");
+    flags.optopt("", "deadline-ms", "deadline of a call", "N");
+    flags.optopt("", "id", "request identifier of a call, 32 hex digits", "HEX");
+    flags.optopt("", "expect", "text that the answer must contain", "TEXT");
+    flags.optopt("", "wait", "seconds to repeat a call until it succeeds [0]", "N");
     flags
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -21,6 +21,7 @@
 mod answer;
 mod arrivals;
 mod balancer;
+mod call;
 mod cli;
 mod compare;
 mod demo;
