--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -89,7 +89,8 @@
         key: log::kv::Key<'kvs>,
         value: log::kv::Value<'kvs>,
     ) -> Result<(), log::kv::Error> {
-        self.0.insert(key.as_str().to_owned(), json!(value.to_string()));
+        let value = value.to_u64().map_or_else(|| json!(value.to_string()), |number| json!(number));
+        self.0.insert(key.as_str().to_owned(), value);
         Ok(())
     }
 }
