--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -114,20 +114,22 @@
             }
         }
         let (peer_bytes_sent, peer_bytes_received) = self.context.peers.traffic();
-        let held = self.context.holders.servers();
+        let held = sorted(self.context.holders.servers());
         let control = self.context.lock_control();
         let epochs = control.held_grants().map(|(server, epoch)| (server.clone(), epoch));
-        let peers = control.live_peers(BootTime::now());
+        let mut epochs: IndexMap<ServerName, u64> = epochs.collect();
+        epochs.sort_keys();
+        let peers = control.live_peers(BootTime::now()).map(|peer| peer.node.clone());
         let mut takeovers = Vec::new();
         for (node, incarnation, step) in control.takeovers() {
             takeovers.push(TakeoverStatus { node: node.clone(), incarnation, step });
         }
         StatusDetails {
             held,
-            epochs: epochs.collect(),
+            epochs,
             takeovers,
-            live_peers: peers.map(|peer| peer.node.clone()).collect(),
-            leaving_servers: control.leaving_servers().cloned().collect(),
+            live_peers: sorted(peers.collect()),
+            leaving_servers: sorted(control.leaving_servers().cloned().collect()),
             routes,
             peer_bytes_sent,
             peer_bytes_received,
@@ -184,3 +186,9 @@
         false
     }
 }
+
+/// Names in their order, so that two readings compare as text.
+fn sorted<T: Ord>(mut names: Vec<T>) -> Vec<T> {
+    names.sort_unstable();
+    names
+}
