--- a/crates/bench/src/call.rs
+++ b/crates/bench/src/call.rs
@@ -53,6 +53,7 @@
     let targets = [
         ("get", Method::GET, ""),
         ("post", Method::POST, ""),
+        ("put", Method::PUT, ""),
         ("delete", Method::DELETE, ""),
         ("search", Method::POST, "/v1/search/"),
         ("service", Method::POST, "/v1/services/"),
@@ -64,7 +65,7 @@
         calls.push(HttpCall { method, ..call });
     }
     let [call] = calls.as_mut_slice() else {
-        return Err(usage("give one of --get, --post, --delete, --search and --service"));
+        return Err(usage("give one of --get, --post, --put, --delete, --search and --service"));
     };
     let mut call = call.clone();
     call.body = Bytes::from(matches.opt_str("body").unwrap_or_default());
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -133,6 +133,7 @@
     flags.optopt("", "node", "listener that a call goes to", "IP:PORT");
     flags.optopt("", "get", "read a path", "PATH");
     flags.optopt("", "post", "post the body to a path", "PATH");
+    flags.optopt("", "put", "put the body at a path", "PATH");
     flags.optopt("", "delete", "delete a path", "PATH");
     flags.optopt("", "search", "search an index with the body", "INDEX");
     flags.optopt("", "service", "send the body to a service", "NAME");
--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,122 @@
+//! The operators' pages: their commands run, and their tables are complete.
+
+use std::{
+    env, fs,
+    path::{Path, PathBuf},
+    process::{self, Command, Stdio},
+};
+
+use carobstep_node::NodeEvent;
+use carobstep_wire::{RefusalReason, RetryReason};
+use rustix::process::{Pid, Signal, kill_process_group};
+use strum::IntoEnumIterator;
+use yare::parameterized;
+
+const ROOT: &str = env!("CARGO_MANIFEST_DIR");
+
+/// Address that the pages and their example files use.
+const PAGE_ADDRESS: &str = "127.0.0.77";
+
+/// Longest run of one page, in seconds.
+const PAGE_TIMEOUT_SECONDS: &str = "300";
+
+fn read(path: &str) -> String {
+    fs::read_to_string(Path::new(ROOT).join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// The code blocks of a page that carry a tag, in order.
+fn blocks(page: &str, tag: &str) -> Vec<String> {
+    let mut blocks = Vec::new();
+    for block in page.split(&format!("```{tag}\n")).skip(1) {
+        let end = block.find("```").expect("the block ends");
+        blocks.push(block[..end].to_owned());
+    }
+    blocks
+}
+
+/// A loopback address of this process and page, so that runs don't collide.
+fn own_address(number: u8) -> String {
+    let [.., high, low] = process::id().to_be_bytes();
+    format!("127.{}.{high}.{}", 80 + number, low.clamp(1, 254))
+}
+
+/// A directory with the example files, moved to another address.
+fn stage(name: &str, address: &str) -> PathBuf {
+    let dir = env::temp_dir().join(format!("carobstep-pages-{name}-{}", process::id()));
+    let examples = dir.join("examples/guide");
+    fs::create_dir_all(&examples).expect("a directory for the page");
+    for entry in fs::read_dir(Path::new(ROOT).join("examples/guide")).expect("the examples") {
+        let path = entry.expect("an example").path();
+        let text = fs::read_to_string(&path).expect("an example's text");
+        let name = path.file_name().expect("an example's name");
+        fs::write(examples.join(name), text.replace(PAGE_ADDRESS, address)).expect("a copy");
+    }
+    dir
+}
+
+#[parameterized(
+    guide = { "GUIDE", 0 },
+    operations = { "OPERATIONS", 1 },
+)]
+fn every_command_of_the_page_runs(name: &str, number: u8) {
+    let address = own_address(number);
+    let dir = stage(name, &address);
+    let commands = blocks(&read(&format!("docs/{name}.md")), "sh").concat();
+    assert!(commands.contains("carobstepd"), "{name} has no commands");
+    let script = format!("set -x\n{commands}").replace(PAGE_ADDRESS, &address);
+    fs::write(dir.join("page.sh"), script).expect("the script");
+    let programs = Path::new(env!("CARGO_BIN_EXE_carobstepd")).parent().expect("a directory");
+    let path = format!("{}:{}", programs.display(), env::var("PATH").unwrap_or_default());
+    let child = Command::new("timeout")
+        .args(["-k", "10", PAGE_TIMEOUT_SECONDS, "sh", "-e", "page.sh"])
+        .env("PATH", path)
+        .current_dir(&dir)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("sh runs");
+    let group = Pid::from_child(&child);
+    let output = child.wait_with_output().expect("sh ends");
+    if !output.status.success() {
+        // The program `timeout` leads the group of all that the page started.
+        let _ = kill_process_group(group, Signal::KILL);
+    }
+    assert!(
+        output.status.success(),
+        "{name} ended with {} in {}\n{}\n{}",
+        output.status,
+        dir.display(),
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr),
+    );
+    fs::remove_dir_all(&dir).expect("the directory can be removed");
+}
+
+/// Commands that build or run the whole workspace stand in `bash` blocks.
+#[test]
+fn every_long_command_of_the_pages_is_run_by_ci() {
+    let script = read(".ci/run");
+    let script: Vec<&str> = script.lines().map(str::trim).collect();
+    for name in ["GUIDE", "OPERATIONS"] {
+        for line in blocks(&read(&format!("docs/{name}.md")), "bash").concat().lines() {
+            assert!(script.contains(&line), "{name}: {line:?} is not in .ci/run");
+        }
+    }
+}
+
+macro_rules! assert_rows {
+    ($page:expr, $values:ty, $prefix:literal) => {
+        for value in <$values>::iter() {
+            let row = format!(concat!("| `", $prefix, "{}` | "), value);
+            assert!($page.contains(&row), "docs/OPERATIONS.md lacks the row {row:?}");
+        }
+    };
+}
+
+#[test]
+fn every_counter_and_reason_has_a_row() {
+    let page = read("docs/OPERATIONS.md");
+    assert_rows!(page, NodeEvent, "");
+    assert_rows!(page, RefusalReason, "refused.");
+    assert_rows!(page, RetryReason, "retried.");
+}
