Measure what control costs a node at three sizes

One control state is driven with synthetic peers, grants and platform objects at a sixteenth, a quarter and the whole of 430 nodes and 1,700 backend servers.

--- /dev/null
+++ b/crates/node/examples/control_cost/driver.rs
@@ -0,0 +1,261 @@
+//! Drives one control state and counts what it does.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use carobstep_clock::BootTime;
+use carobstep_control::{ControlEffect, ControlEvent, ControlOptions, ControlState, ReplyKey};
+use carobstep_platform::{ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoredObject};
+use carobstep_wire::{
+    ControlMessage, ControlReply, FetchReply, NewsNotice, PeerReply, PeerRequest, VouchReply,
+    encode,
+};
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, ZONES, node_address, node_name, zone_name};
+
+/// What a node did in a span of time.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub cpu: Duration,
+    pub events: u64,
+    pub messages_sent: u64,
+    pub messages_received: u64,
+    pub peer_bytes: u64,
+    pub calls: IndexMap<String, u64>,
+    pub platform_bytes: u64,
+    pub route_changes: u64,
+}
+
+impl Tally {
+    pub fn call_count(&self) -> u64 {
+        self.calls.values().sum()
+    }
+}
+
+/// One node, and a platform that answers at once.
+pub struct NodeDriver {
+    pub control: ControlState,
+    pub now: BootTime,
+    pub tally: Tally,
+    pub watching: bool,
+    /// Digests that the node sent and that nobody answered yet.
+    pub gossip: Vec<ControlMessage>,
+    pub answer: Option<ControlReply>,
+    version: u64,
+    grants: IndexMap<String, Value>,
+    leases: IndexMap<String, Value>,
+    config: Value,
+    manifest: Value,
+    vms: Vec<carobstep_platform::VmRecord>,
+}
+
+impl NodeDriver {
+    /// A node that has not started.
+    pub fn new(fleet: &Fleet, at: usize) -> Self {
+        let now = BootTime::from_millis(1_000);
+        let options = ControlOptions {
+            node: node_name(at),
+            zone: zone_name(at % ZONES),
+            region: "perth".to_owned(),
+            peer_address: node_address(at, 7100),
+            operators_address: node_address(at, 7200),
+            incarnation: 1,
+            seeds: (0..4).map(|at| node_address(at, 7100)).collect(),
+            random_seed: 7,
+            lease: Default::default(),
+            gossip: Default::default(),
+            grant: Default::default(),
+        };
+        let mut leases = fleet.leases();
+        leases.swap_remove(options.node.as_str());
+        Self {
+            control: ControlState::new(options, now),
+            now,
+            tally: Tally::default(),
+            watching: false,
+            gossip: Vec::new(),
+            answer: None,
+            version: 10_000,
+            grants: fleet.grants(),
+            leases,
+            config: fleet.config(1),
+            manifest: fleet.manifest(),
+            vms: fleet.vms(),
+        }
+    }
+
+    /// Hands in one event and answers every call that follows from it.
+    pub fn handle(&mut self, event: ControlEvent) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut effects = Vec::new();
+            let start = Instant::now();
+            self.control.handle(self.now, event, &mut effects);
+            let _due = self.control.next_wakeup();
+            self.tally.cpu += start.elapsed();
+            self.tally.events += 1;
+            for effect in effects {
+                events.extend(self.carry_out(effect));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: ControlEffect) -> Option<ControlEvent> {
+        match effect {
+            ControlEffect::Object { call, object } => {
+                let reply = self.answer_call(object);
+                Some(ControlEvent::ObjectAnswer { call, result: Ok(reply) })
+            }
+            ControlEffect::Send { call, message, .. } => {
+                self.tally.messages_sent += 1;
+                self.tally.peer_bytes += request_bytes(&message);
+                let reply = self.answer_peer(message);
+                self.tally.peer_bytes += reply_bytes(&reply);
+                Some(ControlEvent::Replied { call, result: Ok(reply) })
+            }
+            ControlEffect::Answer { answer, .. } => {
+                self.tally.peer_bytes += reply_bytes(&answer);
+                self.answer = Some(answer);
+                None
+            }
+            ControlEffect::Watch { kind, .. } => {
+                self.watching = true;
+                self.count_call(format!("watch {kind}"), 0);
+                Some(ControlEvent::WatchOpened { kind })
+            }
+            ControlEffect::Unwatch { .. } => {
+                self.watching = false;
+                None
+            }
+            ControlEffect::RoutesChanged => {
+                self.tally.route_changes += 1;
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn answer_peer(&mut self, message: ControlMessage) -> ControlReply {
+        match message {
+            ControlMessage::Gossip(_) => {
+                self.gossip.push(message);
+                ControlReply::Done
+            }
+            ControlMessage::Vouch(request) => {
+                ControlReply::Vouch(VouchReply { round: request.round, vouched: true })
+            }
+            ControlMessage::Fetch(_) => ControlReply::Fetched(FetchReply {
+                config: None,
+                manifests: Vec::new(),
+                tables: NewsNotice::default(),
+            }),
+            ControlMessage::Close(_) | ControlMessage::News(_) => ControlReply::Done,
+        }
+    }
+
+    fn count_call(&mut self, name: String, bytes: usize) {
+        *self.tally.calls.entry(name).or_default() += 1;
+        self.tally.platform_bytes += bytes as u64;
+    }
+
+    fn answer_call(&mut self, call: ObjectCall) -> ObjectReply {
+        match call {
+            ObjectCall::Get { kind, name } => {
+                let objects = self.objects(kind);
+                let value = objects.get(&name).cloned();
+                let bytes = value.as_ref().map_or(0, json_bytes);
+                self.count_call(format!("get {kind}"), bytes);
+                let version = ObjectVersion(1);
+                value.map_or(ObjectReply::Missing, |value| {
+                    ObjectReply::Found(StoredObject { name, version, value })
+                })
+            }
+            ObjectCall::List { kind } => {
+                let objects = self.objects(kind).clone();
+                let bytes = objects.values().map(json_bytes).sum();
+                self.count_call(format!("list {kind}"), bytes);
+                let items = objects.into_iter().map(|(name, value)| StoredObject {
+                    name,
+                    version: ObjectVersion(1),
+                    value,
+                });
+                let version = ObjectVersion(self.version);
+                ObjectReply::Listed { version, items: items.collect() }
+            }
+            ObjectCall::Put { kind, name, value, .. } => {
+                self.count_call(format!("put {kind}"), json_bytes(&value));
+                self.version += 1;
+                if kind == ObjectKind::Grant {
+                    self.grants.insert(name, value);
+                }
+                ObjectReply::Written(ObjectVersion(self.version))
+            }
+            ObjectCall::Delete { .. } => ObjectReply::Deleted,
+            ObjectCall::ListVms => {
+                let bytes = serde_json::to_string(&self.vms).expect("a list").len();
+                self.count_call("list vms".to_owned(), bytes);
+                ObjectReply::Vms(self.vms.clone())
+            }
+        }
+    }
+
+    fn objects(&self, kind: ObjectKind) -> IndexMap<String, Value> {
+        match kind {
+            ObjectKind::Config => [("current".to_owned(), self.config.clone())].into(),
+            ObjectKind::Manifest => [("garments".to_owned(), self.manifest.clone())].into(),
+            ObjectKind::Grant => self.grants.clone(),
+            ObjectKind::Lease => self.leases.clone(),
+            _ => IndexMap::new(),
+        }
+    }
+
+    /// Hands in a message of a peer.
+    pub fn receive(&mut self, message: ControlMessage) {
+        self.tally.messages_received += 1;
+        self.tally.peer_bytes += request_bytes(&message);
+        self.handle(ControlEvent::Received { reply: ReplyKey(0), message });
+    }
+
+    /// Hands in a message and leaves it out of the tally.
+    pub fn receive_uncounted(&mut self, message: ControlMessage) {
+        let tally = self.tally.clone();
+        self.handle(ControlEvent::Received { reply: ReplyKey(0), message });
+        self.tally = tally;
+    }
+
+    /// Runs every wakeup until `until`.
+    pub fn run_until(&mut self, until: BootTime) {
+        loop {
+            let due = self.control.next_wakeup().max(self.now + Duration::from_millis(1));
+            if due > until {
+                break;
+            }
+            self.now = due;
+            self.handle(ControlEvent::Tick);
+        }
+        self.now = until;
+    }
+
+    /// What was counted since the last call.
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+}
+
+/// Bytes of a message on the wire, without framing.
+pub fn request_bytes(message: &ControlMessage) -> u64 {
+    encode(&PeerRequest::Control(message.clone())).expect("a frame").len() as u64
+}
+
+/// Bytes of an answer on the wire, without framing.
+pub fn reply_bytes(reply: &ControlReply) -> u64 {
+    encode(&PeerReply::Control(reply.clone())).expect("a frame").len() as u64
+}
+
+fn json_bytes(value: &Value) -> usize {
+    json!(value).to_string().len()
+}
--- /dev/null
+++ b/crates/node/examples/control_cost/fleet.rs
@@ -0,0 +1,187 @@
+//! A deployment of a given size as plain data: names, records and documents.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use carobstep_config::{
+    ConfigVersion, Document, HedgeDocument, IndexDocument, NodeName, RepeatPolicy, ServerDocument,
+    ServerName, ServerState, ServiceDocument, Topology, ZoneName,
+};
+use carobstep_control::{GrantMark, GrantRecord, LeaseMark, LeaseRecord, assign_servers};
+use carobstep_platform::{VmRecord, VmRole, VmState};
+use carobstep_wire::PeerRecord;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+
+/// Availability zones.
+pub const ZONES: usize = 10;
+
+/// Shards of the index, each held by a service of its own.
+pub const SHARDS: usize = 56;
+
+const SERVERS_PER_SERVICE: usize = 3;
+
+/// Number of nodes and backend servers.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    pub nodes: usize,
+    pub servers: usize,
+}
+
+/// Nodes, backend servers and who holds what.
+#[derive(Debug)]
+pub struct Fleet {
+    pub size: FleetSize,
+    pub topology: Topology,
+    pub document: Document,
+    pub holders: IndexMap<ServerName, NodeName>,
+}
+
+impl Fleet {
+    pub fn new(size: FleetSize) -> Self {
+        let document = document(size.servers);
+        let topology = Topology::try_from((ConfigVersion(1), &document)).expect("a topology");
+        let mut fleet = Self { size, topology, document, holders: IndexMap::new() };
+        for zone in 0..ZONES {
+            let nodes = fleet.zone_nodes(zone);
+            let assigned = assign_servers(&fleet.topology, &zone_name(zone), &nodes);
+            fleet.holders.extend(assigned);
+        }
+        fleet
+    }
+
+    /// Names of the nodes of a zone.
+    pub fn zone_nodes(&self, zone: usize) -> Vec<NodeName> {
+        (0..self.size.nodes).filter(|at| at % ZONES == zone).map(node_name).collect()
+    }
+
+    /// Every node as its peers know it.
+    pub fn peers(&self, heartbeat: u64) -> Vec<PeerRecord> {
+        (0..self.size.nodes).map(|at| peer(at, heartbeat)).collect()
+    }
+
+    /// Value of every grant object.
+    pub fn grants(&self) -> IndexMap<String, Value> {
+        let mut grants = IndexMap::new();
+        for (server, holder) in &self.holders {
+            let record = GrantRecord {
+                server: server.clone(),
+                holder: holder.clone(),
+                incarnation: 1,
+                epoch: 1,
+                slots: 2,
+                connections: 25,
+                state: GrantMark::Held,
+            };
+            grants.insert(server.to_string(), json!(record));
+        }
+        grants
+    }
+
+    /// Value of every lease object.
+    pub fn leases(&self) -> IndexMap<String, Value> {
+        let mut leases = IndexMap::new();
+        for at in 0..self.size.nodes {
+            let record = LeaseRecord {
+                node: node_name(at),
+                zone: zone_name(at % ZONES),
+                region: "perth".to_owned(),
+                incarnation: 1,
+                term_ms: 9_000,
+                renewal: 100,
+                witnesses: self.zone_nodes(at % ZONES),
+                peers: node_address(at, 7100),
+                operators: node_address(at, 7200),
+                listed: true,
+                state: LeaseMark::Open,
+            };
+            leases.insert(record.node.to_string(), json!(record));
+        }
+        leases
+    }
+
+    /// Every VM of the platform's list.
+    pub fn vms(&self) -> Vec<VmRecord> {
+        let mut vms = Vec::new();
+        for at in 0..self.size.nodes {
+            vms.push(vm(node_name(at).to_string(), at, VmRole::Entry, node_address(at, 7100)));
+        }
+        for (at, (_, server)) in self.topology.servers().enumerate() {
+            vms.push(vm(server.name.to_string(), at, VmRole::Backend, server.address));
+        }
+        vms
+    }
+
+    /// Value of `config/current` at a version.
+    pub fn config(&self, version: u64) -> Value {
+        let mut document = json!(self.document);
+        document["services"]["service-0000"]["deadline_ms"] = json!(170 + version);
+        json!({"version": version, "patch_id": "p", "author": "ops", "time": "", "document": document})
+    }
+
+    /// Value of the manifest of the index.
+    pub fn manifest(&self) -> Value {
+        let services = self.topology.services().count();
+        let mut shards = serde_json::Map::new();
+        for shard in 0..SHARDS {
+            let service = format!("service-{:04}", shard % services);
+            shards.insert(format!("shard-{shard:02}"), json!(service));
+        }
+        json!({"index": "garments", "snapshots": [{"number": 1, "shards": shards}]})
+    }
+}
+
+/// Name of a node by number.
+pub fn node_name(at: usize) -> NodeName {
+    format!("entry-{:02}-{at:03}", at % ZONES).try_into().expect("a node name")
+}
+
+/// Name of a zone by number.
+pub fn zone_name(zone: usize) -> ZoneName {
+    format!("zone-{zone:02}").try_into().expect("a zone name")
+}
+
+/// Address of a node by number.
+pub fn node_address(at: usize, port: u16) -> SocketAddr {
+    let [high, low] = u16::try_from(at).expect("few nodes").to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 200, high, low)), port)
+}
+
+/// A node as its peers know it.
+pub fn peer(at: usize, heartbeat: u64) -> PeerRecord {
+    PeerRecord {
+        node: node_name(at),
+        zone: zone_name(at % ZONES),
+        address: node_address(at, 7100),
+        incarnation: 1,
+        heartbeat,
+        stopping: false,
+    }
+}
+
+fn vm(name: String, at: usize, role: VmRole, address: SocketAddr) -> VmRecord {
+    let zone = format!("zone-{:02}", at % ZONES);
+    VmRecord { name, zone, role, state: VmState::Live, address: address.to_string() }
+}
+
+fn document(servers: usize) -> Document {
+    let mut document = Document::default();
+    for number in 0..servers {
+        let service = format!("service-{:04}", number / SERVERS_PER_SERVICE);
+        let entry = document.services.entry(service.clone()).or_insert_with(|| ServiceDocument {
+            repeat: RepeatPolicy::Idempotent,
+            deadline_ms: 170,
+            hedge: HedgeDocument::default(),
+            servers: Default::default(),
+        });
+        let server = ServerDocument {
+            zone: zone_name(number % ZONES).to_string(),
+            address: format!("10.{}.{}.1:8080", number / 256, number % 256),
+            slots: 2,
+            connections: 25,
+            state: ServerState::Active,
+        };
+        entry.servers.insert(format!("{service}-{number:04}"), server);
+    }
+    document.indexes.insert("garments".to_owned(), IndexDocument { deadline_ms: 170 });
+    document
+}
--- /dev/null
+++ b/crates/node/examples/control_cost/memory.rs
@@ -0,0 +1,84 @@
+//! Resident memory of the control state, the topology, the router and queries.
+
+use std::{fs, sync::Arc, time::Duration};
+
+use carobstep_config::{ConfigVersion, IndexManifest, ManifestDocument, Topology};
+use carobstep_dispatch::{QueryPlan, QueryState, Router};
+use carobstep_wire::RequestId;
+
+use crate::{driver::NodeDriver, fleet::Fleet};
+
+/// Copies of each state that are built, so that the page size does not show.
+const COPIES: usize = 10;
+
+/// Searches in flight at the same time.
+const QUERIES: usize = 1_000;
+
+/// Resident memory of this process, in KiB.
+fn resident_kib() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+}
+
+/// Runs `build` for some copies and returns the growth for one, in KiB.
+fn growth<T>(copies: usize, mut build: impl FnMut(usize) -> T) -> f64 {
+    // The first copy fills the free lists of the allocator.
+    let first = build(0);
+    let before = resident_kib();
+    let built: Vec<T> = (1..=copies).map(build).collect();
+    let grown = resident_kib().saturating_sub(before);
+    // Memory that is freed would serve the next measurement.
+    std::mem::forget((first, built));
+    grown as f64 / copies as f64
+}
+
+/// Prints the memory of each state.
+pub fn measure(fleet: &Fleet) {
+    let control = growth(COPIES, |_| {
+        let mut driver = NodeDriver::new(fleet, 0);
+        let peers = fleet.peers(2);
+        let news = carobstep_wire::NewsNotice { peers, ..Default::default() };
+        driver.run_until(driver.now + Duration::from_secs(3));
+        driver.receive(carobstep_wire::ControlMessage::News(news));
+        driver.run_until(driver.now + Duration::from_secs(3));
+        driver.control
+    });
+    let topology = growth(COPIES, |_| {
+        Topology::try_from((ConfigVersion(1), &fleet.document)).expect("a topology")
+    });
+    let topology_arc = Arc::new(fleet.topology.clone());
+    let now = carobstep_clock::BootTime::from_millis(1);
+    let router = growth(COPIES, |_| Router::new(topology_arc.clone(), "zone-00", 1, now));
+    let queries = query_memory(fleet);
+    println!(
+        "{} nodes, memory: control state {control:.0} KiB, topology {topology:.0} KiB, \
+         router {router:.0} KiB, one search {queries:.1} KiB",
+        fleet.size.nodes
+    );
+}
+
+/// Memory of one search that has sent all its shard requests.
+fn query_memory(fleet: &Fleet) -> f64 {
+    let topology = Arc::new(fleet.topology.clone());
+    let document: ManifestDocument = serde_json::from_value(fleet.manifest()).expect("a manifest");
+    let manifest = IndexManifest::try_from((topology.as_ref(), &document)).expect("a manifest");
+    let map = Arc::new(manifest.newest().clone());
+    let now = carobstep_clock::BootTime::from_millis(1);
+    let mut router = Router::new(topology.clone(), "zone-00", 1, now);
+    for (key, _) in topology.servers() {
+        router.set_usable(key, true);
+    }
+    growth(QUERIES, |number| {
+        let plan = QueryPlan {
+            id: RequestId(number as u128),
+            deadline: now + Duration::from_millis(170),
+            map: map.clone(),
+            topology: topology.clone(),
+        };
+        let mut query = QueryState::new(plan, now);
+        let mut actions = Vec::new();
+        query.start(now, &mut router, &mut actions);
+        (query, actions)
+    })
+}
