Stretch a watcher's readings of the configuration with its size

A watcher read the whole configuration every 15 s. At 1,700 backend servers that is 256 kB, 17 kB/s, and over the limit of 13 kB/s by itself. The VM list already waits longer the longer it is; the configuration now does the same, at 4 kB/s. Changes still arrive by the watch at once. What a watch leaves out is found by the 20 watchers of the ten zones, each of which reads every 62 s at a time of its own. A conditional read would cost less, but the object API offers none.

A starting node read the VM list a second time, because it decided whether it wanted another reading before it looked for itself in the first.

--- a/crates/control/src/state/sources.rs
+++ b/crates/control/src/state/sources.rs
@@ -26,8 +26,9 @@
 const WATCHED_KINDS: [ObjectKind; 3] =
     [ObjectKind::Config, ObjectKind::Manifest, ObjectKind::Grant];
 
-/// Rate at which the VM list may be read, per second.
-const VM_LIST_BYTES: usize = 4096;
+/// Rate at which the VM list or the configuration is read again, in bytes per
+/// second.
+const READ_RATE: usize = 4096;
 
 /// Size of one VM of the list.
 const VM_RECORD_BYTES: usize = 100;
@@ -131,8 +132,17 @@
         watchers.contains(&self.options.node)
     }
 
+    /// Time between two readings of the configuration by a watcher.
+    ///
+    /// The watches report changes at once; the readings only find what a watch
+    /// left out, and every zone has watchers that read at other times.
+    fn config_poll(&self) -> Duration {
+        let bytes = self.spread.config().map_or(0, |entry| entry.document.len());
+        reading_pause(bytes, self.options.grant.config_poll)
+    }
+
     fn advance_kind(&mut self, at: usize, watcher: bool) {
-        let poll = self.options.grant.config_poll;
+        let poll = self.config_poll();
         let source = &mut self.sources.kinds[at];
         if source.watching && !watcher {
             source.watching = false;
@@ -383,16 +393,15 @@
         self.sources.vms.busy = false;
         self.sources.vms.next_at = self.now + self.options.grant.vm_poll;
         let Some(ObjectReply::Vms(vms)) = reply else { return };
-        let seconds = (vms.len() * VM_RECORD_BYTES / VM_LIST_BYTES) as u64;
-        let pause = self.options.grant.vm_poll.max(Duration::from_secs(seconds));
+        let pause = reading_pause(vms.len() * VM_RECORD_BYTES, self.options.grant.vm_poll);
         self.sources.vms.next_at = self.now + pause;
-        self.sources.vms.wanted = !self.lease.listed;
         self.take_listed_servers(&vms);
         let entries = vms.iter().filter(|vm| vm.role == VmRole::Entry);
         let addresses: Vec<SocketAddr> = entries.filter_map(|vm| vm.address.parse().ok()).collect();
         if addresses.contains(&self.options.peer_address) {
             self.lease.listed = true;
         }
+        self.sources.vms.wanted = !self.lease.listed;
         self.take_listed_nodes(&addresses);
     }
 
@@ -440,3 +449,8 @@
         self.outbox.push(ControlEffect::Rejected { object, message });
     }
 }
+
+/// Time between two readings of something of this size.
+fn reading_pause(bytes: usize, least: Duration) -> Duration {
+    least.max(Duration::from_secs((bytes / READ_RATE) as u64))
+}
