Admit whole searches at the rate that the servers carry

The holders' queues do their work, but every search needs all of its shards.

Ruled out: more retries (they go to the same full queues), refusing shards earlier (the same share is lost), per-customer shares (one customer here).

Change: one gate per index at each entry node learns the rate of complete searches, lets that many in and refuses the others at once as overloaded, with a booked time to come back.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod budget;
 mod estimate;
+mod gate;
 mod pool;
 mod queue;
 mod request;
@@ -29,6 +30,7 @@
 
 pub use budget::TokenBucket;
 pub use estimate::{LatencyHistogram, MeanEstimate};
+pub use gate::{AdmissionGate, GateDecision, SearchLoad};
 pub use pool::{ConnectionKey, ConnectionPool, ConnectionStep, PoolEvent, PoolLimits};
 pub use queue::{
     Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
--- a/crates/dispatch/src/queue/booking.rs
+++ b/crates/dispatch/src/queue/booking.rs
@@ -38,7 +38,7 @@
 /// The show rate learns how many do come back; the capacity held for the
 /// others is not kept from new requests.
 #[derive(Clone, Debug)]
-pub(super) struct BookingSchedule {
+pub(crate) struct BookingSchedule {
     /// In the order of their times.
     bookings: VecDeque<Booking>,
     end: BootTime,
@@ -46,14 +46,14 @@
 }
 
 impl BookingSchedule {
-    pub(super) const fn new() -> Self {
+    pub(crate) const fn new() -> Self {
         Self { bookings: VecDeque::new(), end: BootTime::ZERO, show_rate: 1.0 }
     }
 
     /// Books the next free time, at `earliest` or later.
     ///
     /// A full schedule books nothing and names the time of its end.
-    pub(super) fn book(
+    pub(crate) fn book(
         &mut self,
         caller: u64,
         over_share: bool,
@@ -70,7 +70,7 @@
     }
 
     /// Takes the caller's booking if it is due now.
-    pub(super) fn redeem(&mut self, caller: u64, now: BootTime) -> bool {
+    pub(crate) fn redeem(&mut self, caller: u64, now: BootTime) -> bool {
         let latest = now + EARLY_GRACE;
         for booking in &mut self.bookings {
             if booking.due > latest {
@@ -86,7 +86,7 @@
     }
 
     /// Drops the bookings whose time is over.
-    pub(super) fn expire(&mut self, now: BootTime) {
+    pub(crate) fn expire(&mut self, now: BootTime) {
         while let Some(first) = self.bookings.front() {
             if first.due + LATE_GRACE >= now {
                 return;
@@ -100,7 +100,7 @@
     /// Expected number of callers that come back between `now` and `until`.
     ///
     /// Bookings of customers over their share do not count against the others.
-    pub(super) fn expected_by(&self, now: BootTime, until: BootTime, over_share: bool) -> f64 {
+    pub(crate) fn expected_by(&self, now: BootTime, until: BootTime, over_share: bool) -> f64 {
         let overdue = now - HOLD_GRACE;
         let first = self.bookings.partition_point(|booking| booking.due < overdue);
         let due = self.bookings.partition_point(|booking| booking.due <= until);
--- a/crates/dispatch/src/queue/mod.rs
+++ b/crates/dispatch/src/queue/mod.rs
@@ -16,7 +16,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::estimate::{MeanEstimate, as_micros, from_micros};
-use booking::BookingSchedule;
+pub(crate) use booking::BookingSchedule;
 use share::CustomerShares;
 use waiting::{WaitingList, WaitingTicket};
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -9,7 +9,7 @@
 use carobstep_clock::BootTime;
 use carobstep_config::{IndexManifest, IndexName, ServerKey, ServerName, Settings, Topology};
 use carobstep_control::{ControlEvent, ControlState, Route};
-use carobstep_dispatch::Router;
+use carobstep_dispatch::{AdmissionGate, Router};
 use carobstep_platform::HttpStore;
 use carobstep_wire::{
     Outcome, PeerPool, PeerReply, PeerRequest, RefusalReason, ShardReply, ShardRequest,
@@ -59,6 +59,8 @@
     pub control: Mutex<ControlState>,
     /// Choice of backend servers, from this node's own observations.
     pub router: Mutex<Router>,
+    /// Limit on the searches of each index.
+    pub gates: Mutex<IndexMap<IndexName, AdmissionGate>>,
     /// The actor that carries out what the control state asks for.
     pub control_actor: OnceLock<ActorRef<ControlInput>>,
     /// Held backend servers.
@@ -94,6 +96,11 @@
         self.control.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the limits on searches.
+    pub fn lock_gates(&self) -> MutexGuard<'_, IndexMap<IndexName, AdmissionGate>> {
+        self.gates.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the router.
     pub fn lock_router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -231,6 +231,7 @@
         peers,
         control: Mutex::new(ControlState::new(options, now)),
         router: Mutex::new(Router::new(Arc::default(), zone.as_str(), random_seed, now)),
+        gates: Mutex::default(),
         control_actor: OnceLock::new(),
         holders: HolderRegistry::default(),
         unusable_peers: Mutex::default(),
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -4,8 +4,10 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{IndexName, ShardName, SnapshotMap, Topology};
-use carobstep_dispatch::{AnswerReport, QueryPlan, QueryState, RequestAction};
+use carobstep_config::{IndexEntry, IndexName, ShardName, SnapshotMap, Topology};
+use carobstep_dispatch::{
+    AdmissionGate, AnswerReport, GateDecision, QueryPlan, QueryState, RequestAction, SearchLoad,
+};
 use carobstep_wire::{Outcome, RefusalReason, RequestId, ShardResult};
 use http::{Response, StatusCode};
 use serde::Serialize;
@@ -70,8 +72,8 @@
     state: QueryState,
     map: Arc<SnapshotMap>,
     attempts: AttemptSet,
+    started: BootTime,
     any_unknown: bool,
-    retry_after: Option<Duration>,
 }
 
 /// Runs one search to its answer.
@@ -104,6 +106,7 @@
             Problem::new(Outcome::NotRun, RefusalReason::NotReady, detail)
                 .with_retry_after(DEFAULT_RETRY_AFTER)
         })?;
+        admit(&context, entry, request.identity.caller, now)?;
         let span = request.deadline.map_or(entry.deadline, |asked| asked.min(entry.deadline));
         let map = Arc::new(manifest.newest().clone());
         let plan = QueryPlan {
@@ -125,8 +128,8 @@
             index: entry.name.clone(),
             state: QueryState::new(plan, now),
             map,
+            started: now,
             any_unknown: false,
-            retry_after: None,
         })
     }
 
@@ -140,9 +143,10 @@
             self.step(ended, &mut actions);
             self.carry_out(&mut actions);
         }
-        let Self { context, index, state, any_unknown, retry_after, .. } = self;
+        let Self { context, index, state, started, any_unknown, .. } = self;
         let report = state.into_report();
-        answer(&context, id, &index, &report, any_unknown, retry_after)
+        note_load(&context, &index, started, &report);
+        answer(&context, id, &index, &report, any_unknown)
     }
 
     fn step(&mut self, ended: Option<AttemptEnd>, actions: &mut Vec<RequestAction>) {
@@ -153,10 +157,8 @@
         };
         match ended.result {
             Ok(reply) => {
-                if let ShardResult::Refused { outcome, retry_after_ms, .. } = reply.result {
+                if let ShardResult::Refused { outcome, .. } = reply.result {
                     self.any_unknown |= outcome == Outcome::Unknown;
-                    let delay = Duration::from_millis(retry_after_ms);
-                    self.retry_after = Some(self.retry_after.map_or(delay, |old| old.max(delay)));
                 }
                 self.state.on_reply(now, ended.attempt, reply, router, actions);
             }
@@ -219,19 +221,50 @@
     Some((Arc::new(map.clone()), topology.clone()))
 }
 
+/// Lets a search in, or refuses it when the servers can't carry it whole.
+fn admit(
+    context: &NodeContext,
+    index: &IndexEntry,
+    caller: u64,
+    now: BootTime,
+) -> Result<(), Problem> {
+    let mut gates = context.lock_gates();
+    let gate =
+        gates.entry(index.name.clone()).or_insert_with(|| AdmissionGate::new(now, index.deadline));
+    let GateDecision::Refuse { retry_after } = gate.offer(now, caller) else { return Ok(()) };
+    let detail = format!("index {:?}: the backend servers are at their limit", index.name.as_str());
+    Err(Problem::new(Outcome::NotRun, RefusalReason::Overloaded, detail)
+        .with_retry_after(retry_after))
+}
+
+/// Tells the gate how many shards were refused for load.
+fn note_load(context: &NodeContext, index: &IndexName, started: BootTime, report: &AnswerReport) {
+    let refused = report.lacking().filter(|(_, reason)| is_overload(*reason)).count();
+    let load = SearchLoad { shards: report.shards.len(), refused };
+    if let Some(gate) = context.lock_gates().get_mut(index) {
+        gate.finish(BootTime::now(), started, load);
+    }
+}
+
+const fn is_overload(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::DeadlineUnreachable | RefusalReason::QueueFull | RefusalReason::ServerShed
+    )
+}
+
 fn answer(
     context: &NodeContext,
     id: RequestId,
     index: &IndexName,
     report: &AnswerReport,
     any_unknown: bool,
-    retry_after: Option<Duration>,
 ) -> Response<AnswerBody> {
     let (results, lacking) = split(report);
     let complete = lacking.is_empty();
     let event = if complete { NodeEvent::SearchesFull } else { NodeEvent::SearchesPartial };
     context.counters.event(event);
-    let delay = retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
+    let delay = report.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
     if results.is_empty()
         && let Some(first) = lacking.first()
     {
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -95,6 +95,8 @@
     NotReady,
     /// The caller cancelled the request.
     Cancelled,
+    /// The backend servers can't carry another whole search now.
+    Overloaded,
 }
 
 /// Why a shard request was sent again. Each value has a counter.
