Hedge sooner again, a second time anywhere, and keep a budget's reserve

A ratio of zero no longer loses a bucket's reserve for good. A property test holds the queue to its slots and to one end per request.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -32,8 +32,8 @@
     /// `reserve` tokens are there from the start and refill slowly.
     #[must_use]
     pub fn new(ratio: f64, reserve: f64, now: BootTime) -> Self {
-        let reserve = if ratio > 0.0 { reserve } else { 0.0 };
-        Self { ratio, reserve, tokens: reserve, refilled: now }
+        let tokens = if ratio > 0.0 { reserve } else { 0.0 };
+        Self { ratio, reserve, tokens, refilled: now }
     }
 
     /// Changes the ratio and keeps the tokens, none for a ratio of zero.
@@ -41,7 +41,6 @@
         self.ratio = ratio;
         if ratio <= 0.0 {
             self.tokens = 0.0;
-            self.reserve = 0.0;
         }
     }
 
@@ -74,7 +73,7 @@
     }
 
     fn refill(&mut self, now: BootTime) {
-        if self.tokens >= self.reserve {
+        if self.ratio <= 0.0 || self.tokens >= self.reserve {
             self.refilled = now;
             return;
         }
--- a/crates/dispatch/src/request/target.rs
+++ b/crates/dispatch/src/request/target.rs
@@ -16,10 +16,7 @@
 const MAX_HEDGES: u8 = 2;
 
 /// Part of the hedge delay after which a hedge that was not possible is tried again.
-const HEDGE_RETRY_PART: u32 = 4;
-
-/// Most doublings of that time.
-const MAX_HEDGE_DOUBLINGS: u8 = 6;
+const HEDGE_RETRY_PART: u32 = 8;
 
 /// Time that must be left for another attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(1);
@@ -36,7 +33,6 @@
     tried: [Option<ServerKey>; TRIED_SERVERS],
     attempts: u8,
     hedges: u8,
-    hedge_tries: u8,
     live: u8,
     last_reason: RefusalReason,
     hedge_due: BootTime,
@@ -70,7 +66,6 @@
             tried: [None; TRIED_SERVERS],
             attempts: 0,
             hedges: 0,
-            hedge_tries: 0,
             live: 0,
             last_reason: RefusalReason::DeadlinePassed,
             hedge_due: BootTime::MAX,
@@ -203,13 +198,12 @@
         table: &mut AttemptTable,
     ) -> Option<AttemptSend> {
         let service = self.service?;
-        let request = PickRequest {
-            service,
-            exclude: &self.tried,
-            kind,
-            snapshot: self.snapshot,
-            caller: table.caller(),
-        };
+        // A second hedge may go where an earlier attempt straggles: unless that
+        // server is warm and has a free slot, the hedge is refused.
+        let anywhere = kind == AttemptKind::Hedge && self.hedges > 0;
+        let exclude: &[_] = if anywhere { &[] } else { &self.tried };
+        let (snapshot, caller) = (self.snapshot, table.caller());
+        let request = PickRequest { service, exclude, kind, snapshot, caller };
         let server = router.pick(now, &request)?;
         self.note_tried(server);
         self.attempts += 1;
@@ -231,11 +225,9 @@
         self.forget(server);
     }
 
-    /// Waits a part of the hedge delay, longer each time.
+    /// Waits a part of the hedge delay.
     fn retry_hedge(&mut self, now: BootTime, delay: Duration) {
-        let wait = delay / HEDGE_RETRY_PART;
-        self.hedge_due = now + wait.saturating_mul(1 << self.hedge_tries.min(MAX_HEDGE_DOUBLINGS));
-        self.hedge_tries = self.hedge_tries.saturating_add(1);
+        self.hedge_due = now + delay / HEDGE_RETRY_PART;
     }
 
     fn forget(&mut self, server: Option<ServerKey>) {
--- a/crates/dispatch/tests/queue_rules.rs
+++ b/crates/dispatch/tests/queue_rules.rs
@@ -7,6 +7,7 @@
     Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
 };
 use carobstep_wire::RefusalReason;
+use proptest::prelude::*;
 
 const SERVICE: Duration = Duration::from_millis(10);
 
@@ -185,3 +186,73 @@
     assert_eq!(queue.poll(at(10)), None);
     assert_eq!(queue.running(), 1);
 }
+
+proptest! {
+    /// Slots are never exceeded, and each request ends exactly once.
+    #[test]
+    fn every_request_ends_once_within_the_slots(
+        slots in 1u16..4,
+        events in prop::collection::vec((0u8..7, 0usize..8, 1u64..80, 0u64..3), 1..80),
+    ) {
+        let mut queue = queue(slots);
+        let mut now = 0;
+        let mut waiting = Vec::new();
+        let mut running = Vec::new();
+        let mut held = Vec::new();
+        for (kind, position, span, customer) in events {
+            now += span / 8;
+            held.retain(|until| *until > now);
+            let free = running.len() + held.len() < usize::from(slots);
+            match kind {
+                0..=2 => {
+                    let customer = CustomerKey(customer);
+                    let ticket = QueueTicket { hedge: kind == 2, customer, ..ticket(now + span) };
+                    match queue.offer(at(now), ticket) {
+                        Admission::Dispatch(key) => {
+                            prop_assert!(free);
+                            running.push(key);
+                        }
+                        Admission::Queued(key) => {
+                            prop_assert!(kind != 2, "a hedge waits");
+                            waiting.push(key);
+                        }
+                        Admission::Refused { retry_after, .. } => {
+                            prop_assert!(!retry_after.is_zero());
+                        }
+                    }
+                }
+                3 if !running.is_empty() => {
+                    let key = running.swap_remove(position % running.len());
+                    queue.finish(at(now), key, Some(SERVICE));
+                }
+                4 if !waiting.is_empty() => {
+                    let key = waiting.swap_remove(position % waiting.len());
+                    prop_assert!(queue.cancel(at(now), key));
+                }
+                5 if !running.is_empty() => {
+                    let key = running.swap_remove(position % running.len());
+                    held.push(now + span);
+                    queue.hold_slot(at(now + span));
+                    queue.finish(at(now), key, None);
+                }
+                _ => queue.block_until(at(now + span / 4)),
+            }
+            while let Some(event) = queue.poll(at(now)) {
+                let key = match event {
+                    QueueEvent::Dispatch(key) => {
+                        running.push(key);
+                        key
+                    }
+                    QueueEvent::Refused { key, .. } => key,
+                };
+                let before = waiting.len();
+                waiting.retain(|other| *other != key);
+                prop_assert_eq!(waiting.len() + 1, before, "only what waits goes on");
+            }
+            prop_assert!(running.len() + held.len() <= usize::from(slots));
+            prop_assert_eq!(queue.waiting(), waiting.len());
+            prop_assert_eq!(queue.running(), running.len() + held.len());
+            prop_assert!(waiting.is_empty() || queue.next_wakeup().is_some());
+        }
+    }
+}
