--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -127,6 +127,7 @@
     router: Router,
     map: Arc<SnapshotMap>,
     servers: Vec<Server>,
+    wakeups: Vec<BootTime>,
     queries: HashMap<u64, Running>,
     tickets: HashMap<(u64, AttemptKey), (usize, TicketKey)>,
     count: u64,
@@ -200,6 +201,7 @@
         samples: Samples::new(config.seed),
         map: snapshot(&topology, 7),
         router,
+        wakeups: vec![BootTime::ZERO; servers.len()],
         servers,
         queries: HashMap::new(),
         tickets: HashMap::new(),
@@ -367,26 +369,23 @@
         };
         match self.servers[server].queue.offer(now, ticket) {
             Admission::Dispatch(key) => {
-                self.servers[server].jobs.insert(key, (query, send));
+                self.admit(server, key, query, send);
                 self.dispatch(server, key);
             }
             Admission::Queued(key) => {
                 self.figures.hedges_queued += u64::from(send.hedge);
-                self.servers[server].jobs.insert(key, (query, send));
+                self.admit(server, key, query, send);
             }
             Admission::Refused { reason, retry_after } => {
                 self.reply_refused(query, send, reason, retry_after);
             }
         }
-        if let Some(key) = self.ticket_of(server, query, send.attempt) {
-            self.tickets.insert((query, send.attempt), (server, key));
-        }
         self.drain(server);
     }
 
-    fn ticket_of(&self, server: usize, query: u64, attempt: AttemptKey) -> Option<TicketKey> {
-        let mut jobs = self.servers[server].jobs.iter();
-        jobs.find(|(_, job)| job.0 == query && job.1.attempt == attempt).map(|(key, _)| *key)
+    fn admit(&mut self, server: usize, key: TicketKey, query: u64, send: AttemptSend) {
+        self.servers[server].jobs.insert(key, (query, send));
+        self.tickets.insert((query, send.attempt), (server, key));
     }
 
     fn dispatch(&mut self, server: usize, key: TicketKey) {
@@ -473,7 +472,11 @@
         }
         if let Some(wakeup) = self.servers[server].queue.next_wakeup() {
             let wakeup = wakeup.max(now) + Duration::from_micros(1);
-            self.timeline.at(wakeup, Event::QueueWake(server));
+            let known = &mut self.wakeups[server];
+            if *known <= now || wakeup < *known {
+                *known = wakeup;
+                self.timeline.at(wakeup, Event::QueueWake(server));
+            }
         }
     }
 }
