--- a/crates/dispatch/src/request/query.rs
+++ b/crates/dispatch/src/request/query.rs
@@ -10,7 +10,7 @@
 use super::{
     attempt::{Attempt, AttemptKey, AttemptTable, RequestAction},
     report::{AnswerReport, RequestCounts},
-    target::{Failure, NextStep, Target, bare_observation, observe},
+    target::{Failure, NextStep, Target, bare_observation, observe, rebase, reply_observation},
 };
 use crate::router::{Observation, ObservedEnd, Router};
 
@@ -116,14 +116,7 @@
         self.rebase(router);
         let Some(attempt) = self.table.end(key) else { return };
         let shard = attempt.shard as usize;
-        let observed = Observation {
-            end: ObservedEnd::Answered,
-            latency: Duration::ZERO,
-            queue_length: reply.queue_length,
-            service: Duration::from_micros(reply.service_us),
-            retry_after: Duration::ZERO,
-            snapshot: Some(self.plan.map.number),
-        };
+        let observed = reply_observation(&reply, Some(self.plan.map.number));
         if reply.id != self.table.id(key) {
             return self.mismatch(now, attempt, router, actions);
         }
@@ -422,18 +415,8 @@
 
     /// Translates all keys after the router moved to another topology.
     fn rebase(&mut self, router: &Router) {
-        let new = router.topology();
-        if Arc::ptr_eq(new, &self.plan.topology) {
-            return;
-        }
-        let old = std::mem::replace(&mut self.plan.topology, Arc::clone(new));
-        let translate = |key| new.find_server(old.server(key).name.as_str());
-        for target in &mut self.targets {
-            let service = target.service();
-            let service = service.and_then(|key| new.find_service(old.service(key).name.as_str()));
-            target.map_keys(service, translate);
-        }
-        self.table.map_servers(translate);
+        let targets = &mut self.targets;
+        rebase(&mut self.plan.topology, router, targets, &mut self.table);
     }
 }
 
--- a/crates/dispatch/src/request/single.rs
+++ b/crates/dispatch/src/request/single.rs
@@ -10,7 +10,7 @@
 use super::{
     attempt::{AttemptKey, AttemptTable, RequestAction},
     report::RequestCounts,
-    target::{Failure, NextStep, Target, bare_observation, observe},
+    target::{Failure, NextStep, Target, bare_observation, observe, rebase, reply_observation},
 };
 use crate::router::{Observation, ObservedEnd, Router};
 
@@ -103,14 +103,7 @@
             return self.on_failure(now, key, Outcome::Unknown, reason, router, actions);
         }
         let Some(attempt) = self.table.end(key) else { return };
-        let observed = Observation {
-            end: ObservedEnd::Answered,
-            latency: Duration::ZERO,
-            queue_length: reply.queue_length,
-            service: Duration::from_micros(reply.service_us),
-            retry_after: Duration::ZERO,
-            snapshot: None,
-        };
+        let observed = reply_observation(&reply, None);
         match reply.result {
             ShardResult::Body(body) => {
                 observe(now, router, &attempt, observed);
@@ -262,15 +255,7 @@
     }
 
     fn rebase(&mut self, router: &Router) {
-        let new = router.topology();
-        if Arc::ptr_eq(new, &self.plan.topology) {
-            return;
-        }
-        let old = std::mem::replace(&mut self.plan.topology, Arc::clone(new));
-        let translate = |key| new.find_server(old.server(key).name.as_str());
-        let service = self.target.service();
-        let service = service.and_then(|key| new.find_service(old.service(key).name.as_str()));
-        self.target.map_keys(service, translate);
-        self.table.map_servers(translate);
+        let targets = std::slice::from_mut(&mut self.target);
+        rebase(&mut self.plan.topology, router, targets, &mut self.table);
     }
 }
--- a/crates/dispatch/src/request/target.rs
+++ b/crates/dispatch/src/request/target.rs
@@ -1,10 +1,10 @@
 //! One thing that must be answered: a shard of a search or a service request.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_config::{RepeatPolicy, ServerKey, ServiceKey};
-use carobstep_wire::{Outcome, RefusalReason, RetryReason};
+use carobstep_config::{RepeatPolicy, ServerKey, ServiceKey, Topology};
+use carobstep_wire::{Outcome, RefusalReason, RetryReason, ShardReply};
 
 use super::attempt::{Attempt, AttemptSend, AttemptTable};
 use crate::router::{AttemptKind, Observation, ObservedEnd, PickRequest, Router};
@@ -173,23 +173,6 @@
         self.live
     }
 
-    /// Translates its keys to another topology.
-    pub(super) fn map_keys(
-        &mut self,
-        service: Option<ServiceKey>,
-        translate: impl Fn(ServerKey) -> Option<ServerKey>,
-    ) {
-        self.service = service;
-        for tried in &mut self.tried {
-            *tried = tried.and_then(&translate);
-        }
-    }
-
-    /// The service in the router's topology.
-    pub(super) const fn service(&self) -> Option<ServiceKey> {
-        self.service
-    }
-
     fn attempt(
         &mut self,
         now: BootTime,
@@ -270,6 +253,41 @@
     router.observe(now, server, &Observation { end, latency, ..observation });
 }
 
+/// Translates all keys after the router moved to another topology.
+pub(super) fn rebase(
+    topology: &mut Arc<Topology>,
+    router: &Router,
+    targets: &mut [Target],
+    table: &mut AttemptTable,
+) {
+    let new = router.topology();
+    if Arc::ptr_eq(new, topology) {
+        return;
+    }
+    let old = std::mem::replace(topology, Arc::clone(new));
+    let translate = |key| new.find_server(old.server(key).name.as_str());
+    for target in targets {
+        let service = target.service;
+        target.service = service.and_then(|key| new.find_service(old.service(key).name.as_str()));
+        for tried in &mut target.tried {
+            *tried = tried.and_then(translate);
+        }
+    }
+    table.map_servers(translate);
+}
+
+/// An observation of an answered attempt.
+pub(super) const fn reply_observation(reply: &ShardReply, snapshot: Option<u64>) -> Observation {
+    Observation {
+        end: ObservedEnd::Answered,
+        latency: Duration::ZERO,
+        queue_length: reply.queue_length,
+        service: Duration::from_micros(reply.service_us),
+        retry_after: Duration::ZERO,
+        snapshot,
+    }
+}
+
 /// An observation without a reply.
 pub(super) const fn bare_observation(end: ObservedEnd, snapshot: Option<u64>) -> Observation {
     Observation {
--- a/crates/dispatch/tests/query_rules.rs
+++ b/crates/dispatch/tests/query_rules.rs
@@ -239,6 +239,24 @@
     assert_eq!(again[0].shard, 0);
 }
 
+#[test]
+fn query_may_move_to_a_snapshot_of_a_newer_configuration() {
+    let mut entry = entry(CONFIG);
+    let mut query = entry.query();
+    entry.sends();
+    let newer = Arc::new(topology(&FleetRun { shards: 1, ..CONFIG }));
+    let map = snapshot(&newer, 8);
+    // The router still has the old configuration, and learns of the new one later.
+    let Entry { router, actions, .. } = &mut entry;
+    query.restart(at(1), map, Arc::clone(&newer), router, actions);
+    let sends = entry.sends();
+    assert_eq!(sends.len(), 1);
+    assert!(Arc::ptr_eq(query.topology(), entry.router.topology()));
+    entry.router.set_topology(at(2), newer);
+    query.on_timer(at(3), &mut entry.router, &mut entry.actions);
+    assert!(Arc::ptr_eq(query.topology(), entry.router.topology()));
+}
+
 struct SingleCase {
     name: &'static str,
     at_most_once: bool,
