--- a/crates/dispatch/tests/queue_rules.rs
+++ b/crates/dispatch/tests/queue_rules.rs
@@ -7,7 +7,7 @@
     Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
 };
 use carobstep_wire::RefusalReason;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 const SERVICE: Duration = Duration::from_millis(10);
 
@@ -187,7 +187,19 @@
     assert_eq!(queue.running(), 1);
 }
 
+/// The same cases on every run.
+fn fixed_cases() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(fixed_cases())]
+
     /// Slots are never exceeded, and each request ends exactly once.
     #[test]
     fn every_request_ends_once_within_the_slots(
