--- a/crates/control/tests/zone/main.rs
+++ b/crates/control/tests/zone/main.rs
@@ -2,5 +2,6 @@
 
 mod faults;
 mod grants;
+mod rivals;
 mod spread;
 mod support;
