--- a/crates/control/src/state/holds.rs
+++ b/crates/control/src/state/holds.rs
@@ -416,6 +416,9 @@
     }
 
     /// Keeps a grant whose release was never sent, unless the node is stopping.
+    ///
+    /// The grant is reported as dropped and taken anew, because what used the
+    /// server has shut down for the release.
     fn retry_release(&mut self, server: &ServerName) {
         let stopping = self.phase == NodePhase::Stopping;
         let Some(hold) = self.holds.get_mut(server) else { return };
@@ -425,8 +428,9 @@
             return;
         }
         hold.step = HoldStep::Held;
-        let (server, epoch) = (server.clone(), hold.epoch);
-        self.outbox.push(ControlEffect::GrantTaken { server, epoch });
+        let epoch = hold.epoch;
+        self.outbox.push(ControlEffect::GrantDropped { server: server.clone() });
+        self.outbox.push(ControlEffect::GrantTaken { server: server.clone(), epoch });
     }
 
     /// Takes in the reading that settles a release.
--- a/crates/control/tests/zone/grants.rs
+++ b/crates/control/tests/zone/grants.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::support::{TestZone, address, entry_vm, options, server};
-use carobstep_control::{ControlEvent, LeaseState, NodePhase};
+use carobstep_control::{ControlEffect, ControlEvent, LeaseState, NodePhase};
 use carobstep_platform::ObjectKind;
 
 const START: Duration = Duration::from_secs(10);
@@ -222,3 +222,30 @@
     assert_loads!(zone, [2, 2, 2, 2]);
     assert_single_holders(&zone, 3);
 }
+
+/// The platform goes down between the decision to release and the release.
+#[test]
+fn a_grant_whose_release_was_never_sent_is_kept() {
+    let mut zone = TestZone::new(1, 2);
+    zone.run(START);
+    zone.nodes[0].drains = false;
+    zone.add(options(1, "z1"));
+    zone.run(Duration::from_secs(7));
+    let released = zone.nodes[0].seen.iter().filter_map(|effect| match effect {
+        ControlEffect::GrantReleasing { server } => Some(server.clone()),
+        _ => None,
+    });
+    let released: Vec<_> = released.collect();
+    assert!(!released.is_empty());
+    zone.nodes[0].reaches_store = false;
+    zone.nodes[0].seen.clear();
+    for server in &released {
+        assert!(zone.dispatchers(server).is_empty());
+        zone.tell(0, ControlEvent::ServerIdle { server: server.clone(), idle: true });
+    }
+    zone.run(Duration::from_secs(1));
+    for server in released {
+        assert_eq!(zone.dispatchers(&server), [0]);
+        assert!(zone.nodes[0].seen.contains(&ControlEffect::GrantTaken { server, epoch: 1 }));
+    }
+}
--- a/crates/control/tests/zone/support.rs
+++ b/crates/control/tests/zone/support.rs
@@ -267,10 +267,12 @@
             ControlEffect::Unwatch { kind } => {
                 self.nodes[at].watches.swap_remove(&kind);
             }
-            ControlEffect::GrantReleasing { server } => {
+            ControlEffect::GrantReleasing { ref server } => {
                 if self.nodes[at].drains {
+                    let server = server.clone();
                     self.pending.push_back((at, ControlEvent::ServerIdle { server, idle: true }));
                 }
+                self.nodes[at].seen.push(effect);
             }
             ControlEffect::StopFinished => self.nodes[at].stopped = true,
             other => self.nodes[at].seen.push(other),
