--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -98,7 +98,7 @@
     pub retry: Duration,
     /// Shortest time between two readings of the VM list.
     pub vm_poll: Duration,
-    /// Time between two readings of the configuration by a watcher.
+    /// Shortest time between two readings of the configuration by a watcher.
     pub config_poll: Duration,
     /// Longest time that a stopping node waits for the platform.
     pub stop: Duration,
--- a/crates/control/src/state/gossip.rs
+++ b/crates/control/src/state/gossip.rs
@@ -9,6 +9,8 @@
     PeerBeat, PeerRecord, VouchReply,
 };
 
+use indexmap::IndexMap;
+
 use super::{ControlState, NodePhase, calls::Purpose};
 use crate::{
     peers::{PeerEntry, beat_id, record_hash},
@@ -181,11 +183,7 @@
     /// Takes in a peer's message and returns the answer.
     pub(super) fn take_message(&mut self, message: ControlMessage) -> ControlReply {
         match message {
-            ControlMessage::Gossip(digest) => {
-                let outside = digest.node.zone != self.options.zone;
-                self.take_digest(digest);
-                ControlReply::Gossip(self.digest(outside))
-            }
+            ControlMessage::Gossip(digest) => ControlReply::Gossip(self.answer_digest(digest)),
             ControlMessage::Vouch(request) => {
                 let vouched = self.witness.vouches(&request.node, request.incarnation);
                 ControlReply::Vouch(VouchReply { round: request.round, vouched })
@@ -202,6 +200,17 @@
         }
     }
 
+    /// Takes in a digest; the answer leaves out heartbeats that the sender has.
+    fn answer_digest(&mut self, digest: GossipDigest) -> GossipDigest {
+        let outside = digest.node.zone != self.options.zone;
+        let known: IndexMap<u32, u64> =
+            digest.beats.iter().map(|beat| (beat.id, beat.heartbeat)).collect();
+        self.take_digest(digest);
+        let mut answer = self.digest(outside);
+        answer.beats.retain(|beat| known.get(&beat.id).is_none_or(|last| beat.heartbeat > *last));
+        answer
+    }
+
     pub(super) fn take_digest(&mut self, digest: GossipDigest) {
         let from = digest.node.address;
         let inside = digest.node.zone == self.options.zone;
