Keep gossip of a large fleet within its bound

Found with 430 nodes in one test: each node addressed a seed every eight rounds, so a seed moved 26 KB a second, and every difference of tables was repaired at once with whole tables while the news about it was still on its way (28 KB a fetch). The chance of a seed round now falls with the number of nodes, a table that just changed is left to the news, a repair asks for four buckets or the nodes of one zone, and changes that do not fit a digest take turns.

--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -28,6 +28,7 @@
 pub(crate) struct PeerTable {
     entries: IndexMap<NodeName, PeerEntry>,
     names: IndexMap<u32, NodeName>,
+    changed_at: BootTime,
 }
 
 /// Short hash of a node's name and incarnation.
@@ -46,6 +47,11 @@
         self.entries.get(node)
     }
 
+    /// When a record last changed.
+    pub(crate) const fn changed_at(&self) -> BootTime {
+        self.changed_at
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &PeerEntry> {
         self.entries.values()
     }
@@ -74,6 +80,7 @@
     }
 
     fn insert(&mut self, now: BootTime, record: PeerRecord) {
+        self.changed_at = now;
         let id = beat_id(&record);
         let fresh_at = (record.heartbeat > 0).then_some(now);
         self.names.insert(id, record.node.clone());
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -18,6 +18,7 @@
 pub(crate) struct GrantTable {
     entries: IndexMap<ServerName, GrantEntry>,
     hashes: [u32; GRANT_BUCKETS],
+    changed_at: BootTime,
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +58,15 @@
         self.entries.get(server).map(|entry| &entry.notice)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// When a notice was last news.
+    pub(crate) const fn changed_at(&self) -> BootTime {
+        self.changed_at
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &GrantNotice> {
         self.entries.values().map(|entry| &entry.notice)
     }
@@ -71,6 +81,7 @@
             self.hashes[bucket] ^= hash_of(old);
         }
         self.hashes[bucket] ^= hash_of(&notice);
+        self.changed_at = now;
         let server = notice.server.clone();
         self.entries.insert(server, GrantEntry { notice, changed_at: now });
         true
--- a/crates/control/src/state/gossip.rs
+++ b/crates/control/src/state/gossip.rs
@@ -27,7 +27,13 @@
 const MAX_NEWS: usize = 24;
 
 /// Time between two fetches that only repair a difference of tables.
-const REPAIR_INTERVAL: Duration = Duration::from_secs(3);
+const REPAIR_INTERVAL: Duration = Duration::from_secs(10);
+
+/// A table that changed within this time is left to the news.
+const REPAIR_QUIET: Duration = Duration::from_secs(5);
+
+/// Most buckets of grants that one repair asks for.
+const REPAIR_BUCKETS: usize = 4;
 
 /// Rounds between two that address a seed although peers are known.
 const SEED_ROUNDS: u64 = 8;
@@ -89,12 +95,21 @@
         if targets.is_empty() {
             return seeds;
         }
-        if self.gossip.round.is_multiple_of(SEED_ROUNDS) {
+        if self.is_seed_round(seeds.len()) {
             targets.extend(self.choice.sample(seeds, 1));
         }
         targets
     }
 
+    /// Whether this round also addresses a seed.
+    ///
+    /// The chance falls with the number of nodes, so that the seeds of a large
+    /// fleet hear no more than other nodes.
+    fn is_seed_round(&mut self, seeds: usize) -> bool {
+        let known = self.peers.iter().count() + 1;
+        self.gossip.round.is_multiple_of(SEED_ROUNDS) && self.choice.below(known) < seeds
+    }
+
     fn fresh_targets(&mut self, count: usize) -> Vec<SocketAddr> {
         let fresh = self.zone_addresses(true);
         self.choice.sample(fresh, count)
@@ -166,20 +181,28 @@
     fn recent_news(&self, outside: bool) -> NewsNotice {
         let age = self.options.gossip.news;
         let changed = self.peers.iter().filter(|peer| self.now < peer.changed_at + age);
-        let mut peers: Vec<PeerRecord> = changed.map(|peer| peer.record.clone()).collect();
-        peers.truncate(MAX_NEWS);
+        let peers: Vec<PeerRecord> = changed.map(|peer| peer.record.clone()).collect();
+        let mut peers = self.turn_of(peers);
         if outside {
             let known: Vec<NodeName> = peers.iter().map(|peer| peer.node.clone()).collect();
             let rest = self.fresh_zone_peers().filter(|peer| !known.contains(&peer.record.node));
             peers.extend(rest.map(|peer| peer.record.clone()));
         }
-        let mut grants = self.grants.changed_within(self.now, age);
-        grants.truncate(MAX_NEWS);
-        let mut signs = self.signs.changed_within(self.now, age);
-        signs.truncate(MAX_NEWS);
+        let grants = self.turn_of(self.grants.changed_within(self.now, age));
+        let signs = self.turn_of(self.signs.changed_within(self.now, age));
         NewsNotice { peers, grants, signs }
     }
 
+    /// The changes whose turn it is, when there are more than fit a digest.
+    fn turn_of<T>(&self, changes: Vec<T>) -> Vec<T> {
+        if changes.len() <= MAX_NEWS {
+            return changes;
+        }
+        let turns = changes.len().div_ceil(MAX_NEWS) as u64;
+        let turn = usize::try_from(self.gossip.round % turns).unwrap_or(0);
+        changes.into_iter().skip(turn * MAX_NEWS).take(MAX_NEWS).collect()
+    }
+
     /// Takes in a peer's message and returns the answer.
     pub(super) fn take_message(&mut self, message: ControlMessage) -> ControlReply {
         match message {
@@ -224,7 +247,9 @@
         }
         let lacks = self.spread.lacks(digest.config, &digest.manifests);
         let peers = inside && (unknown || digest.peers_hash != self.zone_hash());
-        let grant_buckets = self.grants.differing(&digest.grant_hashes);
+        let quiet = self.now >= self.peers.changed_at() + REPAIR_QUIET;
+        let peers = peers && (quiet || self.grants.is_empty());
+        let grant_buckets = self.grants_to_repair(&digest.grant_hashes);
         let repair = (peers || !grant_buckets.is_empty()) && self.now >= self.gossip.repair_at;
         if self.gossip.fetching || !(lacks || repair) {
             return;
@@ -242,6 +267,21 @@
         self.send(Purpose::Fetch, from, ControlMessage::Fetch(request));
     }
 
+    /// Buckets of grants to ask a peer for.
+    ///
+    /// A node that knows no grant asks for all of them at once.
+    fn grants_to_repair(&self, hashes: &[u32]) -> Vec<u8> {
+        let mut buckets = self.grants.differing(hashes);
+        if self.grants.is_empty() {
+            return buckets;
+        }
+        if self.now < self.grants.changed_at() + REPAIR_QUIET {
+            return Vec::new();
+        }
+        buckets.truncate(REPAIR_BUCKETS);
+        buckets
+    }
+
     fn merge_beat(&mut self, beat: PeerBeat) -> bool {
         beat.id == beat_id(&self.own_record()) || self.peers.merge_beat(self.now, beat)
     }
@@ -265,8 +305,10 @@
     }
 
     fn answer_fetch(&self, request: &FetchRequest) -> FetchReply {
-        let peers = self.peers.iter().map(|peer| peer.record.clone());
         let whole = request.grant_buckets.len() == GRANT_BUCKETS;
+        // A node that knows everything else only lacks nodes of its zone.
+        let wanted = self.peers.iter().filter(|peer| whole || peer.is_in(&self.options.zone));
+        let peers = wanted.map(|peer| peer.record.clone());
         let tables = NewsNotice {
             peers: if request.peers { peers.collect() } else { Vec::new() },
             grants: self.grants.of_buckets(&request.grant_buckets),
--- a/crates/control/tests/zone/spread.rs
+++ b/crates/control/tests/zone/spread.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use crate::support::{TestZone, config, name, options, server};
+use crate::support::{TestZone, config, config_in, entry_vm, name, options, server};
 use carobstep_control::{ControlEffect, ControlEvent, NodePhase};
 use carobstep_platform::{ObjectKind, VmRecord, VmRole, VmState};
 use serde_json::json;
 
 const START: Duration = Duration::from_secs(10);
 
-/// Most that a node may send for control, with headers left out.
+/// Most that a node may send and receive for control, headers left out.
 const CONTROL_BYTES_PER_SECOND: usize = 13_000;
 
 fn versions(zone: &TestZone) -> Vec<u64> {
@@ -138,20 +138,78 @@
     assert_eq!(leaving(&zone, "s1-1"), 0);
 }
 
-#[test]
-fn control_traffic_of_a_full_zone_stays_within_its_bound() {
-    const NODES: usize = 43;
-    const SECONDS: usize = 20;
-    let mut zone = TestZone::new(NODES, 85);
-    zone.run(Duration::from_secs(20));
+/// A fleet of several zones, and the bounds of its control.
+struct FleetCase {
+    zones: usize,
+    nodes_per_zone: usize,
+    services: usize,
+}
+
+/// A sixteenth, a quarter and all of the size to design for.
+const FLEETS: &[FleetCase] = &[
+    FleetCase { zones: 3, nodes_per_zone: 9, services: 53 },
+    FleetCase { zones: 5, nodes_per_zone: 21, services: 212 },
+    FleetCase { zones: 10, nodes_per_zone: 43, services: 850 },
+];
+
+const SETTLE: Duration = Duration::from_secs(20);
+const MEASURED_SECONDS: usize = 8;
+const CONFIG_SECONDS: u64 = 18;
+
+fn fleet(case: &FleetCase) -> TestZone {
+    let mut zone = TestZone::new(0, 0);
+    zone.store.write(ObjectKind::Config, "current", config_in(1, case.services, case.zones));
+    for at in 0..case.zones * case.nodes_per_zone {
+        zone.store.vms.push(entry_vm(at, "z1"));
+        zone.add(options(at, &format!("z{}", 1 + at % case.zones)));
+    }
+    zone.run(SETTLE);
+    zone
+}
+
+/// Bytes sent and received by the busiest node, and platform calls, a second.
+fn measure(zone: &mut TestZone) -> (usize, usize) {
     for node in &mut zone.nodes {
         node.bytes_sent = 0;
+        node.bytes_received = 0;
     }
     zone.store.calls = 0;
-    zone.run(Duration::from_secs(SECONDS as u64));
-    let most = zone.nodes.iter().map(|node| node.bytes_sent).max().unwrap_or(0) / SECONDS;
-    let calls = zone.store.calls as usize / SECONDS;
-    println!("{most} bytes sent per second by the busiest of {NODES} nodes, {calls} calls/s");
-    assert!(most < CONTROL_BYTES_PER_SECOND, "{most}");
-    assert_eq!(zone.loads().iter().sum::<usize>(), 170);
+    zone.run(Duration::from_secs(MEASURED_SECONDS as u64));
+    let both = zone.nodes.iter().map(|node| node.bytes_sent + node.bytes_received);
+    let calls = usize::try_from(zone.store.calls).unwrap();
+    (both.max().unwrap_or(0) / MEASURED_SECONDS, calls / MEASURED_SECONDS)
+}
+
+#[test]
+fn control_of_a_fleet_stays_within_its_bounds() {
+    for case in FLEETS {
+        let mut zone = fleet(case);
+        let nodes = zone.nodes.len();
+        let held: usize = zone.loads().iter().sum();
+        assert_eq!(held, 2 * case.services);
+        let (bytes, calls) = measure(&mut zone);
+        println!("{nodes} nodes: {bytes} bytes/s of the busiest, {calls} platform calls/s");
+        assert!(bytes < CONTROL_BYTES_PER_SECOND, "{nodes} nodes: {bytes}");
+        let changed = zone.now;
+        zone.store.write(ObjectKind::Config, "current", config_in(2, case.services, case.zones));
+        while versions(&zone).contains(&1) {
+            zone.run(Duration::from_millis(100));
+        }
+        let took = zone.now.since(changed);
+        println!("{nodes} nodes: a configuration is in force everywhere after {took:?}");
+        assert!(took <= Duration::from_secs(CONFIG_SECONDS), "{nodes} nodes: {took:?}");
+    }
+}
+
+/// Every node of a full zone asks its witnesses while the platform is down.
+#[test]
+fn control_of_a_full_zone_in_an_outage_stays_within_its_bound() {
+    let mut zone = fleet(&FleetCase { zones: 1, nodes_per_zone: 43, services: 85 });
+    for node in &mut zone.nodes {
+        node.reaches_store = false;
+    }
+    zone.run(SETTLE);
+    let (bytes, _) = measure(&mut zone);
+    println!("43 nodes without platform: {bytes} bytes/s of the busiest");
+    assert!(bytes < CONTROL_BYTES_PER_SECOND, "{bytes}");
 }
--- a/crates/control/tests/zone/support.rs
+++ b/crates/control/tests/zone/support.rs
@@ -91,6 +91,7 @@
     pub seen: Vec<ControlEffect>,
     pub stopped: bool,
     pub bytes_sent: usize,
+    pub bytes_received: usize,
     watches: IndexMap<ObjectKind, u64>,
 }
 
@@ -133,14 +134,20 @@
 
 /// A configuration with `services` services of two servers each in zone `z1`.
 pub fn config(version: u64, services: usize) -> Value {
+    config_in(version, services, 1)
+}
+
+/// A configuration whose services take turns over `zones` zones from `z1` on.
+pub fn config_in(version: u64, services: usize, zones: usize) -> Value {
     let mut entries = serde_json::Map::new();
     for service in 0..services {
         let mut servers = serde_json::Map::new();
         for replica in 0..2 {
             let port = 20_000 + 2 * service + replica;
+            let zone = format!("z{}", 1 + service % zones);
             let name = format!("s{service}-{replica}");
             let address = format!("127.0.0.1:{port}");
-            let entry = json!({"zone": "z1", "address": address, "slots": 2, "connections": 4});
+            let entry = json!({"zone": zone, "address": address, "slots": 2, "connections": 4});
             servers.insert(name, entry);
         }
         entries.insert(format!("s{service}"), json!({"deadline_ms": 500, "servers": servers}));
@@ -178,6 +185,7 @@
             seen: Vec::new(),
             stopped: false,
             bytes_sent: 0,
+            bytes_received: 0,
             watches: IndexMap::new(),
         });
     }
@@ -257,8 +265,12 @@
                 self.pending.push_back((at, ControlEvent::ObjectAnswer { call, result }));
             }
             ControlEffect::Send { call, to, message } => {
-                self.nodes[at].bytes_sent += encoded_len(&message);
+                let sent = encoded_len(&message);
+                self.nodes[at].bytes_sent += sent;
                 let result = self.deliver(at, to, message);
+                if let Ok(answer) = &result {
+                    self.nodes[at].bytes_received += encoded_len(answer);
+                }
                 self.pending.push_back((at, ControlEvent::Replied { call, result }));
             }
             ControlEffect::Watch { kind, after } => {
@@ -306,6 +318,7 @@
         if cut || !self.nodes[at].alive || at == from {
             return Err(PeerFailure);
         }
+        self.nodes[at].bytes_received += encoded_len(&message);
         let mut effects = Vec::new();
         let reply = carobstep_control::ReplyKey(0);
         let event = ControlEvent::Received { reply, message };
