--- a/crates/control/src/state/sources.rs
+++ b/crates/control/src/state/sources.rs
@@ -33,9 +33,6 @@
 /// Size of one VM of the list.
 const VM_RECORD_BYTES: usize = 100;
 
-/// Rate at which a watcher may read the configuration, per second.
-const CONFIG_POLL_BYTES: usize = 2048;
-
 /// Readings of the VM list that a node skips while it waits to be listed.
 const UNLISTED_PAUSE: u32 = 5;
 
@@ -167,13 +164,6 @@
         self.call(Purpose::KindList(kind), carobstep_platform::ObjectCall::List { kind });
     }
 
-    /// Time between two readings of the configuration, which grows with it.
-    fn config_poll(&self) -> Duration {
-        let bytes = self.spread.config().map_or(0, |config| config.document.len());
-        let seconds = (bytes / CONFIG_POLL_BYTES) as u64;
-        self.options.grant.config_poll.max(Duration::from_secs(seconds))
-    }
-
     pub(super) fn take_kind_list(&mut self, kind: ObjectKind, reply: Option<ObjectReply>) {
         let watcher = self.is_watcher();
         let retry_at = self.now + self.options.grant.retry;
