Acquire the first grants only with a lease that can be taken over

A node that acquired grants with its first lease, written before it had heard of its zone or read the VM list, and then died, could be replaced by nobody: its only witness was itself, and the lease said that the list had never shown it. A taker now also believes a list that has shown the holder to it before.

--- a/crates/control/src/state/holds.rs
+++ b/crates/control/src/state/holds.rs
@@ -190,11 +190,16 @@
             acquisition.retry_at = now + retry;
             self.get(Purpose::GrantRead(server.clone()), ObjectKind::Grant, server.as_str());
         }
-        let joined = self.lease.opened_at.is_some_and(|at| now >= at + self.options.grant.join);
-        self.phase == NodePhase::Serving
+        let since = self.lease.opened_at.unwrap_or(BootTime::MAX);
+        let joined = now >= since + self.options.grant.join;
+        // A list that is never answered must not keep a zone without holders.
+        let listed = self.sources.has_vms() || now >= since + self.options.lease.term;
+        let ready = self.phase == NodePhase::Serving
             && joined
             && self.is_lease_renewed(now)
             && self.sources.has_grants()
+            && listed;
+        ready && (!self.holds.is_empty() || self.records_membership())
     }
 
     fn begin_acquisition(&mut self, server: &ServerName) {
--- a/crates/control/src/state/own_lease.rs
+++ b/crates/control/src/state/own_lease.rs
@@ -31,6 +31,11 @@
     pub(super) listed: bool,
     /// Version after the last confirmed write.
     pub(super) version: ObjectVersion,
+    /// The record that was written last.
+    written: Option<LeaseRecord>,
+    /// The record that is known to be in the platform.
+    recorded: Option<LeaseRecord>,
+    sent_at: BootTime,
     /// Incarnation of an earlier process at another address.
     replacing: Option<PursuitKey>,
     renewal: u64,
@@ -49,6 +54,9 @@
             opened_at: None,
             listed: false,
             version: ObjectVersion(0),
+            written: None,
+            recorded: None,
+            sent_at: BootTime::ZERO,
             replacing: None,
             renewal: 0,
             condition: None,
@@ -113,6 +121,8 @@
             listed: self.lease.listed,
             state: if leaving { LeaseMark::Released } else { LeaseMark::Open },
         };
+        self.lease.written = Some(record.clone());
+        self.lease.sent_at = self.now;
         let name = self.options.node.clone();
         let purpose =
             Purpose::LeaseWrite { incarnation: self.lease.incarnation, mark: record.state };
@@ -138,6 +148,7 @@
             }
             WriteOutcome::Written(version) => {
                 self.lease.guard.confirm();
+                self.lease.recorded = self.lease.written.take();
                 self.lease.adopt(self.now, version);
                 if self.phase == NodePhase::Leaving {
                     self.lease.next_at = self.now;
@@ -197,6 +208,7 @@
             LeaseMark::Open => {
                 if record.renewal == self.lease.renewal + 1 && self.lease.guard.is_unsettled() {
                     self.lease.guard.read_back();
+                    self.lease.recorded = Some(record.clone());
                     self.lease.adopt(self.now, version);
                 }
                 self.lease.version = version;
@@ -266,6 +278,24 @@
         self.lease.guard.state() == LeaseState::Open && self.now < renewed_at + 2 * timing.renew
     }
 
+    /// Whether the lease records what a takeover of this node would need: the
+    /// live nodes as witnesses, and whether the VM list shows this node.
+    ///
+    /// Otherwise the lease is renewed now. A node that dies with a lease that
+    /// names only itself could be replaced by nobody.
+    pub(super) fn records_membership(&mut self) -> bool {
+        let live = self.live_zone_nodes();
+        let current = self.lease.recorded.as_ref().is_some_and(|record| {
+            record.listed == self.lease.listed
+                && live.iter().all(|node| record.witnesses.contains(node))
+        });
+        if !current {
+            let earliest = self.lease.sent_at + self.options.grant.retry;
+            self.lease.next_at = self.lease.next_at.min(earliest.max(self.now));
+        }
+        current
+    }
+
     /// Asks the recorded witnesses to vouch while renewals fail.
     fn advance_vouches(&mut self) {
         let timing = self.options.lease;
--- a/crates/control/src/state/pursuit.rs
+++ b/crates/control/src/state/pursuit.rs
@@ -239,8 +239,8 @@
 
     /// Takes in the addresses of the entry VMs that the platform lists.
     ///
-    /// Only a holder that the list has shown before can be gone from it, and
-    /// one whose heartbeat was heard lately is not.
+    /// Only a holder that the list has shown before, to itself or to this node,
+    /// can be gone from it, and one whose heartbeat was heard lately is not.
     pub(super) fn take_listed_nodes(&mut self, addresses: &[SocketAddr]) {
         let timeout = self.options.gossip.peer_timeout;
         for (key, pursuit) in &mut self.pursuits {
@@ -250,7 +250,8 @@
             let heard = peer.is_some_and(|peer| {
                 peer.record.incarnation == key.incarnation && peer.is_fresh(self.now, timeout)
             });
-            let gone = lease.listed && !listed && !heard && !addresses.is_empty();
+            let shown = lease.listed || self.sources.has_shown(lease.peers);
+            let gone = shown && !listed && !heard && !addresses.is_empty();
             pursuit.takeover.listed(self.now, gone);
             if gone {
                 pursuit.next_at = self.now;
--- a/crates/control/src/state/sources.rs
+++ b/crates/control/src/state/sources.rs
@@ -78,8 +78,12 @@
     busy: bool,
     wanted: bool,
     next_at: BootTime,
+    /// Whether the list was read once.
+    read: bool,
     /// Addresses of backend servers that the list has shown.
     shown: IndexSet<SocketAddr>,
+    /// Addresses of entry VMs that the list has shown.
+    shown_nodes: IndexSet<SocketAddr>,
 }
 
 impl SourceDesk {
@@ -96,7 +100,14 @@
             kinds,
             leases: OnceRead { busy: false, next_at: now },
             status: StatusWrite { done: false, busy: false, next_at: now },
-            vms: VmSource { busy: false, wanted: true, next_at: now, shown: IndexSet::new() },
+            vms: VmSource {
+                busy: false,
+                wanted: true,
+                next_at: now,
+                read: false,
+                shown: IndexSet::new(),
+                shown_nodes: IndexSet::new(),
+            },
             lookup_at: now + LOOKUP_INTERVAL,
         }
     }
@@ -110,6 +121,16 @@
         self.kinds.iter().any(|source| source.kind == ObjectKind::Grant && source.listed)
     }
 
+    /// Whether the VM list was read once.
+    pub(super) fn has_vms(&self) -> bool {
+        self.vms.read
+    }
+
+    /// Whether the VM list has shown a node at this address.
+    pub(super) fn has_shown(&self, address: SocketAddr) -> bool {
+        self.vms.shown_nodes.contains(&address)
+    }
+
     /// Asks for a reading of the VM list as soon as its rate allows.
     pub(super) fn want_vms(&mut self) {
         self.vms.wanted = true;
@@ -409,6 +430,8 @@
             self.lease.listed = true;
         }
         self.sources.vms.wanted = !self.lease.listed;
+        self.sources.vms.read = true;
+        self.sources.vms.shown_nodes.extend(addresses.iter().copied());
         self.take_listed_nodes(&addresses);
     }
 
--- a/crates/control/tests/zone/faults.rs
+++ b/crates/control/tests/zone/faults.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use crate::support::{TestZone, options, server};
+use crate::support::{TestZone, entry_vm, options, server};
 
-const SEEDS: u64 = 40;
+const SEEDS: u64 = 100;
 const SERVICES: usize = 3;
+const MAX_NODES: usize = 7;
 const FAULT_SECONDS: u64 = 120;
 const CALM: Duration = Duration::from_secs(60);
 
@@ -25,7 +26,10 @@
 fn inject(zone: &mut TestZone, source: &mut FaultSource) {
     let nodes = zone.nodes.len();
     let at = source.below(nodes);
-    match source.below(10) {
+    if zone.nodes[at].gone {
+        return;
+    }
+    match source.below(11) {
         0 | 1 => zone.nodes[at].alive = !zone.nodes[at].alive,
         2 | 3 => zone.nodes[at].reaches_store = !zone.nodes[at].reaches_store,
         4 | 5 => toggle_link(zone, at, source.below(nodes)),
@@ -39,10 +43,19 @@
                 node.reaches_store = !down;
             }
         }
+        9 if nodes < MAX_NODES => replace(zone, at),
         _ => zone.cut.clear(),
     }
 }
 
+/// A VM is replaced by one with another name and address.
+fn replace(zone: &mut TestZone, at: usize) {
+    zone.remove(at);
+    let fresh = zone.nodes.len();
+    zone.add(options(fresh, "z1"));
+    zone.store.vms.push(entry_vm(fresh, "z1"));
+}
+
 fn toggle_link(zone: &mut TestZone, one: usize, other: usize) {
     let link = (one.min(other), one.max(other));
     if zone.cut.contains(&link) {
@@ -64,6 +77,9 @@
 
 fn run_seed(nodes: usize, seed: u64) {
     let mut zone = TestZone::new(nodes, SERVICES);
+    for at in 0..nodes {
+        zone.store.vms.push(entry_vm(at, "z1"));
+    }
     let mut source = FaultSource(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
     zone.run(Duration::from_secs(10));
     for _ in 0..FAULT_SECONDS {
@@ -77,14 +93,17 @@
         }
     }
     zone.cut.clear();
-    for node in &mut zone.nodes {
+    for node in zone.nodes.iter_mut().filter(|node| !node.gone) {
         node.alive = true;
         node.reaches_store = true;
         node.lose_answers = 0;
     }
     zone.run(CALM);
-    let held: usize = zone.loads().iter().sum();
-    assert_eq!(held, 2 * SERVICES, "seed {seed}: {:?}", zone.loads());
+    let names = (0..SERVICES).flat_map(|at| [format!("s{at}-0"), format!("s{at}-1")]);
+    for name in names {
+        let able = zone.dispatchers(&server(&name));
+        assert_eq!(able.len(), 1, "seed {seed}, server {name}: {able:?}");
+    }
 }
 
 #[test]
--- a/crates/control/tests/zone/grants.rs
+++ b/crates/control/tests/zone/grants.rs
@@ -249,3 +249,31 @@
         assert!(zone.nodes[0].seen.contains(&ControlEffect::GrantTaken { server, epoch: 1 }));
     }
 }
+
+/// All VMs of a zone fail at once and come back under other names.
+#[test]
+fn a_zone_whose_nodes_are_all_replaced_at_once_is_served_again() {
+    let mut zone = TestZone::new(3, 3);
+    for at in 0..3 {
+        zone.store.vms.push(entry_vm(at, "z1"));
+    }
+    zone.run(START);
+    for at in 0..3 {
+        zone.remove(at);
+        zone.add(options(at + 3, "z1"));
+        zone.store.vms.push(entry_vm(at + 3, "z1"));
+    }
+    zone.run(Duration::from_secs(20));
+    assert_single_holders(&zone, 3);
+}
+
+#[test]
+fn a_zone_dispatches_through_an_outage_of_an_hour() {
+    let mut zone = TestZone::new(3, 3);
+    zone.run(START);
+    for node in &mut zone.nodes {
+        node.reaches_store = false;
+    }
+    zone.run(Duration::from_secs(3600));
+    assert_single_holders(&zone, 3);
+}
--- a/crates/control/tests/zone/support.rs
+++ b/crates/control/tests/zone/support.rs
@@ -83,6 +83,8 @@
     pub state: ControlState,
     pub address: SocketAddr,
     pub alive: bool,
+    /// Whether the process never comes back.
+    pub gone: bool,
     pub reaches_store: bool,
     /// Writes that take effect although their answers are lost.
     pub lose_answers: u32,
@@ -179,6 +181,7 @@
             state,
             address,
             alive: true,
+            gone: false,
             reaches_store: true,
             lose_answers: 0,
             drains: true,
@@ -197,6 +200,14 @@
         self.nodes[at] = fresh;
     }
 
+    /// Ends a node for good, and takes it off the VM list.
+    pub fn remove(&mut self, at: usize) {
+        self.nodes[at].alive = false;
+        self.nodes[at].gone = true;
+        let address = self.nodes[at].address.to_string();
+        self.store.vms.retain(|vm| vm.address != address);
+    }
+
     /// Lets time pass in steps.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
