--- a/crates/node/src/main_entry.rs
+++ b/crates/node/src/main_entry.rs
@@ -1,6 +1,6 @@
 //! The daemon's main function, apart from the binary.
 
-use std::{fs, process::ExitCode};
+use std::{fs::File, io::Read, process::ExitCode};
 
 use carobstep_config::{LogLevel, Settings};
 use eyre::WrapErr;
@@ -16,20 +16,27 @@
 /// Exit code for a wrong command line or settings file.
 const EXIT_USAGE: u8 = 2;
 
+/// Largest accepted settings file, in bytes.
+const MAX_SETTINGS_BYTES: usize = 1024 * 1024;
+
 /// Runs the daemon with the arguments behind the program's name.
 #[must_use]
 pub fn main(args: &[String]) -> ExitCode {
     match dispatch(args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("carobstepd: {report:#}");
-            exit_code(&report)
+            let kind = report.downcast_ref::<NodeError>().map(NodeError::kind);
+            match kind {
+                // Each line starts with the file, so that editors can jump to it.
+                Some(NodeErrorKind::Settings) => eprintln!("{report:#}"),
+                _ => eprintln!("carobstepd: {report:#}"),
+            }
+            exit_code(kind)
         }
     }
 }
 
-fn exit_code(report: &eyre::Report) -> ExitCode {
-    let kind = report.downcast_ref::<NodeError>().map(NodeError::kind);
+fn exit_code(kind: Option<NodeErrorKind>) -> ExitCode {
     match kind {
         Some(NodeErrorKind::Usage | NodeErrorKind::Settings) => ExitCode::from(EXIT_USAGE),
         _ => ExitCode::FAILURE,
@@ -51,7 +58,15 @@
 
 fn read_settings(path: &str) -> Result<Settings, NodeError> {
     let fail = |text: String| NodeError::new(NodeErrorKind::Settings, text);
-    let text = fs::read_to_string(path).map_err(|error| fail(format!("{path}: {error}")))?;
+    let mut text = String::new();
+    let file = File::open(path).map_err(|error| fail(format!("{path}: {error}")))?;
+    file.take(MAX_SETTINGS_BYTES as u64 + 1)
+        .read_to_string(&mut text)
+        .map_err(|error| fail(format!("{path}: {error}")))?;
+    if text.len() > MAX_SETTINGS_BYTES {
+        let limit = format!("the file is over the limit of {MAX_SETTINGS_BYTES} bytes");
+        return Err(fail(format!("{path}: {limit}")));
+    }
     Settings::parse(path, &text).map_err(|error| fail(error.to_string()))
 }
 
--- a/src/bin/carobstepd.rs
+++ b/src/bin/carobstepd.rs
@@ -1,8 +1,9 @@
 //! The daemon that runs on every entry VM.
 
-use std::process::ExitCode;
+use std::{env, process::ExitCode};
 
 fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<String> =
+        env::args_os().skip(1).map(|arg| arg.to_string_lossy().into_owned()).collect();
     carobstep_node::main(&args)
 }
