Count truncated and malformed connections on every listener, and test bad input

A first request that ended in the middle was closed and not counted, and neither was a malformed HTTP/2 frame: on the HTTP listeners hyper wraps the h2 error, on the peers listener a protocol error is a GOAWAY of this side, which the check took for one of the peer. Errors that this side found now count, resets and closed sockets don't. An idle HTTP/1.1 connection that was closed after 90 s counted as bad input and no longer does; nor does an incomplete message after the first request, since a caller that goes away before its answer looks the same.

Besides, a failed accept is retried after 10 ms in place of at once, the header section of a peer stream is bounded to 8 KiB, and HTTP/2 callers that went silent are found by probes. These three have no test of their own.

--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -1,6 +1,16 @@
 //! HTTP listeners with limits, and their graceful stop.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    error::Error,
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
@@ -12,7 +22,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Notify, watch},
+    sync::watch,
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -25,6 +35,15 @@
 /// which sends requests is the one that closes.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(90);
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time without a frame after which an HTTP/2 connection is probed.
+const PROBE_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Streams that one HTTP/2 connection may have open at the same time.
 const MAX_HTTP2_STREAMS: u32 = 1024;
 
@@ -93,8 +112,7 @@
     let connection_stop = stop.clone();
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((socket, remote)) = accepted else { continue };
+            (socket, remote) = accept(&listener) => {
                 let stop = connection_stop.clone();
                 connections.spawn(serve_connection(socket, remote, handler.clone(), limits, stop));
             }
@@ -105,6 +123,17 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Accepts the next connection; a failure is tried again after a pause.
+async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            // Without file descriptors, every call fails at once.
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 async fn serve_connection<H: RequestHandler>(
     socket: TcpStream,
     remote: SocketAddr,
@@ -114,9 +143,9 @@
 ) {
     // Without the option, small answers wait for the acknowledgement of earlier ones.
     let _ = socket.set_nodelay(true);
-    let first_request = Notify::new();
+    let started = AtomicBool::new(false);
     let service = service_fn(|request| {
-        first_request.notify_one();
+        started.store(true, Ordering::Relaxed);
         let handler = handler.clone();
         async move {
             let mut response = handler.handle(remote, request).await;
@@ -131,18 +160,21 @@
     let connection = builder.serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stopping = false;
-    let mut started = false;
+    let mut overdue = false;
     let first_deadline = sleep(limits.read_timeout);
     tokio::pin!(first_deadline);
     loop {
         tokio::select! {
-            () = first_request.notified(), if !started => started = true,
-            () = first_deadline.as_mut(), if !started => {
-                handler.count_bad_input();
-                return;
+            () = first_deadline.as_mut(), if !overdue => {
+                overdue = true;
+                if !started.load(Ordering::Relaxed) {
+                    handler.count_bad_input();
+                    return;
+                }
             }
             ended = connection.as_mut() => {
-                if ended.is_err_and(|error| is_bad_input(error.as_ref())) {
+                let started = started.load(Ordering::Relaxed);
+                if ended.is_err_and(|error| is_bad_input(error.as_ref(), started)) {
                     handler.count_bad_input();
                 }
                 return;
@@ -165,14 +197,24 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .keep_alive_interval(PROBE_INTERVAL)
+        .keep_alive_timeout(PROBE_TIMEOUT)
         .max_concurrent_streams(MAX_HTTP2_STREAMS)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
     builder
 }
 
 /// Whether a connection ended because of what was sent on it.
-fn is_bad_input(error: &(dyn std::error::Error + 'static)) -> bool {
-    error
-        .downcast_ref::<hyper::Error>()
-        .is_some_and(|error| error.is_parse() || error.is_timeout() || error.is_parse_too_large())
+///
+/// After the first request, a timeout means that the connection was idle, and
+/// an incomplete message may mean that the caller went away before its answer.
+fn is_bad_input(error: &(dyn Error + 'static), started: bool) -> bool {
+    let Some(error) = error.downcast_ref::<hyper::Error>() else { return false };
+    // An error that this side found, not a reset or a closed socket.
+    let is_bad_frame = error
+        .source()
+        .and_then(|source| source.downcast_ref::<h2::Error>())
+        .is_some_and(h2::Error::is_library);
+    let is_cut = error.is_incomplete_message() && !started;
+    error.is_parse() || error.is_parse_too_large() || is_bad_frame || is_cut
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,6 +1,6 @@
 //! Listener for peer nodes.
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
@@ -9,7 +9,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -25,6 +25,12 @@
 /// Time for a peer to send the whole body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Largest header section of a stream, in bytes.
+const MAX_HEADER_BYTES: u32 = 8 * 1024;
+
 /// Answers requests of peer nodes.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Answers one request. The future is dropped when the peer cancels.
@@ -45,8 +51,7 @@
     let connection_stop = stop.clone();
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((socket, _)) = accepted else { continue };
+            (socket, _) = accept(&listener) => {
                 let stop = connection_stop.clone();
                 connections.spawn(serve_connection(socket, handler.clone(), stop));
             }
@@ -57,6 +62,17 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Accepts the next connection; a failure is tried again after a pause.
+async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            // Without file descriptors, every call fails at once.
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 async fn serve_connection<H: PeerHandler>(
     socket: TcpStream,
     handler: Arc<H>,
@@ -68,6 +84,7 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_BYTES)
         .handshake::<_, Bytes>(socket);
     let Ok(Ok(mut connection)) = timeout(HANDSHAKE_TIMEOUT, handshake).await else {
         handler.count_bad_input();
@@ -81,7 +98,8 @@
                     tokio::spawn(serve_stream(request, respond, handler.clone()));
                 }
                 Some(Err(error)) => {
-                    if !error.is_io() && !error.is_go_away() {
+                    // An error that this side found, not a reset or a closed socket.
+                    if error.is_library() {
                         handler.count_bad_input();
                     }
                     return;
