--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -156,20 +156,21 @@
             let body = recorded.answer.as_deref().unwrap_or("null");
             return ran(id, body.as_bytes(), true);
         }
-        let detail = format!("service {:?}: the recorded outcome is unknown", self.claim.service);
+        let detail = format!("service {:?}: the recorded outcome is unknown", self.request.service);
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
         refuse(&self.context.counters, id, problem)
     }
 
     fn in_progress(&self) -> Response<AnswerBody> {
-        let detail = format!("service {:?}: the key's request is in progress", self.claim.service);
+        let detail =
+            format!("service {:?}: the key's request is in progress", self.request.service);
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ClaimInProgress, detail)
             .with_retry_after(DEFAULT_RETRY_AFTER);
         refuse(&self.context.counters, self.request.identity.request, problem)
     }
 
     fn refuse(&self, reason: RefusalReason, text: &str) -> Response<AnswerBody> {
-        let detail = format!("service {:?}: {text}", self.claim.service);
+        let detail = format!("service {:?}: {text}", self.request.service);
         let mut problem = Problem::new(Outcome::NotRun, reason, detail);
         if reason == RefusalReason::PlatformDown {
             problem = problem.with_retry_after(DEFAULT_RETRY_AFTER);
