Prove the limits while the platform and a node fail together

A lease and the platform's outage interact only when both fail at once: the platform is down or cut from a zone while a node of that zone is frozen or killed and restarted.

--- a/crates/bench/src/compare.rs
+++ b/crates/bench/src/compare.rs
@@ -143,7 +143,7 @@
     let millis = |micros: u64| micros as f64 / 1e3;
     let cores: f64 = report.cost.nodes.values().map(|node| node.cores).sum();
     let resident: u64 = report.cost.nodes.values().map(|node| node.resident_bytes).sum();
-    let calls: u64 = report.cost.platform_calls.values().sum();
+    let calls = report.cost.platform_calls.get("total").copied().unwrap_or(0);
     [
         ("search p50 ms", millis(searches.latency.p50_us)),
         ("search p99 ms", millis(searches.latency.p99_us)),
--- a/crates/bench/tests/proofs/limits.rs
+++ b/crates/bench/tests/proofs/limits.rs
@@ -84,6 +84,48 @@
     tokio::spawn(async move { run_load(&side, options).await })
 }
 
+struct DoubleCase {
+    name: &'static str,
+    platform: &'static str,
+    kill: bool,
+}
+
+const DOUBLE_CASES: [DoubleCase; 3] = [
+    DoubleCase { name: "down-frozen", platform: r#"{"down": true}"#, kill: false },
+    DoubleCase { name: "down-killed", platform: r#"{"down": true}"#, kill: true },
+    DoubleCase { name: "cut-killed", platform: r#"{"cut_zones": ["perth-a"]}"#, kill: true },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_when_the_platform_and_a_node_fail_together() {
+    for case in DOUBLE_CASES {
+        println!("case {}", case.name);
+        let mut run = ProofRun::start(&format!("limits-double-{}", case.name)).await;
+        let load = run.load(SEARCH_RATE, ORDER_RATE, 11);
+        pause(1_000).await;
+        let faults = serde_json::from_str(case.platform).unwrap();
+        run.deployment.platform_faults(&faults).await.unwrap();
+        pause(1_000).await;
+        if case.kill {
+            run.kill_node(0).await;
+        } else {
+            run.deployment.signal_node(0, ProcessSignal::Freeze).unwrap();
+        }
+        tokio::time::sleep(LEASE_TERM * 2).await;
+        if case.kill {
+            run.restart_node(0).await;
+        } else {
+            run.deployment.signal_node(0, ProcessSignal::Resume).unwrap();
+        }
+        pause(1_500).await;
+        let healed = json!({"down": false, "cut_zones": []});
+        run.deployment.platform_faults(&healed).await.unwrap();
+        run.require_recovery().await;
+        let samples = load.await.unwrap();
+        run.require_sound(&samples).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn hold_when_connections_go_silent_and_are_replaced() {
     let run = ProofRun::start("limits-silent").await;
