--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -23,8 +23,8 @@
 use crate::{
     context::{DEFAULT_RETRY_AFTER, NodeContext, NodeView},
     counters::NodeEvent,
-    problem::{AnswerBody, Problem},
-    service::{ServiceRequest, answer, ran, refuse, run_single},
+    problem::{AnswerBody, Problem, refuse},
+    service::{ServiceRequest, answer, ran, run_single},
 };
 
 /// Part of the deadline that taking the claim may use up.
@@ -55,7 +55,7 @@
     let Some(key) = request.key.clone() else {
         let detail = format!("service {:?} requires the header idempotency-key", request.service);
         let problem = Problem::new(Outcome::NotRun, RefusalReason::KeyMissing, detail);
-        return refuse(&context, id, problem);
+        return refuse(&context.counters, id, problem);
     };
     let claim = ClaimRequest {
         service: view.topology.service(service).name.clone(),
@@ -74,7 +74,7 @@
     work.await.unwrap_or_else(|error| {
         let detail = format!("order ended early: {error}");
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
-        refuse(&context, id, problem)
+        refuse(&context.counters, id, problem)
     })
 }
 
@@ -109,7 +109,7 @@
         let limit = self.deadline.since(BootTime::now()) / CLAIM_SHARE;
         let sight = |record: &ClaimRecord| owner_sight(&self.context, record);
         let deadline = Instant::now() + limit;
-        acquire_claim(self.context.store.as_ref(), &self.claim, sight, deadline).await
+        acquire_claim(self.context.claim_store.as_ref(), &self.claim, sight, deadline).await
     }
 
     async fn dispatch(self, version: ObjectVersion) -> Response<AnswerBody> {
@@ -132,7 +132,7 @@
         let Self { context, claim, .. } = self;
         let recording = tokio::spawn(async move {
             let deadline = Instant::now() + RECORD_LIMIT;
-            let store = context.store.as_ref();
+            let store = context.claim_store.as_ref();
             record_claim(store, &claim, version, outcome, body, deadline).await
         });
         // After the wait the caller is answered anyway: it has the outcome.
@@ -145,7 +145,7 @@
         let claim = self.claim.clone();
         tokio::spawn(async move {
             let deadline = Instant::now() + RECORD_LIMIT;
-            abandon_claim(context.store.as_ref(), &claim, deadline).await
+            abandon_claim(context.claim_store.as_ref(), &claim, deadline).await
         });
     }
 
@@ -158,14 +158,14 @@
         }
         let detail = format!("service {:?}: the recorded outcome is unknown", self.claim.service);
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
-        refuse(&self.context, id, problem)
+        refuse(&self.context.counters, id, problem)
     }
 
     fn in_progress(&self) -> Response<AnswerBody> {
         let detail = format!("service {:?}: the key's request is in progress", self.claim.service);
         let problem = Problem::new(Outcome::Unknown, RefusalReason::ClaimInProgress, detail)
             .with_retry_after(DEFAULT_RETRY_AFTER);
-        refuse(&self.context, self.request.identity.request, problem)
+        refuse(&self.context.counters, self.request.identity.request, problem)
     }
 
     fn refuse(&self, reason: RefusalReason, text: &str) -> Response<AnswerBody> {
@@ -174,7 +174,7 @@
         if reason == RefusalReason::PlatformDown {
             problem = problem.with_retry_after(DEFAULT_RETRY_AFTER);
         }
-        refuse(&self.context, self.request.identity.request, problem)
+        refuse(&self.context.counters, self.request.identity.request, problem)
     }
 }
 
