Probe a peer connection only when no reply came in the last second

Every open connection between two nodes was probed each second. At 430 nodes that is 429 probes out and 429 in, a cost that grows with the square of the fleet and would be spent on connections that carry 30 requests a second anyway. A reply now counts as a sign of life like a pong, so that the time without one stays at a second.

An idle connection is probed as before.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -7,6 +7,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use h2::{Ping, PingPong, client::SendRequest};
@@ -19,7 +20,7 @@
         mpsc::{self, UnboundedReceiver, UnboundedSender},
         oneshot, watch,
     },
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use bytes::Bytes;
@@ -89,6 +90,32 @@
     dead: watch::Receiver<bool>,
     /// Asks for a probe ahead of the interval.
     suspicion: Arc<Notify>,
+    last_sign: Arc<LastSign>,
+}
+
+/// When the peer last showed on a connection that it works.
+#[derive(Debug)]
+struct LastSign {
+    opened_at: Instant,
+    micros: AtomicU64,
+}
+
+impl LastSign {
+    fn new() -> Self {
+        Self { opened_at: Instant::now(), micros: AtomicU64::new(0) }
+    }
+
+    /// A reply or a pong came in.
+    fn renew(&self) {
+        let micros = u64::try_from(self.opened_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.micros.store(micros, Ordering::Relaxed);
+    }
+
+    /// When the peer is probed unless there is another sign before.
+    fn probe_at(&self) -> Instant {
+        let span = Duration::from_micros(self.micros.load(Ordering::Relaxed));
+        self.opened_at + span + PING_INTERVAL
+    }
 }
 
 impl PeerPool {
@@ -144,6 +171,7 @@
             biased;
             reply = exchange(connection.sender, address, frame) => {
                 let reply = reply?;
+                connection.last_sign.renew();
                 self.received_bytes.fetch_add(reply.len() as u64, Ordering::Relaxed);
                 decode(&reply)
             }
@@ -225,11 +253,13 @@
     let suspicion = Arc::new(Notify::new());
     let pings = connection.ping_pong();
     let probe_suspicion = suspicion.clone();
+    let last_sign = Arc::new(LastSign::new());
+    let probe_sign = last_sign.clone();
     tokio::spawn(async move {
         let report = |health| tell(&news, address, health);
         tokio::select! {
             _ = connection => {}
-            () = probe(pings, &probe_suspicion, pong_sender, &report) => {}
+            () = probe(pings, &probe_suspicion, &probe_sign, pong_sender, &report) => {}
         }
         report(PeerHealth::Unreachable);
         // The receivers may all be gone, and then nobody needs the news.
@@ -238,15 +268,18 @@
     // The kernel accepts connections for a process that is frozen, so that only
     // a pong shows that the peer works.
     match timeout(CONNECT_TIMEOUT, pong).await {
-        Ok(Ok(())) => Ok(PeerConnection { sender, dead, suspicion }),
+        Ok(Ok(())) => Ok(PeerConnection { sender, dead, suspicion, last_sign }),
         _ => Err(fail("no pong".to_owned())),
     }
 }
 
 /// Sends keep-alive probes, one at once, until one stays unanswered.
+///
+/// A reply shows as much as a pong, so that a busy connection needs no probe.
 async fn probe(
     pings: Option<PingPong>,
     suspicion: &Notify,
+    last_sign: &LastSign,
     first: oneshot::Sender<()>,
     report: &impl Fn(PeerHealth),
 ) {
@@ -268,6 +301,7 @@
         if !matches!(answered, Ok(Ok(_))) {
             return;
         }
+        last_sign.renew();
         if !healthy {
             healthy = true;
             report(PeerHealth::Reachable);
@@ -276,9 +310,20 @@
             // A failed send means that nobody waits for the connection any more.
             let _ = first.send(());
         }
+        rest(suspicion, last_sign).await;
+    }
+}
+
+/// Waits until the next probe is due or asked for.
+async fn rest(suspicion: &Notify, last_sign: &LastSign) {
+    loop {
+        let probe_at = last_sign.probe_at();
+        if Instant::now() >= probe_at {
+            return;
+        }
         tokio::select! {
-            () = sleep(PING_INTERVAL) => {}
-            () = suspicion.notified() => {}
+            () = sleep_until(probe_at) => {}
+            () = suspicion.notified() => return,
         }
     }
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -25,7 +25,7 @@
 /// Time for which a peer that could not be connected is not tried again.
 pub(crate) const CONNECT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Interval between keep-alive probes of a connection.
+/// Time without a reply or a pong after which a connection is probed.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time after which an unanswered probe marks the connection as dead.
