Wait longer between attempts to reach a peer that stays away

While a zone is gone its 43 nodes stay in the routes until their records are dropped after ten minutes, and every other node tried to connect to each of them every 250 ms: 172 attempts a second for one node where the connection is refused at once. The pause now doubles up to 2 s, 22 a second.

--- a/crates/node/src/peer_watch.rs
+++ b/crates/node/src/peer_watch.rs
@@ -7,8 +7,11 @@
 
 use crate::context::NodeContext;
 
-/// Time between two attempts to reach a peer again.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time before the first attempt to reach a peer again; it doubles each time.
+const FIRST_RECHECK: Duration = Duration::from_millis(250);
+
+/// Longest time between two attempts to reach a peer again.
+const MAX_RECHECK: Duration = Duration::from_secs(2);
 
 /// Applies every change of a peer's health to the router, for ever.
 pub async fn watch_peers(context: Arc<NodeContext>, mut news: UnboundedReceiver<PeerNews>) {
@@ -26,8 +29,10 @@
 
 /// Tries to reach a peer until it is usable again or no route leads to it.
 async fn recheck(context: Arc<NodeContext>, address: SocketAddr) {
+    let mut pause = FIRST_RECHECK;
     loop {
-        sleep(RECHECK_INTERVAL).await;
+        sleep(pause).await;
+        pause = MAX_RECHECK.min(pause * 2);
         if !context.is_unusable(address) {
             return;
         }
