--- a/crates/node/examples/control_cost/driver.rs
+++ b/crates/node/examples/control_cost/driver.rs
@@ -7,7 +7,9 @@
 
 use carobstep_clock::BootTime;
 use carobstep_control::{ControlEffect, ControlEvent, ControlOptions, ControlState, ReplyKey};
-use carobstep_platform::{ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoredObject};
+use carobstep_platform::{
+    ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
+};
 use carobstep_wire::{
     ControlMessage, ControlReply, FetchReply, NewsNotice, PeerReply, PeerRequest, VouchReply,
     encode,
@@ -45,6 +47,8 @@
     /// Digests that the node sent and that nobody answered yet.
     pub gossip: Vec<ControlMessage>,
     pub answer: Option<ControlReply>,
+    /// Whether every call to the platform fails.
+    pub platform_down: bool,
     version: u64,
     grants: IndexMap<String, Value>,
     leases: IndexMap<String, Value>,
@@ -79,6 +83,7 @@
             watching: false,
             gossip: Vec::new(),
             answer: None,
+            platform_down: false,
             version: 10_000,
             grants: fleet.grants(),
             leases,
@@ -107,6 +112,11 @@
     fn carry_out(&mut self, effect: ControlEffect) -> Option<ControlEvent> {
         match effect {
             ControlEffect::Object { call, object } => {
+                if self.platform_down {
+                    self.count_call("failed".to_owned(), 0);
+                    let error = StoreError::new(StoreErrorKind::NotSent, "down");
+                    return Some(ControlEvent::ObjectAnswer { call, result: Err(error) });
+                }
                 let reply = self.answer_call(object);
                 Some(ControlEvent::ObjectAnswer { call, result: Ok(reply) })
             }
@@ -123,6 +133,9 @@
                 None
             }
             ControlEffect::Watch { kind, .. } => {
+                if self.platform_down {
+                    return Some(ControlEvent::WatchLost { kind });
+                }
                 self.watching = true;
                 self.count_call(format!("watch {kind}"), 0);
                 Some(ControlEvent::WatchOpened { kind })
--- a/crates/node/examples/control_cost/main.rs
+++ b/crates/node/examples/control_cost/main.rs
@@ -311,6 +311,27 @@
     measure_digests(&mut trio, fleet, "after a takeover");
 }
 
+/// The platform is down for longer than a term, and comes back.
+fn measure_outage(fleet: &Fleet) {
+    let mut trio = Trio::new(fleet, 0);
+    trio.settle(fleet, 22);
+    for driver in [&mut trio.node, &mut trio.inside, &mut trio.outside] {
+        driver.platform_down = true;
+        driver.handle(ControlEvent::WatchLost { kind: ObjectKind::Config });
+        driver.handle(ControlEvent::WatchLost { kind: ObjectKind::Manifest });
+        driver.handle(ControlEvent::WatchLost { kind: ObjectKind::Grant });
+    }
+    trio.settle(fleet, 20);
+    trio.node.take_tally();
+    trio.settle(fleet, 60);
+    print_tally("platform down, 60 s", &trio.node.take_tally(), 60.0);
+    for driver in [&mut trio.node, &mut trio.inside, &mut trio.outside] {
+        driver.platform_down = false;
+    }
+    trio.settle(fleet, 10);
+    print_tally("platform back, 10 s", &trio.node.take_tally(), 10.0);
+}
+
 /// Every node of another zone is replaced at the same time.
 fn measure_zone_return(fleet: &Fleet) {
     let mut trio = Trio::new(fleet, 0);
@@ -389,5 +410,6 @@
         }
         measure_takeover(&fleet);
         measure_zone_return(&fleet);
+        measure_outage(&fleet);
     }
 }
