Send the configuration to peers compressed

Every node fetches every configuration once from a peer. The text repeats its keys, so that DEFLATE leaves a thirteenth. Sending differences would leave less, but needs a base that both sides are sure to share.

The copy is packed once for each version and handed on as it came.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 mod event;
 mod lease;
 mod options;
+mod packing;
 mod peers;
 mod random;
 mod record;
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -6,7 +6,10 @@
 use carobstep_wire::{ConfigCopy, ManifestCopy};
 use indexmap::IndexMap;
 
-use crate::record::ConfigRecord;
+use crate::{
+    packing::{pack, unpack},
+    record::ConfigRecord,
+};
 
 /// A configuration or manifest that could not be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,6 +66,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigSpread {
     config: Option<ConfigEntry>,
+    packed: Vec<u8>,
     manifests: IndexMap<IndexName, ManifestEntry>,
 }
 
@@ -93,7 +97,9 @@
         if record.version <= self.version() {
             return Ok(None);
         }
-        self.adopt(record.version, record.document.to_string())
+        let text = record.document.to_string();
+        let packed = pack(&text);
+        self.adopt(record.version, text, packed)
     }
 
     /// Takes in a peer's copy; returns the entry when it is newer.
@@ -105,13 +111,16 @@
         if copy.version <= self.version() {
             return Ok(None);
         }
-        self.adopt(copy.version, copy.document)
+        let name = format!("config {}", copy.version);
+        let text = unpack(&copy.packed).map_err(|error| SpreadError::new(name, &error))?;
+        self.adopt(copy.version, text, copy.packed)
     }
 
     fn adopt(
         &mut self,
         version: ConfigVersion,
         text: String,
+        packed: Vec<u8>,
     ) -> Result<Option<&ConfigEntry>, SpreadError> {
         let name = format!("config {version}");
         let document: Document =
@@ -119,6 +128,7 @@
         let topology = Topology::try_from((version, &document))
             .map_err(|error| SpreadError::new(&name, &error))?;
         let entry = ConfigEntry { topology: Arc::new(topology), document: text.into() };
+        self.packed = packed;
         Ok(Some(self.config.insert(entry)))
     }
 
@@ -171,12 +181,8 @@
     /// The configuration for a peer that has `version`.
     #[must_use]
     pub fn config_after(&self, version: ConfigVersion) -> Option<ConfigCopy> {
-        let entry = self.config.as_ref()?;
-        let copy = ConfigCopy {
-            version: entry.topology.version(),
-            document: entry.document.as_ref().to_owned(),
-        };
-        (copy.version > version).then_some(copy)
+        let newer = self.version() > version;
+        newer.then(|| ConfigCopy { version: self.version(), packed: self.packed.clone() })
     }
 
     /// The manifests for a peer that has these snapshots.
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -178,8 +178,8 @@
 pub struct ConfigCopy {
     /// Version of the document.
     pub version: ConfigVersion,
-    /// The document as JSON text.
-    pub document: String,
+    /// The document as compressed JSON text (DEFLATE, RFC 1951).
+    pub packed: Vec<u8>,
 }
 
 /// A manifest as JSON text.
