Bound the probes of idle peer connections by their number

Each idle connection was probed every second: at 430 nodes 429 probes a second out and as many in, 29 kB/s before TCP headers, 13 kB/s being the limit for control. All connections of a node now share 50 probes a second, so that the interval stays at a second up to 50 connections and is 8.6 s at 429. A probe ahead of each call on an idle connection was ruled out: it would cost today's fleets a round trip for each shard request at low rates. A call without a reply still asks for a probe after 50 ms.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -30,8 +30,9 @@
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
     stream::{
-        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_INTERVAL,
-        PING_SLOW, PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent, read_frame,
+        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_SLOW,
+        PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent, probe_interval,
+        read_frame,
     },
 };
 
@@ -64,6 +65,8 @@
 pub struct PeerPool {
     news: UnboundedSender<PeerNews>,
     slots: Mutex<IndexMap<SocketAddr, Arc<AsyncMutex<PeerSlot>>>>,
+    /// Counts the open connections by the references to it, less this one.
+    open: Arc<()>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
 }
@@ -98,11 +101,12 @@
 struct LastSign {
     opened_at: Instant,
     micros: AtomicU64,
+    open: Arc<()>,
 }
 
 impl LastSign {
-    fn new() -> Self {
-        Self { opened_at: Instant::now(), micros: AtomicU64::new(0) }
+    fn new(open: Arc<()>) -> Self {
+        Self { opened_at: Instant::now(), micros: AtomicU64::new(0), open }
     }
 
     /// A reply or a pong came in.
@@ -114,7 +118,8 @@
     /// When the peer is probed unless there is another sign before.
     fn probe_at(&self) -> Instant {
         let span = Duration::from_micros(self.micros.load(Ordering::Relaxed));
-        self.opened_at + span + PING_INTERVAL
+        let connections = Arc::strong_count(&self.open) - 1;
+        self.opened_at + span + probe_interval(connections)
     }
 }
 
@@ -126,6 +131,7 @@
         let pool = Self {
             news,
             slots: Mutex::default(),
+            open: Arc::default(),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
         };
@@ -210,7 +216,7 @@
         }
         // A call that is dropped while it connects counts as a failed attempt.
         *slot = PeerSlot::Failed { retry_at: Instant::now() + CONNECT_PAUSE };
-        let connection = connect(address, self.news.clone()).await;
+        let connection = connect(address, self.news.clone(), self.open.clone()).await;
         *slot = match &connection {
             Ok(connection) => PeerSlot::Open(connection.clone()),
             Err(_) => {
@@ -230,6 +236,7 @@
 async fn connect(
     address: SocketAddr,
     news: UnboundedSender<PeerNews>,
+    open: Arc<()>,
 ) -> Result<PeerConnection, WireError> {
     let fail = |text: String| {
         WireError::new(WireErrorKind::NotSent, format!("connect to peer {address}: {text}"))
@@ -253,7 +260,7 @@
     let suspicion = Arc::new(Notify::new());
     let pings = connection.ping_pong();
     let probe_suspicion = suspicion.clone();
-    let last_sign = Arc::new(LastSign::new());
+    let last_sign = Arc::new(LastSign::new(open));
     let probe_sign = last_sign.clone();
     tokio::spawn(async move {
         let report = |health| tell(&news, address, health);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,6 +24,7 @@
 pub use reason::{Outcome, RefusalReason, RetryReason};
 pub use server::{PeerHandler, serve_peers};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
+pub use stream::probe_interval;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -25,8 +25,11 @@
 /// Time for which a peer that could not be connected is not tried again.
 pub(crate) const CONNECT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time without a reply or a pong after which a connection is probed.
-pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Shortest time without a reply or a pong after which a connection is probed.
+const MIN_PING_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Shortest mean time between two probes of a node, over all its connections.
+const PING_SPACING: Duration = Duration::from_millis(20);
 
 /// Time after which an unanswered probe marks the connection as dead.
 pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(250);
@@ -37,6 +40,17 @@
 /// Time after which a call without a reply asks for a probe.
 pub(crate) const SUSPECT_AFTER: Duration = Duration::from_millis(50);
 
+/// Time without a reply or a pong after which each of a node's open
+/// connections to peers is probed.
+///
+/// It grows with the connections, so that the probes of a large fleet stay
+/// within a fixed rate.
+#[must_use]
+pub fn probe_interval(connections: usize) -> Duration {
+    let connections = u32::try_from(connections).unwrap_or(u32::MAX);
+    MIN_PING_INTERVAL.max(PING_SPACING.saturating_mul(connections))
+}
+
 /// Reads a whole body, which must stay within [`MAX_FRAME_BYTES`].
 pub(crate) async fn read_frame(mut body: RecvStream) -> Result<Bytes, WireError> {
     let mut frame = BytesMut::new();
