Look servers up in the topology that their keys belong to

Cause: between a decision and its sending the router's topology could be replaced, and the key then named another server, even for an order. Found by reading; no run showed it. The request's own topology is used now.

--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -177,7 +177,7 @@
             for action in batch {
                 match action {
                     RequestAction::Send(send) => {
-                        let server = self.server_name(send.server);
+                        let server = self.state.topology().server(send.server).name.clone();
                         let shard = self.map.shards[send.shard].name.clone();
                         self.attempts.send(&send, server, Some(shard));
                     }
@@ -191,10 +191,6 @@
         }
     }
 
-    fn server_name(&self, key: carobstep_config::ServerKey) -> carobstep_config::ServerName {
-        self.context.lock_router().topology().server(key).name.clone()
-    }
-
     /// Moves the whole query to the newest snapshot other than `avoid`.
     fn replan(&mut self, avoid: u64, actions: &mut Vec<RequestAction>) {
         let view = self.context.latest_view();
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{RepeatPolicy, ServiceEntry, ServiceKey};
+use carobstep_config::{RepeatPolicy, ServiceEntry, ServiceKey, Topology};
 use carobstep_dispatch::{RequestAction, SinglePlan, SingleReport, SingleState};
 use carobstep_wire::{Outcome, RefusalReason, RequestId};
 use http::{Response, StatusCode};
@@ -106,11 +106,11 @@
     let mut state = SingleState::new(plan);
     let mut actions = Vec::new();
     state.start(BootTime::now(), &mut context.lock_router(), &mut actions);
-    carry_out(context, &mut attempts, &mut actions);
+    carry_out(context, state.topology(), &mut attempts, &mut actions);
     while !state.is_finished() {
         let ended = attempts.next(state.next_wakeup()).await;
         step(context, &mut state, ended, &mut actions);
-        carry_out(context, &mut attempts, &mut actions);
+        carry_out(context, state.topology(), &mut attempts, &mut actions);
     }
     state.into_report()
 }
@@ -133,11 +133,16 @@
     }
 }
 
-fn carry_out(context: &NodeContext, attempts: &mut AttemptSet, actions: &mut Vec<RequestAction>) {
+fn carry_out(
+    context: &NodeContext,
+    topology: &Topology,
+    attempts: &mut AttemptSet,
+    actions: &mut Vec<RequestAction>,
+) {
     for action in actions.drain(..) {
         match action {
             RequestAction::Send(send) => {
-                let name = context.lock_router().topology().server(send.server).name.clone();
+                let name = topology.server(send.server).name.clone();
                 attempts.send(&send, name, None);
             }
             RequestAction::Cancel { attempt } => attempts.cancel(attempt),
