Let a node advertise another address than its peers' listener

The address that other nodes use was always that of the listener, so that nothing could stand between two nodes: no address translation, no relay. The optional setting peers_advertised names it. Connections to peers now come from the IP number of the node's own listener, so that the other end sees which VM they belong to; routes to the node itself stay local, since they are told by the node's name.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -47,6 +47,8 @@
     pub operators: SocketAddr,
     /// Listener for other nodes.
     pub peers: SocketAddr,
+    /// Address that other nodes use, if it is not that of the listener.
+    pub peers_advertised: Option<SocketAddr>,
     /// Address of the platform's object API.
     pub platform: SocketAddr,
     /// Peer addresses to try before the platform has answered.
@@ -154,6 +156,8 @@
         let callers = checker.address("callers", document.callers.as_ref());
         let operators = checker.address("operators", document.operators.as_ref());
         let peers = checker.address("peers", document.peers.as_ref());
+        let peers_advertised =
+            checker.remote_address("peers_advertised", document.peers_advertised.as_ref());
         let platform = checker.remote_address("platform", document.platform.as_ref());
         let metrics = checker.remote_address("metrics", document.metrics.as_ref());
         let fixed: Vec<_> =
@@ -174,6 +178,7 @@
                 callers: callers?.value,
                 operators: operators?.value,
                 peers: peers?.value,
+                peers_advertised: peers_advertised.map(|peers| peers.value),
                 platform: platform?.value,
                 seeds,
                 metrics: metrics.map(|metrics| metrics.value),
--- a/crates/config/src/settings/document.rs
+++ b/crates/config/src/settings/document.rs
@@ -20,6 +20,7 @@
     pub(super) callers: Option<Located<String>>,
     pub(super) operators: Option<Located<String>>,
     pub(super) peers: Option<Located<String>>,
+    pub(super) peers_advertised: Option<Located<String>>,
     pub(super) platform: Option<Located<String>>,
     pub(super) seeds: Vec<Located<String>>,
     pub(super) metrics: Option<Located<String>>,
@@ -95,6 +96,7 @@
         self.callers = root.required_text("callers", context);
         self.operators = root.required_text("operators", context);
         self.peers = root.required_text("peers", context);
+        self.peers_advertised = root.text("peers_advertised", context);
         self.platform = root.required_text("platform", context);
         self.seeds = root.texts("seeds", context);
         self.metrics = root.text("metrics", context);
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -28,6 +28,15 @@
     assert_eq!(least.lease.term, Duration::from_secs(6));
     assert_eq!(example.seeds.len(), 2);
     assert_eq!(least.metrics, None);
+    assert_eq!(least.peers_advertised, None);
+}
+
+#[test]
+fn advertised_address_stands_beside_the_listener() {
+    let text = format!("{LEAST}\"peers_advertised\": \"10.0.0.1:3\"}}");
+    let settings = Settings::parse("f", &text).expect("settings");
+    assert_eq!(settings.peers_advertised, "10.0.0.1:3".parse().ok());
+    assert_eq!(settings.peers.to_string(), "127.0.0.1:3");
 }
 
 #[parameterized(
@@ -72,6 +81,10 @@
         r#""seeds": ["10.0.0.1:1", "10.0.0.1:1"]}"#,
         "f:5: seeds: 10.0.0.1:1 is already used by seeds",
     },
+    advertised_nowhere = {
+        r#""peers_advertised": "10.0.0.1:0"}"#,
+        "f:5: peers_advertised: 10.0.0.1:0 is not an address that can be reached",
+    },
     metrics_nowhere = {
         r#""metrics": "0.0.0.0:8125"}"#,
         "f:5: metrics: 0.0.0.0:8125 is not an address that can be reached",
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -121,7 +121,7 @@
         let addresses = listeners.addresses()?;
         let (view_sender, view) = watch::channel(Arc::new(NodeView::default()));
         let (finished, handed_over) = watch::channel(false);
-        let (peers, news) = PeerPool::new();
+        let (peers, news) = PeerPool::new(Some(addresses.peers.ip()));
         let context = Arc::new(build_context(settings, addresses, peers, view));
         tokio::spawn(watch_peers(context.clone(), news));
         let arguments = ControlArguments { context: context.clone(), view: view_sender, finished };
@@ -203,7 +203,7 @@
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         region: settings.region.to_string(),
-        peer_address: addresses.peers,
+        peer_address: settings.peers_advertised.unwrap_or(addresses.peers),
         operators_address: addresses.operators,
         incarnation,
         seeds: settings.seeds.clone(),
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -2,7 +2,8 @@
 
 use std::{
     convert::Infallible,
-    net::SocketAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -14,7 +15,7 @@
 use indexmap::IndexMap;
 use strum::Display;
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     sync::{
         Mutex as AsyncMutex, Notify,
         mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -63,6 +64,8 @@
 /// the peer.
 #[derive(Debug)]
 pub struct PeerPool {
+    /// Where connections come from; the system's choice when `None`.
+    source: Option<IpAddr>,
     news: UnboundedSender<PeerNews>,
     slots: Mutex<IndexMap<SocketAddr, Arc<AsyncMutex<PeerSlot>>>>,
     /// Counts the open connections by the references to it, less this one.
@@ -125,10 +128,14 @@
 
 impl PeerPool {
     /// Builds an empty pool that reports the health of its peers.
+    ///
+    /// Its connections come from the IP number `source`, so that peers see
+    /// which VM they belong to; the system chooses when it is `None`.
     #[must_use]
-    pub fn new() -> (Self, UnboundedReceiver<PeerNews>) {
+    pub fn new(source: Option<IpAddr>) -> (Self, UnboundedReceiver<PeerNews>) {
         let (news, receiver) = mpsc::unbounded_channel();
         let pool = Self {
+            source,
             news,
             slots: Mutex::default(),
             open: Arc::default(),
@@ -216,7 +223,7 @@
         }
         // A call that is dropped while it connects counts as a failed attempt.
         *slot = PeerSlot::Failed { retry_at: Instant::now() + CONNECT_PAUSE };
-        let connection = connect(address, self.news.clone(), self.open.clone()).await;
+        let connection = connect(self.source, address, self.news.clone(), self.open.clone()).await;
         *slot = match &connection {
             Ok(connection) => PeerSlot::Open(connection.clone()),
             Err(_) => {
@@ -233,7 +240,22 @@
     let _ = news.send(PeerNews { address, health });
 }
 
+async fn open_socket(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // A source of the other address family can't reach the peer at all.
+    if let Some(source) = source.filter(|source| source.is_ipv4() == address.is_ipv4()) {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    let socket = socket.connect(address).await?;
+    socket.set_nodelay(true)?;
+    Ok(socket)
+}
+
 async fn connect(
+    source: Option<IpAddr>,
     address: SocketAddr,
     news: UnboundedSender<PeerNews>,
     open: Arc<()>,
@@ -242,8 +264,7 @@
         WireError::new(WireErrorKind::NotSent, format!("connect to peer {address}: {text}"))
     };
     let opened = async {
-        let socket = TcpStream::connect(address).await.map_err(|error| fail(error.to_string()))?;
-        socket.set_nodelay(true).map_err(|error| fail(error.to_string()))?;
+        let socket = open_socket(source, address).await.map_err(|error| fail(error.to_string()))?;
         h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -95,7 +95,7 @@
 #[tokio::test]
 async fn thousands_of_crossed_calls_get_their_own_bodies() {
     let (address, _handler, _stop) = start().await;
-    let pool = Arc::new(PeerPool::new().0);
+    let pool = Arc::new(PeerPool::new(None).0);
     let mut calls = Vec::new();
     for id in 0..2_000u128 {
         let pool = pool.clone();
@@ -115,7 +115,7 @@
 #[tokio::test]
 async fn dropping_a_call_cancels_it_at_the_peer() {
     let (address, handler, _stop) = start().await;
-    let (pool, _news) = PeerPool::new();
+    let (pool, _news) = PeerPool::new(None);
     let request = shard_request(1, &b"hang"[..]);
     let call = timeout(Duration::from_millis(300), pool.call(address, &request)).await;
     assert!(call.is_err());
@@ -128,12 +128,22 @@
     panic!("the peer did not see the cancellation");
 }
 
+#[tokio::test]
+async fn connections_come_from_the_source_of_the_pool() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let source = "127.0.0.7".parse().unwrap();
+    let (pool, _news) = PeerPool::new(Some(source));
+    let (accepted, _) = tokio::join!(listener.accept(), pool.check(address));
+    assert_eq!(accepted.unwrap().1.ip(), source);
+}
+
 #[tokio::test]
 async fn an_unreachable_peer_is_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let error = PeerPool::new().0.call(address, &shard_request(1, "x")).await.unwrap_err();
+    let error = PeerPool::new(None).0.call(address, &shard_request(1, "x")).await.unwrap_err();
     assert_eq!(error.kind(), WireErrorKind::NotSent);
 }
 
@@ -144,7 +154,7 @@
     let front_address = front.local_addr().unwrap();
     let (silence_sender, silence) = watch::channel(false);
     tokio::spawn(relay(front, address, silence));
-    let (pool, mut news) = PeerPool::new();
+    let (pool, mut news) = PeerPool::new(None);
     pool.call(front_address, &shard_request(1, "x")).await.unwrap();
     silence_sender.send(true).unwrap();
     let error = pool.call(front_address, &shard_request(2, "x")).await.unwrap_err();
@@ -162,7 +172,7 @@
     // The listener's backlog completes connections that nobody serves.
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let (pool, _news) = PeerPool::new();
+    let (pool, _news) = PeerPool::new(None);
     for id in 0..3 {
         let error = pool.call(address, &shard_request(id, "x")).await.unwrap_err();
         assert_eq!(error.kind(), WireErrorKind::NotSent);
@@ -190,7 +200,7 @@
 #[tokio::test]
 async fn garbage_is_counted_and_harms_no_other_call() {
     let (address, handler, _stop) = start().await;
-    let (pool, _news) = PeerPool::new();
+    let (pool, _news) = PeerPool::new(None);
     let mut socket = TcpStream::connect(address).await.unwrap();
     socket.write_all(&[0xff; 512]).await.unwrap();
     for _ in 0..500 {
@@ -206,7 +216,7 @@
 #[tokio::test]
 async fn a_stopping_listener_finishes_what_is_in_flight() {
     let (address, handler, stop) = start().await;
-    let pool = Arc::new(PeerPool::new().0);
+    let pool = Arc::new(PeerPool::new(None).0);
     let call = {
         let pool = pool.clone();
         tokio::spawn(async move { pool.call(address, &shard_request(2, "gate")).await })
