Prove what cut availability zones go on serving

Relays stand between the nodes of a proof and hold back what two cut zones send each other, as a path that loses every packet does: connections hang, and what was sent arrives once the path is restored. A zone is cut from all others and from the platform for more than four lease terms, once and twice in a row, and two zones are cut from each other, all under load.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 use crate::{
-    address::free_address,
+    address::{free_address, own_address},
     error::{BenchError, BenchErrorKind},
     http::{HttpCall, HttpClient},
     process::{ProcessGroup, ProcessKey, ProcessSignal},
@@ -56,6 +56,9 @@
     pub server_faults: Option<Value>,
     /// Backend servers that one process hosts.
     pub servers_per_process: usize,
+    /// Whether nodes reach each other through relays, which the caller runs
+    /// from [`NodeProcess::peers`] to [`NodeProcess::peers_listener`].
+    pub peer_relays: bool,
 }
 
 impl DeploymentOptions {
@@ -71,6 +74,7 @@
             hedge: HedgeDocument::default(),
             server_faults: None,
             servers_per_process: SERVERS_PER_PROCESS,
+            peer_relays: false,
         }
     }
 }
@@ -86,8 +90,10 @@
     pub callers: SocketAddr,
     /// Listener for operators.
     pub operators: SocketAddr,
-    /// Listener for peers.
+    /// Address that other nodes use.
     pub peers: SocketAddr,
+    /// Listener for peers.
+    pub peers_listener: SocketAddr,
     /// Its process; the last one after a restart.
     pub process: Option<ProcessKey>,
     /// Whether its process is frozen.
@@ -149,7 +155,7 @@
         fs::create_dir_all(&options.run_dir)
             .map_err(|error| output_error(&options.run_dir, &error))?;
         Ok(Self {
-            nodes: plan_nodes(&plan)?,
+            nodes: plan_nodes(&plan, options.peer_relays)?,
             servers: ServerPlan::plan(&plan)?,
             platform: free_address()?,
             client: Arc::new(HttpClient::default()),
@@ -221,7 +227,8 @@
             "zone": node.zone,
             "callers": node.callers.to_string(),
             "operators": node.operators.to_string(),
-            "peers": node.peers.to_string(),
+            "peers": node.peers_listener.to_string(),
+            "peers_advertised": node.peers.to_string(),
             "platform": self.platform.to_string(),
             "seeds": seeds,
         });
@@ -350,16 +357,20 @@
     }
 }
 
-fn plan_nodes(plan: &ScenarioPlan) -> Result<Vec<NodeProcess>, BenchError> {
+fn plan_nodes(plan: &ScenarioPlan, peer_relays: bool) -> Result<Vec<NodeProcess>, BenchError> {
     let mut nodes = Vec::new();
     for number in 0..plan.nodes_per_zone {
         for zone in plan.zones {
+            let peers = free_address()?;
+            // A relay tells the nodes apart by their IP numbers.
+            let peers_listener = if peer_relays { own_address(nodes.len())? } else { peers };
             nodes.push(NodeProcess {
                 name: format!("{zone}-{number}"),
                 zone,
                 callers: free_address()?,
                 operators: free_address()?,
-                peers: free_address()?,
+                peers,
+                peers_listener,
                 process: None,
                 frozen: false,
             });
--- a/crates/bench/tests/proofs/configuration.rs
+++ b/crates/bench/tests/proofs/configuration.rs
@@ -14,7 +14,7 @@
 
 /// Reads the version in force on each running node, and requires that no
 /// node went back since the last reading.
-async fn read_versions(run: &mut ProofRun, last: &mut BTreeMap<String, u64>) -> Vec<u64> {
+pub async fn read_versions(run: &mut ProofRun, last: &mut BTreeMap<String, u64>) -> Vec<u64> {
     let mut versions = Vec::new();
     for position in 0..run.deployment.nodes.len() {
         if !run.deployment.is_running(position) {
@@ -33,7 +33,7 @@
     versions
 }
 
-async fn require_in_force(run: &mut ProofRun, version: u64, last: &mut BTreeMap<String, u64>) {
+pub async fn require_in_force(run: &mut ProofRun, version: u64, last: &mut BTreeMap<String, u64>) {
     let start = Instant::now();
     loop {
         let versions = read_versions(run, last).await;
@@ -47,7 +47,7 @@
 }
 
 /// Submits the next version with a deadline that tells it from others.
-async fn submit(run: &ProofRun, version: u64) -> bool {
+pub async fn submit(run: &ProofRun, version: u64) -> bool {
     let mut document = serde_json::to_value(run.deployment.document()).unwrap();
     document["indexes"][run.deployment.plan.index]["deadline_ms"] = json!(1_000 + version);
     run.deployment.submit(version, &document).await.is_ok()
--- a/crates/bench/tests/proofs/main.rs
+++ b/crates/bench/tests/proofs/main.rs
@@ -12,6 +12,8 @@
 mod limits;
 mod not_run;
 mod orders;
+mod relay;
 mod snapshots;
 mod stopping;
 mod support;
+mod zones;
--- a/crates/bench/tests/proofs/support.rs
+++ b/crates/bench/tests/proofs/support.rs
@@ -15,6 +15,8 @@
     task::JoinHandle,
 };
 
+use crate::relay::PeerRelays;
+
 pub const READY_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Lease term and fence of the proofs; a takeover takes a few seconds.
@@ -56,6 +58,23 @@
         Self { deployment, side, _turn: turn }
     }
 
+    /// Starts a deployment whose nodes reach each other through relays.
+    pub async fn start_relayed(name: &str) -> (Self, PeerRelays) {
+        let turn = TURN.lock().await;
+        let mut options = options(name);
+        options.peer_relays = true;
+        let snapshots = options.snapshots.clone();
+        let plan = ScenarioPlan::from(ScenarioName::Demo);
+        let mut deployment = Deployment::start_without_nodes(plan, options).await.unwrap();
+        let relays = PeerRelays::start(&deployment.nodes).await;
+        for position in 0..deployment.nodes.len() {
+            deployment.start_node(position).await.unwrap();
+        }
+        deployment.wait_ready(READY_TIMEOUT).await.unwrap();
+        let side = CallerSide::new(&deployment, &snapshots);
+        (Self { deployment, side, _turn: turn }, relays)
+    }
+
     /// Starts searches and orders in the background.
     pub fn load(&self, search_rate: f64, order_rate: f64, seconds: u64) -> LoadTask {
         self.load_seeded(search_rate, order_rate, seconds, 1)
