Take no retry budget for requests that a fenced holder refuses

A search lacked a shard with "grant_fenced" although the other replica was idle: after a node of a cut zone was restarted, its grants were fenced, each refusal took one retry from the service's budget, and once it was used up the refusals went out to callers. The budget guards backend servers; a holder whose grant is fenced or whose lease has lapsed sends them nothing, so a retry after it is free, like one after "not_holder". Attempts per shard stay limited.

--- a/crates/dispatch/src/request/target.rs
+++ b/crates/dispatch/src/request/target.rs
@@ -311,7 +311,11 @@
 const fn is_free(reason: RefusalReason) -> bool {
     matches!(
         reason,
-        RefusalReason::NotHolder | RefusalReason::SnapshotGone | RefusalReason::SnapshotAhead
+        RefusalReason::NotHolder
+            | RefusalReason::LeaseLapsed
+            | RefusalReason::GrantFenced
+            | RefusalReason::SnapshotGone
+            | RefusalReason::SnapshotAhead
     )
 }
 
--- a/crates/dispatch/tests/query_rules.rs
+++ b/crates/dispatch/tests/query_rules.rs
@@ -224,6 +224,38 @@
     assert_eq!(report.covered().count(), 2);
 }
 
+struct BudgetCase {
+    reason: RefusalReason,
+    free: bool,
+}
+
+const BUDGET_CASES: [BudgetCase; 6] = [
+    BudgetCase { reason: RefusalReason::NotHolder, free: true },
+    BudgetCase { reason: RefusalReason::LeaseLapsed, free: true },
+    BudgetCase { reason: RefusalReason::GrantFenced, free: true },
+    BudgetCase { reason: RefusalReason::SnapshotGone, free: true },
+    BudgetCase { reason: RefusalReason::ServerShed, free: false },
+    BudgetCase { reason: RefusalReason::QueueFull, free: false },
+];
+
+#[test]
+fn refusal_by_a_holder_that_may_not_send_costs_no_retry_budget() {
+    for case in BUDGET_CASES {
+        let mut entry = entry(FleetRun { retry_percent: 0.0, ..CONFIG });
+        let mut retried = true;
+        // The first queries use up what the budget starts with.
+        for _ in 0..100 {
+            let mut query = entry.query();
+            let send = entry.sends()[0];
+            let (outcome, reason) = (Outcome::NotRun, case.reason);
+            let Entry { router, actions, .. } = &mut entry;
+            query.on_failure(at(1), send.attempt, outcome, reason, router, actions);
+            retried = !entry.sends().is_empty();
+        }
+        assert_eq!(retried, case.free, "{:?}", case.reason);
+    }
+}
+
 #[test]
 fn configuration_may_change_under_a_query() {
     let mut entry = entry(CONFIG);
