Prove cuts of all zones and of a zone that loses a node

Beside one zone and one pair of zones, all three zones are cut from each other and from the platform, and a node of a cut zone is killed at the cut and restarted after it.

--- a/crates/bench/tests/proofs/zones.rs
+++ b/crates/bench/tests/proofs/zones.rs
@@ -44,8 +44,10 @@
     pairs: &'static [ZonePair],
     /// Faults of the platform meanwhile.
     platform: &'static str,
-    /// Zone that does not reach the platform.
-    alone: Option<&'static str>,
+    /// Zones that don't reach the platform.
+    alone: &'static [&'static str],
+    /// Node that is killed at the start of the cut and restarted after it.
+    killed: Option<usize>,
 }
 
 const HEALED: &str = r#"{"cut_zones": [], "silent_zones": []}"#;
@@ -56,33 +58,49 @@
     name: "a zone cut from all, connections to the platform closed",
     pairs: ONE_FROM_ALL,
     platform: r#"{"cut_zones": ["perth-a"]}"#,
-    alone: Some("perth-a"),
+    alone: &["perth-a"],
+    killed: None,
 };
 
 const SILENT: ZoneCut = ZoneCut {
     name: "a zone cut from all, connections to the platform silent",
     pairs: ONE_FROM_ALL,
     platform: r#"{"silent_zones": ["perth-a"]}"#,
-    alone: Some("perth-a"),
+    alone: &["perth-a"],
+    killed: None,
 };
 
 const PAIR: ZoneCut = ZoneCut {
     name: "two zones cut from each other",
     pairs: &[("perth-a", "perth-b")],
     platform: HEALED,
-    alone: None,
+    alone: &[],
+    killed: None,
 };
 
+const APART: ZoneCut = ZoneCut {
+    name: "all zones cut from each other and from the platform",
+    pairs: &[("perth-a", "perth-b"), ("perth-a", "perth-c"), ("perth-b", "perth-c")],
+    platform: r#"{"silent_zones": ["perth-a", "perth-b", "perth-c"]}"#,
+    alone: &["perth-a", "perth-b", "perth-c"],
+    killed: None,
+};
+
+const KILLED: ZoneCut =
+    ZoneCut { name: "a zone cut from all, and one of its nodes killed", killed: Some(0), ..SILENT };
+
 impl ZoneCut {
     fn reaches(&self, from: &str, to: &str) -> bool {
         !self.pairs.iter().any(|pair| *pair == (from, to) || *pair == (to, from))
     }
 
-    /// Number of shards with a backend server that a zone's nodes reach.
-    fn reachable_shards(&self, deployment: &Deployment, zone: &str) -> usize {
+    /// Number of shards with a backend server that a zone's nodes reach, and
+    /// that is not among the `lost` ones.
+    fn reachable_shards(&self, deployment: &Deployment, zone: &str, lost: &[String]) -> usize {
         let searched: BTreeSet<String> = deployment.plan.searched_services().collect();
         let servers = deployment.servers.iter();
         let servers = servers.filter(|server| self.reaches(zone, server.zone));
+        let servers = servers.filter(|server| !lost.contains(&server.name));
         let services: BTreeSet<&String> = servers.map(|server| &server.service).collect();
         services.into_iter().filter(|service| searched.contains(*service)).count()
     }
@@ -102,18 +120,22 @@
         let held = relays.held();
         relays.cut(cut.pairs);
         run.deployment.platform_faults(&parse(cut.platform)).await.unwrap();
+        let lost = kill(&mut run, cut).await;
         pause(500).await;
         assert!(submit(&run, version).await);
         sleep_until(healed_at).await;
         assert!(relays.held() > held, "nothing came to the relays");
-        require_spread(&run, cut, version).await;
+        require_spread(&mut run, cut, version).await;
         run.deployment.platform_faults(&parse(HEALED)).await.unwrap();
         relays.cut(&[]);
+        if let Some(position) = cut.killed {
+            run.restart_node(position).await;
+        }
         require_in_force(&mut run, version, &mut last).await;
         run.require_recovery().await;
         for (zone, load) in loads {
             let load = load.await.unwrap();
-            require_served(&run, cut, zone, &load).await;
+            require_served(&run, cut, zone, &lost, &load).await;
             samples.extend(load);
         }
         run.require_sound(&samples).await;
@@ -125,13 +147,31 @@
     }
 }
 
+/// Kills the node of a cut, if it has one; returns the backend servers that
+/// nobody holds from then on.
+async fn kill(run: &mut ProofRun, cut: &ZoneCut) -> Vec<String> {
+    let Some(position) = cut.killed else { return Vec::new() };
+    let held = status(run, position).await["held"].clone();
+    run.kill_node(position).await;
+    serde_json::from_value(held).unwrap()
+}
+
+async fn status(run: &ProofRun, position: usize) -> Value {
+    let node = &run.deployment.nodes[position];
+    let call = HttpCall::get("/v1/status");
+    run.deployment.client.expect(node.operators, &call).await.unwrap()
+}
+
 /// Requires that a version submitted during the cut is in force where the
 /// platform or a peer that has it is reached, and nowhere else.
-async fn require_spread(run: &ProofRun, cut: &ZoneCut, version: u64) {
-    for node in &run.deployment.nodes {
-        let call = HttpCall::get("/v1/status");
-        let status = run.deployment.client.expect(node.operators, &call).await.unwrap();
-        let expected = if cut.alone == Some(node.zone) { version - 1 } else { version };
+async fn require_spread(run: &mut ProofRun, cut: &ZoneCut, version: u64) {
+    for position in 0..run.deployment.nodes.len() {
+        if !run.deployment.is_running(position) {
+            continue;
+        }
+        let status = status(run, position).await;
+        let node = &run.deployment.nodes[position];
+        let expected = if cut.alone.contains(&node.zone) { version - 1 } else { version };
         assert_eq!(status["config_version"], expected, "{}", node.name);
     }
 }
@@ -162,8 +202,14 @@
 }
 
 /// Requires that a zone's callers got what its nodes could still serve.
-async fn require_served(run: &ProofRun, cut: &ZoneCut, zone: &str, load: &[LoadSample]) {
-    let reachable = cut.reachable_shards(&run.deployment, zone);
+async fn require_served(
+    run: &ProofRun,
+    cut: &ZoneCut,
+    zone: &str,
+    lost: &[String],
+    load: &[LoadSample],
+) {
+    let reachable = cut.reachable_shards(&run.deployment, zone, lost);
     let detected = BEFORE_CUT + DETECTION..BEFORE_CUT + CUT;
     let mut short = Vec::new();
     for sample in load.iter().filter(|sample| sample.kind == SampleKind::Search) {
@@ -178,7 +224,7 @@
     let late = short.iter().filter(|sample| detected.contains(&sample.at)).count();
     println!("{zone}: {reachable} shards; {} searches short, {late} after detection", short.len());
     assert_eq!(late, 0, "{zone}: {short:?}");
-    if cut.alone != Some(zone) {
+    if !cut.alone.contains(&zone) {
         return;
     }
     let service = run.deployment.plan.order_service;
@@ -211,3 +257,13 @@
 async fn serve_what_they_reach_when_two_are_cut_from_each_other() {
     run_cuts("zones-pair", &[PAIR, PAIR]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_what_they_reach_when_all_are_apart() {
+    run_cuts("zones-apart", &[APART]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serve_what_they_reach_when_a_node_of_a_cut_zone_is_killed() {
+    run_cuts("zones-killed", &[KILLED]).await;
+}
