Split limits statically over the nodes for comparisons

The holders were chosen by arithmetic alone. The key split of the settings file lets a node use only its own share of each server's slots and connections, over direct connections and without grants, so that both can be measured with the same queues, connections and routers. The comparison gains the variant key split and prints requests sent, connections opened and violations.

--- a/crates/bench/src/compare.rs
+++ b/crates/bench/src/compare.rs
@@ -138,7 +138,7 @@
     measure(plan, deployment, load).await.map(|(report, _)| report)
 }
 
-fn report_figures(report: &LoadReport) -> [(&'static str, f64); 10] {
+fn report_figures(report: &LoadReport) -> [(&'static str, f64); 16] {
     let searches = &report.searches;
     let millis = |micros: u64| micros as f64 / 1e3;
     let cores: f64 = report.cost.nodes.values().map(|node| node.cores).sum();
@@ -149,12 +149,18 @@
         ("search p99 ms", millis(searches.latency.p99_us)),
         ("search p99.9 ms", millis(searches.latency.p999_us)),
         ("coverage", searches.mean_coverage),
+        ("searches full", searches.full as f64),
+        ("searches sent", searches.sent as f64),
         ("extra load", report.mean_extra_load),
         ("order p99 ms", millis(report.orders.latency.p99_us)),
         ("orders answered", report.orders.answered as f64),
+        ("orders sent", report.orders.sent as f64),
         ("cores of all nodes", cores),
         ("MB of all nodes", resident as f64 / 1e6),
         ("platform calls", calls as f64),
+        ("connections opened", report.cost.connections_opened as f64),
+        ("most at one server", report.cost.peak_connections as f64),
+        ("limit violations", report.cost.violations as f64),
     ]
 }
 
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -54,6 +54,8 @@
     pub hedge: HedgeDocument,
     /// Faults that every backend server starts with.
     pub server_faults: Option<Value>,
+    /// Whether the nodes split the limits among themselves, without grants.
+    pub split: bool,
     /// Backend servers that one process hosts.
     pub servers_per_process: usize,
 }
@@ -70,6 +72,7 @@
             node_settings: json!({}),
             hedge: HedgeDocument::default(),
             server_faults: None,
+            split: false,
             servers_per_process: SERVERS_PER_PROCESS,
         }
     }
@@ -225,6 +228,10 @@
             "platform": self.platform.to_string(),
             "seeds": seeds,
         });
+        if self.options.split {
+            let names: Vec<&str> = self.nodes.iter().map(|node| node.name.as_str()).collect();
+            settings["split"] = json!({ "nodes": names });
+        }
         if let (Some(settings), Some(extra)) =
             (settings.as_object_mut(), self.options.node_settings.as_object())
         {
@@ -281,7 +288,8 @@
     }
 
     /// Waits until every running node is ready and knows a running holder of
-    /// every backend server's grant, and every holder knows of its grants.
+    /// every backend server's grant, and every holder knows of its grants. In
+    /// a static split every server must be used by some node instead.
     ///
     /// # Errors
     ///
@@ -314,6 +322,9 @@
             }
             statuses.insert(node.name.clone(), status);
         }
+        if self.options.split {
+            return self.check_shares(&statuses);
+        }
         for server in &self.servers {
             for (node, status) in &statuses {
                 let route = status["routes"][&server.name].as_str();
@@ -328,6 +339,30 @@
         Ok(())
     }
 
+    /// Says which server no node has a share of, or is not routed to by a node
+    /// that has one.
+    fn check_shares(&self, statuses: &IndexMap<String, Value>) -> Result<(), String> {
+        for server in &self.servers {
+            let mut shared = false;
+            for (node, status) in statuses {
+                if !lists(&status["held"], &server.name) {
+                    continue;
+                }
+                shared = true;
+                if status["routes"][&server.name] != node.as_str() {
+                    return Err(format!(
+                        "node {node} does not route to its share of {}",
+                        server.name
+                    ));
+                }
+            }
+            if !shared {
+                return Err(format!("no node has a share of {}", server.name));
+            }
+        }
+        Ok(())
+    }
+
     /// Sums the counters of every running node that answers.
     pub async fn counters(&mut self) -> IndexMap<String, u64> {
         let mut sums = IndexMap::new();
--- a/crates/bench/src/variant.rs
+++ b/crates/bench/src/variant.rs
@@ -16,9 +16,9 @@
 /// What one side of a comparison does differently.
 ///
 /// Parsed from `KEY=VALUE,...`; an empty text changes nothing. Keys are
-/// `bin-dir`, `nodes-per-zone`, `hedge-percent`, `retry-percent` and
-/// `settings.PATH` for a setting of the nodes, such as
-/// `settings.lease.term_ms`.
+/// `bin-dir`, `nodes-per-zone`, `hedge-percent`, `retry-percent`, `split`
+/// (`true` for a static split of the limits over all nodes) and
+/// `settings.PATH` for a setting of the nodes, such as `settings.lease.term_ms`.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DeploymentVariant {
     changes: Vec<VariantChange>,
@@ -30,6 +30,7 @@
     NodesPerZone(usize),
     HedgePercent(f64),
     RetryPercent(f64),
+    Split(bool),
     Setting(Vec<String>, Value),
 }
 
@@ -58,6 +59,7 @@
                 VariantChange::NodesPerZone(count) => plan.nodes_per_zone = *count,
                 VariantChange::HedgePercent(percent) => options.hedge.hedge_percent = *percent,
                 VariantChange::RetryPercent(percent) => options.hedge.retry_percent = *percent,
+                VariantChange::Split(split) => options.split = *split,
                 VariantChange::Setting(path, value) => {
                     set(&mut options.node_settings, path, value);
                 }
@@ -78,6 +80,7 @@
         "nodes-per-zone" => value.parse().ok().map(VariantChange::NodesPerZone),
         "hedge-percent" => value.parse().ok().map(VariantChange::HedgePercent),
         "retry-percent" => value.parse().ok().map(VariantChange::RetryPercent),
+        "split" => value.parse().ok().map(VariantChange::Split),
         _ => None,
     }
 }
--- a/crates/bench/tests/compare.rs
+++ b/crates/bench/tests/compare.rs
@@ -20,7 +20,8 @@
 
 #[test]
 fn applies_every_change() {
-    let text = "bin-dir=/bin,nodes-per-zone=3,hedge-percent=0,settings.lease.term_ms=900";
+    let text =
+        "bin-dir=/bin,nodes-per-zone=3,hedge-percent=0,split=true,settings.lease.term_ms=900";
     let variant = DeploymentVariant::try_from(text).unwrap();
     let mut plan = ScenarioPlan::from(ScenarioName::Demo);
     let mut options = DeploymentOptions::new(Path::new("a"), Path::new("b"));
@@ -28,6 +29,7 @@
     assert_eq!(options.bin_dir, Path::new("/bin"));
     assert_eq!(plan.nodes_per_zone, 3);
     assert_eq!(options.hedge.hedge_percent, 0.0);
+    assert!(options.split);
     assert_eq!(options.node_settings["lease"]["term_ms"], 900);
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -34,7 +34,7 @@
 pub use record::{ConfigRecord, UtcTime};
 pub use settings::{
     GossipSettings, LeaseSettings, LimitSettings, LogLevel, Settings, SettingsDocument,
-    SettingsError, SettingsFault, StopSettings,
+    SettingsError, SettingsFault, SplitSettings, StopSettings,
 };
 pub use topology::{
     IndexEntry, IndexKey, ServerEntry, ServerKey, ServiceEntry, ServiceKey, Topology, ZoneKey,
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -63,6 +63,9 @@
     pub limits: LimitSettings,
     /// Timing of a graceful stop.
     pub stop: StopSettings,
+    /// Nodes that share the slots of every backend server in a static split;
+    /// without them grants decide.
+    pub split: Option<SplitSettings>,
 }
 
 /// Least level of log lines that are written.
@@ -132,6 +135,13 @@
     pub notice: Duration,
 }
 
+/// Nodes of a static split, for comparisons only.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SplitSettings {
+    /// All nodes of the region, this one among them.
+    pub nodes: Vec<NodeName>,
+}
+
 impl Settings {
     /// Parses and checks a settings file; `label` names it in messages.
     ///
@@ -166,6 +176,7 @@
         let gossip = check_gossip(&mut checker, &document.gossip);
         let limits = check_limits(&mut checker, &document.limits);
         let stop = check_stop(&mut checker, &document.stop);
+        let split = check_split(&mut checker, &document.split.nodes, node.as_ref());
         let checked = (|| {
             Some(Self {
                 node: node?,
@@ -182,6 +193,7 @@
                 gossip,
                 limits,
                 stop,
+                split,
             })
         })();
         let faults = checker.into_faults();
@@ -285,3 +297,25 @@
     checker.less(notice, drain);
     StopSettings { drain_timeout: drain.millis(), notice: notice.millis() }
 }
+
+fn check_split(
+    checker: &mut SettingsChecker,
+    texts: &[Located<String>],
+    own: Option<&NodeName>,
+) -> Option<SplitSettings> {
+    let first = texts.first()?;
+    let mut nodes: Vec<NodeName> = Vec::with_capacity(texts.len());
+    for text in texts {
+        let Some(node) = checker.name("split.nodes", Some(text.clone())) else { continue };
+        if nodes.contains(&node) {
+            checker.fault(text.line, "split.nodes", format!("node {node} stands twice"));
+            continue;
+        }
+        nodes.push(node);
+    }
+    let own = own?;
+    if !nodes.contains(own) {
+        checker.fault(first.line, "split.nodes", format!("node {own} is not in the list"));
+    }
+    Some(SplitSettings { nodes })
+}
--- a/crates/config/src/settings/document.rs
+++ b/crates/config/src/settings/document.rs
@@ -28,6 +28,7 @@
     pub(super) gossip: GossipDocument,
     pub(super) limits: LimitsDocument,
     pub(super) stop: StopDocument,
+    pub(super) split: SplitDocument,
 }
 
 /// The section `lease`.
@@ -64,6 +65,12 @@
     pub(super) notice_ms: Option<Located<u64>>,
 }
 
+/// The section `split`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct SplitDocument {
+    pub(super) nodes: Vec<Located<String>>,
+}
+
 impl SettingsDocument {
     /// Reads a settings file; `label` names it in messages.
     #[must_use]
@@ -83,6 +90,7 @@
         document.gossip = GossipDocument::read(&mut root, &mut context);
         document.limits = LimitsDocument::read(&mut root, &mut context);
         document.stop = StopDocument::read(&mut root, &mut context);
+        document.split = SplitDocument::read(&mut root, &mut context);
         root.finish(&mut context);
         document.faults = context.into_faults();
         document
@@ -155,3 +163,12 @@
         document
     }
 }
+
+impl SplitDocument {
+    fn read(root: &mut SectionReader<'_>, context: &mut ReadContext<'_>) -> Self {
+        let mut section = root.section("split", context);
+        let document = Self { nodes: section.texts("nodes", context) };
+        section.finish(context);
+        document
+    }
+}
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -28,6 +28,7 @@
     assert_eq!(least.lease.term, Duration::from_secs(6));
     assert_eq!(example.seeds.len(), 2);
     assert_eq!(least.metrics, None);
+    assert_eq!(least.split, None);
 }
 
 #[parameterized(
@@ -72,6 +73,11 @@
         r#""seeds": ["10.0.0.1:1", "10.0.0.1:1"]}"#,
         "f:5: seeds: 10.0.0.1:1 is already used by seeds",
     },
+    split_without_own = { r#""split": {"nodes": ["n2"]}}"#, "f:5: split.nodes: node n1 is not in the list" },
+    split_twice = {
+        r#""split": {"nodes": ["n1", "n2", "n1"]}}"#,
+        "f:5: split.nodes: node n1 stands twice",
+    },
     metrics_nowhere = {
         r#""metrics": "0.0.0.0:8125"}"#,
         "f:5: metrics: 0.0.0.0:8125 is not an address that can be reached",
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -23,6 +23,7 @@
     control_actor::ControlInput,
     counters::{CounterSet, NodeEvent},
     holder::HolderRegistry,
+    split::StaticSplit,
 };
 
 /// Time to come back when no better estimate exists.
@@ -63,6 +64,8 @@
     pub gates: Mutex<IndexMap<IndexName, AdmissionGate>>,
     /// The actor that carries out what the control state asks for.
     pub control_actor: OnceLock<ActorRef<ControlInput>>,
+    /// Shares that take the place of grants, in a comparison.
+    pub split: Option<StaticSplit>,
     /// Held backend servers.
     pub holders: HolderRegistry,
     /// Peer addresses that do not answer probes.
@@ -147,6 +150,10 @@
     ///
     /// Fails with the reason when the grant or the lease does not allow it.
     pub fn may_dispatch(&self, server: &ServerName) -> Result<(), RefusalReason> {
+        if self.split.is_some() {
+            // In a static split only the servers with a share have a holder.
+            return Ok(());
+        }
         self.lock_control().may_dispatch(BootTime::now(), server).map(|_| ())
     }
 
--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -6,7 +6,7 @@
 use carobstep_config::{
     IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerName, Topology,
 };
-use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey};
+use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, Route};
 use carobstep_platform::{ObjectCall, ObjectKind, ObjectStore, ObjectVersion};
 use carobstep_wire::{ControlMessage, ControlReply, PeerReply, PeerRequest};
 use indexmap::{IndexMap, IndexSet};
@@ -21,6 +21,7 @@
     context::{NodeContext, NodeView},
     counters::NodeEvent,
     holder::{HolderMessage, ServerLimits},
+    split::own_route,
 };
 
 /// Time for a peer to answer a control message.
@@ -150,6 +151,11 @@
             }
             ControlEffect::Watch { kind, after } => self.open_watch(kind, after),
             ControlEffect::Unwatch { kind } => self.close_watch(kind),
+            // In a static split the shares decide, and grants mean nothing.
+            ControlEffect::GrantTaken { .. }
+            | ControlEffect::GrantReleasing { .. }
+            | ControlEffect::GrantDropped { .. }
+                if self.context.split.is_some() => {}
             ControlEffect::GrantTaken { server, epoch } => {
                 log::info!(server = server.as_str(), epoch; "grant taken");
                 self.context.counters.event(NodeEvent::GrantsTaken);
@@ -239,7 +245,7 @@
     async fn start_holder(&self, server: &str) {
         let Some(key) = self.topology.find_server(server) else { return };
         let entry = self.topology.server(key);
-        let limits = self.limits_of(entry, self.leaving(entry));
+        let Some(limits) = self.limits_of(entry, self.leaving(entry)) else { return };
         let started = self.context.holders.start(self.context.clone(), &entry.name, limits).await;
         if let Err(error) = started {
             log::error!("{error}");
@@ -250,23 +256,49 @@
         log::info!(version = topology.version().0; "configuration in force");
         self.context.counters.event(NodeEvent::ConfigsInForce);
         self.topology = topology;
+        self.tell_router();
+        if self.context.split.is_some() {
+            self.hold_shares().await;
+        }
+    }
+
+    fn tell_router(&self) {
         let mut router = self.context.lock_router();
         router.set_topology(BootTime::now(), self.topology.clone());
         router.set_own_zone(self.context.settings.zone.as_str());
     }
 
+    /// Runs a holder for exactly the servers that this node has a share of.
+    async fn hold_shares(&self) {
+        for server in self.context.holders.servers() {
+            let key = self.topology.find_server(server.as_str());
+            let entry = key.map(|key| self.topology.server(key));
+            if entry.and_then(|entry| self.limits_of(entry, false)).is_none() {
+                self.context.holders.stop(&server);
+            }
+        }
+        for (_, entry) in self.topology.servers() {
+            self.start_holder(entry.name.as_str()).await;
+        }
+    }
+
     fn leaving(&self, entry: &ServerEntry) -> bool {
         self.context.lock_control().leaving_servers().any(|server| *server == entry.name)
     }
 
-    fn limits_of(&self, entry: &ServerEntry, leaving: bool) -> ServerLimits {
+    /// Limits under which this node may use a server; none without a share.
+    fn limits_of(&self, entry: &ServerEntry, leaving: bool) -> Option<ServerLimits> {
         let waiting = self.context.settings.limits.queue_per_server;
-        ServerLimits {
+        let whole = ServerLimits {
             address: entry.address,
             slots: entry.slots,
             connections: entry.connections,
             waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
             leaving,
+        };
+        match &self.context.split {
+            Some(split) => split.limits(&entry.name, whole),
+            None => Some(whole),
         }
     }
 
@@ -278,11 +310,15 @@
         let mut router = self.context.lock_router();
         let leaving_servers: IndexSet<&ServerName> = control.leaving_servers().collect();
         for (key, entry) in self.topology.servers() {
-            let route = control.holder_of(&entry.name);
             let leaving = leaving_servers.contains(&entry.name);
+            let limits = self.limits_of(entry, leaving);
+            let route = match &self.context.split {
+                Some(_) => limits.map(|_| own_route(&self.context.settings)),
+                None => control.holder_of(&entry.name),
+            };
             router.set_leaving(now, key, leaving);
-            if route.as_ref().is_some_and(|route| route.node == self.context.settings.node) {
-                let limits = self.limits_of(entry, leaving);
+            let own = |route: &Route| route.node == self.context.settings.node;
+            if let Some(limits) = limits.filter(|_| route.as_ref().is_some_and(own)) {
                 self.context.holders.tell(&entry.name, HolderMessage::Limits(limits));
             }
             routes.push(route);
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -39,6 +39,7 @@
     operators::OperatorHandler,
     peer_watch::watch_peers,
     peers::NodePeerHandler,
+    split::StaticSplit,
 };
 
 /// Largest body of an operator's request, in bytes.
@@ -233,6 +234,7 @@
         router: Mutex::new(Router::new(Arc::default(), zone.as_str(), random_seed, now)),
         gates: Mutex::default(),
         control_actor: OnceLock::new(),
+        split: StaticSplit::of(&settings),
         holders: HolderRegistry::default(),
         unusable_peers: Mutex::default(),
         stopping: AtomicBool::new(false),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 mod problem;
 mod search;
 mod service;
+mod split;
 
 pub use args::DaemonArgs;
 pub use callers::CallerHandler;
@@ -42,3 +43,4 @@
 pub use daemon::{NodeAddresses, RunningNode, run};
 pub use error::{NodeError, NodeErrorKind};
 pub use main_entry::main;
+pub use split::StaticSplit;
