Keep usable what fits of a manifest, and forget peers that are gone

Records of replaced peers stayed in the pool of connections for ever; the pool now keeps live peers and holders only.

--- a/crates/config/src/manifest.rs
+++ b/crates/config/src/manifest.rs
@@ -116,6 +116,34 @@
 }
 
 impl IndexManifest {
+    /// Checks a manifest and leaves out the snapshots that name services which
+    /// the configuration lacks.
+    ///
+    /// A manifest and the configuration that it needs are spread apart from
+    /// each other, so that either may come first; the snapshots that both know
+    /// stay usable meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no snapshot fits or their numbers do not grow.
+    pub fn fitting(
+        topology: &Topology,
+        document: &ManifestDocument,
+    ) -> Result<Self, ManifestError> {
+        let mut fitting = ManifestDocument { index: document.index.clone(), snapshots: Vec::new() };
+        let mut last_error = None;
+        for snapshot in &document.snapshots {
+            match check_snapshot(topology, &document.index, snapshot) {
+                Ok(_) => fitting.snapshots.push(snapshot.clone()),
+                Err(error) => last_error = Some(error),
+            }
+        }
+        match last_error {
+            Some(error) if fitting.snapshots.is_empty() => Err(error),
+            _ => Self::try_from((topology, &fitting)),
+        }
+    }
+
     /// The newest snapshot.
     #[must_use]
     pub fn newest(&self) -> &SnapshotMap {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! A paused clock, seeded samples and a model of one backend server behind its queue.
 
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test program uses a part of this module")]
 
 pub mod design;
 pub mod fleet;
--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -1,6 +1,6 @@
 //! Carries out what the control state asks for and publishes the node's view.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_config::{
@@ -202,7 +202,7 @@
         });
     }
 
-    fn send(&self, call: CallKey, to: std::net::SocketAddr, request: PeerRequest) {
+    fn send(&self, call: CallKey, to: SocketAddr, request: PeerRequest) {
         let context = self.context.clone();
         let myself = self.myself.clone();
         tokio::spawn(async move {
@@ -287,6 +287,8 @@
             }
             routes.push(route);
         }
+        let peers: IndexSet<SocketAddr> =
+            control.live_peers(now).map(|peer| peer.address).collect();
         drop(router);
         drop(control);
         let view = NodeView {
@@ -296,6 +298,7 @@
             ready: self.ready,
         };
         let view = Arc::new(view);
+        self.context.peers.retain(|address| view.leads_to(address) || peers.contains(&address));
         self.context.apply_routes(&view);
         self.view.send_replace(view);
     }
@@ -304,7 +307,7 @@
     fn checked_manifests(&self) -> IndexMap<IndexName, IndexManifest> {
         let mut manifests = IndexMap::new();
         for (name, document) in &self.manifests {
-            match IndexManifest::try_from((self.topology.as_ref(), document.as_ref())) {
+            match IndexManifest::fitting(&self.topology, document) {
                 Ok(manifest) => {
                     manifests.insert(name.clone(), manifest);
                 }
--- a/crates/node/src/holder/actor.rs
+++ b/crates/node/src/holder/actor.rs
@@ -12,9 +12,12 @@
 use carobstep_wire::{Outcome, RefusalReason, ShardResult};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::{sync::oneshot, time::sleep};
+use tokio::time::sleep;
 
-use super::job::{RunJob, RunKey};
+use super::{
+    exchange::{EndedExchange, Exchange},
+    job::{RunJob, RunKey},
+};
 use crate::{
     backend::{BackendConnection, BackendRequest, BackendResult, HealthReport},
     context::{DEFAULT_RETRY_AFTER, NodeContext},
@@ -84,18 +87,6 @@
     Wake,
 }
 
-/// How an exchange with the server ended.
-#[derive(Debug)]
-pub struct EndedExchange {
-    ticket: TicketKey,
-    key: ConnectionKey,
-    connection: Option<BackendConnection>,
-    result: BackendResult,
-    took: Duration,
-    /// Whether any part of the request may have reached the server.
-    sent: bool,
-}
-
 /// The actor type; its state is [`HolderState`].
 pub(super) struct HolderActor;
 
@@ -521,71 +512,3 @@
         idle_timeout: IDLE_TIMEOUT,
     }
 }
-
-/// One exchange with the server, from connecting to the whole reply.
-struct Exchange {
-    context: Arc<NodeContext>,
-    server: ServerName,
-    address: SocketAddr,
-    deadline: BootTime,
-    request: BackendRequest,
-}
-
-impl Exchange {
-    async fn run(
-        mut self,
-        ticket: TicketKey,
-        key: ConnectionKey,
-        connection: Option<BackendConnection>,
-        cancelled: oneshot::Receiver<()>,
-    ) -> EndedExchange {
-        let mut connection = match connection {
-            Some(connection) => Some(connection),
-            None => self.open().await,
-        };
-        let started = BootTime::now();
-        let (result, sent) = match connection.as_mut() {
-            Some(connection) => self.exchange(connection, cancelled).await,
-            None => (not_run(RefusalReason::ConnectFailed), false),
-        };
-        let took = BootTime::now().since(started);
-        EndedExchange { ticket, key, connection, result, took, sent }
-    }
-
-    async fn open(&self) -> Option<BackendConnection> {
-        let connection = BackendConnection::open(self.address).await.ok()?;
-        self.context.counters.event(NodeEvent::ConnectionsOpened);
-        Some(connection)
-    }
-
-    async fn exchange(
-        &mut self,
-        connection: &mut BackendConnection,
-        mut cancelled: oneshot::Receiver<()>,
-    ) -> (BackendResult, bool) {
-        // The lease may have lapsed while the connection was opened.
-        if let Err(reason) = self.context.may_dispatch(&self.server) {
-            return (not_run(reason), false);
-        }
-        self.request.budget = self.deadline.since(BootTime::now());
-        if self.request.budget.is_zero() {
-            return (not_run(RefusalReason::DeadlinePassed), false);
-        }
-        if !matches!(cancelled.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
-            return (not_run(RefusalReason::Cancelled), false);
-        }
-        self.context.counters.event(NodeEvent::ServerDispatches);
-        tokio::select! {
-            result = connection.exchange(&self.request) => (result, true),
-            _ = cancelled => (unknown(RefusalReason::Cancelled), true),
-        }
-    }
-}
-
-const fn not_run(reason: RefusalReason) -> BackendResult {
-    BackendResult::Failed { outcome: Outcome::NotRun, reason, retry_after: None, reusable: true }
-}
-
-const fn unknown(reason: RefusalReason) -> BackendResult {
-    BackendResult::Failed { outcome: Outcome::Unknown, reason, retry_after: None, reusable: false }
-}
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -4,6 +4,7 @@
 //! that server. The registry finds the actor for a shard request.
 
 mod actor;
+mod exchange;
 mod job;
 
 use std::sync::{
