--- a/crates/control/tests/grant_model/rules.rs
+++ b/crates/control/tests/grant_model/rules.rs
@@ -74,6 +74,8 @@
     pub deadline: u64,
     /// Whether answers of witnesses travel on their own.
     pub slow_answers: bool,
+    /// Whether takers hear of renewals by gossip before they read the lease.
+    pub hearsay: bool,
     /// Whether the holder may release its grant.
     pub releases: bool,
     /// Whether the holder may crash, come back and be gone from the VM list.
--- a/crates/control/tests/grant_model/spec.rs
+++ b/crates/control/tests/grant_model/spec.rs
@@ -106,6 +106,8 @@
     pub close: CloseCall,
     /// When the request was sent that the node's answer under way belongs to.
     pub answer: Option<BootTime>,
+    /// Version of the lease that the node heard of by gossip, and when.
+    pub heard: Option<(u64, BootTime)>,
     /// Witnesses told before the close, for a taker that does so.
     pub told_early: BTreeSet<u8>,
     /// From when the node may dispatch.
@@ -144,6 +146,7 @@
             takeover: None,
             close: CloseCall::Idle,
             answer: None,
+            heard: None,
             told_early: BTreeSet::new(),
             not_before: None,
         };
@@ -239,6 +242,9 @@
             }
         }
         for member in &mut self.members {
+            if let Some((_, heard_at)) = &mut member.heard {
+                *heard_at = older(*heard_at, size.term.max(FENCE) + DRIFT);
+            }
             if let Some(takeover) = &mut member.takeover {
                 takeover.map_times(|time| older(time, size.term.max(FENCE) + DRIFT));
             }
@@ -259,6 +265,7 @@
         if self.grant != GrantObject::Original {
             for member in &mut self.members {
                 member.takeover = None;
+                member.heard = None;
                 member.close = CloseCall::Idle;
                 member.told_early.clear();
             }
--- a/crates/control/tests/grant_model/steps.rs
+++ b/crates/control/tests/grant_model/steps.rs
@@ -204,12 +204,25 @@
         if member.close != CloseCall::Idle || self.from.grant != GrantObject::Original {
             return;
         }
+        let heard = member.heard;
+        let newest = self.from.holder.version;
+        let known = heard.map_or(0, |(version, _)| version);
+        if self.size.hearsay && self.from.holder.up {
+            for version in known + 1..=newest {
+                self.add(format!("node {node} hears of version {version}"), |state| {
+                    state.member_mut(node).heard = Some((version, NOW));
+                });
+            }
+        }
         self.add(format!("node {node} reads the holder's lease"), |state| {
             let view = state.view();
             let takeover = &mut state.member_mut(node).takeover;
             let known = takeover.is_some();
             let takeover = takeover.get_or_insert_with(|| Takeover::new(INCARNATION));
             takeover.observe(NOW, &view);
+            if let Some((version, heard_at)) = heard {
+                takeover.seen_earlier(ObjectVersion(version), heard_at);
+            }
             if known && !restarts {
                 takeover.seen_earlier(view.version, NOW - lapse);
             }
@@ -408,6 +421,7 @@
         member.witness.settle();
     }
     member.takeover = None;
+    member.heard = None;
     member.told_early.clear();
     member.answer = None;
     member.not_before = None;
