--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -7,6 +7,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use h2::{Ping, PingPong, client::SendRequest};
@@ -19,7 +20,7 @@
         mpsc::{self, UnboundedReceiver, UnboundedSender},
         oneshot, watch,
     },
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use bytes::Bytes;
@@ -29,8 +30,9 @@
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
     stream::{
-        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_INTERVAL,
-        PING_SLOW, PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent, read_frame,
+        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_SLOW,
+        PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent, probe_interval,
+        read_frame,
     },
 };
 
@@ -63,6 +65,8 @@
 pub struct PeerPool {
     news: UnboundedSender<PeerNews>,
     slots: Mutex<IndexMap<SocketAddr, Arc<AsyncMutex<PeerSlot>>>>,
+    /// Counts the open connections by the references to it, less this one.
+    open: Arc<()>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
 }
@@ -89,6 +93,34 @@
     dead: watch::Receiver<bool>,
     /// Asks for a probe ahead of the interval.
     suspicion: Arc<Notify>,
+    last_sign: Arc<LastSign>,
+}
+
+/// When the peer last showed on a connection that it works.
+#[derive(Debug)]
+struct LastSign {
+    opened_at: Instant,
+    micros: AtomicU64,
+    open: Arc<()>,
+}
+
+impl LastSign {
+    fn new(open: Arc<()>) -> Self {
+        Self { opened_at: Instant::now(), micros: AtomicU64::new(0), open }
+    }
+
+    /// A reply or a pong came in.
+    fn renew(&self) {
+        let micros = u64::try_from(self.opened_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.micros.store(micros, Ordering::Relaxed);
+    }
+
+    /// When the peer is probed unless there is another sign before.
+    fn probe_at(&self) -> Instant {
+        let span = Duration::from_micros(self.micros.load(Ordering::Relaxed));
+        let connections = Arc::strong_count(&self.open) - 1;
+        self.opened_at + span + probe_interval(connections)
+    }
 }
 
 impl PeerPool {
@@ -99,6 +131,7 @@
         let pool = Self {
             news,
             slots: Mutex::default(),
+            open: Arc::default(),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
         };
@@ -144,6 +177,7 @@
             biased;
             reply = exchange(connection.sender, address, frame) => {
                 let reply = reply?;
+                connection.last_sign.renew();
                 self.received_bytes.fetch_add(reply.len() as u64, Ordering::Relaxed);
                 decode(&reply)
             }
@@ -182,7 +216,7 @@
         }
         // A call that is dropped while it connects counts as a failed attempt.
         *slot = PeerSlot::Failed { retry_at: Instant::now() + CONNECT_PAUSE };
-        let connection = connect(address, self.news.clone()).await;
+        let connection = connect(address, self.news.clone(), self.open.clone()).await;
         *slot = match &connection {
             Ok(connection) => PeerSlot::Open(connection.clone()),
             Err(_) => {
@@ -202,6 +236,7 @@
 async fn connect(
     address: SocketAddr,
     news: UnboundedSender<PeerNews>,
+    open: Arc<()>,
 ) -> Result<PeerConnection, WireError> {
     let fail = |text: String| {
         WireError::new(WireErrorKind::NotSent, format!("connect to peer {address}: {text}"))
@@ -225,11 +260,13 @@
     let suspicion = Arc::new(Notify::new());
     let pings = connection.ping_pong();
     let probe_suspicion = suspicion.clone();
+    let last_sign = Arc::new(LastSign::new(open));
+    let probe_sign = last_sign.clone();
     tokio::spawn(async move {
         let report = |health| tell(&news, address, health);
         tokio::select! {
             _ = connection => {}
-            () = probe(pings, &probe_suspicion, pong_sender, &report) => {}
+            () = probe(pings, &probe_suspicion, &probe_sign, pong_sender, &report) => {}
         }
         report(PeerHealth::Unreachable);
         // The receivers may all be gone, and then nobody needs the news.
@@ -238,15 +275,18 @@
     // The kernel accepts connections for a process that is frozen, so that only
     // a pong shows that the peer works.
     match timeout(CONNECT_TIMEOUT, pong).await {
-        Ok(Ok(())) => Ok(PeerConnection { sender, dead, suspicion }),
+        Ok(Ok(())) => Ok(PeerConnection { sender, dead, suspicion, last_sign }),
         _ => Err(fail("no pong".to_owned())),
     }
 }
 
 /// Sends keep-alive probes, one at once, until one stays unanswered.
+///
+/// A reply shows as much as a pong, so that a busy connection needs no probe.
 async fn probe(
     pings: Option<PingPong>,
     suspicion: &Notify,
+    last_sign: &LastSign,
     first: oneshot::Sender<()>,
     report: &impl Fn(PeerHealth),
 ) {
@@ -268,6 +308,7 @@
         if !matches!(answered, Ok(Ok(_))) {
             return;
         }
+        last_sign.renew();
         if !healthy {
             healthy = true;
             report(PeerHealth::Reachable);
@@ -276,9 +317,20 @@
             // A failed send means that nobody waits for the connection any more.
             let _ = first.send(());
         }
+        rest(suspicion, last_sign).await;
+    }
+}
+
+/// Waits until the next probe is due or asked for.
+async fn rest(suspicion: &Notify, last_sign: &LastSign) {
+    loop {
+        let probe_at = last_sign.probe_at();
+        if Instant::now() >= probe_at {
+            return;
+        }
         tokio::select! {
-            () = sleep(PING_INTERVAL) => {}
-            () = suspicion.notified() => {}
+            () = sleep_until(probe_at) => {}
+            () = suspicion.notified() => return,
         }
     }
 }
