Turn ready once routes are known, and keep working peer connections

A log line at the refusal showed two faults. Nodes turned ready with the configuration but before the routes. And the pool, told to forget peers that are not live yet, closed working connections, which counted as unreachable peers: all five at once.

Ruled out: both replicas between two holders at once; the refusing nodes knew 15 of 15 routes.

Change: a node is ready once every service had a route, or after 5 s; the pool forgets only addresses without a working connection.

A holder now uses at most half of the lent connections, because a frozen holder keeps its own open while its successor works.

--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -4,9 +4,9 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{
-    IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerName, Topology,
+    IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerKey, ServerName, Topology,
 };
-use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey};
+use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, Route};
 use carobstep_platform::{ObjectCall, ObjectKind, ObjectStore, ObjectVersion};
 use carobstep_wire::{ControlMessage, ControlReply, PeerReply, PeerRequest};
 use indexmap::{IndexMap, IndexSet};
@@ -26,6 +26,10 @@
 /// Time for a peer to answer a control message.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which a node with a configuration waits for routes before
+/// it turns ready.
+const ROUTES_PATIENCE: Duration = Duration::from_secs(5);
+
 /// Messages to the control actor.
 #[derive(Debug)]
 pub enum ControlInput {
@@ -57,7 +61,12 @@
     finished: watch::Sender<bool>,
     topology: Arc<Topology>,
     manifests: IndexMap<IndexName, Arc<ManifestDocument>>,
+    /// Whether the control state is ready.
     ready: bool,
+    /// When the first configuration came into force.
+    configured: Option<BootTime>,
+    /// Whether every service had a route at some time, or the wait is over.
+    routed: bool,
     replies: IndexMap<ReplyKey, oneshot::Sender<ControlReply>>,
     next_reply: u64,
     watches: IndexMap<ObjectKind, AbortHandle>,
@@ -94,7 +103,7 @@
         for effect in effects {
             view_changed |= driver.carry_out(effect).await;
         }
-        if view_changed {
+        if view_changed || driver.awaits_routes() {
             driver.publish();
         }
         driver.schedule();
@@ -111,6 +120,8 @@
             topology: Arc::default(),
             manifests: IndexMap::new(),
             ready: false,
+            configured: None,
+            routed: false,
             replies: IndexMap::new(),
             next_reply: 0,
             watches: IndexMap::new(),
@@ -250,6 +261,7 @@
         log::info!(version = topology.version().0; "configuration in force");
         self.context.counters.event(NodeEvent::ConfigsInForce);
         self.topology = topology;
+        self.configured.get_or_insert_with(BootTime::now);
         let mut router = self.context.lock_router();
         router.set_topology(BootTime::now(), self.topology.clone());
         router.set_own_zone(self.context.settings.zone.as_str());
@@ -270,8 +282,26 @@
         }
     }
 
+    /// Whether the node is not ready only because it knows too few routes.
+    const fn awaits_routes(&self) -> bool {
+        self.ready && !self.routed
+    }
+
+    /// Whether every service has a route, or the wait for them is over.
+    ///
+    /// A node that has just started learns the configuration before the
+    /// routes; taking requests in between would refuse them for nothing.
+    fn has_routes(&self, now: BootTime, routes: &[Option<Route>]) -> bool {
+        let configured = self.configured.unwrap_or(now);
+        if now >= configured + ROUTES_PATIENCE {
+            return true;
+        }
+        let routed = |server: &ServerKey| routes.get(server.index()).is_some_and(Option::is_some);
+        self.topology.services().all(|(_, service)| service.servers.iter().any(routed))
+    }
+
     /// Rebuilds the view and tells the router and the holders what changed.
-    fn publish(&self) {
+    fn publish(&mut self) {
         let now = BootTime::now();
         let mut routes = Vec::new();
         let control = self.context.lock_control();
@@ -291,11 +321,12 @@
             control.live_peers(now).map(|peer| peer.address).collect();
         drop(router);
         drop(control);
+        self.routed |= self.configured.is_some() && self.has_routes(now, &routes);
         let view = NodeView {
             topology: self.topology.clone(),
             routes,
             manifests: self.checked_manifests(),
-            ready: self.ready,
+            ready: self.ready && self.routed,
         };
         let view = Arc::new(view);
         self.context.peers.retain(|address| view.leads_to(address) || peers.contains(&address));
--- a/crates/node/src/holder/actor.rs
+++ b/crates/node/src/holder/actor.rs
@@ -503,10 +503,13 @@
     }
 }
 
+/// A holder uses half of the lent connections: one that is frozen or cut off
+/// keeps its connections open while its successor opens its own.
 fn pool_limits(limits: ServerLimits) -> PoolLimits {
+    let connections = (limits.connections / 2).max(limits.slots);
     PoolLimits {
-        connections: limits.connections,
-        warm: (limits.slots + SPARE_CONNECTIONS).min(limits.connections),
+        connections,
+        warm: (limits.slots + SPARE_CONNECTIONS).min(connections),
         progress_timeout: PROGRESS_TIMEOUT,
         probe_interval: PROBE_INTERVAL,
         idle_timeout: IDLE_TIMEOUT,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -145,7 +145,7 @@
             return json_response(StatusCode::OK, &json!({ "ready": true }));
         }
         let stopping = self.context.stopping.load(Ordering::Relaxed);
-        let reason = if stopping { "stopping" } else { "no configuration" };
+        let reason = if stopping { "stopping" } else { "no configuration or routes" };
         let body = json!({ "ready": false, "reason": reason });
         json_response(StatusCode::SERVICE_UNAVAILABLE, &body)
     }
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -86,6 +86,12 @@
     },
 }
 
+impl PeerSlot {
+    fn is_open(&self) -> bool {
+        matches!(self, Self::Open(connection) if !*connection.dead.borrow())
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PeerConnection {
     sender: SendRequest<Bytes>,
@@ -144,13 +150,14 @@
         (self.sent_bytes.load(Ordering::Relaxed), self.received_bytes.load(Ordering::Relaxed))
     }
 
-    /// Forgets addresses for which `keep` is false and closes their connections
-    /// once their calls have ended.
+    /// Forgets addresses for which `keep` is false and that have no working
+    /// connection.
     pub fn retain(&self, mut keep: impl FnMut(SocketAddr) -> bool) {
-        self.slots
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .retain(|address, _| keep(*address));
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.retain(|address, slot| {
+            // A slot that is locked is being connected.
+            keep(*address) || slot.try_lock().map_or(true, |slot| slot.is_open())
+        });
     }
 
     /// Sends one request and waits for its reply.
