--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -1,12 +1,12 @@
 //! Carries out what the control state asks for and publishes the node's view.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_config::{
-    IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerName, Topology,
+    IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerKey, ServerName, Topology,
 };
-use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey};
+use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, Route};
 use carobstep_platform::{ObjectCall, ObjectKind, ObjectStore, ObjectVersion};
 use carobstep_wire::{ControlMessage, ControlReply, PeerReply, PeerRequest};
 use indexmap::{IndexMap, IndexSet};
@@ -21,11 +21,16 @@
     context::{NodeContext, NodeView},
     counters::NodeEvent,
     holder::{HolderMessage, ServerLimits},
+    split::own_route,
 };
 
 /// Time for a peer to answer a control message.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which a node with a configuration waits for routes before
+/// it turns ready.
+const ROUTES_PATIENCE: Duration = Duration::from_secs(5);
+
 /// Messages to the control actor.
 #[derive(Debug)]
 pub enum ControlInput {
@@ -57,7 +62,12 @@
     finished: watch::Sender<bool>,
     topology: Arc<Topology>,
     manifests: IndexMap<IndexName, Arc<ManifestDocument>>,
+    /// Whether the control state is ready.
     ready: bool,
+    /// When the first configuration came into force.
+    configured: Option<BootTime>,
+    /// Whether every service had a route at some time, or the wait is over.
+    routed: bool,
     replies: IndexMap<ReplyKey, oneshot::Sender<ControlReply>>,
     next_reply: u64,
     watches: IndexMap<ObjectKind, AbortHandle>,
@@ -94,7 +104,7 @@
         for effect in effects {
             view_changed |= driver.carry_out(effect).await;
         }
-        if view_changed {
+        if view_changed || driver.awaits_routes() {
             driver.publish();
         }
         driver.schedule();
@@ -111,6 +121,8 @@
             topology: Arc::default(),
             manifests: IndexMap::new(),
             ready: false,
+            configured: None,
+            routed: false,
             replies: IndexMap::new(),
             next_reply: 0,
             watches: IndexMap::new(),
@@ -150,6 +162,11 @@
             }
             ControlEffect::Watch { kind, after } => self.open_watch(kind, after),
             ControlEffect::Unwatch { kind } => self.close_watch(kind),
+            // In a static split the shares decide, and grants mean nothing.
+            ControlEffect::GrantTaken { .. }
+            | ControlEffect::GrantReleasing { .. }
+            | ControlEffect::GrantDropped { .. }
+                if self.context.split.is_some() => {}
             ControlEffect::GrantTaken { server, epoch } => {
                 log::info!(server = server.as_str(), epoch; "grant taken");
                 self.context.counters.event(NodeEvent::GrantsTaken);
@@ -202,7 +219,7 @@
         });
     }
 
-    fn send(&self, call: CallKey, to: std::net::SocketAddr, request: PeerRequest) {
+    fn send(&self, call: CallKey, to: SocketAddr, request: PeerRequest) {
         let context = self.context.clone();
         let myself = self.myself.clone();
         tokio::spawn(async move {
@@ -239,7 +256,7 @@
     async fn start_holder(&self, server: &str) {
         let Some(key) = self.topology.find_server(server) else { return };
         let entry = self.topology.server(key);
-        let limits = self.limits_of(entry, self.leaving(entry));
+        let Some(limits) = self.limits_of(entry, self.leaving(entry)) else { return };
         let started = self.context.holders.start(self.context.clone(), &entry.name, limits).await;
         if let Err(error) = started {
             log::error!("{error}");
@@ -250,52 +267,106 @@
         log::info!(version = topology.version().0; "configuration in force");
         self.context.counters.event(NodeEvent::ConfigsInForce);
         self.topology = topology;
+        self.configured.get_or_insert_with(BootTime::now);
+        self.tell_router();
+        if self.context.split.is_some() {
+            self.hold_shares().await;
+        }
+    }
+
+    fn tell_router(&self) {
         let mut router = self.context.lock_router();
         router.set_topology(BootTime::now(), self.topology.clone());
         router.set_own_zone(self.context.settings.zone.as_str());
     }
 
+    /// Runs a holder for exactly the servers that this node has a share of.
+    async fn hold_shares(&self) {
+        for server in self.context.holders.servers() {
+            let key = self.topology.find_server(server.as_str());
+            let entry = key.map(|key| self.topology.server(key));
+            if entry.and_then(|entry| self.limits_of(entry, false)).is_none() {
+                self.context.holders.stop(&server);
+            }
+        }
+        for (_, entry) in self.topology.servers() {
+            self.start_holder(entry.name.as_str()).await;
+        }
+    }
+
     fn leaving(&self, entry: &ServerEntry) -> bool {
         self.context.lock_control().leaving_servers().any(|server| *server == entry.name)
     }
 
-    fn limits_of(&self, entry: &ServerEntry, leaving: bool) -> ServerLimits {
+    /// Limits under which this node may use a server; none without a share.
+    fn limits_of(&self, entry: &ServerEntry, leaving: bool) -> Option<ServerLimits> {
         let waiting = self.context.settings.limits.queue_per_server;
-        ServerLimits {
+        let whole = ServerLimits {
             address: entry.address,
             slots: entry.slots,
             connections: entry.connections,
             waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
             leaving,
+        };
+        match &self.context.split {
+            Some(split) => split.limits(&entry.name, whole),
+            None => Some(whole),
+        }
+    }
+
+    /// Whether the node is not ready only because it knows too few routes.
+    const fn awaits_routes(&self) -> bool {
+        self.ready && !self.routed
+    }
+
+    /// Whether every service has a route, or the wait for them is over. In a
+    /// static split a node waits for none, since it may never have them all.
+    ///
+    /// A node that has just started learns the configuration before the
+    /// routes; taking requests in between would refuse them for nothing.
+    fn has_routes(&self, now: BootTime, routes: &[Option<Route>]) -> bool {
+        let configured = self.configured.unwrap_or(now);
+        if self.context.split.is_some() || now >= configured + ROUTES_PATIENCE {
+            return true;
         }
+        let routed = |server: &ServerKey| routes.get(server.index()).is_some_and(Option::is_some);
+        self.topology.services().all(|(_, service)| service.servers.iter().any(routed))
     }
 
     /// Rebuilds the view and tells the router and the holders what changed.
-    fn publish(&self) {
+    fn publish(&mut self) {
         let now = BootTime::now();
         let mut routes = Vec::new();
         let control = self.context.lock_control();
         let mut router = self.context.lock_router();
         let leaving_servers: IndexSet<&ServerName> = control.leaving_servers().collect();
         for (key, entry) in self.topology.servers() {
-            let route = control.holder_of(&entry.name);
             let leaving = leaving_servers.contains(&entry.name);
+            let limits = self.limits_of(entry, leaving);
+            let route = match &self.context.split {
+                Some(_) => limits.map(|_| own_route(&self.context.settings)),
+                None => control.holder_of(&entry.name),
+            };
             router.set_leaving(now, key, leaving);
-            if route.as_ref().is_some_and(|route| route.node == self.context.settings.node) {
-                let limits = self.limits_of(entry, leaving);
+            let own = |route: &Route| route.node == self.context.settings.node;
+            if let Some(limits) = limits.filter(|_| route.as_ref().is_some_and(own)) {
                 self.context.holders.tell(&entry.name, HolderMessage::Limits(limits));
             }
             routes.push(route);
         }
+        let peers: IndexSet<SocketAddr> =
+            control.live_peers(now).map(|peer| peer.address).collect();
         drop(router);
         drop(control);
+        self.routed |= self.configured.is_some() && self.has_routes(now, &routes);
         let view = NodeView {
             topology: self.topology.clone(),
             routes,
             manifests: self.checked_manifests(),
-            ready: self.ready,
+            ready: self.ready && self.routed,
         };
         let view = Arc::new(view);
+        self.context.peers.retain(|address| view.leads_to(address) || peers.contains(&address));
         self.context.apply_routes(&view);
         self.view.send_replace(view);
     }
@@ -304,7 +375,7 @@
     fn checked_manifests(&self) -> IndexMap<IndexName, IndexManifest> {
         let mut manifests = IndexMap::new();
         for (name, document) in &self.manifests {
-            match IndexManifest::try_from((self.topology.as_ref(), document.as_ref())) {
+            match IndexManifest::fitting(&self.topology, document) {
                 Ok(manifest) => {
                     manifests.insert(name.clone(), manifest);
                 }
