Keep the admission of searches from closing after one burst

Cause: the proof of own answers failed once in its second case: 2,000 searches at once in the first case had taught the gates a rate of about one search a second, and callers that never came back held the few places.

Change: the estimate is at least a quarter of what was let in, and the rate at least 10 searches a second for each node and index.

--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -45,7 +45,12 @@
 const CALM_PERIODS: u32 = 8;
 
 /// Lowest rate, in searches per second.
-const MIN_RATE: f64 = 1.0;
+const MIN_RATE: f64 = 10.0;
+
+/// Smallest estimate of what the servers carried, as a share of what was let in.
+///
+/// One burst says little about the rate that the servers can keep up.
+const MIN_CARRIED: f64 = 0.25;
 
 /// Time for which unused admissions are kept.
 const BURST: Duration = Duration::from_millis(50);
@@ -220,7 +225,8 @@
 
     /// Share of the needed shards that the servers did not refuse.
     fn carried_share(&self) -> f64 {
-        1.0 - self.shards_refused as f64 / self.shards.max(1) as f64
+        let refused = self.shards_refused as f64 / self.shards.max(1) as f64;
+        (1.0 - refused).max(MIN_CARRIED)
     }
 }
 
