Ask the lease again right before each write to a backend server

The lease was checked when a request was dispatched; between that check and the write lie a hand-over to the connection's task and a wakeup, and a process that is frozen just there writes a stale request when it wakes.

Ruled out: waiting requests (they are checked again when dispatched), requests that were running at the freeze (the successor waits for their deadlines).

Change: the connection's stream asks the lease and the grant before each write and fails the connection otherwise. The window is now the system call itself, which no process can close without the server's help.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -1,6 +1,12 @@
 //! One HTTP/1.1 connection to a backend server.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use carobstep_config::ShardName;
@@ -14,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::TcpStream,
     task::AbortHandle,
     time::timeout,
@@ -88,6 +94,57 @@
     },
 }
 
+/// Tells whether bytes may be written to the backend server now.
+pub type WriteFence = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// A socket that asks its fence right before each write.
+///
+/// The lease is checked when a request is dispatched, but the process may be
+/// frozen between that check and the write. The check here leaves only the
+/// system call itself in between.
+struct FencedStream {
+    socket: TcpStream,
+    fence: WriteFence,
+}
+
+impl AsyncRead for FencedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for FencedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        if !(self.fence)() {
+            let error = std::io::Error::other("the grant does not allow requests now");
+            return Poll::Ready(Err(error));
+        }
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
+
 /// An open connection that carries one request at a time.
 #[derive(Debug)]
 pub struct BackendConnection {
@@ -104,15 +161,16 @@
     /// # Errors
     ///
     /// Fails with the text of the cause when the server can't be reached in time.
-    pub async fn open(address: SocketAddr) -> Result<Self, std::io::Error> {
+    pub async fn open(address: SocketAddr, fence: WriteFence) -> Result<Self, std::io::Error> {
         let connect = async {
             let socket = TcpStream::connect(address).await?;
             socket.set_nodelay(true)?;
             let socket = socket.into_std()?;
             let twin = socket.try_clone()?;
             let socket = TcpStream::from_std(socket)?;
-            let (sender, connection) =
-                handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+            let (sender, connection) = handshake(TokioIo::new(FencedStream { socket, fence }))
+                .await
+                .map_err(std::io::Error::other)?;
             let driver = tokio::spawn(async move {
                 // The exchange sees the same error and reports it.
                 let _ = connection.await;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::{
+    backend::WriteFence,
     control_actor::ControlInput,
     counters::{CounterSet, NodeEvent},
     holder::HolderRegistry,
@@ -157,6 +158,13 @@
         self.lock_control().may_dispatch(BootTime::now(), server).map(|_| ())
     }
 
+    /// The fence of connections to a backend server.
+    pub fn write_fence(self: &Arc<Self>, server: &ServerName) -> WriteFence {
+        let context = self.clone();
+        let server = server.clone();
+        Arc::new(move || context.may_dispatch(&server).is_ok())
+    }
+
     /// Hands an event to the control actor.
     pub fn tell_control(&self, event: ControlEvent) {
         if let Some(actor) = self.control_actor.get() {
--- a/crates/node/src/holder/actor.rs
+++ b/crates/node/src/holder/actor.rs
@@ -447,8 +447,9 @@
         let myself = self.myself.clone();
         let address = self.limits.address;
         let context = self.context.clone();
+        let fence = context.write_fence(&self.server);
         tokio::spawn(async move {
-            let connection = BackendConnection::open(address).await.ok();
+            let connection = BackendConnection::open(address, fence).await.ok();
             if connection.is_some() {
                 context.counters.event(NodeEvent::ConnectionsOpened);
             } else {
--- a/crates/node/src/holder/exchange.rs
+++ b/crates/node/src/holder/exchange.rs
@@ -58,7 +58,10 @@
     }
 
     async fn open(&self) -> Option<BackendConnection> {
-        let connection = BackendConnection::open(self.address).await.ok()?;
+        let connection =
+            BackendConnection::open(self.address, self.context.write_fence(&self.server))
+                .await
+                .ok()?;
         self.context.counters.event(NodeEvent::ConnectionsOpened);
         Some(connection)
     }
