--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -196,6 +196,10 @@
 
     /// Whether a caller without a booking can be let in beside the booked ones.
     fn has_room(&self, now: BootTime, rate: f64) -> bool {
+        // Unused admissions show that the booked callers stay away.
+        if self.tokens >= burst(rate) {
+            return true;
+        }
         let booked = self.bookings.expected_by(now, now + BOOKED_AHEAD, false);
         let earned = rate * BOOKED_AHEAD.as_secs_f64();
         self.tokens >= 1.0 && self.tokens + earned - booked >= 1.0
--- a/crates/dispatch/tests/gate_rules.rs
+++ b/crates/dispatch/tests/gate_rules.rs
@@ -150,6 +150,24 @@
     }
 }
 
+#[test]
+fn callers_that_stay_away_do_not_hold_the_places_of_others() {
+    let mut gate = AdmissionGate::new(BootTime::ZERO, DEADLINE);
+    let mut now = BootTime::ZERO;
+    for caller in 0..200 {
+        now += Duration::from_millis(10);
+        if gate.offer(now, caller) == GateDecision::Admit {
+            gate.finish(now, now, SearchLoad { shards: SHARDS, refused: SHARDS });
+        }
+    }
+    assert!(gate.rate().is_some());
+    for caller in 1_000..3_000 {
+        gate.offer(now, caller);
+    }
+    now += Duration::from_millis(250);
+    assert_eq!(gate.offer(now, 9_000), GateDecision::Admit);
+}
+
 #[test]
 fn the_limit_is_lifted_when_the_overload_ends() {
     let mut gate = AdmissionGate::new(BootTime::ZERO, DEADLINE);
