--- a/crates/control/tests/spread_model.rs
+++ b/crates/control/tests/spread_model.rs
@@ -1,6 +1,9 @@
 //! Exhaustive search of configuration spread: a version in force never
 //! reverts, and nodes that reach each other end up with the newest one.
 
+use std::sync::LazyLock;
+
+use carobstep_config::ConfigVersion;
 use carobstep_control::ConfigSpread;
 use pathfinding::directed::bfs::{bfs, bfs_reach};
 use serde_json::json;
@@ -31,6 +34,56 @@
     LastArrival,
 }
 
+/// Versions a node may have, zero before the first.
+const HELD: usize = VERSIONS as usize + 1;
+
+/// What the product does, worked out once for each pair of versions.
+struct Outcomes {
+    /// Version in force at a node after an offer: `[held][offered]`.
+    offered: [[u64; HELD]; HELD],
+    /// Version of the receiver after an exchange: `[receiver][sender]`.
+    exchanged: [[u64; HELD]; HELD],
+    /// Version that a node sends as a copy, if it has one.
+    copied: [Option<u64>; HELD],
+}
+
+static OUTCOMES: LazyLock<Outcomes> = LazyLock::new(Outcomes::of_product);
+
+impl Outcomes {
+    fn of_product() -> Self {
+        let versions: [u64; HELD] = std::array::from_fn(|version| version as u64);
+        Self {
+            offered: versions.map(|held| versions.map(|version| offer(held, version))),
+            exchanged: versions.map(|held| versions.map(|sender| exchange(held, sender))),
+            copied: versions.map(|held| {
+                let copy = spread_at(held).config_after(ConfigVersion(0));
+                copy.map(|copy| copy.version.0)
+            }),
+        }
+    }
+}
+
+fn offer(held: u64, version: u64) -> u64 {
+    let mut spread = spread_at(held);
+    spread.offer_record(&record(version)).expect("the document is valid");
+    spread.version().0
+}
+
+fn exchange(held: u64, sender: u64) -> u64 {
+    let sender = spread_at(sender);
+    let mut receiver = spread_at(held);
+    if receiver.lacks(sender.version(), &[])
+        && let Some(copy) = sender.config_after(receiver.version())
+    {
+        receiver.offer_copy(copy).expect("the document is valid");
+    }
+    receiver.version().0
+}
+
+fn at(version: u64) -> usize {
+    usize::try_from(version).expect("a version is a small number")
+}
+
 fn spread_at(version: u64) -> ConfigSpread {
     let mut spread = ConfigSpread::default();
     if version > 0 {
@@ -45,10 +98,8 @@
 
 impl SpreadState {
     fn offer(&mut self, node: usize, version: u64, adoption: Adoption) {
-        let mut spread = spread_at(self.nodes[node]);
-        spread.offer_record(&record(version)).expect("the document is valid");
         self.nodes[node] = match adoption {
-            Adoption::Product => spread.version().0,
+            Adoption::Product => OUTCOMES.offered[at(self.nodes[node])][at(version)],
             Adoption::LastArrival => version,
         };
         self.highest[node] = self.highest[node].max(self.nodes[node]);
@@ -83,11 +134,10 @@
             next.push(after);
         }
         for from in 0..NODES {
-            let copy =
-                spread_at(state.nodes[from]).config_after(carobstep_config::ConfigVersion(0));
+            let copy = OUTCOMES.copied[at(state.nodes[from])];
             let Some(copy) = copy.filter(|_| from != node) else { continue };
             let mut after = state.clone();
-            after.copies[node] = Some(copy.version.0);
+            after.copies[node] = Some(copy);
             next.push(after);
         }
     }
@@ -122,22 +172,10 @@
         let mut after = state.clone();
         for from in 0..NODES {
             for to in 0..NODES {
-                exchange(&mut after, from, to);
-                exchange(&mut after, to, from);
+                after.nodes[to] = OUTCOMES.exchanged[at(after.nodes[to])][at(after.nodes[from])];
+                after.nodes[from] = OUTCOMES.exchanged[at(after.nodes[from])][at(after.nodes[to])];
             }
         }
         assert_eq!(after.nodes, [newest; NODES], "{state:?}");
     }
 }
-
-fn exchange(state: &mut SpreadState, from: usize, to: usize) {
-    let sender = spread_at(state.nodes[from]);
-    let mut receiver = spread_at(state.nodes[to]);
-    if !receiver.lacks(sender.version(), &[]) {
-        return;
-    }
-    if let Some(copy) = sender.config_after(receiver.version()) {
-        receiver.offer_copy(copy).expect("the document is valid");
-    }
-    state.nodes[to] = receiver.version().0;
-}
