--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -3,12 +3,11 @@
 use std::{
     env, fs,
     path::{Path, PathBuf},
-    process::{self, Command, Stdio},
+    process::{self, Command},
 };
 
 use carobstep_node::NodeEvent;
 use carobstep_wire::{RefusalReason, RetryReason};
-use rustix::process::{Pid, Signal, kill_process_group};
 use strum::IntoEnumIterator;
 use yare::parameterized;
 
@@ -17,6 +16,13 @@
 /// Address that the pages and their example files use.
 const PAGE_ADDRESS: &str = "127.0.0.77";
 
+/// Shows each command, and at the end how each background job stands; ends
+/// those that are left.
+const PRELUDE: &str = "\
+set -x
+trap 'set +x; jobs -l >&2; jobs -p > jobs; kill -KILL $(cat jobs) 2> /dev/null || true' EXIT
+";
+
 /// Longest run of one page, in seconds.
 const PAGE_TIMEOUT_SECONDS: &str = "300";
 
@@ -63,24 +69,16 @@
     let dir = stage(name, &address);
     let commands = blocks(&read(&format!("docs/{name}.md")), "sh").concat();
     assert!(commands.contains("carobstepd"), "{name} has no commands");
-    let script = format!("set -x\n{commands}").replace(PAGE_ADDRESS, &address);
+    let script = format!("{PRELUDE}{commands}").replace(PAGE_ADDRESS, &address);
     fs::write(dir.join("page.sh"), script).expect("the script");
     let programs = Path::new(env!("CARGO_BIN_EXE_carobstepd")).parent().expect("a directory");
     let path = format!("{}:{}", programs.display(), env::var("PATH").unwrap_or_default());
-    let child = Command::new("timeout")
+    let output = Command::new("timeout")
         .args(["-k", "10", PAGE_TIMEOUT_SECONDS, "sh", "-e", "page.sh"])
         .env("PATH", path)
         .current_dir(&dir)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
+        .output()
         .expect("sh runs");
-    let group = Pid::from_child(&child);
-    let output = child.wait_with_output().expect("sh ends");
-    if !output.status.success() {
-        // The program `timeout` leads the group of all that the page started.
-        let _ = kill_process_group(group, Signal::KILL);
-    }
     assert!(
         output.status.success(),
         "{name} ended with {} in {}\n{}\n{}",
