--- a/crates/control/src/state/holds.rs
+++ b/crates/control/src/state/holds.rs
@@ -190,11 +190,16 @@
             acquisition.retry_at = now + retry;
             self.get(Purpose::GrantRead(server.clone()), ObjectKind::Grant, server.as_str());
         }
-        let joined = self.lease.opened_at.is_some_and(|at| now >= at + self.options.grant.join);
-        self.phase == NodePhase::Serving
+        let since = self.lease.opened_at.unwrap_or(BootTime::MAX);
+        let joined = now >= since + self.options.grant.join;
+        // A list that is never answered must not keep a zone without holders.
+        let listed = self.sources.has_vms() || now >= since + self.options.lease.term;
+        let ready = self.phase == NodePhase::Serving
             && joined
             && self.is_lease_renewed(now)
             && self.sources.has_grants()
+            && listed;
+        ready && (!self.holds.is_empty() || self.records_membership())
     }
 
     fn begin_acquisition(&mut self, server: &ServerName) {
@@ -416,6 +421,9 @@
     }
 
     /// Keeps a grant whose release was never sent, unless the node is stopping.
+    ///
+    /// The grant is reported as dropped and taken anew, because what used the
+    /// server has shut down for the release.
     fn retry_release(&mut self, server: &ServerName) {
         let stopping = self.phase == NodePhase::Stopping;
         let Some(hold) = self.holds.get_mut(server) else { return };
@@ -425,8 +433,9 @@
             return;
         }
         hold.step = HoldStep::Held;
-        let (server, epoch) = (server.clone(), hold.epoch);
-        self.outbox.push(ControlEffect::GrantTaken { server, epoch });
+        let epoch = hold.epoch;
+        self.outbox.push(ControlEffect::GrantDropped { server: server.clone() });
+        self.outbox.push(ControlEffect::GrantTaken { server: server.clone(), epoch });
     }
 
     /// Takes in the reading that settles a release.
--- a/crates/control/tests/zone/main.rs
+++ b/crates/control/tests/zone/main.rs
@@ -2,5 +2,7 @@
 
 mod faults;
 mod grants;
+mod rates;
+mod rivals;
 mod spread;
 mod support;
--- a/crates/control/tests/zone/support.rs
+++ b/crates/control/tests/zone/support.rs
@@ -83,6 +83,8 @@
     pub state: ControlState,
     pub address: SocketAddr,
     pub alive: bool,
+    /// Whether the process never comes back.
+    pub gone: bool,
     pub reaches_store: bool,
     /// Writes that take effect although their answers are lost.
     pub lose_answers: u32,
@@ -91,6 +93,9 @@
     pub seen: Vec<ControlEffect>,
     pub stopped: bool,
     pub bytes_sent: usize,
+    pub bytes_received: usize,
+    /// Calls to the store that named a lease, whether or not they arrived.
+    pub lease_calls: u64,
     watches: IndexMap<ObjectKind, u64>,
 }
 
@@ -133,14 +138,20 @@
 
 /// A configuration with `services` services of two servers each in zone `z1`.
 pub fn config(version: u64, services: usize) -> Value {
+    config_in(version, services, 1)
+}
+
+/// A configuration whose services take turns over `zones` zones from `z1` on.
+pub fn config_in(version: u64, services: usize, zones: usize) -> Value {
     let mut entries = serde_json::Map::new();
     for service in 0..services {
         let mut servers = serde_json::Map::new();
         for replica in 0..2 {
             let port = 20_000 + 2 * service + replica;
+            let zone = format!("z{}", 1 + service % zones);
             let name = format!("s{service}-{replica}");
             let address = format!("127.0.0.1:{port}");
-            let entry = json!({"zone": "z1", "address": address, "slots": 2, "connections": 4});
+            let entry = json!({"zone": zone, "address": address, "slots": 2, "connections": 4});
             servers.insert(name, entry);
         }
         entries.insert(format!("s{service}"), json!({"deadline_ms": 500, "servers": servers}));
@@ -172,12 +183,15 @@
             state,
             address,
             alive: true,
+            gone: false,
             reaches_store: true,
             lose_answers: 0,
             drains: true,
             seen: Vec::new(),
             stopped: false,
             bytes_sent: 0,
+            bytes_received: 0,
+            lease_calls: 0,
             watches: IndexMap::new(),
         });
     }
@@ -189,6 +203,14 @@
         self.nodes[at] = fresh;
     }
 
+    /// Ends a node for good, and takes it off the VM list.
+    pub fn remove(&mut self, at: usize) {
+        self.nodes[at].alive = false;
+        self.nodes[at].gone = true;
+        let address = self.nodes[at].address.to_string();
+        self.store.vms.retain(|vm| vm.address != address);
+    }
+
     /// Lets time pass in steps.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
@@ -257,8 +279,12 @@
                 self.pending.push_back((at, ControlEvent::ObjectAnswer { call, result }));
             }
             ControlEffect::Send { call, to, message } => {
-                self.nodes[at].bytes_sent += encoded_len(&message);
+                let sent = encoded_len(&message);
+                self.nodes[at].bytes_sent += sent;
                 let result = self.deliver(at, to, message);
+                if let Ok(answer) = &result {
+                    self.nodes[at].bytes_received += encoded_len(answer);
+                }
                 self.pending.push_back((at, ControlEvent::Replied { call, result }));
             }
             ControlEffect::Watch { kind, after } => {
@@ -267,10 +293,12 @@
             ControlEffect::Unwatch { kind } => {
                 self.nodes[at].watches.swap_remove(&kind);
             }
-            ControlEffect::GrantReleasing { server } => {
+            ControlEffect::GrantReleasing { ref server } => {
                 if self.nodes[at].drains {
+                    let server = server.clone();
                     self.pending.push_back((at, ControlEvent::ServerIdle { server, idle: true }));
                 }
+                self.nodes[at].seen.push(effect);
             }
             ControlEffect::StopFinished => self.nodes[at].stopped = true,
             other => self.nodes[at].seen.push(other),
@@ -279,6 +307,12 @@
 
     fn call_store(&mut self, at: usize, call: ObjectCall) -> Result<ObjectReply, StoreError> {
         let node = &mut self.nodes[at];
+        let of_lease = matches!(
+            &call,
+            ObjectCall::Get { kind: ObjectKind::Lease, .. }
+                | ObjectCall::Put { kind: ObjectKind::Lease, .. }
+        );
+        node.lease_calls += u64::from(of_lease);
         if !node.reaches_store {
             return Err(StoreError::new(StoreErrorKind::NotSent, "cut"));
         }
@@ -304,6 +338,7 @@
         if cut || !self.nodes[at].alive || at == from {
             return Err(PeerFailure);
         }
+        self.nodes[at].bytes_received += encoded_len(&message);
         let mut effects = Vec::new();
         let reply = carobstep_control::ReplyKey(0);
         let event = ControlEvent::Received { reply, message };
