--- a/crates/bench/src/seed.rs
+++ b/crates/bench/src/seed.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use carobstep_config::{
-    Document, HedgeDocument, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
+    ConfigDocument, HedgeDocument, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
     ServiceDocument,
 };
 use indexmap::IndexMap;
@@ -131,8 +131,8 @@
 
     /// The configuration document of the deployment.
     #[must_use]
-    pub fn document(&self) -> Document {
-        let mut document = Document::default();
+    pub fn document(&self) -> ConfigDocument {
+        let mut document = ConfigDocument::default();
         for (name, group) in self.plan.services() {
             let servers = self.servers.iter().filter(|server| server.service == name);
             let servers = servers.map(|server| (server.name.clone(), server_document(server)));
--- a/crates/bench/tests/deployment.rs
+++ b/crates/bench/tests/deployment.rs
@@ -7,7 +7,7 @@
     Deployment, DeploymentOptions, HttpCall, ScenarioName, ScenarioPlan, ServerReport,
 };
 use carobstep_config::{
-    ConfigVersion, Document, IndexManifest, ManifestDocument, ServerState, Topology,
+    ConfigDocument, ConfigTopology, ConfigVersion, IndexManifest, ManifestDocument, ServerState,
 };
 use serde_json::json;
 
@@ -27,8 +27,8 @@
     for scenario in [ScenarioName::Demo, ScenarioName::Perth, ScenarioName::Ireland] {
         let deployment = start(&format!("seed-{scenario}"), scenario).await;
         let record = read(&deployment, "/objects/config/current").await;
-        let document: Document = serde_json::from_value(record["document"].clone()).unwrap();
-        let topology = Topology::try_from((ConfigVersion(1), &document)).unwrap();
+        let document: ConfigDocument = serde_json::from_value(record["document"].clone()).unwrap();
+        let topology = ConfigTopology::try_from((ConfigVersion(1), &document)).unwrap();
         assert_eq!(topology.servers().count(), deployment.servers.len());
         assert!(topology.servers().all(|(_, server)| server.state == ServerState::Active));
         let path = format!("/objects/manifest/{}", deployment.plan.index);
--- a/crates/client/src/publish.rs
+++ b/crates/client/src/publish.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use carobstep_config::{
-    AuthorName, ConfigRecord, Document, IndexManifest, ManifestDocument, PatchId, Topology,
-    parse_jsonc,
+    AuthorName, ConfigDocument, ConfigRecord, ConfigTopology, IndexManifest, ManifestDocument,
+    PatchId, parse_jsonc,
 };
 use carobstep_platform::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoreErrorKind, StoredObject,
+    ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoreErrorKind, StoredObject, WriteCondition,
 };
 use serde_json::{Value, json};
 use tokio::time;
@@ -31,7 +31,7 @@
 struct ObjectWrite<'a> {
     kind: ObjectKind,
     name: &'a str,
-    condition: Condition,
+    condition: WriteCondition,
     value: Value,
 }
 
@@ -47,7 +47,7 @@
     author: &AuthorName,
     text: &str,
 ) -> Result<CommandReport, ClientError> {
-    let document = Document::parse(text)
+    let document = ConfigDocument::parse(text)
         .map_err(|error| ClientError::new(ExitStatus::Refused, error.to_string()))?;
     let record =
         ConfigRecord::first(id, author, now(), document).map_err(|error| refusal(&error))?;
@@ -59,7 +59,7 @@
     let write = ObjectWrite {
         kind: ObjectKind::Config,
         name: CURRENT_NAME,
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value: record_value(&record),
     };
     if let Some(found) = write_once(store, &write).await? {
@@ -96,7 +96,7 @@
 ) -> Result<CommandReport, ClientError> {
     let document = parse_manifest(index, text)?;
     let record = current(store).await?;
-    let topology = Topology::try_from((record.version, &record.document))
+    let topology = ConfigTopology::try_from((record.version, &record.document))
         .map_err(|error| ClientError::new(ExitStatus::Failure, error.to_string()))?;
     let manifest =
         IndexManifest::try_from((&topology, &document)).map_err(|error| refused(&error))?;
@@ -109,7 +109,8 @@
     let write = ObjectWrite {
         kind: ObjectKind::Manifest,
         name: index,
-        condition: published.map_or(Condition::Absent, |object| Condition::At(object.version)),
+        condition: published
+            .map_or(WriteCondition::Absent, |object| WriteCondition::At(object.version)),
         value,
     };
     let found = write_once(store, &write).await?;
--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use carobstep_config::{Patch, PatchDocument, PatchId};
+use carobstep_config::{ConfigPatch, PatchDocument, PatchId};
 use carobstep_platform::{HttpStore, ObjectStore};
 use eyre::{Report, WrapErr};
 use tokio::runtime;
@@ -101,7 +101,7 @@
                 format,
                 text: read_file(&path)?,
             };
-            let patch = Patch::try_from(document).map_err(|error| submit::refusal(&error))?;
+            let patch = ConfigPatch::try_from(document).map_err(|error| submit::refusal(&error))?;
             submit::submit(store, patch, id_is_fresh).await?
         }
         OperatorCommand::History { count } => configuration::history(store, count).await?,
--- a/crates/client/src/submission.rs
+++ b/crates/client/src/submission.rs
@@ -8,10 +8,10 @@
 use std::{cmp::Ordering, time::Duration};
 
 use carobstep_chart::{ChartError, StateChart};
-use carobstep_config::{ConfigRecord, ConfigVersion, Patch, PatchError, apply};
+use carobstep_config::{ConfigPatch, ConfigRecord, ConfigVersion, PatchError, apply};
 use carobstep_platform::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-    StoredObject,
+    ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
+    WriteCondition,
 };
 use strum::EnumString;
 
@@ -132,7 +132,7 @@
 pub struct PatchSubmission {
     chart: StateChart<SubmitPhase, SubmitEvent>,
     phase: SubmitPhase,
-    patch: Patch,
+    patch: ConfigPatch,
     plan: Option<WritePlan>,
     accepted: Option<ConfigRecord>,
     proof: AcceptanceProof,
@@ -144,10 +144,10 @@
     id_is_fresh: bool,
 }
 
-impl TryFrom<Patch> for PatchSubmission {
+impl TryFrom<ConfigPatch> for PatchSubmission {
     type Error = ChartError;
 
-    fn try_from(patch: Patch) -> Result<Self, ChartError> {
+    fn try_from(patch: ConfigPatch) -> Result<Self, ChartError> {
         let chart = StateChart::parse(CHART)?;
         let phase = chart.initial();
         Ok(Self {
@@ -378,7 +378,7 @@
             (SubmitPhase::Writing, Some(plan), _) => ObjectCall::Put {
                 kind: ObjectKind::Config,
                 name: CURRENT_NAME.to_owned(),
-                condition: Condition::At(plan.at),
+                condition: WriteCondition::At(plan.at),
                 value: record_value(&plan.after),
             },
             (SubmitPhase::Recording, _, Some(record)) => archive(record),
@@ -397,7 +397,7 @@
     ObjectCall::Put {
         kind: ObjectKind::History,
         name: record.version.to_string(),
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value: record_value(record),
     }
 }
--- a/crates/client/src/submit.rs
+++ b/crates/client/src/submit.rs
@@ -1,6 +1,6 @@
 //! Submits a patch and reports how it ended.
 
-use carobstep_config::{ConfigRecord, ConfigVersion, Patch, PatchError};
+use carobstep_config::{ConfigPatch, ConfigRecord, ConfigVersion, PatchError};
 use carobstep_platform::ObjectStore;
 use serde_json::json;
 use tokio::time;
@@ -21,7 +21,7 @@
 /// the message says whether anything changed.
 pub async fn submit(
     store: &impl ObjectStore,
-    patch: Patch,
+    patch: ConfigPatch,
     id_is_fresh: bool,
 ) -> Result<CommandReport, ClientError> {
     let id = patch.id.as_str().to_owned();
--- a/crates/client/src/tables.rs
+++ b/crates/client/src/tables.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use carobstep_config::{ServerState, Topology};
+use carobstep_config::{ConfigTopology, ServerState};
 use carobstep_platform::{ObjectKind, ObjectStore, StoredObject, VmState};
 use indexmap::IndexMap;
 use serde::Serialize;
@@ -305,9 +305,9 @@
     CommandReport { plain, value }
 }
 
-async fn topology(store: &impl ObjectStore) -> Result<Topology, ClientError> {
+async fn topology(store: &impl ObjectStore) -> Result<ConfigTopology, ClientError> {
     let record = current(store).await?;
-    Topology::try_from((record.version, &record.document)).map_err(|error| {
+    ConfigTopology::try_from((record.version, &record.document)).map_err(|error| {
         let message = format!("configuration {} in force: {error}", record.version);
         ClientError::new(ExitStatus::Failure, message)
     })
--- a/crates/client/tests/client/submission.rs
+++ b/crates/client/tests/client/submission.rs
@@ -1,7 +1,7 @@
 //! Submissions against a platform that loses, delays and races calls.
 
 use carobstep_client::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep};
-use carobstep_config::{ConfigVersion, Patch};
+use carobstep_config::{ConfigPatch, ConfigVersion};
 use carobstep_platform::ObjectKind;
 
 use crate::support::{
@@ -13,7 +13,7 @@
 
 const ID: &str = "p1";
 
-fn run(platform: &FakePlatform, patch: Patch) -> SubmitOutcome {
+fn run(platform: &FakePlatform, patch: ConfigPatch) -> SubmitOutcome {
     run_submission(platform, PatchSubmission::try_from(patch).expect("the chart"))
 }
 
--- a/crates/client/tests/client/support.rs
+++ b/crates/client/tests/client/support.rs
@@ -10,12 +10,12 @@
 
 use carobstep_client::{NodeApi, NodeSilence};
 use carobstep_config::{
-    ConfigRecord, ConfigVersion, Document, Patch, PatchDocument, PatchFormat, PatchId, UtcTime,
-    apply,
+    ConfigDocument, ConfigPatch, ConfigRecord, ConfigVersion, PatchDocument, PatchFormat, PatchId,
+    UtcTime, apply,
 };
 use carobstep_platform::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, StoreError,
-    StoreErrorKind, StoredObject, VmRecord, WatchStream,
+    ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, StoreError, StoreErrorKind,
+    StoredObject, VmRecord, WatchStream, WriteCondition,
 };
 use indexmap::IndexMap;
 use serde_json::{Value, json};
@@ -205,8 +205,8 @@
             ObjectCall::Put { kind, name, condition, value } => {
                 let found = self.objects.get(&(kind, name.clone())).map(|object| object.version);
                 let holds = match condition {
-                    Condition::Absent => found.is_none(),
-                    Condition::At(version) => found == Some(version),
+                    WriteCondition::Absent => found.is_none(),
+                    WriteCondition::At(version) => found == Some(version),
                 };
                 if !holds {
                     return ObjectReply::ConditionFailed;
@@ -280,12 +280,12 @@
 static FIRST_RECORD: LazyLock<ConfigRecord> = LazyLock::new(|| {
     let id = PatchId::try_from("first".to_owned()).unwrap();
     let author = "ops".to_owned().try_into().unwrap();
-    ConfigRecord::first(&id, &author, UtcTime(0), Document::parse(EXAMPLE).unwrap()).unwrap()
+    ConfigRecord::first(&id, &author, UtcTime(0), ConfigDocument::parse(EXAMPLE).unwrap()).unwrap()
 });
 
 /// A merge patch.
-pub fn patch(base: u64, id: &str, text: &str) -> Patch {
-    Patch::try_from(PatchDocument {
+pub fn patch(base: u64, id: &str, text: &str) -> ConfigPatch {
+    ConfigPatch::try_from(PatchDocument {
         base: ConfigVersion(base),
         id: id.to_owned(),
         author: "ops".to_owned(),
--- a/crates/config/examples/document_cost.rs
+++ b/crates/config/examples/document_cost.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use carobstep_config::{
-    ConfigRecord, ConfigVersion, Document, HedgeDocument, IndexDocument, Patch, PatchDocument,
-    PatchFormat, PatchId, RepeatPolicy, ServerDocument, ServerState, ServiceDocument, Topology,
-    UtcTime, apply,
+    ConfigDocument, ConfigPatch, ConfigRecord, ConfigTopology, ConfigVersion, HedgeDocument,
+    IndexDocument, PatchDocument, PatchFormat, PatchId, RepeatPolicy, ServerDocument, ServerState,
+    ServiceDocument, UtcTime, apply,
 };
 
 const SERVERS: [usize; 3] = [106, 425, 1_700];
@@ -18,8 +18,8 @@
 /// Runs of each measurement; the shortest counts.
 const ROUNDS: usize = 50;
 
-fn document(servers: usize) -> Document {
-    let mut document = Document::default();
+fn document(servers: usize) -> ConfigDocument {
+    let mut document = ConfigDocument::default();
     for number in 0..servers {
         let service = format!("service-{:04}", number / SERVERS_PER_SERVICE);
         let entry = document.services.entry(service.clone()).or_insert_with(|| ServiceDocument {
@@ -52,8 +52,8 @@
     shortest
 }
 
-fn patch() -> Patch {
-    Patch::try_from(PatchDocument {
+fn patch() -> ConfigPatch {
+    ConfigPatch::try_from(PatchDocument {
         base: ConfigVersion(1),
         id: "p".to_owned(),
         author: "ops".to_owned(),
@@ -74,7 +74,7 @@
             ConfigRecord::first(&id, &author, UtcTime(0), document).expect("a valid document");
         let text = serde_json::to_string(&record).expect("a record");
         let read = shortest(|| serde_json::from_str::<ConfigRecord>(&text));
-        let check = shortest(|| Topology::try_from((record.version, &record.document)));
+        let check = shortest(|| ConfigTopology::try_from((record.version, &record.document)));
         let patch = patch();
         let patched = shortest(|| apply(&record, &patch));
         println!(
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -34,7 +34,7 @@
 /// The configuration document as operators write it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Document {
+pub struct ConfigDocument {
     /// Services by name.
     #[serde(default)]
     pub services: IndexMap<String, ServiceDocument>,
--- a/crates/config/src/document/reader.rs
+++ b/crates/config/src/document/reader.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
-use super::{Document, HedgeDocument, IndexDocument, ServerDocument, ServiceDocument};
+use super::{ConfigDocument, HedgeDocument, IndexDocument, ServerDocument, ServiceDocument};
 use crate::{
     fault::{DocumentError, FaultList, child_path},
     jsonc::{JsoncError, parse_jsonc},
@@ -49,7 +49,7 @@
 
 impl std::error::Error for DocumentTextError {}
 
-impl Document {
+impl ConfigDocument {
     /// Parses a document written in JSON with comments.
     ///
     /// # Errors
@@ -62,7 +62,7 @@
     }
 }
 
-impl TryFrom<&Value> for Document {
+impl TryFrom<&Value> for ConfigDocument {
     type Error = DocumentError;
 
     fn try_from(value: &Value) -> Result<Self, DocumentError> {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -16,7 +16,7 @@
 mod topology;
 
 pub use document::{
-    ConfigVersion, Document, DocumentTextError, HedgeDocument, IndexDocument, RepeatPolicy,
+    ConfigDocument, ConfigVersion, DocumentTextError, HedgeDocument, IndexDocument, RepeatPolicy,
     ServerDocument, ServerState, ServiceDocument,
 };
 pub use fault::{DocumentError, child_path};
@@ -28,8 +28,8 @@
     IndexName, NameError, NodeName, RegionName, ServerName, ServiceName, ShardName, ZoneName,
 };
 pub use patch::{
-    AuthorName, Patch, PatchBody, PatchDocument, PatchError, PatchErrorKind, PatchFormat, PatchId,
-    apply,
+    AuthorName, ConfigPatch, PatchBody, PatchDocument, PatchError, PatchErrorKind, PatchFormat,
+    PatchId, apply,
 };
 pub use record::{ConfigRecord, UtcTime};
 pub use settings::{
@@ -37,5 +37,5 @@
     SettingsError, SettingsFault, SplitSettings, StopSettings,
 };
 pub use topology::{
-    IndexEntry, IndexKey, ServerEntry, ServerKey, ServiceEntry, ServiceKey, Topology, ZoneKey,
+    ConfigTopology, IndexEntry, IndexKey, ServerEntry, ServerKey, ServiceEntry, ServiceKey, ZoneKey,
 };
--- a/crates/config/src/manifest.rs
+++ b/crates/config/src/manifest.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     names::{IndexName, ShardName},
-    topology::{ServiceKey, Topology},
+    topology::{ConfigTopology, ServiceKey},
 };
 
 /// The manifest of one index as its publisher writes it.
@@ -71,11 +71,11 @@
 
 impl std::error::Error for ManifestError {}
 
-impl TryFrom<(&Topology, &ManifestDocument)> for IndexManifest {
+impl TryFrom<(&ConfigTopology, &ManifestDocument)> for IndexManifest {
     type Error = ManifestError;
 
     fn try_from(
-        (topology, document): (&Topology, &ManifestDocument),
+        (topology, document): (&ConfigTopology, &ManifestDocument),
     ) -> Result<Self, ManifestError> {
         let mut snapshots: Vec<SnapshotMap> = Vec::new();
         for snapshot in &document.snapshots {
@@ -97,7 +97,7 @@
 }
 
 fn check_snapshot(
-    topology: &Topology,
+    topology: &ConfigTopology,
     index: &IndexName,
     snapshot: &SnapshotDocument,
 ) -> Result<SnapshotMap, ManifestError> {
@@ -127,7 +127,7 @@
     ///
     /// Fails when no snapshot fits or their numbers do not grow.
     pub fn fitting(
-        topology: &Topology,
+        topology: &ConfigTopology,
         document: &ManifestDocument,
     ) -> Result<Self, ManifestError> {
         let mut fitting = ManifestDocument { index: document.index.clone(), snapshots: Vec::new() };
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -7,10 +7,10 @@
 
 pub use self::error::{PatchError, PatchErrorKind};
 use crate::{
-    document::{ConfigVersion, Document},
+    document::{ConfigDocument, ConfigVersion},
     jsonc::parse_jsonc,
     record::{ConfigRecord, UtcTime},
-    topology::Topology,
+    topology::ConfigTopology,
 };
 
 /// Largest stored configuration, in bytes; the platform's limit on a value.
@@ -53,7 +53,7 @@
 
 /// A checked patch.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Patch {
+pub struct ConfigPatch {
     /// Version that the patch was built on.
     pub base: ConfigVersion,
     /// Identifier of the patch.
@@ -134,7 +134,7 @@
     }
 }
 
-impl TryFrom<PatchDocument> for Patch {
+impl TryFrom<PatchDocument> for ConfigPatch {
     type Error = PatchError;
 
     fn try_from(document: PatchDocument) -> Result<Self, PatchError> {
@@ -163,7 +163,7 @@
 ///
 /// Fails as a conflict when the patch was built on another version. A patch
 /// whose result is not a valid document is refused whole.
-pub fn apply(current: &ConfigRecord, patch: &Patch) -> Result<ConfigRecord, PatchError> {
+pub fn apply(current: &ConfigRecord, patch: &ConfigPatch) -> Result<ConfigRecord, PatchError> {
     if patch.base != current.version {
         return Err(PatchError::stale(patch.base, current.version));
     }
@@ -173,7 +173,7 @@
         PatchBody::Merge(merge) => json_patch::merge(&mut value, merge),
         PatchBody::Operations(operations) => operations::apply(&mut value, operations)?,
     }
-    let document = Document::try_from(&value).map_err(PatchError::from)?;
+    let document = ConfigDocument::try_from(&value).map_err(PatchError::from)?;
     ConfigRecord::checked(current.version.next(), patch, document)
 }
 
@@ -181,10 +181,10 @@
     /// Builds a record after checking its document and its size.
     fn checked(
         version: ConfigVersion,
-        patch: &Patch,
-        document: Document,
+        patch: &ConfigPatch,
+        document: ConfigDocument,
     ) -> Result<Self, PatchError> {
-        Topology::try_from((version, &document))?;
+        ConfigTopology::try_from((version, &document))?;
         let record = Self {
             version,
             patch_id: patch.id.as_str().to_owned(),
@@ -208,9 +208,9 @@
         id: &PatchId,
         author: &AuthorName,
         time: UtcTime,
-        document: Document,
+        document: ConfigDocument,
     ) -> Result<Self, PatchError> {
-        let patch = Patch {
+        let patch = ConfigPatch {
             base: ConfigVersion::default(),
             id: id.clone(),
             author: author.clone(),
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{ConfigVersion, Document};
+use crate::document::{ConfigDocument, ConfigVersion};
 
 /// A configuration as the platform stores it: the value of the object
 /// `config/current` and of each `history/{version}`.
@@ -23,7 +23,7 @@
     /// When it was submitted, in UTC with whole seconds (RFC 3339).
     pub time: String,
     /// The configuration itself.
-    pub document: Document,
+    pub document: ConfigDocument,
 }
 
 /// Seconds since 1970-01-01T00:00:00Z, shown in the form of RFC 3339.
--- a/crates/config/src/topology.rs
+++ b/crates/config/src/topology.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     document::{
-        ConfigVersion, Document, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
+        ConfigDocument, ConfigVersion, IndexDocument, RepeatPolicy, ServerDocument, ServerState,
         ServiceDocument,
     },
     fault::{DocumentError, FaultList, child_path},
@@ -110,7 +110,7 @@
 ///
 /// Keys belong to one topology and must not be used with another.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Topology {
+pub struct ConfigTopology {
     version: ConfigVersion,
     zones: IndexSet<ZoneName>,
     services: IndexMap<ServiceName, ServiceEntry>,
@@ -118,7 +118,7 @@
     indexes: IndexMap<IndexName, IndexEntry>,
 }
 
-impl Topology {
+impl ConfigTopology {
     /// Version of the document it was built from.
     #[must_use]
     pub const fn version(&self) -> ConfigVersion {
@@ -189,11 +189,13 @@
     }
 }
 
-impl TryFrom<(ConfigVersion, &Document)> for Topology {
+impl TryFrom<(ConfigVersion, &ConfigDocument)> for ConfigTopology {
     type Error = DocumentError;
 
     /// Checks the whole document and reports every fault at once.
-    fn try_from((version, document): (ConfigVersion, &Document)) -> Result<Self, DocumentError> {
+    fn try_from(
+        (version, document): (ConfigVersion, &ConfigDocument),
+    ) -> Result<Self, DocumentError> {
         let mut builder = TopologyBuilder {
             topology: Self { version, ..Self::default() },
             addresses: IndexMap::new(),
@@ -212,7 +214,7 @@
 
 /// A topology being built from a document, with the faults found so far.
 struct TopologyBuilder<'a> {
-    topology: Topology,
+    topology: ConfigTopology,
     addresses: IndexMap<SocketAddr, &'a str>,
     faults: FaultList,
 }
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -1,6 +1,6 @@
 //! Configuration documents: form, values and the size to design for.
 
-use carobstep_config::{ConfigVersion, Document, ServerState, Topology};
+use carobstep_config::{ConfigDocument, ConfigTopology, ConfigVersion, ServerState};
 use yare::parameterized;
 
 const EXAMPLE: &str = include_str!("../../../examples/config.jsonc");
@@ -8,11 +8,11 @@
 const VERSION: ConfigVersion = ConfigVersion(1);
 
 fn faults(text: &str) -> String {
-    let document = match Document::parse(text) {
+    let document = match ConfigDocument::parse(text) {
         Ok(document) => document,
         Err(error) => return error.to_string(),
     };
-    match Topology::try_from((VERSION, &document)) {
+    match ConfigTopology::try_from((VERSION, &document)) {
         Ok(_) => String::new(),
         Err(error) => error.to_string(),
     }
@@ -27,8 +27,8 @@
 
 #[test]
 fn example_is_valid() {
-    let document = Document::parse(EXAMPLE).expect("example document");
-    let topology = Topology::try_from((VERSION, &document)).expect("example topology");
+    let document = ConfigDocument::parse(EXAMPLE).expect("example document");
+    let topology = ConfigTopology::try_from((VERSION, &document)).expect("example topology");
     assert_eq!(topology.services().count(), 2);
     assert_eq!(topology.servers().count(), 4);
     let drained = topology.find_server("orders-b").expect("server orders-b");
@@ -37,9 +37,9 @@
 
 #[test]
 fn stored_form_reads_back() {
-    let document = Document::parse(EXAMPLE).expect("example document");
+    let document = ConfigDocument::parse(EXAMPLE).expect("example document");
     let stored = serde_json::to_value(&document).expect("stored form");
-    assert_eq!(Document::try_from(&stored), Ok(document));
+    assert_eq!(ConfigDocument::try_from(&stored), Ok(document));
 }
 
 #[parameterized(
--- a/crates/config/tests/manifests.rs
+++ b/crates/config/tests/manifests.rs
@@ -1,6 +1,8 @@
 //! Index manifests against a configuration.
 
-use carobstep_config::{ConfigVersion, Document, IndexManifest, ManifestDocument, Topology};
+use carobstep_config::{
+    ConfigDocument, ConfigTopology, ConfigVersion, IndexManifest, ManifestDocument,
+};
 
 struct ManifestCase {
     name: &'static str,
@@ -18,13 +20,13 @@
     ManifestCase { name: "no snapshot", services: &[], fitting: Err("lists no snapshot") },
 ];
 
-fn topology() -> Topology {
-    let document: Document = serde_json::from_str(
+fn topology() -> ConfigTopology {
+    let document: ConfigDocument = serde_json::from_str(
         r#"{"services": {"known": {"deadline_ms": 100, "servers": {
             "a": {"zone": "z", "address": "127.0.0.1:1", "slots": 1, "connections": 2}}}}}"#,
     )
     .unwrap();
-    Topology::try_from((ConfigVersion(3), &document)).unwrap()
+    ConfigTopology::try_from((ConfigVersion(3), &document)).unwrap()
 }
 
 #[test]
--- a/crates/config/tests/patch.rs
+++ b/crates/config/tests/patch.rs
@@ -1,8 +1,8 @@
 //! Patches: conflicts, refusals that name a path, and bounds on their work.
 
 use carobstep_config::{
-    ConfigRecord, ConfigVersion, Document, Patch, PatchDocument, PatchError, PatchErrorKind,
-    PatchFormat, PatchId, UtcTime, apply,
+    ConfigDocument, ConfigPatch, ConfigRecord, ConfigVersion, PatchDocument, PatchError,
+    PatchErrorKind, PatchFormat, PatchId, UtcTime, apply,
 };
 use yare::parameterized;
 
@@ -11,12 +11,12 @@
 fn current() -> ConfigRecord {
     let id = PatchId::try_from("first".to_owned()).expect("patch id");
     let author = "ops".to_owned().try_into().expect("author");
-    let document = Document::parse(EXAMPLE).expect("example document");
+    let document = ConfigDocument::parse(EXAMPLE).expect("example document");
     ConfigRecord::first(&id, &author, UtcTime(0), document).expect("first record")
 }
 
 fn submit(format: PatchFormat, base: u64, text: &str) -> Result<ConfigRecord, PatchError> {
-    let patch = Patch::try_from(PatchDocument {
+    let patch = ConfigPatch::try_from(PatchDocument {
         base: ConfigVersion(base),
         id: "p1".to_owned(),
         author: "ops".to_owned(),
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -1,8 +1,8 @@
 //! Random settings files and patches: no panic, and nothing invalid accepted.
 
 use carobstep_config::{
-    ConfigRecord, ConfigVersion, Document, Patch, PatchDocument, PatchFormat, PatchId, Settings,
-    Topology, UtcTime, apply, parse_jsonc,
+    ConfigDocument, ConfigPatch, ConfigRecord, ConfigTopology, ConfigVersion, PatchDocument,
+    PatchFormat, PatchId, Settings, UtcTime, apply, parse_jsonc,
 };
 use proptest::{prelude::*, sample::select, test_runner::RngSeed};
 use serde_json::{Map, Value, json};
@@ -97,13 +97,13 @@
 fn current() -> ConfigRecord {
     let id = PatchId::try_from("first".to_owned()).expect("patch id");
     let author = "ops".to_owned().try_into().expect("author");
-    let document = Document::parse(DOCUMENT).expect("example document");
+    let document = ConfigDocument::parse(DOCUMENT).expect("example document");
     ConfigRecord::first(&id, &author, UtcTime(0), document).expect("first record")
 }
 
 /// Applies a patch text and checks whatever is accepted.
 fn check_patch(format: PatchFormat, text: String) -> Result<(), TestCaseError> {
-    let patch = Patch::try_from(PatchDocument {
+    let patch = ConfigPatch::try_from(PatchDocument {
         base: ConfigVersion(1),
         id: "p1".to_owned(),
         author: "ops".to_owned(),
@@ -115,7 +115,7 @@
     let before = current();
     let Ok(record) = apply(&before, &patch) else { return Ok(()) };
     prop_assert_eq!(record.version, ConfigVersion(2));
-    prop_assert!(Topology::try_from((record.version, &record.document)).is_ok());
+    prop_assert!(ConfigTopology::try_from((record.version, &record.document)).is_ok());
     let stored = serde_json::to_value(&record).expect("stored form");
     let read = serde_json::from_value::<ConfigRecord>(stored).expect("record reads back");
     prop_assert_eq!(read, record);
@@ -159,9 +159,9 @@
     #[test]
     fn document_of_spliced_example(edits in edits()) {
         let text = spliced(DOCUMENT, &edits);
-        if let Ok(document) = Document::parse(&text) {
+        if let Ok(document) = ConfigDocument::parse(&text) {
             let value = parse_jsonc(&text).expect("a document is JSON");
-            prop_assert_eq!(Document::try_from(&value), Ok(document));
+            prop_assert_eq!(ConfigDocument::try_from(&value), Ok(document));
         }
     }
 
--- a/crates/control/src/assignment.rs
+++ b/crates/control/src/assignment.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use carobstep_config::{NodeName, ServerName, ServiceKey, Topology, ZoneName};
+use carobstep_config::{ConfigTopology, NodeName, ServerName, ServiceKey, ZoneName};
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -32,7 +32,7 @@
 /// topology and the same nodes compute the same.
 #[must_use]
 pub fn assign_servers(
-    topology: &Topology,
+    topology: &ConfigTopology,
     zone: &ZoneName,
     nodes: &[NodeName],
 ) -> IndexMap<ServerName, NodeName> {
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
-use carobstep_config::{ManifestDocument, NodeName, ServerName, Topology};
+use carobstep_config::{ConfigTopology, ManifestDocument, NodeName, ServerName};
 use carobstep_platform::{ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError};
 use carobstep_wire::{ControlMessage, ControlReply};
 
@@ -158,7 +158,7 @@
     /// A newer configuration is in force.
     ConfigInForce {
         /// Its checked form.
-        topology: Arc<Topology>,
+        topology: Arc<ConfigTopology>,
         /// Its JSON text.
         document: Arc<str>,
     },
@@ -184,7 +184,7 @@
 
 /// Where requests to a backend server go.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Route {
+pub struct ServerRoute {
     /// The holder.
     pub node: NodeName,
     /// Peer address of the holder.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,7 @@
 //! it takes [`ControlEvent`]s with the time at which they happened and returns
 //! [`ControlEffect`]s. It does no I/O and reads no clock. The rules that keep
 //! two nodes from dispatching to the same backend server stand in small types
-//! of their own, [`LeaseGuard`], [`Witness`] and [`Takeover`], which the model
+//! of their own, [`LeaseGuard`], [`LeaseWitness`] and [`LeaseTakeover`], which the model
 //! checking in `tests/` explores exhaustively.
 //!
 //! ```
@@ -41,11 +41,11 @@
 mod witness;
 
 pub use assignment::assign_servers;
-pub use event::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, Route};
+pub use event::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, ServerRoute};
 pub use lease::{LeaseGuard, LeaseState};
 pub use options::{ControlOptions, GossipTiming, GrantTiming, LeaseTiming};
 pub use record::{ConfigRecord, GrantMark, GrantRecord, LeaseMark, LeaseRecord, StatusRecord};
 pub use spread::{ConfigEntry, ConfigSpread, SpreadError};
 pub use state::{ControlState, NodePhase};
-pub use takeover::{LeaseView, Takeover, TakeoverState, TakeoverStep};
-pub use witness::Witness;
+pub use takeover::{LeaseTakeover, LeaseView, TakeoverState, TakeoverStep};
+pub use witness::LeaseWitness;
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -2,7 +2,9 @@
 
 use std::{fmt, sync::Arc};
 
-use carobstep_config::{ConfigVersion, Document, IndexName, ManifestDocument, Topology};
+use carobstep_config::{
+    ConfigDocument, ConfigTopology, ConfigVersion, IndexName, ManifestDocument,
+};
 use carobstep_wire::{ConfigCopy, ManifestCopy};
 use indexmap::IndexMap;
 
@@ -48,7 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct ConfigEntry {
     /// Its checked form.
-    pub topology: Arc<Topology>,
+    pub topology: Arc<ConfigTopology>,
     /// Its JSON text.
     pub document: Arc<str>,
 }
@@ -123,9 +125,9 @@
         packed: Vec<u8>,
     ) -> Result<Option<&ConfigEntry>, SpreadError> {
         let name = format!("config {version}");
-        let document: Document =
+        let document: ConfigDocument =
             serde_json::from_str(&text).map_err(|error| SpreadError::new(&name, &error))?;
-        let topology = Topology::try_from((version, &document))
+        let topology = ConfigTopology::try_from((version, &document))
             .map_err(|error| SpreadError::new(&name, &error))?;
         let entry = ConfigEntry { topology: Arc::new(topology), document: text.into() };
         self.packed = packed;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -17,7 +17,7 @@
 use strum::{Display, EnumString};
 
 use crate::{
-    event::{ControlEffect, ControlEvent, Route},
+    event::{ControlEffect, ControlEvent, ServerRoute},
     lease::LeaseState,
     options::ControlOptions,
     peers::PeerTable,
@@ -25,7 +25,7 @@
     routes::GrantTable,
     signs::SignTable,
     spread::ConfigSpread,
-    witness::Witness,
+    witness::LeaseWitness,
 };
 use calls::CallTable;
 use gossip::GossipDesk;
@@ -82,7 +82,7 @@
     routes_changed: bool,
     choice: ChoiceSource,
     lease: OwnLease,
-    witness: Witness<NodeName>,
+    witness: LeaseWitness<NodeName>,
     peers: PeerTable,
     grants: GrantTable,
     signs: SignTable,
@@ -109,7 +109,7 @@
             routes_changed: false,
             choice: ChoiceSource::new(options.random_seed),
             lease: OwnLease::new(options.node.clone(), options.incarnation, now),
-            witness: Witness::default(),
+            witness: LeaseWitness::default(),
             peers: PeerTable::default(),
             grants: GrantTable::default(),
             signs: SignTable::default(),
@@ -252,13 +252,13 @@
 
     /// Where requests to a backend server go.
     #[must_use]
-    pub fn holder_of(&self, server: &ServerName) -> Option<Route> {
+    pub fn holder_of(&self, server: &ServerName) -> Option<ServerRoute> {
         let notice = self.grants.get(server)?;
         let holder = notice.holder.clone()?;
         let (epoch, incarnation) = (notice.epoch, notice.incarnation);
         if holder == self.options.node {
             let address = self.options.peer_address;
-            return self.holds.contains_key(server).then_some(Route {
+            return self.holds.contains_key(server).then_some(ServerRoute {
                 node: holder,
                 address,
                 epoch,
@@ -267,7 +267,7 @@
         }
         let peer = self.peers.get(&holder)?;
         let address = peer.record.address;
-        (peer.record.incarnation == incarnation).then_some(Route {
+        (peer.record.incarnation == incarnation).then_some(ServerRoute {
             node: holder,
             address,
             epoch,
--- a/crates/control/src/state/calls.rs
+++ b/crates/control/src/state/calls.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_config::{NodeName, ServerName};
 use carobstep_platform::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, StoreError, StoreErrorKind,
+    ObjectCall, ObjectKind, ObjectReply, StoreError, StoreErrorKind, WriteCondition,
 };
 use carobstep_wire::{ControlMessage, ControlReply};
 use indexmap::IndexMap;
@@ -99,7 +99,7 @@
         purpose: Purpose,
         kind: ObjectKind,
         name: &str,
-        condition: Condition,
+        condition: WriteCondition,
         record: &impl Serialize,
     ) {
         let value = serde_json::to_value(record).unwrap_or_default();
--- a/crates/control/src/state/holds.rs
+++ b/crates/control/src/state/holds.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{NodeName, ServerName};
-use carobstep_platform::{Condition, ObjectKind, ObjectReply, ObjectVersion};
+use carobstep_platform::{ObjectKind, ObjectReply, ObjectVersion, WriteCondition};
 use carobstep_wire::{GrantNotice, RefusalReason};
 use indexmap::IndexMap;
 
@@ -204,10 +204,10 @@
 
     fn begin_acquisition(&mut self, server: &ServerName) {
         let Some(notice) = self.grants.get(server).cloned() else {
-            self.write_acquisition(server, Condition::Absent, 1, true);
+            self.write_acquisition(server, WriteCondition::Absent, 1, true);
             return;
         };
-        let condition = Condition::At(ObjectVersion(notice.version));
+        let condition = WriteCondition::At(ObjectVersion(notice.version));
         let Some(holder) = &notice.holder else {
             self.write_acquisition(server, condition, notice.epoch + 1, true);
             return;
@@ -233,7 +233,7 @@
     fn write_acquisition(
         &mut self,
         server: &ServerName,
-        condition: Condition,
+        condition: WriteCondition,
         epoch: u64,
         clean: bool,
     ) {
@@ -376,7 +376,7 @@
     fn write_release(&mut self, server: &ServerName) {
         let Some(hold) = self.holds.get_mut(server) else { return };
         hold.step = HoldStep::Releasing;
-        let condition = Condition::At(hold.version);
+        let condition = WriteCondition::At(hold.version);
         let record = self.release_record(server);
         let purpose = Purpose::GrantRelease(Box::new(record.clone()));
         self.put(purpose, ObjectKind::Grant, server.as_str(), condition, &record);
--- a/crates/control/src/state/own_lease.rs
+++ b/crates/control/src/state/own_lease.rs
@@ -2,7 +2,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::NodeName;
-use carobstep_platform::{Condition, ObjectKind, ObjectReply, ObjectVersion, StoredObject};
+use carobstep_platform::{ObjectKind, ObjectReply, ObjectVersion, StoredObject, WriteCondition};
 use carobstep_wire::{ControlMessage, VouchRequest};
 
 use super::{
@@ -39,7 +39,7 @@
     /// Incarnation of an earlier process at another address.
     replacing: Option<PursuitKey>,
     renewal: u64,
-    condition: Option<Condition>,
+    condition: Option<WriteCondition>,
     busy: bool,
     vouch_at: BootTime,
     vouch_round: u64,
@@ -69,7 +69,7 @@
     fn adopt(&mut self, now: BootTime, version: ObjectVersion) {
         self.renewal += 1;
         self.version = version;
-        self.condition = Some(Condition::At(version));
+        self.condition = Some(WriteCondition::At(version));
         self.opened_at.get_or_insert(now);
     }
 }
@@ -104,7 +104,7 @@
         ended
     }
 
-    fn write_lease(&mut self, condition: Condition) {
+    fn write_lease(&mut self, condition: WriteCondition) {
         let leaving = self.phase == NodePhase::Leaving;
         let live: Vec<NodeName> = self.live_zone_nodes();
         let witnesses = self.lease.guard.begin_renewal(self.now, &live);
@@ -212,7 +212,7 @@
                     self.lease.adopt(self.now, version);
                 }
                 self.lease.version = version;
-                self.lease.condition = Some(Condition::At(version));
+                self.lease.condition = Some(WriteCondition::At(version));
             }
             LeaseMark::Closed => self.reopen_lease(Some(version)),
             LeaseMark::Released => self.lease.guard.release(),
@@ -225,7 +225,7 @@
     /// bound the address. At another address it has to be proven to be gone.
     fn follow_record(&mut self, record: &LeaseRecord, version: ObjectVersion) {
         self.lease.incarnation = self.lease.incarnation.max(record.incarnation + 1);
-        self.lease.condition = Some(Condition::At(version));
+        self.lease.condition = Some(WriteCondition::At(version));
         if record.peers == self.options.peer_address || record.state == LeaseMark::Released {
             return;
         }
@@ -242,7 +242,7 @@
         if self.lease.opened_at.is_some() {
             self.reopen_lease(None);
         }
-        self.lease.condition = Some(Condition::Absent);
+        self.lease.condition = Some(WriteCondition::Absent);
     }
 
     /// Drops everything of a closed incarnation and goes on with the next.
@@ -254,7 +254,7 @@
         let mut next = OwnLease::new(node, self.lease.incarnation + 1, self.now);
         next.listed = self.lease.listed;
         next.version = version.unwrap_or_default();
-        next.condition = version.map(Condition::At);
+        next.condition = version.map(WriteCondition::At);
         next.busy = self.lease.busy;
         self.lease = next;
         self.routes_changed = true;
--- a/crates/control/src/state/pursuit.rs
+++ b/crates/control/src/state/pursuit.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::NodeName;
-use carobstep_platform::{Condition, ObjectKind, ObjectReply, ObjectVersion};
+use carobstep_platform::{ObjectKind, ObjectReply, ObjectVersion, WriteCondition};
 use carobstep_wire::{CloseNotice, ControlMessage};
 
 use super::{
@@ -13,7 +13,7 @@
 };
 use crate::{
     record::{LeaseMark, LeaseRecord},
-    takeover::{LeaseView, Takeover, TakeoverState, TakeoverStep},
+    takeover::{LeaseTakeover, LeaseView, TakeoverState, TakeoverStep},
 };
 
 /// One incarnation of another node.
@@ -26,7 +26,7 @@
 /// A takeover and the calls about it.
 #[derive(Debug)]
 pub(super) struct Pursuit {
-    takeover: Takeover<NodeName>,
+    takeover: LeaseTakeover<NodeName>,
     lease: Option<LeaseRecord>,
     /// Whether the lease was read again in the step before.
     reread: bool,
@@ -88,7 +88,7 @@
         if self.pursuits.contains_key(&key) {
             return;
         }
-        let takeover = Takeover::new(key.incarnation);
+        let takeover = LeaseTakeover::new(key.incarnation);
         let next_at = self.now;
         let pursuit = Pursuit { takeover, lease: None, reread: false, busy: false, next_at };
         self.pursuits.insert(key, pursuit);
@@ -182,7 +182,7 @@
         let record = LeaseRecord { state: LeaseMark::Closed, ..lease.clone() };
         pursuit.busy = true;
         let purpose = Purpose::PursuitClose(key.clone(), Box::new(record.clone()));
-        let condition = Condition::At(version);
+        let condition = WriteCondition::At(version);
         self.put(purpose, ObjectKind::Lease, key.node.as_str(), condition, &record);
     }
 
--- a/crates/control/src/state/sources.rs
+++ b/crates/control/src/state/sources.rs
@@ -4,9 +4,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_config::{ServerName, ServerState, Topology};
+use carobstep_config::{ConfigTopology, ServerName, ServerState};
 use carobstep_platform::{
-    Condition, ObjectKind, ObjectReply, ObjectVersion, StoredObject, VmRecord, VmRole, VmState,
+    ObjectKind, ObjectReply, ObjectVersion, StoredObject, VmRecord, VmRole, VmState, WriteCondition,
 };
 use carobstep_wire::{ConfigCopy, PeerRecord};
 use indexmap::IndexSet;
@@ -281,7 +281,7 @@
     }
 
     /// A server that drained before and is active now takes requests again.
-    fn clear_signs(&mut self, before: &Topology, after: &Topology) {
+    fn clear_signs(&mut self, before: &ConfigTopology, after: &ConfigTopology) {
         for (_, server) in after.servers() {
             let Some(key) = before.find_server(server.name.as_str()) else { continue };
             let drained = before.server(key).state == ServerState::Draining;
@@ -377,8 +377,8 @@
 
     pub(super) fn take_status_read(&mut self, reply: Option<ObjectReply>) {
         let condition = match reply {
-            Some(ObjectReply::Found(object)) => Condition::At(object.version),
-            Some(ObjectReply::Missing) => Condition::Absent,
+            Some(ObjectReply::Found(object)) => WriteCondition::At(object.version),
+            Some(ObjectReply::Missing) => WriteCondition::Absent,
             _ => {
                 self.take_status_write(WriteOutcome::Failed);
                 return;
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -73,7 +73,7 @@
 /// on this node's own clock; it is closed by conditional update; more than
 /// half of its recorded witnesses are told; the fence and the drift pass.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Takeover<N> {
+pub struct LeaseTakeover<N> {
     incarnation: u64,
     state: TakeoverState,
     version: ObjectVersion,
@@ -84,7 +84,7 @@
     gone_since: Option<BootTime>,
 }
 
-impl<N: Clone + Ord> Takeover<N> {
+impl<N: Clone + Ord> LeaseTakeover<N> {
     /// Starts to watch one incarnation of a lease.
     #[must_use]
     pub fn new(incarnation: u64) -> Self {
--- a/crates/control/src/witness.rs
+++ b/crates/control/src/witness.rs
@@ -8,18 +8,18 @@
 /// node that just started has forgotten what it was told, so it vouches for
 /// nobody until it has read the leases from the platform once.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Witness<N> {
+pub struct LeaseWitness<N> {
     settled: bool,
     closed: BTreeMap<N, u64>,
 }
 
-impl<N: Clone + Ord> Default for Witness<N> {
+impl<N: Clone + Ord> Default for LeaseWitness<N> {
     fn default() -> Self {
         Self { settled: false, closed: BTreeMap::new() }
     }
 }
 
-impl<N: Clone + Ord> Witness<N> {
+impl<N: Clone + Ord> LeaseWitness<N> {
     /// Records that the incarnation of `node`, and all before it, are closed.
     pub fn close(&mut self, node: N, incarnation: u64) {
         let last = self.closed.entry(node).or_insert(incarnation);
--- a/crates/control/tests/grant_model/spec.rs
+++ b/crates/control/tests/grant_model/spec.rs
@@ -8,7 +8,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_control::{LeaseGuard, LeaseMark, LeaseView, Takeover, Witness};
+use carobstep_control::{LeaseGuard, LeaseMark, LeaseTakeover, LeaseView, LeaseWitness};
 use carobstep_platform::ObjectVersion;
 
 use crate::rules::{DRIFT, FENCE, Mutant, ZoneSize};
@@ -101,8 +101,8 @@
 /// A node other than the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
-    pub witness: Witness<u8>,
-    pub takeover: Option<Takeover<u8>>,
+    pub witness: LeaseWitness<u8>,
+    pub takeover: Option<LeaseTakeover<u8>>,
     pub close: CloseCall,
     /// When the request was sent that the node's answer under way belongs to.
     pub answer: Option<BootTime>,
@@ -139,7 +139,7 @@
         let others: Vec<u8> = (1..size.nodes).collect();
         let witnesses = guard.begin_renewal(NOW, &others);
         guard.confirm();
-        let mut witness = Witness::default();
+        let mut witness = LeaseWitness::default();
         witness.settle();
         let member = Member {
             witness,
--- a/crates/control/tests/grant_model/steps.rs
+++ b/crates/control/tests/grant_model/steps.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use carobstep_control::{LeaseState, Takeover, TakeoverState, TakeoverStep, Witness};
+use carobstep_control::{LeaseState, LeaseTakeover, LeaseWitness, TakeoverState, TakeoverStep};
 use carobstep_platform::ObjectVersion;
 
 use crate::{
@@ -218,7 +218,7 @@
             let view = state.view();
             let takeover = &mut state.member_mut(node).takeover;
             let known = takeover.is_some();
-            let takeover = takeover.get_or_insert_with(|| Takeover::new(INCARNATION));
+            let takeover = takeover.get_or_insert_with(|| LeaseTakeover::new(INCARNATION));
             takeover.observe(NOW, &view);
             if let Some((version, heard_at)) = heard {
                 takeover.seen_earlier(ObjectVersion(version), heard_at);
@@ -416,7 +416,7 @@
 fn restart(state: &mut GrantState, node: u8, trusting: bool) {
     state.restarts_left -= 1;
     let member = state.member_mut(node);
-    member.witness = Witness::default();
+    member.witness = LeaseWitness::default();
     if trusting {
         member.witness.settle();
     }
--- a/crates/control/tests/lease.rs
+++ b/crates/control/tests/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carobstep_clock::BootTime;
-use carobstep_control::{LeaseGuard, LeaseTiming, Witness};
+use carobstep_control::{LeaseGuard, LeaseTiming, LeaseWitness};
 
 const TIMING: LeaseTiming = LeaseTiming {
     term: Duration::from_secs(9),
@@ -101,7 +101,7 @@
 
 #[test]
 fn a_witness_vouches_only_after_it_has_read_the_leases() {
-    let mut witness = Witness::default();
+    let mut witness = LeaseWitness::default();
     assert!(!witness.vouches(&0, 1));
     witness.settle();
     assert!(witness.vouches(&0, 1));
--- a/crates/control/tests/zone/support.rs
+++ b/crates/control/tests/zone/support.rs
@@ -10,8 +10,8 @@
     LeaseTiming, PeerFailure,
 };
 use carobstep_platform::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-    StoredObject, VmRecord,
+    ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
+    VmRecord, WriteCondition,
 };
 use indexmap::IndexMap;
 use serde_json::{Value, json};
@@ -60,8 +60,8 @@
             ObjectCall::Put { kind, name, condition, value } => {
                 let found = self.objects.get(&(kind, name.clone())).map(|(version, _)| *version);
                 let holds = match condition {
-                    Condition::Absent => found.is_none(),
-                    Condition::At(version) => found == Some(version.0),
+                    WriteCondition::Absent => found.is_none(),
+                    WriteCondition::At(version) => found == Some(version.0),
                 };
                 if !holds {
                     return ObjectReply::ConditionFailed;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,7 @@
 //! the daemon, in table tests and on a paused clock.
 //!
 //! A holder keeps one [`ServerQueue`] and one [`ConnectionPool`] per held
-//! backend server. An entry node keeps one [`Router`], one [`QueryState`] per
+//! backend server. An entry node keeps one [`ServerRouter`], one [`QueryState`] per
 //! search and one [`SingleState`] per service request.
 //!
 //! ```
@@ -33,12 +33,13 @@
 pub use gate::{AdmissionGate, GateDecision, SearchLoad};
 pub use pool::{ConnectionKey, ConnectionPool, ConnectionStep, PoolEvent, PoolLimits};
 pub use queue::{
-    Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
+    CustomerKey, QueueAdmission, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
 };
 pub use request::{
     AnswerReport, AttemptKey, AttemptSend, QueryPlan, QueryState, RequestAction, RequestCounts,
     SinglePlan, SingleReport, SingleState, caller_of,
 };
 pub use router::{
-    AttemptKind, Condition, ConditionEvent, Observation, ObservedEnd, PickRequest, Router,
+    AttemptKind, AttemptObservation, ConditionEvent, ObservedEnd, PickRequest, ServerCondition,
+    ServerRouter,
 };
--- a/crates/dispatch/src/queue/mod.rs
+++ b/crates/dispatch/src/queue/mod.rs
@@ -63,7 +63,7 @@
 
 /// Decision about an offered request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
+pub enum QueueAdmission {
     /// The request has a slot: send it now.
     Dispatch(TicketKey),
     /// The request waits; [`ServerQueue::poll`] tells when it may go.
@@ -143,9 +143,9 @@
     /// Decides about a new request.
     ///
     /// A refused request certainly was not run.
-    pub fn offer(&mut self, now: BootTime, ticket: QueueTicket) -> Admission {
+    pub fn offer(&mut self, now: BootTime, ticket: QueueTicket) -> QueueAdmission {
         if let Some(reason) = self.closed {
-            return Admission::Refused { reason, retry_after: CLOSED_RETRY };
+            return QueueAdmission::Refused { reason, retry_after: CLOSED_RETRY };
         }
         self.expire(now);
         if ticket.hedge {
@@ -155,7 +155,7 @@
             Ok(()) => self.admit(now, ticket),
             Err(reason) => {
                 let retry_after = self.book(now, ticket.caller, ticket.customer);
-                Admission::Refused { reason, retry_after }
+                QueueAdmission::Refused { reason, retry_after }
             }
         }
     }
@@ -272,7 +272,7 @@
 }
 
 impl ServerQueue {
-    fn offer_hedge(&mut self, now: BootTime, ticket: QueueTicket) -> Admission {
+    fn offer_hedge(&mut self, now: BootTime, ticket: QueueTicket) -> QueueAdmission {
         let reachable = now + self.service.mean() <= ticket.deadline;
         let idle = now >= self.blocked_until && self.has_slot() && self.waiting.is_empty();
         if !reachable || !idle {
@@ -281,11 +281,11 @@
             } else {
                 RefusalReason::DeadlineUnreachable
             };
-            return Admission::Refused { reason, retry_after: self.service.mean() };
+            return QueueAdmission::Refused { reason, retry_after: self.service.mean() };
         }
         let key = self.tickets.insert(TicketEntry { ticket, state: TicketState::Waiting });
         self.start(key);
-        Admission::Dispatch(key)
+        QueueAdmission::Dispatch(key)
     }
 
     /// Tells why a request can't be taken.
@@ -341,11 +341,11 @@
         true
     }
 
-    fn admit(&mut self, now: BootTime, ticket: QueueTicket) -> Admission {
+    fn admit(&mut self, now: BootTime, ticket: QueueTicket) -> QueueAdmission {
         let key = self.tickets.insert(TicketEntry { ticket, state: TicketState::Waiting });
         if now >= self.blocked_until && self.has_slot() && self.waiting.is_empty() {
             self.start(key);
-            return Admission::Dispatch(key);
+            return QueueAdmission::Dispatch(key);
         }
         self.waiting.insert(WaitingTicket {
             deadline: ticket.deadline,
@@ -353,7 +353,7 @@
             customer: ticket.customer,
             caller: ticket.caller,
         });
-        Admission::Queued(key)
+        QueueAdmission::Queued(key)
     }
 
     fn start(&mut self, key: TicketKey) {
--- a/crates/dispatch/src/request/query.rs
+++ b/crates/dispatch/src/request/query.rs
@@ -4,15 +4,17 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{SnapshotMap, Topology};
-use carobstep_wire::{Outcome, RefusalReason, RequestId, RetryReason, ShardReply, ShardResult};
+use carobstep_config::{ConfigTopology, SnapshotMap};
+use carobstep_wire::{
+    RefusalReason, RequestId, RequestOutcome, RetryReason, ShardReply, ShardResult,
+};
 
 use super::{
     attempt::{Attempt, AttemptKey, AttemptTable, RequestAction},
     report::{AnswerReport, RequestCounts},
     target::{Failure, NextStep, Target, bare_observation, observe, rebase, reply_observation},
 };
-use crate::router::{Observation, ObservedEnd, Router};
+use crate::router::{AttemptObservation, ObservedEnd, ServerRouter};
 
 /// Longest time kept back from the deadline to assemble the answer.
 const MAX_FINISH_MARGIN: Duration = Duration::from_millis(2);
@@ -36,7 +38,7 @@
     /// The snapshot and its shards; keys belong to `topology`.
     pub map: Arc<SnapshotMap>,
     /// The topology that the plan was made with.
-    pub topology: Arc<Topology>,
+    pub topology: Arc<ConfigTopology>,
 }
 
 /// Progress of one search.
@@ -86,7 +88,12 @@
     }
 
     /// Sends the first attempt for every shard.
-    pub fn start(&mut self, now: BootTime, router: &mut Router, actions: &mut Vec<RequestAction>) {
+    pub fn start(
+        &mut self,
+        now: BootTime,
+        router: &mut ServerRouter,
+        actions: &mut Vec<RequestAction>,
+    ) {
         self.rebase(router);
         for shard in 0..self.targets.len() {
             match self.targets[shard].first(now, router, &mut self.table) {
@@ -110,7 +117,7 @@
         now: BootTime,
         key: AttemptKey,
         reply: ShardReply,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         self.rebase(router);
@@ -136,7 +143,7 @@
             ShardResult::Refused { outcome, reason, retry_after_ms } => {
                 let retry_after = Duration::from_millis(retry_after_ms);
                 self.retry_after = self.retry_after.max(Some(retry_after));
-                let observed = Observation { end: reason.into(), retry_after, ..observed };
+                let observed = AttemptObservation { end: reason.into(), retry_after, ..observed };
                 observe(now, router, &attempt, observed);
                 self.fail(now, Failure { attempt, outcome, reason }, router, actions);
             }
@@ -149,9 +156,9 @@
         &mut self,
         now: BootTime,
         key: AttemptKey,
-        outcome: Outcome,
+        outcome: RequestOutcome,
         reason: RefusalReason,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         self.rebase(router);
@@ -166,7 +173,7 @@
     pub fn on_timer(
         &mut self,
         now: BootTime,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         if self.finished {
@@ -203,8 +210,8 @@
         &mut self,
         now: BootTime,
         map: Arc<SnapshotMap>,
-        topology: Arc<Topology>,
-        router: &mut Router,
+        topology: Arc<ConfigTopology>,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         if self.finished {
@@ -239,7 +246,7 @@
         &mut self,
         now: BootTime,
         reason: RefusalReason,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         self.rebase(router);
@@ -261,7 +268,7 @@
 
     /// The topology that the servers of the latest actions belong to.
     #[must_use]
-    pub const fn topology(&self) -> &Arc<Topology> {
+    pub const fn topology(&self) -> &Arc<ConfigTopology> {
         &self.plan.topology
     }
 
@@ -287,14 +294,19 @@
         &mut self,
         now: BootTime,
         attempt: Attempt,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         self.counts.mismatches += 1;
         let reason = RefusalReason::ReplyMismatch;
         let observed = bare_observation(reason.into(), Some(self.plan.map.number));
         observe(now, router, &attempt, observed);
-        self.fail(now, Failure { attempt, outcome: Outcome::Unknown, reason }, router, actions);
+        self.fail(
+            now,
+            Failure { attempt, outcome: RequestOutcome::Unknown, reason },
+            router,
+            actions,
+        );
         self.finish_if_done(actions);
     }
 
@@ -302,7 +314,7 @@
         &mut self,
         now: BootTime,
         failure: Failure,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         actions.push(RequestAction::CountRefusal(failure.reason));
@@ -360,7 +372,12 @@
         actions.push(RequestAction::Finish);
     }
 
-    fn expire(&mut self, now: BootTime, router: &mut Router, actions: &mut Vec<RequestAction>) {
+    fn expire(
+        &mut self,
+        now: BootTime,
+        router: &mut ServerRouter,
+        actions: &mut Vec<RequestAction>,
+    ) {
         self.cancel_all(now, router, actions);
         for shard in 0..self.results.len() {
             if self.results[shard].is_none() {
@@ -377,7 +394,7 @@
         &mut self,
         now: BootTime,
         shard: usize,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         if self.targets[shard].live() == 0 {
@@ -386,7 +403,12 @@
         self.cancel_where(now, Some(shard), router, actions);
     }
 
-    fn cancel_all(&mut self, now: BootTime, router: &mut Router, actions: &mut Vec<RequestAction>) {
+    fn cancel_all(
+        &mut self,
+        now: BootTime,
+        router: &mut ServerRouter,
+        actions: &mut Vec<RequestAction>,
+    ) {
         self.cancel_where(now, None, router, actions);
     }
 
@@ -394,7 +416,7 @@
         &mut self,
         now: BootTime,
         shard: Option<usize>,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         let snapshot = Some(self.plan.map.number);
@@ -414,7 +436,7 @@
     }
 
     /// Translates all keys after the router moved to another topology.
-    fn rebase(&mut self, router: &Router) {
+    fn rebase(&mut self, router: &ServerRouter) {
         let targets = &mut self.targets;
         rebase(&mut self.plan.topology, router, targets, &mut self.table);
     }
--- a/crates/dispatch/src/request/single.rs
+++ b/crates/dispatch/src/request/single.rs
@@ -4,15 +4,17 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{ServiceKey, Topology};
-use carobstep_wire::{Outcome, RefusalReason, RequestId, RetryReason, ShardReply, ShardResult};
+use carobstep_config::{ConfigTopology, ServiceKey};
+use carobstep_wire::{
+    RefusalReason, RequestId, RequestOutcome, RetryReason, ShardReply, ShardResult,
+};
 
 use super::{
     attempt::{AttemptKey, AttemptTable, RequestAction},
     report::RequestCounts,
     target::{Failure, NextStep, Target, bare_observation, observe, rebase, reply_observation},
 };
-use crate::router::{Observation, ObservedEnd, Router};
+use crate::router::{AttemptObservation, ObservedEnd, ServerRouter};
 
 /// Time to come back when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -27,14 +29,14 @@
     /// The service, a key of `topology`.
     pub service: ServiceKey,
     /// The topology that the plan was made with.
-    pub topology: Arc<Topology>,
+    pub topology: Arc<ConfigTopology>,
 }
 
 /// How a service request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SingleReport {
     /// Whether it was executed.
-    pub outcome: Outcome,
+    pub outcome: RequestOutcome,
     /// Why it has no body.
     pub reason: Option<RefusalReason>,
     /// When a caller that was refused finds capacity.
@@ -76,7 +78,12 @@
     }
 
     /// Sends the first attempt.
-    pub fn start(&mut self, now: BootTime, router: &mut Router, actions: &mut Vec<RequestAction>) {
+    pub fn start(
+        &mut self,
+        now: BootTime,
+        router: &mut ServerRouter,
+        actions: &mut Vec<RequestAction>,
+    ) {
         self.rebase(router);
         match self.target.first(now, router, &mut self.table) {
             Ok(send) => {
@@ -93,14 +100,14 @@
         now: BootTime,
         key: AttemptKey,
         reply: ShardReply,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         self.rebase(router);
         if reply.id != self.table.id(key) {
             self.counts.mismatches += 1;
             let reason = RefusalReason::ReplyMismatch;
-            return self.on_failure(now, key, Outcome::Unknown, reason, router, actions);
+            return self.on_failure(now, key, RequestOutcome::Unknown, reason, router, actions);
         }
         let Some(attempt) = self.table.end(key) else { return };
         let observed = reply_observation(&reply, None);
@@ -109,13 +116,13 @@
                 observe(now, router, &attempt, observed);
                 self.target.answered();
                 self.cancel_rest(now, router, actions);
-                self.finish(Outcome::Ran, None, Some(body), actions);
+                self.finish(RequestOutcome::Ran, None, Some(body), actions);
             }
             ShardResult::Refused { outcome, reason, retry_after_ms } => {
                 let retry_after = Duration::from_millis(retry_after_ms);
                 self.retry_after =
                     Some(self.retry_after.map_or(retry_after, |known| known.max(retry_after)));
-                let observed = Observation { end: reason.into(), retry_after, ..observed };
+                let observed = AttemptObservation { end: reason.into(), retry_after, ..observed };
                 observe(now, router, &attempt, observed);
                 self.fail(now, Failure { attempt, outcome, reason }, router, actions);
             }
@@ -127,9 +134,9 @@
         &mut self,
         now: BootTime,
         key: AttemptKey,
-        outcome: Outcome,
+        outcome: RequestOutcome,
         reason: RefusalReason,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         self.rebase(router);
@@ -142,7 +149,7 @@
     pub fn on_timer(
         &mut self,
         now: BootTime,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         if self.report.is_some() {
@@ -172,7 +179,7 @@
 
     /// The topology that the servers of the latest actions belong to.
     #[must_use]
-    pub const fn topology(&self) -> &Arc<Topology> {
+    pub const fn topology(&self) -> &Arc<ConfigTopology> {
         &self.plan.topology
     }
 
@@ -187,7 +194,7 @@
     pub fn into_report(self) -> SingleReport {
         let counts = self.counts;
         self.report.unwrap_or(SingleReport {
-            outcome: Outcome::Unknown,
+            outcome: RequestOutcome::Unknown,
             reason: Some(RefusalReason::DeadlinePassed),
             retry_after: DEFAULT_RETRY_AFTER,
             body: None,
@@ -201,10 +208,10 @@
         &mut self,
         now: BootTime,
         failure: Failure,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
-        self.any_unknown |= failure.outcome != Outcome::NotRun;
+        self.any_unknown |= failure.outcome != RequestOutcome::NotRun;
         actions.push(RequestAction::CountRefusal(failure.reason));
         let deadline = self.plan.deadline;
         match self.target.fail(now, deadline, &failure, router, &mut self.table) {
@@ -220,13 +227,14 @@
     }
 
     fn give_up(&mut self, reason: RefusalReason, actions: &mut Vec<RequestAction>) {
-        let outcome = if self.any_unknown { Outcome::Unknown } else { Outcome::NotRun };
+        let outcome =
+            if self.any_unknown { RequestOutcome::Unknown } else { RequestOutcome::NotRun };
         self.finish(outcome, Some(reason), None, actions);
     }
 
     fn finish(
         &mut self,
-        outcome: Outcome,
+        outcome: RequestOutcome,
         reason: Option<RefusalReason>,
         body: Option<Bytes>,
         actions: &mut Vec<RequestAction>,
@@ -240,7 +248,7 @@
     fn cancel_rest(
         &mut self,
         now: BootTime,
-        router: &mut Router,
+        router: &mut ServerRouter,
         actions: &mut Vec<RequestAction>,
     ) {
         let first = actions.len();
@@ -254,7 +262,7 @@
         }
     }
 
-    fn rebase(&mut self, router: &Router) {
+    fn rebase(&mut self, router: &ServerRouter) {
         let targets = std::slice::from_mut(&mut self.target);
         rebase(&mut self.plan.topology, router, targets, &mut self.table);
     }
--- a/crates/dispatch/src/request/target.rs
+++ b/crates/dispatch/src/request/target.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_config::{RepeatPolicy, ServerKey, ServiceKey, Topology};
-use carobstep_wire::{Outcome, RefusalReason, RetryReason, ShardReply};
+use carobstep_config::{ConfigTopology, RepeatPolicy, ServerKey, ServiceKey};
+use carobstep_wire::{RefusalReason, RequestOutcome, RetryReason, ShardReply};
 
 use super::attempt::{Attempt, AttemptSend, AttemptTable};
-use crate::router::{AttemptKind, Observation, ObservedEnd, PickRequest, Router};
+use crate::router::{AttemptKind, AttemptObservation, ObservedEnd, PickRequest, ServerRouter};
 
 /// Most attempts for one target, hedges included.
 const MAX_ATTEMPTS: u8 = 4;
@@ -53,7 +53,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Failure {
     pub(super) attempt: Attempt,
-    pub(super) outcome: Outcome,
+    pub(super) outcome: RequestOutcome,
     pub(super) reason: RefusalReason,
 }
 
@@ -86,7 +86,7 @@
     pub(super) fn first(
         &mut self,
         now: BootTime,
-        router: &mut Router,
+        router: &mut ServerRouter,
         table: &mut AttemptTable,
     ) -> Result<AttemptSend, RefusalReason> {
         let service = self.service.ok_or(RefusalReason::UnknownTarget)?;
@@ -100,7 +100,7 @@
         &mut self,
         now: BootTime,
         deadline: BootTime,
-        router: &mut Router,
+        router: &mut ServerRouter,
         table: &mut AttemptTable,
     ) -> Option<AttemptSend> {
         if now < self.hedge_due || self.live == 0 {
@@ -130,7 +130,7 @@
         now: BootTime,
         deadline: BootTime,
         failure: &Failure,
-        router: &mut Router,
+        router: &mut ServerRouter,
         table: &mut AttemptTable,
     ) -> NextStep {
         self.live = self.live.saturating_sub(1);
@@ -177,7 +177,7 @@
         &mut self,
         now: BootTime,
         kind: AttemptKind,
-        router: &mut Router,
+        router: &mut ServerRouter,
         table: &mut AttemptTable,
     ) -> Option<AttemptSend> {
         let service = self.service?;
@@ -225,15 +225,15 @@
     fn retry_reason(
         &self,
         failure: &Failure,
-        router: &Router,
+        router: &ServerRouter,
         service: ServiceKey,
     ) -> Option<RetryReason> {
         let once = router.topology().service(service).repeat == RepeatPolicy::AtMostOnce;
         match (failure.outcome, failure.reason) {
-            (Outcome::NotRun, RefusalReason::NotHolder) => Some(RetryReason::HolderMoved),
-            (Outcome::NotRun, _) => Some(RetryReason::NotRun),
-            (Outcome::Unknown, _) if !once => Some(RetryReason::UnknownRead),
-            (Outcome::Unknown | Outcome::Ran, _) => None,
+            (RequestOutcome::NotRun, RefusalReason::NotHolder) => Some(RetryReason::HolderMoved),
+            (RequestOutcome::NotRun, _) => Some(RetryReason::NotRun),
+            (RequestOutcome::Unknown, _) if !once => Some(RetryReason::UnknownRead),
+            (RequestOutcome::Unknown | RequestOutcome::Ran, _) => None,
         }
     }
 }
@@ -241,22 +241,22 @@
 /// Reports the end of an attempt to the router.
 pub(super) fn observe(
     now: BootTime,
-    router: &mut Router,
+    router: &mut ServerRouter,
     attempt: &Attempt,
-    observation: Observation,
+    observation: AttemptObservation,
 ) {
     let Some(server) = attempt.server else { return };
     let latency = now.since(attempt.sent);
     // A hedge is refused by any queue, so its refusal is no sign of overload.
     let hedge_refused = attempt.hedge && observation.end == ObservedEnd::Overloaded;
     let end = if hedge_refused { ObservedEnd::Refused } else { observation.end };
-    router.observe(now, server, &Observation { end, latency, ..observation });
+    router.observe(now, server, &AttemptObservation { end, latency, ..observation });
 }
 
 /// Translates all keys after the router moved to another topology.
 pub(super) fn rebase(
-    topology: &mut Arc<Topology>,
-    router: &Router,
+    topology: &mut Arc<ConfigTopology>,
+    router: &ServerRouter,
     targets: &mut [Target],
     table: &mut AttemptTable,
 ) {
@@ -277,8 +277,11 @@
 }
 
 /// An observation of an answered attempt.
-pub(super) const fn reply_observation(reply: &ShardReply, snapshot: Option<u64>) -> Observation {
-    Observation {
+pub(super) const fn reply_observation(
+    reply: &ShardReply,
+    snapshot: Option<u64>,
+) -> AttemptObservation {
+    AttemptObservation {
         end: ObservedEnd::Answered,
         latency: Duration::ZERO,
         queue_length: reply.queue_length,
@@ -289,8 +292,11 @@
 }
 
 /// An observation without a reply.
-pub(super) const fn bare_observation(end: ObservedEnd, snapshot: Option<u64>) -> Observation {
-    Observation {
+pub(super) const fn bare_observation(
+    end: ObservedEnd,
+    snapshot: Option<u64>,
+) -> AttemptObservation {
+    AttemptObservation {
         end,
         latency: Duration::ZERO,
         queue_length: 0,
@@ -304,7 +310,7 @@
 fn is_untouched(failure: &Failure) -> bool {
     let end = ObservedEnd::from(failure.reason);
     let untouched = matches!(end, ObservedEnd::Refused | ObservedEnd::Overloaded);
-    failure.outcome == Outcome::NotRun && untouched
+    failure.outcome == RequestOutcome::NotRun && untouched
 }
 
 /// Whether a retry needs no budget, since the backend server did no work.
@@ -319,6 +325,6 @@
     )
 }
 
-fn no_server_reason(router: &Router, service: ServiceKey) -> RefusalReason {
+fn no_server_reason(router: &ServerRouter, service: ServiceKey) -> RefusalReason {
     if router.all_leaving(service) { RefusalReason::ServerLeaving } else { RefusalReason::NoHolder }
 }
--- a/crates/dispatch/src/router/condition.rs
+++ b/crates/dispatch/src/router/condition.rs
@@ -8,7 +8,7 @@
 /// Condition that decides how much load a server gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-pub enum Condition {
+pub enum ServerCondition {
     /// New or just back: its share grows.
     Cold,
     /// Takes its whole share.
@@ -36,12 +36,12 @@
 }
 
 /// The chart of a server's condition.
-static CHART: LazyLock<StateChart<Condition, ConditionEvent>> = LazyLock::new(|| {
+static CHART: LazyLock<StateChart<ServerCondition, ConditionEvent>> = LazyLock::new(|| {
     let text = include_str!("../../charts/condition.jsonc");
     StateChart::parse(text).expect("charts/condition.jsonc is a valid chart")
 });
 
-impl Condition {
+impl ServerCondition {
     /// The condition of a server that nothing is known of.
     pub(super) fn initial() -> Self {
         CHART.initial()
--- a/crates/dispatch/src/router/mod.rs
+++ b/crates/dispatch/src/router/mod.rs
@@ -7,15 +7,15 @@
 use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_config::{RepeatPolicy, ServerKey, ServerState, ServiceKey, Topology, ZoneKey};
+use carobstep_config::{ConfigTopology, RepeatPolicy, ServerKey, ServerState, ServiceKey, ZoneKey};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use service::ServiceStats;
 use stats::ServerStats;
 
-pub use condition::{Condition, ConditionEvent};
-pub use stats::{Observation, ObservedEnd};
+pub use condition::{ConditionEvent, ServerCondition};
+pub use stats::{AttemptObservation, ObservedEnd};
 
 /// Services with more candidates than this are sampled.
 const MAX_SCANNED: usize = 3;
@@ -51,8 +51,8 @@
 
 /// Per-node view of all backend servers, with the budgets for extra load.
 #[derive(Clone, Debug)]
-pub struct Router {
-    topology: Arc<Topology>,
+pub struct ServerRouter {
+    topology: Arc<ConfigTopology>,
     zone_name: String,
     own_zone: Option<ZoneKey>,
     servers: Vec<ServerStats>,
@@ -60,10 +60,10 @@
     rng: SmallRng,
 }
 
-impl Router {
+impl ServerRouter {
     /// Builds a router that has observed nothing; `seed` drives its sampling.
     #[must_use]
-    pub fn new(topology: Arc<Topology>, own_zone: &str, seed: u64, now: BootTime) -> Self {
+    pub fn new(topology: Arc<ConfigTopology>, own_zone: &str, seed: u64, now: BootTime) -> Self {
         let zone_name = own_zone.to_owned();
         let own_zone = topology.find_zone(own_zone);
         let servers = topology.servers().map(|(_, entry)| fresh_server(entry.state, now)).collect();
@@ -81,12 +81,12 @@
 
     /// The topology that the keys of this router belong to.
     #[must_use]
-    pub const fn topology(&self) -> &Arc<Topology> {
+    pub const fn topology(&self) -> &Arc<ConfigTopology> {
         &self.topology
     }
 
     /// Moves to another topology and keeps what was learnt, by name.
-    pub fn set_topology(&mut self, now: BootTime, topology: Arc<Topology>) {
+    pub fn set_topology(&mut self, now: BootTime, topology: Arc<ConfigTopology>) {
         let old = std::mem::replace(&mut self.topology, topology);
         self.own_zone = self.topology.find_zone(&self.zone_name);
         let mut servers = Vec::with_capacity(self.servers.len());
@@ -132,7 +132,7 @@
             stats.condition = stats.condition.after(ConditionEvent::Drained);
             return;
         }
-        if stats.condition == Condition::Leaving {
+        if stats.condition == ServerCondition::Leaving {
             stats.restart_ramp(now);
         }
         stats.condition = stats.condition.after(ConditionEvent::Restored);
@@ -147,7 +147,7 @@
 
     /// Condition of a server.
     #[must_use]
-    pub fn condition(&self, server: ServerKey) -> Condition {
+    pub fn condition(&self, server: ServerKey) -> ServerCondition {
         self.servers[server.index()].condition
     }
 
@@ -161,7 +161,8 @@
     #[must_use]
     pub fn all_leaving(&self, service: ServiceKey) -> bool {
         let servers = &self.topology.service(service).servers;
-        !servers.is_empty() && servers.iter().all(|key| self.condition(*key) == Condition::Leaving)
+        !servers.is_empty()
+            && servers.iter().all(|key| self.condition(*key) == ServerCondition::Leaving)
     }
 
     /// Chooses a server and counts an attempt on it until [`Self::observe`].
@@ -179,7 +180,7 @@
     }
 
     /// Takes in the end of an attempt that [`Self::pick`] counted.
-    pub fn observe(&mut self, now: BootTime, server: ServerKey, observation: &Observation) {
+    pub fn observe(&mut self, now: BootTime, server: ServerKey, observation: &AttemptObservation) {
         let service = self.topology.server(server).service;
         let peer_us = self.best_peer_us(service, server);
         let stats = &mut self.servers[server.index()];
@@ -220,7 +221,7 @@
     }
 }
 
-impl Router {
+impl ServerRouter {
     /// An ejected server whose probe is due.
     ///
     /// Only first attempts that may be repeated serve as probes.
@@ -264,7 +265,7 @@
         let mut best_rank = f64::INFINITY;
         for server in servers {
             let stats = &self.servers[server.index()];
-            let fit = stats.is_open() && stats.condition != Condition::Ejected;
+            let fit = stats.is_open() && stats.condition != ServerCondition::Ejected;
             if !fit || stats.lacks(request.snapshot, now) {
                 continue;
             }
@@ -292,7 +293,7 @@
         {
             return Some(server);
         }
-        self.scan(now, request, servers, |stats| stats.condition != Condition::Ejected)
+        self.scan(now, request, servers, |stats| stats.condition != ServerCondition::Ejected)
     }
 
     fn pick_sampled(
@@ -307,7 +308,7 @@
             return None;
         }
         let pair = [first, second];
-        self.scan(now, request, &pair, |stats| stats.condition != Condition::Ejected)
+        self.scan(now, request, &pair, |stats| stats.condition != ServerCondition::Ejected)
     }
 
     /// The least bad of the ejected servers, or of those that lack the snapshot.
@@ -366,7 +367,7 @@
             if *peer == server || !known || !stats.is_open() {
                 continue;
             }
-            if stats.condition == Condition::Ejected {
+            if stats.condition == ServerCondition::Ejected {
                 continue;
             }
             best_us = best_us.min(stats.service.mean_us());
@@ -378,7 +379,7 @@
 fn fresh_server(state: ServerState, now: BootTime) -> ServerStats {
     let mut stats = ServerStats::new(now);
     if state == ServerState::Draining {
-        stats.condition = Condition::Leaving;
+        stats.condition = ServerCondition::Leaving;
     }
     stats
 }
--- a/crates/dispatch/src/router/service.rs
+++ b/crates/dispatch/src/router/service.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_config::ServiceEntry;
 
-use super::stats::{Observation, ObservedEnd};
+use super::stats::{AttemptObservation, ObservedEnd};
 use crate::{
     budget::TokenBucket,
     estimate::{LatencyHistogram, MeanEstimate},
@@ -85,7 +85,7 @@
     }
 
     /// Takes in one attempt; a cancelled one took at least that long.
-    pub(super) fn record(&mut self, now: BootTime, observation: &Observation) {
+    pub(super) fn record(&mut self, now: BootTime, observation: &AttemptObservation) {
         if observation.end == ObservedEnd::Overloaded {
             self.overloaded_until = now + OVERLOAD_MEMORY;
         }
--- a/crates/dispatch/src/router/stats.rs
+++ b/crates/dispatch/src/router/stats.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_wire::RefusalReason;
 
-use super::condition::{Condition, ConditionEvent};
+use super::condition::{ConditionEvent, ServerCondition};
 use crate::estimate::{MeanEstimate, as_micros};
 
 /// Weight of one attempt in the failure rate.
@@ -107,7 +107,7 @@
 
 /// One finished attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Observation {
+pub struct AttemptObservation {
     /// How it ended.
     pub end: ObservedEnd,
     /// Time since it was sent.
@@ -126,7 +126,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ServerStats {
     pub(super) usable: bool,
-    pub(super) condition: Condition,
+    pub(super) condition: ServerCondition,
     pub(super) in_flight: u32,
     pub(super) latency: MeanEstimate,
     /// Time on the server, without the queue.
@@ -148,7 +148,7 @@
     pub(super) fn new(now: BootTime) -> Self {
         Self {
             usable: false,
-            condition: Condition::initial(),
+            condition: ServerCondition::initial(),
             in_flight: 0,
             latency: MeanEstimate::default(),
             service: MeanEstimate::default(),
@@ -176,7 +176,7 @@
 
     /// Whether it takes new requests at all.
     pub(super) const fn is_open(&self) -> bool {
-        self.usable && !matches!(self.condition, Condition::Leaving)
+        self.usable && !matches!(self.condition, ServerCondition::Leaving)
     }
 
     /// Whether the server said that it lacks the snapshot.
@@ -186,12 +186,12 @@
 
     /// Whether a hedge may go there: warm, and nothing known to wait.
     pub(super) fn takes_hedge(&self, now: BootTime) -> bool {
-        self.condition == Condition::Warm && self.known_queue(now, HEDGE_QUEUE_STALE) == 0
+        self.condition == ServerCondition::Warm && self.known_queue(now, HEDGE_QUEUE_STALE) == 0
     }
 
     /// Whether an ejected server is due for a probe.
     pub(super) fn probe_due(&self, now: BootTime) -> bool {
-        self.condition == Condition::Ejected && now >= self.probe_at
+        self.condition == ServerCondition::Ejected && now >= self.probe_at
     }
 
     /// Notes that a probe was sent; the next one waits.
@@ -225,7 +225,7 @@
 
     /// Share of a warm server's load that it takes now.
     fn weight(&self, now: BootTime) -> f64 {
-        if self.condition != Condition::Cold {
+        if self.condition != ServerCondition::Cold {
             return 1.0;
         }
         let grown = now.since(self.cold_since).as_secs_f64() / RAMP.as_secs_f64();
@@ -241,7 +241,7 @@
     pub(super) fn observe(
         &mut self,
         now: BootTime,
-        observation: &Observation,
+        observation: &AttemptObservation,
         peer_us: f64,
     ) -> Option<ConditionEvent> {
         match observation.end {
@@ -276,14 +276,14 @@
     fn observe_answer(
         &mut self,
         now: BootTime,
-        observation: &Observation,
+        observation: &AttemptObservation,
         peer_us: f64,
     ) -> Option<ConditionEvent> {
         self.failure_rate -= FAILURE_WEIGHT * self.failure_rate;
         self.note_queue(now, observation);
         let known = !observation.service.is_zero();
         let service = if known { observation.service } else { observation.latency };
-        if self.condition == Condition::Ejected {
+        if self.condition == ServerCondition::Ejected {
             return self.judge_probe(now, as_micros(service), peer_us);
         }
         self.latency.record_cut(observation.latency);
@@ -292,7 +292,10 @@
             return Some(event);
         }
         let ramped = now.since(self.cold_since) >= RAMP;
-        if self.condition == Condition::Cold && ramped && self.latency.samples() >= WARM_SAMPLES {
+        if self.condition == ServerCondition::Cold
+            && ramped
+            && self.latency.samples() >= WARM_SAMPLES
+        {
             self.ejections = 0;
             return Some(ConditionEvent::RampDone);
         }
@@ -321,7 +324,7 @@
     fn observe_failure(&mut self, now: BootTime) -> Option<ConditionEvent> {
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
         self.seen = now;
-        if self.condition == Condition::Ejected {
+        if self.condition == ServerCondition::Ejected {
             self.schedule_probe(now);
             return None;
         }
@@ -348,7 +351,7 @@
         self.ejections = self.ejections.saturating_add(1);
     }
 
-    fn note_queue(&mut self, now: BootTime, observation: &Observation) {
+    fn note_queue(&mut self, now: BootTime, observation: &AttemptObservation) {
         self.seen = now;
         self.queue_seen = now;
         self.queue_length = observation.queue_length;
--- a/crates/dispatch/tests/query_rules.rs
+++ b/crates/dispatch/tests/query_rules.rs
@@ -6,11 +6,14 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{ServerKey, ServiceKey, SnapshotMap, Topology};
+use carobstep_config::{ConfigTopology, ServerKey, ServiceKey, SnapshotMap};
 use carobstep_dispatch::{
-    AttemptKey, AttemptSend, QueryPlan, QueryState, RequestAction, Router, SinglePlan, SingleState,
+    AttemptKey, AttemptSend, QueryPlan, QueryState, RequestAction, ServerRouter, SinglePlan,
+    SingleState,
+};
+use carobstep_wire::{
+    RefusalReason, RequestId, RequestOutcome, RetryReason, ShardReply, ShardResult,
 };
-use carobstep_wire::{Outcome, RefusalReason, RequestId, RetryReason, ShardReply, ShardResult};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 use support::fleet::{FleetRun, snapshot, topology};
@@ -34,8 +37,8 @@
 };
 
 struct Entry {
-    topology: Arc<Topology>,
-    router: Router,
+    topology: Arc<ConfigTopology>,
+    router: ServerRouter,
     actions: Vec<RequestAction>,
     map: Arc<SnapshotMap>,
 }
@@ -46,7 +49,7 @@
 
 fn entry(config: FleetRun) -> Entry {
     let topology = Arc::new(topology(&config));
-    let mut router = Router::new(Arc::clone(&topology), "z0", 1, at(0));
+    let mut router = ServerRouter::new(Arc::clone(&topology), "z0", 1, at(0));
     for (server, _) in topology.servers() {
         router.set_usable(server, true);
     }
@@ -101,7 +104,8 @@
     }
 
     fn refusal(&self, send: &AttemptSend, reason: RefusalReason) -> ShardReply {
-        let refused = ShardResult::Refused { outcome: Outcome::NotRun, reason, retry_after_ms: 10 };
+        let refused =
+            ShardResult::Refused { outcome: RequestOutcome::NotRun, reason, retry_after_ms: 10 };
         ShardReply { result: refused, shard: None, snapshot: None, ..self.reply(send) }
     }
 }
@@ -247,7 +251,7 @@
         for _ in 0..100 {
             let mut query = entry.query();
             let send = entry.sends()[0];
-            let (outcome, reason) = (Outcome::NotRun, case.reason);
+            let (outcome, reason) = (RequestOutcome::NotRun, case.reason);
             let Entry { router, actions, .. } = &mut entry;
             query.on_failure(at(1), send.attempt, outcome, reason, router, actions);
             retried = !entry.sends().is_empty();
@@ -294,7 +298,7 @@
 struct SingleCase {
     name: &'static str,
     at_most_once: bool,
-    outcome: Outcome,
+    outcome: RequestOutcome,
     sent_again: bool,
 }
 
@@ -302,25 +306,25 @@
     SingleCase {
         name: "order, not run",
         at_most_once: true,
-        outcome: Outcome::NotRun,
+        outcome: RequestOutcome::NotRun,
         sent_again: true,
     },
     SingleCase {
         name: "order, unknown",
         at_most_once: true,
-        outcome: Outcome::Unknown,
+        outcome: RequestOutcome::Unknown,
         sent_again: false,
     },
     SingleCase {
         name: "read, not run",
         at_most_once: false,
-        outcome: Outcome::NotRun,
+        outcome: RequestOutcome::NotRun,
         sent_again: true,
     },
     SingleCase {
         name: "read, unknown",
         at_most_once: false,
-        outcome: Outcome::Unknown,
+        outcome: RequestOutcome::Unknown,
         sent_again: true,
     },
 ];
@@ -354,7 +358,7 @@
     assert_eq!(single.next_wakeup(), at(100));
     single.on_timer(at(100), &mut entry.router, &mut entry.actions);
     let report = single.into_report();
-    assert_eq!(report.outcome, Outcome::Unknown);
+    assert_eq!(report.outcome, RequestOutcome::Unknown);
 }
 
 #[test]
@@ -365,7 +369,7 @@
     }
     let single = entry.single();
     let report = single.into_report();
-    assert_eq!(report.outcome, Outcome::NotRun);
+    assert_eq!(report.outcome, RequestOutcome::NotRun);
     assert_eq!(report.reason, Some(RefusalReason::ServerLeaving));
 }
 
@@ -406,7 +410,7 @@
             }
             now += 3;
             let send = sends[position % sends.len()];
-            let outcome = if unknown { Outcome::Unknown } else { Outcome::NotRun };
+            let outcome = if unknown { RequestOutcome::Unknown } else { RequestOutcome::NotRun };
             let whole = entry.reply(&send);
             let refused = entry.refusal(&send, REASONS[reason]);
             let Entry { router, actions, .. } = &mut entry;
@@ -456,7 +460,7 @@
                 1 => {
                     unknown = true;
                     let reason = REASONS[reason];
-                    single.on_failure(now, send.attempt, Outcome::Unknown, reason, router, actions);
+                    single.on_failure(now, send.attempt, RequestOutcome::Unknown, reason, router, actions);
                 }
                 _ => {
                     single.on_timer(now, router, actions);
@@ -467,6 +471,6 @@
             prop_assert!(again.is_empty() || !unknown);
             live.extend(again);
         }
-        prop_assert!(!unknown || single.into_report().outcome == Outcome::Unknown);
+        prop_assert!(!unknown || single.into_report().outcome == RequestOutcome::Unknown);
     }
 }
--- a/crates/dispatch/tests/queue_rules.rs
+++ b/crates/dispatch/tests/queue_rules.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_dispatch::{
-    Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
+    CustomerKey, QueueAdmission, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
 };
 use carobstep_wire::RefusalReason;
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -33,16 +33,16 @@
     queue
 }
 
-fn dispatched(admission: Admission) -> TicketKey {
+fn dispatched(admission: QueueAdmission) -> TicketKey {
     match admission {
-        Admission::Dispatch(key) => key,
+        QueueAdmission::Dispatch(key) => key,
         other => panic!("expected a dispatch, got {other:?}"),
     }
 }
 
-fn queued(admission: Admission) -> TicketKey {
+fn queued(admission: QueueAdmission) -> TicketKey {
     match admission {
-        Admission::Queued(key) => key,
+        QueueAdmission::Queued(key) => key,
         other => panic!("expected a wait, got {other:?}"),
     }
 }
@@ -50,7 +50,7 @@
 macro_rules! assert_refused {
     ($admission:expr, $reason:ident) => {
         match $admission {
-            Admission::Refused { reason, .. } => assert_eq!(reason, RefusalReason::$reason),
+            QueueAdmission::Refused { reason, .. } => assert_eq!(reason, RefusalReason::$reason),
             other => panic!("expected a refusal, got {other:?}"),
         }
     };
@@ -220,15 +220,15 @@
                     let customer = CustomerKey(customer);
                     let ticket = QueueTicket { hedge: kind == 2, customer, ..ticket(now + span) };
                     match queue.offer(at(now), ticket) {
-                        Admission::Dispatch(key) => {
+                        QueueAdmission::Dispatch(key) => {
                             prop_assert!(free);
                             running.push(key);
                         }
-                        Admission::Queued(key) => {
+                        QueueAdmission::Queued(key) => {
                             prop_assert!(kind != 2, "a hedge waits");
                             waiting.push(key);
                         }
-                        Admission::Refused { retry_after, .. } => {
+                        QueueAdmission::Refused { retry_after, .. } => {
                             prop_assert!(!retry_after.is_zero());
                         }
                     }
--- a/crates/dispatch/tests/support/design.rs
+++ b/crates/dispatch/tests/support/design.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{ServerKey, SnapshotMap, Topology};
+use carobstep_config::{ConfigTopology, ServerKey, SnapshotMap};
 use carobstep_dispatch::{
-    Admission, CustomerKey, QueryPlan, QueryState, QueueLimits, QueueTicket, RequestAction, Router,
-    ServerQueue,
+    CustomerKey, QueryPlan, QueryState, QueueAdmission, QueueLimits, QueueTicket, RequestAction,
+    ServerQueue, ServerRouter,
 };
 use carobstep_wire::{RequestId, ShardReply, ShardResult};
 
@@ -27,7 +27,7 @@
 
 /// The router and the held queues of one node.
 pub struct Node {
-    pub router: Router,
+    pub router: ServerRouter,
     pub queues: Vec<ServerQueue>,
     maps: Vec<Arc<SnapshotMap>>,
     actions: Vec<RequestAction>,
@@ -36,7 +36,7 @@
 }
 
 /// A topology of two servers per service.
-pub fn design_topology(servers: usize) -> Arc<Topology> {
+pub fn design_topology(servers: usize) -> Arc<ConfigTopology> {
     let config = FleetRun {
         shards: servers / 2,
         replicas: 2,
@@ -58,7 +58,7 @@
 }
 
 /// Snapshots of `shards` shards each, spread over all services.
-fn snapshots(topology: &Topology, shards: usize) -> Vec<Arc<SnapshotMap>> {
+fn snapshots(topology: &ConfigTopology, shards: usize) -> Vec<Arc<SnapshotMap>> {
     let whole = super::fleet::snapshot(topology, 7);
     let mut maps = Vec::new();
     for part in whole.shards.chunks(shards) {
@@ -72,9 +72,9 @@
 }
 
 impl Node {
-    pub fn new(topology: &Arc<Topology>, shards: usize, held: usize) -> Self {
+    pub fn new(topology: &Arc<ConfigTopology>, shards: usize, held: usize) -> Self {
         let now = BootTime::from_millis(1_000);
-        let mut router = Router::new(Arc::clone(topology), "z0", 1, now);
+        let mut router = ServerRouter::new(Arc::clone(topology), "z0", 1, now);
         for server in 0..topology.servers().count() {
             router.set_usable(ServerKey(server as u16), true);
         }
@@ -136,8 +136,8 @@
                     caller: self.count * 8 + place as u64,
                 };
                 *key = match queue.offer(self.now, ticket) {
-                    Admission::Dispatch(key) | Admission::Queued(key) => Some(key),
-                    Admission::Refused { .. } => None,
+                    QueueAdmission::Dispatch(key) | QueueAdmission::Queued(key) => Some(key),
+                    QueueAdmission::Refused { .. } => None,
                 };
                 std::hint::black_box(queue.next_wakeup());
             }
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -5,13 +5,16 @@
 use bytes::Bytes;
 use carobstep_clock::BootTime;
 use carobstep_config::{
-    ConfigVersion, Document, IndexManifest, ManifestDocument, ServerKey, SnapshotMap, Topology,
+    ConfigDocument, ConfigTopology, ConfigVersion, IndexManifest, ManifestDocument, ServerKey,
+    SnapshotMap,
 };
 use carobstep_dispatch::{
-    Admission, AttemptKey, AttemptSend, CustomerKey, QueryPlan, QueryState, QueueEvent,
-    QueueLimits, QueueTicket, RequestAction, Router, ServerQueue, TicketKey, caller_of,
+    AttemptKey, AttemptSend, CustomerKey, QueryPlan, QueryState, QueueAdmission, QueueEvent,
+    QueueLimits, QueueTicket, RequestAction, ServerQueue, ServerRouter, TicketKey, caller_of,
+};
+use carobstep_wire::{
+    RefusalReason, RequestId, RequestOutcome, RetryReason, ShardReply, ShardResult,
 };
-use carobstep_wire::{Outcome, RefusalReason, RequestId, RetryReason, ShardReply, ShardResult};
 
 use super::{Samples, Timeline};
 
@@ -124,7 +127,7 @@
     timeline: Timeline<Event>,
     start: BootTime,
     samples: Samples,
-    router: Router,
+    router: ServerRouter,
     map: Arc<SnapshotMap>,
     servers: Vec<Server>,
     wakeups: Vec<BootTime>,
@@ -136,7 +139,7 @@
 }
 
 /// A topology of one service per shard, with its replicas in two zones.
-pub fn topology(config: &FleetRun) -> Topology {
+pub fn topology(config: &FleetRun) -> ConfigTopology {
     let mut services = String::new();
     for shard in 0..config.shards {
         let mut servers = String::new();
@@ -158,13 +161,13 @@
             config.retry_percent,
         );
     }
-    let document: Document =
+    let document: ConfigDocument =
         serde_json::from_str(&format!(r#"{{"services": {{{services}}}}}"#)).expect("a document");
-    Topology::try_from((ConfigVersion(1), &document)).expect("a topology")
+    ConfigTopology::try_from((ConfigVersion(1), &document)).expect("a topology")
 }
 
 /// The snapshot that covers every service of [`topology`].
-pub fn snapshot(topology: &Topology, number: u64) -> Arc<SnapshotMap> {
+pub fn snapshot(topology: &ConfigTopology, number: u64) -> Arc<SnapshotMap> {
     let mut shards = Vec::new();
     for (_, service) in topology.services() {
         shards.push(format!(r#""shard-{0}": "{0}""#, service.name));
@@ -182,7 +185,7 @@
     let timeline = Timeline::new();
     let start = timeline.now;
     let topology = Arc::new(topology(&config));
-    let mut router = Router::new(Arc::clone(&topology), "z0", config.seed, start);
+    let mut router = ServerRouter::new(Arc::clone(&topology), "z0", config.seed, start);
     let limits = QueueLimits { slots: config.slots, waiting: 256 };
     let mut servers = Vec::new();
     for (key, _) in topology.servers() {
@@ -236,7 +239,14 @@
             Event::Lost { query, attempt } => {
                 let (now, reason) = (self.timeline.now, RefusalReason::ConnectionSilent);
                 self.step(query, |state, router, actions| {
-                    state.on_failure(now, attempt, Outcome::Unknown, reason, router, actions);
+                    state.on_failure(
+                        now,
+                        attempt,
+                        RequestOutcome::Unknown,
+                        reason,
+                        router,
+                        actions,
+                    );
                 });
             }
             Event::Cancel { query, attempt } => self.cancel(query, attempt),
@@ -296,7 +306,7 @@
     fn step(
         &mut self,
         query: u64,
-        event: impl FnOnce(&mut QueryState, &mut Router, &mut Vec<RequestAction>),
+        event: impl FnOnce(&mut QueryState, &mut ServerRouter, &mut Vec<RequestAction>),
     ) {
         let Some(running) = self.queries.get_mut(&query) else { return };
         let mut actions = Vec::new();
@@ -368,15 +378,15 @@
             caller: caller_of(send.id),
         };
         match self.servers[server].queue.offer(now, ticket) {
-            Admission::Dispatch(key) => {
+            QueueAdmission::Dispatch(key) => {
                 self.admit(server, key, query, send);
                 self.dispatch(server, key);
             }
-            Admission::Queued(key) => {
+            QueueAdmission::Queued(key) => {
                 self.figures.hedges_queued += u64::from(send.hedge);
                 self.admit(server, key, query, send);
             }
-            Admission::Refused { reason, retry_after } => {
+            QueueAdmission::Refused { reason, retry_after } => {
                 self.reply_refused(query, send, reason, retry_after);
             }
         }
@@ -432,7 +442,7 @@
         retry_after: Duration,
     ) {
         let retry_after_ms = retry_after.as_millis() as u64;
-        let outcome = Outcome::NotRun;
+        let outcome = RequestOutcome::NotRun;
         let reply = ShardReply {
             id: send.id,
             shard: None,
--- a/crates/dispatch/tests/support/queue_run.rs
+++ b/crates/dispatch/tests/support/queue_run.rs
@@ -7,7 +7,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_dispatch::{
-    Admission, CustomerKey, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
+    CustomerKey, QueueAdmission, QueueEvent, QueueLimits, QueueTicket, ServerQueue, TicketKey,
 };
 
 use super::{Samples, Timeline};
@@ -159,11 +159,11 @@
         }
         let customer = CustomerKey(customer as u64);
         match self.queue.offer(now, QueueTicket { deadline, hedge: false, customer, caller }) {
-            Admission::Dispatch(key) => self.dispatch(Some(key), job),
-            Admission::Queued(key) => {
+            QueueAdmission::Dispatch(key) => self.dispatch(Some(key), job),
+            QueueAdmission::Queued(key) => {
                 self.jobs.insert(key, job);
             }
-            Admission::Refused { retry_after, .. } => self.refuse(job, retry_after),
+            QueueAdmission::Refused { retry_after, .. } => self.refuse(job, retry_after),
         }
     }
 
--- a/crates/node/examples/control_cost/fleet.rs
+++ b/crates/node/examples/control_cost/fleet.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use carobstep_config::{
-    ConfigVersion, Document, HedgeDocument, IndexDocument, NodeName, RepeatPolicy, ServerDocument,
-    ServerName, ServerState, ServiceDocument, Topology, ZoneName,
+    ConfigDocument, ConfigTopology, ConfigVersion, HedgeDocument, IndexDocument, NodeName,
+    RepeatPolicy, ServerDocument, ServerName, ServerState, ServiceDocument, ZoneName,
 };
 use carobstep_control::{GrantMark, GrantRecord, LeaseMark, LeaseRecord, assign_servers};
 use carobstep_platform::{VmRecord, VmRole, VmState};
@@ -31,15 +31,15 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub size: FleetSize,
-    pub topology: Topology,
-    pub document: Document,
+    pub topology: ConfigTopology,
+    pub document: ConfigDocument,
     pub holders: IndexMap<ServerName, NodeName>,
 }
 
 impl Fleet {
     pub fn new(size: FleetSize) -> Self {
         let document = document(size.servers);
-        let topology = Topology::try_from((ConfigVersion(1), &document)).expect("a topology");
+        let topology = ConfigTopology::try_from((ConfigVersion(1), &document)).expect("a topology");
         let mut fleet = Self { size, topology, document, holders: IndexMap::new() };
         for zone in 0..ZONES {
             let nodes = fleet.zone_nodes(zone);
@@ -163,8 +163,8 @@
     VmRecord { name, zone, role, state: VmState::Live, address: address.to_string() }
 }
 
-fn document(servers: usize) -> Document {
-    let mut document = Document::default();
+fn document(servers: usize) -> ConfigDocument {
+    let mut document = ConfigDocument::default();
     for number in 0..servers {
         let service = format!("service-{:04}", number / SERVERS_PER_SERVICE);
         let entry = document.services.entry(service.clone()).or_insert_with(|| ServiceDocument {
--- a/crates/node/examples/control_cost/main.rs
+++ b/crates/node/examples/control_cost/main.rs
@@ -11,9 +11,9 @@
     time::{Duration, Instant},
 };
 
-use carobstep_config::{ConfigVersion, NodeName, Topology, ZoneName};
+use carobstep_config::{ConfigTopology, ConfigVersion, NodeName, ZoneName};
 use carobstep_control::{ControlEvent, assign_servers};
-use carobstep_dispatch::Router;
+use carobstep_dispatch::ServerRouter;
 use carobstep_platform::{ObjectKind, ObjectVersion};
 use carobstep_wire::{ControlMessage, FetchRequest, NewsNotice};
 
@@ -240,7 +240,7 @@
     });
     let own = micros(trio.node.tally.cpu);
     let topology = Arc::new(fleet.topology.clone());
-    let mut router = Router::new(topology.clone(), "zone-00", 1, trio.node.now);
+    let mut router = ServerRouter::new(topology.clone(), "zone-00", 1, trio.node.now);
     let routed = shortest(|| router.set_topology(trio.node.now, topology.clone()));
     let bytes = fleet.config(1).to_string().len();
     println!(
@@ -251,7 +251,7 @@
     println!("  route table rebuild: {rebuild:.0} us");
 }
 
-fn rebuild_routes(trio: &Trio, topology: &Topology, router: &mut Router) {
+fn rebuild_routes(trio: &Trio, topology: &ConfigTopology, router: &mut ServerRouter) {
     let mut routes = Vec::new();
     for (key, server) in topology.servers() {
         router.set_leaving(trio.node.now, key, false);
--- a/crates/node/examples/control_cost/memory.rs
+++ b/crates/node/examples/control_cost/memory.rs
@@ -2,8 +2,8 @@
 
 use std::{fs, sync::Arc, time::Duration};
 
-use carobstep_config::{ConfigVersion, IndexManifest, ManifestDocument, Topology};
-use carobstep_dispatch::{QueryPlan, QueryState, Router};
+use carobstep_config::{ConfigTopology, ConfigVersion, IndexManifest, ManifestDocument};
+use carobstep_dispatch::{QueryPlan, QueryState, ServerRouter};
 use carobstep_wire::RequestId;
 
 use crate::{driver::NodeDriver, fleet::Fleet};
@@ -45,11 +45,11 @@
         driver.control
     });
     let topology = growth(COPIES, |_| {
-        Topology::try_from((ConfigVersion(1), &fleet.document)).expect("a topology")
+        ConfigTopology::try_from((ConfigVersion(1), &fleet.document)).expect("a topology")
     });
     let topology_arc = Arc::new(fleet.topology.clone());
     let now = carobstep_clock::BootTime::from_millis(1);
-    let router = growth(COPIES, |_| Router::new(topology_arc.clone(), "zone-00", 1, now));
+    let router = growth(COPIES, |_| ServerRouter::new(topology_arc.clone(), "zone-00", 1, now));
     let queries = query_memory(fleet);
     println!(
         "{} nodes, memory: control state {control:.0} KiB, topology {topology:.0} KiB, \
@@ -65,7 +65,7 @@
     let manifest = IndexManifest::try_from((topology.as_ref(), &document)).expect("a manifest");
     let map = Arc::new(manifest.newest().clone());
     let now = carobstep_clock::BootTime::from_millis(1);
-    let mut router = Router::new(topology.clone(), "zone-00", 1, now);
+    let mut router = ServerRouter::new(topology.clone(), "zone-00", 1, now);
     for (key, _) in topology.servers() {
         router.set_usable(key, true);
     }
--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use carobstep_config::ShardName;
-use carobstep_wire::{Outcome, RefusalReason, RequestId};
+use carobstep_wire::{RefusalReason, RequestId, RequestOutcome};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -84,7 +84,7 @@
     /// The server gave the request up, or the exchange failed.
     Failed {
         /// Whether the request may have executed.
-        outcome: Outcome,
+        outcome: RequestOutcome,
         /// Why it failed.
         reason: RefusalReason,
         /// Time after which the server wants to be asked again.
@@ -263,11 +263,16 @@
 
 impl BackendResult {
     const fn lost(reason: RefusalReason) -> Self {
-        Self::Failed { outcome: Outcome::Unknown, reason, retry_after: None, reusable: false }
+        Self::Failed {
+            outcome: RequestOutcome::Unknown,
+            reason,
+            retry_after: None,
+            reusable: false,
+        }
     }
 
     const fn not_run(reason: RefusalReason, reusable: bool) -> Self {
-        Self::Failed { outcome: Outcome::NotRun, reason, retry_after: None, reusable }
+        Self::Failed { outcome: RequestOutcome::NotRun, reason, retry_after: None, reusable }
     }
 
     /// Whether the connection may carry another request.
@@ -320,7 +325,7 @@
         (StatusCode::CONFLICT, Some("snapshot-ahead")) => RefusalReason::SnapshotAhead,
         _ => {
             return BackendResult::Failed {
-                outcome: Outcome::Unknown,
+                outcome: RequestOutcome::Unknown,
                 reason: RefusalReason::ServerError,
                 retry_after: None,
                 reusable: true,
@@ -330,7 +335,7 @@
     let retry_after = text(headers, "retry-after-ms")
         .and_then(|millis| millis.parse().ok())
         .map(Duration::from_millis);
-    BackendResult::Failed { outcome: Outcome::NotRun, reason, retry_after, reusable: true }
+    BackendResult::Failed { outcome: RequestOutcome::NotRun, reason, retry_after, reusable: true }
 }
 
 fn text<'headers>(headers: &'headers HeaderMap, name: &str) -> Option<&'headers str> {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use carobstep_wire::{Outcome, RefusalReason};
+use carobstep_wire::{RefusalReason, RequestOutcome};
 use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
 
@@ -15,7 +15,7 @@
     counters::NodeEvent,
     http_listener::{BodyFailure, ListenerLimits, RequestHandler, read_body},
     identity::CallerIdentity,
-    problem::{AnswerBody, Problem, refuse},
+    problem::{AnswerBody, ProblemDocument, refuse},
     search::{SearchRequest, run_search},
     service::{ServiceRequest, run_service},
 };
@@ -48,7 +48,7 @@
         &self,
         identity: CallerIdentity,
         request: Request<Incoming>,
-    ) -> Result<Response<AnswerBody>, Problem> {
+    ) -> Result<Response<AnswerBody>, ProblemDocument> {
         let (head, body) = request.into_parts();
         let target = find_target(&head.method, head.uri.path())?;
         // A stopping node is not ready for the balancer, but it serves what still comes.
@@ -109,7 +109,10 @@
     }
 }
 
-fn find_target<'path>(method: &Method, path: &'path str) -> Result<CallerTarget<'path>, Problem> {
+fn find_target<'path>(
+    method: &Method,
+    path: &'path str,
+) -> Result<CallerTarget<'path>, ProblemDocument> {
     let target = if let Some(index) = path.strip_prefix("/v1/search/") {
         CallerTarget::Search(index)
     } else if let Some(service) = path.strip_prefix("/v1/services/") {
@@ -124,7 +127,7 @@
     Ok(target)
 }
 
-fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Problem> {
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, ProblemDocument> {
     let Some(value) = headers.get("x-deadline-ms") else { return Ok(None) };
     let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
     match millis {
@@ -136,7 +139,7 @@
     }
 }
 
-fn read_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+fn read_key(headers: &HeaderMap) -> Result<Option<String>, ProblemDocument> {
     let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
     let key = value.to_str().ok().filter(|key| {
         (1..=MAX_KEY_BYTES).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic())
@@ -148,7 +151,7 @@
     })
 }
 
-fn body_problem(failure: BodyFailure) -> Problem {
+fn body_problem(failure: BodyFailure) -> ProblemDocument {
     let detail = match failure {
         BodyFailure::TooLarge => "request body is over the limit",
         BodyFailure::TooSlow => "request body did not arrive in time",
@@ -157,6 +160,6 @@
     not_run(RefusalReason::BadRequest, detail)
 }
 
-fn not_run(reason: RefusalReason, detail: impl Into<String>) -> Problem {
-    Problem::new(Outcome::NotRun, reason, detail)
+fn not_run(reason: RefusalReason, detail: impl Into<String>) -> ProblemDocument {
+    ProblemDocument::new(RequestOutcome::NotRun, reason, detail)
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,12 +7,12 @@
 };
 
 use carobstep_clock::BootTime;
-use carobstep_config::{IndexManifest, IndexName, ServerKey, ServerName, Settings, Topology};
-use carobstep_control::{ControlEvent, ControlState, Route};
-use carobstep_dispatch::{AdmissionGate, Router};
+use carobstep_config::{ConfigTopology, IndexManifest, IndexName, ServerKey, ServerName, Settings};
+use carobstep_control::{ControlEvent, ControlState, ServerRoute};
+use carobstep_dispatch::{AdmissionGate, ServerRouter};
 use carobstep_platform::HttpStore;
 use carobstep_wire::{
-    Outcome, PeerPool, PeerReply, PeerRequest, RefusalReason, ShardReply, ShardRequest,
+    PeerPool, PeerReply, PeerRequest, RefusalReason, RequestOutcome, ShardReply, ShardRequest,
     WireErrorKind,
 };
 use indexmap::{IndexMap, IndexSet};
@@ -34,9 +34,9 @@
 #[derive(Debug, Default)]
 pub struct NodeView {
     /// Configuration in force.
-    pub topology: Arc<Topology>,
+    pub topology: Arc<ConfigTopology>,
     /// Route of each backend server, by key of `topology`.
-    pub routes: Vec<Option<Route>>,
+    pub routes: Vec<Option<ServerRoute>>,
     /// Manifests that fit `topology`.
     pub manifests: IndexMap<IndexName, IndexManifest>,
     /// Whether the node takes requests of callers.
@@ -60,7 +60,7 @@
     /// Membership, leases and grants.
     pub control: Mutex<ControlState>,
     /// Choice of backend servers, from this node's own observations.
-    pub router: Mutex<Router>,
+    pub router: Mutex<ServerRouter>,
     /// Limit on the searches of each index.
     pub gates: Mutex<IndexMap<IndexName, AdmissionGate>>,
     /// The actor that carries out what the control state asks for.
@@ -83,7 +83,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendFailure {
     /// Whether it may have executed.
-    pub outcome: Outcome,
+    pub outcome: RequestOutcome,
     /// Why there is no reply.
     pub reason: RefusalReason,
 }
@@ -106,7 +106,7 @@
     }
 
     /// Locks the router.
-    pub fn lock_router(&self) -> MutexGuard<'_, Router> {
+    pub fn lock_router(&self) -> MutexGuard<'_, ServerRouter> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -213,25 +213,25 @@
 
 impl SendFailure {
     const fn not_run(reason: RefusalReason) -> Self {
-        Self { outcome: Outcome::NotRun, reason }
+        Self { outcome: RequestOutcome::NotRun, reason }
     }
 
     const fn unknown(reason: RefusalReason) -> Self {
-        Self { outcome: Outcome::Unknown, reason }
+        Self { outcome: RequestOutcome::Unknown, reason }
     }
 }
 
 impl NodeView {
     /// The route of a backend server, if a holder is known.
     #[must_use]
-    pub fn route(&self, server: &ServerName) -> Option<Route> {
+    pub fn route(&self, server: &ServerName) -> Option<ServerRoute> {
         let key = self.topology.find_server(server.as_str())?;
         self.route_of(key).cloned()
     }
 
     /// The route of a backend server by key.
     #[must_use]
-    pub fn route_of(&self, key: ServerKey) -> Option<&Route> {
+    pub fn route_of(&self, key: ServerKey) -> Option<&ServerRoute> {
         self.routes.get(key.index())?.as_ref()
     }
 
--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -4,9 +4,9 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{
-    IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerKey, ServerName, Topology,
+    ConfigTopology, IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerKey, ServerName,
 };
-use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, Route};
+use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, ServerRoute};
 use carobstep_platform::{ObjectCall, ObjectKind, ObjectStore, ObjectVersion};
 use carobstep_wire::{ControlMessage, ControlReply, PeerReply, PeerRequest};
 use indexmap::{IndexMap, IndexSet};
@@ -60,7 +60,7 @@
     context: Arc<NodeContext>,
     view: watch::Sender<Arc<NodeView>>,
     finished: watch::Sender<bool>,
-    topology: Arc<Topology>,
+    topology: Arc<ConfigTopology>,
     manifests: IndexMap<IndexName, Arc<ManifestDocument>>,
     /// Whether the control state is ready.
     ready: bool,
@@ -263,7 +263,7 @@
         }
     }
 
-    async fn put_in_force(&mut self, topology: Arc<Topology>) {
+    async fn put_in_force(&mut self, topology: Arc<ConfigTopology>) {
         log::info!(version = topology.version().0; "configuration in force");
         self.context.counters.event(NodeEvent::ConfigsInForce);
         self.topology = topology;
@@ -324,7 +324,7 @@
     ///
     /// A node that has just started learns the configuration before the
     /// routes; taking requests in between would refuse them for nothing.
-    fn has_routes(&self, now: BootTime, routes: &[Option<Route>]) -> bool {
+    fn has_routes(&self, now: BootTime, routes: &[Option<ServerRoute>]) -> bool {
         let configured = self.configured.unwrap_or(now);
         if self.context.split.is_some() || now >= configured + ROUTES_PATIENCE {
             return true;
@@ -348,7 +348,7 @@
                 None => control.holder_of(&entry.name),
             };
             router.set_leaving(now, key, leaving);
-            let own = |route: &Route| route.node == self.context.settings.node;
+            let own = |route: &ServerRoute| route.node == self.context.settings.node;
             if let Some(limits) = limits.filter(|_| route.as_ref().is_some_and(own)) {
                 self.context.holders.tell(&entry.name, HolderMessage::Limits(limits));
             }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -14,7 +14,7 @@
 use carobstep_clock::BootTime;
 use carobstep_config::{LimitSettings, Settings};
 use carobstep_control::{ControlEvent, ControlOptions, ControlState, GossipTiming, LeaseTiming};
-use carobstep_dispatch::Router;
+use carobstep_dispatch::ServerRouter;
 use carobstep_platform::HttpStore;
 use carobstep_wire::{PeerPool, serve_peers};
 use ractor::Actor;
@@ -231,7 +231,7 @@
         claim_store: Arc::new(build_store()),
         peers,
         control: Mutex::new(ControlState::new(options, now)),
-        router: Mutex::new(Router::new(Arc::default(), zone.as_str(), random_seed, now)),
+        router: Mutex::new(ServerRouter::new(Arc::default(), zone.as_str(), random_seed, now)),
         gates: Mutex::default(),
         control_actor: OnceLock::new(),
         split: StaticSplit::of(&settings),
--- a/crates/node/src/holder/actor.rs
+++ b/crates/node/src/holder/actor.rs
@@ -6,16 +6,16 @@
 use carobstep_config::ServerName;
 use carobstep_control::ControlEvent;
 use carobstep_dispatch::{
-    Admission, ConnectionKey, ConnectionPool, ConnectionStep, PoolEvent, PoolLimits, QueueEvent,
-    QueueLimits, ServerQueue, TicketKey,
+    ConnectionKey, ConnectionPool, ConnectionStep, PoolEvent, PoolLimits, QueueAdmission,
+    QueueEvent, QueueLimits, ServerQueue, TicketKey,
 };
-use carobstep_wire::{Outcome, RefusalReason, ShardResult};
+use carobstep_wire::{RefusalReason, RequestOutcome, ShardResult};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::time::sleep;
 
 use super::{
-    exchange::{EndedExchange, Exchange},
+    exchange::{EndedExchange, ServerExchange},
     job::{RunJob, RunKey},
 };
 use crate::{
@@ -191,7 +191,7 @@
             match event {
                 QueueEvent::Dispatch(ticket) => self.dispatch(now, ticket),
                 QueueEvent::Refused { key, reason, retry_after } => {
-                    self.refuse(key, Outcome::NotRun, reason, retry_after);
+                    self.refuse(key, RequestOutcome::NotRun, reason, retry_after);
                 }
             }
         }
@@ -206,19 +206,19 @@
     fn offer(&mut self, now: BootTime, mut job: RunJob) {
         if let Err(reason) = self.check() {
             let waiting = self.queue.waiting();
-            job.refuse(Outcome::NotRun, reason, DEFAULT_RETRY_AFTER, waiting);
+            job.refuse(RequestOutcome::NotRun, reason, DEFAULT_RETRY_AFTER, waiting);
             return;
         }
         match self.queue.offer(now, job.ticket()) {
-            Admission::Dispatch(ticket) => {
+            QueueAdmission::Dispatch(ticket) => {
                 self.jobs.insert(ticket, job);
                 self.dispatch(now, ticket);
             }
-            Admission::Queued(ticket) => {
+            QueueAdmission::Queued(ticket) => {
                 self.jobs.insert(ticket, job);
             }
-            Admission::Refused { reason, retry_after } => {
-                job.refuse(Outcome::NotRun, reason, retry_after, self.queue.waiting());
+            QueueAdmission::Refused { reason, retry_after } => {
+                job.refuse(RequestOutcome::NotRun, reason, retry_after, self.queue.waiting());
             }
         }
     }
@@ -249,7 +249,7 @@
             return self.put_back(now, key, connection);
         };
         let cancelled = job.arm();
-        let exchange = Exchange {
+        let exchange = ServerExchange {
             context: self.context.clone(),
             server: self.server.clone(),
             address: self.limits.address,
@@ -274,7 +274,7 @@
     /// Refuses an admitted request before anything of it was sent.
     fn give_back(&mut self, now: BootTime, ticket: TicketKey, reason: RefusalReason) {
         self.queue.finish(now, ticket, None);
-        self.refuse(ticket, Outcome::NotRun, reason, DEFAULT_RETRY_AFTER);
+        self.refuse(ticket, RequestOutcome::NotRun, reason, DEFAULT_RETRY_AFTER);
     }
 
     fn put_back(
@@ -296,7 +296,7 @@
     fn refuse(
         &mut self,
         ticket: TicketKey,
-        outcome: Outcome,
+        outcome: RequestOutcome,
         reason: RefusalReason,
         retry_after: Duration,
     ) {
--- a/crates/node/src/holder/exchange.rs
+++ b/crates/node/src/holder/exchange.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_config::ServerName;
 use carobstep_dispatch::{ConnectionKey, TicketKey};
-use carobstep_wire::{Outcome, RefusalReason};
+use carobstep_wire::{RefusalReason, RequestOutcome};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -27,7 +27,7 @@
 }
 
 /// One exchange with the server, from connecting to the whole reply.
-pub(super) struct Exchange {
+pub(super) struct ServerExchange {
     pub(super) context: Arc<NodeContext>,
     pub(super) server: ServerName,
     pub(super) address: SocketAddr,
@@ -35,7 +35,7 @@
     pub(super) request: BackendRequest,
 }
 
-impl Exchange {
+impl ServerExchange {
     /// Runs the exchange; nothing is sent once `cancelled` is closed.
     pub(super) async fn run(
         mut self,
@@ -91,9 +91,19 @@
 }
 
 const fn not_run(reason: RefusalReason) -> BackendResult {
-    BackendResult::Failed { outcome: Outcome::NotRun, reason, retry_after: None, reusable: true }
+    BackendResult::Failed {
+        outcome: RequestOutcome::NotRun,
+        reason,
+        retry_after: None,
+        reusable: true,
+    }
 }
 
 const fn unknown(reason: RefusalReason) -> BackendResult {
-    BackendResult::Failed { outcome: Outcome::Unknown, reason, retry_after: None, reusable: false }
+    BackendResult::Failed {
+        outcome: RequestOutcome::Unknown,
+        reason,
+        retry_after: None,
+        reusable: false,
+    }
 }
--- a/crates/node/src/holder/job.rs
+++ b/crates/node/src/holder/job.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_dispatch::{CustomerKey, QueueTicket};
-use carobstep_wire::{Outcome, RefusalReason, ShardReply, ShardRequest, ShardResult};
+use carobstep_wire::{RefusalReason, RequestOutcome, ShardReply, ShardRequest, ShardResult};
 use tokio::sync::oneshot;
 
 /// Identifies one run at one node.
@@ -73,7 +73,7 @@
     /// Sends a refusal as the reply.
     pub fn refuse(
         &mut self,
-        outcome: Outcome,
+        outcome: RequestOutcome,
         reason: RefusalReason,
         retry_after: Duration,
         queue_length: usize,
--- a/crates/node/src/holder/mod.rs
+++ b/crates/node/src/holder/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use carobstep_config::ServerName;
-use carobstep_wire::{Outcome, RefusalReason, ShardReply, ShardRequest, ShardResult};
+use carobstep_wire::{RefusalReason, RequestOutcome, ShardReply, ShardRequest, ShardResult};
 use indexmap::IndexMap;
 use ractor::{Actor, ActorRef};
 use tokio::sync::oneshot;
@@ -82,10 +82,10 @@
     /// Runs a shard request on a held server. Dropping the future cancels it.
     pub async fn run(&self, request: ShardRequest) -> ShardReply {
         let Some(actor) = self.find(&request.server) else {
-            return refused_reply(&request, Outcome::NotRun, RefusalReason::NotHolder);
+            return refused_reply(&request, RequestOutcome::NotRun, RefusalReason::NotHolder);
         };
         let run = RunKey(self.next_run.fetch_add(1, Ordering::Relaxed));
-        let fallback = refused_reply(&request, Outcome::Unknown, RefusalReason::PeerLost);
+        let fallback = refused_reply(&request, RequestOutcome::Unknown, RefusalReason::PeerLost);
         let (reply_sender, reply) = oneshot::channel();
         let job = RunJob::new(run, request, reply_sender);
         let mut guard = CancelGuard { actor: actor.clone(), run, armed: true };
@@ -93,7 +93,7 @@
             guard.armed = false;
             return match error {
                 ractor::MessagingErr::SendErr(HolderMessage::Run(job)) => {
-                    refused_reply(&job.request, Outcome::NotRun, RefusalReason::NotHolder)
+                    refused_reply(&job.request, RequestOutcome::NotRun, RefusalReason::NotHolder)
                 }
                 _ => fallback,
             };
@@ -127,7 +127,7 @@
 /// Builds the reply for a request that was given up with the default delay.
 pub fn refused_reply(
     request: &ShardRequest,
-    outcome: Outcome,
+    outcome: RequestOutcome,
     reason: RefusalReason,
 ) -> ShardReply {
     let retry_after_ms = u64::try_from(DEFAULT_RETRY_AFTER.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -16,14 +16,14 @@
     AttemptId, ClaimEnd, ClaimOutcome, ClaimRecord, ClaimRequest, ObjectVersion, OwnerSight,
     RecordedOutcome, abandon_claim, acquire_claim, digest_of, record_claim,
 };
-use carobstep_wire::{Outcome, RefusalReason};
+use carobstep_wire::{RefusalReason, RequestOutcome};
 use http::Response;
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
     context::{DEFAULT_RETRY_AFTER, NodeContext, NodeView},
     counters::NodeEvent,
-    problem::{AnswerBody, Problem, refuse},
+    problem::{AnswerBody, ProblemDocument, refuse},
     service::{ServiceRequest, answer, ran, run_single},
 };
 
@@ -54,7 +54,8 @@
     let id = request.identity.request;
     let Some(key) = request.key.clone() else {
         let detail = format!("service {:?} requires the header idempotency-key", request.service);
-        let problem = Problem::new(Outcome::NotRun, RefusalReason::KeyMissing, detail);
+        let problem =
+            ProblemDocument::new(RequestOutcome::NotRun, RefusalReason::KeyMissing, detail);
         return refuse(&context.counters, id, problem);
     };
     let claim = ClaimRequest {
@@ -73,7 +74,8 @@
     });
     work.await.unwrap_or_else(|error| {
         let detail = format!("order ended early: {error}");
-        let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
+        let problem =
+            ProblemDocument::new(RequestOutcome::Unknown, RefusalReason::ServerError, detail);
         refuse(&context.counters, id, problem)
     })
 }
@@ -124,9 +126,9 @@
     /// Records the outcome; goes on in the background when that takes long.
     async fn record(self, version: ObjectVersion, report: &SingleReport) {
         let outcome = match report.outcome {
-            Outcome::Ran => ClaimOutcome::Ran,
-            Outcome::NotRun => ClaimOutcome::NotRun,
-            Outcome::Unknown => ClaimOutcome::Unknown,
+            RequestOutcome::Ran => ClaimOutcome::Ran,
+            RequestOutcome::NotRun => ClaimOutcome::NotRun,
+            RequestOutcome::Unknown => ClaimOutcome::Unknown,
         };
         let body = report.body.as_ref().map(|body| String::from_utf8_lossy(body).into_owned());
         let Self { context, claim, .. } = self;
@@ -157,21 +159,23 @@
             return ran(id, body.as_bytes(), true);
         }
         let detail = format!("service {:?}: the recorded outcome is unknown", self.request.service);
-        let problem = Problem::new(Outcome::Unknown, RefusalReason::ServerError, detail);
+        let problem =
+            ProblemDocument::new(RequestOutcome::Unknown, RefusalReason::ServerError, detail);
         refuse(&self.context.counters, id, problem)
     }
 
     fn in_progress(&self) -> Response<AnswerBody> {
         let detail =
             format!("service {:?}: the key's request is in progress", self.request.service);
-        let problem = Problem::new(Outcome::Unknown, RefusalReason::ClaimInProgress, detail)
-            .with_retry_after(DEFAULT_RETRY_AFTER);
+        let problem =
+            ProblemDocument::new(RequestOutcome::Unknown, RefusalReason::ClaimInProgress, detail)
+                .with_retry_after(DEFAULT_RETRY_AFTER);
         refuse(&self.context.counters, self.request.identity.request, problem)
     }
 
     fn refuse(&self, reason: RefusalReason, text: &str) -> Response<AnswerBody> {
         let detail = format!("service {:?}: {text}", self.request.service);
-        let mut problem = Problem::new(Outcome::NotRun, reason, detail);
+        let mut problem = ProblemDocument::new(RequestOutcome::NotRun, reason, detail);
         if reason == RefusalReason::PlatformDown {
             problem = problem.with_retry_after(DEFAULT_RETRY_AFTER);
         }
--- a/crates/node/src/problem.rs
+++ b/crates/node/src/problem.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobstep_wire::{Outcome, RefusalReason, RequestId};
+use carobstep_wire::{RefusalReason, RequestId, RequestOutcome};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use serde::Serialize;
@@ -15,23 +15,23 @@
 
 /// A refusal as callers see it.
 #[derive(Clone, Debug, Serialize)]
-pub struct Problem {
+pub struct ProblemDocument {
     #[serde(rename = "type")]
     kind: &'static str,
     title: &'static str,
     status: u16,
     detail: String,
     request_id: String,
-    outcome: Outcome,
+    outcome: RequestOutcome,
     reason: RefusalReason,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
 }
 
-impl Problem {
+impl ProblemDocument {
     /// Builds a problem whose status follows from its outcome and reason.
     #[must_use]
-    pub fn new(outcome: Outcome, reason: RefusalReason, detail: impl Into<String>) -> Self {
+    pub fn new(outcome: RequestOutcome, reason: RefusalReason, detail: impl Into<String>) -> Self {
         let status = status_of(outcome, reason);
         Self {
             kind: "about:blank",
@@ -86,31 +86,35 @@
 
 /// Counts and answers the refusal of a request.
 #[must_use]
-pub fn refuse(counters: &CounterSet, request: RequestId, problem: Problem) -> Response<AnswerBody> {
+pub fn refuse(
+    counters: &CounterSet,
+    request: RequestId,
+    problem: ProblemDocument,
+) -> Response<AnswerBody> {
     counters.refusal(problem.reason);
     problem.into_response(request)
 }
 
-const fn title_of(outcome: Outcome) -> &'static str {
+const fn title_of(outcome: RequestOutcome) -> &'static str {
     match outcome {
-        Outcome::Ran => "request ran and failed",
-        Outcome::NotRun => "request not run",
-        Outcome::Unknown => "request outcome unknown",
+        RequestOutcome::Ran => "request ran and failed",
+        RequestOutcome::NotRun => "request not run",
+        RequestOutcome::Unknown => "request outcome unknown",
     }
 }
 
-const fn status_of(outcome: Outcome, reason: RefusalReason) -> StatusCode {
+const fn status_of(outcome: RequestOutcome, reason: RefusalReason) -> StatusCode {
     match (outcome, reason) {
-        (Outcome::Ran, _) => StatusCode::BAD_GATEWAY,
-        (Outcome::Unknown, RefusalReason::ClaimInProgress) => StatusCode::CONFLICT,
-        (Outcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
-        (Outcome::NotRun, RefusalReason::UnknownTarget) => StatusCode::NOT_FOUND,
-        (Outcome::NotRun, RefusalReason::ClaimMismatch) => StatusCode::UNPROCESSABLE_ENTITY,
-        (Outcome::NotRun, RefusalReason::BadRequest | RefusalReason::KeyMissing) => {
+        (RequestOutcome::Ran, _) => StatusCode::BAD_GATEWAY,
+        (RequestOutcome::Unknown, RefusalReason::ClaimInProgress) => StatusCode::CONFLICT,
+        (RequestOutcome::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+        (RequestOutcome::NotRun, RefusalReason::UnknownTarget) => StatusCode::NOT_FOUND,
+        (RequestOutcome::NotRun, RefusalReason::ClaimMismatch) => StatusCode::UNPROCESSABLE_ENTITY,
+        (RequestOutcome::NotRun, RefusalReason::BadRequest | RefusalReason::KeyMissing) => {
             StatusCode::BAD_REQUEST
         }
-        (Outcome::NotRun, RefusalReason::CallerLimit) => StatusCode::TOO_MANY_REQUESTS,
-        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (RequestOutcome::NotRun, RefusalReason::CallerLimit) => StatusCode::TOO_MANY_REQUESTS,
+        (RequestOutcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{IndexEntry, IndexName, ShardName, SnapshotMap, Topology};
+use carobstep_config::{ConfigTopology, IndexEntry, IndexName, ShardName, SnapshotMap};
 use carobstep_dispatch::{
     AdmissionGate, AnswerReport, GateDecision, QueryPlan, QueryState, RequestAction, SearchLoad,
 };
-use carobstep_wire::{Outcome, RefusalReason, RequestId, ShardResult};
+use carobstep_wire::{RefusalReason, RequestId, RequestOutcome, ShardResult};
 use http::{Response, StatusCode};
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -18,7 +18,7 @@
     context::{DEFAULT_RETRY_AFTER, NodeContext},
     counters::NodeEvent,
     identity::CallerIdentity,
-    problem::{AnswerBody, Problem, json_response, refuse},
+    problem::{AnswerBody, ProblemDocument, json_response, refuse},
 };
 
 /// A search as a caller asked for it.
@@ -40,7 +40,7 @@
     request_id: String,
     index: &'report str,
     snapshot: u64,
-    coverage: Coverage<'report>,
+    coverage: CoverageLists<'report>,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
     results: Vec<ShardAnswer<'report>>,
@@ -48,7 +48,7 @@
 
 /// Which shards the answer covers and which it lacks.
 #[derive(Debug, Serialize)]
-struct Coverage<'report> {
+struct CoverageLists<'report> {
     covered: Vec<&'report ShardName>,
     lacking: Vec<LackingShard<'report>>,
 }
@@ -94,16 +94,16 @@
         context: Arc<NodeContext>,
         request: &SearchRequest,
         now: BootTime,
-    ) -> Result<Self, Problem> {
+    ) -> Result<Self, ProblemDocument> {
         let view = context.latest_view();
         let key = view.topology.find_index(&request.index);
         let entry = key.map(|key| view.topology.search_index(key)).ok_or_else(|| {
             let detail = format!("index {:?} is not configured", request.index);
-            Problem::new(Outcome::NotRun, RefusalReason::UnknownTarget, detail)
+            ProblemDocument::new(RequestOutcome::NotRun, RefusalReason::UnknownTarget, detail)
         })?;
         let manifest = view.manifests.get(request.index.as_str()).ok_or_else(|| {
             let detail = format!("index {:?} has no manifest yet", request.index);
-            Problem::new(Outcome::NotRun, RefusalReason::NotReady, detail)
+            ProblemDocument::new(RequestOutcome::NotRun, RefusalReason::NotReady, detail)
                 .with_retry_after(DEFAULT_RETRY_AFTER)
         })?;
         admit(&context, entry, request.identity.caller, now)?;
@@ -158,12 +158,12 @@
         match ended.result {
             Ok(reply) => {
                 if let ShardResult::Refused { outcome, .. } = reply.result {
-                    self.any_unknown |= outcome == Outcome::Unknown;
+                    self.any_unknown |= outcome == RequestOutcome::Unknown;
                 }
                 self.state.on_reply(now, ended.attempt, reply, router, actions);
             }
             Err(failure) => {
-                self.any_unknown |= failure.outcome == Outcome::Unknown;
+                self.any_unknown |= failure.outcome == RequestOutcome::Unknown;
                 let (outcome, reason) = (failure.outcome, failure.reason);
                 self.state.on_failure(now, ended.attempt, outcome, reason, router, actions);
             }
@@ -208,10 +208,10 @@
 
 fn other_snapshot(
     manifests: &indexmap::IndexMap<IndexName, carobstep_config::IndexManifest>,
-    topology: &Arc<Topology>,
+    topology: &Arc<ConfigTopology>,
     index: &IndexName,
     avoid: u64,
-) -> Option<(Arc<SnapshotMap>, Arc<Topology>)> {
+) -> Option<(Arc<SnapshotMap>, Arc<ConfigTopology>)> {
     let manifest = manifests.get(index)?;
     let map = manifest.snapshots.iter().rev().find(|map| map.number != avoid)?;
     Some((Arc::new(map.clone()), topology.clone()))
@@ -223,13 +223,13 @@
     index: &IndexEntry,
     caller: u64,
     now: BootTime,
-) -> Result<(), Problem> {
+) -> Result<(), ProblemDocument> {
     let mut gates = context.lock_gates();
     let gate =
         gates.entry(index.name.clone()).or_insert_with(|| AdmissionGate::new(now, index.deadline));
     let GateDecision::Refuse { retry_after } = gate.offer(now, caller) else { return Ok(()) };
     let detail = format!("index {:?}: the backend servers are at their limit", index.name.as_str());
-    Err(Problem::new(Outcome::NotRun, RefusalReason::Overloaded, detail)
+    Err(ProblemDocument::new(RequestOutcome::NotRun, RefusalReason::Overloaded, detail)
         .with_retry_after(retry_after))
 }
 
@@ -264,10 +264,10 @@
     if results.is_empty()
         && let Some(first) = lacking.first()
     {
-        let outcome = if any_unknown { Outcome::Unknown } else { Outcome::NotRun };
+        let outcome = if any_unknown { RequestOutcome::Unknown } else { RequestOutcome::NotRun };
         let detail =
             format!("index {:?}: none of {} shards answered", index.as_str(), lacking.len());
-        return Problem::new(outcome, first.reason, detail)
+        return ProblemDocument::new(outcome, first.reason, detail)
             .with_retry_after(delay)
             .into_response(id);
     }
@@ -276,7 +276,7 @@
         request_id: id.to_string(),
         index: index.as_str(),
         snapshot: report.snapshot(),
-        coverage: Coverage {
+        coverage: CoverageLists {
             covered: results.iter().map(|result| result.shard).collect(),
             lacking,
         },
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_config::{RepeatPolicy, ServiceEntry, ServiceKey, Topology};
+use carobstep_config::{ConfigTopology, RepeatPolicy, ServiceEntry, ServiceKey};
 use carobstep_dispatch::{RequestAction, SinglePlan, SingleReport, SingleState};
-use carobstep_wire::{Outcome, RefusalReason, RequestId};
+use carobstep_wire::{RefusalReason, RequestId, RequestOutcome};
 use http::{Response, StatusCode};
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -18,7 +18,7 @@
     counters::NodeEvent,
     identity::CallerIdentity,
     order::run_order,
-    problem::{AnswerBody, Problem, json_response, refuse},
+    problem::{AnswerBody, ProblemDocument, json_response, refuse},
 };
 
 /// A service request as a caller asked for it.
@@ -40,7 +40,7 @@
 #[derive(Debug, Serialize)]
 struct ServiceAnswer<'body> {
     request_id: String,
-    outcome: Outcome,
+    outcome: RequestOutcome,
     #[serde(skip_serializing_if = "is_false")]
     replayed: bool,
     body: &'body RawValue,
@@ -63,7 +63,8 @@
     let view = context.latest_view();
     let Some(key) = view.topology.find_service(&request.service) else {
         let detail = format!("service {:?} is not configured", request.service);
-        let problem = Problem::new(Outcome::NotRun, RefusalReason::UnknownTarget, detail);
+        let problem =
+            ProblemDocument::new(RequestOutcome::NotRun, RefusalReason::UnknownTarget, detail);
         return refuse(&context.counters, id, problem);
     };
     let entry = view.topology.service(key);
@@ -135,7 +136,7 @@
 
 fn carry_out(
     context: &NodeContext,
-    topology: &Topology,
+    topology: &ConfigTopology,
     attempts: &mut AttemptSet,
     actions: &mut Vec<RequestAction>,
 ) {
@@ -166,8 +167,8 @@
     }
     let reason = report.reason.unwrap_or(RefusalReason::ServerError);
     let detail = format!("service {service:?}: {reason}");
-    let mut problem = Problem::new(report.outcome, reason, detail);
-    if report.outcome == Outcome::NotRun {
+    let mut problem = ProblemDocument::new(report.outcome, reason, detail);
+    if report.outcome == RequestOutcome::NotRun {
         problem = problem.with_retry_after(report.retry_after);
     }
     refuse(&context.counters, id, problem)
@@ -187,6 +188,6 @@
         }
     };
     let answer =
-        ServiceAnswer { request_id: id.to_string(), outcome: Outcome::Ran, replayed, body };
+        ServiceAnswer { request_id: id.to_string(), outcome: RequestOutcome::Ran, replayed, body };
     json_response(StatusCode::OK, &answer)
 }
--- a/crates/node/src/split.rs
+++ b/crates/node/src/split.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 
 use carobstep_config::{NodeName, ServerName, Settings};
-use carobstep_control::Route;
+use carobstep_control::ServerRoute;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::holder::ServerLimits;
@@ -55,8 +55,8 @@
 }
 
 /// The route of a server that this node has a share of.
-pub(crate) fn own_route(settings: &Settings) -> Route {
-    Route { node: settings.node.clone(), address: settings.peers, epoch: 0, incarnation: 0 }
+pub(crate) fn own_route(settings: &Settings) -> ServerRoute {
+    ServerRoute { node: settings.node.clone(), address: settings.peers, epoch: 0, incarnation: 0 }
 }
 
 fn score(server: &ServerName, node: &NodeName) -> u64 {
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -62,7 +62,7 @@
 
 /// Condition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Condition {
+pub enum WriteCondition {
     /// The object must not exist.
     Absent,
     /// The object must exist at this version.
@@ -91,7 +91,7 @@
         /// Name of the object.
         name: String,
         /// Condition of the write.
-        condition: Condition,
+        condition: WriteCondition,
         /// The new value.
         value: serde_json::Value,
     },
--- a/crates/platform/src/claim.rs
+++ b/crates/platform/src/claim.rs
@@ -25,7 +25,7 @@
 use strum::{Display, EnumString, IntoStaticStr};
 use xxhash_rust::xxh3::xxh3_128;
 
-use crate::call::{Condition, ObjectVersion, StoredObject};
+use crate::call::{ObjectVersion, StoredObject, WriteCondition};
 
 /// Longest answer that a claim keeps for later attempts.
 pub const MAX_ANSWER_BYTES: usize = 512 * 1024;
@@ -182,7 +182,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ClaimWrite {
     /// Condition of the write.
-    pub condition: Condition,
+    pub condition: WriteCondition,
     /// The new record.
     pub record: ClaimRecord,
 }
@@ -220,7 +220,7 @@
     /// The write that creates the claim.
     #[must_use]
     pub fn create(&self) -> ClaimWrite {
-        ClaimWrite { condition: Condition::Absent, record: self.open_record() }
+        ClaimWrite { condition: WriteCondition::Absent, record: self.open_record() }
     }
 
     /// The write that records an outcome on the attempt's own claim.
@@ -233,7 +233,7 @@
     ) -> ClaimWrite {
         let answer = answer.filter(|answer| answer.len() <= MAX_ANSWER_BYTES).map(str::to_owned);
         let record = ClaimRecord { state: ClaimState::Done(outcome), answer, ..self.open_record() };
-        ClaimWrite { condition: Condition::At(version), record }
+        ClaimWrite { condition: WriteCondition::At(version), record }
     }
 
     fn open_record(&self) -> ClaimRecord {
@@ -279,7 +279,7 @@
     if record.key != request.key || record.body_digest != request.body_digest {
         return Ok(ClaimDecision::Mismatch);
     }
-    let condition = Condition::At(object.version);
+    let condition = WriteCondition::At(object.version);
     let take = || ClaimDecision::Take(ClaimWrite { condition, ..request.create() });
     Ok(match record.state {
         ClaimState::Done(ClaimOutcome::NotRun) => take(),
--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -6,8 +6,8 @@
 use serde::Deserialize;
 
 use crate::call::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-    StoredObject, VmRecord, is_object_name,
+    ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
+    VmRecord, WriteCondition, is_object_name,
 };
 
 /// Largest accepted value of an object, as JSON.
@@ -67,7 +67,7 @@
             build(Method::PUT, &path, Some(*condition), body.into())
         }
         ObjectCall::Delete { kind, name, at } => {
-            let condition = Some(Condition::At(*at));
+            let condition = Some(WriteCondition::At(*at));
             build(Method::DELETE, &object_path(*kind, name)?, condition, Bytes::new())
         }
         ObjectCall::ListVms => build(Method::GET, "/vms", None, Bytes::new()),
@@ -85,13 +85,13 @@
 fn build(
     method: Method,
     path: &str,
-    condition: Option<Condition>,
+    condition: Option<WriteCondition>,
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, StoreError> {
     let mut builder = Request::builder().method(method).uri(path);
     builder = match condition {
-        Some(Condition::Absent) => builder.header(header::IF_NONE_MATCH, "*"),
-        Some(Condition::At(version)) => {
+        Some(WriteCondition::Absent) => builder.header(header::IF_NONE_MATCH, "*"),
+        Some(WriteCondition::At(version)) => {
             builder.header(header::IF_MATCH, format!("\"{}\"", version.0))
         }
         None => builder,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,8 +18,8 @@
 mod watch;
 
 pub use call::{
-    Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-    StoredObject, VmRecord, VmRole, VmState, is_object_name,
+    ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
+    VmRecord, VmRole, VmState, WriteCondition, is_object_name,
 };
 pub use claim::{
     AttemptId, ClaimDecision, ClaimError, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState,
--- a/crates/platform/src/settle.rs
+++ b/crates/platform/src/settle.rs
@@ -21,8 +21,8 @@
 
 use crate::{
     call::{
-        Condition, ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
-        StoredObject,
+        ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind,
+        StoredObject, WriteCondition,
     },
     pacing::CallPacing,
     store::ObjectStore,
@@ -88,7 +88,7 @@
 /// Settles one conditional write; pure, without time and calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WriteSettlement {
-    condition: Condition,
+    condition: WriteCondition,
     /// Whether a copy has left whose end is unknown.
     uncertain: bool,
     /// Whether the condition can never hold again.
@@ -99,13 +99,13 @@
 impl WriteSettlement {
     /// Starts with nothing sent.
     #[must_use]
-    pub const fn new(condition: Condition) -> Self {
+    pub const fn new(condition: WriteCondition) -> Self {
         Self { condition, uncertain: false, closed: false, step: SettleStep::Put }
     }
 
     /// The condition of the write.
     #[must_use]
-    pub const fn condition(&self) -> Condition {
+    pub const fn condition(&self) -> WriteCondition {
         self.condition
     }
 
@@ -120,7 +120,7 @@
         self.step = match end {
             PutEnd::Written(version) => SettleStep::Done(SettleEnd::Written(version)),
             PutEnd::ConditionFailed if self.uncertain => {
-                self.closed |= matches!(self.condition, Condition::At(_));
+                self.closed |= matches!(self.condition, WriteCondition::At(_));
                 SettleStep::Read
             }
             PutEnd::ConditionFailed => SettleStep::Done(SettleEnd::LostRace),
@@ -142,13 +142,13 @@
                 SettleStep::Done(SettleEnd::Written(version))
             }
             ReadEnd::Present { version, ours: false } => match self.condition {
-                Condition::At(wanted) if version > wanted => {
+                WriteCondition::At(wanted) if version > wanted => {
                     SettleStep::Done(SettleEnd::Superseded)
                 }
-                Condition::Absent => SettleStep::Done(SettleEnd::Superseded),
+                WriteCondition::Absent => SettleStep::Done(SettleEnd::Superseded),
                 // The read is older than the failed condition.
-                Condition::At(_) if self.closed => SettleStep::Read,
-                Condition::At(_) => SettleStep::Put,
+                WriteCondition::At(_) if self.closed => SettleStep::Read,
+                WriteCondition::At(_) => SettleStep::Put,
             },
             ReadEnd::Missing if self.closed => SettleStep::Done(SettleEnd::Superseded),
             ReadEnd::Missing => SettleStep::Put,
@@ -174,7 +174,7 @@
     /// Name of the object.
     pub name: String,
     /// Condition of the write.
-    pub condition: Condition,
+    pub condition: WriteCondition,
     /// The new value.
     pub value: Value,
     /// JSON pointers into the value; a stored value with the same fields there
--- a/crates/platform/tests/claim_model.rs
+++ b/crates/platform/tests/claim_model.rs
@@ -10,7 +10,8 @@
 use carobstep_config::{NodeName, ServiceName};
 use carobstep_platform::{
     AttemptId, ClaimEnd, ClaimMachine, ClaimOutcome, ClaimRead, ClaimRecord, ClaimRequest,
-    ClaimState, ClaimStep, ClaimWrite, Condition, ObjectVersion, OwnerSight, PutEnd, StoredObject,
+    ClaimState, ClaimStep, ClaimWrite, ObjectVersion, OwnerSight, PutEnd, StoredObject,
+    WriteCondition,
 };
 use pathfinding::directed::bfs::{bfs, bfs_reach};
 use yare::parameterized;
@@ -204,7 +205,7 @@
     ) {
         let mut write = write.clone();
         if let (Mutant::IgnoreVersion, Some((version, _))) = (self.mutant, &world.claim) {
-            write.condition = Condition::At(ObjectVersion(*version));
+            write.condition = WriteCondition::At(ObjectVersion(*version));
         }
         let mut written = world.clone();
         let end = written.apply(&write);
@@ -396,17 +397,17 @@
         }
         let claim = &self.claim;
         self.late_writes.retain(|write| match (write.condition, claim) {
-            (Condition::Absent, claim) => claim.is_none(),
-            (Condition::At(wanted), Some((version, _))) => wanted.0 >= *version,
-            (Condition::At(_), None) => true,
+            (WriteCondition::Absent, claim) => claim.is_none(),
+            (WriteCondition::At(wanted), Some((version, _))) => wanted.0 >= *version,
+            (WriteCondition::At(_), None) => true,
         });
     }
 
     fn apply(&mut self, write: &ClaimWrite) -> PutEnd {
         let current = self.claim.as_ref().map(|(version, _)| ObjectVersion(*version));
         let holds = match write.condition {
-            Condition::Absent => current.is_none(),
-            Condition::At(version) => current == Some(version),
+            WriteCondition::Absent => current.is_none(),
+            WriteCondition::At(version) => current == Some(version),
         };
         if !holds {
             return PutEnd::ConditionFailed;
--- a/crates/platform/tests/error_kinds.rs
+++ b/crates/platform/tests/error_kinds.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_platform::{
-    Condition, HttpStore, MAX_VALUE_BYTES, ObjectCall, ObjectKind, ObjectReply, ObjectStore,
-    ObjectVersion, StoreErrorKind,
+    HttpStore, MAX_VALUE_BYTES, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion,
+    StoreErrorKind, WriteCondition,
 };
 use serde_json::json;
 use tokio::{
@@ -124,9 +124,12 @@
     match subject {
         Subject::Get => ObjectCall::Get { kind, name },
         Subject::List => ObjectCall::List { kind },
-        Subject::Put => {
-            ObjectCall::Put { kind, name, condition: Condition::Absent, value: json!({"a": 1}) }
-        }
+        Subject::Put => ObjectCall::Put {
+            kind,
+            name,
+            condition: WriteCondition::Absent,
+            value: json!({"a": 1}),
+        },
         Subject::Delete => ObjectCall::Delete { kind, name, at: ObjectVersion(3) },
         Subject::Vms => ObjectCall::ListVms,
     }
@@ -214,7 +217,7 @@
     let put = |name: &str, value| ObjectCall::Put {
         kind,
         name: name.to_owned(),
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value,
     };
     let calls = [
--- a/crates/platform/tests/settlements.rs
+++ b/crates/platform/tests/settlements.rs
@@ -1,7 +1,7 @@
 //! What is known of a write whose answer was lost, case by case and by search.
 
 use carobstep_platform::{
-    Condition, ObjectVersion, PutEnd, ReadEnd, SettleEnd, SettleStep, WriteSettlement,
+    ObjectVersion, PutEnd, ReadEnd, SettleEnd, SettleStep, WriteCondition, WriteSettlement,
 };
 use pathfinding::directed::bfs::{bfs, bfs_reach};
 use yare::parameterized;
@@ -16,7 +16,7 @@
 
 const V4: ObjectVersion = ObjectVersion(4);
 const V5: ObjectVersion = ObjectVersion(5);
-const AT_4: Condition = Condition::At(V4);
+const AT_4: WriteCondition = WriteCondition::At(V4);
 const LOST: Event = Put(PutEnd::AnswerLost);
 const FAILED: Event = Put(PutEnd::ConditionFailed);
 const MISSING: Event = Read(ReadEnd::Missing);
@@ -31,7 +31,7 @@
 
 struct Case {
     name: &'static str,
-    condition: Condition,
+    condition: WriteCondition,
     events: &'static [Event],
     step: SettleStep,
     /// What is known if the deadline passes now.
@@ -40,7 +40,7 @@
 
 const fn case(
     name: &'static str,
-    condition: Condition,
+    condition: WriteCondition,
     events: &'static [Event],
     step: SettleStep,
     known: SettleEnd,
@@ -50,7 +50,7 @@
 
 const fn done(
     name: &'static str,
-    condition: Condition,
+    condition: WriteCondition,
     events: &'static [Event],
     end: SettleEnd,
 ) -> Case {
@@ -61,7 +61,7 @@
     case("nothing sent", AT_4, &[], SettleStep::Put, SettleEnd::NotWritten),
     done("answered", AT_4, &[Put(PutEnd::Written(V5))], SettleEnd::Written(V5)),
     done("condition failed", AT_4, &[FAILED], SettleEnd::LostRace),
-    done("exists", Condition::Absent, &[FAILED], SettleEnd::LostRace),
+    done("exists", WriteCondition::Absent, &[FAILED], SettleEnd::LostRace),
     done("rejected", AT_4, &[Put(PutEnd::Rejected)], SettleEnd::NotWritten),
     case("not sent", AT_4, &[Put(PutEnd::NotSent)], SettleStep::Put, SettleEnd::NotWritten),
     case("answer lost", AT_4, &[LOST], SettleStep::Read, SettleEnd::StillUnknown),
@@ -73,9 +73,14 @@
         SettleEnd::StillUnknown,
     ),
     done("own marker", AT_4, &[LOST, ours(V5)], SettleEnd::Written(V5)),
-    done("own marker of a creation", Condition::Absent, &[LOST, ours(V4)], SettleEnd::Written(V4)),
+    done(
+        "own marker of a creation",
+        WriteCondition::Absent,
+        &[LOST, ours(V4)],
+        SettleEnd::Written(V4),
+    ),
     done("past the condition", AT_4, &[LOST, theirs(V5)], SettleEnd::Superseded),
-    done("other creation", Condition::Absent, &[LOST, theirs(V4)], SettleEnd::Superseded),
+    done("other creation", WriteCondition::Absent, &[LOST, theirs(V4)], SettleEnd::Superseded),
     case(
         "unchanged object proves nothing",
         AT_4,
@@ -85,7 +90,7 @@
     ),
     case(
         "absence proves nothing",
-        Condition::Absent,
+        WriteCondition::Absent,
         &[LOST, MISSING],
         SettleStep::Put,
         SettleEnd::StillUnknown,
@@ -162,7 +167,7 @@
 /// An object at version 1 or absent, one settled write, and another writer.
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct World {
-    condition: Condition,
+    condition: WriteCondition,
     /// Version of the object and whether the settled write is its last one.
     object: Option<(u64, bool)>,
     /// Earlier states that a lagging read may show.
@@ -180,8 +185,8 @@
 }
 
 impl World {
-    fn start(condition: Condition) -> Self {
-        let object = matches!(condition, Condition::At(_)).then_some((1, false));
+    fn start(condition: WriteCondition) -> Self {
+        let object = matches!(condition, WriteCondition::At(_)).then_some((1, false));
         Self {
             condition,
             object,
@@ -207,8 +212,8 @@
     fn land(&mut self) -> PutEnd {
         let current = self.object.map(|(version, _)| ObjectVersion(version));
         let holds = match self.condition {
-            Condition::Absent => current.is_none(),
-            Condition::At(version) => current == Some(version),
+            WriteCondition::Absent => current.is_none(),
+            WriteCondition::At(version) => current == Some(version),
         };
         if !holds {
             return PutEnd::ConditionFailed;
@@ -308,10 +313,10 @@
 }
 
 #[parameterized(
-    replaced = { Condition::At(ObjectVersion(1)) },
-    created = { Condition::Absent },
+    replaced = { WriteCondition::At(ObjectVersion(1)) },
+    created = { WriteCondition::Absent },
 )]
-fn every_end_is_true_in_every_order_of_events(condition: Condition) {
+fn every_end_is_true_in_every_order_of_events(condition: WriteCondition) {
     let mut states = 0_u64;
     let mut superseded = 0_u64;
     for world in bfs_reach(World::start(condition), |world| world.successors(Mutant::None)) {
@@ -330,7 +335,7 @@
     changed_is_ours = { Mutant::ChangedIsOurs },
 )]
 fn a_wrong_conclusion_is_found(mutant: Mutant) {
-    for condition in [Condition::At(ObjectVersion(1)), Condition::Absent] {
+    for condition in [WriteCondition::At(ObjectVersion(1)), WriteCondition::Absent] {
         let start = World::start(condition);
         let path = bfs(&start, |world| world.successors(mutant), World::is_broken);
         let steps = path.map(|path| path.len() - 1);
--- a/crates/standin/src/platform/objects.rs
+++ b/crates/standin/src/platform/objects.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use carobstep_platform::{Condition, ObjectKind, ObjectVersion};
+use carobstep_platform::{ObjectKind, ObjectVersion, WriteCondition};
 use indexmap::IndexMap;
 
 /// Bytes of values that the log of changes keeps.
@@ -110,13 +110,13 @@
         &mut self,
         kind: ObjectKind,
         name: &str,
-        condition: Condition,
+        condition: WriteCondition,
         value: Bytes,
     ) -> Result<ObjectVersion, ConditionFailed> {
         let current = self.get_current(kind, name).map(|entry| entry.version);
         let holds = match condition {
-            Condition::Absent => current.is_none(),
-            Condition::At(version) => current == Some(version),
+            WriteCondition::Absent => current.is_none(),
+            WriteCondition::At(version) => current == Some(version),
         };
         if !holds {
             return Err(ConditionFailed);
--- a/crates/standin/src/platform/request.rs
+++ b/crates/standin/src/platform/request.rs
@@ -1,6 +1,6 @@
 //! Requests of the object API, checked.
 
-use carobstep_platform::{Condition, ObjectKind, ObjectVersion, is_object_name};
+use carobstep_platform::{ObjectKind, ObjectVersion, WriteCondition, is_object_name};
 use http::{HeaderMap, Method, StatusCode, Uri, header, request};
 
 use super::calls::CallMethod;
@@ -13,7 +13,7 @@
     /// Reads every object of a kind.
     List { kind: ObjectKind },
     /// Writes one object.
-    Put { kind: ObjectKind, name: String, condition: Condition },
+    Put { kind: ObjectKind, name: String, condition: WriteCondition },
     /// Deletes one object.
     Delete { kind: ObjectKind, name: String, at: ObjectVersion },
     /// Follows the changes of a kind.
@@ -83,7 +83,7 @@
                 condition: parse_condition(&parts.headers)?,
             }),
             (&Method::DELETE, ["objects", kind, name]) => {
-                let Condition::At(at) = parse_condition(&parts.headers)? else {
+                let WriteCondition::At(at) = parse_condition(&parts.headers)? else {
                     let detail = "a deletion needs if-match with a version";
                     return Err(RequestError::new(StatusCode::PRECONDITION_REQUIRED, detail));
                 };
@@ -121,7 +121,7 @@
         .ok_or_else(|| RequestError::new(StatusCode::BAD_REQUEST, "a watch needs ?after=VERSION"))
 }
 
-fn parse_condition(headers: &HeaderMap) -> Result<Condition, RequestError> {
+fn parse_condition(headers: &HeaderMap) -> Result<WriteCondition, RequestError> {
     let bad = |detail: &str| RequestError::new(StatusCode::BAD_REQUEST, detail);
     match (headers.get(header::IF_MATCH), headers.get(header::IF_NONE_MATCH)) {
         (None, None) => {
@@ -129,13 +129,13 @@
             Err(RequestError::new(StatusCode::PRECONDITION_REQUIRED, detail))
         }
         (Some(_), Some(_)) => Err(bad("if-match and if-none-match exclude each other")),
-        (None, Some(tag)) if tag.as_bytes() == b"*" => Ok(Condition::Absent),
+        (None, Some(tag)) if tag.as_bytes() == b"*" => Ok(WriteCondition::Absent),
         (None, Some(_)) => Err(bad("if-none-match must be *")),
         (Some(tag), None) => {
             let text = tag.to_str().unwrap_or_default();
             let digits = text.strip_prefix('"').and_then(|text| text.strip_suffix('"'));
             let version = digits.and_then(|digits| digits.parse().ok()).map(ObjectVersion);
-            version.map(Condition::At).ok_or_else(|| bad("if-match must be a quoted version"))
+            version.map(WriteCondition::At).ok_or_else(|| bad("if-match must be a quoted version"))
         }
     }
 }
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use carobstep_platform::{Condition, ObjectKind, ObjectVersion, VmRecord};
+use carobstep_platform::{ObjectKind, ObjectVersion, VmRecord, WriteCondition};
 use tokio::{
     sync::watch,
     time::{Instant, sleep},
@@ -61,7 +61,7 @@
         let mut table = ObjectTable::new(settings.watch_history);
         for seed in &settings.objects {
             let value = seed.value.to_string().into();
-            table.put(seed.kind, &seed.name, Condition::Absent, value).map_err(|_| {
+            table.put(seed.kind, &seed.name, WriteCondition::Absent, value).map_err(|_| {
                 StandinError::new(format!("object {}/{} is seeded twice", seed.kind, seed.name))
             })?;
         }
--- a/crates/standin/tests/claims.rs
+++ b/crates/standin/tests/claims.rs
@@ -4,10 +4,10 @@
 
 use carobstep_config::{NodeName, ServiceName};
 use carobstep_platform::{
-    AttemptId, ClaimEnd, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState, Condition, HttpStore,
+    AttemptId, ClaimEnd, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState, HttpStore,
     MarkedWrite, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, OwnerSight,
-    RecordedOutcome, SettleEnd, abandon_claim, acquire_claim, digest_of, record_claim,
-    settle_write,
+    RecordedOutcome, SettleEnd, WriteCondition, abandon_claim, acquire_claim, digest_of,
+    record_claim, settle_write,
 };
 use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin};
 use serde_json::json;
@@ -60,18 +60,25 @@
     name: &'static str,
     lost_answers: u32,
     before: Before,
-    condition: Condition,
+    condition: WriteCondition,
     expected: SettleEnd,
     calls: u64,
 }
 
 const WRITE_CASES: &[WriteCase] = &[
-    write_case("no fault", 0, Before::Nothing, Condition::Absent, written(1), 1),
-    write_case("exists", 0, Before::OtherObject, Condition::Absent, SettleEnd::LostRace, 1),
+    write_case("no fault", 0, Before::Nothing, WriteCondition::Absent, written(1), 1),
+    write_case("exists", 0, Before::OtherObject, WriteCondition::Absent, SettleEnd::LostRace, 1),
     // The object carries the marker, but this write did not make it.
-    write_case("own", 0, Before::SameObject, Condition::Absent, SettleEnd::LostRace, 1),
-    write_case("answer lost", 1, Before::Nothing, Condition::Absent, written(1), 2),
-    write_case("replaced", 1, Before::OtherObject, Condition::At(ObjectVersion(1)), written(2), 2),
+    write_case("own", 0, Before::SameObject, WriteCondition::Absent, SettleEnd::LostRace, 1),
+    write_case("answer lost", 1, Before::Nothing, WriteCondition::Absent, written(1), 2),
+    write_case(
+        "replaced",
+        1,
+        Before::OtherObject,
+        WriteCondition::At(ObjectVersion(1)),
+        written(2),
+        2,
+    ),
 ];
 
 const fn written(version: u64) -> SettleEnd {
@@ -82,7 +89,7 @@
     name: &'static str,
     lost_answers: u32,
     before: Before,
-    condition: Condition,
+    condition: WriteCondition,
     expected: SettleEnd,
     calls: u64,
 ) -> WriteCase {
@@ -102,8 +109,8 @@
         };
         let earlier = match case.before {
             Before::Nothing => None,
-            Before::SameObject => Some(write(Condition::Absent, "own")),
-            Before::OtherObject => Some(write(Condition::Absent, "other")),
+            Before::SameObject => Some(write(WriteCondition::Absent, "own")),
+            Before::OtherObject => Some(write(WriteCondition::Absent, "other")),
         };
         if let Some(earlier) = earlier {
             settle_write(&store, &earlier, within(AMPLE)).await;
@@ -123,7 +130,7 @@
     let write = MarkedWrite {
         kind: ObjectKind::Lease,
         name: "n1".to_owned(),
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value: json!({"marker": 1}),
         markers: &["/marker"],
     };
@@ -149,7 +156,7 @@
     let call = ObjectCall::Put {
         kind: ObjectKind::Claim,
         name: request.object_name(),
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value: json!(request.create().record),
     };
     store.call(call).await.unwrap_err();
@@ -301,7 +308,7 @@
     let call = ObjectCall::Put {
         kind: ObjectKind::Claim,
         name: request.object_name(),
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value: json!({"hats": 3}),
     };
     assert_eq!(store.call(call).await, Ok(ObjectReply::Written(ObjectVersion(1))));
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -4,8 +4,9 @@
 
 use carobstep_config::ZoneName;
 use carobstep_platform::{
-    Condition, HttpStore, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion,
-    StoreError, StoreErrorKind, StoredObject, VmRecord, VmRole, VmState, WatchEvent, WatchStream,
+    HttpStore, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, StoreError,
+    StoreErrorKind, StoredObject, VmRecord, VmRole, VmState, WatchEvent, WatchStream,
+    WriteCondition,
 };
 use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin, SeedObject};
 use serde_json::{Value, json};
@@ -46,7 +47,7 @@
     ObjectCall::Get { kind: KIND, name: name.to_owned() }
 }
 
-fn put(name: &str, condition: Condition, n: u64) -> ObjectCall {
+fn put(name: &str, condition: WriteCondition, n: u64) -> ObjectCall {
     ObjectCall::Put { kind: KIND, name: name.to_owned(), condition, value: json!({"n": n}) }
 }
 
@@ -54,8 +55,8 @@
     ObjectCall::Delete { kind: KIND, name: name.to_owned(), at: ObjectVersion(at) }
 }
 
-fn at(version: u64) -> Condition {
-    Condition::At(ObjectVersion(version))
+fn at(version: u64) -> WriteCondition {
+    WriteCondition::At(ObjectVersion(version))
 }
 
 fn stored(name: &str, version: u64, n: u64) -> StoredObject {
@@ -84,8 +85,8 @@
         (get("seed"), ObjectReply::Found(stored("seed", 1, 0))),
         (get("a"), ObjectReply::Missing),
         (put("a", at(1), 1), ObjectReply::ConditionFailed),
-        (put("a", Condition::Absent, 1), ObjectReply::Written(ObjectVersion(2))),
-        (put("a", Condition::Absent, 2), ObjectReply::ConditionFailed),
+        (put("a", WriteCondition::Absent, 1), ObjectReply::Written(ObjectVersion(2))),
+        (put("a", WriteCondition::Absent, 2), ObjectReply::ConditionFailed),
         (put("a", at(2), 3), ObjectReply::Written(ObjectVersion(3))),
         (put("a", at(2), 4), ObjectReply::ConditionFailed),
         (get("a"), ObjectReply::Found(stored("a", 3, 3))),
@@ -100,7 +101,7 @@
         (delete("a", 3), ObjectReply::Deleted),
         (delete("a", 3), ObjectReply::ConditionFailed),
         (get("a"), ObjectReply::Missing),
-        (put("a", Condition::Absent, 5), ObjectReply::Written(ObjectVersion(5))),
+        (put("a", WriteCondition::Absent, 5), ObjectReply::Written(ObjectVersion(5))),
         (ObjectCall::ListVms, ObjectReply::Vms(vec![vm("n1", VmState::Live)])),
     ];
     for (call, expected) in steps {
@@ -122,11 +123,14 @@
     let platform = start().await;
     let store = client(&platform, "zone-a");
     platform.apply_faults(PlatformFaultsPatch { lose_answers: Some(2), ..Default::default() });
-    assert_eq!(kind_of(&store, put("a", Condition::Absent, 1)).await, StoreErrorKind::AnswerLost);
+    assert_eq!(
+        kind_of(&store, put("a", WriteCondition::Absent, 1)).await,
+        StoreErrorKind::AnswerLost
+    );
     assert_eq!(store.call(get("a")).await, Ok(ObjectReply::Found(stored("a", 2, 1))));
     assert_eq!(kind_of(&store, delete("a", 2)).await, StoreErrorKind::AnswerLost);
     assert_eq!(store.call(get("a")).await, Ok(ObjectReply::Missing));
-    let written = store.call(put("a", Condition::Absent, 2)).await;
+    let written = store.call(put("a", WriteCondition::Absent, 2)).await;
     assert_eq!(written, Ok(ObjectReply::Written(ObjectVersion(4))));
 }
 
@@ -137,7 +141,10 @@
     platform
         .apply_faults(PlatformFaultsPatch { delay_writes_ms: Some(1_500), ..Default::default() });
     assert_eq!(kind_of(&store, put("seed", at(1), 7)).await, StoreErrorKind::AnswerLost);
-    assert_eq!(kind_of(&store, put("b", Condition::Absent, 8)).await, StoreErrorKind::AnswerLost);
+    assert_eq!(
+        kind_of(&store, put("b", WriteCondition::Absent, 8)).await,
+        StoreErrorKind::AnswerLost
+    );
     platform.apply_faults(PlatformFaultsPatch { delay_writes_ms: Some(0), ..Default::default() });
     assert_eq!(store.call(get("seed")).await, Ok(ObjectReply::Found(stored("seed", 1, 0))));
     let overtaking = store.call(put("seed", at(1), 9)).await;
@@ -245,11 +252,11 @@
     let platform = start().await;
     let store = client(&platform, "zone-a");
     let mut watch = store.watch(KIND, ObjectVersion(0)).await.unwrap();
-    store.call(put("a", Condition::Absent, 1)).await.unwrap();
+    store.call(put("a", WriteCondition::Absent, 1)).await.unwrap();
     let other = ObjectCall::Put {
         kind: ObjectKind::Grant,
         name: "g".to_owned(),
-        condition: Condition::Absent,
+        condition: WriteCondition::Absent,
         value: json!(null),
     };
     store.call(other).await.unwrap();
@@ -281,7 +288,7 @@
     let store = client(&platform, "zone-a");
     let mut watch = store.watch(KIND, ObjectVersion(1)).await.unwrap();
     sleep(Duration::from_millis(4_000)).await;
-    store.call(put("a", Condition::Absent, 1)).await.unwrap();
+    store.call(put("a", WriteCondition::Absent, 1)).await.unwrap();
     assert_eq!(next_event(&mut watch).await, Ok(event("a", 2, Some(1))));
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,7 +21,7 @@
     VouchRequest,
 };
 pub use error::{WireError, WireErrorKind};
-pub use reason::{Outcome, RefusalReason, RetryReason};
+pub use reason::{RefusalReason, RequestOutcome, RetryReason};
 pub use server::{PeerHandler, serve_peers};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
 pub use stream::probe_interval;
--- a/crates/wire/src/reason.rs
+++ b/crates/wire/src/reason.rs
@@ -9,7 +9,7 @@
 )]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
-pub enum Outcome {
+pub enum RequestOutcome {
     /// The backend server executed the request and its whole reply arrived.
     Ran,
     /// No byte that could start the work left, or the server said so itself.
--- a/crates/wire/src/shard.rs
+++ b/crates/wire/src/shard.rs
@@ -6,7 +6,7 @@
 use carobstep_config::{ServerName, ShardName};
 use serde::{Deserialize, Serialize};
 
-use crate::reason::{Outcome, RefusalReason};
+use crate::reason::{RefusalReason, RequestOutcome};
 
 /// Identifies one attempt of one request across all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -71,7 +71,7 @@
     /// The request was given up.
     Refused {
         /// Whether it may have executed.
-        outcome: Outcome,
+        outcome: RequestOutcome,
         /// Why it was given up.
         reason: RefusalReason,
         /// When a new attempt makes sense, in milliseconds from now.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use carobstep_config::{ServerName, ShardName};
 use carobstep_wire::{
-    MAX_FRAME_BYTES, Outcome, PeerReply, PeerRequest, RefusalReason, RequestId, ShardReply,
+    MAX_FRAME_BYTES, PeerReply, PeerRequest, RefusalReason, RequestId, RequestOutcome, ShardReply,
     ShardRequest, ShardResult, WireErrorKind, decode, encode,
 };
 use proptest::prelude::*;
@@ -37,7 +37,7 @@
         proptest::collection::vec(any::<u8>(), 0..512)
             .prop_map(|body| ShardResult::Body(Bytes::from(body))),
         any::<u64>().prop_map(|retry_after_ms| ShardResult::Refused {
-            outcome: Outcome::Unknown,
+            outcome: RequestOutcome::Unknown,
             reason: RefusalReason::ConnectionLost,
             retry_after_ms,
         }),
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use carobstep_config::ServerName;
 use carobstep_wire::{
-    Outcome, PeerHandler, PeerHealth, PeerNews, PeerPool, PeerReply, PeerRequest, RefusalReason,
-    RequestId, ShardReply, ShardRequest, ShardResult, WireErrorKind, serve_peers,
+    PeerHandler, PeerHealth, PeerNews, PeerPool, PeerReply, PeerRequest, RefusalReason, RequestId,
+    RequestOutcome, ShardReply, ShardRequest, ShardResult, WireErrorKind, serve_peers,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -232,7 +232,7 @@
 
 #[test]
 fn refusals_keep_their_outcome_over_the_wire() {
-    for outcome in [Outcome::NotRun, Outcome::Unknown] {
+    for outcome in [RequestOutcome::NotRun, RequestOutcome::Unknown] {
         let reply = PeerReply::Shard(ShardReply {
             id: RequestId(9),
             shard: None,
