Use the new name in the example of the decision core

The renaming passed over examples in comments; the documentation test of carobstep-dispatch failed on it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,14 +10,14 @@
 //!
 //! ```
 //! use carobstep_clock::BootTime;
-//! use carobstep_dispatch::{Admission, CustomerKey, QueueLimits, QueueTicket, ServerQueue};
+//! use carobstep_dispatch::{QueueAdmission, CustomerKey, QueueLimits, QueueTicket, ServerQueue};
 //!
 //! let now = BootTime::from_millis(1);
 //! let mut queue = ServerQueue::new(QueueLimits { slots: 1, waiting: 8 }, now);
 //! let deadline = BootTime::from_millis(100);
 //! let ticket = QueueTicket { deadline, hedge: false, customer: CustomerKey(7), caller: 1 };
-//! assert!(matches!(queue.offer(now, ticket), Admission::Dispatch(_)));
-//! assert!(matches!(queue.offer(now, ticket), Admission::Queued(_)));
+//! assert!(matches!(queue.offer(now, ticket), QueueAdmission::Dispatch(_)));
+//! assert!(matches!(queue.offer(now, ticket), QueueAdmission::Queued(_)));
 //! ```
 
 mod budget;
