--- a/crates/config/src/manifest.rs
+++ b/crates/config/src/manifest.rs
@@ -1,6 +1,6 @@
 //! Index manifests: which service holds which shard in which snapshot.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -54,7 +54,7 @@
     /// Name of the index.
     pub index: IndexName,
     /// Snapshots, newest last, never empty.
-    pub snapshots: Vec<SnapshotMap>,
+    pub snapshots: Vec<Arc<SnapshotMap>>,
 }
 
 /// A manifest that does not fit the configuration.
@@ -77,7 +77,7 @@
     fn try_from(
         (topology, document): (&ConfigTopology, &ManifestDocument),
     ) -> Result<Self, ManifestError> {
-        let mut snapshots: Vec<SnapshotMap> = Vec::new();
+        let mut snapshots: Vec<Arc<SnapshotMap>> = Vec::new();
         for snapshot in &document.snapshots {
             if snapshots.last().is_some_and(|last| last.number >= snapshot.number) {
                 let message = format!(
@@ -86,7 +86,7 @@
                 );
                 return Err(ManifestError { message });
             }
-            snapshots.push(check_snapshot(topology, &document.index, snapshot)?);
+            snapshots.push(Arc::new(check_snapshot(topology, &document.index, snapshot)?));
         }
         if snapshots.is_empty() {
             let message = format!("manifest of index {} lists no snapshot", document.index);
@@ -146,7 +146,7 @@
 
     /// The newest snapshot.
     #[must_use]
-    pub fn newest(&self) -> &SnapshotMap {
+    pub fn newest(&self) -> &Arc<SnapshotMap> {
         &self.snapshots[self.snapshots.len() - 1]
     }
 }
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -178,7 +178,7 @@
     );
     let document: ManifestDocument = serde_json::from_str(&text).expect("a manifest");
     let manifest = IndexManifest::try_from((topology, &document)).expect("a manifest");
-    Arc::new(manifest.newest().clone())
+    manifest.newest().clone()
 }
 
 pub fn run(config: FleetRun) -> FleetFigures {
--- a/crates/node/examples/control_cost/memory.rs
+++ b/crates/node/examples/control_cost/memory.rs
@@ -63,7 +63,7 @@
     let topology = Arc::new(fleet.topology.clone());
     let document: ManifestDocument = serde_json::from_value(fleet.manifest()).expect("a manifest");
     let manifest = IndexManifest::try_from((topology.as_ref(), &document)).expect("a manifest");
-    let map = Arc::new(manifest.newest().clone());
+    let map = manifest.newest().clone();
     let now = carobstep_clock::BootTime::from_millis(1);
     let mut router = ServerRouter::new(topology.clone(), "zone-00", 1, now);
     for (key, _) in topology.servers() {
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -108,7 +108,7 @@
         })?;
         admit(&context, entry, request.identity.caller, now)?;
         let span = request.deadline.map_or(entry.deadline, |asked| asked.min(entry.deadline));
-        let map = Arc::new(manifest.newest().clone());
+        let map = manifest.newest().clone();
         let plan = QueryPlan {
             id: request.identity.attempt_seed(),
             deadline: now + span,
@@ -214,7 +214,7 @@
 ) -> Option<(Arc<SnapshotMap>, Arc<ConfigTopology>)> {
     let manifest = manifests.get(index)?;
     let map = manifest.snapshots.iter().rev().find(|map| map.number != avoid)?;
-    Some((Arc::new(map.clone()), topology.clone()))
+    Some((map.clone(), topology.clone()))
 }
 
 /// Lets a search in, or refuses it when the servers can't carry it whole.
