Write the accept loop, the calendar clock and header texts once

The callers', operators' and peers' listeners had the same accept loop, with the same pause, in two crates; carobstep-wire has it now and the node calls it. The calendar clock stood three times and the reading of a header twice in the node.

--- a/crates/node/src/backend.rs
+++ b/crates/node/src/backend.rs
@@ -26,6 +26,8 @@
     time::timeout,
 };
 
+use crate::identity::header_text;
+
 /// Time to open a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -293,11 +295,12 @@
     if head.status != StatusCode::OK {
         return refused(head.status, &head.headers);
     }
-    if text(&head.headers, "x-request-id") != Some(request.id.to_string().as_str()) {
+    if header_text(&head.headers, "x-request-id") != Some(request.id.to_string().as_str()) {
         return BackendResult::lost(RefusalReason::ReplyMismatch);
     }
-    let shard = text(&head.headers, "x-shard").and_then(|name| ShardName::try_from(name).ok());
-    let snapshot = text(&head.headers, "x-snapshot").and_then(|number| number.parse().ok());
+    let shard =
+        header_text(&head.headers, "x-shard").and_then(|name| ShardName::try_from(name).ok());
+    let snapshot = header_text(&head.headers, "x-snapshot").and_then(|number| number.parse().ok());
     if shard != request.shard || snapshot != request.snapshot {
         return BackendResult::lost(RefusalReason::ReplyMismatch);
     }
@@ -318,7 +321,7 @@
 
 /// Reads a refusal; only what the server itself calls not run is not run.
 fn refused(status: StatusCode, headers: &HeaderMap) -> BackendResult {
-    let reason = match (status, text(headers, "x-not-run")) {
+    let reason = match (status, header_text(headers, "x-not-run")) {
         (StatusCode::SERVICE_UNAVAILABLE, Some("shed")) => RefusalReason::ServerShed,
         (StatusCode::SERVICE_UNAVAILABLE, Some("draining")) => RefusalReason::ServerLeaving,
         (StatusCode::CONFLICT, Some("snapshot-gone")) => RefusalReason::SnapshotGone,
@@ -332,12 +335,8 @@
             };
         }
     };
-    let retry_after = text(headers, "retry-after-ms")
+    let retry_after = header_text(headers, "retry-after-ms")
         .and_then(|millis| millis.parse().ok())
         .map(Duration::from_millis);
     BackendResult::Failed { outcome: RequestOutcome::NotRun, reason, retry_after, reusable: true }
 }
-
-fn text<'headers>(headers: &'headers HeaderMap, name: &str) -> Option<&'headers str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -8,7 +8,6 @@
         Arc, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use carobstep_clock::BootTime;
@@ -28,6 +27,7 @@
 };
 
 use crate::{
+    calendar::unix_millis,
     callers::CallerHandler,
     context::{NodeContext, NodeView},
     control_actor::{ControlActor, ControlArguments},
@@ -282,8 +282,3 @@
         read_timeout: limits.header_timeout,
     }
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::Bytes;
+use carobstep_wire::serve_connections;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, service::service_fn};
@@ -23,7 +24,6 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -35,9 +35,6 @@
 /// which sends requests is the one that closes.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Time without a frame after which an HTTP/2 connection is probed.
 const PROBE_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -106,32 +103,13 @@
     listener: TcpListener,
     handler: Arc<H>,
     limits: ListenerLimits,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
-    let mut connections = JoinSet::new();
     let connection_stop = stop.clone();
-    loop {
-        tokio::select! {
-            (socket, remote) = accept(&listener) => {
-                let stop = connection_stop.clone();
-                connections.spawn(serve_connection(socket, remote, handler.clone(), limits, stop));
-            }
-            _ = stop.wait_for(|stop| *stop) => break,
-            Some(_) = connections.join_next() => {}
-        }
-    }
-    while connections.join_next().await.is_some() {}
-}
-
-/// Accepts the next connection; a failure is tried again after a pause.
-async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
-    loop {
-        match listener.accept().await {
-            Ok(accepted) => return accepted,
-            // Without file descriptors, every call fails at once.
-            Err(_) => sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let serve = |socket, remote| {
+        serve_connection(socket, remote, handler.clone(), limits, connection_stop.clone())
+    };
+    serve_connections(listener, stop, serve).await;
 }
 
 async fn serve_connection<H: RequestHandler>(
--- a/crates/node/src/identity.rs
+++ b/crates/node/src/identity.rs
@@ -24,8 +24,9 @@
     /// random and a missing customer is the caller's IP number.
     #[must_use]
     pub fn read(headers: &HeaderMap, remote_ip: &str) -> Self {
-        let request = text(headers, "x-request-id").and_then(parse_id).unwrap_or_else(random_id);
-        let customer = xxh3_64(text(headers, "x-customer").unwrap_or(remote_ip).as_bytes());
+        let request =
+            header_text(headers, "x-request-id").and_then(parse_id).unwrap_or_else(random_id);
+        let customer = xxh3_64(header_text(headers, "x-customer").unwrap_or(remote_ip).as_bytes());
         let caller = customer ^ caller_of(request);
         Self { request, customer, caller }
     }
@@ -52,6 +53,7 @@
     u128::from_str_radix(text, 16).ok().map(RequestId)
 }
 
-fn text<'headers>(headers: &'headers HeaderMap, name: &str) -> Option<&'headers str> {
+/// The text of a header, if it is there and is visible ASCII.
+pub fn header_text<'headers>(headers: &'headers HeaderMap, name: &str) -> Option<&'headers str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod args;
 mod attempts;
 mod backend;
+mod calendar;
 mod callers;
 mod context;
 mod control_actor;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -9,13 +9,14 @@
     io::{self, Write},
     sync::mpsc::{Receiver, SyncSender, sync_channel},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde_json::{Map, Value, json};
 use simplelog::{ConfigBuilder, SharedLogger, WriteLogger};
 
+use crate::calendar::unix_millis;
 use crate::error::{NodeError, NodeErrorKind};
 
 /// Lines that may wait to be written; further ones are dropped and counted.
@@ -192,8 +193,3 @@
         Level::Trace => "trace",
     }
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -4,10 +4,7 @@
 //! recorded before the caller is answered, so that the same key through any
 //! node finds the outcome instead of running again.
 
-use std::{
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_config::ServiceKey;
@@ -21,6 +18,7 @@
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
+    calendar::unix_millis,
     context::{DEFAULT_RETRY_AFTER, NodeContext, NodeView},
     counters::NodeEvent,
     problem::{AnswerBody, ProblemDocument, refuse},
@@ -199,8 +197,3 @@
     let age = Duration::from_millis(unix_millis().saturating_sub(record.time_ms));
     if age > GONE_AGE { OwnerSight::Gone } else { OwnerSight::Present }
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod control;
 mod error;
+mod listener;
 mod reason;
 mod server;
 mod shard;
@@ -21,6 +22,7 @@
     VouchRequest,
 };
 pub use error::{WireError, WireErrorKind};
+pub use listener::serve_connections;
 pub use reason::{RefusalReason, RequestOutcome, RetryReason};
 pub use server::{PeerHandler, serve_peers};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,6 +1,6 @@
 //! Listener for peer nodes.
 
-use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
@@ -8,14 +8,14 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::JoinSet,
-    time::{sleep, timeout},
+    time::timeout,
 };
 
 use crate::{
     PeerReply, PeerRequest,
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
+    listener::serve_connections,
     stream::{CONNECTION_WINDOW_BYTES, MAX_STREAMS, STREAM_WINDOW_BYTES, read_frame},
 };
 
@@ -25,9 +25,6 @@
 /// Time for a peer to send the whole body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Largest header section of a stream, in bytes.
 const MAX_HEADER_BYTES: u32 = 8 * 1024;
 
@@ -45,32 +42,11 @@
 pub async fn serve_peers<H: PeerHandler>(
     listener: TcpListener,
     handler: Arc<H>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
-    let mut connections = JoinSet::new();
     let connection_stop = stop.clone();
-    loop {
-        tokio::select! {
-            (socket, _) = accept(&listener) => {
-                let stop = connection_stop.clone();
-                connections.spawn(serve_connection(socket, handler.clone(), stop));
-            }
-            _ = stop.wait_for(|stop| *stop) => break,
-            Some(_) = connections.join_next() => {}
-        }
-    }
-    while connections.join_next().await.is_some() {}
-}
-
-/// Accepts the next connection; a failure is tried again after a pause.
-async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
-    loop {
-        match listener.accept().await {
-            Ok(accepted) => return accepted,
-            // Without file descriptors, every call fails at once.
-            Err(_) => sleep(ACCEPT_PAUSE).await,
-        }
-    }
+    let serve = |socket, _| serve_connection(socket, handler.clone(), connection_stop.clone());
+    serve_connections(listener, stop, serve).await;
 }
 
 async fn serve_connection<H: PeerHandler>(
