--- a/crates/client/src/configuration.rs
+++ b/crates/client/src/configuration.rs
@@ -1,7 +1,7 @@
 //! Reading the configuration: a version, a difference, the history.
 
 use carobstep_config::{ConfigRecord, ConfigVersion};
-use carobstep_platform::ObjectStore;
+use carobstep_store::ObjectStore;
 use serde_json::json;
 
 use crate::{
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, process::ExitCode};
 
-use carobstep_platform::{StoreError, StoreErrorKind};
+use carobstep_store::{StoreError, StoreErrorKind};
 use serde_json::{Value, json};
 use strum::{Display, EnumIter};
 
--- a/crates/client/src/fleet.rs
+++ b/crates/client/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use carobstep_config::ConfigVersion;
-use carobstep_platform::{ObjectKind, ObjectStore, StoredObject, VmRole, VmState};
+use carobstep_store::{ObjectKind, ObjectStore, StoredObject, VmRole, VmState};
 use indexmap::IndexMap;
 use serde::Serialize;
 use serde_json::Value;
--- a/crates/client/src/follow.rs
+++ b/crates/client/src/follow.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use carobstep_config::ConfigVersion;
-use carobstep_platform::ObjectStore;
+use carobstep_store::ObjectStore;
 use serde::Serialize;
 use tokio::time::{self, Instant};
 
--- a/crates/client/src/platform.rs
+++ b/crates/client/src/platform.rs
@@ -1,9 +1,7 @@
 //! Typed reads of the platform's objects.
 
 use carobstep_config::{ConfigRecord, ConfigVersion, UtcTime};
-use carobstep_platform::{
-    ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoredObject, VmRecord,
-};
+use carobstep_store::{ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoredObject, VmRecord};
 use serde_json::Value;
 
 use crate::error::{ClientError, ExitStatus};
--- a/crates/client/src/prune.rs
+++ b/crates/client/src/prune.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use carobstep_config::ConfigVersion;
-use carobstep_platform::{ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoreErrorKind};
+use carobstep_store::{ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoreErrorKind};
 use serde_json::json;
 use tokio::time;
 
--- a/crates/client/src/publish.rs
+++ b/crates/client/src/publish.rs
@@ -6,7 +6,7 @@
     AuthorName, ConfigDocument, ConfigRecord, ConfigTopology, IndexManifest, ManifestDocument,
     PatchId, parse_jsonc,
 };
-use carobstep_platform::{
+use carobstep_store::{
     ObjectCall, ObjectKind, ObjectReply, ObjectStore, StoreErrorKind, StoredObject, WriteCondition,
 };
 use serde_json::{Value, json};
--- a/crates/client/src/run.rs
+++ b/crates/client/src/run.rs
@@ -10,7 +10,7 @@
 };
 
 use carobstep_config::{ConfigPatch, PatchDocument, PatchId};
-use carobstep_platform::{HttpStore, ObjectStore};
+use carobstep_store::{HttpStore, ObjectStore};
 use eyre::{Report, WrapErr};
 use tokio::runtime;
 
--- a/crates/client/src/submission.rs
+++ b/crates/client/src/submission.rs
@@ -9,7 +9,7 @@
 
 use carobstep_chart::{ChartError, StateChart};
 use carobstep_config::{ConfigPatch, ConfigRecord, ConfigVersion, PatchError, apply};
-use carobstep_platform::{
+use carobstep_store::{
     ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
     WriteCondition,
 };
--- a/crates/client/src/submit.rs
+++ b/crates/client/src/submit.rs
@@ -1,7 +1,7 @@
 //! Submits a patch and reports how it ended.
 
 use carobstep_config::{ConfigPatch, ConfigRecord, ConfigVersion, PatchError};
-use carobstep_platform::ObjectStore;
+use carobstep_store::ObjectStore;
 use serde_json::json;
 use tokio::time;
 
--- a/crates/client/src/tables.rs
+++ b/crates/client/src/tables.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use carobstep_config::{ConfigTopology, ServerState};
-use carobstep_platform::{ObjectKind, ObjectStore, StoredObject, VmState};
+use carobstep_store::{ObjectKind, ObjectStore, StoredObject, VmState};
 use indexmap::IndexMap;
 use serde::Serialize;
 use serde_json::{Value, json};
--- a/crates/client/tests/client/commands.rs
+++ b/crates/client/tests/client/commands.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use carobstep_client::{ClientError, CommandLine, ExitStatus, ReportPrinter, run_command};
-use carobstep_platform::{ObjectKind, VmRecord, VmRole, VmState};
+use carobstep_store::{ObjectKind, VmRecord, VmRole, VmState};
 use serde_json::{Value, json};
 
 use crate::support::{
--- a/crates/client/tests/client/edges.rs
+++ b/crates/client/tests/client/edges.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use carobstep_client::{CommandLine, ExitStatus, HttpNodeApi, NodeApi, ReportPrinter, run_command};
-use carobstep_platform::{HttpStore, ObjectKind};
 use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin};
+use carobstep_store::{HttpStore, ObjectKind};
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
--- a/crates/client/tests/client/pages.rs
+++ b/crates/client/tests/client/pages.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, sync::Arc};
 
 use carobstep_client::{CommandLine, CommandName, ExitStatus, ReportPrinter, run_command};
-use carobstep_platform::ObjectKind;
+use carobstep_store::ObjectKind;
 use strum::IntoEnumIterator;
 
 use crate::support::{FakeNodes, FakePlatform, status};
--- a/crates/client/tests/client/submission.rs
+++ b/crates/client/tests/client/submission.rs
@@ -2,7 +2,7 @@
 
 use carobstep_client::{AcceptanceProof, PatchSubmission, SubmitOutcome, SubmitStep};
 use carobstep_config::{ConfigPatch, ConfigVersion};
-use carobstep_platform::ObjectKind;
+use carobstep_store::ObjectKind;
 
 use crate::support::{
     CallFault::{self, AnswerLost, Answered, Late, NotSent, Raced, RequestLost, Stale},
--- a/crates/client/tests/client/support.rs
+++ b/crates/client/tests/client/support.rs
@@ -13,7 +13,7 @@
     ConfigDocument, ConfigPatch, ConfigRecord, ConfigVersion, PatchDocument, PatchFormat, PatchId,
     UtcTime, apply,
 };
-use carobstep_platform::{
+use carobstep_store::{
     ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, StoreError, StoreErrorKind,
     StoredObject, VmRecord, WatchStream, WriteCondition,
 };
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, sync::Arc};
 
 use carobstep_config::{ConfigTopology, ManifestDocument, NodeName, ServerName};
-use carobstep_platform::{ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError};
+use carobstep_store::{ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError};
 use carobstep_wire::{ControlMessage, ControlReply};
 
 /// Identifies a call that the control state made.
--- a/crates/control/src/packing.rs
+++ b/crates/control/src/packing.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read};
 
-use carobstep_platform::MAX_VALUE_BYTES;
+use carobstep_store::MAX_VALUE_BYTES;
 use flate2::{Compression, read::DeflateDecoder, read::DeflateEncoder};
 
 /// Compresses a document (DEFLATE, RFC 1951).
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -2,7 +2,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{NodeName, ZoneName};
-use carobstep_platform::ObjectVersion;
+use carobstep_store::ObjectVersion;
 use carobstep_wire::{PeerBeat, PeerRecord};
 use indexmap::IndexMap;
 use std::time::Duration;
--- a/crates/control/src/routes.rs
+++ b/crates/control/src/routes.rs
@@ -2,7 +2,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::ServerName;
-use carobstep_platform::{ObjectVersion, StoredObject};
+use carobstep_store::{ObjectVersion, StoredObject};
 use carobstep_wire::GrantNotice;
 use indexmap::IndexMap;
 use std::time::Duration;
--- a/crates/control/src/state/calls.rs
+++ b/crates/control/src/state/calls.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{NodeName, ServerName};
-use carobstep_platform::{
+use carobstep_store::{
     ObjectCall, ObjectKind, ObjectReply, StoreError, StoreErrorKind, WriteCondition,
 };
 use carobstep_wire::{ControlMessage, ControlReply};
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WriteOutcome {
     /// It took effect and gave the object this version.
-    Written(carobstep_platform::ObjectVersion),
+    Written(carobstep_store::ObjectVersion),
     /// It had no effect and never will.
     Failed,
     /// The condition failed: the object must be read.
--- a/crates/control/src/state/holds.rs
+++ b/crates/control/src/state/holds.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{NodeName, ServerName};
-use carobstep_platform::{ObjectKind, ObjectReply, ObjectVersion, WriteCondition};
+use carobstep_store::{ObjectKind, ObjectReply, ObjectVersion, WriteCondition};
 use carobstep_wire::{GrantNotice, RefusalReason};
 use indexmap::IndexMap;
 
@@ -483,7 +483,7 @@
         }
     }
 
-    pub(super) fn merge_grant_object(&mut self, object: &carobstep_platform::StoredObject) {
+    pub(super) fn merge_grant_object(&mut self, object: &carobstep_store::StoredObject) {
         match read_grant(object) {
             Ok(notice) => self.merge_grant(notice),
             Err(error) => self.reject(format!("grant/{}", object.name), &error),
--- a/crates/control/src/state/own_lease.rs
+++ b/crates/control/src/state/own_lease.rs
@@ -2,7 +2,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::NodeName;
-use carobstep_platform::{ObjectKind, ObjectReply, ObjectVersion, StoredObject, WriteCondition};
+use carobstep_store::{ObjectKind, ObjectReply, ObjectVersion, StoredObject, WriteCondition};
 use carobstep_wire::{ControlMessage, VouchRequest};
 
 use super::{
--- a/crates/control/src/state/pursuit.rs
+++ b/crates/control/src/state/pursuit.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::NodeName;
-use carobstep_platform::{ObjectKind, ObjectReply, ObjectVersion, WriteCondition};
+use carobstep_store::{ObjectKind, ObjectReply, ObjectVersion, WriteCondition};
 use carobstep_wire::{CloseNotice, ControlMessage};
 
 use super::{
--- a/crates/control/src/state/sources.rs
+++ b/crates/control/src/state/sources.rs
@@ -5,7 +5,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_config::{ConfigTopology, ServerName, ServerState};
-use carobstep_platform::{
+use carobstep_store::{
     ObjectKind, ObjectReply, ObjectVersion, StoredObject, VmRecord, VmRole, VmState, WriteCondition,
 };
 use carobstep_wire::{ConfigCopy, PeerRecord};
@@ -182,7 +182,7 @@
         source.busy = true;
         source.polled_at = self.now;
         let kind = source.kind;
-        self.call(Purpose::KindList(kind), carobstep_platform::ObjectCall::List { kind });
+        self.call(Purpose::KindList(kind), carobstep_store::ObjectCall::List { kind });
     }
 
     pub(super) fn take_kind_list(&mut self, kind: ObjectKind, reply: Option<ObjectReply>) {
@@ -301,7 +301,7 @@
             return;
         }
         self.sources.leases.busy = true;
-        let call = carobstep_platform::ObjectCall::List { kind: ObjectKind::Lease };
+        let call = carobstep_store::ObjectCall::List { kind: ObjectKind::Lease };
         self.call(Purpose::LeaseList, call);
     }
 
@@ -413,7 +413,7 @@
             return;
         }
         self.sources.vms.busy = true;
-        self.call(Purpose::VmList, carobstep_platform::ObjectCall::ListVms);
+        self.call(Purpose::VmList, carobstep_store::ObjectCall::ListVms);
     }
 
     pub(super) fn take_vm_list(&mut self, reply: Option<ObjectReply>) {
--- a/crates/control/src/takeover.rs
+++ b/crates/control/src/takeover.rs
@@ -4,7 +4,7 @@
 
 use carobstep_chart::StateChart;
 use carobstep_clock::BootTime;
-use carobstep_platform::ObjectVersion;
+use carobstep_store::ObjectVersion;
 use strum::{Display, EnumString};
 
 use crate::{options::LeaseTiming, record::LeaseMark};
--- a/crates/control/tests/grant_model/spec.rs
+++ b/crates/control/tests/grant_model/spec.rs
@@ -9,7 +9,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_control::{LeaseGuard, LeaseMark, LeaseTakeover, LeaseView, LeaseWitness};
-use carobstep_platform::ObjectVersion;
+use carobstep_store::ObjectVersion;
 
 use crate::rules::{DRIFT, FENCE, Mutant, ZoneSize};
 
--- a/crates/control/tests/grant_model/steps.rs
+++ b/crates/control/tests/grant_model/steps.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use carobstep_control::{LeaseState, LeaseTakeover, LeaseWitness, TakeoverState, TakeoverStep};
-use carobstep_platform::ObjectVersion;
+use carobstep_store::ObjectVersion;
 
 use crate::{
     rules::{DRIFT, Mutant, ZoneSize},
--- a/crates/control/tests/zone/grants.rs
+++ b/crates/control/tests/zone/grants.rs
@@ -4,7 +4,7 @@
 
 use crate::support::{TestZone, address, entry_vm, options, server};
 use carobstep_control::{ControlEffect, ControlEvent, LeaseState, NodePhase};
-use carobstep_platform::ObjectKind;
+use carobstep_store::ObjectKind;
 
 const START: Duration = Duration::from_secs(10);
 
--- a/crates/control/tests/zone/rivals.rs
+++ b/crates/control/tests/zone/rivals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use carobstep_control::ControlOptions;
-use carobstep_platform::ObjectKind;
+use carobstep_store::ObjectKind;
 
 use crate::support::{TestZone, config, entry_vm, options, server};
 
--- a/crates/control/tests/zone/spread.rs
+++ b/crates/control/tests/zone/spread.rs
@@ -4,7 +4,7 @@
 
 use crate::support::{TestZone, config, config_in, entry_vm, name, options, server};
 use carobstep_control::{ControlEffect, ControlEvent, NodePhase};
-use carobstep_platform::{ObjectKind, VmRecord, VmRole, VmState};
+use carobstep_store::{ObjectKind, VmRecord, VmRole, VmState};
 use serde_json::json;
 
 const START: Duration = Duration::from_secs(10);
--- a/crates/control/tests/zone/support.rs
+++ b/crates/control/tests/zone/support.rs
@@ -9,7 +9,7 @@
     ControlEffect, ControlEvent, ControlOptions, ControlState, GossipTiming, GrantTiming,
     LeaseTiming, PeerFailure,
 };
-use carobstep_platform::{
+use carobstep_store::{
     ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
     VmRecord, WriteCondition,
 };
@@ -378,8 +378,8 @@
     VmRecord {
         name: format!("n{at}"),
         zone: zone.to_owned(),
-        role: carobstep_platform::VmRole::Entry,
-        state: carobstep_platform::VmState::Live,
+        role: carobstep_store::VmRole::Entry,
+        state: carobstep_store::VmState::Live,
         address: address(at).to_string(),
     }
 }
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 
-/// Largest number of tokens that a bucket keeps.
+/// Largest number of tokens that a bucket keeps, unless it is told otherwise.
 const MAX_TOKENS: f64 = 20.0;
 
 /// Time in which an idle bucket regains one token of its reserve.
@@ -23,6 +23,7 @@
     ratio: f64,
     reserve: f64,
     tokens: f64,
+    max_tokens: f64,
     refilled: BootTime,
 }
 
@@ -33,7 +34,13 @@
     #[must_use]
     pub fn new(ratio: f64, reserve: f64, now: BootTime) -> Self {
         let tokens = if ratio > 0.0 { reserve } else { 0.0 };
-        Self { ratio, reserve, tokens, refilled: now }
+        Self { ratio, reserve, tokens, max_tokens: MAX_TOKENS, refilled: now }
+    }
+
+    /// Changes how many tokens the bucket keeps; those beyond are lost.
+    pub fn set_max_tokens(&mut self, max_tokens: f64) {
+        self.max_tokens = max_tokens;
+        self.tokens = self.tokens.min(max_tokens);
     }
 
     /// Changes the ratio and keeps the tokens, none for a ratio of zero.
@@ -52,7 +59,7 @@
 
     /// Earns for one first request.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(MAX_TOKENS);
+        self.tokens = (self.tokens + self.ratio).min(self.max_tokens);
     }
 
     /// Takes one token for an extra request, or refuses it.
@@ -68,7 +75,7 @@
     /// Gives back the token of an extra request that put no load on a server.
     pub fn give_back(&mut self) {
         if self.ratio > 0.0 {
-            self.tokens = (self.tokens + 1.0).min(MAX_TOKENS);
+            self.tokens = (self.tokens + 1.0).min(self.max_tokens);
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,128 @@
+//! What all tasks of the process share.
+
+use std::{cell::RefCell, rc::Rc};
+
+use carobstep_clock::BootTime;
+use carobstep_store::StoreTransport;
+use carobstep_tier::{
+    AttemptEnd, Configuration, DirectoryChange, FleetLimits, LifecyclePhase, MachineSettings,
+    NodeLifecycle, RouteTable, SentTicket, ServerDirectory, ServerFleet, ServerKey, SplitRotation,
+    StopTiming,
+};
+use log::info;
+use slotmap::SecondaryMap;
+use tokio::sync::watch;
+
+use crate::{backend::ServerPool, report::Reporter};
+
+/// Nodes that are assumed to share the limits until others are known.
+const ASSUMED_NODES: u32 = 10;
+
+/// State of the process; it lives on one thread.
+pub(crate) struct Gateway {
+    pub(crate) settings: MachineSettings,
+    pub(crate) store: StoreTransport,
+    pub(crate) reporter: Reporter,
+    pub(crate) state: RefCell<GatewayState>,
+    /// Tells connections to close as soon as they are idle.
+    pub(crate) closing: watch::Sender<bool>,
+}
+
+/// What the process believes.
+pub(crate) struct GatewayState {
+    pub(crate) configuration: Rc<Configuration>,
+    pub(crate) routes: RouteTable,
+    pub(crate) rotation: SplitRotation,
+    pub(crate) directory: ServerDirectory,
+    pub(crate) fleet: ServerFleet,
+    pub(crate) lifecycle: NodeLifecycle,
+    pub(crate) in_flight: usize,
+    pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: MachineSettings) -> Self {
+        let limits = FleetLimits {
+            retry_ratio: settings.bounds.retry_ratio,
+            retry_slack: settings.bounds.retry_slack,
+            nodes: ASSUMED_NODES,
+        };
+        let state = GatewayState {
+            configuration: Rc::new(Configuration::default()),
+            routes: RouteTable::default(),
+            rotation: SplitRotation::default(),
+            directory: ServerDirectory::default(),
+            fleet: ServerFleet::new(settings.zone.clone(), limits),
+            lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
+            in_flight: 0,
+            pools: SecondaryMap::new(),
+        };
+        Self {
+            store: StoreTransport::new(settings.store.address),
+            reporter: Reporter::default(),
+            state: RefCell::new(state),
+            closing: watch::Sender::new(false),
+            settings,
+        }
+    }
+
+    /// Puts a configuration in force unless a later one is.
+    pub(crate) fn configure(&self, configuration: Configuration) {
+        let state = &mut *self.state.borrow_mut();
+        if configuration.version <= state.configuration.version {
+            return;
+        }
+        info!(
+            version = configuration.version, before = state.configuration.version,
+            routes = configuration.routes.len();
+            "configuration in force"
+        );
+        state.routes = RouteTable::from(&configuration);
+        state.rotation.retain(&configuration);
+        state.fleet.configure(BootTime::now(), &configuration);
+        state.lifecycle.configuration_known();
+        state.configuration = Rc::new(configuration);
+    }
+
+    /// Takes in changes of the list of servers.
+    pub(crate) fn apply_changes(&self, changes: &[DirectoryChange]) {
+        let now = BootTime::now();
+        let state = &mut *self.state.borrow_mut();
+        for change in changes {
+            match change {
+                DirectoryChange::Changed(entry) => info!(
+                    server = entry.id.as_ref(), service = entry.service.as_ref(),
+                    address:% = entry.address, phase:% = entry.phase;
+                    "server changed"
+                ),
+                DirectoryChange::Gone(id) => info!(server = id.as_ref(); "server gone"),
+            }
+            if let Some(key) = state.fleet.apply(now, change) {
+                state.pools.remove(key);
+            }
+        }
+    }
+
+    /// Takes in the end of an attempt.
+    pub(crate) fn attempt_ended(&self, ticket: SentTicket, end: AttemptEnd) {
+        self.reporter.count_attempt(end);
+        self.state.borrow_mut().fleet.ended(BootTime::now(), ticket, end);
+    }
+
+    /// Connections to a server; made when it is first needed.
+    pub(crate) fn pool(&self, key: ServerKey) -> Option<Rc<ServerPool>> {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(pool) = state.pools.get(key) {
+            return Some(pool.clone());
+        }
+        let sight = state.fleet.sight(key)?;
+        let pool = Rc::new(ServerPool::new(&sight.entry));
+        state.pools.insert(key, pool.clone());
+        Some(pool)
+    }
+
+    pub(crate) fn phase(&self) -> LifecyclePhase {
+        let state = self.state.borrow();
+        state.lifecycle.phase(BootTime::now(), state.in_flight)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ingress.rs
@@ -0,0 +1,111 @@
+//! Listeners for callers and for the balancer.
+
+use std::{convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_platform::READINESS_PATH;
+use carobstep_tier::LifecyclePhase;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::sleep,
+};
+
+use crate::{gateway::Gateway, handler};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Smallest buffer that the HTTP library accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Room in the buffer beside the largest header section that is allowed.
+const BUFFER_MARGIN: usize = 1024;
+
+/// Accepts callers until the node closes its listener.
+pub(crate) async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    let mut closing = gateway.closing.subscribe();
+    loop {
+        tokio::select! {
+            (socket, remote) = accept(&listener) => {
+                let gateway = gateway.clone();
+                spawn_local(serve_connection(gateway, socket, remote, handler::handle));
+            }
+            _ = closing.wait_for(|closing| *closing) => return,
+        }
+    }
+}
+
+/// Answers the balancer's questions for as long as the process lives.
+pub(crate) async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let (socket, remote) = accept(&listener).await;
+        spawn_local(serve_connection(gateway.clone(), socket, remote, readiness));
+    }
+}
+
+async fn readiness(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = match (request.uri().path(), gateway.phase()) {
+        (READINESS_PATH, LifecyclePhase::Ready) => StatusCode::OK,
+        (READINESS_PATH, _) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    response
+}
+
+/// Accepts the next connection; a failure is tried again after a pause.
+async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                debug!(error:% = error; "a connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(
+    gateway: Rc<Gateway>,
+    socket: TcpStream,
+    remote: SocketAddr,
+    handle: H,
+) where
+    H: Fn(Rc<Gateway>, Request<Incoming>) -> F,
+    F: Future<Output = Response<Full<Bytes>>>,
+{
+    // Without the option, small answers wait for the acknowledgement of earlier ones.
+    if let Err(error) = socket.set_nodelay(true) {
+        debug!(remote:% = remote, error:% = error; "TCP_NODELAY could not be set");
+    }
+    let limits = gateway.state.borrow().configuration.limits;
+    let mut closing = gateway.closing.subscribe();
+    let service = service_fn(|request| {
+        let answer = handle(gateway.clone(), request);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size((limits.header_bytes + BUFFER_MARGIN).max(MIN_BUFFER_BYTES));
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(remote:% = remote, error:% = error; "a caller's connection ended");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main_entry.rs
@@ -0,0 +1,78 @@
+//! The daemon's main function on a platform machine.
+
+use std::{env, fs, process::ExitCode, rc::Rc};
+
+use carobstep_logging::LogSink;
+use carobstep_platform::{SETTINGS_VARIABLE, read_settings};
+use carobstep_tier::MachineSettings;
+use eyre::WrapErr;
+use log::{LevelFilter, info};
+use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
+
+use crate::{
+    gateway::Gateway,
+    ingress, stop,
+    watcher::{FollowedKind, KindWatcher, expire_lapsed},
+};
+
+/// Exit code for a wrong command line or settings file.
+const EXIT_USAGE: u8 = 2;
+
+/// Runs the daemon on a platform machine, with the arguments behind the mode's name.
+#[must_use]
+pub fn main(args: &[String]) -> ExitCode {
+    if let Some(argument) = args.first() {
+        eprintln!("carobstepd gateway: unexpected argument {argument:?}");
+        return ExitCode::from(EXIT_USAGE);
+    }
+    let settings = match load_settings() {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("carobstepd gateway: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load_settings() -> Result<MachineSettings, String> {
+    let path = env::var(SETTINGS_VARIABLE)
+        .map_err(|error| format!("environment variable {SETTINGS_VARIABLE}: {error}"))?;
+    let text = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    read_settings(&path, &text).map_err(|faults| faults.to_string())
+}
+
+fn run(settings: MachineSettings) -> eyre::Result<()> {
+    carobstep_logging::install(LevelFilter::Info, &settings.node, &settings.zone, LogSink::Stdout)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("the runtime can't be started")?;
+    let result = LocalSet::new().block_on(&runtime, serve(settings));
+    log::logger().flush();
+    result
+}
+
+async fn serve(settings: MachineSettings) -> eyre::Result<()> {
+    let callers = bind("callers", settings.callers).await?;
+    let readiness = bind("readiness", settings.readiness).await?;
+    let gateway = Rc::new(Gateway::new(settings));
+    for kind in [FollowedKind::Configuration, FollowedKind::Servers] {
+        spawn_local(KindWatcher::new(gateway.clone(), kind).run());
+    }
+    spawn_local(expire_lapsed(gateway.clone()));
+    spawn_local(ingress::serve_readiness(gateway.clone(), readiness));
+    spawn_local(ingress::serve_callers(gateway.clone(), callers));
+    info!(callers:% = gateway.settings.callers; "started");
+    stop::wait_for_end(gateway).await.wrap_err("signal handlers can't be installed")
+}
+
+async fn bind(name: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("{name} listener {address}"))
+}
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,51 @@
+//! Signals: stop and reload.
+
+use std::rc::Rc;
+
+use carobstep_clock::BootTime;
+use carobstep_tier::LifecyclePhase;
+use log::{info, warn};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{Duration, sleep},
+};
+
+use crate::gateway::Gateway;
+
+/// Interval at which a stopping node looks whether its next step is due.
+const STOP_TICK: Duration = Duration::from_millis(50);
+
+/// Returns when the process has to end.
+pub(crate) async fn wait_for_end(gateway: Rc<Gateway>) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => info!("reload: the settings in force stay until the next start"),
+        }
+    }
+    gateway.state.borrow_mut().lifecycle.stop(BootTime::now());
+    info!(in_flight = gateway.state.borrow().in_flight; "stopping");
+    let mut phase = gateway.phase();
+    while phase == LifecyclePhase::Leaving {
+        sleep(STOP_TICK).await;
+        phase = gateway.phase();
+    }
+    gateway.closing.send_replace(true);
+    while phase != LifecyclePhase::Ended {
+        sleep(STOP_TICK).await;
+        phase = gateway.phase();
+    }
+    // Lets the last answers leave their sockets.
+    sleep(STOP_TICK).await;
+    let in_flight = gateway.state.borrow().in_flight;
+    if in_flight > 0 {
+        warn!(in_flight = in_flight; "stopped with requests in flight");
+    } else {
+        info!("stopped");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/watcher.rs
@@ -0,0 +1,291 @@
+//! Follows the configuration and the list of servers in the platform's store.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_clock::BootTime;
+use carobstep_platform::{
+    CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, ObjectEvent, ObjectRequest, SERVER_KIND,
+    StoredObject, WatchPage, read_configuration, read_page, read_server, read_watch,
+};
+use carobstep_store::ReplyParts;
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use indexmap::IndexMap;
+use log::{info, warn};
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+
+/// Longest wait of one watch. A connection that went silent is found after
+/// this time and [`CALL_TIMEOUT`], within the time that puts a node back in touch.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+
+/// Longest time for a call beside the wait that it asks for.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Pause before a watch goes on after changes: changes that come together cost one call.
+const COALESCE: Duration = Duration::from_millis(100);
+
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// Interval at which lapsed entries are given up.
+const EXPIRY_TICK: Duration = Duration::from_millis(100);
+
+/// Kinds of objects that are followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FollowedKind {
+    /// The configuration.
+    Configuration,
+    /// The backend servers.
+    Servers,
+}
+
+impl FollowedKind {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => CONFIGURATION_KIND,
+            Self::Servers => SERVER_KIND,
+        }
+    }
+}
+
+/// Why a call brought nothing.
+enum CallFailure {
+    /// The history behind the revision is gone.
+    HistoryGone,
+    /// Anything else.
+    Other(String),
+}
+
+/// Follows one kind of objects.
+pub(crate) struct KindWatcher {
+    gateway: Rc<Gateway>,
+    kind: FollowedKind,
+    failures: u32,
+    /// Objects that can't be read and have been told, with the revision.
+    told: IndexMap<String, u64>,
+}
+
+impl KindWatcher {
+    pub(crate) fn new(gateway: Rc<Gateway>, kind: FollowedKind) -> Self {
+        Self { gateway, kind, failures: 0, told: IndexMap::new() }
+    }
+
+    /// Follows the kind for as long as the process lives.
+    pub(crate) async fn run(mut self) {
+        loop {
+            match self.list().await {
+                Ok(revision) => self.watch(revision).await,
+                Err(failure) => self.pause_after(failure).await,
+            }
+        }
+    }
+
+    /// Lists every object and returns the revision from which to watch.
+    async fn list(&mut self) -> Result<u64, CallFailure> {
+        let kind = self.kind.name();
+        let mut after: Option<String> = None;
+        let mut objects = Vec::new();
+        let mut revision = None;
+        loop {
+            let request = ObjectRequest::List { kind, after: after.as_deref() };
+            let reply = self.call(&request, CALL_TIMEOUT).await?;
+            let page = read_page(kind, &reply.body).map_err(CallFailure::from)?;
+            // Changes between two pages are seen again in the watch from the first one.
+            let first = *revision.get_or_insert(page.revision);
+            for object in page.objects {
+                match object {
+                    Ok(object) => objects.push(object),
+                    Err(error) => self.tell("", 0, &error),
+                }
+            }
+            if !page.more || page.last_name.is_none() {
+                self.take_list(objects);
+                return Ok(first);
+            }
+            after = page.last_name;
+        }
+    }
+
+    /// Watches until the history is gone.
+    async fn watch(&mut self, mut revision: u64) {
+        let kind = self.kind.name();
+        let wait_ms = WATCH_WAIT.as_millis() as u64;
+        loop {
+            let request = ObjectRequest::Watch { kind, after: revision, wait_ms };
+            let reply = self.call(&request, WATCH_WAIT + CALL_TIMEOUT).await;
+            let page = reply.and_then(|reply| Ok(read_watch(kind, &reply.body)?));
+            match page {
+                Ok(page) => {
+                    revision = page.revision;
+                    let quiet = page.events.is_empty();
+                    self.take_events(page);
+                    if !quiet {
+                        sleep(COALESCE).await;
+                    }
+                }
+                Err(CallFailure::HistoryGone) => {
+                    info!(kind = kind, revision = revision; "history is gone, listing again");
+                    return;
+                }
+                Err(failure) => self.pause_after(failure).await,
+            }
+        }
+    }
+
+    async fn call(
+        &mut self,
+        request: &ObjectRequest<'_>,
+        limit: Duration,
+    ) -> Result<ReplyParts, CallFailure> {
+        let called = BootTime::now();
+        let reply = self.gateway.store.call(self.build(request), limit).await;
+        self.gateway.reporter.count_store_call(reply.is_ok());
+        let reply = reply.map_err(|error| CallFailure::Other(error.to_string()))?;
+        match reply.status {
+            StatusCode::OK => {}
+            StatusCode::GONE => return Err(CallFailure::HistoryGone),
+            status => return Err(CallFailure::Other(format!("status {status}"))),
+        }
+        if self.failures > 0 {
+            info!(kind = self.kind.name(), failures = self.failures; "store regained");
+            self.failures = 0;
+        }
+        if self.kind == FollowedKind::Servers {
+            let answered = BootTime::now();
+            // A watch is asked to wait; only what exceeds that is an outage.
+            let asked = answered.since(called).min(limit);
+            let state = &mut *self.gateway.state.borrow_mut();
+            state.directory.store_answered(answered, answered - asked);
+        }
+        Ok(reply)
+    }
+
+    fn build(&self, request: &ObjectRequest<'_>) -> Request<Full<Bytes>> {
+        let mut message = Request::new(Full::default());
+        // Paths are built from escaped names, so that they are valid.
+        *message.uri_mut() = request.path().parse().unwrap_or_default();
+        if let Ok(host) = self.gateway.store.address().to_string().parse() {
+            message.headers_mut().insert(header::HOST, host);
+        }
+        message
+    }
+
+    async fn pause_after(&mut self, failure: CallFailure) {
+        let CallFailure::Other(reason) = failure else { return };
+        if self.failures == 0 {
+            warn!(kind = self.kind.name(), reason = reason.as_str(); "store lost");
+        }
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
+        self.failures += 1;
+        sleep(pause.min(MAX_PAUSE)).await;
+    }
+
+    fn take_list(&mut self, objects: Vec<StoredObject>) {
+        match self.kind {
+            FollowedKind::Configuration => {
+                for object in &objects {
+                    self.take_configuration(object);
+                }
+            }
+            FollowedKind::Servers => {
+                let mut entries = Vec::with_capacity(objects.len());
+                for object in &objects {
+                    match read_server(object) {
+                        Ok(entry) => entries.push(entry),
+                        Err(error) => self.tell(&object.name, object.revision, &error),
+                    }
+                }
+                let changes = {
+                    let state = &mut *self.gateway.state.borrow_mut();
+                    state.lifecycle.servers_known();
+                    state.directory.replace(BootTime::now(), entries)
+                };
+                self.gateway.apply_changes(&changes);
+            }
+        }
+    }
+
+    fn take_events(&mut self, page: WatchPage) {
+        let mut changes = Vec::new();
+        for event in page.events {
+            let event = match event {
+                Ok(event) => event,
+                Err(error) => {
+                    self.tell("", page.revision, &error);
+                    continue;
+                }
+            };
+            match self.kind {
+                FollowedKind::Configuration if event.removed => {}
+                FollowedKind::Configuration => self.take_configuration(&event.object),
+                FollowedKind::Servers => self.take_server(&event, &mut changes),
+            }
+        }
+        self.gateway.apply_changes(&changes);
+    }
+
+    fn take_server(
+        &mut self,
+        event: &ObjectEvent,
+        changes: &mut Vec<carobstep_tier::DirectoryChange>,
+    ) {
+        let now = BootTime::now();
+        if event.removed {
+            let state = &mut *self.gateway.state.borrow_mut();
+            state.directory.remove(now, &event.object.name, changes);
+            return;
+        }
+        match read_server(&event.object) {
+            Ok(entry) => self.gateway.state.borrow_mut().directory.insert(entry, changes),
+            Err(error) => self.tell(&event.object.name, event.object.revision, &error),
+        }
+    }
+
+    fn take_configuration(&mut self, object: &StoredObject) {
+        if object.name != CONFIGURATION_NAME {
+            return;
+        }
+        match read_configuration(object) {
+            Ok(configuration) => self.gateway.configure(configuration),
+            Err(error) => self.tell(&object.name, object.revision, &error),
+        }
+    }
+
+    /// Tells once that an object can't be read.
+    fn tell(&mut self, name: &str, revision: u64, error: &DecodeError) {
+        /// Objects that are remembered as told; the oldest is forgotten first.
+        const MAX_TOLD: usize = 256;
+        if self.told.insert(name.to_owned(), revision) == Some(revision) {
+            return;
+        }
+        if self.told.len() > MAX_TOLD {
+            self.told.shift_remove_index(0);
+        }
+        warn!(kind = self.kind.name(), revision = revision, reason:% = error; "unreadable object");
+    }
+}
+
+impl From<DecodeError> for CallFailure {
+    fn from(error: DecodeError) -> Self {
+        Self::Other(error.to_string())
+    }
+}
+
+/// Gives up the entries that lapsed during an outage and did not come back.
+pub(crate) async fn expire_lapsed(gateway: Rc<Gateway>) {
+    loop {
+        sleep(EXPIRY_TICK).await;
+        let now = BootTime::now();
+        let due = gateway.state.borrow().directory.next_expiry().is_some_and(|due| due <= now);
+        if due {
+            let changes = gateway.state.borrow_mut().directory.expire(now);
+            gateway.apply_changes(&changes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/logging/src/lib.rs
@@ -0,0 +1,15 @@
+//! Log records as JSON lines, written by a thread of their own.
+//!
+//! ```
+//! use carobstep_logging::{LogSink, install};
+//!
+//! install(log::LevelFilter::Info, "perth-a-1", "perth-a", LogSink::Stderr).unwrap();
+//! log::info!(port = 8104; "listening");
+//! log::logger().flush();
+//! ```
+
+mod calendar;
+mod writer;
+
+pub use calendar::unix_millis;
+pub use writer::{LogError, LogSink, install};
--- a/crates/node/src/logging.rs
+++ b/crates/logging/src/writer.rs
@@ -1,11 +1,12 @@
-//! Log records as JSON lines on standard error.
+//! Log records as JSON lines on standard output or standard error.
 //!
 //! simplelog writes plain text only, so this module formats each record as one
 //! JSON object and hands the finished line to simplelog's writer. That writer
-//! only queues the line: a thread of its own writes to standard error, so that
+//! only queues the line: a thread of its own writes it out, so that
 //! a slow disk or pipe behind it never holds up a request.
 
 use std::{
+    fmt,
     io::{self, Write},
     sync::mpsc::{Receiver, SyncSender, sync_channel},
     thread,
@@ -17,7 +18,35 @@
 use simplelog::{ConfigBuilder, SharedLogger, WriteLogger};
 
 use crate::calendar::unix_millis;
-use crate::error::{NodeError, NodeErrorKind};
+
+/// Where the lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogSink {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+/// The log could not be set up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogError {
+    message: String,
+}
+
+impl LogError {
+    fn new(cause: &str, error: &dyn fmt::Display) -> Self {
+        Self { message: format!("{cause}: {error}") }
+    }
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for LogError {}
 
 /// Lines that may wait to be written; further ones are dropped and counted.
 const QUEUED_LINES: usize = 8192;
@@ -53,7 +82,7 @@
 /// # Errors
 ///
 /// Fails when the process already has a logger.
-pub fn install(level: LevelFilter, node: &str, zone: &str) -> Result<(), NodeError> {
+pub fn install(level: LevelFilter, node: &str, zone: &str, sink: LogSink) -> Result<(), LogError> {
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_max_level(LevelFilter::Off)
@@ -61,20 +90,19 @@
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    let writer = WriteLogger::new(level, config, LogQueue::start()?);
+    let writer = WriteLogger::new(level, config, LogQueue::start(sink)?);
     let logger = JsonLogger { writer, node: node.to_owned(), zone: zone.to_owned() };
     log::set_max_level(level);
-    log::set_boxed_logger(Box::new(logger))
-        .map_err(|error| NodeError::new(NodeErrorKind::Log, format!("log: {error}")))
+    log::set_boxed_logger(Box::new(logger)).map_err(|error| LogError::new("log", &error))
 }
 
 impl LogQueue {
-    fn start() -> Result<Self, NodeError> {
+    fn start(sink: LogSink) -> Result<Self, LogError> {
         let (tasks, queued) = sync_channel(QUEUED_LINES);
         thread::Builder::new()
             .name("log".to_owned())
-            .spawn(move || write_lines(&queued))
-            .map_err(|error| NodeError::new(NodeErrorKind::Log, format!("log thread: {error}")))?;
+            .spawn(move || write_lines(&queued, sink))
+            .map_err(|error| LogError::new("log thread", &error))?;
         Ok(Self { tasks, line: Vec::new(), dropped: 0 })
     }
 
@@ -114,13 +142,16 @@
     }
 }
 
-/// Writes queued lines to standard error until the queue's other end is gone.
-fn write_lines(queued: &Receiver<LogTask>) {
+/// Writes queued lines until the queue's other end is gone.
+fn write_lines(queued: &Receiver<LogTask>, sink: LogSink) {
     for task in queued {
         match task {
             LogTask::Line(bytes) => {
-                // Without standard error there is nowhere to report the failure.
-                let _ = io::stderr().write_all(&bytes);
+                // Without the sink there is nowhere to report the failure.
+                let _ = match sink {
+                    LogSink::Stdout => io::stdout().write_all(&bytes),
+                    LogSink::Stderr => io::stderr().write_all(&bytes),
+                };
             }
             LogTask::Flush(done) => {
                 // The flush may have given up waiting.
--- a/crates/node/examples/control_cost/driver.rs
+++ b/crates/node/examples/control_cost/driver.rs
@@ -7,7 +7,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_control::{ControlEffect, ControlEvent, ControlOptions, ControlState, ReplyKey};
-use carobstep_platform::{
+use carobstep_store::{
     ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
 };
 use carobstep_wire::{
@@ -54,7 +54,7 @@
     leases: IndexMap<String, Value>,
     config: Value,
     manifest: Value,
-    vms: Vec<carobstep_platform::VmRecord>,
+    vms: Vec<carobstep_store::VmRecord>,
 }
 
 impl NodeDriver {
--- a/crates/node/examples/control_cost/fleet.rs
+++ b/crates/node/examples/control_cost/fleet.rs
@@ -7,7 +7,7 @@
     RepeatPolicy, ServerDocument, ServerName, ServerState, ServiceDocument, ZoneName,
 };
 use carobstep_control::{GrantMark, GrantRecord, LeaseMark, LeaseRecord, assign_servers};
-use carobstep_platform::{VmRecord, VmRole, VmState};
+use carobstep_store::{VmRecord, VmRole, VmState};
 use carobstep_wire::PeerRecord;
 use indexmap::IndexMap;
 use serde_json::{Value, json};
--- a/crates/node/examples/control_cost/main.rs
+++ b/crates/node/examples/control_cost/main.rs
@@ -14,7 +14,7 @@
 use carobstep_config::{ConfigTopology, ConfigVersion, NodeName, ZoneName};
 use carobstep_control::{ControlEvent, assign_servers};
 use carobstep_dispatch::ServerRouter;
-use carobstep_platform::{ObjectKind, ObjectVersion};
+use carobstep_store::{ObjectKind, ObjectVersion};
 use carobstep_wire::{ControlMessage, FetchRequest, NewsNotice};
 
 use driver::{NodeDriver, Tally, reply_bytes, request_bytes};
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -10,7 +10,7 @@
 use carobstep_config::{ConfigTopology, IndexManifest, IndexName, ServerKey, ServerName, Settings};
 use carobstep_control::{ControlEvent, ControlState, ServerRoute};
 use carobstep_dispatch::{AdmissionGate, ServerRouter};
-use carobstep_platform::HttpStore;
+use carobstep_store::HttpStore;
 use carobstep_wire::{
     PeerPool, PeerReply, PeerRequest, RefusalReason, RequestOutcome, ShardReply, ShardRequest,
     WireErrorKind,
--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -7,7 +7,7 @@
     ConfigTopology, IndexManifest, IndexName, ManifestDocument, ServerEntry, ServerKey, ServerName,
 };
 use carobstep_control::{CallKey, ControlEffect, ControlEvent, PeerFailure, ReplyKey, ServerRoute};
-use carobstep_platform::{ObjectCall, ObjectKind, ObjectStore, ObjectVersion};
+use carobstep_store::{ObjectCall, ObjectKind, ObjectStore, ObjectVersion};
 use carobstep_wire::{ControlMessage, ControlReply, PeerReply, PeerRequest};
 use indexmap::{IndexMap, IndexSet};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -14,7 +14,8 @@
 use carobstep_config::{LimitSettings, Settings};
 use carobstep_control::{ControlEvent, ControlOptions, ControlState, GossipTiming, LeaseTiming};
 use carobstep_dispatch::ServerRouter;
-use carobstep_platform::HttpStore;
+use carobstep_logging::unix_millis;
+use carobstep_store::HttpStore;
 use carobstep_wire::{PeerPool, serve_peers};
 use ractor::Actor;
 use serde::Serialize;
@@ -27,7 +28,6 @@
 };
 
 use crate::{
-    calendar::unix_millis,
     callers::CallerHandler,
     context::{NodeContext, NodeView},
     control_actor::{ControlActor, ControlArguments},
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,6 @@
 mod args;
 mod attempts;
 mod backend;
-mod calendar;
 mod callers;
 mod context;
 mod control_actor;
@@ -26,7 +25,6 @@
 mod holder;
 mod http_listener;
 mod identity;
-mod logging;
 mod main_entry;
 mod metrics;
 mod operators;
--- a/crates/node/src/main_entry.rs
+++ b/crates/node/src/main_entry.rs
@@ -3,6 +3,7 @@
 use std::{fs::File, io::Read, process::ExitCode};
 
 use carobstep_config::{LogLevel, Settings};
+use carobstep_logging::LogSink;
 use eyre::WrapErr;
 use log::LevelFilter;
 
@@ -10,7 +11,6 @@
     args::DaemonArgs,
     daemon,
     error::{NodeError, NodeErrorKind},
-    logging,
 };
 
 /// Exit code for a wrong command line or settings file.
@@ -72,7 +72,9 @@
 
 fn run(settings: Settings) -> eyre::Result<()> {
     let level = level_filter(settings.log_level);
-    logging::install(level, settings.node.as_str(), settings.zone.as_str())?;
+    let (node, zone) = (settings.node.as_str(), settings.zone.as_str());
+    carobstep_logging::install(level, node, zone, LogSink::Stderr)
+        .map_err(|error| NodeError::new(NodeErrorKind::Log, error.to_string()))?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -9,7 +9,8 @@
 use carobstep_clock::BootTime;
 use carobstep_config::ServiceKey;
 use carobstep_dispatch::SingleReport;
-use carobstep_platform::{
+use carobstep_logging::unix_millis;
+use carobstep_store::{
     AttemptId, ClaimEnd, ClaimOutcome, ClaimRecord, ClaimRequest, ObjectVersion, OwnerSight,
     RecordedOutcome, abandon_claim, acquire_claim, digest_of, record_claim,
 };
@@ -18,7 +19,6 @@
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
-    calendar::unix_millis,
     context::{DEFAULT_RETRY_AFTER, NodeContext, NodeView},
     counters::NodeEvent,
     problem::{AnswerBody, ProblemDocument, refuse},
--- a/crates/standin/src/platform/calls.rs
+++ b/crates/standin/src/platform/calls.rs
@@ -1,6 +1,6 @@
 //! Counts of the calls that the platform answered.
 
-use carobstep_platform::ObjectKind;
+use carobstep_store::ObjectKind;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -11,7 +11,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use carobstep_platform::{ObjectKind, ObjectVersion, VmRecord};
+use carobstep_store::{ObjectKind, ObjectVersion, VmRecord};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
--- a/crates/standin/src/platform/objects.rs
+++ b/crates/standin/src/platform/objects.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use carobstep_platform::{ObjectKind, ObjectVersion, WriteCondition};
+use carobstep_store::{ObjectKind, ObjectVersion, WriteCondition};
 use indexmap::IndexMap;
 
 /// Bytes of values that the log of changes keeps.
--- a/crates/standin/src/platform/request.rs
+++ b/crates/standin/src/platform/request.rs
@@ -1,6 +1,6 @@
 //! Requests of the object API, checked.
 
-use carobstep_platform::{ObjectKind, ObjectVersion, WriteCondition, is_object_name};
+use carobstep_store::{ObjectKind, ObjectVersion, WriteCondition, is_object_name};
 use http::{HeaderMap, Method, StatusCode, Uri, header, request};
 
 use super::calls::CallMethod;
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -3,7 +3,7 @@
 use std::{future::pending, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carobstep_platform::{MAX_VALUE_BYTES, ObjectKind, ObjectVersion, VmRecord};
+use carobstep_store::{MAX_VALUE_BYTES, ObjectKind, ObjectVersion, VmRecord};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header, request};
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep};
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use carobstep_platform::{ObjectKind, ObjectVersion, VmRecord, WriteCondition};
+use carobstep_store::{ObjectKind, ObjectVersion, VmRecord, WriteCondition};
 use tokio::{
     sync::watch,
     time::{Instant, sleep},
--- a/crates/standin/src/platform/vms.rs
+++ b/crates/standin/src/platform/vms.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use carobstep_platform::VmRecord;
+use carobstep_store::VmRecord;
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
--- a/crates/standin/src/platform/watch.rs
+++ b/crates/standin/src/platform/watch.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use carobstep_platform::{ObjectKind, ObjectVersion};
+use carobstep_store::{ObjectKind, ObjectVersion};
 use tokio::{sync::mpsc, time::sleep};
 
 use super::{
--- a/crates/standin/tests/bad_requests.rs
+++ b/crates/standin/tests/bad_requests.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use carobstep_platform::MAX_VALUE_BYTES;
 use carobstep_standin::{BackendStandin, PlatformSettings, PlatformStandin, ServerSettings};
+use carobstep_store::MAX_VALUE_BYTES;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
--- a/crates/standin/tests/claims.rs
+++ b/crates/standin/tests/claims.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use carobstep_config::{NodeName, ServiceName};
-use carobstep_platform::{
+use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin};
+use carobstep_store::{
     AttemptId, ClaimEnd, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState, HttpStore,
     MarkedWrite, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, OwnerSight,
     RecordedOutcome, SettleEnd, WriteCondition, abandon_claim, acquire_claim, digest_of,
     record_claim, settle_write,
 };
-use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin};
 use serde_json::json;
 use tokio::{task::JoinSet, time::Instant};
 
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use carobstep_config::ZoneName;
-use carobstep_platform::{
+use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin, SeedObject};
+use carobstep_store::{
     HttpStore, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion, StoreError,
     StoreErrorKind, StoredObject, VmRecord, VmRole, VmState, WatchEvent, WatchStream,
     WriteCondition,
 };
-use carobstep_standin::{PlatformFaultsPatch, PlatformSettings, PlatformStandin, SeedObject};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
--- a/crates/platform/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -9,24 +9,11 @@
     ObjectCall, ObjectKind, ObjectReply, ObjectVersion, StoreError, StoreErrorKind, StoredObject,
     VmRecord, WriteCondition, is_object_name,
 };
+use crate::transport::ReplyParts;
 
 /// Largest accepted value of an object, as JSON.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
-/// Largest accepted reply.
-pub(crate) const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
-
-/// A reply that was read to its end.
-#[derive(Debug)]
-pub(crate) struct ReplyParts {
-    /// Status of the reply.
-    pub(crate) status: StatusCode,
-    /// Its headers.
-    pub(crate) headers: HeaderMap,
-    /// Its body.
-    pub(crate) body: Bytes,
-}
-
 #[derive(Deserialize)]
 struct ListBody {
     version: ObjectVersion,
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod settle;
 mod store;
+mod transport;
 mod watch;
 
 pub use call::{
@@ -35,3 +36,4 @@
     settle_write,
 };
 pub use store::{ObjectStore, WatchEvent, WatchStream};
+pub use transport::{ReplyParts, StoreTransport};
--- a/crates/platform/tests/claim_model.rs
+++ b/crates/store/tests/claim_model.rs
@@ -8,7 +8,7 @@
 use std::{fmt, rc::Rc};
 
 use carobstep_config::{NodeName, ServiceName};
-use carobstep_platform::{
+use carobstep_store::{
     AttemptId, ClaimEnd, ClaimMachine, ClaimOutcome, ClaimRead, ClaimRecord, ClaimRequest,
     ClaimState, ClaimStep, ClaimWrite, ObjectVersion, OwnerSight, PutEnd, StoredObject,
     WriteCondition,
--- a/crates/platform/tests/error_kinds.rs
+++ b/crates/store/tests/error_kinds.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use carobstep_platform::{
+use carobstep_store::{
     HttpStore, MAX_VALUE_BYTES, ObjectCall, ObjectKind, ObjectReply, ObjectStore, ObjectVersion,
     StoreErrorKind, WriteCondition,
 };
--- a/crates/platform/tests/settlements.rs
+++ b/crates/store/tests/settlements.rs
@@ -1,6 +1,6 @@
 //! What is known of a write whose answer was lost, case by case and by search.
 
-use carobstep_platform::{
+use carobstep_store::{
     ObjectVersion, PutEnd, ReadEnd, SettleEnd, SettleStep, WriteCondition, WriteSettlement,
 };
 use pathfinding::directed::bfs::{bfs, bfs_reach};
--- a/crates/platform/tests/watches.rs
+++ b/crates/store/tests/watches.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use carobstep_platform::{
+use carobstep_store::{
     HttpStore, ObjectKind, ObjectStore, ObjectVersion, StoreErrorKind, WatchEvent,
 };
 use serde_json::json;
--- /dev/null
+++ b/crates/tier/src/fleet.rs
@@ -0,0 +1,432 @@
+//! What this node has seen of the backend servers, and which one it chooses.
+//!
+//! Load that this answers: servers with 2 to 4 slots that are shared by nodes
+//! which don't see each other's requests, that pause, slow down, shed, fail a
+//! part of their requests or go silent. Own observations decide; health
+//! checks are not made.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use carobstep_dispatch::TokenBucket;
+use indexmap::IndexMap;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    directory::DirectoryChange,
+    model::{Configuration, ServerEntry, ServerPhase},
+    stats::{AttemptEnd, ClassKey, ClassTable},
+};
+
+new_key_type! {
+    /// Key of one life of a backend server.
+    pub struct ServerKey;
+
+    /// Key of a service.
+    pub struct ServiceKey;
+}
+
+/// Weight of one attempt in a server's failure rate and slowness.
+const SAMPLE_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Factor on the score of a server that fails every request; grows with the rate.
+const FAILURE_FACTOR: f64 = 6.0;
+
+/// Factor on the score of a server that has not answered for too long.
+const STALLED_FACTOR: f64 = 8.0;
+
+/// Multiple of the hedge delay without any answer after which a busy server is stalled.
+const STALL_DELAYS: f64 = 1.0;
+
+/// Factor on the score of a server that was not reached or is full.
+const BACKOFF_FACTOR: f64 = 60.0;
+
+/// Time for which a server that shed a request is passed over.
+const SHED_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Time for which a server is passed over after it could not be reached once.
+const UNREACHED_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Longest time for which a server that can't be reached is passed over.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Factor on the score of a server in another availability zone.
+const OTHER_ZONE_FACTOR: f64 = 1.15;
+
+/// Factor on the score of a server that started a moment ago.
+const COLD_FACTOR: f64 = 1.6;
+
+/// Smallest slowness that counts; below it the figure is noise.
+const MIN_SLOWNESS: f64 = 0.5;
+
+/// Largest latency of one attempt in multiples of the median that counts.
+const MAX_SLOWNESS: f64 = 20.0;
+
+/// Part of the shared retry budget that this node allows itself; the rest
+/// covers nodes that started or stopped in the window.
+const BUDGET_SAFETY: f64 = 0.8;
+
+/// Connections that a node may always open to a server.
+const MIN_CONNECTIONS: u32 = 2;
+
+/// Limits that all nodes share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetLimits {
+    /// Extra requests to a service per request to it.
+    pub retry_ratio: f64,
+    /// Extra requests beside the ratio, in a window, of all nodes together.
+    pub retry_slack: f64,
+    /// Nodes that are believed to share the limits.
+    pub nodes: u32,
+}
+
+impl FleetLimits {
+    fn extra_tokens(&self) -> f64 {
+        self.retry_slack * BUDGET_SAFETY / f64::from(self.nodes.max(1))
+    }
+}
+
+/// What a caller of the fleet needs in order to reach a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerSight {
+    /// What the server says of itself.
+    pub entry: ServerEntry,
+    /// Connections that this node may have open to it.
+    pub connections: u32,
+}
+
+/// An attempt that was sent; it is handed back when the attempt has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentTicket {
+    /// The server that it was sent to.
+    pub server: ServerKey,
+    /// Class of the request.
+    pub class: ClassKey,
+    /// When it was sent.
+    pub sent: BootTime,
+}
+
+/// Every known service and backend server.
+#[derive(Debug)]
+pub struct ServerFleet {
+    zone: Arc<str>,
+    limits: FleetLimits,
+    services: SlotMap<ServiceKey, ServiceState>,
+    service_names: IndexMap<Arc<str>, ServiceKey>,
+    servers: SlotMap<ServerKey, ServerState>,
+    server_ids: IndexMap<Arc<str>, ServerKey>,
+    /// Latencies of the classes of requests.
+    pub classes: ClassTable,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    servers: Vec<ServerKey>,
+    budget: TokenBucket,
+    max_connections: u32,
+    /// Where the next choice among equals starts.
+    rotation: usize,
+}
+
+#[derive(Debug)]
+struct ServerState {
+    entry: ServerEntry,
+    service: ServiceKey,
+    in_flight: u32,
+    /// Start of the wait for the next answer, while requests are in flight.
+    waiting_since: BootTime,
+    /// Latency in multiples of the class's median.
+    slowness: f64,
+    failure_rate: f64,
+    backoff_until: BootTime,
+    unreached: u32,
+    cold_until: BootTime,
+    misdirected: bool,
+}
+
+impl ServerFleet {
+    /// Builds an empty fleet as seen from a node in `zone`.
+    #[must_use]
+    pub fn new(zone: Arc<str>, limits: FleetLimits) -> Self {
+        Self {
+            zone,
+            limits,
+            services: SlotMap::with_key(),
+            service_names: IndexMap::new(),
+            servers: SlotMap::with_key(),
+            server_ids: IndexMap::new(),
+            classes: ClassTable::default(),
+        }
+    }
+
+    /// Changes the limits that all nodes share.
+    pub fn set_limits(&mut self, limits: FleetLimits) {
+        self.limits = limits;
+        for service in self.services.values_mut() {
+            service.budget.set_max_tokens(limits.extra_tokens());
+        }
+    }
+
+    /// Takes in a configuration: limits of services, and which ones are still named.
+    pub fn configure(&mut self, now: BootTime, configuration: &Configuration) {
+        for (name, config) in &configuration.services {
+            let key = self.service(now, name);
+            if let Some(service) = self.services.get_mut(key) {
+                service.max_connections = config.max_connections;
+            }
+        }
+        let services = &mut self.services;
+        self.service_names.retain(|name, key| {
+            let unused = services.get(*key).is_none_or(|service| service.servers.is_empty());
+            let keep = configuration.services.contains_key(name) || !unused;
+            if !keep {
+                services.remove(*key);
+            }
+            keep
+        });
+    }
+
+    /// Key of a service; a name that was not known yet gets one.
+    pub fn service(&mut self, now: BootTime, name: &Arc<str>) -> ServiceKey {
+        if let Some(key) = self.service_names.get(name) {
+            return *key;
+        }
+        let mut budget = TokenBucket::new(self.limits.retry_ratio * BUDGET_SAFETY, 0.0, now);
+        budget.set_max_tokens(self.limits.extra_tokens());
+        let key = self.services.insert(ServiceState {
+            servers: Vec::new(),
+            budget,
+            max_connections: u32::MAX,
+            rotation: 0,
+        });
+        self.service_names.insert(name.clone(), key);
+        key
+    }
+
+    /// Takes in a change of the directory; returns the key of a life that ended.
+    pub fn apply(&mut self, now: BootTime, change: &DirectoryChange) -> Option<ServerKey> {
+        match change {
+            DirectoryChange::Gone(id) => {
+                let key = self.server_ids.swap_remove(id)?;
+                self.drop_server(key);
+                Some(key)
+            }
+            DirectoryChange::Changed(entry) => self.change_server(now, entry),
+        }
+    }
+
+    fn change_server(&mut self, now: BootTime, entry: &ServerEntry) -> Option<ServerKey> {
+        let known = self.server_ids.get(&entry.id).copied();
+        if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
+            let same_life = server.entry.address == entry.address
+                && server.entry.service == entry.service
+                && server.entry.born_ms == entry.born_ms;
+            if same_life {
+                server.entry = entry.clone();
+                server.misdirected = false;
+                return None;
+            }
+        }
+        let ended = self.server_ids.swap_remove(&entry.id);
+        if let Some(key) = ended {
+            self.drop_server(key);
+        }
+        let service = self.service(now, &entry.service);
+        let key = self.servers.insert(ServerState {
+            entry: entry.clone(),
+            service,
+            in_flight: 0,
+            waiting_since: now,
+            slowness: 1.0,
+            failure_rate: 0.0,
+            backoff_until: BootTime::ZERO,
+            unreached: 0,
+            cold_until: now + entry.cold_left,
+            misdirected: false,
+        });
+        self.server_ids.insert(entry.id.clone(), key);
+        if let Some(service) = self.services.get_mut(service) {
+            service.servers.push(key);
+        }
+        ended
+    }
+
+    fn drop_server(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.remove(key) else { return };
+        if let Some(service) = self.services.get_mut(server.service) {
+            service.servers.retain(|other| *other != key);
+        }
+    }
+
+    /// What is needed to reach a server, `None` once it is gone.
+    #[must_use]
+    pub fn sight(&self, key: ServerKey) -> Option<ServerSight> {
+        let server = self.servers.get(key)?;
+        let connections = self.connection_share(server.service);
+        Some(ServerSight { entry: server.entry.clone(), connections })
+    }
+
+    /// Connections that this node may have open to each server of a service.
+    fn connection_share(&self, service: ServiceKey) -> u32 {
+        let all = self.services.get(service).map_or(u32::MAX, |state| state.max_connections);
+        (all / self.limits.nodes.max(1)).max(MIN_CONNECTIONS)
+    }
+
+    /// Whether any server of the service takes new requests.
+    #[must_use]
+    pub fn is_served(&self, service: ServiceKey) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        state.servers.iter().any(|key| self.servers.get(*key).is_some_and(ServerState::is_open))
+    }
+
+    /// Number of known servers.
+    #[must_use]
+    pub fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Notes the first request to a service, which earns a part of an extra one.
+    pub fn earn(&mut self, service: ServiceKey) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.budget.earn();
+        }
+    }
+
+    /// Takes an extra request out of the service's retry budget.
+    pub fn take_extra(&mut self, now: BootTime, service: ServiceKey) -> bool {
+        self.services.get_mut(service).is_some_and(|state| state.budget.take(now))
+    }
+
+    /// Gives back an extra request that did not reach a server.
+    pub fn give_back_extra(&mut self, service: ServiceKey) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.budget.give_back();
+        }
+    }
+
+    /// The server that a request of `class` should go to, without those already tried.
+    pub fn pick(
+        &mut self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        tried: &[ServerKey],
+    ) -> Option<ServerKey> {
+        let share = self.connection_share(service);
+        let state = self.services.get_mut(service)?;
+        let count = state.servers.len();
+        state.rotation = state.rotation.wrapping_add(1);
+        let start = state.rotation;
+        let state = self.services.get(service)?;
+        let mut best: Option<(f64, ServerKey)> = None;
+        for step in 0..count {
+            let key = state.servers[(start + step) % count];
+            let Some(server) = self.servers.get(key) else { continue };
+            if tried.contains(&key) || !server.is_open() || server.in_flight >= share {
+                continue;
+            }
+            let score = self.score(now, server, class);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Whether a server has kept every request waiting for too long, or was not
+    /// reached a moment ago; extra requests to it would be lost.
+    #[must_use]
+    pub fn is_suspect(&self, now: BootTime, key: ServerKey, class: ClassKey) -> bool {
+        let Some(server) = self.servers.get(key) else { return true };
+        now < server.backoff_until || self.is_stalled(now, server, class)
+    }
+
+    fn is_stalled(&self, now: BootTime, server: &ServerState, class: ClassKey) -> bool {
+        let patience = self.classes.hedge_delay(class).mul_f64(STALL_DELAYS);
+        server.in_flight > 0 && now.since(server.waiting_since) > patience
+    }
+
+    fn score(&self, now: BootTime, server: &ServerState, class: ClassKey) -> f64 {
+        let mut score = f64::from(server.in_flight + 1) * server.slowness.max(MIN_SLOWNESS);
+        score *= 1.0 + FAILURE_FACTOR * server.failure_rate;
+        if server.entry.zone != self.zone {
+            score *= OTHER_ZONE_FACTOR;
+        }
+        if now < server.cold_until {
+            score *= COLD_FACTOR;
+        }
+        if self.is_stalled(now, server, class) {
+            score *= STALLED_FACTOR;
+        }
+        if now < server.backoff_until {
+            score *= BACKOFF_FACTOR;
+        }
+        score
+    }
+
+    /// Notes that a request goes to a server.
+    pub fn sent(&mut self, now: BootTime, server: ServerKey, class: ClassKey) -> SentTicket {
+        if let Some(state) = self.servers.get_mut(server) {
+            if state.in_flight == 0 {
+                state.waiting_since = now;
+            }
+            state.in_flight += 1;
+        }
+        SentTicket { server, class, sent: now }
+    }
+
+    /// Takes in the end of an attempt.
+    pub fn ended(&mut self, now: BootTime, ticket: SentTicket, end: AttemptEnd) {
+        let latency = now.since(ticket.sent);
+        let median = self.classes.median(ticket.class);
+        if end == AttemptEnd::Answered {
+            self.classes.record(ticket.class, latency);
+        }
+        let Some(server) = self.servers.get_mut(ticket.server) else { return };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        server.observe(now, end, latency.as_secs_f64() / median.as_secs_f64().max(1e-6));
+    }
+}
+
+impl ServerState {
+    const fn is_open(&self) -> bool {
+        matches!(self.entry.phase, ServerPhase::Ready) && !self.misdirected
+    }
+
+    fn observe(&mut self, now: BootTime, end: AttemptEnd, slowness: f64) {
+        match end {
+            AttemptEnd::Answered => {
+                self.waiting_since = now;
+                self.unreached = 0;
+                self.failure_rate -= SAMPLE_WEIGHT * self.failure_rate;
+                self.slow_by(slowness);
+            }
+            AttemptEnd::NotRun => {
+                self.waiting_since = now;
+                self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
+                self.backoff_until = now + SHED_BACKOFF;
+            }
+            AttemptEnd::WrongServer => self.misdirected = true,
+            AttemptEnd::Unsent => {
+                let backoff = UNREACHED_BACKOFF * 2u32.pow(self.unreached.min(5));
+                self.unreached += 1;
+                self.backoff_until = now + backoff.min(MAX_BACKOFF);
+            }
+            AttemptEnd::Failed => {
+                self.waiting_since = now;
+                self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
+            }
+            AttemptEnd::TimedOut => {
+                self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
+                self.slow_by(slowness);
+            }
+            // It lasted at least this long.
+            AttemptEnd::Cancelled if slowness > self.slowness => self.slow_by(slowness),
+            AttemptEnd::Cancelled => {}
+        }
+    }
+
+    fn slow_by(&mut self, slowness: f64) {
+        self.slowness += SAMPLE_WEIGHT * (slowness.min(MAX_SLOWNESS) - self.slowness);
+    }
+}
--- /dev/null
+++ b/crates/tier/src/lib.rs
@@ -0,0 +1,38 @@
+//! Decisions of the query tier on a machine that shares its servers with others.
+//!
+//! Every type here is a state machine or a table without I/O: the caller
+//! passes the time in and carries out what comes back. The same code runs in
+//! the daemon, in table tests and on a paused clock.
+//!
+//! - what is believed: [`Configuration`], [`RouteTable`], [`ServerDirectory`]
+//! - which server gets a request: [`ServerFleet`]
+//! - one request to one service or to every shard of an index: [`FanoutState`]
+//! - ready and stopping: [`NodeLifecycle`]
+//!
+//! ```
+//! use carobstep_tier::merge_records;
+//!
+//! let parts = [b"0000000000000002".as_slice(), b"0000000000000001".as_slice()];
+//! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
+//! ```
+
+mod directory;
+mod fanout;
+mod fleet;
+mod lifecycle;
+mod merge;
+mod model;
+mod routes;
+mod stats;
+
+pub use directory::{DirectoryChange, ServerDirectory};
+pub use fanout::{FanoutAction, FanoutEnd, FanoutPlan, FanoutState, ShardIndex};
+pub use fleet::{FleetLimits, SentTicket, ServerFleet, ServerKey, ServerSight, ServiceKey};
+pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
+pub use merge::{RECORD_BYTES, merge_records};
+pub use model::{
+    ClientLimits, Configuration, GatherPlan, MachineSettings, PromiseBounds, RetryPolicy,
+    RouteConfig, RouteTarget, ServerEntry, ServerPhase, ServiceConfig, SplitPart, StoreSettings,
+};
+pub use routes::{RouteTable, SplitRotation};
+pub use stats::{AttemptEnd, ClassKey, ClassTable};
--- /dev/null
+++ b/crates/tier/src/merge.rs
@@ -0,0 +1,33 @@
+//! Merges the records of several shards into one answer.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use bytes::{Bytes, BytesMut};
+
+/// Size of one record, in bytes.
+pub const RECORD_BYTES: usize = 16;
+
+/// Returns the `top` greatest records of all parts, greatest first.
+///
+/// Records are compared byte by byte; equal records all count. A remainder
+/// shorter than a record is not a record.
+pub fn merge_records<'part>(parts: impl IntoIterator<Item = &'part [u8]>, top: usize) -> Bytes {
+    let mut greatest: BinaryHeap<Reverse<&[u8]>> = BinaryHeap::with_capacity(top + 1);
+    for part in parts {
+        for record in part.chunks_exact(RECORD_BYTES) {
+            if greatest.len() < top {
+                greatest.push(Reverse(record));
+                continue;
+            }
+            let Some(mut least) = greatest.peek_mut() else { continue };
+            if least.0 < record {
+                *least = Reverse(record);
+            }
+        }
+    }
+    let mut merged = BytesMut::with_capacity(greatest.len() * RECORD_BYTES);
+    for Reverse(record) in greatest.into_sorted_vec() {
+        merged.extend_from_slice(record);
+    }
+    merged.freeze()
+}
--- /dev/null
+++ b/crates/tier/src/stats.rs
@@ -0,0 +1,139 @@
+//! Latencies of classes of requests and the ends of attempts.
+
+use std::time::Duration;
+
+use carobstep_dispatch::LatencyHistogram;
+use indexmap::IndexMap;
+use strum::{Display, IntoStaticStr};
+
+use crate::model::RouteConfig;
+
+/// Share of the attempts after whose latency a second one is sent.
+const HEDGE_QUANTILE: f64 = 0.92;
+
+/// Samples before the quantiles of a class are used.
+const KNOWN_SAMPLES: u32 = 40;
+
+/// Samples after which the quantiles are worked out again.
+const REFRESH_SAMPLES: u32 = 16;
+
+/// Least time before a second attempt; shorter waits would only double the load.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(2);
+
+/// Part of the objective assumed as the hedge delay before enough samples are there.
+const ASSUMED_HEDGE_PART: f64 = 0.3;
+
+/// Part of the objective assumed as the median before enough samples are there.
+const ASSUMED_MEDIAN_PART: f64 = 0.12;
+
+/// How one attempt at a backend server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum AttemptEnd {
+    /// The whole success came.
+    Answered,
+    /// The server said that it did not run the request.
+    NotRun,
+    /// Another server answers at the address.
+    WrongServer,
+    /// No byte of the request left.
+    Unsent,
+    /// The request may have run, and no usable answer came.
+    Failed,
+    /// No answer came in time.
+    TimedOut,
+    /// The request was given up while the attempt was under way.
+    Cancelled,
+}
+
+impl AttemptEnd {
+    /// Whether the server may have run the request.
+    #[must_use]
+    pub const fn may_have_run(self) -> bool {
+        !matches!(self, Self::NotRun | Self::WrongServer | Self::Unsent)
+    }
+
+    /// Whether the request may have reached the server.
+    #[must_use]
+    pub const fn may_have_arrived(self) -> bool {
+        !matches!(self, Self::Unsent)
+    }
+}
+
+/// A class of requests that need like work: those of routes with the same
+/// objective, timeout and kind of target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClassKey(u16);
+
+/// Latencies of every class of requests.
+#[derive(Clone, Debug, Default)]
+pub struct ClassTable {
+    classes: IndexMap<(Duration, Duration, bool), ClassStats>,
+}
+
+#[derive(Clone, Debug)]
+struct ClassStats {
+    latencies: LatencyHistogram,
+    objective: Duration,
+    unread: u32,
+    median: Duration,
+    hedge_delay: Duration,
+}
+
+impl ClassTable {
+    /// Class of a route's requests.
+    pub fn class_of(&mut self, route: &RouteConfig) -> ClassKey {
+        let gathers = matches!(route.target, crate::model::RouteTarget::Gather(_));
+        let entry = self.classes.entry((route.objective, route.timeout, gathers));
+        let position = entry.index();
+        entry.or_insert_with(|| ClassStats::new(route.objective));
+        ClassKey(u16::try_from(position).unwrap_or(u16::MAX))
+    }
+
+    /// Adds the latency of an answered attempt.
+    pub(crate) fn record(&mut self, class: ClassKey, latency: Duration) {
+        if let Some((_, stats)) = self.classes.get_index_mut(usize::from(class.0)) {
+            stats.record(latency);
+        }
+    }
+
+    /// Time after which an attempt is late enough for a second one.
+    #[must_use]
+    pub fn hedge_delay(&self, class: ClassKey) -> Duration {
+        self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.hedge_delay)
+    }
+
+    /// Median latency of an answered attempt.
+    #[must_use]
+    pub fn median(&self, class: ClassKey) -> Duration {
+        self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.median)
+    }
+
+    fn get(&self, class: ClassKey) -> Option<&ClassStats> {
+        self.classes.get_index(usize::from(class.0)).map(|(_, stats)| stats)
+    }
+}
+
+impl ClassStats {
+    fn new(objective: Duration) -> Self {
+        Self {
+            latencies: LatencyHistogram::default(),
+            objective,
+            unread: 0,
+            median: objective.mul_f64(ASSUMED_MEDIAN_PART),
+            hedge_delay: objective.mul_f64(ASSUMED_HEDGE_PART),
+        }
+    }
+
+    fn record(&mut self, latency: Duration) {
+        self.latencies.record(latency);
+        self.unread += 1;
+        if self.unread < REFRESH_SAMPLES || self.latencies.weight() < KNOWN_SAMPLES {
+            return;
+        }
+        self.unread = 0;
+        let quantile = |fraction| self.latencies.quantile(fraction).unwrap_or(self.objective);
+        self.median = quantile(0.5);
+        self.hedge_delay = quantile(HEDGE_QUANTILE).max(MIN_HEDGE_DELAY);
+    }
+}
--- a/src/bin/carobstepd.rs
+++ b/src/bin/carobstepd.rs
@@ -2,8 +2,14 @@
 
 use std::{env, process::ExitCode};
 
+/// First argument that selects the gateway, which takes its settings from the platform.
+const GATEWAY_MODE: &str = "gateway";
+
 fn main() -> ExitCode {
     let args: Vec<String> =
         env::args_os().skip(1).map(|arg| arg.to_string_lossy().into_owned()).collect();
-    carobstep_node::main(&args)
+    match args.split_first() {
+        Some((mode, rest)) if mode == GATEWAY_MODE => carobstep_gateway::main(rest),
+        _ => carobstep_node::main(&args),
+    }
 }
