Leave the rotation when zones are cut off; wait for busy servers

Ruled out: failing over inside the zone (it has no servers of the shards); health checks (priced, and they lag).

Change: a zone that gave no answer for 200 ms is probed with connections, and becomes unreachable when they fail; a node that can't serve a route for that reason is not ready, refuses at once and closes its connections after the answer. A shard whose servers are all busy waits. Connections to servers have keep-alive probes and a bound on unacknowledged bytes. Crossing zones costs 0.4 of the objective when a server is chosen.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -13,6 +13,7 @@
 };
 use hyper_util::rt::TokioIo;
 use log::debug;
+use rustix::net::sockopt;
 use tokio::{
     net::TcpStream,
     task::{AbortHandle, spawn_local},
@@ -22,6 +23,16 @@
 /// Longest time to open a connection; a lost opening packet is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time for which sent bytes may stay unacknowledged, in milliseconds: longer
+/// than a lost packet takes to be sent again twice.
+const UNACKNOWLEDGED_MS: u32 = 1_500;
+
+/// Idle time before a keep-alive probe, and between two; the system call takes whole seconds.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered keep-alive probes after which a connection is given up.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Idle time after which a connection is not used again, when the server says nothing.
 const DEFAULT_IDLE: Duration = Duration::from_secs(8);
 
@@ -138,6 +149,7 @@
     async fn connect(&self) -> std::io::Result<BackendConnection> {
         let socket = TcpStream::connect(self.address).await?;
         socket.set_nodelay(true)?;
+        set_socket_options(&socket)?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
         let address = self.address;
@@ -237,6 +249,16 @@
     }
 }
 
+/// Makes the kernel end a connection whose other end has lost power or is cut off.
+fn set_socket_options(socket: &TcpStream) -> std::io::Result<()> {
+    sockopt::set_tcp_user_timeout(socket, UNACKNOWLEDGED_MS)?;
+    sockopt::set_tcp_keepidle(socket, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepintvl(socket, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(socket, KEEPALIVE_PROBES)?;
+    sockopt::set_socket_keepalive(socket, true)?;
+    Ok(())
+}
+
 async fn read_answer(response: Response<Incoming>) -> Result<BackendAnswer, String> {
     let (head, mut body) = response.into_parts();
     let stated = head
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! What all tasks of the process share.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_store::StoreTransport;
@@ -11,13 +11,25 @@
 };
 use log::info;
 use slotmap::SecondaryMap;
-use tokio::sync::watch;
+use tokio::{
+    net::TcpStream,
+    sync::watch,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use crate::{backend::ServerPool, report::Reporter};
 
 /// Nodes that are assumed to share the limits until others are known.
 const ASSUMED_NODES: u32 = 10;
 
+/// Interval at which silent availability zones are looked for.
+const REACH_TICK: Duration = Duration::from_millis(50);
+
+/// Time in which a probed server must accept a connection; zones of a region
+/// are a few milliseconds apart.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// State of the process; it lives on one thread.
 pub(crate) struct Gateway {
     pub(crate) settings: MachineSettings,
@@ -125,4 +137,44 @@
         let state = self.state.borrow();
         state.lifecycle.phase(BootTime::now(), state.in_flight)
     }
+
+    /// Probes availability zones that went silent, and leaves the balancer's
+    /// rotation while unreachable ones keep a route from being served.
+    pub(crate) async fn watch_reach(self: Rc<Self>) {
+        let mut round = 0;
+        loop {
+            sleep(REACH_TICK).await;
+            let now = BootTime::now();
+            let due = self.state.borrow_mut().fleet.reach.due_probes(now);
+            for zone in due {
+                round += 1;
+                let targets = self.state.borrow().fleet.probe_targets(&zone, round);
+                for address in targets {
+                    self.state.borrow_mut().fleet.reach.probe_sent(&zone);
+                    spawn_local(self.clone().probe(zone.clone(), address));
+                }
+            }
+            self.update_reach();
+        }
+    }
+
+    async fn probe(self: Rc<Self>, zone: Arc<str>, address: SocketAddr) {
+        let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+        let reached = matches!(connecting, Ok(Ok(_)));
+        let changed = self.state.borrow_mut().fleet.reach.probe_ended(&zone, reached);
+        if changed {
+            info!(zone = zone.as_ref(), reached = reached; "availability zone reached or lost");
+            self.update_reach();
+        }
+    }
+
+    fn update_reach(&self) {
+        let state = &mut *self.state.borrow_mut();
+        let fleet = &state.fleet;
+        let cut_off = fleet.reach.any_down()
+            && state.configuration.routes.iter().any(|route| fleet.is_route_cut_off(route));
+        if state.lifecycle.set_cut_off(cut_off) {
+            info!(cut_off = cut_off; "readiness changed with the zones in reach");
+        }
+    }
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -6,7 +6,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    ClientLimits, FanoutEnd, FanoutPlan, GatherPlan, RouteConfig, RouteTarget, merge_records,
+    ClientLimits, FanoutEnd, FanoutPlan, GatherPlan, LifecyclePhase, RouteConfig, RouteTarget,
+    merge_records,
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -55,7 +56,9 @@
     let (head, body) = request.into_parts();
     let mut report = RequestReport::new(&gateway.reporter, &head.headers, arrived);
     let mut response = answer(&gateway, arrived, head, body, &mut report).await;
-    if gateway.state.borrow().lifecycle.is_stopping() {
+    // An open connection stays with its node: a caller that should use another
+    // node has to open a new one.
+    if gateway.phase() != LifecyclePhase::Ready {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     report.finish(response.status());
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -67,6 +67,7 @@
         spawn_local(KindWatcher::new(gateway.clone(), kind).run());
     }
     spawn_local(expire_lapsed(gateway.clone()));
+    spawn_local(gateway.clone().watch_reach());
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness));
     spawn_local(ingress::serve_callers(gateway.clone(), callers));
     info!(callers:% = gateway.settings.callers; "started");
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -18,6 +18,10 @@
 /// Wait before a hedge that found no budget or no server is tried again.
 const HEDGE_RETRY: Duration = Duration::from_millis(5);
 
+/// Wait before a shard whose servers are all busy with this node's requests is
+/// tried again.
+const BUSY_RETRY: Duration = Duration::from_millis(3);
+
 /// Attempts of one shard that never left, after which it is given up.
 const MAX_UNSENT: u32 = 4;
 
@@ -90,6 +94,8 @@
     unsent: u32,
     state: ShardState,
     hedge_at: BootTime,
+    /// When a shard that waits for a free server is tried again.
+    retry_at: Option<BootTime>,
     extra: u32,
 }
 
@@ -121,12 +127,23 @@
     pub fn start(&mut self, now: BootTime, fleet: &mut ServerFleet) -> Vec<FanoutAction> {
         let mut actions = Vec::with_capacity(self.shards.len());
         for position in 0..self.shards.len() {
-            fleet.earn(self.plan.services[position]);
-            if !self.send(now, fleet, position, &mut actions) {
+            if !fleet.is_served(self.plan.services[position]) {
                 self.give_up(position);
             }
         }
         self.check_end(now, &mut actions);
+        if self.finished {
+            return actions;
+        }
+        for position in 0..self.shards.len() {
+            if self.shards[position].state == ShardState::GivenUp {
+                continue;
+            }
+            fleet.earn(self.plan.services[position]);
+            if !self.send(now, fleet, position, &mut actions) {
+                self.shards[position].retry_at = Some(now + BUSY_RETRY);
+            }
+        }
         actions
     }
 
@@ -166,10 +183,18 @@
         if self.finished {
             return actions;
         }
+        for position in 0..self.shards.len() {
+            let progress = &self.shards[position];
+            if progress.state != ShardState::Open || progress.retry_at.is_none_or(|due| now < due) {
+                continue;
+            }
+            self.retry(now, fleet, position, &mut actions);
+        }
         if self.plan.retry == RetryPolicy::Idempotent {
             for position in 0..self.shards.len() {
                 let progress = &self.shards[position];
-                if progress.state != ShardState::Open || now < progress.hedge_at {
+                let waiting = progress.retry_at.is_some();
+                if progress.state != ShardState::Open || waiting || now < progress.hedge_at {
                     continue;
                 }
                 if !self.hedge(now, fleet, position, &mut actions) {
@@ -188,11 +213,17 @@
         if now < self.plan.answer_by {
             next = next.min(self.plan.answer_by);
         }
-        if self.plan.retry == RetryPolicy::Idempotent {
-            for progress in &self.shards {
-                if progress.state == ShardState::Open && progress.may_hedge(&self.plan) {
+        let hedges = self.plan.retry == RetryPolicy::Idempotent;
+        for progress in &self.shards {
+            if progress.state != ShardState::Open {
+                continue;
+            }
+            match progress.retry_at {
+                Some(due) => next = next.min(due),
+                None if hedges && progress.may_hedge(&self.plan) => {
                     next = next.min(progress.hedge_at);
                 }
+                None => {}
             }
         }
         next
@@ -292,7 +323,6 @@
         if progress.in_flight > 0 {
             return;
         }
-        let unsent_only = progress.unsent as usize == progress.tried.len();
         let final_end = end.may_have_run() && self.plan.retry == RetryPolicy::AtMostOnce;
         let arrived = progress.tried.len() as u32 - progress.unsent;
         let exhausted = arrived >= self.plan.attempts || progress.unsent >= MAX_UNSENT;
@@ -300,14 +330,34 @@
             self.give_up(position);
             return;
         }
+        self.retry(now, fleet, position, actions);
+    }
+
+    /// Asks a server for a shard that no attempt is under way for, or lets it
+    /// wait until one is free.
+    fn retry(
+        &mut self,
+        now: BootTime,
+        fleet: &mut ServerFleet,
+        position: usize,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let progress = &mut self.shards[position];
+        progress.retry_at = None;
+        let service = self.plan.services[position];
+        if !fleet.has_untried(service, &progress.tried) {
+            self.give_up(position);
+            return;
+        }
         // The first arrival is not an extra one.
+        let unsent_only = progress.unsent as usize == progress.tried.len();
         let sent = if unsent_only {
             self.send(now, fleet, position, actions)
         } else {
             self.send_extra(now, fleet, position, actions)
         };
         if !sent {
-            self.give_up(position);
+            self.shards[position].retry_at = Some(now + BUSY_RETRY);
         }
     }
 
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     directory::DirectoryChange,
-    model::{Configuration, ServerEntry, ServerPhase},
+    model::{Configuration, RouteConfig, RouteTarget, ServerEntry, ServerPhase},
+    reach::ZoneReach,
     stats::{AttemptEnd, ClassKey, ClassTable},
 };
 
@@ -50,8 +51,9 @@
 /// Longest time for which a server that can't be reached is passed over.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
-/// Factor on the score of a server in another availability zone.
-const OTHER_ZONE_FACTOR: f64 = 1.15;
+/// Cost of leaving the own availability zone, in parts of the latency objective:
+/// bytes between zones are paid for, and a request may wait this long to save them.
+const CROSSING_COST: f64 = 0.4;
 
 /// Factor on the score of a server that started a moment ago.
 const COLD_FACTOR: f64 = 1.6;
@@ -67,7 +69,7 @@
 const BUDGET_SAFETY: f64 = 0.8;
 
 /// Connections that a node may always open to a server.
-const MIN_CONNECTIONS: u32 = 2;
+const MIN_CONNECTIONS: u32 = 4;
 
 /// Limits that all nodes share.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -117,6 +119,8 @@
     server_ids: IndexMap<Arc<str>, ServerKey>,
     /// Latencies of the classes of requests.
     pub classes: ClassTable,
+    /// Availability zones that are reached.
+    pub reach: ZoneReach,
 }
 
 #[derive(Debug)]
@@ -156,6 +160,7 @@
             servers: SlotMap::with_key(),
             server_ids: IndexMap::new(),
             classes: ClassTable::default(),
+            reach: ZoneReach::default(),
         }
     }
 
@@ -276,7 +281,58 @@
     #[must_use]
     pub fn is_served(&self, service: ServiceKey) -> bool {
         let Some(state) = self.services.get(service) else { return false };
-        state.servers.iter().any(|key| self.servers.get(*key).is_some_and(ServerState::is_open))
+        state.servers.iter().any(|key| self.servers.get(*key).is_some_and(|it| self.is_open(it)))
+    }
+
+    /// Whether only unreachable availability zones keep a service from being served.
+    #[must_use]
+    pub fn is_cut_off(&self, name: &str) -> bool {
+        let service = self.service_names.get(name).and_then(|key| self.services.get(*key));
+        let Some(service) = service else { return false };
+        let mut any = false;
+        for server in service.servers.iter().filter_map(|key| self.servers.get(*key)) {
+            if !self.reach.is_down(&server.entry.zone) {
+                return false;
+            }
+            any = true;
+        }
+        any
+    }
+
+    /// Whether unreachable availability zones keep a route from being served.
+    #[must_use]
+    pub fn is_route_cut_off(&self, route: &RouteConfig) -> bool {
+        match &route.target {
+            RouteTarget::Service(service) => self.is_cut_off(service),
+            RouteTarget::Split(parts) => parts.iter().any(|part| self.is_cut_off(&part.service)),
+            RouteTarget::Gather(gather) => {
+                let cut_off = gather.shards.iter().filter(|shard| self.is_cut_off(shard)).count();
+                gather.shards.len() - cut_off < gather.least_shards()
+            }
+        }
+    }
+
+    /// Addresses of servers in a zone that can be probed, starting at a moving position.
+    #[must_use]
+    pub fn probe_targets(&self, zone: &str, start: usize) -> Vec<std::net::SocketAddr> {
+        let in_zone: Vec<_> =
+            self.servers.values().filter(|server| server.entry.zone.as_ref() == zone).collect();
+        let count = in_zone.len();
+        let wanted = ZoneReach::probes_per_zone().min(count);
+        (0..wanted).map(|step| in_zone[(start + step) % count].entry.address).collect()
+    }
+
+    fn is_open(&self, server: &ServerState) -> bool {
+        server.is_open() && !self.reach.is_down(&server.entry.zone)
+    }
+
+    /// Whether a server of the service takes new requests and was not tried yet.
+    #[must_use]
+    pub fn has_untried(&self, service: ServiceKey, tried: &[ServerKey]) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        state.servers.iter().any(|key| {
+            !tried.contains(key) && self.servers.get(*key).is_some_and(|it| self.is_open(it))
+        })
     }
 
     /// Number of known servers.
@@ -322,7 +378,7 @@
         for step in 0..count {
             let key = state.servers[(start + step) % count];
             let Some(server) = self.servers.get(key) else { continue };
-            if tried.contains(&key) || !server.is_open() || server.in_flight >= share {
+            if tried.contains(&key) || !self.is_open(server) || server.in_flight >= share {
                 continue;
             }
             let score = self.score(now, server, class);
@@ -349,9 +405,6 @@
     fn score(&self, now: BootTime, server: &ServerState, class: ClassKey) -> f64 {
         let mut score = f64::from(server.in_flight + 1) * server.slowness.max(MIN_SLOWNESS);
         score *= 1.0 + FAILURE_FACTOR * server.failure_rate;
-        if server.entry.zone != self.zone {
-            score *= OTHER_ZONE_FACTOR;
-        }
         if now < server.cold_until {
             score *= COLD_FACTOR;
         }
@@ -361,6 +414,9 @@
         if now < server.backoff_until {
             score *= BACKOFF_FACTOR;
         }
+        if server.entry.zone != self.zone {
+            score += CROSSING_COST * self.classes.objective_in_medians(class);
+        }
         score
     }
 
@@ -371,6 +427,7 @@
                 state.waiting_since = now;
             }
             state.in_flight += 1;
+            self.reach.sent(now, &state.entry.zone);
         }
         SentTicket { server, class, sent: now }
     }
@@ -384,6 +441,9 @@
         }
         let Some(server) = self.servers.get_mut(ticket.server) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
+        if matches!(end, AttemptEnd::Answered | AttemptEnd::NotRun | AttemptEnd::WrongServer) {
+            self.reach.answered(&server.entry.zone);
+        }
         server.observe(now, end, latency.as_secs_f64() / median.as_secs_f64().max(1e-6));
     }
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - what is believed: [`Configuration`], [`RouteTable`], [`ServerDirectory`]
 //! - which server gets a request: [`ServerFleet`]
+//! - which availability zones are reached: [`ZoneReach`]
 //! - one request to one service or to every shard of an index: [`FanoutState`]
 //! - ready and stopping: [`NodeLifecycle`]
 //!
@@ -22,6 +23,7 @@
 mod lifecycle;
 mod merge;
 mod model;
+mod reach;
 mod routes;
 mod stats;
 
@@ -34,5 +36,6 @@
     ClientLimits, Configuration, GatherPlan, MachineSettings, PromiseBounds, RetryPolicy,
     RouteConfig, RouteTarget, ServerEntry, ServerPhase, ServiceConfig, SplitPart, StoreSettings,
 };
+pub use reach::ZoneReach;
 pub use routes::{RouteTable, SplitRotation};
 pub use stats::{AttemptEnd, ClassKey, ClassTable};
--- a/crates/tier/src/lifecycle.rs
+++ b/crates/tier/src/lifecycle.rs
@@ -20,6 +20,8 @@
     Starting,
     /// It takes requests.
     Ready,
+    /// It does not reach the servers that some requests need.
+    CutOff,
     /// It was told to stop and still takes what the balancer sends.
     Leaving,
     /// It takes no new requests and finishes those in flight.
@@ -51,6 +53,7 @@
 pub struct NodeLifecycle {
     knows_configuration: bool,
     knows_servers: bool,
+    cut_off: bool,
     stopping_since: Option<BootTime>,
     timing: StopTiming,
 }
@@ -59,7 +62,13 @@
     /// Builds the state of a node that has just started.
     #[must_use]
     pub const fn new(timing: StopTiming) -> Self {
-        Self { knows_configuration: false, knows_servers: false, stopping_since: None, timing }
+        Self {
+            knows_configuration: false,
+            knows_servers: false,
+            cut_off: false,
+            stopping_since: None,
+            timing,
+        }
     }
 
     /// Notes that a configuration is in force.
@@ -72,6 +81,14 @@
         self.knows_servers = true;
     }
 
+    /// Notes whether some requests can't be served from here; returns whether
+    /// that is new.
+    pub const fn set_cut_off(&mut self, cut_off: bool) -> bool {
+        let changed = self.cut_off != cut_off;
+        self.cut_off = cut_off;
+        changed
+    }
+
     /// Notes the signal to stop; a second one changes nothing.
     pub const fn stop(&mut self, now: BootTime) {
         if self.stopping_since.is_none() {
@@ -90,7 +107,11 @@
     pub fn phase(&self, now: BootTime, in_flight: usize) -> LifecyclePhase {
         let Some(since) = self.stopping_since else {
             let known = self.knows_configuration && self.knows_servers;
-            return if known { LifecyclePhase::Ready } else { LifecyclePhase::Starting };
+            return match (known, self.cut_off) {
+                (false, _) => LifecyclePhase::Starting,
+                (true, true) => LifecyclePhase::CutOff,
+                (true, false) => LifecyclePhase::Ready,
+            };
         };
         let elapsed = now.since(since);
         if elapsed < self.timing.close_listener {
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -109,6 +109,13 @@
         self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.median)
     }
 
+    /// The latency objective in multiples of the median.
+    pub(crate) fn objective_in_medians(&self, class: ClassKey) -> f64 {
+        self.get(class).map_or(1.0, |stats| {
+            stats.objective.as_secs_f64() / stats.median.as_secs_f64().max(1e-6)
+        })
+    }
+
     fn get(&self, class: ClassKey) -> Option<&ClassStats> {
         self.classes.get_index(usize::from(class.0)).map(|(_, stats)| stats)
     }
