--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -59,7 +59,12 @@
 
     /// Earns for one first request.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(self.max_tokens);
+        self.earn_part(1.0);
+    }
+
+    /// Earns for a first request of which another bucket earns the rest.
+    pub fn earn_part(&mut self, part: f64) {
+        self.tokens = (self.tokens + self.ratio * part).min(self.max_tokens);
     }
 
     /// Takes one token for an extra request, or refuses it.
--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -4,8 +4,10 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AttemptEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, SentTicket, ShardIndex,
+    AttemptEnd, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, GroupIndex,
+    SentTicket, ShardIndex,
 };
+use carobstep_wire::WireErrorKind;
 use log::debug;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -16,6 +18,8 @@
 use crate::{
     backend::{BackendAnswer, BackendRequest, ExchangeEnd},
     gateway::Gateway,
+    peer_messages::{DelegatedParts, PeerAnswer, PeerCall},
+    peers::{DelegatedScope, search_call},
 };
 
 /// Time for which an exchange that is no longer needed may go on, so that its
@@ -28,6 +32,8 @@
     pub(crate) end: FanoutEnd,
     /// One answer per shard that answered.
     pub(crate) answers: Vec<Option<BackendAnswer>>,
+    /// Parts that peers merged.
+    pub(crate) merged: Vec<DelegatedParts>,
     /// The last answer that was a failure.
     pub(crate) failure: Option<BackendAnswer>,
     /// Why the last failed attempt failed.
@@ -36,20 +42,27 @@
     pub(crate) extra_attempts: u32,
 }
 
-/// The end of one attempt on its way to the fan-out.
-struct AttemptReport {
-    shard: ShardIndex,
-    exchange: ExchangeEnd,
+/// An end on its way to the fan-out.
+enum FanoutReport {
+    /// An attempt at a server ended.
+    Attempt { shard: ShardIndex, exchange: ExchangeEnd },
+    /// A delegation to a peer ended.
+    Delegation { group: GroupIndex, end: DelegationEnd, parts: Option<DelegatedParts> },
 }
 
 /// Exchanges under way; they are ended a little after nobody needs them.
 struct ExchangeTasks {
     handles: Vec<AbortHandle>,
+    /// Calls to peers, which end at once.
+    calls: Vec<AbortHandle>,
     linger: Duration,
 }
 
 impl Drop for ExchangeTasks {
     fn drop(&mut self) {
+        for call in &self.calls {
+            call.abort();
+        }
         self.handles.retain(|handle| !handle.is_finished());
         if self.handles.is_empty() {
             return;
@@ -89,6 +102,16 @@
     gateway: &Rc<Gateway>,
     plan: FanoutPlan,
     request: Rc<BackendRequest>,
+) -> FanoutOutcome {
+    run_delegated(gateway, plan, request, DelegatedScope::default()).await
+}
+
+/// Carries out one request, of which peers may take shards, until its end.
+pub(crate) async fn run_delegated(
+    gateway: &Rc<Gateway>,
+    plan: FanoutPlan,
+    request: Rc<BackendRequest>,
+    scope: DelegatedScope,
 ) -> FanoutOutcome {
     let shards = plan.services.len();
     let deadline = instant_of(plan.deadline);
@@ -98,9 +121,12 @@
         gateway,
         request,
         deadline,
+        scope,
+        offered: vec![None; plan.delegations.len()],
+        merged: Vec::new(),
         state: FanoutState::new(plan),
         reports,
-        tasks: ExchangeTasks { handles: Vec::with_capacity(shards), linger },
+        tasks: ExchangeTasks { handles: Vec::with_capacity(shards), calls: Vec::new(), linger },
         answers: vec![None; shards],
         failure: None,
         reason: String::new(),
@@ -111,6 +137,7 @@
         answered: run.state.answered(),
         extra_attempts: run.state.extra_attempts(),
         answers: run.answers,
+        merged: run.merged,
         failure: run.failure,
         reason: run.reason,
     }
@@ -120,8 +147,12 @@
     gateway: &'gateway Rc<Gateway>,
     request: Rc<BackendRequest>,
     deadline: Instant,
+    scope: DelegatedScope,
+    /// Parts that peers sent and that are not taken yet.
+    offered: Vec<Option<DelegatedParts>>,
+    merged: Vec<DelegatedParts>,
     state: FanoutState,
-    reports: UnboundedSender<AttemptReport>,
+    reports: UnboundedSender<FanoutReport>,
     tasks: ExchangeTasks,
     answers: Vec<Option<BackendAnswer>>,
     failure: Option<BackendAnswer>,
@@ -129,7 +160,7 @@
 }
 
 impl FanoutRun<'_> {
-    async fn drive(&mut self, ended: &mut UnboundedReceiver<AttemptReport>) -> FanoutEnd {
+    async fn drive(&mut self, ended: &mut UnboundedReceiver<FanoutReport>) -> FanoutEnd {
         let mut actions = {
             let gateway = &mut *self.gateway.state.borrow_mut();
             self.state.start(BootTime::now(), &mut gateway.fleet)
@@ -138,6 +169,11 @@
             for action in actions {
                 match action {
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
+                    FanoutAction::Delegate(group) => self.delegate(group),
+                    FanoutAction::Take(group) => {
+                        let offered = self.offered.get_mut(usize::from(group.0));
+                        self.merged.extend(offered.and_then(Option::take));
+                    }
                     FanoutAction::Finish(end) => return end,
                 }
             }
@@ -151,21 +187,61 @@
         }
     }
 
-    fn step(&mut self, report: Option<AttemptReport>) -> Vec<FanoutAction> {
+    fn step(&mut self, report: Option<FanoutReport>) -> Vec<FanoutAction> {
         let now = BootTime::now();
         let gateway = &mut *self.gateway.state.borrow_mut();
-        let Some(AttemptReport { shard, exchange }) = report else {
-            return self.state.timer(now, &mut gateway.fleet);
-        };
-        if exchange.end == AttemptEnd::Answered {
-            if let Some(slot) = self.answers.get_mut(usize::from(shard.0)) {
-                slot.get_or_insert_with(|| exchange.answer.unwrap_or_else(BackendAnswer::empty));
+        let (shard, exchange) = match report {
+            None => return self.state.timer(now, &mut gateway.fleet),
+            Some(FanoutReport::Attempt { shard, exchange }) => (shard, exchange),
+            Some(FanoutReport::Delegation { group, end, parts }) => {
+                if let Some(offered) = self.offered.get_mut(usize::from(group.0)) {
+                    *offered = parts;
+                }
+                return self.state.delegation_ended(now, group, &end);
             }
-        } else {
-            self.failure = exchange.answer.or(self.failure.take());
-            self.reason = exchange.reason;
+        };
+        let ExchangeEnd { end, answer, reason } = exchange;
+        let before = self.state.answered();
+        let actions = self.state.attempt_ended(now, &mut gateway.fleet, shard, end);
+        if end != AttemptEnd::Answered {
+            self.failure = answer.or(self.failure.take());
+            self.reason = reason;
+        } else if self.state.answered() > before
+            && let Some(slot) = self.answers.get_mut(usize::from(shard.0))
+        {
+            // A part that the shard's other attempt or a peer brought first is not counted twice.
+            *slot = answer;
         }
-        self.state.attempt_ended(now, &mut gateway.fleet, shard, exchange.end)
+        actions
+    }
+
+    fn delegate(&mut self, group: GroupIndex) {
+        let plan = self.state.plan();
+        let position = usize::from(group.0);
+        let Some(delegation) = plan.delegations.get(position) else { return };
+        let call = search_call(&self.request, plan, position, &self.scope);
+        let (shards, class) = (delegation.shards.clone(), plan.class);
+        let peer = delegation.peer.clone();
+        let gateway = self.gateway.clone();
+        let reports = self.reports.clone();
+        let task = spawn_local(async move {
+            let sent = BootTime::now();
+            let (end, parts) = call_peer(&gateway, &peer, &call, &shards).await;
+            let state = &mut *gateway.state.borrow_mut();
+            match &end {
+                DelegationEnd::Answered(_) => {
+                    let latency = BootTime::now().since(sent);
+                    state.fleet.classes.record_delegation(class, latency);
+                    state.peers.answered(&peer);
+                }
+                DelegationEnd::NotSent | DelegationEnd::Lost => {
+                    state.peers.failed(BootTime::now(), &peer);
+                }
+            }
+            // Nobody listens once the client has its answer.
+            let _ = reports.send(FanoutReport::Delegation { group, end, parts });
+        });
+        self.tasks.calls.push(task.abort_handle());
     }
 
     fn send(&mut self, shard: ShardIndex, ticket: SentTicket) {
@@ -186,20 +262,46 @@
                 debug!(end:% = exchange.end, reason = exchange.reason.as_str(); "attempt failed");
             }
             // Nobody listens once the client has its answer.
-            let _ = reports.send(AttemptReport { shard, exchange });
+            let _ = reports.send(FanoutReport::Attempt { shard, exchange });
         });
         self.tasks.handles.push(task.abort_handle());
     }
 }
 
-impl BackendAnswer {
-    fn empty() -> Self {
-        Self {
-            status: http::StatusCode::OK,
-            headers: http::HeaderMap::new(),
-            body: bytes::Bytes::new(),
+/// Asks a peer for some shards, and checks that its answer fits them.
+async fn call_peer(
+    gateway: &Gateway,
+    peer: &str,
+    call: &PeerCall,
+    shards: &[ShardIndex],
+) -> (DelegationEnd, Option<DelegatedParts>) {
+    let address = gateway.state.borrow().peers.address(peer);
+    let Some(address) = address else { return (DelegationEnd::NotSent, None) };
+    let answer = gateway.peer_pool.call_typed(address, call).await;
+    let parts = match answer {
+        Ok(PeerAnswer::Parts(parts)) => parts,
+        Ok(PeerAnswer::Refused) => return (DelegationEnd::NotSent, None),
+        Err(error) => {
+            debug!(peer = peer, error:% = error; "a delegation failed");
+            let end = match error.kind() {
+                WireErrorKind::NotSent => DelegationEnd::NotSent,
+                _ => DelegationEnd::Lost,
+            };
+            return (end, None);
         }
+    };
+    let mut answered = Vec::with_capacity(parts.shards.len());
+    for position in &parts.shards {
+        let Some(shard) = shards.get(usize::from(*position)) else { continue };
+        if !answered.contains(shard) {
+            answered.push(*shard);
+        }
+    }
+    if answered.len() != parts.shards.len() || parts.stamps.len() != answered.len() {
+        debug!(peer = peer; "a peer's parts don't fit the call");
+        return (DelegationEnd::Lost, None);
     }
+    (DelegationEnd::Answered(answered), Some(parts))
 }
 
 /// The timer's reading for a reading of the boot clock.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,9 +6,10 @@
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
     AttemptEnd, Configuration, DirectoryChange, FleetLimits, LifecyclePhase, MachineSettings,
-    NodeLifecycle, RouteTable, SentTicket, ServerDirectory, ServerFleet, ServerKey, SplitRotation,
-    StopTiming,
+    NodeLifecycle, PeerEntry, PeerTable, RouteTable, SentTicket, ServerDirectory, ServerFleet,
+    ServerKey, SplitRotation, StopTiming,
 };
+use carobstep_wire::PeerPool;
 use log::info;
 use slotmap::SecondaryMap;
 use tokio::{
@@ -30,11 +31,15 @@
 /// are a few milliseconds apart.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Nodes that are always assumed to share the limits; others may start at any time.
+const MIN_NODES: u32 = 4;
+
 /// State of the process; it lives on one thread.
 pub(crate) struct Gateway {
     pub(crate) settings: MachineSettings,
     pub(crate) store: StoreTransport,
     pub(crate) reporter: Reporter,
+    pub(crate) peer_pool: PeerPool,
     pub(crate) state: RefCell<GatewayState>,
     /// Tells connections to close as soon as they are idle.
     pub(crate) closing: watch::Sender<bool>,
@@ -47,6 +52,9 @@
     pub(crate) rotation: SplitRotation,
     pub(crate) directory: ServerDirectory,
     pub(crate) fleet: ServerFleet,
+    pub(crate) peers: PeerTable,
+    /// Number of searches so far.
+    pub(crate) searches: usize,
     pub(crate) lifecycle: NodeLifecycle,
     pub(crate) in_flight: usize,
     pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
@@ -59,12 +67,22 @@
             retry_slack: settings.bounds.retry_slack,
             nodes: ASSUMED_NODES,
         };
+        let own = PeerEntry {
+            name: settings.node.as_str().into(),
+            zone: settings.zone.clone(),
+            address: SocketAddr::new(settings.callers.ip(), settings.peer_port),
+            cpu_share: settings.cpu_share,
+        };
+        // Delegations tell of their peers themselves, so that the news are not needed.
+        let (peer_pool, _) = PeerPool::new(Some(settings.callers.ip()));
         let state = GatewayState {
             configuration: Rc::new(Configuration::default()),
             routes: RouteTable::default(),
             rotation: SplitRotation::default(),
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits),
+            peers: PeerTable::new(own),
+            searches: 0,
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
             pools: SecondaryMap::new(),
@@ -72,6 +90,7 @@
         Self {
             store: StoreTransport::new(settings.store.address),
             reporter: Reporter::default(),
+            peer_pool,
             state: RefCell::new(state),
             closing: watch::Sender::new(false),
             settings,
@@ -115,6 +134,19 @@
         }
     }
 
+    /// Takes in a change of the list of nodes.
+    pub(crate) fn change_peers(&self, change: impl FnOnce(&mut PeerTable)) {
+        let state = &mut *self.state.borrow_mut();
+        change(&mut state.peers);
+        let nodes = state.peers.live_nodes();
+        let bounds = self.settings.bounds;
+        state.fleet.set_limits(FleetLimits {
+            retry_ratio: bounds.retry_ratio,
+            retry_slack: bounds.retry_slack,
+            nodes: nodes.max(MIN_NODES),
+        });
+    }
+
     /// Takes in the end of an attempt.
     pub(crate) fn attempt_ended(&self, ticket: SentTicket, end: AttemptEnd) {
         self.reporter.count_attempt(end);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -6,8 +6,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    ClientLimits, FanoutEnd, FanoutPlan, GatherPlan, LifecyclePhase, RouteConfig, RouteTarget,
-    merge_records,
+    ClientLimits, DelegationRequest, FanoutEnd, FanoutPlan, GatherPlan, LifecyclePhase,
+    RouteConfig, RouteTarget, merge_records, plan_delegations,
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -15,8 +15,9 @@
 
 use crate::{
     backend::{BackendAnswer, BackendRequest},
-    fanout::{FanoutOutcome, run_fanout},
+    fanout::{FanoutOutcome, run_delegated},
     gateway::Gateway,
+    peers::DelegatedScope,
     report::{RequestReport, Verdict},
 };
 
@@ -24,6 +25,9 @@
 /// the node's own: a new connection and one request and answer at 3 ms each way.
 const CLIENT_MARGIN: Duration = Duration::from_millis(14);
 
+/// Time before the caller's deadline at which it gets its final answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(8);
+
 /// Wait that a caller is told while the node knows no configuration or no server.
 const STARTING_RETRY: Duration = Duration::from_millis(500);
 
@@ -98,9 +102,9 @@
     report.route = Some(route.clone());
     let patience = headers::deadline_of(&head.headers).unwrap_or(route.timeout);
     report.patience = patience;
-    let plan = plan_of(gateway, &route, arrived, patience.min(route.timeout));
+    let (plan, scope) = plan_of(gateway, &route, arrived, patience.min(route.timeout));
     let request = Rc::new(backend_request(head, body));
-    let outcome = run_fanout(gateway, plan, request).await;
+    let outcome = run_delegated(gateway, plan, request, scope).await;
     report.take_in(&outcome);
     match &route.target {
         RouteTarget::Gather(gather) => search_answer(gather, &outcome),
@@ -135,7 +139,7 @@
     route: &RouteConfig,
     arrived: BootTime,
     patience: Duration,
-) -> FanoutPlan {
+) -> (FanoutPlan, DelegatedScope) {
     let state = &mut *gateway.state.borrow_mut();
     let (names, least): (Vec<Arc<str>>, usize) = match &route.target {
         RouteTarget::Service(service) => (vec![service.clone()], 1),
@@ -146,16 +150,41 @@
         RouteTarget::Gather(gather) => (gather.shards.clone(), gather.least_shards()),
     };
     let fleet = &mut state.fleet;
-    let services = names.iter().map(|name| fleet.service(arrived, name)).collect();
-    FanoutPlan {
+    let services: Vec<_> = names.iter().map(|name| fleet.service(arrived, name)).collect();
+    let class = fleet.classes.class_of(route);
+    let answer_by = arrived + route.objective.saturating_sub(CLIENT_MARGIN).min(patience);
+    let mut scope = DelegatedScope::default();
+    let mut delegations = Vec::new();
+    if let RouteTarget::Gather(gather) = &route.target {
+        state.searches += 1;
+        let request = DelegationRequest {
+            names: &names,
+            services: &services,
+            class,
+            objective: route.objective,
+            answer_by,
+            number: state.searches,
+        };
+        delegations = plan_delegations(arrived, request, fleet, &state.peers);
+        scope = DelegatedScope {
+            top: u32::try_from(gather.top).unwrap_or(u32::MAX),
+            objective: route.objective,
+            timeout: route.timeout,
+            names,
+        };
+    }
+    let plan = FanoutPlan {
         services,
         least,
         retry: route.retry,
         attempts: route.attempts,
-        class: fleet.classes.class_of(route),
-        answer_by: arrived + route.objective.saturating_sub(CLIENT_MARGIN).min(patience),
-        deadline: arrived + patience,
-    }
+        class,
+        delegations,
+        is_delegated: false,
+        answer_by,
+        deadline: arrived + patience.saturating_sub(ANSWER_MARGIN),
+    };
+    (plan, scope)
 }
 
 /// The request as it is forwarded: without headers of the caller's connection.
@@ -176,15 +205,14 @@
         return failed(outcome.end);
     }
     let answers = outcome.answers.iter().flatten();
-    let body = merge_records(answers.clone().map(|answer| &answer.body[..]), gather.top);
-    let mut stamps = Vec::new();
-    for answer in answers {
-        let Some(stamp) = answer.headers.get(headers::SERVER_STAMP) else { continue };
-        if !stamps.is_empty() {
-            stamps.extend_from_slice(b", ");
-        }
-        stamps.extend_from_slice(stamp.as_bytes());
-    }
+    let direct = answers.clone().map(|answer| &answer.body[..]);
+    let merged = outcome.merged.iter().map(|parts| &parts.records[..]);
+    let body = merge_records(direct.chain(merged), gather.top);
+    let direct = answers.filter_map(|answer| answer.headers.get(headers::SERVER_STAMP));
+    let merged = outcome.merged.iter().flat_map(|parts| &parts.stamps);
+    let stamps: Vec<&[u8]> =
+        direct.map(HeaderValue::as_bytes).chain(merged.map(|stamp| &stamp[..])).collect();
+    let stamps = stamps.join(&b", "[..]);
     let mut response = Response::new(Full::new(body));
     let missing = outcome.answers.len() - outcome.answered;
     let headers = response.headers_mut();
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -1,17 +1,20 @@
 //! The daemon's main function on a platform machine.
 
-use std::{env, fs, process::ExitCode, rc::Rc};
+use std::{env, fs, net::SocketAddr, process::ExitCode, rc::Rc, sync::Arc};
 
 use carobstep_logging::LogSink;
 use carobstep_platform::{SETTINGS_VARIABLE, read_settings};
 use carobstep_tier::MachineSettings;
+use carobstep_wire::serve_peers;
 use eyre::WrapErr;
 use log::{LevelFilter, info};
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
 
 use crate::{
     gateway::Gateway,
-    ingress, stop,
+    ingress, membership,
+    peers::{PeerBridge, serve_calls},
+    stop,
     watcher::{FollowedKind, KindWatcher, expire_lapsed},
 };
 
@@ -62,8 +65,14 @@
 async fn serve(settings: MachineSettings) -> eyre::Result<()> {
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
+    let peer_port = SocketAddr::new(settings.callers.ip(), settings.peer_port);
+    let peers = bind("peers", peer_port).await?;
     let gateway = Rc::new(Gateway::new(settings));
-    for kind in [FollowedKind::Configuration, FollowedKind::Servers] {
+    let (bridge, calls) = PeerBridge::new();
+    spawn_local(serve_calls(gateway.clone(), calls));
+    spawn_local(serve_peers(peers, Arc::new(bridge), gateway.closing.subscribe()));
+    membership::register(&gateway);
+    for kind in [FollowedKind::Configuration, FollowedKind::Servers, FollowedKind::Nodes] {
         spawn_local(KindWatcher::new(gateway.clone(), kind).run());
     }
     spawn_local(expire_lapsed(gateway.clone()));
@@ -74,6 +83,6 @@
     stop::wait_for_end(gateway).await.wrap_err("signal handlers can't be installed")
 }
 
-async fn bind(name: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+async fn bind(name: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(address).await.wrap_err_with(|| format!("{name} listener {address}"))
 }
--- /dev/null
+++ b/crates/gateway/src/membership.rs
@@ -0,0 +1,83 @@
+//! Registers this node in the platform's store, and takes it out again.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_platform::{NODE_KIND, ObjectRequest, write_node};
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use log::{info, warn};
+use tokio::{task::spawn_local, time::sleep};
+
+use crate::gateway::Gateway;
+
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Calls that are tried before a node goes on without being registered: others
+/// then do without its help.
+const MAX_TRIES: u32 = 30;
+
+/// Registers the node in the background.
+pub(crate) fn register(gateway: &Rc<Gateway>) {
+    let gateway = gateway.clone();
+    spawn_local(async move {
+        for _ in 0..MAX_TRIES {
+            match write_own(&gateway).await {
+                Ok(()) => {
+                    info!("registered");
+                    return;
+                }
+                Err(reason) => warn!(reason = reason.as_str(); "registering failed"),
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    });
+}
+
+/// Takes the node out of the list, so that no peer counts on it.
+pub(crate) async fn leave(gateway: &Gateway) {
+    let name = gateway.settings.node.as_str();
+    let path = ObjectRequest::Get { kind: NODE_KIND, name }.path();
+    if let Err(reason) = send(gateway, Method::DELETE, path, Vec::new()).await {
+        warn!(reason = reason.as_str(); "the node's entry stays in the store");
+    }
+}
+
+/// Creates the node's object, or replaces the one of an earlier process.
+async fn write_own(gateway: &Gateway) -> Result<(), String> {
+    let own = gateway.state.borrow().peers.own().clone();
+    let body = write_node(&own).map_err(|error| error.to_string())?;
+    let list = ObjectRequest::List { kind: NODE_KIND, after: None }.path();
+    let status = send(gateway, Method::POST, list, body.clone()).await?;
+    if status.is_success() {
+        return Ok(());
+    }
+    if status != StatusCode::CONFLICT {
+        return Err(format!("status {status}"));
+    }
+    let object = ObjectRequest::Get { kind: NODE_KIND, name: &own.name }.path();
+    let status = send(gateway, Method::PUT, object, body).await?;
+    if status.is_success() { Ok(()) } else { Err(format!("status {status}")) }
+}
+
+async fn send(
+    gateway: &Gateway,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+) -> Result<StatusCode, String> {
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, gateway.store.address().to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|error| error.to_string())?;
+    let reply = gateway.store.call(request, CALL_TIMEOUT).await;
+    gateway.reporter.count_store_call(reply.is_ok());
+    reply.map(|reply| reply.status).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,178 @@
+//! Calls between nodes: delegated shards of a search.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use carobstep_clock::BootTime;
+use carobstep_platform::headers;
+use carobstep_tier::{FanoutPlan, LifecyclePhase, RetryPolicy, merge_records};
+use carobstep_wire::PeerHandler;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use log::debug;
+use tokio::{
+    sync::{
+        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        oneshot,
+    },
+    task::spawn_local,
+};
+
+use crate::{
+    backend::BackendRequest,
+    fanout::run_fanout,
+    gateway::Gateway,
+    peer_messages::{DelegatedParts, DelegatedSearch, PeerAnswer, PeerCall},
+};
+
+/// Time for a delegated answer on its way back: a zone's distance and a turn on
+/// each processor.
+const HOP_MARGIN: Duration = Duration::from_millis(4);
+
+/// A call of a peer and where its answer goes.
+type QueuedCall = (PeerCall, oneshot::Sender<PeerAnswer>);
+
+/// Hands the calls of peers over to the thread that owns the gateway.
+#[derive(Debug)]
+pub(crate) struct PeerBridge {
+    calls: UnboundedSender<QueuedCall>,
+}
+
+impl PeerBridge {
+    pub(crate) fn new() -> (Self, UnboundedReceiver<QueuedCall>) {
+        let (calls, queue) = unbounded_channel();
+        (Self { calls }, queue)
+    }
+}
+
+impl PeerHandler for PeerBridge {
+    type Request = PeerCall;
+    type Reply = PeerAnswer;
+
+    async fn handle(&self, call: PeerCall) -> PeerAnswer {
+        let (answer, answered) = oneshot::channel();
+        // A closed queue means that the process ends.
+        let _ = self.calls.send((call, answer));
+        answered.await.unwrap_or(PeerAnswer::Refused)
+    }
+
+    fn count_bad_input(&self) {
+        debug!("a peer sent something that is no call");
+    }
+}
+
+/// Answers the calls of peers for as long as the process lives.
+pub(crate) async fn serve_calls(gateway: Rc<Gateway>, mut queue: UnboundedReceiver<QueuedCall>) {
+    while let Some((call, mut answer)) = queue.recv().await {
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            let served = tokio::select! {
+                served = serve_call(&gateway, call) => served,
+                // The peer has reset its stream.
+                () = answer.closed() => return,
+            };
+            // A failed send means that the peer left in this moment.
+            let _ = answer.send(served);
+        });
+    }
+}
+
+async fn serve_call(gateway: &Rc<Gateway>, call: PeerCall) -> PeerAnswer {
+    match call {
+        PeerCall::Search(search) => search_shards(gateway, search).await,
+    }
+}
+
+async fn search_shards(gateway: &Rc<Gateway>, search: DelegatedSearch) -> PeerAnswer {
+    let usable = matches!(gateway.phase(), LifecyclePhase::Ready | LifecyclePhase::CutOff);
+    let top = search.top as usize;
+    let Some((plan, request)) = usable.then(|| plan_of(gateway, search)).flatten() else {
+        return PeerAnswer::Refused;
+    };
+    let outcome = run_fanout(gateway, plan, Rc::new(request)).await;
+    let mut shards = Vec::with_capacity(outcome.answered);
+    let mut stamps = Vec::with_capacity(outcome.answered);
+    let mut parts = Vec::with_capacity(outcome.answered);
+    for (position, answer) in outcome.answers.iter().enumerate() {
+        let Some(answer) = answer else { continue };
+        let Some(stamp) = answer.headers.get(headers::SERVER_STAMP) else { continue };
+        shards.push(u16::try_from(position).unwrap_or(u16::MAX));
+        stamps.push(Bytes::copy_from_slice(stamp.as_bytes()));
+        parts.push(&answer.body[..]);
+    }
+    let records = merge_records(parts, top);
+    PeerAnswer::Parts(DelegatedParts { shards, stamps, records })
+}
+
+fn plan_of(gateway: &Gateway, search: DelegatedSearch) -> Option<(FanoutPlan, BackendRequest)> {
+    let now = BootTime::now();
+    let state = &mut *gateway.state.borrow_mut();
+    let fleet = &mut state.fleet;
+    let services = search.shards.iter().map(|name| fleet.service(now, &Arc::from(name.as_str())));
+    let plan = FanoutPlan {
+        services: services.collect(),
+        least: 0,
+        retry: RetryPolicy::Idempotent,
+        attempts: search.attempts,
+        class: fleet.classes.class_for(search.objective, search.timeout, true),
+        delegations: Vec::new(),
+        is_delegated: true,
+        answer_by: now + search.answer_in,
+        deadline: now + search.deadline_in,
+    };
+    let mut forwarded = HeaderMap::with_capacity(search.headers.len());
+    for (name, value) in &search.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        forwarded.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    let request = BackendRequest {
+        method: search.method.parse().ok()?,
+        target: search.target.parse().ok()?,
+        headers: forwarded,
+        body: search.body,
+    };
+    Some((plan, request))
+}
+
+/// The call that asks a peer for some shards of a search.
+pub(crate) fn search_call(
+    request: &BackendRequest,
+    plan: &FanoutPlan,
+    group: usize,
+    search: &DelegatedScope,
+) -> PeerCall {
+    let now = BootTime::now();
+    let delegation = &plan.delegations[group];
+    let mut shards = Vec::with_capacity(delegation.shards.len());
+    for shard in &delegation.shards {
+        if let Some(name) = search.names.get(usize::from(shard.0)) {
+            shards.push(name.to_string());
+        }
+    }
+    let mut copied = Vec::with_capacity(request.headers.len());
+    for (name, value) in &request.headers {
+        copied.push((name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
+    }
+    PeerCall::Search(DelegatedSearch {
+        shards,
+        top: search.top,
+        attempts: plan.attempts,
+        objective: search.objective,
+        timeout: search.timeout,
+        answer_in: plan.answer_by.since(now).saturating_sub(HOP_MARGIN),
+        deadline_in: plan.deadline.since(now),
+        method: request.method.to_string(),
+        target: request.target.to_string(),
+        headers: copied,
+        body: request.body.clone(),
+    })
+}
+
+/// What a peer has to know of the whole search.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DelegatedScope {
+    /// Names of all shards' services.
+    pub(crate) names: Vec<Arc<str>>,
+    pub(crate) top: u32,
+    pub(crate) objective: Duration,
+    pub(crate) timeout: Duration,
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -7,10 +7,11 @@
 use log::{info, warn};
 use tokio::{
     signal::unix::{SignalKind, signal},
+    task::spawn_local,
     time::{Duration, sleep},
 };
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, membership};
 
 /// Interval at which a stopping node looks whether its next step is due.
 const STOP_TICK: Duration = Duration::from_millis(50);
@@ -29,6 +30,8 @@
     }
     gateway.state.borrow_mut().lifecycle.stop(BootTime::now());
     info!(in_flight = gateway.state.borrow().in_flight; "stopping");
+    let leaving = gateway.clone();
+    spawn_local(async move { membership::leave(&leaving).await });
     let mut phase = gateway.phase();
     while phase == LifecyclePhase::Leaving {
         sleep(STOP_TICK).await;
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use carobstep_clock::BootTime;
 use carobstep_platform::{
-    CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, ObjectEvent, ObjectRequest, SERVER_KIND,
-    StoredObject, WatchPage, read_configuration, read_page, read_server, read_watch,
+    CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, NODE_KIND, ObjectEvent, ObjectRequest,
+    SERVER_KIND, StoredObject, WatchPage, read_configuration, read_node, read_page, read_server,
+    read_watch,
 };
 use carobstep_store::ReplyParts;
 use http::{Request, StatusCode, header};
@@ -21,6 +22,9 @@
 /// this time and [`CALL_TIMEOUT`], within the time that puts a node back in touch.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Longest wait of one watch of the nodes, which nothing urgent depends on.
+const NODE_WATCH_WAIT: Duration = Duration::from_secs(10);
+
 /// Longest time for a call beside the wait that it asks for.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -43,6 +47,8 @@
     Configuration,
     /// The backend servers.
     Servers,
+    /// The product's own nodes.
+    Nodes,
 }
 
 impl FollowedKind {
@@ -50,6 +56,15 @@
         match self {
             Self::Configuration => CONFIGURATION_KIND,
             Self::Servers => SERVER_KIND,
+            Self::Nodes => NODE_KIND,
+        }
+    }
+
+    /// Longest wait of one watch.
+    const fn watch_wait(self) -> Duration {
+        match self {
+            Self::Configuration | Self::Servers => WATCH_WAIT,
+            Self::Nodes => NODE_WATCH_WAIT,
         }
     }
 }
@@ -105,7 +120,7 @@
                 }
             }
             if !page.more || page.last_name.is_none() {
-                self.take_list(objects);
+                self.take_list(&objects);
                 return Ok(first);
             }
             after = page.last_name;
@@ -115,10 +130,11 @@
     /// Watches until the history is gone.
     async fn watch(&mut self, mut revision: u64) {
         let kind = self.kind.name();
-        let wait_ms = WATCH_WAIT.as_millis() as u64;
+        let wait = self.kind.watch_wait();
+        let wait_ms = wait.as_millis() as u64;
         loop {
             let request = ObjectRequest::Watch { kind, after: revision, wait_ms };
-            let reply = self.call(&request, WATCH_WAIT + CALL_TIMEOUT).await;
+            let reply = self.call(&request, wait + CALL_TIMEOUT).await;
             let page = reply.and_then(|reply| Ok(read_watch(kind, &reply.body)?));
             match page {
                 Ok(page) => {
@@ -186,16 +202,16 @@
         sleep(pause.min(MAX_PAUSE)).await;
     }
 
-    fn take_list(&mut self, objects: Vec<StoredObject>) {
+    fn take_list(&mut self, objects: &[StoredObject]) {
         match self.kind {
             FollowedKind::Configuration => {
-                for object in &objects {
+                for object in objects {
                     self.take_configuration(object);
                 }
             }
             FollowedKind::Servers => {
                 let mut entries = Vec::with_capacity(objects.len());
-                for object in &objects {
+                for object in objects {
                     match read_server(object) {
                         Ok(entry) => entries.push(entry),
                         Err(error) => self.tell(&object.name, object.revision, &error),
@@ -208,6 +224,21 @@
                 };
                 self.gateway.apply_changes(&changes);
             }
+            FollowedKind::Nodes => {
+                let mut nodes = Vec::with_capacity(objects.len());
+                for object in objects {
+                    match read_node(object) {
+                        Ok(node) => nodes.push(node),
+                        Err(error) => self.tell(&object.name, object.revision, &error),
+                    }
+                }
+                self.gateway.change_peers(|peers| {
+                    peers.retain(&nodes);
+                    for node in nodes {
+                        peers.insert(node);
+                    }
+                });
+            }
         }
     }
 
@@ -225,6 +256,7 @@
                 FollowedKind::Configuration if event.removed => {}
                 FollowedKind::Configuration => self.take_configuration(&event.object),
                 FollowedKind::Servers => self.take_server(&event, &mut changes),
+                FollowedKind::Nodes => self.take_node(&event),
             }
         }
         self.gateway.apply_changes(&changes);
@@ -247,6 +279,17 @@
         }
     }
 
+    fn take_node(&mut self, event: &ObjectEvent) {
+        if event.removed {
+            self.gateway.change_peers(|peers| peers.remove(&event.object.name));
+            return;
+        }
+        match read_node(&event.object) {
+            Ok(node) => self.gateway.change_peers(|peers| peers.insert(node)),
+            Err(error) => self.tell(&event.object.name, event.object.revision, &error),
+        }
+    }
+
     fn take_configuration(&mut self, object: &StoredObject) {
         if object.name != CONFIGURATION_NAME {
             return;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -31,6 +31,9 @@
 }
 
 impl PeerHandler for NodePeerHandler {
+    type Request = PeerRequest;
+    type Reply = PeerReply;
+
     async fn handle(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Shard(request) => {
--- /dev/null
+++ b/crates/tier/src/delegation.rs
@@ -0,0 +1,87 @@
+//! Which shards of a search are delegated, and to whom.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use indexmap::IndexMap;
+
+use crate::{
+    fanout::{Delegation, ShardIndex},
+    fleet::{ServerFleet, ServiceKey},
+    peers::{PeerEntry, PeerTable, ShardHelper},
+    stats::ClassKey,
+};
+
+/// Time that must be left for a delegation to be worth its hop.
+const MIN_TIME: Duration = Duration::from_millis(8);
+
+/// One search whose shards are to be dealt out.
+#[derive(Clone, Copy, Debug)]
+pub struct DelegationRequest<'plan> {
+    /// Names of the shards' services.
+    pub names: &'plan [Arc<str>],
+    /// Their keys, in the same order.
+    pub services: &'plan [ServiceKey],
+    /// Class of the search.
+    pub class: ClassKey,
+    /// Its latency objective.
+    pub objective: Duration,
+    /// When its answer goes out.
+    pub answer_by: BootTime,
+    /// Number of the search; deals searches out to equally good zones in turn.
+    pub number: usize,
+}
+
+/// Deals the shards of a search out to peers; those that are in no delegation
+/// are asked by this node.
+///
+/// A shard is asked from the own zone if a server there seems well. Otherwise
+/// one other zone takes it, the same one for all shards of this search.
+#[must_use]
+pub fn plan_delegations(
+    now: BootTime,
+    request: DelegationRequest<'_>,
+    fleet: &ServerFleet,
+    peers: &PeerTable,
+) -> Vec<Delegation> {
+    if request.answer_by.since(now) < MIN_TIME {
+        return Vec::new();
+    }
+    let own_zone = &peers.own().zone;
+    let mut preference = vec![own_zone.clone()];
+    let mut others = fleet.zones();
+    others.retain(|zone| zone != own_zone);
+    if !others.is_empty() {
+        let turn = request.number % others.len();
+        others.rotate_left(turn);
+    }
+    preference.extend(others);
+    let needs_help = peers.needs_help(request.names.len(), request.objective);
+    let mut helpers: IndexMap<Arc<str>, Vec<&PeerEntry>> = IndexMap::new();
+    let mut groups: IndexMap<Arc<str>, Vec<ShardIndex>> = IndexMap::new();
+    for (position, name) in request.names.iter().enumerate() {
+        let service = request.services[position];
+        let Some(zone) = fleet.best_zone(now, service, request.class, &preference) else {
+            continue;
+        };
+        let peer = if zone == *own_zone {
+            if !needs_help {
+                continue;
+            }
+            match peers.helper_in_own_zone(now, name) {
+                ShardHelper::Own => continue,
+                ShardHelper::Peer(peer) => peer,
+            }
+        } else {
+            let helpers =
+                helpers.entry(zone.clone()).or_insert_with(|| peers.helpers_in(now, &zone));
+            let Some(peer) = PeerTable::helper_among(helpers, name) else { continue };
+            peer.name.clone()
+        };
+        let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
+        groups.entry(peer).or_default().push(shard);
+    }
+    let replace_at = (now + fleet.classes.delegation_delay(request.class)).min(request.answer_by);
+    let delegation = |(peer, shards)| Delegation { peer, shards, replace_at };
+    groups.into_iter().map(delegation).collect()
+}
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -5,7 +5,7 @@
 //! more. Load that this answers: stragglers, pauses of single servers, and
 //! servers that shed or fail while others have room.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 
@@ -22,6 +22,13 @@
 /// tried again.
 const BUSY_RETRY: Duration = Duration::from_millis(3);
 
+/// Part of a shard's income for the retry budget that goes to a node which
+/// delegates it, for the direct call that replaces a silent peer.
+const DELEGATOR_PART: f64 = 0.3;
+
+/// Part of that income which goes to the node that calls the servers.
+const DELEGATE_PART: f64 = 1.0 - DELEGATOR_PART;
+
 /// Attempts of one shard that never left, after which it is given up.
 const MAX_UNSENT: u32 = 4;
 
@@ -29,6 +36,32 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ShardIndex(pub u16);
 
+/// Position of a delegation in the plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct GroupIndex(pub u16);
+
+/// Shards whose servers a peer calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delegation {
+    /// Name of the peer.
+    pub peer: Arc<str>,
+    /// The shards.
+    pub shards: Vec<ShardIndex>,
+    /// When the shards are asked directly because the peer stays silent.
+    pub replace_at: BootTime,
+}
+
+/// How a delegation ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DelegationEnd {
+    /// The peer answered with the parts of these shards.
+    Answered(Vec<ShardIndex>),
+    /// The peer sent nothing to any server.
+    NotSent,
+    /// No answer came; the peer may have called servers.
+    Lost,
+}
+
 /// What has to be done for one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FanoutPlan {
@@ -42,6 +75,10 @@
     pub attempts: u32,
     /// Class of the request.
     pub class: ClassKey,
+    /// Shards that peers take; the others are asked directly.
+    pub delegations: Vec<Delegation>,
+    /// Whether another node delegated these shards to this one.
+    pub is_delegated: bool,
     /// When the answer goes out with the shards that are there.
     pub answer_by: BootTime,
     /// When nobody waits for the answer any more.
@@ -58,6 +95,10 @@
         /// Ticket of the attempt, to be handed back when it has ended.
         ticket: SentTicket,
     },
+    /// Send the shards of a delegation to its peer.
+    Delegate(GroupIndex),
+    /// Use the parts that a peer sent: none of them was answered otherwise.
+    Take(GroupIndex),
     /// Answer the client; nothing follows.
     Finish(FanoutEnd),
 }
@@ -83,6 +124,8 @@
     answered: usize,
     given_up: usize,
     in_flight: u32,
+    /// Delegations that have not ended.
+    open_groups: Vec<bool>,
     may_have_run: bool,
     finished: bool,
 }
@@ -92,6 +135,10 @@
     tried: Vec<ServerKey>,
     in_flight: u32,
     unsent: u32,
+    /// Whether every direct attempt is an extra one.
+    extra_only: bool,
+    /// Whether a peer has the shard and it is not asked directly yet.
+    delegated: bool,
     state: ShardState,
     hedge_at: BootTime,
     /// When a shard that waits for a free server is tried again.
@@ -111,10 +158,19 @@
     /// Builds the state of a request that was just taken.
     #[must_use]
     pub fn new(plan: FanoutPlan) -> Self {
-        let shards = vec![ShardProgress::default(); plan.services.len()];
+        let mut shards = vec![ShardProgress::default(); plan.services.len()];
+        for delegation in &plan.delegations {
+            for shard in &delegation.shards {
+                if let Some(progress) = shards.get_mut(usize::from(shard.0)) {
+                    progress.delegated = true;
+                }
+            }
+        }
+        let open_groups = vec![true; plan.delegations.len()];
         Self {
             plan,
             shards,
+            open_groups,
             answered: 0,
             given_up: 0,
             in_flight: 0,
@@ -135,11 +191,20 @@
         if self.finished {
             return actions;
         }
+        for group in 0..self.plan.delegations.len() {
+            actions.push(FanoutAction::Delegate(GroupIndex(u16::try_from(group).unwrap_or(0))));
+            self.in_flight += 1;
+        }
         for position in 0..self.shards.len() {
+            let service = self.plan.services[position];
+            if self.shards[position].delegated {
+                fleet.earn_part(service, DELEGATOR_PART);
+                continue;
+            }
             if self.shards[position].state == ShardState::GivenUp {
                 continue;
             }
-            fleet.earn(self.plan.services[position]);
+            fleet.earn_part(service, if self.plan.is_delegated { DELEGATE_PART } else { 1.0 });
             if !self.send(now, fleet, position, &mut actions) {
                 self.shards[position].retry_at = Some(now + BUSY_RETRY);
             }
@@ -177,12 +242,96 @@
         actions
     }
 
+    /// Takes in the end of a delegation.
+    pub fn delegation_ended(
+        &mut self,
+        now: BootTime,
+        group: GroupIndex,
+        end: &DelegationEnd,
+    ) -> Vec<FanoutAction> {
+        let mut actions = Vec::new();
+        let position = usize::from(group.0);
+        if self.finished || self.open_groups.get(position) != Some(&true) {
+            return actions;
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match end {
+            DelegationEnd::Answered(shards) => self.take_parts(group, shards, &mut actions),
+            DelegationEnd::NotSent => self.replace_delegation(now, position, false),
+            DelegationEnd::Lost => self.replace_delegation(now, position, true),
+        }
+        self.open_groups[position] = false;
+        self.check_end(now, &mut actions);
+        actions
+    }
+
+    /// Takes the parts that a peer merged: all of them, or none if a shard among
+    /// them was answered directly meanwhile.
+    fn take_parts(
+        &mut self,
+        group: GroupIndex,
+        shards: &[ShardIndex],
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        self.may_have_run = true;
+        let answered = |shard: &ShardIndex| {
+            let progress = self.shards.get(usize::from(shard.0));
+            progress.is_none_or(|progress| progress.state == ShardState::Answered)
+        };
+        if shards.is_empty() || shards.iter().any(answered) {
+            self.release_group(usize::from(group.0));
+            return;
+        }
+        for shard in shards {
+            let progress = &mut self.shards[usize::from(shard.0)];
+            if progress.state == ShardState::GivenUp {
+                self.given_up -= 1;
+            }
+            progress.state = ShardState::Answered;
+            progress.delegated = false;
+            self.answered += 1;
+        }
+        actions.push(FanoutAction::Take(group));
+        self.release_group(usize::from(group.0));
+    }
+
+    /// Lets the shards that a peer could not get wait for the answer time: they
+    /// are asked directly only if the answer can't go out without them.
+    fn release_group(&mut self, group: usize) {
+        for shard in self.plan.delegations[group].shards.clone() {
+            let progress = &mut self.shards[usize::from(shard.0)];
+            if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
+                progress.extra_only = true;
+                progress.retry_at = Some(self.plan.answer_by);
+            }
+        }
+    }
+
+    /// Has the shards of a delegation asked directly. `arrived`: the peer may
+    /// have called servers, so that the direct calls are extra ones.
+    fn replace_delegation(&mut self, now: BootTime, group: usize, arrived: bool) {
+        self.may_have_run |= arrived;
+        for shard in self.plan.delegations[group].shards.clone() {
+            let progress = &mut self.shards[usize::from(shard.0)];
+            if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
+                progress.extra_only = arrived;
+                progress.retry_at = Some(now);
+            }
+        }
+    }
+
     /// Sends what is due and answers when the time is up.
     pub fn timer(&mut self, now: BootTime, fleet: &mut ServerFleet) -> Vec<FanoutAction> {
         let mut actions = Vec::new();
         if self.finished {
             return actions;
         }
+        for group in 0..self.plan.delegations.len() {
+            if self.open_groups[group] && now >= self.plan.delegations[group].replace_at {
+                // Its answer still counts if it comes first.
+                self.replace_delegation(now, group, true);
+            }
+        }
         for position in 0..self.shards.len() {
             let progress = &self.shards[position];
             if progress.state != ShardState::Open || progress.retry_at.is_none_or(|due| now < due) {
@@ -193,7 +342,7 @@
         if self.plan.retry == RetryPolicy::Idempotent {
             for position in 0..self.shards.len() {
                 let progress = &self.shards[position];
-                let waiting = progress.retry_at.is_some();
+                let waiting = progress.retry_at.is_some() || progress.delegated;
                 if progress.state != ShardState::Open || waiting || now < progress.hedge_at {
                     continue;
                 }
@@ -213,9 +362,14 @@
         if now < self.plan.answer_by {
             next = next.min(self.plan.answer_by);
         }
+        for (group, delegation) in self.plan.delegations.iter().enumerate() {
+            if self.open_groups[group] && now < delegation.replace_at {
+                next = next.min(delegation.replace_at);
+            }
+        }
         let hedges = self.plan.retry == RetryPolicy::Idempotent;
         for progress in &self.shards {
-            if progress.state != ShardState::Open {
+            if progress.state != ShardState::Open || progress.delegated {
                 continue;
             }
             match progress.retry_at {
@@ -229,6 +383,12 @@
         next
     }
 
+    /// What has to be done.
+    #[must_use]
+    pub const fn plan(&self) -> &FanoutPlan {
+        &self.plan
+    }
+
     /// Number of shards that have answered.
     #[must_use]
     pub const fn answered(&self) -> usize {
@@ -324,7 +484,7 @@
             return;
         }
         let final_end = end.may_have_run() && self.plan.retry == RetryPolicy::AtMostOnce;
-        let arrived = progress.tried.len() as u32 - progress.unsent;
+        let arrived = progress.arrived();
         let exhausted = arrived >= self.plan.attempts || progress.unsent >= MAX_UNSENT;
         if final_end || exhausted {
             self.give_up(position);
@@ -350,7 +510,7 @@
             return;
         }
         // The first arrival is not an extra one.
-        let unsent_only = progress.unsent as usize == progress.tried.len();
+        let unsent_only = progress.unsent as usize == progress.tried.len() && !progress.extra_only;
         let sent = if unsent_only {
             self.send(now, fleet, position, actions)
         } else {
@@ -386,7 +546,12 @@
 }
 
 impl ShardProgress {
+    /// Servers that may have been asked, one of them by a silent peer.
+    fn arrived(&self) -> u32 {
+        self.tried.len() as u32 - self.unsent + u32::from(self.extra_only)
+    }
+
     fn may_hedge(&self, plan: &FanoutPlan) -> bool {
-        self.in_flight > 0 && (self.tried.len() as u32 - self.unsent) < plan.attempts
+        self.in_flight > 0 && self.arrived() < plan.attempts
     }
 }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -341,13 +341,56 @@
         self.servers.len()
     }
 
-    /// Notes the first request to a service, which earns a part of an extra one.
-    pub fn earn(&mut self, service: ServiceKey) {
+    /// Notes the first request to a service, which earns a part of an extra one;
+    /// `part` is this node's part of it.
+    pub fn earn_part(&mut self, service: ServiceKey, part: f64) {
         if let Some(state) = self.services.get_mut(service) {
-            state.budget.earn();
+            state.budget.earn_part(part);
         }
     }
 
+    /// The zone whose servers a shard should be asked from: the node's own if
+    /// one of its servers seems well, else the one with the best server.
+    #[must_use]
+    pub fn best_zone(
+        &self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        preference: &[Arc<str>],
+    ) -> Option<Arc<str>> {
+        let state = self.services.get(service)?;
+        let mut best: Option<(usize, &Arc<str>)> = None;
+        for server in state.servers.iter().filter_map(|key| self.servers.get(*key)) {
+            if !self.is_open(server) {
+                continue;
+            }
+            let zone = &server.entry.zone;
+            let rank = preference.iter().position(|other| other == zone);
+            let mut rank = rank.unwrap_or(preference.len());
+            if now < server.backoff_until || self.is_stalled(now, server, class) {
+                rank += preference.len() + 1;
+            }
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, zone));
+            }
+        }
+        best.map(|(_, zone)| zone.clone())
+    }
+
+    /// Zones that have servers.
+    #[must_use]
+    pub fn zones(&self) -> Vec<Arc<str>> {
+        let mut zones: Vec<Arc<str>> = Vec::new();
+        for server in self.servers.values() {
+            if !zones.contains(&server.entry.zone) {
+                zones.push(server.entry.zone.clone());
+            }
+        }
+        zones.sort();
+        zones
+    }
+
     /// Takes an extra request out of the service's retry budget.
     pub fn take_extra(&mut self, now: BootTime, service: ServiceKey) -> bool {
         self.services.get_mut(service).is_some_and(|state| state.budget.take(now))
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,6 +7,7 @@
 //! - what is believed: [`Configuration`], [`RouteTable`], [`ServerDirectory`]
 //! - which server gets a request: [`ServerFleet`]
 //! - which availability zones are reached: [`ZoneReach`]
+//! - which node calls the servers of a shard: [`PeerTable`]
 //! - one request to one service or to every shard of an index: [`FanoutState`]
 //! - ready and stopping: [`NodeLifecycle`]
 //!
@@ -17,18 +18,24 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod delegation;
 mod directory;
 mod fanout;
 mod fleet;
 mod lifecycle;
 mod merge;
 mod model;
+mod peers;
 mod reach;
 mod routes;
 mod stats;
 
+pub use delegation::{DelegationRequest, plan_delegations};
 pub use directory::{DirectoryChange, ServerDirectory};
-pub use fanout::{FanoutAction, FanoutEnd, FanoutPlan, FanoutState, ShardIndex};
+pub use fanout::{
+    Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, GroupIndex,
+    ShardIndex,
+};
 pub use fleet::{FleetLimits, SentTicket, ServerFleet, ServerKey, ServerSight, ServiceKey};
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use merge::{RECORD_BYTES, merge_records};
@@ -36,6 +43,7 @@
     ClientLimits, Configuration, GatherPlan, MachineSettings, PromiseBounds, RetryPolicy,
     RouteConfig, RouteTarget, ServerEntry, ServerPhase, ServiceConfig, SplitPart, StoreSettings,
 };
+pub use peers::{PeerEntry, PeerTable, ShardHelper};
 pub use reach::ZoneReach;
 pub use routes::{RouteTable, SplitRotation};
 pub use stats::{AttemptEnd, ClassKey, ClassTable};
--- /dev/null
+++ b/crates/tier/src/peers.rs
@@ -0,0 +1,216 @@
+//! The other nodes, and which of them calls the servers of which shard.
+//!
+//! Load that this answers: searches over many shards on machines with a small
+//! part of a core, and zones without servers of their own. A node of the
+//! servers' zone calls them for the others and merges their parts, so that
+//! only one request and one answer cross zones, and the work of one search
+//! runs on several machines. A helper is a preference, not a permission: every
+//! node may call every server.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use indexmap::IndexMap;
+
+/// Time for which a peer that was silent or unreachable gets no shards.
+const AVOID_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time for which a peer that stays unreachable gets no shards.
+const MAX_AVOID_TIME: Duration = Duration::from_secs(8);
+
+/// Helpers that one search uses in another availability zone.
+const REMOTE_HELPERS: usize = 3;
+
+/// Processor time that the calls for one shard take, in seconds of a whole core.
+const SHARD_CALL_SECONDS: f64 = 55e-6;
+
+/// Part of the latency objective that the calls of one search may take on the
+/// node's own processor before others help.
+const OWN_CALLS_PART: f64 = 0.15;
+
+/// What a node says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerEntry {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Share of a core that it has.
+    pub cpu_share: f64,
+}
+
+/// Every known node, this one included.
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    own: PeerEntry,
+    peers: IndexMap<Arc<str>, PeerState>,
+}
+
+#[derive(Clone, Debug)]
+struct PeerState {
+    entry: PeerEntry,
+    avoid_until: BootTime,
+    failures: u32,
+}
+
+/// Where a shard's requests go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ShardHelper {
+    /// This node calls the servers itself.
+    Own,
+    /// The peer at this position calls them.
+    Peer(Arc<str>),
+}
+
+impl PeerTable {
+    /// Builds a table that knows only the node itself.
+    #[must_use]
+    pub fn new(own: PeerEntry) -> Self {
+        Self { own, peers: IndexMap::new() }
+    }
+
+    /// This node.
+    #[must_use]
+    pub const fn own(&self) -> &PeerEntry {
+        &self.own
+    }
+
+    /// Takes in a node that is new or has changed.
+    pub fn insert(&mut self, entry: PeerEntry) {
+        if entry.name == self.own.name {
+            return;
+        }
+        let known = self.peers.get(&entry.name).is_some_and(|state| state.entry == entry);
+        if !known {
+            let state = PeerState { entry, avoid_until: BootTime::ZERO, failures: 0 };
+            self.peers.insert(state.entry.name.clone(), state);
+        }
+    }
+
+    /// Takes in that a node is gone.
+    pub fn remove(&mut self, name: &str) {
+        self.peers.swap_remove(name);
+    }
+
+    /// Keeps only the nodes of a list.
+    pub fn retain(&mut self, listed: &[PeerEntry]) {
+        self.peers.retain(|name, _| listed.iter().any(|entry| entry.name == *name));
+    }
+
+    /// Number of nodes that share the limits: those that were reached lately.
+    #[must_use]
+    pub fn live_nodes(&self) -> u32 {
+        let live = self.peers.values().filter(|state| state.failures < 6).count();
+        u32::try_from(live + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Address of a peer.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.get(name).map(|state| state.entry.address)
+    }
+
+    /// Notes that a peer answered.
+    pub fn answered(&mut self, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            state.failures = 0;
+            state.avoid_until = BootTime::ZERO;
+        }
+    }
+
+    /// Notes that a peer was silent, refused or could not be reached.
+    pub fn failed(&mut self, now: BootTime, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            if now < state.avoid_until {
+                return;
+            }
+            let avoid = AVOID_TIME * 2u32.pow(state.failures.min(4));
+            state.failures += 1;
+            state.avoid_until = now + avoid.min(MAX_AVOID_TIME);
+        }
+    }
+
+    /// Whether the calls for `shards` shards are too much for this node's
+    /// processor within the objective.
+    #[must_use]
+    pub fn needs_help(&self, shards: usize, objective: Duration) -> bool {
+        let seconds = shards as f64 * SHARD_CALL_SECONDS / self.own.cpu_share.max(0.01);
+        seconds > objective.as_secs_f64() * OWN_CALLS_PART
+    }
+
+    /// Chooses who calls the servers of a shard in the node's own zone.
+    #[must_use]
+    pub fn helper_in_own_zone(&self, now: BootTime, shard: &str) -> ShardHelper {
+        let own = rendezvous_score(&self.own, shard);
+        let mut best: Option<(f64, &PeerState)> = None;
+        for state in self.usable(now, &self.own.zone) {
+            let score = rendezvous_score(&state.entry, shard);
+            if score > best.map_or(own, |(greatest, _)| greatest) {
+                best = Some((score, state));
+            }
+        }
+        best.map_or(ShardHelper::Own, |(_, state)| ShardHelper::Peer(state.entry.name.clone()))
+    }
+
+    /// The few peers of another zone that help this node.
+    #[must_use]
+    pub fn helpers_in(&self, now: BootTime, zone: &str) -> Vec<&PeerEntry> {
+        let mut scored: Vec<_> = self
+            .usable(now, zone)
+            .map(|state| (rendezvous_score(&state.entry, &self.own.name), &state.entry))
+            .collect();
+        scored.sort_by(|one, other| other.0.total_cmp(&one.0));
+        scored.into_iter().take(REMOTE_HELPERS).map(|(_, entry)| entry).collect()
+    }
+
+    /// Chooses which of some helpers calls the servers of a shard.
+    #[must_use]
+    pub fn helper_among<'peer>(
+        helpers: &[&'peer PeerEntry],
+        shard: &str,
+    ) -> Option<&'peer PeerEntry> {
+        let mut best: Option<(f64, &PeerEntry)> = None;
+        for helper in helpers {
+            let score = rendezvous_score(helper, shard);
+            if best.is_none_or(|(greatest, _)| score > greatest) {
+                best = Some((score, helper));
+            }
+        }
+        best.map(|(_, helper)| helper)
+    }
+
+    /// The nodes of this node's zone that follow the store for the others.
+    #[must_use]
+    pub fn followers(&self, now: BootTime, count: usize) -> Vec<ShardHelper> {
+        let mut scored: Vec<(f64, ShardHelper)> = self
+            .usable(now, &self.own.zone)
+            .map(|state| {
+                let name = state.entry.name.clone();
+                (rendezvous_score(&state.entry, "store"), ShardHelper::Peer(name))
+            })
+            .collect();
+        scored.push((rendezvous_score(&self.own, "store"), ShardHelper::Own));
+        scored.sort_by(|one, other| other.0.total_cmp(&one.0));
+        scored.into_iter().take(count).map(|(_, helper)| helper).collect()
+    }
+
+    fn usable(&self, now: BootTime, zone: &str) -> impl Iterator<Item = &PeerState> {
+        self.peers
+            .values()
+            .filter(move |state| state.entry.zone.as_ref() == zone && now >= state.avoid_until)
+    }
+}
+
+/// Weighted rendezvous hashing: each node gets keys in proportion to its processor.
+fn rendezvous_score(peer: &PeerEntry, key: &str) -> f64 {
+    let mut bytes = Vec::with_capacity(peer.name.len() + key.len() + 1);
+    bytes.extend_from_slice(peer.name.as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(key.as_bytes());
+    let hash = xxhash_rust::xxh3::xxh3_64(&bytes);
+    // A number between 0 and 1, neither of them included.
+    let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    peer.cpu_share.max(0.01) / -unit.ln()
+}
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use strum::{Display, IntoStaticStr};
 
-use crate::model::RouteConfig;
+use crate::model::{RouteConfig, RouteTarget};
 
 /// Share of the attempts after whose latency a second one is sent.
 const HEDGE_QUANTILE: f64 = 0.92;
@@ -23,6 +23,15 @@
 /// Part of the objective assumed as the hedge delay before enough samples are there.
 const ASSUMED_HEDGE_PART: f64 = 0.3;
 
+/// Part of the objective assumed as the time of a delegation before enough samples are there.
+const ASSUMED_DELEGATION_PART: f64 = 0.6;
+
+/// Share of the delegations after whose latency a silent peer is replaced.
+const REPLACE_QUANTILE: f64 = 0.99;
+
+/// Silence beyond that which is borne: a busy peer's turn on its processor.
+const REPLACE_MARGIN: Duration = Duration::from_millis(5);
+
 /// Part of the objective assumed as the median before enough samples are there.
 const ASSUMED_MEDIAN_PART: f64 = 0.12;
 
@@ -78,18 +87,38 @@
     unread: u32,
     median: Duration,
     hedge_delay: Duration,
+    delegations: LatencyHistogram,
+    delegation_delay: Duration,
 }
 
 impl ClassTable {
     /// Class of a route's requests.
     pub fn class_of(&mut self, route: &RouteConfig) -> ClassKey {
-        let gathers = matches!(route.target, crate::model::RouteTarget::Gather(_));
-        let entry = self.classes.entry((route.objective, route.timeout, gathers));
+        let gathers = matches!(route.target, RouteTarget::Gather(_));
+        self.class_for(route.objective, route.timeout, gathers)
+    }
+
+    /// Class of the requests with an objective, a timeout and a kind of target.
+    pub fn class_for(&mut self, objective: Duration, timeout: Duration, gathers: bool) -> ClassKey {
+        let entry = self.classes.entry((objective, timeout, gathers));
         let position = entry.index();
-        entry.or_insert_with(|| ClassStats::new(route.objective));
+        entry.or_insert_with(|| ClassStats::new(objective));
         ClassKey(u16::try_from(position).unwrap_or(u16::MAX))
     }
 
+    /// Adds the latency of an answered delegation.
+    pub fn record_delegation(&mut self, class: ClassKey, latency: Duration) {
+        if let Some((_, stats)) = self.classes.get_index_mut(usize::from(class.0)) {
+            stats.record_delegation(latency);
+        }
+    }
+
+    /// Time after which the shards of a silent peer are asked directly.
+    #[must_use]
+    pub fn delegation_delay(&self, class: ClassKey) -> Duration {
+        self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.delegation_delay)
+    }
+
     /// Adds the latency of an answered attempt.
     pub(crate) fn record(&mut self, class: ClassKey, latency: Duration) {
         if let Some((_, stats)) = self.classes.get_index_mut(usize::from(class.0)) {
@@ -129,7 +158,18 @@
             unread: 0,
             median: objective.mul_f64(ASSUMED_MEDIAN_PART),
             hedge_delay: objective.mul_f64(ASSUMED_HEDGE_PART),
+            delegations: LatencyHistogram::default(),
+            delegation_delay: objective.mul_f64(ASSUMED_DELEGATION_PART),
+        }
+    }
+
+    fn record_delegation(&mut self, latency: Duration) {
+        self.delegations.record(latency);
+        if self.delegations.weight() < KNOWN_SAMPLES {
+            return;
         }
+        let usual = self.delegations.quantile(REPLACE_QUANTILE).unwrap_or(self.objective);
+        self.delegation_delay = usual + REPLACE_MARGIN;
     }
 
     fn record(&mut self, latency: Duration) {
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -25,6 +25,7 @@
 };
 
 use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     PeerReply, PeerRequest,
@@ -181,6 +182,19 @@
         address: SocketAddr,
         request: &PeerRequest,
     ) -> Result<PeerReply, WireError> {
+        self.call_typed(address, request).await
+    }
+
+    /// Like [`PeerPool::call`] for peers that speak other messages.
+    ///
+    /// # Errors
+    ///
+    /// As [`PeerPool::call`].
+    pub async fn call_typed<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: &Q,
+    ) -> Result<R, WireError> {
         let frame = encode(request)?;
         let connection = self.connection(address).await?;
         self.sent_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
 use http::{Request, Response, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -12,7 +13,6 @@
 };
 
 use crate::{
-    PeerReply, PeerRequest,
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
     listener::serve_connections,
@@ -30,8 +30,14 @@
 
 /// Answers requests of peer nodes.
 pub trait PeerHandler: Send + Sync + 'static {
+    /// What peers send.
+    type Request: DeserializeOwned + Send;
+
+    /// What they get.
+    type Reply: Serialize + Send;
+
     /// Answers one request. The future is dropped when the peer cancels.
-    fn handle(&self, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
+    fn handle(&self, request: Self::Request) -> impl Future<Output = Self::Reply> + Send;
 
     /// Counts a stream or connection that did not carry a valid request.
     fn count_bad_input(&self);
@@ -116,14 +122,14 @@
     let _ = send_reply(&mut respond, &reply);
 }
 
-async fn read_request(request: Request<RecvStream>) -> Result<PeerRequest, WireError> {
+async fn read_request<Q: DeserializeOwned>(request: Request<RecvStream>) -> Result<Q, WireError> {
     let frame = timeout(BODY_TIMEOUT, read_frame(request.into_body())).await.map_err(|_| {
         WireError::new(WireErrorKind::Codec, format!("no whole frame within {BODY_TIMEOUT:?}"))
     })??;
     decode(&frame)
 }
 
-fn send_reply(respond: &mut SendResponse<Bytes>, reply: &PeerReply) -> Result<(), WireError> {
+fn send_reply<R: Serialize>(respond: &mut SendResponse<Bytes>, reply: &R) -> Result<(), WireError> {
     let frame = encode(reply)?;
     let mut body = respond
         .send_response(Response::new(()), false)
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -41,6 +41,9 @@
 }
 
 impl PeerHandler for EchoHandler {
+    type Request = PeerRequest;
+    type Reply = PeerReply;
+
     async fn handle(&self, request: PeerRequest) -> PeerReply {
         let PeerRequest::Shard(request) = request else {
             panic!("only shard requests are sent here");
