Learn of the store from one node of each zone; choose alike in both nodes

Ruled out: fewer watches with longer waits on every node (a silent connection would be believed for longer than the bounds on leaving servers allow).

Change: one node of each zone watches the store, the others ask it and get changes as they come, each answer with the age of the store's last word. A node that hears nothing fresh for 1.9 s calls the store itself. Entries carry the store's revision, so that news from two sides can't undo each other.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -280,7 +280,7 @@
     let answer = gateway.peer_pool.call_typed(address, call).await;
     let parts = match answer {
         Ok(PeerAnswer::Parts(parts)) => parts,
-        Ok(PeerAnswer::Refused) => return (DelegationEnd::NotSent, None),
+        Ok(PeerAnswer::Refused | PeerAnswer::News(_)) => return (DelegationEnd::NotSent, None),
         Err(error) => {
             debug!(peer = peer, error:% = error; "a delegation failed");
             let end = match error.kind() {
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,155 @@
+//! Learns what is in the store from a peer, so that few nodes call it.
+//!
+//! One node of each zone watches the store; the others ask it and get changes
+//! as they come. Each answer says how old the peer's last answer of the store
+//! is. A node that hears nothing fresh calls the store itself.
+
+use std::{rc::Rc, time::Duration};
+
+use carobstep_clock::BootTime;
+use carobstep_platform::{CONFIGURATION_NAME, StoredObject, read_configuration};
+use carobstep_tier::ShardHelper;
+use log::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    gateway::Gateway,
+    peer_messages::{FollowCall, PeerAnswer, PeerCall, StoreNews},
+};
+
+/// Longest wait of a peer for a change before it answers without one.
+const NEWS_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest time for a call beside that wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Age of the last answer of the store beyond which a node calls it itself; the
+/// bounds on leaving servers and on configurations are 3 s and more.
+const STALE: Duration = Duration::from_millis(1_900);
+
+/// Pause before the next call after a failed one.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Interval at which a node that follows the store looks whether it still has to.
+const OWN_PAUSE: Duration = Duration::from_millis(250);
+
+/// What is known of the freshness of the node's beliefs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreFreshness {
+    /// When the store last told of configurations, by way of peers or not.
+    pub(crate) configuration: BootTime,
+    /// When it last told of servers.
+    pub(crate) servers: BootTime,
+}
+
+impl StoreFreshness {
+    /// Age of the older of the two.
+    pub(crate) fn age(&self, now: BootTime) -> Duration {
+        now.since(self.configuration.min(self.servers))
+    }
+}
+
+/// Whether this node has to call the store: no peer does it for the node, or
+/// what the peer says is stale.
+pub(crate) fn must_call_store(gateway: &Gateway) -> bool {
+    let now = BootTime::now();
+    let state = gateway.state.borrow();
+    state.peers.follower(now) == ShardHelper::Own || state.freshness.age(now) > STALE
+}
+
+/// Asks the peer that follows the store, for as long as the process lives.
+pub(crate) async fn follow_peer(gateway: Rc<Gateway>) {
+    let mut known = FollowCall { life: 0, servers: 0, nodes: 0, version: 0 };
+    let mut asked = None;
+    loop {
+        let follower = gateway.state.borrow().peers.follower(BootTime::now());
+        let ShardHelper::Peer(peer) = follower else {
+            sleep(OWN_PAUSE).await;
+            continue;
+        };
+        if asked.as_ref() != Some(&peer) {
+            info!(peer = peer.as_ref(); "learning of the store from a peer");
+            known.life = 0;
+            asked = Some(peer.clone());
+        }
+        let address = gateway.state.borrow().peers.address(&peer);
+        let Some(address) = address else { continue };
+        known.version = gateway.state.borrow().configuration.version;
+        let call = PeerCall::Follow(known.clone());
+        let calling = gateway.peer_pool.call_typed(address, &call);
+        match timeout(NEWS_WAIT + CALL_TIMEOUT, calling).await {
+            Ok(Ok(PeerAnswer::News(news))) => {
+                known.life = news.life;
+                known.servers = news.servers.number;
+                known.nodes = news.node_number;
+                take_news(&gateway, *news);
+            }
+            Ok(Ok(_)) => lose_peer(&gateway, &peer, "it is stopping").await,
+            Ok(Err(error)) => lose_peer(&gateway, &peer, &error.to_string()).await,
+            Err(_) => lose_peer(&gateway, &peer, "it is silent").await,
+        }
+    }
+}
+
+async fn lose_peer(gateway: &Gateway, peer: &str, reason: &str) {
+    warn!(peer = peer, reason = reason; "no news of the store from a peer");
+    gateway.state.borrow_mut().peers.failed(BootTime::now(), peer);
+    sleep(RETRY_PAUSE).await;
+}
+
+fn take_news(gateway: &Gateway, news: StoreNews) {
+    let now = BootTime::now();
+    let heard = now - news.age;
+    let changes = {
+        let state = &mut *gateway.state.borrow_mut();
+        state.freshness.servers = state.freshness.servers.max(heard);
+        state.freshness.configuration = state.freshness.configuration.max(heard);
+        state.lifecycle.servers_known();
+        state.directory.store_answered(heard, heard);
+        state.directory.take_news(now, news.servers)
+    };
+    gateway.apply_changes(&changes);
+    if let Some(nodes) = news.nodes {
+        gateway.change_peers(|peers| {
+            peers.retain(&nodes);
+            for node in nodes {
+                peers.insert(node);
+            }
+        });
+    }
+    if let Some((revision, content)) = news.configuration {
+        let object = StoredObject::passed_on(CONFIGURATION_NAME, revision, content);
+        match object.and_then(|object| Ok((read_configuration(&object)?, object))) {
+            Ok((configuration, object)) => gateway.configure(configuration, object),
+            Err(error) => warn!(reason:% = error; "a peer's configuration can't be read"),
+        }
+    }
+}
+
+/// Answers a peer that learns of the store from this node.
+pub(crate) async fn news_for(gateway: &Gateway, call: FollowCall) -> PeerAnswer {
+    let mut changes = gateway.changed.subscribe();
+    let is_news = |_: &u64| {
+        let state = gateway.state.borrow();
+        call.life != gateway.life
+            || call.servers != state.directory.number()
+            || call.nodes != state.node_number
+            || call.version < state.configuration.version
+    };
+    // Without news the answer still tells how fresh the node's knowledge is.
+    let _ = timeout(NEWS_WAIT, changes.wait_for(is_news)).await;
+    let state = gateway.state.borrow();
+    let same_life = call.life == gateway.life;
+    let mut nodes: Vec<_> = state.peers.entries().cloned().collect();
+    nodes.push(state.peers.own().clone());
+    let later = call.version < state.configuration.version;
+    let object = state.configuration_object.as_ref().filter(|_| later);
+    PeerAnswer::News(Box::new(StoreNews {
+        life: gateway.life,
+        age: state.freshness.age(BootTime::now()),
+        servers: state.directory.news_after(same_life.then_some(call.servers)),
+        node_number: state.node_number,
+        nodes: (!same_life || call.nodes != state.node_number).then_some(nodes),
+        configuration: object.map(|object| (object.revision, object.content.get().to_owned())),
+    }))
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,12 @@
 //! What all tasks of the process share.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell, collections::hash_map::RandomState, hash::BuildHasher, net::SocketAddr, rc::Rc,
+    sync::Arc, time::Duration,
+};
 
 use carobstep_clock::BootTime;
+use carobstep_platform::StoredObject;
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
     AttemptEnd, Configuration, DirectoryChange, FleetLimits, LifecyclePhase, MachineSettings,
@@ -19,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{backend::ServerPool, report::Reporter};
+use crate::{backend::ServerPool, follow::StoreFreshness, report::Reporter};
 
 /// Nodes that are assumed to share the limits until others are known.
 const ASSUMED_NODES: u32 = 10;
@@ -41,6 +45,10 @@
     pub(crate) reporter: Reporter,
     pub(crate) peer_pool: PeerPool,
     pub(crate) state: RefCell<GatewayState>,
+    /// Counts changes that peers want to know.
+    pub(crate) changed: watch::Sender<u64>,
+    /// Tells this process apart from earlier ones of the node.
+    pub(crate) life: u64,
     /// Tells connections to close as soon as they are idle.
     pub(crate) closing: watch::Sender<bool>,
 }
@@ -48,11 +56,16 @@
 /// What the process believes.
 pub(crate) struct GatewayState {
     pub(crate) configuration: Rc<Configuration>,
+    /// The object that the configuration was read from, for peers.
+    pub(crate) configuration_object: Option<StoredObject>,
+    pub(crate) freshness: StoreFreshness,
     pub(crate) routes: RouteTable,
     pub(crate) rotation: SplitRotation,
     pub(crate) directory: ServerDirectory,
     pub(crate) fleet: ServerFleet,
     pub(crate) peers: PeerTable,
+    /// Number of the last change of the list of nodes.
+    pub(crate) node_number: u64,
     /// Number of searches so far.
     pub(crate) searches: usize,
     pub(crate) lifecycle: NodeLifecycle,
@@ -77,11 +90,14 @@
         let (peer_pool, _) = PeerPool::new(Some(settings.callers.ip()));
         let state = GatewayState {
             configuration: Rc::new(Configuration::default()),
+            configuration_object: None,
+            freshness: StoreFreshness::default(),
             routes: RouteTable::default(),
             rotation: SplitRotation::default(),
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits),
             peers: PeerTable::new(own),
+            node_number: 0,
             searches: 0,
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
@@ -92,13 +108,15 @@
             reporter: Reporter::default(),
             peer_pool,
             state: RefCell::new(state),
+            changed: watch::Sender::new(0),
+            life: RandomState::new().hash_one(settings.node.as_str()).max(1),
             closing: watch::Sender::new(false),
             settings,
         }
     }
 
     /// Puts a configuration in force unless a later one is.
-    pub(crate) fn configure(&self, configuration: Configuration) {
+    pub(crate) fn configure(&self, configuration: Configuration, object: StoredObject) {
         let state = &mut *self.state.borrow_mut();
         if configuration.version <= state.configuration.version {
             return;
@@ -113,10 +131,20 @@
         state.fleet.configure(BootTime::now(), &configuration);
         state.lifecycle.configuration_known();
         state.configuration = Rc::new(configuration);
+        state.configuration_object = Some(object);
+        self.tell_peers();
+    }
+
+    /// Wakes the peers that wait for news.
+    fn tell_peers(&self) {
+        self.changed.send_modify(|count| *count += 1);
     }
 
     /// Takes in changes of the list of servers.
     pub(crate) fn apply_changes(&self, changes: &[DirectoryChange]) {
+        if changes.is_empty() {
+            return;
+        }
         let now = BootTime::now();
         let state = &mut *self.state.borrow_mut();
         for change in changes {
@@ -132,12 +160,14 @@
                 state.pools.remove(key);
             }
         }
+        self.tell_peers();
     }
 
     /// Takes in a change of the list of nodes.
     pub(crate) fn change_peers(&self, change: impl FnOnce(&mut PeerTable)) {
         let state = &mut *self.state.borrow_mut();
         change(&mut state.peers);
+        state.node_number += 1;
         let nodes = state.peers.live_nodes();
         let bounds = self.settings.bounds;
         state.fleet.set_limits(FleetLimits {
@@ -145,6 +175,7 @@
             retry_slack: bounds.retry_slack,
             nodes: nodes.max(MIN_NODES),
         });
+        self.tell_peers();
     }
 
     /// Takes in the end of an attempt.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -180,7 +180,8 @@
         attempts: route.attempts,
         class,
         delegations,
-        is_delegated: false,
+        delegated_to: None,
+        salt: state.searches as u64,
         answer_by,
         deadline: arrived + patience.saturating_sub(ANSWER_MARGIN),
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod backend;
 mod fanout;
+mod follow;
 mod gateway;
 mod handler;
 mod ingress;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -11,6 +11,7 @@
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
 
 use crate::{
+    follow::follow_peer,
     gateway::Gateway,
     ingress, membership,
     peers::{PeerBridge, serve_calls},
@@ -75,6 +76,7 @@
     for kind in [FollowedKind::Configuration, FollowedKind::Servers, FollowedKind::Nodes] {
         spawn_local(KindWatcher::new(gateway.clone(), kind).run());
     }
+    spawn_local(follow_peer(gateway.clone()));
     spawn_local(expire_lapsed(gateway.clone()));
     spawn_local(gateway.clone().watch_reach());
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness));
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carobstep_tier::{DirectoryNews, PeerEntry};
 use serde::{Deserialize, Serialize};
 
 /// A call to a peer.
@@ -10,6 +11,8 @@
 pub(crate) enum PeerCall {
     /// Ask the servers of some shards.
     Search(DelegatedSearch),
+    /// Tell what has changed in the store.
+    Follow(FollowCall),
 }
 
 /// A peer's answer.
@@ -17,6 +20,8 @@
 pub(crate) enum PeerAnswer {
     /// The parts that came in time.
     Parts(DelegatedParts),
+    /// What has changed in the store.
+    News(Box<StoreNews>),
     /// The peer is stopping, and sent nothing to any server.
     Refused,
 }
@@ -30,6 +35,8 @@
     pub(crate) top: u32,
     /// Servers that may be asked for each shard.
     pub(crate) attempts: u32,
+    /// Number of the search; both nodes choose among the same servers by it.
+    pub(crate) salt: u64,
     /// Latency objective of the route.
     pub(crate) objective: Duration,
     /// Timeout of the route.
@@ -55,3 +62,32 @@
     /// The greatest records of these parts, greatest first.
     pub(crate) records: Bytes,
 }
+
+/// Asks a peer that follows the store for changes; it waits a while for one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct FollowCall {
+    /// Life of the peer from which the numbers come.
+    pub(crate) life: u64,
+    /// Number of the last change of a server that is known.
+    pub(crate) servers: u64,
+    /// Number of the last change of the list of nodes that is known.
+    pub(crate) nodes: u64,
+    /// Version of the configuration in force.
+    pub(crate) version: u64,
+}
+
+/// What a peer that follows the store knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StoreNews {
+    /// Life of the peer from which the numbers come.
+    pub(crate) life: u64,
+    /// Time since the store last answered the peer.
+    pub(crate) age: Duration,
+    pub(crate) servers: DirectoryNews,
+    /// Number of the last change of the list of nodes.
+    pub(crate) node_number: u64,
+    /// Every node, if the list has changed.
+    pub(crate) nodes: Option<Vec<PeerEntry>>,
+    /// A later configuration: revision of its object and its content as JSON.
+    pub(crate) configuration: Option<(u64, String)>,
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::{
     backend::BackendRequest,
     fanout::run_fanout,
+    follow::news_for,
     gateway::Gateway,
     peer_messages::{DelegatedParts, DelegatedSearch, PeerAnswer, PeerCall},
 };
@@ -79,6 +80,10 @@
 async fn serve_call(gateway: &Rc<Gateway>, call: PeerCall) -> PeerAnswer {
     match call {
         PeerCall::Search(search) => search_shards(gateway, search).await,
+        PeerCall::Follow(_) if gateway.state.borrow().lifecycle.is_stopping() => {
+            PeerAnswer::Refused
+        }
+        PeerCall::Follow(call) => news_for(gateway, call).await,
     }
 }
 
@@ -115,7 +120,8 @@
         attempts: search.attempts,
         class: fleet.classes.class_for(search.objective, search.timeout, true),
         delegations: Vec::new(),
-        is_delegated: true,
+        delegated_to: Some(gateway.settings.zone.clone()),
+        salt: search.salt,
         answer_by: now + search.answer_in,
         deadline: now + search.deadline_in,
     };
@@ -156,6 +162,7 @@
         shards,
         top: search.top,
         attempts: plan.attempts,
+        salt: plan.salt,
         objective: search.objective,
         timeout: search.timeout,
         answer_in: plan.answer_by.since(now).saturating_sub(HOP_MARGIN),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -16,11 +16,12 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use crate::gateway::Gateway;
+use crate::{follow::must_call_store, gateway::Gateway};
 
-/// Longest wait of one watch. A connection that went silent is found after
-/// this time and [`CALL_TIMEOUT`], within the time that puts a node back in touch.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch. A connection that went silent is found after this
+/// time and [`CALL_TIMEOUT`], and peers learn at this interval that nothing has
+/// changed.
+const WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Longest wait of one watch of the nodes, which nothing urgent depends on.
 const NODE_WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -31,12 +32,18 @@
 /// Pause before a watch goes on after changes: changes that come together cost one call.
 const COALESCE: Duration = Duration::from_millis(100);
 
+/// The same for changes of the nodes, of which many start together.
+const NODE_COALESCE: Duration = Duration::from_millis(1_000);
+
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest pause after failed calls.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// Interval at which a node looks whether it has to call the store again.
+const DUTY_TICK: Duration = Duration::from_millis(100);
+
 /// Interval at which lapsed entries are given up.
 const EXPIRY_TICK: Duration = Duration::from_millis(100);
 
@@ -60,6 +67,14 @@
         }
     }
 
+    /// Pause before a watch goes on after changes.
+    const fn coalesce(self) -> Duration {
+        match self {
+            Self::Configuration | Self::Servers => COALESCE,
+            Self::Nodes => NODE_COALESCE,
+        }
+    }
+
     /// Longest wait of one watch.
     const fn watch_wait(self) -> Duration {
         match self {
@@ -94,6 +109,9 @@
     /// Follows the kind for as long as the process lives.
     pub(crate) async fn run(mut self) {
         loop {
+            while !must_call_store(&self.gateway) {
+                sleep(DUTY_TICK).await;
+            }
             match self.list().await {
                 Ok(revision) => self.watch(revision).await,
                 Err(failure) => self.pause_after(failure).await,
@@ -120,19 +138,19 @@
                 }
             }
             if !page.more || page.last_name.is_none() {
-                self.take_list(&objects);
+                self.take_list(first, &objects);
                 return Ok(first);
             }
             after = page.last_name;
         }
     }
 
-    /// Watches until the history is gone.
+    /// Watches until the history is gone, or a peer does it.
     async fn watch(&mut self, mut revision: u64) {
         let kind = self.kind.name();
         let wait = self.kind.watch_wait();
         let wait_ms = wait.as_millis() as u64;
-        loop {
+        while must_call_store(&self.gateway) {
             let request = ObjectRequest::Watch { kind, after: revision, wait_ms };
             let reply = self.call(&request, wait + CALL_TIMEOUT).await;
             let page = reply.and_then(|reply| Ok(read_watch(kind, &reply.body)?));
@@ -142,7 +160,7 @@
                     let quiet = page.events.is_empty();
                     self.take_events(page);
                     if !quiet {
-                        sleep(COALESCE).await;
+                        sleep(self.kind.coalesce()).await;
                     }
                 }
                 Err(CallFailure::HistoryGone) => {
@@ -172,12 +190,15 @@
             info!(kind = self.kind.name(), failures = self.failures; "store regained");
             self.failures = 0;
         }
-        if self.kind == FollowedKind::Servers {
-            let answered = BootTime::now();
-            // A watch is asked to wait; only what exceeds that is an outage.
-            let asked = answered.since(called).min(limit);
-            let state = &mut *self.gateway.state.borrow_mut();
-            state.directory.store_answered(answered, answered - asked);
+        let answered = BootTime::now();
+        let state = &mut *self.gateway.state.borrow_mut();
+        match self.kind {
+            FollowedKind::Configuration => state.freshness.configuration = answered,
+            FollowedKind::Servers => {
+                state.freshness.servers = answered;
+                state.directory.store_answered(answered, called);
+            }
+            FollowedKind::Nodes => {}
         }
         Ok(reply)
     }
@@ -202,7 +223,7 @@
         sleep(pause.min(MAX_PAUSE)).await;
     }
 
-    fn take_list(&mut self, objects: &[StoredObject]) {
+    fn take_list(&mut self, revision: u64, objects: &[StoredObject]) {
         match self.kind {
             FollowedKind::Configuration => {
                 for object in objects {
@@ -213,14 +234,14 @@
                 let mut entries = Vec::with_capacity(objects.len());
                 for object in objects {
                     match read_server(object) {
-                        Ok(entry) => entries.push(entry),
+                        Ok(entry) => entries.push((object.revision, entry)),
                         Err(error) => self.tell(&object.name, object.revision, &error),
                     }
                 }
                 let changes = {
                     let state = &mut *self.gateway.state.borrow_mut();
                     state.lifecycle.servers_known();
-                    state.directory.replace(BootTime::now(), entries)
+                    state.directory.replace(BootTime::now(), revision, entries)
                 };
                 self.gateway.apply_changes(&changes);
             }
@@ -255,7 +276,7 @@
             match self.kind {
                 FollowedKind::Configuration if event.removed => {}
                 FollowedKind::Configuration => self.take_configuration(&event.object),
-                FollowedKind::Servers => self.take_server(&event, &mut changes),
+                FollowedKind::Servers => self.take_server(page.revision, &event, &mut changes),
                 FollowedKind::Nodes => self.take_node(&event),
             }
         }
@@ -264,17 +285,21 @@
 
     fn take_server(
         &mut self,
+        revision: u64,
         event: &ObjectEvent,
         changes: &mut Vec<carobstep_tier::DirectoryChange>,
     ) {
         let now = BootTime::now();
         if event.removed {
             let state = &mut *self.gateway.state.borrow_mut();
-            state.directory.remove(now, &event.object.name, changes);
+            state.directory.remove(now, revision, &event.object.name, changes);
             return;
         }
         match read_server(&event.object) {
-            Ok(entry) => self.gateway.state.borrow_mut().directory.insert(entry, changes),
+            Ok(entry) => {
+                let state = &mut *self.gateway.state.borrow_mut();
+                state.directory.insert(event.object.revision, entry, changes);
+            }
             Err(error) => self.tell(&event.object.name, event.object.revision, &error),
         }
     }
@@ -295,7 +320,7 @@
             return;
         }
         match read_configuration(object) {
-            Ok(configuration) => self.gateway.configure(configuration),
+            Ok(configuration) => self.gateway.configure(configuration, object.clone()),
             Err(error) => self.tell(&object.name, object.revision, &error),
         }
     }
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -58,7 +58,7 @@
     preference.extend(others);
     let needs_help = peers.needs_help(request.names.len(), request.objective);
     let mut helpers: IndexMap<Arc<str>, Vec<&PeerEntry>> = IndexMap::new();
-    let mut groups: IndexMap<Arc<str>, Vec<ShardIndex>> = IndexMap::new();
+    let mut groups: IndexMap<Arc<str>, (Arc<str>, Vec<ShardIndex>)> = IndexMap::new();
     for (position, name) in request.names.iter().enumerate() {
         let service = request.services[position];
         let Some(zone) = fleet.best_zone(now, service, request.class, &preference) else {
@@ -79,9 +79,9 @@
             peer.name.clone()
         };
         let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
-        groups.entry(peer).or_default().push(shard);
+        groups.entry(peer).or_insert_with(|| (zone, Vec::new())).1.push(shard);
     }
     let replace_at = (now + fleet.classes.delegation_delay(request.class)).min(request.answer_by);
-    let delegation = |(peer, shards)| Delegation { peer, shards, replace_at };
+    let delegation = |(peer, (zone, shards))| Delegation { peer, zone, shards, replace_at };
     groups.into_iter().map(delegation).collect()
 }
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -1,9 +1,10 @@
 //! Which backend servers are believed to exist.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 
 use crate::model::ServerEntry;
 
@@ -15,6 +16,12 @@
 /// although their servers live.
 const OUTAGE: Duration = Duration::from_millis(1_000);
 
+/// Removals that are remembered against older news.
+const MAX_TOMBSTONES: usize = 1024;
+
+/// Changes that are kept for peers that follow this node.
+const KEPT_CHANGES: usize = 512;
+
 /// A change of what is believed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -24,17 +31,48 @@
     Gone(Arc<str>),
 }
 
+/// A server as the store listed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedServer {
+    /// The store's revision of the last change.
+    pub revision: u64,
+    /// Identifier of the server.
+    pub id: Arc<str>,
+    /// What it says of itself, `None` once it is gone.
+    pub entry: Option<ServerEntry>,
+}
+
+/// What a peer that follows this node gets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryNews {
+    /// Number of the last change; the next news start behind it.
+    pub number: u64,
+    /// Whether these are all servers, so that others are gone.
+    pub whole: bool,
+    /// The store's revision up to which they hold.
+    pub revision: u64,
+    /// Servers that have changed.
+    pub servers: Vec<VersionedServer>,
+}
+
 /// The servers that the store lists, with those that lapsed during an outage.
 #[derive(Clone, Debug, Default)]
 pub struct ServerDirectory {
     entries: IndexMap<Arc<str>, ListedEntry>,
     last_answer: Option<BootTime>,
     returned: Option<BootTime>,
+    /// The store's revision of the newest change or list.
+    revision: u64,
+    tombstones: IndexMap<Arc<str>, u64>,
+    /// Number of the newest of the kept changes.
+    number: u64,
+    changes: VecDeque<VersionedServer>,
 }
 
 #[derive(Clone, Debug)]
 struct ListedEntry {
     entry: ServerEntry,
+    revision: u64,
     /// When a lapsed entry is given up.
     gone_at: Option<BootTime>,
 }
@@ -54,57 +92,158 @@
         self.last_answer = Some(now);
     }
 
-    /// Takes in a whole list.
-    pub fn replace(&mut self, now: BootTime, list: Vec<ServerEntry>) -> Vec<DirectoryChange> {
+    /// Number of the newest change.
+    #[must_use]
+    pub const fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Takes in a whole list as of a revision.
+    pub fn replace(
+        &mut self,
+        now: BootTime,
+        revision: u64,
+        list: Vec<(u64, ServerEntry)>,
+    ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        let mut listed = IndexMap::with_capacity(list.len());
-        for entry in list {
-            listed.insert(entry.id.clone(), entry);
-        }
+        let listed: IndexSet<Arc<str>> = list.iter().map(|(_, entry)| entry.id.clone()).collect();
         let missing: Vec<Arc<str>> =
-            self.entries.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
+            self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in missing {
-            self.remove(now, &id, &mut changes);
+            self.remove(now, revision, &id, &mut changes);
         }
-        for entry in listed.into_values() {
-            self.insert(entry, &mut changes);
+        for (revision, entry) in list {
+            self.insert(revision, entry, &mut changes);
         }
+        self.revision = self.revision.max(revision);
         changes
     }
 
-    /// Takes in an entry that is new or has changed.
-    pub fn insert(&mut self, entry: ServerEntry, changes: &mut Vec<DirectoryChange>) {
-        let known = self.entries.get(&entry.id).is_some_and(|listed| listed.entry == entry);
-        if !known {
+    /// Takes in an entry that is new or has changed; older news change nothing.
+    pub fn insert(
+        &mut self,
+        revision: u64,
+        entry: ServerEntry,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
+        let removed = self.tombstones.get(&entry.id).is_some_and(|at| *at >= revision);
+        let known = self.entries.get(&entry.id);
+        if removed || known.is_some_and(|listed| listed.revision > revision) {
+            return;
+        }
+        let same = known.is_some_and(|listed| listed.entry == entry);
+        self.revision = self.revision.max(revision);
+        let listed = ListedEntry { entry: entry.clone(), revision, gone_at: None };
+        self.entries.insert(entry.id.clone(), listed);
+        if !same {
             changes.push(DirectoryChange::Changed(entry.clone()));
+            self.keep_change(VersionedServer {
+                revision,
+                id: entry.id.clone(),
+                entry: Some(entry),
+            });
         }
-        self.entries.insert(entry.id.clone(), ListedEntry { entry, gone_at: None });
     }
 
-    /// Takes in that an entry is no longer there.
-    pub fn remove(&mut self, now: BootTime, id: &str, changes: &mut Vec<DirectoryChange>) {
+    /// Takes in that an entry is no longer there as of a revision.
+    pub fn remove(
+        &mut self,
+        now: BootTime,
+        revision: u64,
+        id: &str,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
+        let Some(listed) = self.entries.get_mut(id) else { return };
+        if listed.revision > revision {
+            return;
+        }
         let lapse_end = self.returned.map(|returned| returned + LAPSE_GRACE);
         if let Some(end) = lapse_end.filter(|end| now < *end) {
-            if let Some(listed) = self.entries.get_mut(id) {
-                listed.gone_at.get_or_insert(end);
-            }
+            listed.gone_at.get_or_insert(end);
             return;
         }
-        if let Some((id, _)) = self.entries.shift_remove_entry(id) {
-            changes.push(DirectoryChange::Gone(id));
+        self.drop_entry(revision, id, changes);
+    }
+
+    fn drop_entry(&mut self, revision: u64, id: &str, changes: &mut Vec<DirectoryChange>) {
+        let Some((id, listed)) = self.entries.shift_remove_entry(id) else { return };
+        let revision = revision.max(listed.revision);
+        self.revision = self.revision.max(revision);
+        self.tombstones.insert(id.clone(), revision);
+        if self.tombstones.len() > MAX_TOMBSTONES {
+            self.tombstones.shift_remove_index(0);
+        }
+        changes.push(DirectoryChange::Gone(id.clone()));
+        self.keep_change(VersionedServer { revision, id, entry: None });
+    }
+
+    fn keep_change(&mut self, change: VersionedServer) {
+        self.number += 1;
+        self.changes.push_back(change);
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// What has changed behind a number, or everything if that is not known any more.
+    #[must_use]
+    pub fn news_after(&self, number: Option<u64>) -> DirectoryNews {
+        let behind = number.and_then(|number| self.number.checked_sub(number));
+        let kept = behind.and_then(|behind| usize::try_from(behind).ok());
+        if let Some(behind) = kept.filter(|behind| *behind <= self.changes.len()) {
+            let servers = self.changes.iter().skip(self.changes.len() - behind).cloned().collect();
+            return DirectoryNews {
+                number: self.number,
+                whole: false,
+                revision: self.revision,
+                servers,
+            };
+        }
+        let server = |listed: &ListedEntry| VersionedServer {
+            revision: listed.revision,
+            id: listed.entry.id.clone(),
+            entry: Some(listed.entry.clone()),
+        };
+        DirectoryNews {
+            number: self.number,
+            whole: true,
+            revision: self.revision,
+            servers: self.entries.values().map(server).collect(),
+        }
+    }
+
+    /// Takes in the news of a peer that follows the store.
+    pub fn take_news(&mut self, now: BootTime, news: DirectoryNews) -> Vec<DirectoryChange> {
+        if news.whole {
+            let known = news.servers.into_iter();
+            let list = known.filter_map(|server| Some((server.revision, server.entry?))).collect();
+            return self.replace(now, news.revision, list);
+        }
+        let mut changes = Vec::new();
+        for server in news.servers {
+            match server.entry {
+                Some(entry) => self.insert(server.revision, entry, &mut changes),
+                None => self.drop_if_older(server.revision, &server.id, &mut changes),
+            }
+        }
+        changes
+    }
+
+    fn drop_if_older(&mut self, revision: u64, id: &str, changes: &mut Vec<DirectoryChange>) {
+        if self.entries.get(id).is_some_and(|listed| listed.revision <= revision) {
+            self.drop_entry(revision, id, changes);
         }
     }
 
     /// Gives up the lapsed entries whose time is over.
     pub fn expire(&mut self, now: BootTime) -> Vec<DirectoryChange> {
+        let over = |listed: &&ListedEntry| listed.gone_at.is_some_and(|gone_at| gone_at <= now);
+        let lapsed: Vec<Arc<str>> =
+            self.entries.values().filter(over).map(|listed| listed.entry.id.clone()).collect();
         let mut changes = Vec::new();
-        self.entries.retain(|id, listed| {
-            let keep = listed.gone_at.is_none_or(|gone_at| now < gone_at);
-            if !keep {
-                changes.push(DirectoryChange::Gone(id.clone()));
-            }
-            keep
-        });
+        for id in lapsed {
+            self.drop_entry(0, &id, &mut changes);
+        }
         changes
     }
 
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -10,7 +10,7 @@
 use carobstep_clock::BootTime;
 
 use crate::{
-    fleet::{SentTicket, ServerFleet, ServerKey, ServiceKey},
+    fleet::{SentTicket, ServerFleet, ServerKey, ServerSubset, ServiceKey},
     model::RetryPolicy,
     stats::{AttemptEnd, ClassKey},
 };
@@ -45,6 +45,8 @@
 pub struct Delegation {
     /// Name of the peer.
     pub peer: Arc<str>,
+    /// Availability zone of the peer.
+    pub zone: Arc<str>,
     /// The shards.
     pub shards: Vec<ShardIndex>,
     /// When the shards are asked directly because the peer stays silent.
@@ -77,8 +79,10 @@
     pub class: ClassKey,
     /// Shards that peers take; the others are asked directly.
     pub delegations: Vec<Delegation>,
-    /// Whether another node delegated these shards to this one.
-    pub is_delegated: bool,
+    /// This node's zone, if another node delegated these shards to it.
+    pub delegated_to: Option<Arc<str>>,
+    /// Number of the search, the same at every node that takes part.
+    pub salt: u64,
     /// When the answer goes out with the shards that are there.
     pub answer_by: BootTime,
     /// When nobody waits for the answer any more.
@@ -135,8 +139,9 @@
     tried: Vec<ServerKey>,
     in_flight: u32,
     unsent: u32,
-    /// Whether every direct attempt is an extra one.
-    extra_only: bool,
+    /// Zone of the peer that may have asked a server before: every direct
+    /// attempt is an extra one.
+    replaced: Option<Arc<str>>,
     /// Whether a peer has the shard and it is not asked directly yet.
     delegated: bool,
     state: ShardState,
@@ -204,7 +209,10 @@
             if self.shards[position].state == ShardState::GivenUp {
                 continue;
             }
-            fleet.earn_part(service, if self.plan.is_delegated { DELEGATE_PART } else { 1.0 });
+            fleet.earn_part(
+                service,
+                if self.plan.delegated_to.is_some() { DELEGATE_PART } else { 1.0 },
+            );
             if !self.send(now, fleet, position, &mut actions) {
                 self.shards[position].retry_at = Some(now + BUSY_RETRY);
             }
@@ -298,10 +306,11 @@
     /// Lets the shards that a peer could not get wait for the answer time: they
     /// are asked directly only if the answer can't go out without them.
     fn release_group(&mut self, group: usize) {
-        for shard in self.plan.delegations[group].shards.clone() {
+        let delegation = &self.plan.delegations[group];
+        for shard in &delegation.shards {
             let progress = &mut self.shards[usize::from(shard.0)];
             if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
-                progress.extra_only = true;
+                progress.replaced = Some(delegation.zone.clone());
                 progress.retry_at = Some(self.plan.answer_by);
             }
         }
@@ -311,10 +320,11 @@
     /// have called servers, so that the direct calls are extra ones.
     fn replace_delegation(&mut self, now: BootTime, group: usize, arrived: bool) {
         self.may_have_run |= arrived;
-        for shard in self.plan.delegations[group].shards.clone() {
+        let delegation = &self.plan.delegations[group];
+        for shard in &delegation.shards {
             let progress = &mut self.shards[usize::from(shard.0)];
             if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
-                progress.extra_only = arrived;
+                progress.replaced = arrived.then(|| delegation.zone.clone());
                 progress.retry_at = Some(now);
             }
         }
@@ -417,7 +427,9 @@
         let progress = &mut self.shards[position];
         let service = self.plan.services[position];
         let class = self.plan.class;
-        let Some(server) = fleet.pick(now, service, class, &progress.tried) else { return false };
+        let subset = subset_of(&self.plan, progress.replaced.as_ref());
+        let server = fleet.pick(now, service, class, &progress.tried, subset);
+        let Some(server) = server else { return false };
         progress.tried.push(server);
         progress.in_flight += 1;
         self.in_flight += 1;
@@ -441,7 +453,8 @@
             return false;
         }
         let service = self.plan.services[position];
-        let target = fleet.pick(now, service, self.plan.class, &progress.tried);
+        let subset = subset_of(&self.plan, progress.replaced.as_ref());
+        let target = fleet.pick(now, service, self.plan.class, &progress.tried, subset);
         if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
             return false;
         }
@@ -505,12 +518,14 @@
         let progress = &mut self.shards[position];
         progress.retry_at = None;
         let service = self.plan.services[position];
-        if !fleet.has_untried(service, &progress.tried) {
+        let subset = subset_of(&self.plan, progress.replaced.as_ref());
+        if !fleet.has_untried(service, &progress.tried, subset) {
             self.give_up(position);
             return;
         }
         // The first arrival is not an extra one.
-        let unsent_only = progress.unsent as usize == progress.tried.len() && !progress.extra_only;
+        let unsent_only =
+            progress.unsent as usize == progress.tried.len() && progress.replaced.is_none();
         let sent = if unsent_only {
             self.send(now, fleet, position, actions)
         } else {
@@ -545,10 +560,19 @@
     }
 }
 
+/// Servers that a shard may use when two nodes may ask some for it.
+fn subset_of<'plan>(
+    plan: &'plan FanoutPlan,
+    replaced: Option<&'plan Arc<str>>,
+) -> Option<ServerSubset<'plan>> {
+    let zone = replaced.or(plan.delegated_to.as_ref())?;
+    Some(ServerSubset { zone, salt: plan.salt, limit: plan.attempts as usize })
+}
+
 impl ShardProgress {
-    /// Servers that may have been asked, one of them by a silent peer.
+    /// Servers that may have been asked by this node.
     fn arrived(&self) -> u32 {
-        self.tried.len() as u32 - self.unsent + u32::from(self.extra_only)
+        self.tried.len() as u32 - self.unsent
     }
 
     fn may_hedge(&self, plan: &FanoutPlan) -> bool {
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -11,6 +11,7 @@
 use carobstep_dispatch::TokenBucket;
 use indexmap::IndexMap;
 use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     directory::DirectoryChange,
@@ -97,6 +98,21 @@
     pub connections: u32,
 }
 
+/// The servers of a shard that a search may use at all.
+///
+/// A node and its helper both use it, so that together they reach no more
+/// servers than the route allows even when one does not know what the other
+/// has done.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerSubset<'search> {
+    /// Zone of the helper; its servers come first.
+    pub zone: &'search str,
+    /// Number of the search; orders the other servers.
+    pub salt: u64,
+    /// Number of servers.
+    pub limit: usize,
+}
+
 /// An attempt that was sent; it is handed back when the attempt has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SentTicket {
@@ -328,10 +344,18 @@
 
     /// Whether a server of the service takes new requests and was not tried yet.
     #[must_use]
-    pub fn has_untried(&self, service: ServiceKey, tried: &[ServerKey]) -> bool {
+    pub fn has_untried(
+        &self,
+        service: ServiceKey,
+        tried: &[ServerKey],
+        subset: Option<ServerSubset<'_>>,
+    ) -> bool {
         let Some(state) = self.services.get(service) else { return false };
+        let allowed = subset.map(|subset| self.allowed(state, subset));
         state.servers.iter().any(|key| {
-            !tried.contains(key) && self.servers.get(*key).is_some_and(|it| self.is_open(it))
+            !tried.contains(key)
+                && allowed.as_ref().is_none_or(|allowed| allowed.contains(key))
+                && self.servers.get(*key).is_some_and(|it| self.is_open(it))
         })
     }
 
@@ -410,6 +434,7 @@
         service: ServiceKey,
         class: ClassKey,
         tried: &[ServerKey],
+        subset: Option<ServerSubset<'_>>,
     ) -> Option<ServerKey> {
         let share = self.connection_share(service);
         let state = self.services.get_mut(service)?;
@@ -417,6 +442,7 @@
         state.rotation = state.rotation.wrapping_add(1);
         let start = state.rotation;
         let state = self.services.get(service)?;
+        let allowed = subset.map(|subset| self.allowed(state, subset));
         let mut best: Option<(f64, ServerKey)> = None;
         for step in 0..count {
             let key = state.servers[(start + step) % count];
@@ -424,6 +450,9 @@
             if tried.contains(&key) || !self.is_open(server) || server.in_flight >= share {
                 continue;
             }
+            if allowed.as_ref().is_some_and(|allowed| !allowed.contains(&key)) {
+                continue;
+            }
             let score = self.score(now, server, class);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, key));
@@ -432,6 +461,17 @@
         best.map(|(_, key)| key)
     }
 
+    fn allowed(&self, state: &ServiceState, subset: ServerSubset<'_>) -> Vec<ServerKey> {
+        let mut ranked: Vec<(bool, u64, ServerKey)> = Vec::with_capacity(state.servers.len());
+        for key in &state.servers {
+            let Some(server) = self.servers.get(*key) else { continue };
+            let rank = xxh3_64_with_seed(server.entry.id.as_bytes(), subset.salt);
+            ranked.push((server.entry.zone.as_ref() != subset.zone, rank, *key));
+        }
+        ranked.sort_unstable_by_key(|(elsewhere, rank, _)| (*elsewhere, *rank));
+        ranked.into_iter().take(subset.limit).map(|(_, _, key)| key).collect()
+    }
+
     /// Whether a server has kept every request waiting for too long, or was not
     /// reached a moment ago; extra requests to it would be lost.
     #[must_use]
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -31,12 +31,14 @@
 mod stats;
 
 pub use delegation::{DelegationRequest, plan_delegations};
-pub use directory::{DirectoryChange, ServerDirectory};
+pub use directory::{DirectoryChange, DirectoryNews, ServerDirectory, VersionedServer};
 pub use fanout::{
     Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, GroupIndex,
     ShardIndex,
 };
-pub use fleet::{FleetLimits, SentTicket, ServerFleet, ServerKey, ServerSight, ServiceKey};
+pub use fleet::{
+    FleetLimits, SentTicket, ServerFleet, ServerKey, ServerSight, ServerSubset, ServiceKey,
+};
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use merge::{RECORD_BYTES, merge_records};
 pub use model::{
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
 /// One version of the configuration in full.
@@ -125,7 +126,7 @@
 }
 
 /// What a backend server says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Identifier of the server.
     pub id: Arc<str>,
@@ -146,7 +147,7 @@
 }
 
 /// Whether a backend server takes new requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum ServerPhase {
     /// It takes requests.
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -11,6 +11,7 @@
 
 use carobstep_clock::BootTime;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 /// Time for which a peer that was silent or unreachable gets no shards.
 const AVOID_TIME: Duration = Duration::from_millis(500);
@@ -29,7 +30,7 @@
 const OWN_CALLS_PART: f64 = 0.15;
 
 /// What a node says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerEntry {
     /// Its name.
     pub name: Arc<str>,
@@ -181,19 +182,15 @@
         best.map(|(_, helper)| helper)
     }
 
-    /// The nodes of this node's zone that follow the store for the others.
+    /// The node of this node's zone that follows the store for the others.
     #[must_use]
-    pub fn followers(&self, now: BootTime, count: usize) -> Vec<ShardHelper> {
-        let mut scored: Vec<(f64, ShardHelper)> = self
-            .usable(now, &self.own.zone)
-            .map(|state| {
-                let name = state.entry.name.clone();
-                (rendezvous_score(&state.entry, "store"), ShardHelper::Peer(name))
-            })
-            .collect();
-        scored.push((rendezvous_score(&self.own, "store"), ShardHelper::Own));
-        scored.sort_by(|one, other| other.0.total_cmp(&one.0));
-        scored.into_iter().take(count).map(|(_, helper)| helper).collect()
+    pub fn follower(&self, now: BootTime) -> ShardHelper {
+        self.helper_in_own_zone(now, "store")
+    }
+
+    /// Every known node, without this one.
+    pub fn entries(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.peers.values().map(|state| &state.entry)
     }
 
     fn usable(&self, now: BootTime, zone: &str) -> impl Iterator<Item = &PeerState> {
