--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -37,6 +37,13 @@
         Self { ratio, reserve, tokens, max_tokens: MAX_TOKENS, refilled: now }
     }
 
+    /// Gives the bucket tokens to start with.
+    #[must_use]
+    pub const fn with_tokens(mut self, tokens: f64) -> Self {
+        self.tokens = tokens;
+        self
+    }
+
     /// Changes how many tokens the bucket keeps; those beyond are lost.
     pub fn set_max_tokens(&mut self, max_tokens: f64) {
         self.max_tokens = max_tokens;
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -15,6 +15,11 @@
 /// Time that must be left for a delegation to be worth its hop.
 const MIN_TIME: Duration = Duration::from_millis(8);
 
+/// Share of the servers' slots in use above which searches don't leave the
+/// choice of servers to a node of another zone: which server is free then
+/// matters more than bytes between zones.
+const MAX_SLOTS_IN_USE: f64 = 0.4;
+
 /// One search whose shards are to be dealt out.
 #[derive(Clone, Copy, Debug)]
 pub struct DelegationRequest<'plan> {
@@ -41,9 +46,11 @@
 pub fn plan_delegations(
     now: BootTime,
     request: DelegationRequest<'_>,
-    fleet: &ServerFleet,
+    fleet: &mut ServerFleet,
     peers: &PeerTable,
 ) -> Vec<Delegation> {
+    fleet.classes.record_search(now, request.class);
+    let fleet = &*fleet;
     if request.answer_by.since(now) < MIN_TIME {
         return Vec::new();
     }
@@ -56,6 +63,10 @@
         others.rotate_left(turn);
     }
     preference.extend(others);
+    let crowded = request
+        .services
+        .first()
+        .is_some_and(|service| fleet.slots_in_use(*service) > MAX_SLOTS_IN_USE);
     let needs_help = peers.needs_help(request.names.len(), request.objective);
     let mut helpers: IndexMap<Arc<str>, Vec<&PeerEntry>> = IndexMap::new();
     let mut groups: IndexMap<Arc<str>, (Arc<str>, Vec<ShardIndex>)> = IndexMap::new();
@@ -72,6 +83,8 @@
                 ShardHelper::Own => continue,
                 ShardHelper::Peer(peer) => peer,
             }
+        } else if crowded && !needs_help {
+            continue;
         } else {
             let helpers =
                 helpers.entry(zone.clone()).or_insert_with(|| peers.helpers_in(now, &zone));
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -428,7 +428,8 @@
         let service = self.plan.services[position];
         let class = self.plan.class;
         let subset = subset_of(&self.plan, progress.replaced.as_ref());
-        let server = fleet.pick(now, service, class, &progress.tried, subset);
+        let server =
+            fleet.pick(now, service, class, &progress.tried, subset, now >= self.plan.answer_by);
         let Some(server) = server else { return false };
         progress.tried.push(server);
         progress.in_flight += 1;
@@ -454,7 +455,7 @@
         }
         let service = self.plan.services[position];
         let subset = subset_of(&self.plan, progress.replaced.as_ref());
-        let target = fleet.pick(now, service, self.plan.class, &progress.tried, subset);
+        let target = fleet.pick(now, service, self.plan.class, &progress.tried, subset, false);
         if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
             return false;
         }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -69,6 +69,14 @@
 /// covers nodes that started or stopped in the window.
 const BUDGET_SAFETY: f64 = 0.8;
 
+/// Divides the requests that may be under way at a server for searches which
+/// have missed their objective: those that can still meet it go first.
+const LATE_DIVISOR: u32 = 2;
+
+/// Part of its share of the slack that a node has at its start; a node that was
+/// restarted may have used its share already.
+const START_PART: f64 = 0.5;
+
 /// Connections that a node may always open to a server.
 const MIN_CONNECTIONS: u32 = 4;
 
@@ -212,8 +220,10 @@
         if let Some(key) = self.service_names.get(name) {
             return *key;
         }
-        let mut budget = TokenBucket::new(self.limits.retry_ratio * BUDGET_SAFETY, 0.0, now);
-        budget.set_max_tokens(self.limits.extra_tokens());
+        let max_tokens = self.limits.extra_tokens();
+        let ratio = self.limits.retry_ratio * BUDGET_SAFETY;
+        let mut budget = TokenBucket::new(ratio, 0.0, now).with_tokens(max_tokens * START_PART);
+        budget.set_max_tokens(max_tokens);
         let key = self.services.insert(ServiceState {
             servers: Vec::new(),
             budget,
@@ -402,6 +412,17 @@
         best.map(|(_, zone)| zone.clone())
     }
 
+    /// Share of a shard's slots that are in use, if all nodes have as much
+    /// demand as this one.
+    #[must_use]
+    pub fn slots_in_use(&self, service: ServiceKey) -> f64 {
+        let Some(state) = self.services.get(service) else { return 0.0 };
+        let servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
+        let slots: u32 = servers.filter(|it| self.is_open(it)).map(|it| it.entry.slots).sum();
+        let demand = self.classes.search_concurrency() * f64::from(self.limits.nodes);
+        demand / f64::from(slots.max(1))
+    }
+
     /// Zones that have servers.
     #[must_use]
     pub fn zones(&self) -> Vec<Arc<str>> {
@@ -435,8 +456,10 @@
         class: ClassKey,
         tried: &[ServerKey],
         subset: Option<ServerSubset<'_>>,
+        late: bool,
     ) -> Option<ServerKey> {
         let share = self.connection_share(service);
+        let share = if late { share / LATE_DIVISOR } else { share };
         let state = self.services.get_mut(service)?;
         let count = state.servers.len();
         state.rotation = state.rotation.wrapping_add(1);
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use carobstep_clock::BootTime;
 use carobstep_dispatch::LatencyHistogram;
 use indexmap::IndexMap;
 use strum::{Display, IntoStaticStr};
@@ -17,6 +18,9 @@
 /// Samples after which the quantiles are worked out again.
 const REFRESH_SAMPLES: u32 = 16;
 
+/// Span over which the demand is averaged.
+const DEMAND_SPAN: Duration = Duration::from_secs(1);
+
 /// Least time before a second attempt; shorter waits would only double the load.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(2);
 
@@ -78,6 +82,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct ClassTable {
     classes: IndexMap<(Duration, Duration, bool), ClassStats>,
+    demand: DemandEstimate,
+}
+
+/// How much work for a shard this node's clients ask for.
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandEstimate {
+    since: BootTime,
+    /// Work asked for since then, in seconds.
+    work: f64,
+    /// Requests at work at the same time, over the last whole span.
+    concurrency: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -106,6 +121,22 @@
         ClassKey(u16::try_from(position).unwrap_or(u16::MAX))
     }
 
+    /// Notes a search, which asks each shard once.
+    pub(crate) fn record_search(&mut self, now: BootTime, class: ClassKey) {
+        let span = now.since(self.demand.since);
+        if span >= DEMAND_SPAN {
+            self.demand.concurrency = self.demand.work / span.as_secs_f64();
+            self.demand.work = 0.0;
+            self.demand.since = now;
+        }
+        self.demand.work += self.median(class).as_secs_f64();
+    }
+
+    /// Requests for one shard that this node's clients keep at work on average.
+    pub(crate) const fn search_concurrency(&self) -> f64 {
+        self.demand.concurrency
+    }
+
     /// Adds the latency of an answered delegation.
     pub fn record_delegation(&mut self, class: ClassKey, latency: Duration) {
         if let Some((_, stats)) = self.classes.get_index_mut(usize::from(class.0)) {
