Send no hedges while a shard's slots are nearly all in use; test the decisions

Cause: with over three quarters of the slots in use a hedge lengthens the queues that make answers late.

Change: no hedge above 0.75 of the slots. Table tests of the fan-out, of what a node believes, of routes, and of the platform's formats.

--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -18,6 +18,10 @@
 /// Wait before a hedge that found no budget or no server is tried again.
 const HEDGE_RETRY: Duration = Duration::from_millis(5);
 
+/// Share of a shard's slots in use above which no hedges are sent: they would
+/// only lengthen the queues that make answers late.
+const MAX_HEDGED_USE: f64 = 0.75;
+
 /// Wait before a shard whose servers are all busy with this node's requests is
 /// tried again.
 const BUSY_RETRY: Duration = Duration::from_millis(3);
@@ -459,6 +463,9 @@
         if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
             return false;
         }
+        if fleet.slots_in_use(service) > MAX_HEDGED_USE {
+            return false;
+        }
         self.send_extra(now, fleet, position, actions)
     }
 
--- /dev/null
+++ b/crates/tier/tests/beliefs.rs
@@ -0,0 +1,286 @@
+//! What a node believes of servers, zones, peers and itself.
+
+mod support;
+
+use std::time::Duration;
+
+use carobstep_tier::{
+    AttemptEnd, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry, PeerTable,
+    ServerDirectory, ServerPhase, ShardHelper, StopTiming, VersionedServer, ZoneReach,
+};
+use support::{LIMITS, at, class, entry, fleet, name};
+
+fn ids(directory: &ServerDirectory) -> Vec<String> {
+    directory.entries().map(|entry| entry.id.to_string()).collect()
+}
+
+#[test]
+fn entries_that_lapsed_during_an_outage_are_believed_for_two_seconds() {
+    let mut directory = ServerDirectory::default();
+    directory.store_answered(at(0), at(0));
+    directory.replace(at(0), 5, vec![(1, entry("x", "s", "a")), (2, entry("y", "s", "a"))]);
+    // The store was away for 4 s; the first list after it lacks one entry.
+    directory.store_answered(at(4_000), at(3_990));
+    let changes = directory.replace(at(4_000), 9, vec![(2, entry("y", "s", "a"))]);
+    assert_eq!(changes, []);
+    assert_eq!(ids(&directory), ["x", "y"]);
+    assert_eq!(directory.expire(at(5_999)), []);
+    assert_eq!(directory.expire(at(6_000)), [DirectoryChange::Gone(name("x"))]);
+}
+
+#[test]
+fn an_entry_that_comes_back_in_time_never_was_gone() {
+    let mut directory = ServerDirectory::default();
+    directory.store_answered(at(0), at(0));
+    directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
+    directory.store_answered(at(4_000), at(3_990));
+    directory.replace(at(4_000), 9, Vec::new());
+    let mut changes = Vec::new();
+    directory.insert(10, entry("x", "s", "a"), &mut changes);
+    assert_eq!(changes, []);
+    assert_eq!(directory.expire(at(9_000)), []);
+}
+
+#[test]
+fn without_an_outage_an_entry_that_is_missing_is_gone() {
+    let mut directory = ServerDirectory::default();
+    directory.store_answered(at(0), at(0));
+    directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
+    directory.store_answered(at(500), at(490));
+    let changes = directory.replace(at(500), 6, Vec::new());
+    assert_eq!(changes, [DirectoryChange::Gone(name("x"))]);
+}
+
+#[test]
+fn older_news_do_not_undo_newer_ones() {
+    let mut draining = entry("x", "s", "a");
+    draining.phase = ServerPhase::Draining;
+    let mut directory = ServerDirectory::default();
+    let mut changes = Vec::new();
+    directory.insert(7, draining.clone(), &mut changes);
+    directory.insert(3, entry("x", "s", "a"), &mut changes);
+    assert_eq!(changes, [DirectoryChange::Changed(draining)]);
+    directory.remove(at(0), 9, "x", &mut changes);
+    directory.insert(8, entry("x", "s", "a"), &mut changes);
+    assert_eq!(ids(&directory), Vec::<String>::new());
+    directory.insert(10, entry("x", "s", "a"), &mut changes);
+    assert_eq!(ids(&directory), ["x"]);
+}
+
+#[test]
+fn a_peer_learns_everything_once_and_then_the_changes() {
+    let mut source = ServerDirectory::default();
+    let mut changes = Vec::new();
+    source.insert(1, entry("x", "s", "a"), &mut changes);
+    source.insert(2, entry("y", "s", "a"), &mut changes);
+    let mut copy = ServerDirectory::default();
+    let whole = source.news_after(None);
+    assert!(whole.whole);
+    let number = whole.number;
+    copy.take_news(at(0), whole);
+    assert_eq!(ids(&copy), ["x", "y"]);
+    source.remove(at(0), 3, "x", &mut changes);
+    let news = source.news_after(Some(number));
+    let expected = [VersionedServer { revision: 3, id: name("x"), entry: None }];
+    assert_eq!((news.whole, &news.servers[..]), (false, &expected[..]));
+    copy.take_news(at(0), news);
+    assert_eq!(ids(&copy), ["y"]);
+    assert_eq!(source.news_after(Some(source.number())).servers, []);
+    assert!(source.news_after(Some(source.number() + 1)).whole, "a number of another life");
+}
+
+#[test]
+fn a_silent_zone_is_down_only_after_its_probes_failed() {
+    let zone = name("b");
+    let mut reach = ZoneReach::default();
+    reach.sent(at(0), &zone);
+    assert!(reach.due_probes(at(199)).is_empty());
+    assert_eq!(reach.due_probes(at(200)), [zone.clone()]);
+    reach.probe_sent("b");
+    reach.probe_sent("b");
+    assert!(!reach.probe_ended("b", false) && !reach.is_down("b"), "one of two probes");
+    assert!(reach.probe_ended("b", false) && reach.is_down("b"));
+    assert!(reach.due_probes(at(300)).is_empty(), "probed a moment ago");
+    assert_eq!(reach.due_probes(at(450)), [zone]);
+    reach.probe_sent("b");
+    assert!(reach.probe_ended("b", true) && !reach.is_down("b"));
+}
+
+#[test]
+fn an_answer_ends_the_suspicion() {
+    let zone = name("b");
+    let mut reach = ZoneReach::default();
+    reach.sent(at(0), &zone);
+    reach.answered("b");
+    assert!(reach.due_probes(at(1_000)).is_empty());
+}
+
+#[test]
+fn a_service_is_cut_off_when_all_its_servers_are_in_unreachable_zones() {
+    let (mut fleet, services) = fleet(1, &["b", "c"], LIMITS);
+    let key = class(&mut fleet);
+    for zone in ["b", "c"] {
+        assert!(!fleet.is_cut_off("shard-0") && fleet.is_served(services[0]));
+        fleet.reach.sent(at(0), &name(zone));
+        fleet.reach.due_probes(at(300));
+        fleet.reach.probe_sent(zone);
+        fleet.reach.probe_ended(zone, false);
+    }
+    assert!(fleet.is_cut_off("shard-0") && !fleet.is_served(services[0]));
+    assert!(fleet.pick(at(300), services[0], key, &[], None, false).is_none());
+}
+
+/// The phase of a node at one moment.
+struct PhaseCase {
+    millis: u64,
+    in_flight: usize,
+    phase: LifecyclePhase,
+}
+
+#[test]
+fn a_stopping_node_serves_on_until_the_balancer_has_left() {
+    let mut lifecycle = NodeLifecycle::new(StopTiming::within(Duration::from_secs(6)));
+    assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Starting);
+    lifecycle.configuration_known();
+    assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Starting);
+    lifecycle.servers_known();
+    assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Ready);
+    assert!(lifecycle.set_cut_off(true));
+    assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::CutOff);
+    lifecycle.stop(at(1_000));
+    lifecycle.stop(at(2_000));
+    let cases = [
+        PhaseCase { millis: 1_000, in_flight: 0, phase: LifecyclePhase::Leaving },
+        // Two checks of the balancer, one a second, have been missed.
+        PhaseCase { millis: 3_000, in_flight: 0, phase: LifecyclePhase::Leaving },
+        PhaseCase { millis: 4_000, in_flight: 1, phase: LifecyclePhase::Finishing },
+        PhaseCase { millis: 4_000, in_flight: 0, phase: LifecyclePhase::Ended },
+        // Within the grace time, whatever is in flight.
+        PhaseCase { millis: 6_900, in_flight: 1, phase: LifecyclePhase::Ended },
+    ];
+    for case in cases {
+        let phase = lifecycle.phase(at(case.millis), case.in_flight);
+        assert_eq!(phase, case.phase, "{} ms, {} in flight", case.millis, case.in_flight);
+    }
+}
+
+fn peer(node: &str, zone: &str, cpu_share: f64) -> PeerEntry {
+    PeerEntry {
+        name: name(node),
+        zone: name(zone),
+        address: "127.0.0.1:7000".parse().expect("an address"),
+        cpu_share,
+    }
+}
+
+#[test]
+fn shards_go_to_nodes_in_proportion_to_their_processors() {
+    let mut peers = PeerTable::new(peer("own", "a", 0.1));
+    peers.insert(peer("large", "a", 0.4));
+    peers.insert(peer("elsewhere", "b", 9.0));
+    let mut own = 0;
+    for shard in 0..1_000 {
+        match peers.helper_in_own_zone(at(0), &format!("shard-{shard}")) {
+            ShardHelper::Own => own += 1,
+            ShardHelper::Peer(node) => assert_eq!(&*node, "large"),
+        }
+    }
+    assert!((150..250).contains(&own), "{own} of 1000, 200 expected");
+}
+
+#[test]
+fn all_nodes_of_a_zone_agree_on_helpers() {
+    let nodes = [peer("one", "a", 0.2), peer("two", "a", 0.3), peer("three", "a", 0.1)];
+    let tables = nodes.clone().map(|own| {
+        let mut table = PeerTable::new(own);
+        for node in nodes.clone() {
+            table.insert(node);
+        }
+        table
+    });
+    for shard in 0..100 {
+        let shard = format!("shard-{shard}");
+        let chosen = tables.each_ref().map(|table| match table.helper_in_own_zone(at(0), &shard) {
+            ShardHelper::Own => table.own().name.clone(),
+            ShardHelper::Peer(node) => node,
+        });
+        assert!(chosen.iter().all(|node| *node == chosen[0]), "{shard}: {chosen:?}");
+    }
+}
+
+#[test]
+fn a_peer_that_failed_is_passed_over_for_a_while() {
+    let mut peers = PeerTable::new(peer("own", "a", 0.1));
+    peers.insert(peer("other", "b", 0.1));
+    assert_eq!(peers.helpers_in(at(0), "b").len(), 1);
+    peers.failed(at(0), "other");
+    assert_eq!(peers.helpers_in(at(499), "b").len(), 0);
+    assert_eq!(peers.helpers_in(at(500), "b").len(), 1);
+    peers.failed(at(500), "other");
+    assert_eq!(peers.helpers_in(at(1_400), "b").len(), 0, "longer the second time");
+    peers.answered("other");
+    assert_eq!(peers.helpers_in(at(1_400), "b").len(), 1);
+}
+
+/// What a server's last attempts mean for the choice.
+struct ChoiceCase {
+    label: &'static str,
+    ends: &'static [AttemptEnd],
+    /// Whether the server of the own zone is chosen.
+    own: bool,
+}
+
+#[test]
+fn a_server_is_passed_over_by_its_own_signs() {
+    let cases = [
+        ChoiceCase { label: "well", ends: &[AttemptEnd::Answered], own: true },
+        ChoiceCase { label: "not reached", ends: &[AttemptEnd::Unsent], own: false },
+        ChoiceCase { label: "full", ends: &[AttemptEnd::NotRun], own: false },
+        ChoiceCase { label: "another server", ends: &[AttemptEnd::WrongServer], own: false },
+        ChoiceCase { label: "failing", ends: &[AttemptEnd::Failed; 20], own: false },
+    ];
+    for case in cases {
+        let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
+        let key = class(&mut fleet);
+        let own = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+        assert_eq!(&*fleet.sight(own).expect("it").entry.zone, "a", "{}", case.label);
+        for end in case.ends {
+            let ticket = fleet.sent(at(0), own, key);
+            fleet.ended(at(1), ticket, *end);
+        }
+        let chosen = fleet.pick(at(2), services[0], key, &[], None, false);
+        assert_eq!(chosen == Some(own), case.own, "{}", case.label);
+    }
+}
+
+#[test]
+fn a_server_that_keeps_everything_waiting_is_passed_over() {
+    let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
+    let key = class(&mut fleet);
+    let own = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    fleet.sent(at(0), own, key);
+    assert_ne!(fleet.pick(at(200), services[0], key, &[], None, false), Some(own));
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_identifier_is_another_one() {
+    let (mut fleet, services) = fleet(1, &["a"], LIMITS);
+    let key = class(&mut fleet);
+    let first = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    let mut again = entry("shard-0-a", "shard-0", "a");
+    again.born_ms = Some(2);
+    let ended = fleet.apply(at(1), &DirectoryChange::Changed(again));
+    assert_eq!(ended, Some(first));
+    assert_ne!(fleet.pick(at(1), services[0], key, &[], None, false), Some(first));
+}
+
+#[test]
+fn a_draining_server_gets_no_new_request() {
+    let (mut fleet, services) = fleet(1, &["a"], LIMITS);
+    let key = class(&mut fleet);
+    let mut draining = entry("shard-0-a", "shard-0", "a");
+    draining.phase = ServerPhase::Draining;
+    fleet.apply(at(1), &DirectoryChange::Changed(draining));
+    assert!(fleet.pick(at(1), services[0], key, &[], None, false).is_none());
+    assert!(!fleet.is_served(services[0]));
+}
--- /dev/null
+++ b/crates/tier/tests/fanout.rs
@@ -0,0 +1,335 @@
+//! One request on its way to its servers.
+
+mod support;
+
+use carobstep_tier::{
+    AttemptEnd, Delegation, DelegationEnd, DirectoryChange, FanoutAction, FanoutEnd, FanoutState,
+    FleetLimits, GroupIndex, RetryPolicy, ShardIndex,
+};
+use support::{LIMITS, at, class, entry, fleet, name, plan, sends};
+
+const GROUP: GroupIndex = GroupIndex(0);
+
+/// How a search with some answered shards ends, and when.
+struct EndCase {
+    name: &'static str,
+    shards: usize,
+    least: usize,
+    answered: usize,
+    /// End at the time to answer.
+    at_answer_time: Option<FanoutEnd>,
+    /// End at the deadline, if it did not end before.
+    at_deadline: Option<FanoutEnd>,
+}
+
+#[test]
+fn a_search_answers_in_time_with_the_parts_that_are_enough() {
+    let cases = [
+        EndCase {
+            name: "enough",
+            shards: 10,
+            least: 8,
+            answered: 8,
+            at_answer_time: Some(FanoutEnd::Answered),
+            at_deadline: None,
+        },
+        EndCase {
+            name: "too few",
+            shards: 10,
+            least: 8,
+            answered: 7,
+            at_answer_time: None,
+            at_deadline: Some(FanoutEnd::TimedOut),
+        },
+    ];
+    for case in cases {
+        let (mut fleet, services) = fleet(case.shards, &["a", "b"], LIMITS);
+        let mut state = FanoutState::new(plan(&mut fleet, &services, case.least));
+        let sent = sends(&state.start(at(0), &mut fleet));
+        assert_eq!(sent.len(), case.shards, "{}", case.name);
+        for (shard, ticket) in sent.into_iter().take(case.answered) {
+            fleet.ended(at(5), ticket, AttemptEnd::Answered);
+            let actions = state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+            assert!(actions.is_empty(), "{}", case.name);
+        }
+        assert_eq!(finish(&state.timer(at(79), &mut fleet)), None, "{}", case.name);
+        let end = finish(&state.timer(at(80), &mut fleet));
+        assert_eq!(end, case.at_answer_time, "{}", case.name);
+        let end = finish(&state.timer(at(500), &mut fleet));
+        assert_eq!(end, case.at_deadline, "{}", case.name);
+    }
+}
+
+fn finish(actions: &[FanoutAction]) -> Option<FanoutEnd> {
+    actions.iter().find_map(|action| match action {
+        FanoutAction::Finish(end) => Some(*end),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_shard_whose_servers_are_busy_waits_for_one() {
+    // One connection share is taken up by earlier requests of this node.
+    let (mut fleet, services) = fleet(1, &["a"], LIMITS);
+    fleet.configure(at(0), &with_connections("shard-0", 4));
+    let key = class(&mut fleet);
+    let server = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    let tickets: Vec<_> = (0..4).map(|_| fleet.sent(at(0), server, key)).collect();
+    let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
+    let actions = state.start(at(0), &mut fleet);
+    assert!(actions.is_empty(), "neither sent nor failed: {actions:?}");
+    fleet.ended(at(10), tickets[0], AttemptEnd::Answered);
+    assert!(state.next_timer(at(0)) <= at(10), "it is tried again soon");
+    assert_eq!(sends(&state.timer(at(10), &mut fleet)).len(), 1);
+}
+
+fn with_connections(service: &str, max_connections: u32) -> carobstep_tier::Configuration {
+    let mut configuration = carobstep_tier::Configuration::default();
+    let config = carobstep_tier::ServiceConfig { max_connections };
+    configuration.services.insert(name(service), config);
+    configuration
+}
+
+#[test]
+fn what_no_server_can_answer_is_refused_at_once() {
+    let (mut fleet, services) = fleet(3, &["a"], LIMITS);
+    for shard in 0..2 {
+        fleet.apply(at(0), &DirectoryChange::Gone(name(&format!("shard-{shard}-a"))));
+    }
+    let mut state = FanoutState::new(plan(&mut fleet, &services, 2));
+    let actions = state.start(at(0), &mut fleet);
+    assert_eq!(actions, [FanoutAction::Finish(FanoutEnd::NotRun)]);
+}
+
+#[test]
+fn a_late_shard_is_asked_once_more_out_of_the_budget() {
+    struct HedgeCase {
+        slack: f64,
+        expected: usize,
+    }
+    let cases =
+        [HedgeCase { slack: 10.0, expected: 1 }, HedgeCase { slack: 0.0, expected: 0 }];
+    for case in cases {
+        let limits = FleetLimits { retry_slack: case.slack, ..LIMITS };
+        let (mut fleet, services) = fleet(1, &["a", "b"], limits);
+        let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
+        let first = sends(&state.start(at(0), &mut fleet))[0].1;
+        let hedges = sends(&state.timer(at(40), &mut fleet));
+        assert_eq!(hedges.len(), case.expected, "slack {}", case.slack);
+        assert!(hedges.iter().all(|(_, ticket)| ticket.server != first.server));
+    }
+}
+
+/// What follows after an attempt of a request to one of two servers.
+struct RetryCase {
+    retry: RetryPolicy,
+    end: AttemptEnd,
+    /// Whether the other server is asked.
+    again: bool,
+    finished: Option<FanoutEnd>,
+}
+
+#[test]
+fn a_request_that_may_have_run_is_repeated_only_if_it_may() {
+    use AttemptEnd::{Failed, NotRun, Unsent};
+    use RetryPolicy::{AtMostOnce, Idempotent};
+    let cases = [
+        RetryCase { retry: Idempotent, end: Failed, again: true, finished: None },
+        RetryCase { retry: Idempotent, end: NotRun, again: true, finished: None },
+        RetryCase { retry: AtMostOnce, end: NotRun, again: true, finished: None },
+        RetryCase { retry: AtMostOnce, end: Unsent, again: true, finished: None },
+        RetryCase {
+            retry: AtMostOnce,
+            end: Failed,
+            again: false,
+            finished: Some(FanoutEnd::Failed),
+        },
+    ];
+    for case in cases {
+        let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
+        let mut plan = plan(&mut fleet, &services, 1);
+        plan.retry = case.retry;
+        let mut state = FanoutState::new(plan);
+        let (shard, ticket) = sends(&state.start(at(0), &mut fleet))[0];
+        fleet.ended(at(1), ticket, case.end);
+        let actions = state.attempt_ended(at(1), &mut fleet, shard, case.end);
+        let label = format!("{:?} {}", case.retry, case.end);
+        assert_eq!(!sends(&actions).is_empty(), case.again, "{label}");
+        assert_eq!(finish(&actions), case.finished, "{label}");
+    }
+}
+
+#[test]
+fn refusals_of_every_server_are_not_run() {
+    let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
+    let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
+    let mut actions = state.start(at(0), &mut fleet);
+    for round in 0..2 {
+        let (shard, ticket) = sends(&actions)[0];
+        fleet.ended(at(round), ticket, AttemptEnd::NotRun);
+        actions = state.attempt_ended(at(round), &mut fleet, shard, AttemptEnd::NotRun);
+    }
+    assert_eq!(finish(&actions), Some(FanoutEnd::NotRun));
+}
+
+#[test]
+fn attempts_that_never_left_need_no_budget() {
+    let limits = FleetLimits { retry_slack: 0.0, ..LIMITS };
+    let (mut fleet, services) = fleet(1, &["a", "b"], limits);
+    let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
+    let (shard, ticket) = sends(&state.start(at(0), &mut fleet))[0];
+    fleet.ended(at(1), ticket, AttemptEnd::Unsent);
+    let actions = state.attempt_ended(at(1), &mut fleet, shard, AttemptEnd::Unsent);
+    assert_eq!(sends(&actions).len(), 1);
+    assert_eq!(state.extra_attempts(), 0);
+}
+
+/// A search over two shards of which a peer takes the second.
+fn delegated(
+    limits: FleetLimits,
+) -> (carobstep_tier::ServerFleet, FanoutState, Vec<FanoutAction>) {
+    let (mut fleet, services) = fleet(2, &["a", "b"], limits);
+    let mut plan = plan(&mut fleet, &services, 2);
+    plan.delegations = vec![Delegation {
+        peer: name("peer"),
+        zone: name("b"),
+        shards: vec![ShardIndex(1)],
+        replace_at: at(30),
+    }];
+    let mut state = FanoutState::new(plan);
+    let actions = state.start(at(0), &mut fleet);
+    (fleet, state, actions)
+}
+
+#[test]
+fn a_peers_parts_are_taken_when_they_come_first() {
+    let (mut fleet, mut state, actions) = delegated(LIMITS);
+    assert!(actions.contains(&FanoutAction::Delegate(GROUP)));
+    assert_eq!(sends(&actions).len(), 1);
+    let (shard, ticket) = sends(&actions)[0];
+    fleet.ended(at(5), ticket, AttemptEnd::Answered);
+    state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+    let end = DelegationEnd::Answered(vec![ShardIndex(1)]);
+    let actions = state.delegation_ended(at(9), GROUP, &end);
+    let expected = [FanoutAction::Take(GROUP), FanoutAction::Finish(FanoutEnd::Answered)];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn a_part_is_taken_from_one_side_only() {
+    let (mut fleet, mut state, _) = delegated(LIMITS);
+    let replaced = sends(&state.timer(at(30), &mut fleet));
+    assert_eq!(replaced.len(), 2, "a hedge of the first shard, and the second one directly");
+    let (shard, ticket) = replaced.into_iter().find(|(shard, _)| shard.0 == 1).expect("it");
+    fleet.ended(at(40), ticket, AttemptEnd::Answered);
+    state.attempt_ended(at(40), &mut fleet, shard, AttemptEnd::Answered);
+    let end = DelegationEnd::Answered(vec![ShardIndex(1)]);
+    let actions = state.delegation_ended(at(41), GROUP, &end);
+    assert!(!actions.contains(&FanoutAction::Take(GROUP)), "{actions:?}");
+    assert_eq!(state.answered(), 1);
+
+    let (mut fleet, mut state, _) = delegated(LIMITS);
+    let (shard, ticket) = sends(&state.timer(at(30), &mut fleet))
+        .into_iter()
+        .find(|(shard, _)| shard.0 == 1)
+        .expect("a direct call");
+    let actions = state.delegation_ended(at(41), GROUP, &end);
+    assert!(actions.contains(&FanoutAction::Take(GROUP)), "{actions:?}");
+    fleet.ended(at(42), ticket, AttemptEnd::Answered);
+    state.attempt_ended(at(42), &mut fleet, shard, AttemptEnd::Answered);
+    assert_eq!(state.answered(), 1, "the direct part came second");
+}
+
+#[test]
+fn a_peer_that_sent_nothing_is_replaced_without_budget() {
+    struct ReplaceCase {
+        end: DelegationEnd,
+        slack: f64,
+        sent: usize,
+    }
+    let cases = [
+        ReplaceCase { end: DelegationEnd::NotSent, slack: 0.0, sent: 1 },
+        ReplaceCase { end: DelegationEnd::Lost, slack: 0.0, sent: 0 },
+        ReplaceCase { end: DelegationEnd::Lost, slack: 10.0, sent: 1 },
+    ];
+    for case in cases {
+        let limits = FleetLimits { retry_slack: case.slack, ..LIMITS };
+        let (mut fleet, mut state, _) = delegated(limits);
+        state.delegation_ended(at(1), GROUP, &case.end);
+        let sent = sends(&state.timer(at(1), &mut fleet));
+        assert_eq!(sent.len(), case.sent, "{:?} with slack {}", case.end, case.slack);
+    }
+}
+
+#[test]
+fn shards_that_a_peer_could_not_get_are_asked_only_after_the_answer_time() {
+    let (mut fleet, mut state, actions) = delegated(LIMITS);
+    let (shard, ticket) = sends(&actions)[0];
+    fleet.ended(at(5), ticket, AttemptEnd::Answered);
+    state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+    let end = DelegationEnd::Answered(Vec::new());
+    assert!(state.delegation_ended(at(70), GROUP, &end).is_empty(), "not given up");
+    assert!(sends(&state.timer(at(79), &mut fleet)).is_empty());
+    assert_eq!(sends(&state.timer(at(80), &mut fleet)).len(), 1);
+}
+
+#[test]
+fn a_node_and_its_helper_reach_no_more_servers_than_the_route_allows() {
+    // Three servers, two attempts: the helper asks two of them, then falls
+    // silent, and the node asks again.
+    for salt in 0..50 {
+        let (mut helper, services) = fleet(1, &["a", "b", "c"], LIMITS);
+        let mut helper_plan = plan(&mut helper, &services, 0);
+        helper_plan.delegated_to = Some(name("b"));
+        helper_plan.salt = salt;
+        let mut reached = Vec::new();
+        let mut state = FanoutState::new(helper_plan);
+        let mut sent = sends(&state.start(at(0), &mut helper));
+        sent.extend(sends(&state.timer(at(40), &mut helper)));
+        for (_, ticket) in sent {
+            reached.push(helper.sight(ticket.server).expect("a server").entry.id);
+        }
+        assert_eq!(reached.len(), 2, "salt {salt}");
+
+        let (mut own, services) = fleet(1, &["c", "a", "b"], LIMITS);
+        let mut own_plan = plan(&mut own, &services, 1);
+        own_plan.salt = salt;
+        own_plan.delegations = vec![Delegation {
+            peer: name("peer"),
+            zone: name("b"),
+            shards: vec![ShardIndex(0)],
+            replace_at: at(30),
+        }];
+        let mut state = FanoutState::new(own_plan);
+        state.start(at(0), &mut own);
+        for (_, ticket) in sends(&state.timer(at(30), &mut own)) {
+            let id = own.sight(ticket.server).expect("a server").entry.id;
+            assert!(reached.contains(&id), "salt {salt}: {id} beside {reached:?}");
+        }
+    }
+}
+
+#[test]
+fn searches_that_missed_their_objective_give_way_at_busy_servers() {
+    let (mut fleet, services) = fleet(1, &["a"], LIMITS);
+    fleet.configure(at(0), &with_connections("shard-0", 4));
+    let key = class(&mut fleet);
+    let server = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    for _ in 0..2 {
+        fleet.sent(at(0), server, key);
+    }
+    assert!(fleet.pick(at(0), services[0], key, &[], None, true).is_none());
+    assert!(fleet.pick(at(0), services[0], key, &[], None, false).is_some());
+}
+
+#[test]
+fn a_server_that_is_gone_does_not_end_what_it_has() {
+    let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
+    let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
+    let (shard, ticket) = sends(&state.start(at(0), &mut fleet))[0];
+    fleet.apply(at(1), &DirectoryChange::Gone(name("shard-0-a")));
+    fleet.apply(at(1), &DirectoryChange::Changed(entry("new", "shard-0", "a")));
+    fleet.ended(at(5), ticket, AttemptEnd::Answered);
+    let actions = state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+    assert_eq!(finish(&actions), Some(FanoutEnd::Answered));
+}
--- /dev/null
+++ b/crates/tier/tests/routes.rs
@@ -0,0 +1,105 @@
+//! Routes, splits and merged records.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_tier::{
+    Configuration, GatherPlan, RECORD_BYTES, RetryPolicy, RouteConfig, RouteTable, RouteTarget,
+    SplitPart, SplitRotation, merge_records,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Arc<RouteConfig> {
+    Arc::new(RouteConfig {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        retry: RetryPolicy::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        attempts: 2,
+        target: RouteTarget::Service("service".into()),
+    })
+}
+
+struct RouteCase {
+    host: &'static str,
+    path: &'static str,
+    route: Option<&'static str>,
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let routes = vec![
+        route("short", "one.example", "/a/"),
+        route("long", "one.example", "/a/b/"),
+        route("other", "two.example", "/a/"),
+    ];
+    let configuration = Configuration { routes, ..Configuration::default() };
+    let table = RouteTable::from(&configuration);
+    let cases = [
+        RouteCase { host: "one.example", path: "/a/x", route: Some("short") },
+        RouteCase { host: "one.example", path: "/a/b/x", route: Some("long") },
+        RouteCase { host: "one.example:8080", path: "/a/b", route: Some("short") },
+        RouteCase { host: "ONE.example", path: "/a/", route: Some("short") },
+        RouteCase { host: "two.example", path: "/a/b/", route: Some("other") },
+        RouteCase { host: "one.example", path: "/ab", route: None },
+        RouteCase { host: "three.example", path: "/a/", route: None },
+    ];
+    for case in cases {
+        let found = table.find(case.host, case.path).map(|route| route.name.as_ref());
+        assert_eq!(found, case.route, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn parts_of_a_split_get_their_share_over_any_run() {
+    let part = |service: &str, weight| SplitPart { service: service.into(), weight };
+    let parts = [part("one", 0.7), part("two", 0.2), part("three", 0.1)];
+    let mut rotation = SplitRotation::default();
+    let mut counts = [0.0f64; 3];
+    for number in 1..=1_000 {
+        counts[rotation.next(&"route".into(), &parts)] += 1.0;
+        for (count, part) in counts.iter().zip(&parts) {
+            let off = count - part.weight * f64::from(number);
+            assert!(off.abs() <= 1.0, "{}: off by {off} after {number}", part.service);
+        }
+    }
+}
+
+struct LeastCase {
+    shards: usize,
+    share: f64,
+    least: usize,
+}
+
+#[test]
+fn the_least_share_is_rounded_up_but_not_by_rounding_errors() {
+    let cases = [
+        LeastCase { shards: 20, share: 0.89, least: 18 },
+        LeastCase { shards: 20, share: 0.75, least: 15 },
+        LeastCase { shards: 90, share: 0.95, least: 86 },
+        LeastCase { shards: 20, share: 0.95, least: 19 },
+        LeastCase { shards: 3, share: 0.0, least: 1 },
+        LeastCase { shards: 3, share: 1.0, least: 3 },
+    ];
+    for case in cases {
+        let shards = vec![Arc::from("shard"); case.shards];
+        let plan = GatherPlan { shards, top: 1, least_share: case.share };
+        assert_eq!(plan.least_shards(), case.least, "{} of {}", case.share, case.shards);
+    }
+}
+
+#[test]
+fn merging_keeps_the_greatest_records_of_all_parts() {
+    let record = |byte: u8| [byte; RECORD_BYTES];
+    let one = [record(1), record(9), record(5)].concat();
+    // Equal records all count; a remainder is no record.
+    let mut two = [record(9), record(7)].concat();
+    two.extend_from_slice(&[255; RECORD_BYTES - 1]);
+    let merged = merge_records([&one[..], &two[..]], 3);
+    assert_eq!(merged, [record(9), record(9), record(7)].concat());
+    // Merging merged parts gives the same as merging all at once.
+    let first = merge_records([&one[..]], 3);
+    assert_eq!(merge_records([&first[..], &two[..]], 3), merged);
+    assert!(merge_records([], 3).is_empty());
+}
--- /dev/null
+++ b/crates/tier/tests/support/mod.rs
@@ -0,0 +1,81 @@
+//! A small fleet for the tests of this crate.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use carobstep_tier::{
+    ClassKey, DirectoryChange, FanoutAction, FanoutPlan, FleetLimits, RetryPolicy, SentTicket,
+    ServerEntry, ServerFleet, ServerPhase, ServiceKey, ShardIndex,
+};
+
+/// Latency objective of the tests' searches.
+pub const OBJECTIVE: Duration = Duration::from_millis(100);
+
+/// Limits that one node has for itself.
+pub const LIMITS: FleetLimits = FleetLimits { retry_ratio: 0.2, retry_slack: 10.0, nodes: 1 };
+
+pub const fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(10_000 + millis)
+}
+
+pub fn name(text: &str) -> Arc<str> {
+    Arc::from(text)
+}
+
+pub fn entry(id: &str, service: &str, zone: &str) -> ServerEntry {
+    ServerEntry {
+        id: name(id),
+        service: name(service),
+        address: format!("127.0.0.1:{}", 1000 + id.len()).parse().expect("an address"),
+        zone: name(zone),
+        slots: 2,
+        phase: ServerPhase::Ready,
+        cold_left: Duration::ZERO,
+        born_ms: Some(1),
+    }
+}
+
+/// A fleet in zone `a`; each shard has a server in every zone that is named.
+pub fn fleet(shards: usize, zones: &[&str], limits: FleetLimits) -> (ServerFleet, Vec<ServiceKey>) {
+    let mut fleet = ServerFleet::new(name("a"), limits);
+    let mut services = Vec::new();
+    for shard in 0..shards {
+        let service = format!("shard-{shard}");
+        services.push(fleet.service(at(0), &name(&service)));
+        for zone in zones {
+            let id = format!("{service}-{zone}");
+            fleet.apply(at(0), &DirectoryChange::Changed(entry(&id, &service, zone)));
+        }
+    }
+    (fleet, services)
+}
+
+pub fn class(fleet: &mut ServerFleet) -> ClassKey {
+    fleet.classes.class_for(OBJECTIVE, Duration::from_millis(500), true)
+}
+
+pub fn plan(fleet: &mut ServerFleet, services: &[ServiceKey], least: usize) -> FanoutPlan {
+    FanoutPlan {
+        services: services.to_vec(),
+        least,
+        retry: RetryPolicy::Idempotent,
+        attempts: 2,
+        class: class(fleet),
+        delegations: Vec::new(),
+        delegated_to: None,
+        salt: 7,
+        answer_by: at(80),
+        deadline: at(500),
+    }
+}
+
+/// The sends among some actions.
+pub fn sends(actions: &[FanoutAction]) -> Vec<(ShardIndex, SentTicket)> {
+    let mut sends = Vec::new();
+    for action in actions {
+        if let FanoutAction::Send { shard, ticket } = action {
+            sends.push((*shard, *ticket));
+        }
+    }
+    sends
+}
