Serve metrics, and tell in one line why a request was not served in time

Cause: a failed request left one line without the attempts behind it, and no counters were served.

Change: a line holds the request's id, route, configuration, age of the store's last word, verdict, shards, peers asked, and up to six attempts that failed with server, time and reason. Lines are bounded to 100 a second, drops are counted. Counters, gauges and latency histograms in the usual text form at a port of the command line.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -20,6 +20,7 @@
     gateway::Gateway,
     peer_messages::{DelegatedParts, PeerAnswer, PeerCall},
     peers::{DelegatedScope, search_call},
+    report::{AttemptNote, AttemptTrail},
 };
 
 /// Time for which an exchange that is no longer needed may go on, so that its
@@ -36,16 +37,18 @@
     pub(crate) merged: Vec<DelegatedParts>,
     /// The last answer that was a failure.
     pub(crate) failure: Option<BackendAnswer>,
-    /// Why the last failed attempt failed.
-    pub(crate) reason: String,
+    /// Attempts that did not succeed.
+    pub(crate) trail: AttemptTrail,
     pub(crate) answered: usize,
+    /// Peers that were asked.
+    pub(crate) delegations: usize,
     pub(crate) extra_attempts: u32,
 }
 
 /// An end on its way to the fan-out.
 enum FanoutReport {
     /// An attempt at a server ended.
-    Attempt { shard: ShardIndex, exchange: ExchangeEnd },
+    Attempt { shard: ShardIndex, ticket: SentTicket, exchange: ExchangeEnd },
     /// A delegation to a peer ended.
     Delegation { group: GroupIndex, end: DelegationEnd, parts: Option<DelegatedParts> },
 }
@@ -121,6 +124,7 @@
         gateway,
         request,
         deadline,
+        started: BootTime::now(),
         scope,
         offered: vec![None; plan.delegations.len()],
         merged: Vec::new(),
@@ -129,7 +133,7 @@
         tasks: ExchangeTasks { handles: Vec::with_capacity(shards), calls: Vec::new(), linger },
         answers: vec![None; shards],
         failure: None,
-        reason: String::new(),
+        trail: AttemptTrail::default(),
     };
     let end = run.drive(&mut ended).await;
     FanoutOutcome {
@@ -139,7 +143,8 @@
         answers: run.answers,
         merged: run.merged,
         failure: run.failure,
-        reason: run.reason,
+        trail: run.trail,
+        delegations: run.offered.len(),
     }
 }
 
@@ -147,6 +152,7 @@
     gateway: &'gateway Rc<Gateway>,
     request: Rc<BackendRequest>,
     deadline: Instant,
+    started: BootTime,
     scope: DelegatedScope,
     /// Parts that peers sent and that are not taken yet.
     offered: Vec<Option<DelegatedParts>>,
@@ -156,7 +162,7 @@
     tasks: ExchangeTasks,
     answers: Vec<Option<BackendAnswer>>,
     failure: Option<BackendAnswer>,
-    reason: String,
+    trail: AttemptTrail,
 }
 
 impl FanoutRun<'_> {
@@ -190,10 +196,11 @@
     fn step(&mut self, report: Option<FanoutReport>) -> Vec<FanoutAction> {
         let now = BootTime::now();
         let gateway = &mut *self.gateway.state.borrow_mut();
-        let (shard, exchange) = match report {
+        let (shard, ticket, exchange) = match report {
             None => return self.state.timer(now, &mut gateway.fleet),
-            Some(FanoutReport::Attempt { shard, exchange }) => (shard, exchange),
+            Some(FanoutReport::Attempt { shard, ticket, exchange }) => (shard, ticket, exchange),
             Some(FanoutReport::Delegation { group, end, parts }) => {
+                self.note_delegation(now, group, &end);
                 if let Some(offered) = self.offered.get_mut(usize::from(group.0)) {
                     *offered = parts;
                 }
@@ -205,7 +212,14 @@
         let actions = self.state.attempt_ended(now, &mut gateway.fleet, shard, end);
         if end != AttemptEnd::Answered {
             self.failure = answer.or(self.failure.take());
-            self.reason = reason;
+            let server = gateway.fleet.sight(ticket.server).map(|sight| sight.entry.id);
+            self.trail.push(AttemptNote {
+                shard: shard.0,
+                target: server.unwrap_or_else(|| "a server that is gone".into()),
+                end: end.into(),
+                after: now.since(ticket.sent),
+                reason,
+            });
         } else if self.state.answered() > before
             && let Some(slot) = self.answers.get_mut(usize::from(shard.0))
         {
@@ -215,6 +229,27 @@
         actions
     }
 
+    fn note_delegation(&mut self, now: BootTime, group: GroupIndex, end: &DelegationEnd) {
+        let end = match end {
+            DelegationEnd::Answered(_) => "answered",
+            DelegationEnd::NotSent => "not_sent",
+            DelegationEnd::Lost => "lost",
+        };
+        self.gateway.reporter.count_delegation(end);
+        let plan = self.state.plan();
+        let Some(delegation) = plan.delegations.get(usize::from(group.0)) else { return };
+        if end == "answered" {
+            return;
+        }
+        self.trail.push(AttemptNote {
+            shard: delegation.shards.first().map_or(0, |shard| shard.0),
+            target: delegation.peer.clone(),
+            end,
+            after: now.since(self.started),
+            reason: format!("{} shards delegated", delegation.shards.len()),
+        });
+    }
+
     fn delegate(&mut self, group: GroupIndex) {
         let plan = self.state.plan();
         let position = usize::from(group.0);
@@ -258,11 +293,8 @@
             };
             guard.end = exchange.end;
             drop(guard);
-            if exchange.end != AttemptEnd::Answered {
-                debug!(end:% = exchange.end, reason = exchange.reason.as_str(); "attempt failed");
-            }
             // Nobody listens once the client has its answer.
-            let _ = reports.send(FanoutReport::Attempt { shard, exchange });
+            let _ = reports.send(FanoutReport::Attempt { shard, ticket, exchange });
         });
         self.tasks.handles.push(task.abort_handle());
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{backend::ServerPool, follow::StoreFreshness, report::Reporter};
+use crate::{
+    backend::ServerPool,
+    follow::StoreFreshness,
+    report::{GaugeReadings, Reporter},
+};
 
 /// Nodes that are assumed to share the limits until others are known.
 const ASSUMED_NODES: u32 = 10;
@@ -74,7 +78,7 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(settings: MachineSettings) -> Self {
+    pub(crate) fn new(settings: MachineSettings, reporter: Reporter) -> Self {
         let limits = FleetLimits {
             retry_ratio: settings.bounds.retry_ratio,
             retry_slack: settings.bounds.retry_slack,
@@ -105,7 +109,7 @@
         };
         Self {
             store: StoreTransport::new(settings.store.address),
-            reporter: Reporter::default(),
+            reporter,
             peer_pool,
             state: RefCell::new(state),
             changed: watch::Sender::new(0),
@@ -201,6 +205,23 @@
         state.lifecycle.phase(BootTime::now(), state.in_flight)
     }
 
+    /// Every metric as text.
+    pub(crate) fn metrics(&self) -> Vec<u8> {
+        let ready = self.phase() == LifecyclePhase::Ready;
+        let readings = {
+            let state = self.state.borrow();
+            GaugeReadings {
+                version: state.configuration.version,
+                servers: state.fleet.server_count(),
+                nodes: state.peers.live_nodes(),
+                in_flight: state.in_flight,
+                store_age: state.freshness.age(BootTime::now()),
+                ready,
+            }
+        };
+        self.reporter.text(readings)
+    }
+
     /// Probes availability zones that went silent, and leaves the balancer's
     /// rotation while unreachable ones keep a route from being served.
     pub(crate) async fn watch_reach(self: Rc<Self>) {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -76,7 +76,11 @@
     body: Incoming,
     report: &mut RequestReport<'_>,
 ) -> Response<Full<Bytes>> {
-    let configuration = gateway.state.borrow().configuration.clone();
+    let configuration = {
+        let state = gateway.state.borrow();
+        report.store_age = state.freshness.age(arrived);
+        state.configuration.clone()
+    };
     report.version = configuration.version;
     if configuration.version == 0 {
         report.verdict = Verdict::Starting;
@@ -104,8 +108,8 @@
     report.patience = patience;
     let (plan, scope) = plan_of(gateway, &route, arrived, patience.min(route.timeout));
     let request = Rc::new(backend_request(head, body));
-    let outcome = run_delegated(gateway, plan, request, scope).await;
-    report.take_in(&outcome);
+    let mut outcome = run_delegated(gateway, plan, request, scope).await;
+    report.take_in(&mut outcome);
     match &route.target {
         RouteTarget::Gather(gather) => search_answer(gather, &outcome),
         RouteTarget::Service(_) | RouteTarget::Split(_) => single_answer(outcome),
@@ -272,11 +276,12 @@
 }
 
 impl RequestReport<'_> {
-    fn take_in(&mut self, outcome: &FanoutOutcome) {
-        self.verdict = Verdict::Fanout(outcome.end);
+    fn take_in(&mut self, outcome: &mut FanoutOutcome) {
+        self.verdict = outcome.end.into();
         self.shards = outcome.answers.len();
         self.answered = outcome.answered;
+        self.delegations = outcome.delegations;
         self.extra_attempts = outcome.extra_attempts;
-        self.reason.clone_from(&outcome.reason);
+        self.trail = std::mem::take(&mut outcome.trail);
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -18,6 +18,9 @@
 
 use crate::{gateway::Gateway, handler};
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -49,6 +52,23 @@
     }
 }
 
+/// Serves the metrics for as long as the process lives.
+pub(crate) async fn serve_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let (socket, remote) = accept(&listener).await;
+        spawn_local(serve_connection(gateway.clone(), socket, remote, metrics));
+    }
+}
+
+async fn metrics(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() != METRICS_PATH {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    Response::new(Full::from(gateway.metrics()))
+}
+
 async fn readiness(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = match (request.uri().path(), gateway.phase()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(format!("{status:?}"), format!("{:?}", std::process::ExitCode::from(2)));
 //! ```
 
+mod args;
 mod backend;
 mod fanout;
 mod follow;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -11,10 +11,12 @@
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
 
 use crate::{
+    args::GatewayArgs,
     follow::follow_peer,
     gateway::Gateway,
     ingress, membership,
     peers::{PeerBridge, serve_calls},
+    report::Reporter,
     stop,
     watcher::{FollowedKind, KindWatcher, expire_lapsed},
 };
@@ -25,9 +27,16 @@
 /// Runs the daemon on a platform machine, with the arguments behind the mode's name.
 #[must_use]
 pub fn main(args: &[String]) -> ExitCode {
-    if let Some(argument) = args.first() {
-        eprintln!("carobstepd gateway: unexpected argument {argument:?}");
-        return ExitCode::from(EXIT_USAGE);
+    let args = match GatewayArgs::try_from(args) {
+        Ok(args) => args,
+        Err(error) => {
+            eprintln!("carobstepd gateway: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if let GatewayArgs::Help(text) = args {
+        println!("{text}");
+        return ExitCode::SUCCESS;
     }
     let settings = match load_settings() {
         Ok(settings) => settings,
@@ -36,7 +45,8 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    match run(settings) {
+    let GatewayArgs::Run { metrics } = args else { return ExitCode::SUCCESS };
+    match run(settings, metrics) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("carobstepd gateway: {report:#}");
@@ -45,30 +55,36 @@
     }
 }
 
-fn load_settings() -> Result<MachineSettings, String> {
+pub(crate) fn load_settings() -> Result<MachineSettings, String> {
     let path = env::var(SETTINGS_VARIABLE)
         .map_err(|error| format!("environment variable {SETTINGS_VARIABLE}: {error}"))?;
     let text = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
     read_settings(&path, &text).map_err(|faults| faults.to_string())
 }
 
-fn run(settings: MachineSettings) -> eyre::Result<()> {
+fn run(settings: MachineSettings, metrics: Option<u16>) -> eyre::Result<()> {
     carobstep_logging::install(LevelFilter::Info, &settings.node, &settings.zone, LogSink::Stdout)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("the runtime can't be started")?;
-    let result = LocalSet::new().block_on(&runtime, serve(settings));
+    let result = LocalSet::new().block_on(&runtime, serve(settings, metrics));
     log::logger().flush();
     result
 }
 
-async fn serve(settings: MachineSettings) -> eyre::Result<()> {
+async fn serve(settings: MachineSettings, metrics: Option<u16>) -> eyre::Result<()> {
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let peer_port = SocketAddr::new(settings.callers.ip(), settings.peer_port);
     let peers = bind("peers", peer_port).await?;
-    let gateway = Rc::new(Gateway::new(settings));
+    let reporter = Reporter::new().wrap_err("the metrics can't be set up")?;
+    let gateway = Rc::new(Gateway::new(settings, reporter));
+    if let Some(port) = metrics {
+        let address = SocketAddr::new(gateway.settings.callers.ip(), port);
+        let listener = bind("metrics", address).await?;
+        spawn_local(ingress::serve_metrics(gateway.clone(), listener));
+    }
     let (bridge, calls) = PeerBridge::new();
     spawn_local(serve_calls(gateway.clone(), calls));
     spawn_local(serve_peers(peers, Arc::new(bridge), gateway.closing.subscribe()));
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,26 +1,69 @@
-//! Counters, and one line per request whose outcome needs an explanation.
+//! Counters, latencies, and one line per request whose outcome needs an explanation.
 
 use std::{cell::Cell, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
-use carobstep_tier::{AttemptEnd, FanoutEnd, RouteConfig};
-use http::{HeaderMap, StatusCode};
+use carobstep_tier::{AttemptEnd, FanoutEnd, RouteConfig, RouteTarget};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
-/// One in this many served requests is logged.
+/// One in this many requests that were served in time is logged.
 const SERVED_SAMPLE: u64 = 256;
 
-/// Counters of the process.
-#[derive(Debug, Default)]
+/// Lines about requests that may be written in one second.
+const LINES_PER_SECOND: u32 = 100;
+
+/// Failed attempts that one line tells of.
+const MAX_NOTES: usize = 6;
+
+/// Upper bounds of the latency buckets, in seconds: from a fast part to the
+/// longest deadline of the deployments.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12, 10.24];
+
+/// Counters and histograms of the process.
 pub(crate) struct Reporter {
-    requests: Cell<u64>,
-    attempts: Cell<u64>,
-    store_calls: Cell<u64>,
+    registry: Registry,
+    requests: IntCounterVec,
+    latencies: HistogramVec,
+    attempts: IntCounterVec,
+    delegations: IntCounterVec,
+    store_calls: IntCounterVec,
+    log_lines: IntCounterVec,
+    gauges: Gauges,
+    served: Cell<u64>,
+    /// Start of the second in which lines are counted, and their number.
+    line_second: Cell<BootTime>,
+    lines: Cell<u32>,
+}
+
+/// What is read off when the metrics are asked for.
+struct Gauges {
+    version: IntGauge,
+    servers: IntGauge,
+    nodes: IntGauge,
+    in_flight: IntGauge,
+    store_age_ms: IntGauge,
+    ready: IntGauge,
+}
+
+/// Readings of the gauges.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct GaugeReadings {
+    pub(crate) version: u64,
+    pub(crate) servers: usize,
+    pub(crate) nodes: u32,
+    pub(crate) in_flight: usize,
+    pub(crate) store_age: Duration,
+    pub(crate) ready: bool,
 }
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum Verdict {
     /// Its client left before the answer.
@@ -31,34 +74,180 @@
     BadRequest,
     /// No route takes it.
     NoRoute,
-    /// It was sent to servers.
-    #[strum(to_string = "fanout")]
-    Fanout(FanoutEnd),
+    /// Enough servers answered.
+    Answered,
+    /// No server has run it.
+    NotRun,
+    /// Servers failed.
+    Failed,
+    /// Too few servers answered before the deadline.
+    TimedOut,
+}
+
+impl From<FanoutEnd> for Verdict {
+    fn from(end: FanoutEnd) -> Self {
+        match end {
+            FanoutEnd::Answered => Self::Answered,
+            FanoutEnd::NotRun => Self::NotRun,
+            FanoutEnd::Failed => Self::Failed,
+            FanoutEnd::TimedOut => Self::TimedOut,
+        }
+    }
+}
+
+/// One attempt that did not succeed.
+#[derive(Clone, Debug)]
+pub(crate) struct AttemptNote {
+    /// Position of the shard in the route.
+    pub(crate) shard: u16,
+    /// The server, or the peer that was to ask it.
+    pub(crate) target: Arc<str>,
+    pub(crate) end: &'static str,
+    pub(crate) after: Duration,
+    pub(crate) reason: String,
+}
+
+/// The first few attempts of a request that did not succeed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AttemptTrail {
+    notes: Vec<AttemptNote>,
+    left_out: usize,
+}
+
+impl AttemptTrail {
+    pub(crate) fn push(&mut self, note: AttemptNote) {
+        if self.notes.len() < MAX_NOTES {
+            self.notes.push(note);
+        } else {
+            self.left_out += 1;
+        }
+    }
+
+    fn text(&self) -> String {
+        let mut text = String::new();
+        for note in &self.notes {
+            let AttemptNote { shard, target, end, after, reason } = note;
+            let millis = after.as_millis();
+            text.push_str(&format!("shard {shard} at {target}: {end} after {millis} ms"));
+            text.push_str(if reason.is_empty() { "" } else { ", " });
+            text.push_str(reason);
+            text.push_str("; ");
+        }
+        if self.left_out > 0 {
+            text.push_str(&format!("{} more", self.left_out));
+        }
+        text
+    }
 }
 
 /// Collects what decided about one request, and logs it at the end.
 pub(crate) struct RequestReport<'gateway> {
     reporter: &'gateway Reporter,
-    id: Option<http::HeaderValue>,
+    id: Option<HeaderValue>,
     arrived: BootTime,
     pub(crate) version: u64,
+    /// Age of the store's last word, by way of peers or not.
+    pub(crate) store_age: Duration,
     pub(crate) route: Option<Arc<RouteConfig>>,
     pub(crate) patience: Duration,
     pub(crate) verdict: Verdict,
     pub(crate) shards: usize,
     pub(crate) answered: usize,
+    pub(crate) delegations: usize,
     pub(crate) extra_attempts: u32,
-    pub(crate) reason: String,
+    pub(crate) trail: AttemptTrail,
     status: Option<StatusCode>,
 }
 
 impl Reporter {
-    pub(crate) fn count_attempt(&self, _end: AttemptEnd) {
-        self.attempts.set(self.attempts.get() + 1);
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let options = HistogramOpts::new(
+            "carobstep_request_seconds",
+            "Time from a request's header section to its answer, by kind of route.",
+        );
+        let latencies =
+            HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["route_kind"])?;
+        registry.register(Box::new(latencies.clone()))?;
+        Ok(Self {
+            requests: counters("carobstep_requests_total", "Requests by verdict.", "verdict")?,
+            latencies,
+            attempts: counters("carobstep_attempts_total", "Attempts at servers by end.", "end")?,
+            delegations: counters(
+                "carobstep_delegations_total",
+                "Shards handed to peers, by the end of the call.",
+                "end",
+            )?,
+            store_calls: counters("carobstep_store_calls_total", "Calls to the store.", "end")?,
+            log_lines: counters("carobstep_log_lines_total", "Lines about requests.", "fate")?,
+            gauges: Gauges {
+                version: gauge("carobstep_configuration_version", "Configuration in force.")?,
+                servers: gauge("carobstep_servers", "Backend servers that are believed to exist.")?,
+                nodes: gauge("carobstep_nodes", "Nodes that share the limits.")?,
+                in_flight: gauge("carobstep_requests_in_flight", "Requests not answered yet.")?,
+                store_age_ms: gauge(
+                    "carobstep_store_age_milliseconds",
+                    "Time since the store's last word, by way of peers or not.",
+                )?,
+                ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
+            },
+            registry,
+            served: Cell::new(0),
+            line_second: Cell::new(BootTime::ZERO),
+            lines: Cell::new(0),
+        })
+    }
+
+    pub(crate) fn count_attempt(&self, end: AttemptEnd) {
+        self.attempts.with_label_values(&[<&str>::from(end)]).inc();
+    }
+
+    pub(crate) fn count_delegation(&self, end: &str) {
+        self.delegations.with_label_values(&[end]).inc();
+    }
+
+    pub(crate) fn count_store_call(&self, answered: bool) {
+        let end = if answered { "answered" } else { "lost" };
+        self.store_calls.with_label_values(&[end]).inc();
+    }
+
+    /// Every metric in the text format of Prometheus.
+    pub(crate) fn text(&self, readings: GaugeReadings) -> Vec<u8> {
+        let gauges = &self.gauges;
+        gauges.version.set(i64::try_from(readings.version).unwrap_or(i64::MAX));
+        gauges.servers.set(readings.servers as i64);
+        gauges.nodes.set(i64::from(readings.nodes));
+        gauges.in_flight.set(readings.in_flight as i64);
+        let age = i64::try_from(readings.store_age.as_millis()).unwrap_or(i64::MAX);
+        gauges.store_age_ms.set(age);
+        gauges.ready.set(i64::from(readings.ready));
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(error:% = error; "metrics can't be encoded");
+        }
+        text
     }
 
-    pub(crate) fn count_store_call(&self, _answered: bool) {
-        self.store_calls.set(self.store_calls.get() + 1);
+    /// Whether one more line may be written in this second.
+    fn takes_line(&self, now: BootTime) -> bool {
+        if now.since(self.line_second.get()) >= Duration::from_secs(1) {
+            self.line_second.set(now);
+            self.lines.set(0);
+        }
+        self.lines.set(self.lines.get() + 1);
+        let fate = if self.lines.get() <= LINES_PER_SECOND { "written" } else { "dropped" };
+        self.log_lines.with_label_values(&[fate]).inc();
+        fate == "written"
     }
 }
 
@@ -73,13 +262,15 @@
             id: headers.get(headers::REQUEST_ID).cloned(),
             arrived,
             version: 0,
+            store_age: Duration::ZERO,
             route: None,
             patience: Duration::ZERO,
             verdict: Verdict::Abandoned,
             shards: 0,
             answered: 0,
+            delegations: 0,
             extra_attempts: 0,
-            reason: String::new(),
+            trail: AttemptTrail::default(),
             status: None,
         }
     }
@@ -87,14 +278,37 @@
     pub(crate) fn finish(mut self, status: StatusCode) {
         self.status = Some(status);
     }
+
+    fn route_kind(&self) -> &'static str {
+        match self.route.as_ref().map(|route| &route.target) {
+            Some(RouteTarget::Gather(_)) => "gather",
+            Some(RouteTarget::Split(_)) => "split",
+            Some(RouteTarget::Service(_)) => "service",
+            None => "none",
+        }
+    }
+
+    /// Whether nothing about the request needs an explanation.
+    fn is_ordinary(&self, took: Duration) -> bool {
+        let in_time = self.route.as_ref().is_some_and(|route| took <= route.objective);
+        let served = self.status.is_some_and(|status| status.is_success());
+        if !served || !in_time {
+            return false;
+        }
+        let served = self.reporter.served.get() + 1;
+        self.reporter.served.set(served);
+        !served.is_multiple_of(SERVED_SAMPLE)
+    }
 }
 
 impl Drop for RequestReport<'_> {
     fn drop(&mut self) {
-        let count = self.reporter.requests.get() + 1;
-        self.reporter.requests.set(count);
-        let served = self.status.is_some_and(|status| status.is_success());
-        if served && !count.is_multiple_of(SERVED_SAMPLE) {
+        let now = BootTime::now();
+        let took = now.since(self.arrived);
+        self.reporter.requests.with_label_values(&[<&str>::from(self.verdict)]).inc();
+        let latencies = self.reporter.latencies.with_label_values(&[self.route_kind()]);
+        latencies.observe(took.as_secs_f64());
+        if self.is_ordinary(took) || !self.reporter.takes_line(now) {
             return;
         }
         let id = self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
@@ -103,14 +317,16 @@
             request_id = id,
             route = route,
             version = self.version,
+            store_age_ms = self.store_age.as_millis() as u64,
             status = self.status.map_or(0, |status| status.as_u16()),
             verdict:% = self.verdict,
             shards = self.shards,
             answered = self.answered,
+            delegations = self.delegations,
             extra = self.extra_attempts,
             patience_ms = self.patience.as_millis() as u64,
-            took_ms = BootTime::now().since(self.arrived).as_millis() as u64,
-            reason = self.reason.as_str();
+            took_ms = took.as_millis() as u64,
+            attempts = self.trail.text().as_str();
             "request"
         );
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -11,7 +11,7 @@
     time::{Duration, sleep},
 };
 
-use crate::{gateway::Gateway, membership};
+use crate::{gateway::Gateway, main_entry::load_settings, membership};
 
 /// Interval at which a stopping node looks whether its next step is due.
 const STOP_TICK: Duration = Duration::from_millis(50);
@@ -25,7 +25,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => info!("reload: the settings in force stay until the next start"),
+            _ = hangup.recv() => check_settings(&gateway),
         }
     }
     gateway.state.borrow_mut().lifecycle.stop(BootTime::now());
@@ -52,3 +52,15 @@
     }
     Ok(())
 }
+
+/// Reads the settings file again after a signal. What a process was started
+/// with stays in force: listeners and limits are bound to it.
+fn check_settings(gateway: &Gateway) {
+    match load_settings() {
+        Ok(settings) => {
+            let changed = settings != gateway.settings;
+            info!(changed = changed; "settings read again; changes hold from the next start");
+        }
+        Err(faults) => warn!(faults = faults.as_str(); "settings can't be read again"),
+    }
+}
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -18,7 +18,7 @@
 /// Share of the servers' slots in use above which searches don't leave the
 /// choice of servers to a node of another zone: which server is free then
 /// matters more than bytes between zones.
-const MAX_SLOTS_IN_USE: f64 = 0.4;
+const MAX_SLOTS_IN_USE: f64 = 0.5;
 
 /// One search whose shards are to be dealt out.
 #[derive(Clone, Copy, Debug)]
