Take a gap between own calls to the store for no outage

The node learned from a peer that the store had turned away, so it called the store itself every 1.9 s; each gap of over a second counted as an outage of the store, after which a missing entry is believed for 2 s more.

Ruled out: a late watch (the node listed in time) and the peer's news (they carry only removals that hold).

Change: only failed calls over a second before an answer are an outage. The new case "no call for a while" fails with the rule that any gap counts.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -105,7 +105,6 @@
         state.freshness.servers = state.freshness.servers.max(heard);
         state.freshness.configuration = state.freshness.configuration.max(heard);
         state.lifecycle.servers_known();
-        state.directory.store_answered(heard, heard);
         state.directory.take_news(now, news.servers)
     };
     gateway.apply_changes(&changes);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -179,13 +179,18 @@
     ) -> Result<ReplyParts, CallFailure> {
         let called = BootTime::now();
         let reply = self.gateway.store.call(self.build(request), limit).await;
-        self.gateway.reporter.count_store_call(reply.is_ok());
-        let reply = reply.map_err(|error| CallFailure::Other(error.to_string()))?;
-        match reply.status {
-            StatusCode::OK => {}
-            StatusCode::GONE => return Err(CallFailure::HistoryGone),
-            status => return Err(CallFailure::Other(format!("status {status}"))),
+        let reply = match reply {
+            Ok(reply) if reply.status == StatusCode::OK => Ok(reply),
+            Ok(reply) if reply.status == StatusCode::GONE => Err(CallFailure::HistoryGone),
+            Ok(reply) => Err(CallFailure::Other(format!("status {}", reply.status))),
+            Err(error) => Err(CallFailure::Other(error.to_string())),
+        };
+        let failed = matches!(reply, Err(CallFailure::Other(_)));
+        self.gateway.reporter.count_store_call(!failed);
+        if failed && self.kind == FollowedKind::Servers {
+            self.gateway.state.borrow_mut().directory.store_failed(called);
         }
+        let reply = reply?;
         if self.failures > 0 {
             info!(kind = self.kind.name(), failures = self.failures; "store regained");
             self.failures = 0;
@@ -196,7 +201,7 @@
             FollowedKind::Configuration => state.freshness.configuration = answered,
             FollowedKind::Servers => {
                 state.freshness.servers = answered;
-                state.directory.store_answered(answered, called);
+                state.directory.store_answered(answered);
             }
             FollowedKind::Nodes => {}
         }
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -12,7 +12,7 @@
 /// believed after its return; living servers have registered again by then.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
-/// Time without an answer of the store after which entries may have lapsed
+/// Time of failed calls to the store after which entries may have lapsed
 /// although their servers live.
 const OUTAGE: Duration = Duration::from_millis(1_000);
 
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerDirectory {
     entries: IndexMap<Arc<str>, ListedEntry>,
-    last_answer: Option<BootTime>,
+    failing_since: Option<BootTime>,
     returned: Option<BootTime>,
     /// The store's revision of the newest change or list.
     revision: u64,
@@ -83,13 +83,19 @@
         self.entries.values().map(|listed| &listed.entry)
     }
 
-    /// Notes an answer of the store; a long gap before it is an outage.
-    pub fn store_answered(&mut self, now: BootTime, called: BootTime) {
-        let gap = self.last_answer.is_some_and(|last| called.since(last) >= OUTAGE);
-        if gap {
+    /// Notes that a call to the store got no answer.
+    pub const fn store_failed(&mut self, called: BootTime) {
+        if self.failing_since.is_none() {
+            self.failing_since = Some(called);
+        }
+    }
+
+    /// Notes an answer of the store; failed calls for a while before it are an outage.
+    pub fn store_answered(&mut self, now: BootTime) {
+        let failing = self.failing_since.take();
+        if failing.is_some_and(|since| now.since(since) >= OUTAGE) {
             self.returned = Some(now);
         }
-        self.last_answer = Some(now);
     }
 
     /// Number of the newest change.
--- a/crates/tier/tests/beliefs.rs
+++ b/crates/tier/tests/beliefs.rs
@@ -17,10 +17,12 @@
 #[test]
 fn entries_that_lapsed_during_an_outage_are_believed_for_two_seconds() {
     let mut directory = ServerDirectory::default();
-    directory.store_answered(at(0), at(0));
+    directory.store_answered(at(0));
     directory.replace(at(0), 5, vec![(1, entry("x", "s", "a")), (2, entry("y", "s", "a"))]);
     // The store was away for 4 s; the first list after it lacks one entry.
-    directory.store_answered(at(4_000), at(3_990));
+    directory.store_failed(at(100));
+    directory.store_failed(at(3_000));
+    directory.store_answered(at(4_000));
     let changes = directory.replace(at(4_000), 9, vec![(2, entry("y", "s", "a"))]);
     assert_eq!(changes, []);
     assert_eq!(ids(&directory), ["x", "y"]);
@@ -31,9 +33,10 @@
 #[test]
 fn an_entry_that_comes_back_in_time_never_was_gone() {
     let mut directory = ServerDirectory::default();
-    directory.store_answered(at(0), at(0));
+    directory.store_answered(at(0));
     directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
-    directory.store_answered(at(4_000), at(3_990));
+    directory.store_failed(at(100));
+    directory.store_answered(at(4_000));
     directory.replace(at(4_000), 9, Vec::new());
     let mut changes = Vec::new();
     directory.insert(10, entry("x", "s", "a"), &mut changes);
@@ -43,12 +46,29 @@
 
 #[test]
 fn without_an_outage_an_entry_that_is_missing_is_gone() {
-    let mut directory = ServerDirectory::default();
-    directory.store_answered(at(0), at(0));
-    directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
-    directory.store_answered(at(500), at(490));
-    let changes = directory.replace(at(500), 6, Vec::new());
-    assert_eq!(changes, [DirectoryChange::Gone(name("x"))]);
+    /// Calls that failed, and when the next list came.
+    struct GapCase {
+        label: &'static str,
+        failed: &'static [u64],
+        listed: u64,
+    }
+    let cases = [
+        GapCase { label: "one call after the other", failed: &[], listed: 500 },
+        // A node that learns from a peer calls the store seldom.
+        GapCase { label: "no call for a while", failed: &[], listed: 5_000 },
+        GapCase { label: "one call failed", failed: &[100], listed: 600 },
+    ];
+    for case in cases {
+        let mut directory = ServerDirectory::default();
+        directory.store_answered(at(0));
+        directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
+        for millis in case.failed {
+            directory.store_failed(at(*millis));
+        }
+        directory.store_answered(at(case.listed));
+        let changes = directory.replace(at(case.listed), 6, Vec::new());
+        assert_eq!(changes, [DirectoryChange::Gone(name("x"))], "{}", case.label);
+    }
 }
 
 #[test]
@@ -95,7 +115,7 @@
     let mut reach = ZoneReach::default();
     reach.sent(at(0), &zone);
     assert!(reach.due_probes(at(199)).is_empty());
-    assert_eq!(reach.due_probes(at(200)), [zone.clone()]);
+    assert_eq!(reach.due_probes(at(200)), std::slice::from_ref(&zone));
     reach.probe_sent("b");
     reach.probe_sent("b");
     assert!(!reach.probe_ended("b", false) && !reach.is_down("b"), "one of two probes");
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -3,13 +3,40 @@
 mod support;
 
 use carobstep_tier::{
-    AttemptEnd, Delegation, DelegationEnd, DirectoryChange, FanoutAction, FanoutEnd, FanoutState,
-    FleetLimits, GroupIndex, RetryPolicy, ShardIndex,
+    AttemptEnd, Delegation, DelegationEnd, DirectoryChange, FanoutAction, FanoutEnd, FanoutPlan,
+    FanoutState, FleetLimits, GroupIndex, RetryPolicy, SentTicket, ServerFleet, ServiceKey,
+    ShardIndex,
 };
-use support::{LIMITS, at, class, entry, fleet, name, plan, sends};
+use support::{LIMITS, at, class, entry, fleet, name};
 
 const GROUP: GroupIndex = GroupIndex(0);
 
+fn plan(fleet: &mut ServerFleet, services: &[ServiceKey], least: usize) -> FanoutPlan {
+    FanoutPlan {
+        services: services.to_vec(),
+        least,
+        retry: RetryPolicy::Idempotent,
+        attempts: 2,
+        class: class(fleet),
+        delegations: Vec::new(),
+        delegated_to: None,
+        salt: 7,
+        answer_by: at(80),
+        deadline: at(500),
+    }
+}
+
+/// The sends among some actions.
+fn sends(actions: &[FanoutAction]) -> Vec<(ShardIndex, SentTicket)> {
+    let mut sends = Vec::new();
+    for action in actions {
+        if let FanoutAction::Send { shard, ticket } = action {
+            sends.push((*shard, *ticket));
+        }
+    }
+    sends
+}
+
 /// How a search with some answered shards ends, and when.
 struct EndCase {
     name: &'static str,
--- a/crates/tier/tests/support/mod.rs
+++ b/crates/tier/tests/support/mod.rs
@@ -4,8 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    ClassKey, DirectoryChange, FanoutAction, FanoutPlan, FleetLimits, RetryPolicy, SentTicket,
-    ServerEntry, ServerFleet, ServerPhase, ServiceKey, ShardIndex,
+    ClassKey, DirectoryChange, FleetLimits, ServerEntry, ServerFleet, ServerPhase, ServiceKey,
 };
 
 /// Latency objective of the tests' searches.
@@ -53,29 +52,3 @@
 pub fn class(fleet: &mut ServerFleet) -> ClassKey {
     fleet.classes.class_for(OBJECTIVE, Duration::from_millis(500), true)
 }
-
-pub fn plan(fleet: &mut ServerFleet, services: &[ServiceKey], least: usize) -> FanoutPlan {
-    FanoutPlan {
-        services: services.to_vec(),
-        least,
-        retry: RetryPolicy::Idempotent,
-        attempts: 2,
-        class: class(fleet),
-        delegations: Vec::new(),
-        delegated_to: None,
-        salt: 7,
-        answer_by: at(80),
-        deadline: at(500),
-    }
-}
-
-/// The sends among some actions.
-pub fn sends(actions: &[FanoutAction]) -> Vec<(ShardIndex, SentTicket)> {
-    let mut sends = Vec::new();
-    for action in actions {
-        if let FanoutAction::Send { shard, ticket } = action {
-            sends.push((*shard, *ticket));
-        }
-    }
-    sends
-}
