Keep to the room that a server has; ask a full one again

At 36 s, with one zone cut off and machines restarting, 348 searches ended with 502 after 3 to 11 ms and no part: every server of a few shards had refused once as full, which was final for the search, and the nodes together sent more than the servers' queues hold.

Change: each node keeps a window for each server, cut to 0.6 of what was under way when it refuses and grown by answers; beyond it a shard waits at the node. Until the time to answer, a server that refused may be asked again 20 ms later, out of the retry budget.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -209,7 +209,7 @@
         };
         let ExchangeEnd { end, answer, reason } = exchange;
         let before = self.state.answered();
-        let actions = self.state.attempt_ended(now, &mut gateway.fleet, shard, end);
+        let actions = self.state.attempt_ended(now, &mut gateway.fleet, shard, ticket.server, end);
         if end != AttemptEnd::Answered {
             self.failure = answer.or(self.failure.take());
             let server = gateway.fleet.sight(ticket.server).map(|sight| sight.entry.id);
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -10,7 +10,7 @@
 use carobstep_clock::BootTime;
 
 use crate::{
-    fleet::{SentTicket, ServerFleet, ServerKey, ServerSubset, ServiceKey},
+    fleet::{PickScope, SentTicket, ServerFleet, ServerKey, ServerSubset, ServiceKey},
     model::RetryPolicy,
     stats::{AttemptEnd, ClassKey},
 };
@@ -18,6 +18,10 @@
 /// Wait before a hedge that found no budget or no server is tried again.
 const HEDGE_RETRY: Duration = Duration::from_millis(5);
 
+/// Wait before a server that refused for lack of room is asked again: about the
+/// work of one request.
+const REFUSED_RETRY: Duration = Duration::from_millis(20);
+
 /// Share of a shard's slots in use above which no hedges are sent: they would
 /// only lengthen the queues that make answers late.
 const MAX_HEDGED_USE: f64 = 0.75;
@@ -140,7 +144,12 @@
 
 #[derive(Clone, Debug, Default)]
 struct ShardProgress {
+    /// Servers that must not be asked again.
     tried: Vec<ServerKey>,
+    /// Servers among them that refused for lack of room, and may have some later.
+    refused: Vec<ServerKey>,
+    /// Servers that were asked, also those that may be asked again.
+    asked: Vec<ServerKey>,
     in_flight: u32,
     unsent: u32,
     /// Zone of the peer that may have asked a server before: every direct
@@ -230,6 +239,7 @@
         now: BootTime,
         fleet: &mut ServerFleet,
         shard: ShardIndex,
+        server: ServerKey,
         end: AttemptEnd,
     ) -> Vec<FanoutAction> {
         let mut actions = Vec::new();
@@ -248,7 +258,7 @@
             progress.state = ShardState::Answered;
             self.answered += 1;
         } else {
-            self.attempt_failed(now, fleet, position, end, &mut actions);
+            self.attempt_failed(now, fleet, position, server, end, &mut actions);
         }
         self.check_end(now, &mut actions);
         actions
@@ -431,10 +441,11 @@
         let progress = &mut self.shards[position];
         let service = self.plan.services[position];
         let class = self.plan.class;
-        let subset = subset_of(&self.plan, progress.replaced.as_ref());
-        let server =
-            fleet.pick(now, service, class, &progress.tried, subset, now >= self.plan.answer_by);
-        let Some(server) = server else { return false };
+        let scope = progress.scope(&self.plan, now >= self.plan.answer_by);
+        let Some(server) = fleet.pick(now, service, class, scope) else { return false };
+        if !progress.asked.contains(&server) {
+            progress.asked.push(server);
+        }
         progress.tried.push(server);
         progress.in_flight += 1;
         self.in_flight += 1;
@@ -458,8 +469,8 @@
             return false;
         }
         let service = self.plan.services[position];
-        let subset = subset_of(&self.plan, progress.replaced.as_ref());
-        let target = fleet.pick(now, service, self.plan.class, &progress.tried, subset, false);
+        let scope = progress.scope(&self.plan, false);
+        let target = fleet.pick(now, service, self.plan.class, scope);
         if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
             return false;
         }
@@ -494,20 +505,24 @@
         now: BootTime,
         fleet: &mut ServerFleet,
         position: usize,
+        server: ServerKey,
         end: AttemptEnd,
         actions: &mut Vec<FanoutAction>,
     ) {
+        let waits = self.shards.len() > 1 && now < self.plan.answer_by;
         let progress = &mut self.shards[position];
         if !end.may_have_arrived() {
             progress.unsent += 1;
         }
+        // The other shards go on meanwhile: a full server may have room in time.
+        if end == AttemptEnd::NotRun && waits {
+            progress.refused.push(server);
+        }
         if progress.in_flight > 0 {
             return;
         }
         let final_end = end.may_have_run() && self.plan.retry == RetryPolicy::AtMostOnce;
-        let arrived = progress.arrived();
-        let exhausted = arrived >= self.plan.attempts || progress.unsent >= MAX_UNSENT;
-        if final_end || exhausted {
+        if final_end || progress.unsent >= MAX_UNSENT {
             self.give_up(position);
             return;
         }
@@ -526,14 +541,20 @@
         let progress = &mut self.shards[position];
         progress.retry_at = None;
         let service = self.plan.services[position];
-        let subset = subset_of(&self.plan, progress.replaced.as_ref());
-        if !fleet.has_untried(service, &progress.tried, subset) {
-            self.give_up(position);
+        let scope = progress.scope(&self.plan, false);
+        if !fleet.has_candidate(service, scope) {
+            let refused = std::mem::take(&mut progress.refused);
+            if refused.is_empty() {
+                self.give_up(position);
+                return;
+            }
+            progress.tried.retain(|server| !refused.contains(server));
+            progress.retry_at = Some(now + REFUSED_RETRY);
             return;
         }
         // The first arrival is not an extra one.
         let unsent_only =
-            progress.unsent as usize == progress.tried.len() && progress.replaced.is_none();
+            progress.unsent as usize == progress.asked.len() && progress.replaced.is_none();
         let sent = if unsent_only {
             self.send(now, fleet, position, actions)
         } else {
@@ -580,7 +601,18 @@
 impl ShardProgress {
     /// Servers that may have been asked by this node.
     fn arrived(&self) -> u32 {
-        self.tried.len() as u32 - self.unsent
+        (self.asked.len() as u32).saturating_sub(self.unsent)
+    }
+
+    /// Servers that may be asked now.
+    fn scope<'plan>(&'plan self, plan: &'plan FanoutPlan, late: bool) -> PickScope<'plan> {
+        let all_used = self.arrived() >= plan.attempts;
+        PickScope {
+            tried: &self.tried,
+            only: all_used.then_some(&self.asked[..]),
+            subset: subset_of(plan, self.replaced.as_ref()),
+            late,
+        }
     }
 
     fn may_hedge(&self, plan: &FanoutPlan) -> bool {
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -69,6 +69,15 @@
 /// covers nodes that started or stopped in the window.
 const BUDGET_SAFETY: f64 = 0.8;
 
+/// Most requests of one node that a server is taken to have room for.
+const MAX_WINDOW: f64 = 16.0;
+
+/// Growth of the window with each window of answers, as in congestion control.
+const WINDOW_GROWTH: f64 = 0.5;
+
+/// What is left of the window after a server refused for lack of room.
+const WINDOW_CUT: f64 = 0.6;
+
 /// Divides the requests that may be under way at a server for searches which
 /// have missed their objective: those that can still meet it go first.
 const LATE_DIVISOR: u32 = 2;
@@ -121,6 +130,19 @@
     pub limit: usize,
 }
 
+/// Which servers a request may go to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PickScope<'search> {
+    /// Servers that must not be asked again.
+    pub tried: &'search [ServerKey],
+    /// Servers that were asked before, once no other one may be.
+    pub only: Option<&'search [ServerKey]>,
+    /// Servers that a node and its helper choose among.
+    pub subset: Option<ServerSubset<'search>>,
+    /// Whether the search has missed its objective.
+    pub late: bool,
+}
+
 /// An attempt that was sent; it is handed back when the attempt has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SentTicket {
@@ -161,6 +183,8 @@
     entry: ServerEntry,
     service: ServiceKey,
     in_flight: u32,
+    /// Requests of this node that the server seems to have room for.
+    window: f64,
     /// Start of the wait for the next answer, while requests are in flight.
     waiting_since: BootTime,
     /// Latency in multiples of the class's median.
@@ -267,6 +291,7 @@
             entry: entry.clone(),
             service,
             in_flight: 0,
+            window: MAX_WINDOW,
             waiting_since: now,
             slowness: 1.0,
             failure_rate: 0.0,
@@ -352,18 +377,13 @@
         server.is_open() && !self.reach.is_down(&server.entry.zone)
     }
 
-    /// Whether a server of the service takes new requests and was not tried yet.
+    /// Whether any server may be asked, now or once it has room.
     #[must_use]
-    pub fn has_untried(
-        &self,
-        service: ServiceKey,
-        tried: &[ServerKey],
-        subset: Option<ServerSubset<'_>>,
-    ) -> bool {
+    pub fn has_candidate(&self, service: ServiceKey, scope: PickScope<'_>) -> bool {
         let Some(state) = self.services.get(service) else { return false };
-        let allowed = subset.map(|subset| self.allowed(state, subset));
+        let allowed = scope.subset.map(|subset| self.allowed(state, subset));
         state.servers.iter().any(|key| {
-            !tried.contains(key)
+            scope.admits(*key)
                 && allowed.as_ref().is_none_or(|allowed| allowed.contains(key))
                 && self.servers.get(*key).is_some_and(|it| self.is_open(it))
         })
@@ -448,32 +468,31 @@
         }
     }
 
-    /// The server that a request of `class` should go to, without those already tried.
+    /// The server that a request of `class` should go to.
     pub fn pick(
         &mut self,
         now: BootTime,
         service: ServiceKey,
         class: ClassKey,
-        tried: &[ServerKey],
-        subset: Option<ServerSubset<'_>>,
-        late: bool,
+        scope: PickScope<'_>,
     ) -> Option<ServerKey> {
         let share = self.connection_share(service);
-        let share = if late { share / LATE_DIVISOR } else { share };
+        let share = if scope.late { share / LATE_DIVISOR } else { share };
         let state = self.services.get_mut(service)?;
         let count = state.servers.len();
         state.rotation = state.rotation.wrapping_add(1);
         let start = state.rotation;
         let state = self.services.get(service)?;
-        let allowed = subset.map(|subset| self.allowed(state, subset));
+        let allowed = scope.subset.map(|subset| self.allowed(state, subset));
         let mut best: Option<(f64, ServerKey)> = None;
         for step in 0..count {
             let key = state.servers[(start + step) % count];
             let Some(server) = self.servers.get(key) else { continue };
-            if tried.contains(&key) || !self.is_open(server) || server.in_flight >= share {
+            let room = share.min(server.window as u32).max(1);
+            if !self.is_open(server) || server.in_flight >= room {
                 continue;
             }
-            if allowed.as_ref().is_some_and(|allowed| !allowed.contains(&key)) {
+            if !scope.admits(key) || allowed.as_ref().is_some_and(|them| !them.contains(&key)) {
                 continue;
             }
             let score = self.score(now, server, class);
@@ -554,6 +573,12 @@
     }
 }
 
+impl PickScope<'_> {
+    fn admits(&self, key: ServerKey) -> bool {
+        !self.tried.contains(&key) && self.only.is_none_or(|only| only.contains(&key))
+    }
+}
+
 impl ServerState {
     const fn is_open(&self) -> bool {
         matches!(self.entry.phase, ServerPhase::Ready) && !self.misdirected
@@ -564,6 +589,7 @@
             AttemptEnd::Answered => {
                 self.waiting_since = now;
                 self.unreached = 0;
+                self.window = (self.window + WINDOW_GROWTH / self.window).min(MAX_WINDOW);
                 self.failure_rate -= SAMPLE_WEIGHT * self.failure_rate;
                 self.slow_by(slowness);
             }
@@ -571,6 +597,8 @@
                 self.waiting_since = now;
                 self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
                 self.backoff_until = now + SHED_BACKOFF;
+                let held = f64::from(self.in_flight + 1).min(self.window);
+                self.window = (held * WINDOW_CUT).max(1.0);
             }
             AttemptEnd::WrongServer => self.misdirected = true,
             AttemptEnd::Unsent => {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -37,7 +37,8 @@
     ShardIndex,
 };
 pub use fleet::{
-    FleetLimits, SentTicket, ServerFleet, ServerKey, ServerSight, ServerSubset, ServiceKey,
+    FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight, ServerSubset,
+    ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use merge::{RECORD_BYTES, merge_records};
--- a/crates/tier/tests/beliefs.rs
+++ b/crates/tier/tests/beliefs.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use carobstep_tier::{
-    AttemptEnd, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry, PeerTable,
+    AttemptEnd, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry, PeerTable, PickScope,
     ServerDirectory, ServerPhase, ShardHelper, StopTiming, VersionedServer, ZoneReach,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
@@ -147,7 +147,7 @@
         fleet.reach.probe_ended(zone, false);
     }
     assert!(fleet.is_cut_off("shard-0") && !fleet.is_served(services[0]));
-    assert!(fleet.pick(at(300), services[0], key, &[], None, false).is_none());
+    assert!(fleet.pick(at(300), services[0], key, PickScope::default()).is_none());
 }
 
 /// The phase of a node at one moment.
@@ -262,13 +262,13 @@
     for case in cases {
         let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
         let key = class(&mut fleet);
-        let own = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+        let own = fleet.pick(at(0), services[0], key, PickScope::default()).expect("a server");
         assert_eq!(&*fleet.sight(own).expect("it").entry.zone, "a", "{}", case.label);
         for end in case.ends {
             let ticket = fleet.sent(at(0), own, key);
             fleet.ended(at(1), ticket, *end);
         }
-        let chosen = fleet.pick(at(2), services[0], key, &[], None, false);
+        let chosen = fleet.pick(at(2), services[0], key, PickScope::default());
         assert_eq!(chosen == Some(own), case.own, "{}", case.label);
     }
 }
@@ -277,21 +277,21 @@
 fn a_server_that_keeps_everything_waiting_is_passed_over() {
     let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
     let key = class(&mut fleet);
-    let own = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    let own = fleet.pick(at(0), services[0], key, PickScope::default()).expect("a server");
     fleet.sent(at(0), own, key);
-    assert_ne!(fleet.pick(at(200), services[0], key, &[], None, false), Some(own));
+    assert_ne!(fleet.pick(at(200), services[0], key, PickScope::default()), Some(own));
 }
 
 #[test]
 fn a_server_that_starts_again_under_its_identifier_is_another_one() {
     let (mut fleet, services) = fleet(1, &["a"], LIMITS);
     let key = class(&mut fleet);
-    let first = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    let first = fleet.pick(at(0), services[0], key, PickScope::default()).expect("a server");
     let mut again = entry("shard-0-a", "shard-0", "a");
     again.born_ms = Some(2);
     let ended = fleet.apply(at(1), &DirectoryChange::Changed(again));
     assert_eq!(ended, Some(first));
-    assert_ne!(fleet.pick(at(1), services[0], key, &[], None, false), Some(first));
+    assert_ne!(fleet.pick(at(1), services[0], key, PickScope::default()), Some(first));
 }
 
 #[test]
@@ -301,6 +301,6 @@
     let mut draining = entry("shard-0-a", "shard-0", "a");
     draining.phase = ServerPhase::Draining;
     fleet.apply(at(1), &DirectoryChange::Changed(draining));
-    assert!(fleet.pick(at(1), services[0], key, &[], None, false).is_none());
+    assert!(fleet.pick(at(1), services[0], key, PickScope::default()).is_none());
     assert!(!fleet.is_served(services[0]));
 }
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -4,8 +4,8 @@
 
 use carobstep_tier::{
     AttemptEnd, Delegation, DelegationEnd, DirectoryChange, FanoutAction, FanoutEnd, FanoutPlan,
-    FanoutState, FleetLimits, GroupIndex, RetryPolicy, SentTicket, ServerFleet, ServiceKey,
-    ShardIndex,
+    FanoutState, FleetLimits, GroupIndex, PickScope, RetryPolicy, SentTicket, ServerFleet,
+    ServiceKey, ShardIndex,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -76,7 +76,8 @@
         assert_eq!(sent.len(), case.shards, "{}", case.name);
         for (shard, ticket) in sent.into_iter().take(case.answered) {
             fleet.ended(at(5), ticket, AttemptEnd::Answered);
-            let actions = state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+            let actions =
+                state.attempt_ended(at(5), &mut fleet, shard, ticket.server, AttemptEnd::Answered);
             assert!(actions.is_empty(), "{}", case.name);
         }
         assert_eq!(finish(&state.timer(at(79), &mut fleet)), None, "{}", case.name);
@@ -100,7 +101,7 @@
     let (mut fleet, services) = fleet(1, &["a"], LIMITS);
     fleet.configure(at(0), &with_connections("shard-0", 4));
     let key = class(&mut fleet);
-    let server = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    let server = fleet.pick(at(0), services[0], key, PickScope::default()).expect("a server");
     let tickets: Vec<_> = (0..4).map(|_| fleet.sent(at(0), server, key)).collect();
     let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
     let actions = state.start(at(0), &mut fleet);
@@ -178,13 +179,53 @@
         let mut state = FanoutState::new(plan);
         let (shard, ticket) = sends(&state.start(at(0), &mut fleet))[0];
         fleet.ended(at(1), ticket, case.end);
-        let actions = state.attempt_ended(at(1), &mut fleet, shard, case.end);
+        let actions = state.attempt_ended(at(1), &mut fleet, shard, ticket.server, case.end);
         let label = format!("{:?} {}", case.retry, case.end);
         assert_eq!(!sends(&actions).is_empty(), case.again, "{label}");
         assert_eq!(finish(&actions), case.finished, "{label}");
     }
 }
 
+#[test]
+fn a_shard_whose_servers_are_full_is_asked_again_in_time() {
+    let (mut fleet, services) = fleet(2, &["a"], LIMITS);
+    let mut state = FanoutState::new(plan(&mut fleet, &services, 2));
+    let sent = sends(&state.start(at(0), &mut fleet));
+    let (shard, ticket) = sent[0];
+    fleet.ended(at(1), ticket, AttemptEnd::NotRun);
+    let actions = state.attempt_ended(at(1), &mut fleet, shard, ticket.server, AttemptEnd::NotRun);
+    assert_eq!(finish(&actions), None, "the search goes on");
+    let again = sends(&state.timer(at(30), &mut fleet));
+    assert!(again.iter().any(|(other, next)| (*other, next.server) == (shard, ticket.server)));
+    // After the time to answer, a refusal is final.
+    let (_, ticket) = again[0];
+    fleet.ended(at(90), ticket, AttemptEnd::NotRun);
+    let actions = state.attempt_ended(at(90), &mut fleet, shard, ticket.server, AttemptEnd::NotRun);
+    assert_eq!(finish(&actions), Some(FanoutEnd::Failed));
+}
+
+#[test]
+fn a_server_that_refused_for_lack_of_room_gets_fewer_requests_at_a_time() {
+    let (mut fleet, services) = fleet(1, &["a"], LIMITS);
+    let key = class(&mut fleet);
+    let mut held = Vec::new();
+    while let Some(server) = fleet.pick(at(0), services[0], key, PickScope::default()) {
+        held.push(fleet.sent(at(0), server, key));
+    }
+    let before = held.len();
+    fleet.ended(at(1), held.remove(0), AttemptEnd::NotRun);
+    assert!(fleet.pick(at(100), services[0], key, PickScope::default()).is_none());
+    for ticket in held {
+        fleet.ended(at(101), ticket, AttemptEnd::Answered);
+    }
+    let mut after = 0;
+    while let Some(server) = fleet.pick(at(102), services[0], key, PickScope::default()) {
+        fleet.sent(at(102), server, key);
+        after += 1;
+    }
+    assert!(after < before && after > 0, "{after} after {before}");
+}
+
 #[test]
 fn refusals_of_every_server_are_not_run() {
     let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
@@ -193,7 +234,8 @@
     for round in 0..2 {
         let (shard, ticket) = sends(&actions)[0];
         fleet.ended(at(round), ticket, AttemptEnd::NotRun);
-        actions = state.attempt_ended(at(round), &mut fleet, shard, AttemptEnd::NotRun);
+        actions =
+            state.attempt_ended(at(round), &mut fleet, shard, ticket.server, AttemptEnd::NotRun);
     }
     assert_eq!(finish(&actions), Some(FanoutEnd::NotRun));
 }
@@ -205,7 +247,7 @@
     let mut state = FanoutState::new(plan(&mut fleet, &services, 1));
     let (shard, ticket) = sends(&state.start(at(0), &mut fleet))[0];
     fleet.ended(at(1), ticket, AttemptEnd::Unsent);
-    let actions = state.attempt_ended(at(1), &mut fleet, shard, AttemptEnd::Unsent);
+    let actions = state.attempt_ended(at(1), &mut fleet, shard, ticket.server, AttemptEnd::Unsent);
     assert_eq!(sends(&actions).len(), 1);
     assert_eq!(state.extra_attempts(), 0);
 }
@@ -232,7 +274,7 @@
     assert_eq!(sends(&actions).len(), 1);
     let (shard, ticket) = sends(&actions)[0];
     fleet.ended(at(5), ticket, AttemptEnd::Answered);
-    state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+    state.attempt_ended(at(5), &mut fleet, shard, ticket.server, AttemptEnd::Answered);
     let end = DelegationEnd::Answered(vec![ShardIndex(1)]);
     let actions = state.delegation_ended(at(9), GROUP, &end);
     let expected = [FanoutAction::Take(GROUP), FanoutAction::Finish(FanoutEnd::Answered)];
@@ -246,7 +288,7 @@
     assert_eq!(replaced.len(), 2, "a hedge of the first shard, and the second one directly");
     let (shard, ticket) = replaced.into_iter().find(|(shard, _)| shard.0 == 1).expect("it");
     fleet.ended(at(40), ticket, AttemptEnd::Answered);
-    state.attempt_ended(at(40), &mut fleet, shard, AttemptEnd::Answered);
+    state.attempt_ended(at(40), &mut fleet, shard, ticket.server, AttemptEnd::Answered);
     let end = DelegationEnd::Answered(vec![ShardIndex(1)]);
     let actions = state.delegation_ended(at(41), GROUP, &end);
     assert!(!actions.contains(&FanoutAction::Take(GROUP)), "{actions:?}");
@@ -260,7 +302,7 @@
     let actions = state.delegation_ended(at(41), GROUP, &end);
     assert!(actions.contains(&FanoutAction::Take(GROUP)), "{actions:?}");
     fleet.ended(at(42), ticket, AttemptEnd::Answered);
-    state.attempt_ended(at(42), &mut fleet, shard, AttemptEnd::Answered);
+    state.attempt_ended(at(42), &mut fleet, shard, ticket.server, AttemptEnd::Answered);
     assert_eq!(state.answered(), 1, "the direct part came second");
 }
 
@@ -290,7 +332,7 @@
     let (mut fleet, mut state, actions) = delegated(LIMITS);
     let (shard, ticket) = sends(&actions)[0];
     fleet.ended(at(5), ticket, AttemptEnd::Answered);
-    state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+    state.attempt_ended(at(5), &mut fleet, shard, ticket.server, AttemptEnd::Answered);
     let end = DelegationEnd::Answered(Vec::new());
     assert!(state.delegation_ended(at(70), GROUP, &end).is_empty(), "not given up");
     assert!(sends(&state.timer(at(79), &mut fleet)).is_empty());
@@ -338,12 +380,16 @@
     let (mut fleet, services) = fleet(1, &["a"], LIMITS);
     fleet.configure(at(0), &with_connections("shard-0", 4));
     let key = class(&mut fleet);
-    let server = fleet.pick(at(0), services[0], key, &[], None, false).expect("a server");
+    let server = fleet.pick(at(0), services[0], key, PickScope::default()).expect("a server");
     for _ in 0..2 {
         fleet.sent(at(0), server, key);
     }
-    assert!(fleet.pick(at(0), services[0], key, &[], None, true).is_none());
-    assert!(fleet.pick(at(0), services[0], key, &[], None, false).is_some());
+    assert!(
+        fleet
+            .pick(at(0), services[0], key, PickScope { late: true, ..PickScope::default() })
+            .is_none()
+    );
+    assert!(fleet.pick(at(0), services[0], key, PickScope::default()).is_some());
 }
 
 #[test]
@@ -354,6 +400,7 @@
     fleet.apply(at(1), &DirectoryChange::Gone(name("shard-0-a")));
     fleet.apply(at(1), &DirectoryChange::Changed(entry("new", "shard-0", "a")));
     fleet.ended(at(5), ticket, AttemptEnd::Answered);
-    let actions = state.attempt_ended(at(5), &mut fleet, shard, AttemptEnd::Answered);
+    let actions =
+        state.attempt_ended(at(5), &mut fleet, shard, ticket.server, AttemptEnd::Answered);
     assert_eq!(finish(&actions), Some(FanoutEnd::Answered));
 }
