Keep a server that left and came back in one answer of a watch

A removal was taken as of the revision of the whole answer, so that the same server's return in that answer looked older and was left out until its next change. Nodes then chose among different servers.

Change: a removal counts as of the event's own revision. Reports of a server are ordered by its start and their number, so that one that was held up does not undo a later one, and one that says nothing new is no change.

--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -281,7 +281,7 @@
             match self.kind {
                 FollowedKind::Configuration if event.removed => {}
                 FollowedKind::Configuration => self.take_configuration(&event.object),
-                FollowedKind::Servers => self.take_server(page.revision, &event, &mut changes),
+                FollowedKind::Servers => self.take_server(&event, &mut changes),
                 FollowedKind::Nodes => self.take_node(&event),
             }
         }
@@ -290,13 +290,14 @@
 
     fn take_server(
         &mut self,
-        revision: u64,
         event: &ObjectEvent,
         changes: &mut Vec<carobstep_tier::DirectoryChange>,
     ) {
         let now = BootTime::now();
         if event.removed {
             let state = &mut *self.gateway.state.borrow_mut();
+            // The same answer may hold the server's return, at a later revision.
+            let revision = event.object.revision;
             state.directory.remove(now, revision, &event.object.name, changes);
             return;
         }
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -137,7 +137,11 @@
         if removed || known.is_some_and(|listed| listed.revision > revision) {
             return;
         }
-        let same = known.is_some_and(|listed| listed.entry == entry);
+        // A report that was held up on its way may be written after later ones.
+        if known.is_some_and(|listed| listed.entry.is_later_than(&entry)) {
+            return;
+        }
+        let same = known.is_some_and(|listed| listed.entry.says_the_same_as(&entry));
         self.revision = self.revision.max(revision);
         let listed = ListedEntry { entry: entry.clone(), revision, gone_at: None };
         self.entries.insert(entry.id.clone(), listed);
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -144,6 +144,28 @@
     pub cold_left: Duration,
     /// Unix milliseconds of its start; tells two lives under one identifier apart.
     pub born_ms: Option<u64>,
+    /// Counts the server's reports in this life.
+    pub report_number: u64,
+}
+
+impl ServerEntry {
+    /// Whether two reports differ in nothing but their number.
+    #[must_use]
+    pub fn says_the_same_as(&self, other: &Self) -> bool {
+        let numbered = Self { report_number: other.report_number, ..self.clone() };
+        numbered == *other
+    }
+
+    /// Whether another report of the same server was written earlier by it,
+    /// whatever order the store took them in.
+    #[must_use]
+    pub fn is_later_than(&self, other: &Self) -> bool {
+        match (self.born_ms, other.born_ms) {
+            (Some(own), Some(others)) if own != others => own > others,
+            (Some(_), Some(_)) => self.report_number > other.report_number,
+            _ => false,
+        }
+    }
 }
 
 /// Whether a backend server takes new requests.
--- a/crates/tier/tests/beliefs.rs
+++ b/crates/tier/tests/beliefs.rs
@@ -87,6 +87,48 @@
     assert_eq!(ids(&directory), ["x"]);
 }
 
+/// A report that the store takes after another one of the same server.
+struct ReportCase {
+    label: &'static str,
+    born_ms: u64,
+    report_number: u64,
+    /// Whether it counts.
+    counts: bool,
+}
+
+#[test]
+fn a_report_that_was_held_up_does_not_undo_a_later_one() {
+    let cases = [
+        ReportCase { label: "next report", born_ms: 5, report_number: 8, counts: true },
+        ReportCase { label: "held up", born_ms: 5, report_number: 6, counts: false },
+        ReportCase { label: "earlier life", born_ms: 4, report_number: 90, counts: false },
+        ReportCase { label: "next life", born_ms: 6, report_number: 1, counts: true },
+    ];
+    for case in cases {
+        let mut directory = ServerDirectory::default();
+        let mut draining = entry("x", "s", "a");
+        draining.phase = ServerPhase::Draining;
+        (draining.born_ms, draining.report_number) = (Some(5), 7);
+        directory.insert(1, draining.clone(), &mut Vec::new());
+        let mut report = entry("x", "s", "a");
+        (report.born_ms, report.report_number) = (Some(case.born_ms), case.report_number);
+        let mut changes = Vec::new();
+        directory.insert(2, report, &mut changes);
+        assert_eq!(!changes.is_empty(), case.counts, "{}", case.label);
+    }
+}
+
+#[test]
+fn a_report_that_says_nothing_new_is_no_change() {
+    let mut directory = ServerDirectory::default();
+    directory.insert(1, entry("x", "s", "a"), &mut Vec::new());
+    let mut next = entry("x", "s", "a");
+    next.report_number += 1;
+    let mut changes = Vec::new();
+    directory.insert(2, next, &mut changes);
+    assert_eq!((changes.len(), directory.number()), (0, 1));
+}
+
 #[test]
 fn a_peer_learns_everything_once_and_then_the_changes() {
     let mut source = ServerDirectory::default();
--- a/crates/tier/tests/support/mod.rs
+++ b/crates/tier/tests/support/mod.rs
@@ -31,6 +31,7 @@
         phase: ServerPhase::Ready,
         cold_left: Duration::ZERO,
         born_ms: Some(1),
+        report_number: 1,
     }
 }
 
