Split the fleet and the fan-out by job; drop settings that nothing reads

Change: the state of one server and the types of a fan-out's plan stand in files of their own. Settings that no decision uses are not read any more. Behaviour stays as it is.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -108,7 +108,7 @@
             pools: SecondaryMap::new(),
         };
         Self {
-            store: StoreTransport::new(settings.store.address),
+            store: StoreTransport::new(settings.store),
             reporter,
             peer_pool,
             state: RefCell::new(state),
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    fanout::{Delegation, ShardIndex},
+    fanout_plan::{Delegation, ShardIndex},
     fleet::{ServerFleet, ServiceKey},
     peers::{PeerEntry, PeerTable, ShardHelper},
     stats::ClassKey,
--- /dev/null
+++ b/crates/tier/src/fanout_plan.rs
@@ -0,0 +1,99 @@
+//! What has to be done for one request, and what its state machine asks for.
+
+use std::sync::Arc;
+
+use carobstep_clock::BootTime;
+
+use crate::{
+    fleet::{SentTicket, ServiceKey},
+    model::RetryPolicy,
+    stats::ClassKey,
+};
+
+/// Position of a shard in the plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ShardIndex(pub u16);
+
+/// Position of a delegation in the plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct GroupIndex(pub u16);
+
+/// Shards whose servers a peer calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delegation {
+    /// Name of the peer.
+    pub peer: Arc<str>,
+    /// Availability zone of the peer.
+    pub zone: Arc<str>,
+    /// The shards.
+    pub shards: Vec<ShardIndex>,
+    /// When the shards are asked directly because the peer stays silent.
+    pub replace_at: BootTime,
+}
+
+/// How a delegation ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DelegationEnd {
+    /// The peer answered with the parts of these shards.
+    Answered(Vec<ShardIndex>),
+    /// The peer sent nothing to any server.
+    NotSent,
+    /// No answer came; the peer may have called servers.
+    Lost,
+}
+
+/// What has to be done for one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FanoutPlan {
+    /// The service, or one service per shard.
+    pub services: Vec<ServiceKey>,
+    /// Least number of shards that an answer must include.
+    pub least: usize,
+    /// Whether a shard may be asked again after it may have run the request.
+    pub retry: RetryPolicy,
+    /// Servers that may be asked for each shard.
+    pub attempts: u32,
+    /// Class of the request.
+    pub class: ClassKey,
+    /// Shards that peers take; the others are asked directly.
+    pub delegations: Vec<Delegation>,
+    /// This node's zone, if another node delegated these shards to it.
+    pub delegated_to: Option<Arc<str>>,
+    /// Number of the search, the same at every node that takes part.
+    pub salt: u64,
+    /// When the answer goes out with the shards that are there.
+    pub answer_by: BootTime,
+    /// When nobody waits for the answer any more.
+    pub deadline: BootTime,
+}
+
+/// What the caller has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FanoutAction {
+    /// Send the request to a server.
+    Send {
+        /// Shard that is asked.
+        shard: ShardIndex,
+        /// Ticket of the attempt, to be handed back when it has ended.
+        ticket: SentTicket,
+    },
+    /// Send the shards of a delegation to its peer.
+    Delegate(GroupIndex),
+    /// Use the parts that a peer sent: none of them was answered otherwise.
+    Take(GroupIndex),
+    /// Answer the client; nothing follows.
+    Finish(FanoutEnd),
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FanoutEnd {
+    /// Enough shards answered.
+    Answered,
+    /// Too few shards answered, and no server has run or will run the request.
+    NotRun,
+    /// Too few shards answered.
+    Failed,
+    /// Too few shards answered before the deadline.
+    TimedOut,
+}
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -5,7 +5,7 @@
 //! part of their requests or go silent. Own observations decide; health
 //! checks are not made.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use carobstep_clock::BootTime;
 use carobstep_dispatch::TokenBucket;
@@ -15,8 +15,9 @@
 
 use crate::{
     directory::DirectoryChange,
-    model::{Configuration, RouteConfig, RouteTarget, ServerEntry, ServerPhase},
+    model::{Configuration, RouteConfig, RouteTarget, ServerEntry},
     reach::ZoneReach,
+    server_state::ServerState,
     stats::{AttemptEnd, ClassKey, ClassTable},
 };
 
@@ -28,12 +29,6 @@
     pub struct ServiceKey;
 }
 
-/// Weight of one attempt in a server's failure rate and slowness.
-const SAMPLE_WEIGHT: f64 = 1.0 / 8.0;
-
-/// Factor on the score of a server that fails every request; grows with the rate.
-const FAILURE_FACTOR: f64 = 6.0;
-
 /// Factor on the score of a server that has not answered for too long.
 const STALLED_FACTOR: f64 = 8.0;
 
@@ -43,15 +38,6 @@
 /// Factor on the score of a server that was not reached or is full.
 const BACKOFF_FACTOR: f64 = 60.0;
 
-/// Time for which a server that shed a request is passed over.
-const SHED_BACKOFF: Duration = Duration::from_millis(20);
-
-/// Time for which a server is passed over after it could not be reached once.
-const UNREACHED_BACKOFF: Duration = Duration::from_millis(100);
-
-/// Longest time for which a server that can't be reached is passed over.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
-
 /// Cost of leaving the own availability zone, in parts of the latency objective:
 /// bytes between zones are paid for, and a request may wait this long to save them.
 const CROSSING_COST: f64 = 0.4;
@@ -59,25 +45,10 @@
 /// Factor on the score of a server that started a moment ago.
 const COLD_FACTOR: f64 = 1.6;
 
-/// Smallest slowness that counts; below it the figure is noise.
-const MIN_SLOWNESS: f64 = 0.5;
-
-/// Largest latency of one attempt in multiples of the median that counts.
-const MAX_SLOWNESS: f64 = 20.0;
-
 /// Part of the shared retry budget that this node allows itself; the rest
 /// covers nodes that started or stopped in the window.
 const BUDGET_SAFETY: f64 = 0.8;
 
-/// Most requests of one node that a server is taken to have room for.
-const MAX_WINDOW: f64 = 16.0;
-
-/// Growth of the window with each window of answers, as in congestion control.
-const WINDOW_GROWTH: f64 = 0.5;
-
-/// What is left of the window after a server refused for lack of room.
-const WINDOW_CUT: f64 = 0.6;
-
 /// Divides the requests that may be under way at a server for searches which
 /// have missed their objective: those that can still meet it go first.
 const LATE_DIVISOR: u32 = 2;
@@ -178,24 +149,6 @@
     rotation: usize,
 }
 
-#[derive(Debug)]
-struct ServerState {
-    entry: ServerEntry,
-    service: ServiceKey,
-    in_flight: u32,
-    /// Requests of this node that the server seems to have room for.
-    window: f64,
-    /// Start of the wait for the next answer, while requests are in flight.
-    waiting_since: BootTime,
-    /// Latency in multiples of the class's median.
-    slowness: f64,
-    failure_rate: f64,
-    backoff_until: BootTime,
-    unreached: u32,
-    cold_until: BootTime,
-    misdirected: bool,
-}
-
 impl ServerFleet {
     /// Builds an empty fleet as seen from a node in `zone`.
     #[must_use]
@@ -277,8 +230,7 @@
                 && server.entry.service == entry.service
                 && server.entry.born_ms == entry.born_ms;
             if same_life {
-                server.entry = entry.clone();
-                server.misdirected = false;
+                server.report(entry.clone());
                 return None;
             }
         }
@@ -287,19 +239,8 @@
             self.drop_server(key);
         }
         let service = self.service(now, &entry.service);
-        let key = self.servers.insert(ServerState {
-            entry: entry.clone(),
-            service,
-            in_flight: 0,
-            window: MAX_WINDOW,
-            waiting_since: now,
-            slowness: 1.0,
-            failure_rate: 0.0,
-            backoff_until: BootTime::ZERO,
-            unreached: 0,
-            cold_until: now + entry.cold_left,
-            misdirected: false,
-        });
+        let state = ServerState::new(now, entry.clone(), service);
+        let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
         if let Some(service) = self.services.get_mut(service) {
             service.servers.push(key);
@@ -488,7 +429,7 @@
         for step in 0..count {
             let key = state.servers[(start + step) % count];
             let Some(server) = self.servers.get(key) else { continue };
-            let room = share.min(server.window as u32).max(1);
+            let room = share.min(server.window());
             if !self.is_open(server) || server.in_flight >= room {
                 continue;
             }
@@ -528,8 +469,7 @@
     }
 
     fn score(&self, now: BootTime, server: &ServerState, class: ClassKey) -> f64 {
-        let mut score = f64::from(server.in_flight + 1) * server.slowness.max(MIN_SLOWNESS);
-        score *= 1.0 + FAILURE_FACTOR * server.failure_rate;
+        let mut score = server.expected_load();
         if now < server.cold_until {
             score *= COLD_FACTOR;
         }
@@ -578,49 +518,3 @@
         !self.tried.contains(&key) && self.only.is_none_or(|only| only.contains(&key))
     }
 }
-
-impl ServerState {
-    const fn is_open(&self) -> bool {
-        matches!(self.entry.phase, ServerPhase::Ready) && !self.misdirected
-    }
-
-    fn observe(&mut self, now: BootTime, end: AttemptEnd, slowness: f64) {
-        match end {
-            AttemptEnd::Answered => {
-                self.waiting_since = now;
-                self.unreached = 0;
-                self.window = (self.window + WINDOW_GROWTH / self.window).min(MAX_WINDOW);
-                self.failure_rate -= SAMPLE_WEIGHT * self.failure_rate;
-                self.slow_by(slowness);
-            }
-            AttemptEnd::NotRun => {
-                self.waiting_since = now;
-                self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
-                self.backoff_until = now + SHED_BACKOFF;
-                let held = f64::from(self.in_flight + 1).min(self.window);
-                self.window = (held * WINDOW_CUT).max(1.0);
-            }
-            AttemptEnd::WrongServer => self.misdirected = true,
-            AttemptEnd::Unsent => {
-                let backoff = UNREACHED_BACKOFF * 2u32.pow(self.unreached.min(5));
-                self.unreached += 1;
-                self.backoff_until = now + backoff.min(MAX_BACKOFF);
-            }
-            AttemptEnd::Failed => {
-                self.waiting_since = now;
-                self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
-            }
-            AttemptEnd::TimedOut => {
-                self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
-                self.slow_by(slowness);
-            }
-            // It lasted at least this long.
-            AttemptEnd::Cancelled if slowness > self.slowness => self.slow_by(slowness),
-            AttemptEnd::Cancelled => {}
-        }
-    }
-
-    fn slow_by(&mut self, slowness: f64) {
-        self.slowness += SAMPLE_WEIGHT * (slowness.min(MAX_SLOWNESS) - self.slowness);
-    }
-}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -21,6 +21,7 @@
 mod delegation;
 mod directory;
 mod fanout;
+mod fanout_plan;
 mod fleet;
 mod lifecycle;
 mod merge;
@@ -28,13 +29,14 @@
 mod peers;
 mod reach;
 mod routes;
+mod server_state;
 mod stats;
 
 pub use delegation::{DelegationRequest, plan_delegations};
 pub use directory::{DirectoryChange, DirectoryNews, ServerDirectory, VersionedServer};
-pub use fanout::{
-    Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, GroupIndex,
-    ShardIndex,
+pub use fanout::FanoutState;
+pub use fanout_plan::{
+    Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, ShardIndex,
 };
 pub use fleet::{
     FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight, ServerSubset,
@@ -44,7 +46,7 @@
 pub use merge::{RECORD_BYTES, merge_records};
 pub use model::{
     ClientLimits, Configuration, GatherPlan, MachineSettings, PromiseBounds, RetryPolicy,
-    RouteConfig, RouteTarget, ServerEntry, ServerPhase, ServiceConfig, SplitPart, StoreSettings,
+    RouteConfig, RouteTarget, ServerEntry, ServerPhase, ServiceConfig, SplitPart,
 };
 pub use peers::{PeerEntry, PeerTable, ShardHelper};
 pub use reach::ZoneReach;
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -191,34 +191,21 @@
     pub readiness: SocketAddr,
     /// First port that nodes may use among themselves.
     pub peer_port: u16,
-    /// The platform's store.
-    pub store: StoreSettings,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
     /// Share of a core that the process has.
     pub cpu_share: f64,
     /// Bounds of the promises.
     pub bounds: PromiseBounds,
 }
 
-/// Where the platform's store is and what it takes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StoreSettings {
-    /// Its address.
-    pub address: SocketAddr,
-    /// Reading calls that all nodes together may make in a second.
-    pub reads_per_second: f64,
-}
-
 /// Bounds of the promises to the users.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PromiseBounds {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
-    /// Time after which a leaving server gets no new requests.
-    pub drain: Duration,
     /// Extra requests to a service per request to it.
     pub retry_ratio: f64,
     /// Extra requests to a service that are allowed in each window beside the ratio.
     pub retry_slack: f64,
-    /// Length of the window in which extra requests are counted.
-    pub retry_window: Duration,
 }
