--- a/crates/bench/tests/proofs/support.rs
+++ b/crates/bench/tests/proofs/support.rs
@@ -11,7 +11,7 @@
 };
 use serde_json::json;
 use tokio::{
-    sync::{Semaphore, SemaphorePermit},
+    sync::{Mutex, MutexGuard},
     task::JoinHandle,
 };
 
@@ -22,16 +22,13 @@
 /// Lease term and fence of the proofs; a takeover takes a few seconds.
 pub const LEASE_TERM: Duration = Duration::from_millis(2_000);
 
-/// Proofs that run side by side; each has ten or so processes on ports of its own.
-const SIDE_BY_SIDE: u32 = 2;
+static TURN: Mutex<()> = Mutex::const_new(());
 
-static TURN: Semaphore = Semaphore::const_new(SIDE_BY_SIDE as usize);
-
-/// One proof's deployment. Only a few exist at a time.
+/// One proof's deployment. Only one exists at a time.
 pub struct ProofRun {
     pub deployment: Deployment,
     pub side: CallerSide,
-    _turn: SemaphorePermit<'static>,
+    _turn: MutexGuard<'static, ()>,
 }
 
 pub fn options(name: &str) -> DeploymentOptions {
@@ -51,7 +48,7 @@
     }
 
     pub async fn start_with(options: DeploymentOptions, nodes_per_zone: usize) -> Self {
-        let turn = TURN.acquire().await.unwrap();
+        let turn = TURN.lock().await;
         let mut plan = ScenarioPlan::from(ScenarioName::Demo);
         plan.nodes_per_zone = nodes_per_zone;
         let snapshots = options.snapshots.clone();
@@ -62,11 +59,8 @@
     }
 
     /// Starts a deployment whose nodes reach each other through relays.
-    ///
-    /// It runs alone: these proofs judge each search while zones are cut, and a
-    /// node that waits for the processor looks like one that is cut off.
     pub async fn start_relayed(name: &str) -> (Self, PeerRelays) {
-        let turn = TURN.acquire_many(SIDE_BY_SIDE).await.unwrap();
+        let turn = TURN.lock().await;
         let mut options = options(name);
         options.peer_relays = true;
         let snapshots = options.snapshots.clone();
