Take in a list of nodes in one place

A list from the store and one from a peer were taken in by the same lines in two files. Behaviour stays; the linter on both crates, the decisions' tests and the 22 process tests pass.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -109,12 +109,7 @@
     };
     gateway.apply_changes(&changes);
     if let Some(nodes) = news.nodes {
-        gateway.change_peers(|peers| {
-            peers.retain(&nodes);
-            for node in nodes {
-                peers.insert(node);
-            }
-        });
+        gateway.change_peers(|peers| peers.replace(nodes));
     }
     if let Some((revision, content)) = news.configuration {
         let object = StoredObject::passed_on(CONFIGURATION_NAME, revision, content);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -258,12 +258,7 @@
                         Err(error) => self.tell(&object.name, object.revision, &error),
                     }
                 }
-                self.gateway.change_peers(|peers| {
-                    peers.retain(&nodes);
-                    for node in nodes {
-                        peers.insert(node);
-                    }
-                });
+                self.gateway.change_peers(|peers| peers.replace(nodes));
             }
         }
     }
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -95,9 +95,12 @@
         self.peers.swap_remove(name);
     }
 
-    /// Keeps only the nodes of a list.
-    pub fn retain(&mut self, listed: &[PeerEntry]) {
+    /// Takes in a whole list of nodes.
+    pub fn replace(&mut self, listed: Vec<PeerEntry>) {
         self.peers.retain(|name, _| listed.iter().any(|entry| entry.name == *name));
+        for entry in listed {
+            self.insert(entry);
+        }
     }
 
     /// Number of nodes that share the limits: those that were reached lately.
