Choose the servers that two nodes may ask for a search once, by name

An entry that is removed while its server goes on, or a server that one of them does not know yet, gave them other subsets, so that together they reached three servers for two attempts.

Order by a shared number and its seed are gone.

Test: a_node_and_its_helper_reach_no_more_servers_than_the_route_allows now also plays lists that differ and an entry that is removed meanwhile; the old code failed with a server removed between the two.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -254,7 +254,10 @@
         let plan = self.state.plan();
         let position = usize::from(group.0);
         let Some(delegation) = plan.delegations.get(position) else { return };
-        let call = search_call(&self.request, plan, position, &self.scope);
+        let call = {
+            let state = self.gateway.state.borrow();
+            search_call(&state.fleet, &self.request, plan, position, &self.scope)
+        };
         let (shards, class) = (delegation.shards.clone(), plan.class);
         let peer = delegation.peer.clone();
         let gateway = self.gateway.clone();
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -6,7 +6,7 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    ClientLimits, DelegationRequest, FanoutEnd, FanoutPlan, GatherPlan, LifecyclePhase,
+    ClientLimits, DealtShards, DelegationRequest, FanoutEnd, FanoutPlan, GatherPlan, LifecyclePhase,
     RouteConfig, RouteTarget, merge_records, plan_delegations,
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
@@ -158,7 +158,7 @@
     let class = fleet.classes.class_of(route);
     let answer_by = arrived + route.objective.saturating_sub(CLIENT_MARGIN).min(patience);
     let mut scope = DelegatedScope::default();
-    let mut delegations = Vec::new();
+    let mut dealt = DealtShards::default();
     if let RouteTarget::Gather(gather) = &route.target {
         state.searches += 1;
         let request = DelegationRequest {
@@ -166,10 +166,11 @@
             services: &services,
             class,
             objective: route.objective,
+            attempts: route.attempts,
             answer_by,
             number: state.searches,
         };
-        delegations = plan_delegations(arrived, request, fleet, &state.peers);
+        dealt = plan_delegations(arrived, request, fleet, &state.peers);
         scope = DelegatedScope {
             top: u32::try_from(gather.top).unwrap_or(u32::MAX),
             objective: route.objective,
@@ -183,9 +184,9 @@
         retry: route.retry,
         attempts: route.attempts,
         class,
-        delegations,
-        delegated_to: None,
-        salt: state.searches as u64,
+        delegations: dealt.delegations,
+        allowed: dealt.allowed,
+        is_delegated: false,
         answer_by,
         deadline: arrived + patience.saturating_sub(ANSWER_MARGIN),
     };
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -29,14 +29,12 @@
 /// Some shards of a search.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct DelegatedSearch {
-    /// Names of the shards' services.
-    pub(crate) shards: Vec<String>,
+    /// The shards.
+    pub(crate) shards: Vec<DelegatedShard>,
     /// Greatest records that are needed of all parts together.
     pub(crate) top: u32,
     /// Servers that may be asked for each shard.
     pub(crate) attempts: u32,
-    /// Number of the search; both nodes choose among the same servers by it.
-    pub(crate) salt: u64,
     /// Latency objective of the route.
     pub(crate) objective: Duration,
     /// Timeout of the route.
@@ -52,6 +50,15 @@
     pub(crate) body: Bytes,
 }
 
+/// One shard of a delegated search.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct DelegatedShard {
+    /// Name of its service.
+    pub(crate) name: String,
+    /// Short names of the servers that may be asked.
+    pub(crate) servers: Vec<u32>,
+}
+
 /// Parts of a search, merged.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct DelegatedParts {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,9 +5,12 @@
 use bytes::Bytes;
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
-use carobstep_tier::{FanoutPlan, LifecyclePhase, RetryPolicy, merge_records};
+use carobstep_tier::{
+    FanoutPlan, LifecyclePhase, RetryPolicy, ServerFleet, ShardIndex, merge_records,
+};
 use carobstep_wire::PeerHandler;
 use http::{HeaderMap, HeaderName, HeaderValue};
+use indexmap::IndexMap;
 use log::debug;
 use tokio::{
     sync::{
@@ -22,7 +25,7 @@
     fanout::run_fanout,
     follow::news_for,
     gateway::Gateway,
-    peer_messages::{DelegatedParts, DelegatedSearch, PeerAnswer, PeerCall},
+    peer_messages::{DelegatedParts, DelegatedSearch, DelegatedShard, PeerAnswer, PeerCall},
 };
 
 /// Time for a delegated answer on its way back: a zone's distance and a turn on
@@ -112,16 +115,23 @@
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
     let fleet = &mut state.fleet;
-    let services = search.shards.iter().map(|name| fleet.service(now, &Arc::from(name.as_str())));
+    let mut services = Vec::with_capacity(search.shards.len());
+    let mut allowed = IndexMap::with_capacity(search.shards.len());
+    for (position, shard) in search.shards.iter().enumerate() {
+        let service = fleet.service(now, &Arc::from(shard.name.as_str()));
+        services.push(service);
+        let index = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
+        allowed.insert(index, fleet.find_servers(service, &shard.servers));
+    }
     let plan = FanoutPlan {
-        services: services.collect(),
+        services,
         least: 0,
         retry: RetryPolicy::Idempotent,
         attempts: search.attempts,
         class: fleet.classes.class_for(search.objective, search.timeout, true),
         delegations: Vec::new(),
-        delegated_to: Some(gateway.settings.zone.clone()),
-        salt: search.salt,
+        allowed,
+        is_delegated: true,
         answer_by: now + search.answer_in,
         deadline: now + search.deadline_in,
     };
@@ -141,6 +151,7 @@
 
 /// The call that asks a peer for some shards of a search.
 pub(crate) fn search_call(
+    fleet: &ServerFleet,
     request: &BackendRequest,
     plan: &FanoutPlan,
     group: usize,
@@ -150,9 +161,10 @@
     let delegation = &plan.delegations[group];
     let mut shards = Vec::with_capacity(delegation.shards.len());
     for shard in &delegation.shards {
-        if let Some(name) = search.names.get(usize::from(shard.0)) {
-            shards.push(name.to_string());
-        }
+        let Some(name) = search.names.get(usize::from(shard.0)) else { continue };
+        let servers = plan.allowed.get(shard).map(|keys| fleet.fingerprints(keys));
+        let servers = servers.unwrap_or_default();
+        shards.push(DelegatedShard { name: name.to_string(), servers });
     }
     let mut copied = Vec::with_capacity(request.headers.len());
     for (name, value) in &request.headers {
@@ -162,7 +174,6 @@
         shards,
         top: search.top,
         attempts: plan.attempts,
-        salt: plan.salt,
         objective: search.objective,
         timeout: search.timeout,
         answer_in: plan.answer_by.since(now).saturating_sub(HOP_MARGIN),
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     fanout_plan::{Delegation, ShardIndex},
-    fleet::{ServerFleet, ServiceKey},
+    fleet::{ServerFleet, ServerKey, ServiceKey},
     peers::{PeerEntry, PeerTable, ShardHelper},
     stats::ClassKey,
 };
@@ -31,12 +31,23 @@
     pub class: ClassKey,
     /// Its latency objective.
     pub objective: Duration,
+    /// Servers that may be asked for each shard.
+    pub attempts: u32,
     /// When its answer goes out.
     pub answer_by: BootTime,
     /// Number of the search; deals searches out to equally good zones in turn.
     pub number: usize,
 }
 
+/// The shards of a search that peers take.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DealtShards {
+    /// One for each peer.
+    pub delegations: Vec<Delegation>,
+    /// Servers that both nodes choose among, for each of these shards.
+    pub allowed: IndexMap<ShardIndex, Vec<ServerKey>>,
+}
+
 /// Deals the shards of a search out to peers; those that are in no delegation
 /// are asked by this node.
 ///
@@ -48,11 +59,10 @@
     request: DelegationRequest<'_>,
     fleet: &mut ServerFleet,
     peers: &PeerTable,
-) -> Vec<Delegation> {
+) -> DealtShards {
     fleet.classes.record_search(now, request.class);
-    let fleet = &*fleet;
     if request.answer_by.since(now) < MIN_TIME {
-        return Vec::new();
+        return DealtShards::default();
     }
     let own_zone = &peers.own().zone;
     let mut preference = vec![own_zone.clone()];
@@ -69,7 +79,8 @@
         .is_some_and(|service| fleet.slots_in_use(*service) > MAX_SLOTS_IN_USE);
     let needs_help = peers.needs_help(request.names.len(), request.objective);
     let mut helpers: IndexMap<Arc<str>, Vec<&PeerEntry>> = IndexMap::new();
-    let mut groups: IndexMap<Arc<str>, (Arc<str>, Vec<ShardIndex>)> = IndexMap::new();
+    let mut groups: IndexMap<Arc<str>, Vec<ShardIndex>> = IndexMap::new();
+    let mut allowed = IndexMap::new();
     for (position, name) in request.names.iter().enumerate() {
         let service = request.services[position];
         let Some(zone) = fleet.best_zone(now, service, request.class, &preference) else {
@@ -92,9 +103,12 @@
             peer.name.clone()
         };
         let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
-        groups.entry(peer).or_insert_with(|| (zone, Vec::new())).1.push(shard);
+        groups.entry(peer).or_default().push(shard);
+        let attempts = request.attempts as usize;
+        let servers = fleet.choose_allowed(now, service, request.class, &zone, attempts);
+        allowed.insert(shard, servers);
     }
     let replace_at = (now + fleet.classes.delegation_delay(request.class)).min(request.answer_by);
-    let delegation = |(peer, (zone, shards))| Delegation { peer, zone, shards, replace_at };
-    groups.into_iter().map(delegation).collect()
+    let delegation = |(peer, shards)| Delegation { peer, shards, replace_at };
+    DealtShards { delegations: groups.into_iter().map(delegation).collect(), allowed }
 }
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -5,13 +5,13 @@
 //! more. Load that this answers: stragglers, pauses of single servers, and
 //! servers that shed or fail while others have room.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use carobstep_clock::BootTime;
 
 use crate::{
     fanout_plan::{DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, ShardIndex},
-    fleet::{PickScope, ServerFleet, ServerKey, ServerSubset},
+    fleet::{PickScope, ServerFleet, ServerKey},
     model::RetryPolicy,
     stats::AttemptEnd,
 };
@@ -65,9 +65,9 @@
     asked: Vec<ServerKey>,
     in_flight: u32,
     unsent: u32,
-    /// Zone of the peer that may have asked a server before: every direct
-    /// attempt is an extra one.
-    replaced: Option<Arc<str>>,
+    /// Whether a peer may have asked a server before: every direct attempt is
+    /// an extra one.
+    replaced: bool,
     /// Whether a peer has the shard and it is not asked directly yet.
     delegated: bool,
     state: ShardState,
@@ -137,7 +137,7 @@
             }
             fleet.earn_part(
                 service,
-                if self.plan.delegated_to.is_some() { DELEGATE_PART } else { 1.0 },
+                if self.plan.is_delegated { DELEGATE_PART } else { 1.0 },
             );
             if !self.send(now, fleet, position, &mut actions) {
                 self.shards[position].retry_at = Some(now + BUSY_RETRY);
@@ -237,7 +237,7 @@
         for shard in &delegation.shards {
             let progress = &mut self.shards[usize::from(shard.0)];
             if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
-                progress.replaced = Some(delegation.zone.clone());
+                progress.replaced = true;
                 progress.retry_at = Some(self.plan.answer_by);
             }
         }
@@ -251,7 +251,7 @@
         for shard in &delegation.shards {
             let progress = &mut self.shards[usize::from(shard.0)];
             if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
-                progress.replaced = arrived.then(|| delegation.zone.clone());
+                progress.replaced = arrived;
                 progress.retry_at = Some(now);
             }
         }
@@ -354,7 +354,7 @@
         let progress = &mut self.shards[position];
         let service = self.plan.services[position];
         let class = self.plan.class;
-        let scope = progress.scope(&self.plan, now >= self.plan.answer_by);
+        let scope = progress.scope(&self.plan, position, now >= self.plan.answer_by);
         let Some(server) = fleet.pick(now, service, class, scope) else { return false };
         if !progress.asked.contains(&server) {
             progress.asked.push(server);
@@ -364,7 +364,7 @@
         self.in_flight += 1;
         progress.hedge_at = now + fleet.classes.hedge_delay(class);
         let ticket = fleet.sent(now, server, class);
-        let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
+        let shard = shard_at(position);
         actions.push(FanoutAction::Send { shard, ticket });
         true
     }
@@ -382,7 +382,7 @@
             return false;
         }
         let service = self.plan.services[position];
-        let scope = progress.scope(&self.plan, false);
+        let scope = progress.scope(&self.plan, position, false);
         let target = fleet.pick(now, service, self.plan.class, scope);
         if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
             return false;
@@ -454,7 +454,7 @@
         let progress = &mut self.shards[position];
         progress.retry_at = None;
         let service = self.plan.services[position];
-        let scope = progress.scope(&self.plan, false);
+        let scope = progress.scope(&self.plan, position, false);
         if !fleet.has_candidate(service, scope) {
             let refused = std::mem::take(&mut progress.refused);
             if refused.is_empty() {
@@ -466,8 +466,7 @@
             return;
         }
         // The first arrival is not an extra one.
-        let unsent_only =
-            progress.unsent as usize == progress.asked.len() && progress.replaced.is_none();
+        let unsent_only = progress.unsent as usize == progress.asked.len() && !progress.replaced;
         let sent = if unsent_only {
             self.send(now, fleet, position, actions)
         } else {
@@ -502,28 +501,24 @@
     }
 }
 
-/// Servers that a shard may use when two nodes may ask some for it.
-fn subset_of<'plan>(
-    plan: &'plan FanoutPlan,
-    replaced: Option<&'plan Arc<str>>,
-) -> Option<ServerSubset<'plan>> {
-    let zone = replaced.or(plan.delegated_to.as_ref())?;
-    Some(ServerSubset { zone, salt: plan.salt, limit: plan.attempts as usize })
-}
-
 impl ShardProgress {
     /// Servers that may have been asked by this node.
     fn arrived(&self) -> u32 {
         (self.asked.len() as u32).saturating_sub(self.unsent)
     }
 
-    /// Servers that may be asked now.
-    fn scope<'plan>(&'plan self, plan: &'plan FanoutPlan, late: bool) -> PickScope<'plan> {
+    /// Servers that may be asked now for the shard at a position.
+    fn scope<'plan>(
+        &'plan self,
+        plan: &'plan FanoutPlan,
+        position: usize,
+        late: bool,
+    ) -> PickScope<'plan> {
+        let allowed = plan.allowed.get(&shard_at(position)).map(Vec::as_slice);
         let all_used = self.arrived() >= plan.attempts;
         PickScope {
             tried: &self.tried,
-            only: all_used.then_some(&self.asked[..]),
-            subset: subset_of(plan, self.replaced.as_ref()),
+            only: if all_used { Some(&self.asked) } else { allowed },
             late,
         }
     }
@@ -532,3 +527,7 @@
         self.in_flight > 0 && self.arrived() < plan.attempts
     }
 }
+
+fn shard_at(position: usize) -> ShardIndex {
+    ShardIndex(u16::try_from(position).unwrap_or(u16::MAX))
+}
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use carobstep_clock::BootTime;
+use indexmap::IndexMap;
 
 use crate::{
-    fleet::{SentTicket, ServiceKey},
+    fleet::{SentTicket, ServerKey, ServiceKey},
     model::RetryPolicy,
     stats::ClassKey,
 };
@@ -23,8 +24,6 @@
 pub struct Delegation {
     /// Name of the peer.
     pub peer: Arc<str>,
-    /// Availability zone of the peer.
-    pub zone: Arc<str>,
     /// The shards.
     pub shards: Vec<ShardIndex>,
     /// When the shards are asked directly because the peer stays silent.
@@ -57,10 +56,12 @@
     pub class: ClassKey,
     /// Shards that peers take; the others are asked directly.
     pub delegations: Vec<Delegation>,
-    /// This node's zone, if another node delegated these shards to it.
-    pub delegated_to: Option<Arc<str>>,
-    /// Number of the search, the same at every node that takes part.
-    pub salt: u64,
+    /// Servers of a shard that two nodes may ask, chosen once by the node that has
+    /// the request: together they reach no more servers than the route allows,
+    /// even when one does not know what the other has done.
+    pub allowed: IndexMap<ShardIndex, Vec<ServerKey>>,
+    /// Whether another node delegated these shards to this one.
+    pub is_delegated: bool,
     /// When the answer goes out with the shards that are there.
     pub answer_by: BootTime,
     /// When nobody waits for the answer any more.
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -11,7 +11,7 @@
 use carobstep_dispatch::TokenBucket;
 use indexmap::IndexMap;
 use slotmap::{SlotMap, new_key_type};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     directory::DirectoryChange,
@@ -86,30 +86,13 @@
     pub connections: u32,
 }
 
-/// The servers of a shard that a search may use at all.
-///
-/// A node and its helper both use it, so that together they reach no more
-/// servers than the route allows even when one does not know what the other
-/// has done.
-#[derive(Clone, Copy, Debug)]
-pub struct ServerSubset<'search> {
-    /// Zone of the helper; its servers come first.
-    pub zone: &'search str,
-    /// Number of the search; orders the other servers.
-    pub salt: u64,
-    /// Number of servers.
-    pub limit: usize,
-}
-
 /// Which servers a request may go to.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PickScope<'search> {
     /// Servers that must not be asked again.
     pub tried: &'search [ServerKey],
-    /// Servers that were asked before, once no other one may be.
+    /// The only servers that may be asked.
     pub only: Option<&'search [ServerKey]>,
-    /// Servers that a node and its helper choose among.
-    pub subset: Option<ServerSubset<'search>>,
     /// Whether the search has missed its objective.
     pub late: bool,
 }
@@ -322,10 +305,8 @@
     #[must_use]
     pub fn has_candidate(&self, service: ServiceKey, scope: PickScope<'_>) -> bool {
         let Some(state) = self.services.get(service) else { return false };
-        let allowed = scope.subset.map(|subset| self.allowed(state, subset));
         state.servers.iter().any(|key| {
             scope.admits(*key)
-                && allowed.as_ref().is_none_or(|allowed| allowed.contains(key))
                 && self.servers.get(*key).is_some_and(|it| self.is_open(it))
         })
     }
@@ -424,7 +405,6 @@
         state.rotation = state.rotation.wrapping_add(1);
         let start = state.rotation;
         let state = self.services.get(service)?;
-        let allowed = scope.subset.map(|subset| self.allowed(state, subset));
         let mut best: Option<(f64, ServerKey)> = None;
         for step in 0..count {
             let key = state.servers[(start + step) % count];
@@ -433,7 +413,7 @@
             if !self.is_open(server) || server.in_flight >= room {
                 continue;
             }
-            if !scope.admits(key) || allowed.as_ref().is_some_and(|them| !them.contains(&key)) {
+            if !scope.admits(key) {
                 continue;
             }
             let score = self.score(now, server, class);
@@ -444,15 +424,51 @@
         best.map(|(_, key)| key)
     }
 
-    fn allowed(&self, state: &ServiceState, subset: ServerSubset<'_>) -> Vec<ServerKey> {
-        let mut ranked: Vec<(bool, u64, ServerKey)> = Vec::with_capacity(state.servers.len());
-        for key in &state.servers {
-            let Some(server) = self.servers.get(*key) else { continue };
-            let rank = xxh3_64_with_seed(server.entry.id.as_bytes(), subset.salt);
-            ranked.push((server.entry.zone.as_ref() != subset.zone, rank, *key));
+    /// The servers of a service that a node and its helper in `zone` may ask for
+    /// one search: those that seem well first, then those of the zone.
+    pub fn choose_allowed(
+        &mut self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        zone: &str,
+        limit: usize,
+    ) -> Vec<ServerKey> {
+        let Some(state) = self.services.get_mut(service) else { return Vec::new() };
+        state.rotation = state.rotation.wrapping_add(1);
+        let mut keys = state.servers.clone();
+        if keys.len() <= limit {
+            return keys;
         }
-        ranked.sort_unstable_by_key(|(elsewhere, rank, _)| (*elsewhere, *rank));
-        ranked.into_iter().take(subset.limit).map(|(_, _, key)| key).collect()
+        let start = state.rotation % keys.len();
+        keys.rotate_left(start);
+        // The sort is stable, so that equals take turns.
+        keys.sort_by_key(|key| {
+            let server = self.servers.get(*key);
+            let is_open = server.is_some_and(|server| self.is_open(server));
+            let in_zone = server.is_some_and(|server| server.entry.zone.as_ref() == zone);
+            (!is_open, self.is_suspect(now, *key, class), !in_zone)
+        });
+        keys.truncate(limit);
+        keys
+    }
+
+    /// Short names of servers, by which a peer finds them again.
+    #[must_use]
+    pub fn fingerprints(&self, keys: &[ServerKey]) -> Vec<u32> {
+        let servers = keys.iter().filter_map(|key| self.servers.get(*key));
+        servers.map(|server| fingerprint(&server.entry.id)).collect()
+    }
+
+    /// The servers of a service that have one of some short names.
+    #[must_use]
+    pub fn find_servers(&self, service: ServiceKey, fingerprints: &[u32]) -> Vec<ServerKey> {
+        let Some(state) = self.services.get(service) else { return Vec::new() };
+        let is_named = |key: &&ServerKey| {
+            let server = self.servers.get(**key);
+            server.is_some_and(|server| fingerprints.contains(&fingerprint(&server.entry.id)))
+        };
+        state.servers.iter().filter(is_named).take(fingerprints.len()).copied().collect()
     }
 
     /// Whether a server has kept every request waiting for too long, or was not
@@ -518,3 +534,8 @@
         !self.tried.contains(&key) && self.only.is_none_or(|only| only.contains(&key))
     }
 }
+
+/// Short name of a server; the servers of one service are too few to share one.
+fn fingerprint(id: &str) -> u32 {
+    xxh3_64(id.as_bytes()) as u32
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -32,14 +32,14 @@
 mod server_state;
 mod stats;
 
-pub use delegation::{DelegationRequest, plan_delegations};
+pub use delegation::{DealtShards, DelegationRequest, plan_delegations};
 pub use directory::{DirectoryChange, DirectoryNews, ServerDirectory, VersionedServer};
 pub use fanout::FanoutState;
 pub use fanout_plan::{
     Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, ShardIndex,
 };
 pub use fleet::{
-    FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight, ServerSubset,
+    FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight,
     ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -19,8 +19,8 @@
         attempts: 2,
         class: class(fleet),
         delegations: Vec::new(),
-        delegated_to: None,
-        salt: 7,
+        allowed: indexmap::IndexMap::new(),
+        is_delegated: false,
         answer_by: at(80),
         deadline: at(500),
     }
@@ -258,7 +258,6 @@
     let mut plan = plan(&mut fleet, &services, 2);
     plan.delegations = vec![Delegation {
         peer: name("peer"),
-        zone: name("b"),
         shards: vec![ShardIndex(1)],
         replace_at: at(30),
     }];
@@ -339,38 +338,87 @@
     assert_eq!(sends(&state.timer(at(80), &mut fleet)).len(), 1);
 }
 
+/// What the two nodes that take part in a search know of a shard's servers.
+struct SharedShardCase {
+    name: &'static str,
+    /// Zones in which the node knows servers; each server is named by its zone.
+    known: &'static [&'static str],
+    /// Zones in which the helper knows servers.
+    known_to_helper: &'static [&'static str],
+    /// Server that the node learns to be gone, although it still answers.
+    lost: Option<&'static str>,
+}
+
 #[test]
 fn a_node_and_its_helper_reach_no_more_servers_than_the_route_allows() {
     // Three servers, two attempts: the helper asks two of them, then falls
     // silent, and the node asks again.
-    for salt in 0..50 {
-        let (mut helper, services) = fleet(1, &["a", "b", "c"], LIMITS);
-        let mut helper_plan = plan(&mut helper, &services, 0);
-        helper_plan.delegated_to = Some(name("b"));
-        helper_plan.salt = salt;
-        let mut reached = Vec::new();
-        let mut state = FanoutState::new(helper_plan);
-        let mut sent = sends(&state.start(at(0), &mut helper));
-        sent.extend(sends(&state.timer(at(40), &mut helper)));
-        for (_, ticket) in sent {
-            reached.push(helper.sight(ticket.server).expect("a server").entry.id);
-        }
-        assert_eq!(reached.len(), 2, "salt {salt}");
+    let cases = [
+        SharedShardCase {
+            name: "the same servers",
+            known: &["a", "b", "c"],
+            known_to_helper: &["c", "b", "a"],
+            lost: None,
+        },
+        SharedShardCase {
+            name: "the helper does not know one yet",
+            known: &["a", "b", "c"],
+            known_to_helper: &["b", "c"],
+            lost: None,
+        },
+        SharedShardCase {
+            name: "the node does not know one yet",
+            known: &["a", "c"],
+            known_to_helper: &["a", "b", "c"],
+            lost: None,
+        },
+        SharedShardCase {
+            name: "an entry is removed while its server goes on",
+            known: &["a", "b", "c"],
+            known_to_helper: &["a", "b", "c"],
+            lost: Some("b"),
+        },
+    ];
+    for case in cases {
+        for round in 0..12 {
+            let label = format!("{}, round {round}", case.name);
+            let (mut own, services) = fleet(1, case.known, LIMITS);
+            let mut own_plan = plan(&mut own, &services, 1);
+            let shard = ShardIndex(0);
+            let mut allowed = Vec::new();
+            // Equal servers take turns, so that later searches choose others.
+            for _ in 0..=round {
+                allowed = own.choose_allowed(at(0), services[0], own_plan.class, "b", 2);
+            }
+            let short_names = own.fingerprints(&allowed);
+            own_plan.allowed.insert(shard, allowed);
+            own_plan.delegations =
+                vec![Delegation { peer: name("peer"), shards: vec![shard], replace_at: at(30) }];
+
+            let (mut helper, services) = fleet(1, case.known_to_helper, LIMITS);
+            let mut helper_plan = plan(&mut helper, &services, 0);
+            helper_plan.is_delegated = true;
+            helper_plan.allowed.insert(shard, helper.find_servers(services[0], &short_names));
+            let mut reached = indexmap::IndexSet::new();
+            let mut state = FanoutState::new(helper_plan);
+            let mut sent = sends(&state.start(at(0), &mut helper));
+            sent.extend(sends(&state.timer(at(40), &mut helper)));
+            for (_, ticket) in sent {
+                reached.insert(helper.sight(ticket.server).expect("a server").entry.id);
+            }
+            assert!(!reached.is_empty(), "{label}");
 
-        let (mut own, services) = fleet(1, &["c", "a", "b"], LIMITS);
-        let mut own_plan = plan(&mut own, &services, 1);
-        own_plan.salt = salt;
-        own_plan.delegations = vec![Delegation {
-            peer: name("peer"),
-            zone: name("b"),
-            shards: vec![ShardIndex(0)],
-            replace_at: at(30),
-        }];
-        let mut state = FanoutState::new(own_plan);
-        state.start(at(0), &mut own);
-        for (_, ticket) in sends(&state.timer(at(30), &mut own)) {
-            let id = own.sight(ticket.server).expect("a server").entry.id;
-            assert!(reached.contains(&id), "salt {salt}: {id} beside {reached:?}");
+            let mut state = FanoutState::new(own_plan);
+            state.start(at(0), &mut own);
+            if let Some(zone) = case.lost {
+                own.apply(at(20), &DirectoryChange::Gone(name(&format!("shard-0-{zone}"))));
+            }
+            let mut sent = sends(&state.timer(at(30), &mut own));
+            sent.extend(sends(&state.timer(at(90), &mut own)));
+            for (_, ticket) in sent {
+                reached.insert(own.sight(ticket.server).expect("a server").entry.id);
+            }
+            assert!(reached.len() <= 2, "{label}: {reached:?}");
         }
     }
 }
