Let few fast nodes help with a search; say what a search lacked

Cause: on the grown sites a search of 90 shards was dealt out to every node of the zone, 20 calls from a machine with 0.12 of a core and a link of 17.5 Mbit/s. The calls to the peers alone took longer than the servers' work.

The request line says what lacking shards waited for.

Tests: few_fast_nodes_help_rather_than_many_slow_ones (the old choice took all 18), equally_fast_nodes_share_the_help; proportion, agreement and avoidance are checked as before.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_tier::{
     AttemptEnd, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, GroupIndex,
-    SentTicket, ShardIndex,
+    LackingShards, SentTicket, ShardIndex,
 };
 use carobstep_wire::WireErrorKind;
 use log::debug;
@@ -40,6 +40,8 @@
     /// Attempts that did not succeed.
     pub(crate) trail: AttemptTrail,
     pub(crate) answered: usize,
+    /// What the other shards waited for at the end.
+    pub(crate) lacking: LackingShards,
     /// Peers that were asked.
     pub(crate) delegations: usize,
     pub(crate) extra_attempts: u32,
@@ -139,6 +141,7 @@
     FanoutOutcome {
         end,
         answered: run.state.answered(),
+        lacking: run.state.lacking(),
         extra_attempts: run.state.extra_attempts(),
         answers: run.answers,
         merged: run.merged,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_platform::{CONFIGURATION_NAME, StoredObject, read_configuration};
-use carobstep_tier::ShardHelper;
+use carobstep_tier::StoreFollower;
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -54,7 +54,7 @@
 pub(crate) fn must_call_store(gateway: &Gateway) -> bool {
     let now = BootTime::now();
     let state = gateway.state.borrow();
-    state.peers.follower(now) == ShardHelper::Own || state.freshness.age(now) > STALE
+    state.peers.follower(now) == StoreFollower::Own || state.freshness.age(now) > STALE
 }
 
 /// Asks the peer that follows the store, for as long as the process lives.
@@ -63,7 +63,7 @@
     let mut asked = None;
     loop {
         let follower = gateway.state.borrow().peers.follower(BootTime::now());
-        let ShardHelper::Peer(peer) = follower else {
+        let StoreFollower::Peer(peer) = follower else {
             sleep(OWN_PAUSE).await;
             continue;
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,6 +89,7 @@
             zone: settings.zone.clone(),
             address: SocketAddr::new(settings.callers.ip(), settings.peer_port),
             cpu_share: settings.cpu_share,
+            link_mbps: settings.link_mbps,
         };
         // Delegations tell of their peers themselves, so that the news are not needed.
         let (peer_pool, _) = PeerPool::new(Some(settings.callers.ip()));
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -6,8 +6,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    ClientLimits, DealtShards, DelegationRequest, FanoutEnd, FanoutPlan, GatherPlan, LifecyclePhase,
-    RouteConfig, RouteTarget, merge_records, plan_delegations,
+    ClientLimits, DealtShards, DelegationRequest, FanoutEnd, FanoutPlan, GatherPlan,
+    LifecyclePhase, RouteConfig, RouteTarget, merge_records, plan_delegations,
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -281,6 +281,7 @@
         self.verdict = outcome.end.into();
         self.shards = outcome.answers.len();
         self.answered = outcome.answered;
+        self.lacking = outcome.lacking;
         self.delegations = outcome.delegations;
         self.extra_attempts = outcome.extra_attempts;
         self.trail = std::mem::take(&mut outcome.trail);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
-use carobstep_tier::{AttemptEnd, FanoutEnd, RouteConfig, RouteTarget};
+use carobstep_tier::{AttemptEnd, FanoutEnd, LackingShards, RouteConfig, RouteTarget};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
 use prometheus::{
@@ -153,6 +153,7 @@
     pub(crate) verdict: Verdict,
     pub(crate) shards: usize,
     pub(crate) answered: usize,
+    pub(crate) lacking: LackingShards,
     pub(crate) delegations: usize,
     pub(crate) extra_attempts: u32,
     pub(crate) trail: AttemptTrail,
@@ -268,6 +269,7 @@
             verdict: Verdict::Abandoned,
             shards: 0,
             answered: 0,
+            lacking: LackingShards::default(),
             delegations: 0,
             extra_attempts: 0,
             trail: AttemptTrail::default(),
@@ -322,6 +324,7 @@
             verdict:% = self.verdict,
             shards = self.shards,
             answered = self.answered,
+            lacking:% = self.lacking,
             delegations = self.delegations,
             extra = self.extra_attempts,
             patience_ms = self.patience.as_millis() as u64,
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -8,7 +8,7 @@
 use crate::{
     fanout_plan::{Delegation, ShardIndex},
     fleet::{ServerFleet, ServerKey, ServiceKey},
-    peers::{PeerEntry, PeerTable, ShardHelper},
+    peers::{PeerEntry, PeerTable},
     stats::ClassKey,
 };
 
@@ -86,22 +86,22 @@
         let Some(zone) = fleet.best_zone(now, service, request.class, &preference) else {
             continue;
         };
-        let peer = if zone == *own_zone {
-            if !needs_help {
-                continue;
-            }
-            match peers.helper_in_own_zone(now, name) {
-                ShardHelper::Own => continue,
-                ShardHelper::Peer(peer) => peer,
+        let alone = if zone == *own_zone { !needs_help } else { crowded && !needs_help };
+        if alone {
+            continue;
+        }
+        let helpers = helpers.entry(zone.clone()).or_insert_with(|| {
+            let mut helpers = peers.helpers_in(now, &zone, request.names.len());
+            if zone == *own_zone {
+                helpers.push(peers.own());
             }
-        } else if crowded && !needs_help {
+            helpers
+        });
+        let Some(helper) = PeerTable::helper_among(helpers, name) else { continue };
+        if helper.name == peers.own().name {
             continue;
-        } else {
-            let helpers =
-                helpers.entry(zone.clone()).or_insert_with(|| peers.helpers_in(now, &zone));
-            let Some(peer) = PeerTable::helper_among(helpers, name) else { continue };
-            peer.name.clone()
-        };
+        }
+        let peer = helper.name.clone();
         let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
         groups.entry(peer).or_default().push(shard);
         let attempts = request.attempts as usize;
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -10,7 +10,9 @@
 use carobstep_clock::BootTime;
 
 use crate::{
-    fanout_plan::{DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, ShardIndex},
+    fanout_plan::{
+        DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards, ShardIndex,
+    },
     fleet::{PickScope, ServerFleet, ServerKey},
     model::RetryPolicy,
     stats::AttemptEnd,
@@ -135,10 +137,7 @@
             if self.shards[position].state == ShardState::GivenUp {
                 continue;
             }
-            fleet.earn_part(
-                service,
-                if self.plan.is_delegated { DELEGATE_PART } else { 1.0 },
-            );
+            fleet.earn_part(service, if self.plan.is_delegated { DELEGATE_PART } else { 1.0 });
             if !self.send(now, fleet, position, &mut actions) {
                 self.shards[position].retry_at = Some(now + BUSY_RETRY);
             }
@@ -332,6 +331,23 @@
         self.answered
     }
 
+    /// What the shards that have not answered wait for.
+    #[must_use]
+    pub fn lacking(&self) -> LackingShards {
+        let mut lacking = LackingShards::default();
+        for progress in &self.shards {
+            match progress.state {
+                ShardState::Answered => {}
+                ShardState::GivenUp => lacking.given_up += 1,
+                ShardState::Open if progress.delegated => lacking.at_peer += 1,
+                ShardState::Open if progress.in_flight > 0 => lacking.at_server += 1,
+                ShardState::Open if progress.replaced => lacking.after_peer += 1,
+                ShardState::Open => lacking.unsent += 1,
+            }
+        }
+        lacking
+    }
+
     /// Number of extra attempts that were sent.
     #[must_use]
     pub fn extra_attempts(&self) -> u32 {
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -1,6 +1,6 @@
 //! What has to be done for one request, and what its state machine asks for.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use carobstep_clock::BootTime;
 use indexmap::IndexMap;
@@ -98,3 +98,38 @@
     /// Too few shards answered before the deadline.
     TimedOut,
 }
+
+/// What the shards of a request that have not answered wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LackingShards {
+    /// The answer of a peer.
+    pub at_peer: u32,
+    /// The answer of a server that this node has asked.
+    pub at_server: u32,
+    /// A direct attempt after a peer that was silent or did not get them.
+    pub after_peer: u32,
+    /// A server with room, or the retry budget.
+    pub unsent: u32,
+    /// Nothing: no server may be asked any more.
+    pub given_up: u32,
+}
+
+impl fmt::Display for LackingShards {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let parts = [
+            (self.at_peer, "at a peer"),
+            (self.at_server, "at a server"),
+            (self.after_peer, "unsent after a peer"),
+            (self.unsent, "unsent"),
+            (self.given_up, "given up"),
+        ];
+        let mut separator = "";
+        for (count, place) in parts {
+            if count > 0 {
+                write!(f, "{separator}{count} {place}")?;
+                separator = ", ";
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -306,8 +306,7 @@
     pub fn has_candidate(&self, service: ServiceKey, scope: PickScope<'_>) -> bool {
         let Some(state) = self.services.get(service) else { return false };
         state.servers.iter().any(|key| {
-            scope.admits(*key)
-                && self.servers.get(*key).is_some_and(|it| self.is_open(it))
+            scope.admits(*key) && self.servers.get(*key).is_some_and(|it| self.is_open(it))
         })
     }
 
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -36,11 +36,11 @@
 pub use directory::{DirectoryChange, DirectoryNews, ServerDirectory, VersionedServer};
 pub use fanout::FanoutState;
 pub use fanout_plan::{
-    Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, ShardIndex,
+    Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards,
+    ShardIndex,
 };
 pub use fleet::{
-    FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight,
-    ServiceKey,
+    FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight, ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use merge::{RECORD_BYTES, merge_records};
@@ -48,7 +48,7 @@
     ClientLimits, Configuration, GatherPlan, MachineSettings, PromiseBounds, RetryPolicy,
     RouteConfig, RouteTarget, ServerEntry, ServerPhase, ServiceConfig, SplitPart,
 };
-pub use peers::{PeerEntry, PeerTable, ShardHelper};
+pub use peers::{PeerEntry, PeerTable, StoreFollower};
 pub use reach::ZoneReach;
 pub use routes::{RouteTable, SplitRotation};
 pub use stats::{AttemptEnd, ClassKey, ClassTable};
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -195,6 +195,8 @@
     pub store: SocketAddr,
     /// Share of a core that the process has.
     pub cpu_share: f64,
+    /// Bandwidth of the machine's link, in Mbit/s.
+    pub link_mbps: f64,
     /// Bounds of the promises.
     pub bounds: PromiseBounds,
 }
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -19,16 +19,27 @@
 /// Longest time for which a peer that stays unreachable gets no shards.
 const MAX_AVOID_TIME: Duration = Duration::from_secs(8);
 
-/// Helpers that one search uses in another availability zone.
-const REMOTE_HELPERS: usize = 3;
-
 /// Processor time that the calls for one shard take, in seconds of a whole core.
 const SHARD_CALL_SECONDS: f64 = 55e-6;
 
+/// Bits that the calls for one shard move over the node's link: headers and a
+/// part of some hundred bytes.
+const SHARD_CALL_BITS: f64 = 700.0 * 8.0;
+
+/// Processor time that one call to a peer takes, in seconds of a whole core.
+const PEER_CALL_SECONDS: f64 = 110e-6;
+
 /// Part of the latency objective that the calls of one search may take on the
 /// node's own processor before others help.
 const OWN_CALLS_PART: f64 = 0.15;
 
+/// Least share of a core that is reckoned with; keeps a wrong entry from a
+/// division by zero.
+const MIN_CPU_SHARE: f64 = 0.01;
+
+/// Least bandwidth that is reckoned with, in Mbit/s; for the same reason.
+const MIN_LINK_MBPS: f64 = 0.1;
+
 /// What a node says of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerEntry {
@@ -40,6 +51,16 @@
     pub address: SocketAddr,
     /// Share of a core that it has.
     pub cpu_share: f64,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl PeerEntry {
+    /// Seconds that the calls for one shard take on its processor and its link.
+    fn shard_seconds(&self) -> f64 {
+        let processor = SHARD_CALL_SECONDS / self.cpu_share.max(MIN_CPU_SHARE);
+        processor + SHARD_CALL_BITS / (self.link_mbps.max(MIN_LINK_MBPS) * 1e6)
+    }
 }
 
 /// Every known node, this one included.
@@ -56,12 +77,12 @@
     failures: u32,
 }
 
-/// Where a shard's requests go.
+/// Who follows the platform's store for the nodes of a zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ShardHelper {
-    /// This node calls the servers itself.
+pub enum StoreFollower {
+    /// This node itself.
     Own,
-    /// The peer at this position calls them.
+    /// The peer with this name.
     Peer(Arc<str>),
 }
 
@@ -136,40 +157,45 @@
         }
     }
 
-    /// Whether the calls for `shards` shards are too much for this node's
-    /// processor within the objective.
+    /// Whether the calls for `shards` shards take too much of the objective on
+    /// this node alone.
     #[must_use]
     pub fn needs_help(&self, shards: usize, objective: Duration) -> bool {
-        let seconds = shards as f64 * SHARD_CALL_SECONDS / self.own.cpu_share.max(0.01);
+        let seconds = shards as f64 * self.own.shard_seconds();
         seconds > objective.as_secs_f64() * OWN_CALLS_PART
     }
 
-    /// Chooses who calls the servers of a shard in the node's own zone.
+    /// The peers of a zone that help this node with the calls for `shards`
+    /// shards: as many of the fastest as bring the search to its end soonest.
+    ///
+    /// Each helper costs this node one call, so that few fast ones do better
+    /// than many slow ones. Equally fast ones are in another order for each node.
     #[must_use]
-    pub fn helper_in_own_zone(&self, now: BootTime, shard: &str) -> ShardHelper {
-        let own = rendezvous_score(&self.own, shard);
-        let mut best: Option<(f64, &PeerState)> = None;
-        for state in self.usable(now, &self.own.zone) {
-            let score = rendezvous_score(&state.entry, shard);
-            if score > best.map_or(own, |(greatest, _)| greatest) {
-                best = Some((score, state));
-            }
-        }
-        best.map_or(ShardHelper::Own, |(_, state)| ShardHelper::Peer(state.entry.name.clone()))
-    }
-
-    /// The few peers of another zone that help this node.
-    #[must_use]
-    pub fn helpers_in(&self, now: BootTime, zone: &str) -> Vec<&PeerEntry> {
-        let mut scored: Vec<_> = self
+    pub fn helpers_in(&self, now: BootTime, zone: &str, shards: usize) -> Vec<&PeerEntry> {
+        let mut candidates: Vec<_> = self
             .usable(now, zone)
-            .map(|state| (rendezvous_score(&state.entry, &self.own.name), &state.entry))
+            .map(|state| (state.entry.shard_seconds(), &state.entry))
             .collect();
-        scored.sort_by(|one, other| other.0.total_cmp(&one.0));
-        scored.into_iter().take(REMOTE_HELPERS).map(|(_, entry)| entry).collect()
+        candidates.sort_by(|one, other| {
+            let score = |peer: &PeerEntry| rendezvous_score(peer, &self.own.name);
+            one.0.total_cmp(&other.0).then_with(|| score(other.1).total_cmp(&score(one.1)))
+        });
+        let call_seconds = PEER_CALL_SECONDS / self.own.cpu_share.max(MIN_CPU_SHARE);
+        let takes_part = *zone == *self.own.zone;
+        let mut speed = if takes_part { 1.0 / self.own.shard_seconds() } else { 0.0 };
+        let mut best = (shards as f64 / speed, 0);
+        for (position, (shard_seconds, _)) in candidates.iter().enumerate() {
+            let count = position + 1;
+            speed += 1.0 / shard_seconds;
+            let seconds = count as f64 * call_seconds + shards as f64 / speed;
+            if seconds < best.0 {
+                best = (seconds, count);
+            }
+        }
+        candidates.into_iter().take(best.1).map(|(_, entry)| entry).collect()
     }
 
-    /// Chooses which of some helpers calls the servers of a shard.
+    /// Chooses which of some nodes calls the servers of a shard.
     #[must_use]
     pub fn helper_among<'peer>(
         helpers: &[&'peer PeerEntry],
@@ -185,10 +211,20 @@
         best.map(|(_, helper)| helper)
     }
 
-    /// The node of this node's zone that follows the store for the others.
+    /// The node of this node's zone that follows the store for the others; all
+    /// nodes of the zone that reach the same ones agree on it.
     #[must_use]
-    pub fn follower(&self, now: BootTime) -> ShardHelper {
-        self.helper_in_own_zone(now, "store")
+    pub fn follower(&self, now: BootTime) -> StoreFollower {
+        const KEY: &str = "store";
+        let own = rendezvous_score(&self.own, KEY);
+        let mut best: Option<(f64, &PeerState)> = None;
+        for state in self.usable(now, &self.own.zone) {
+            let score = rendezvous_score(&state.entry, KEY);
+            if score > best.map_or(own, |(greatest, _)| greatest) {
+                best = Some((score, state));
+            }
+        }
+        best.map_or(StoreFollower::Own, |(_, state)| StoreFollower::Peer(state.entry.name.clone()))
     }
 
     /// Every known node, without this one.
@@ -203,7 +239,7 @@
     }
 }
 
-/// Weighted rendezvous hashing: each node gets keys in proportion to its processor.
+/// Weighted rendezvous hashing: each node gets keys in proportion to its speed.
 fn rendezvous_score(peer: &PeerEntry, key: &str) -> f64 {
     let mut bytes = Vec::with_capacity(peer.name.len() + key.len() + 1);
     bytes.extend_from_slice(peer.name.as_bytes());
@@ -212,5 +248,5 @@
     let hash = xxhash_rust::xxh3::xxh3_64(&bytes);
     // A number between 0 and 1, neither of them included.
     let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    peer.cpu_share.max(0.01) / -unit.ln()
+    1.0 / (peer.shard_seconds() * -unit.ln())
 }
--- a/crates/tier/tests/beliefs.rs
+++ b/crates/tier/tests/beliefs.rs
@@ -6,7 +6,7 @@
 
 use carobstep_tier::{
     AttemptEnd, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry, PeerTable, PickScope,
-    ServerDirectory, ServerPhase, ShardHelper, StopTiming, VersionedServer, ZoneReach,
+    ServerDirectory, ServerPhase, StopTiming, StoreFollower, VersionedServer, ZoneReach,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -226,62 +226,151 @@
     }
 }
 
+/// A node with a link of 1,000 Mbit/s.
 fn peer(node: &str, zone: &str, cpu_share: f64) -> PeerEntry {
     PeerEntry {
         name: name(node),
         zone: name(zone),
         address: "127.0.0.1:7000".parse().expect("an address"),
         cpu_share,
+        link_mbps: 1_000.0,
     }
 }
 
+fn table(own: PeerEntry, others: &[PeerEntry]) -> PeerTable {
+    let mut table = PeerTable::new(own);
+    for node in others {
+        table.insert(node.clone());
+    }
+    table
+}
+
 #[test]
 fn shards_go_to_nodes_in_proportion_to_their_processors() {
-    let mut peers = PeerTable::new(peer("own", "a", 0.1));
-    peers.insert(peer("large", "a", 0.4));
-    peers.insert(peer("elsewhere", "b", 9.0));
-    let mut own = 0;
+    let (own, large) = (peer("own", "a", 0.1), peer("large", "a", 0.4));
+    let mut taken = 0;
     for shard in 0..1_000 {
-        match peers.helper_in_own_zone(at(0), &format!("shard-{shard}")) {
-            ShardHelper::Own => own += 1,
-            ShardHelper::Peer(node) => assert_eq!(&*node, "large"),
+        let helper = PeerTable::helper_among(&[&own, &large], &format!("shard-{shard}"));
+        if helper.expect("one").name == own.name {
+            taken += 1;
         }
     }
-    assert!((150..250).contains(&own), "{own} of 1000, 200 expected");
+    assert!((150..250).contains(&taken), "{taken} of 1000, 200 expected");
+}
+
+/// Who helps a node with a search over 90 shards.
+struct HelperCase {
+    label: &'static str,
+    own: PeerEntry,
+    others: Vec<PeerEntry>,
+    zone: &'static str,
+    /// Fewest and most helpers.
+    count: (usize, usize),
+    /// Whether only nodes named `large-` help.
+    only_large: bool,
 }
 
 #[test]
-fn all_nodes_of_a_zone_agree_on_helpers() {
+fn few_fast_nodes_help_rather_than_many_slow_ones() {
+    let many = |prefix: &str, zone: &str, cpu_share: f64, count: usize| -> Vec<PeerEntry> {
+        (0..count).map(|number| peer(&format!("{prefix}-{number}"), zone, cpu_share)).collect()
+    };
+    let mixed = || [many("small", "a", 0.12, 16), many("large", "a", 0.5, 2)].concat();
+    let mut narrow = many("large", "a", 0.5, 1);
+    narrow[0].link_mbps = 5.0;
+    let cases = [
+        HelperCase {
+            label: "a slow node between slow and fast ones",
+            own: peer("own", "a", 0.12),
+            others: mixed(),
+            zone: "a",
+            count: (2, 2),
+            only_large: true,
+        },
+        HelperCase {
+            label: "a node of another zone",
+            own: peer("own", "d", 0.12),
+            others: mixed(),
+            zone: "a",
+            count: (2, 2),
+            only_large: true,
+        },
+        HelperCase {
+            label: "slow nodes only",
+            own: peer("own", "a", 0.12),
+            others: many("small", "a", 0.12, 16),
+            zone: "a",
+            count: (4, 8),
+            only_large: false,
+        },
+        HelperCase {
+            label: "a fast processor behind a narrow link",
+            own: peer("own", "a", 0.5),
+            others: narrow,
+            zone: "a",
+            count: (0, 0),
+            only_large: false,
+        },
+        HelperCase {
+            label: "nobody in the zone",
+            own: peer("own", "d", 0.12),
+            others: mixed(),
+            zone: "b",
+            count: (0, 0),
+            only_large: false,
+        },
+    ];
+    for case in cases {
+        let label = case.label;
+        let table = table(case.own, &case.others);
+        let helpers = table.helpers_in(at(0), case.zone, 90);
+        let (fewest, most) = case.count;
+        assert!((fewest..=most).contains(&helpers.len()), "{label}: {helpers:?}");
+        let large = helpers.iter().filter(|helper| helper.name.starts_with("large-")).count();
+        assert!(!case.only_large || large == helpers.len(), "{label}: {helpers:?}");
+    }
+}
+
+#[test]
+fn equally_fast_nodes_share_the_help() {
+    // Each of 16 slow nodes chooses some of the others; none is chosen by all.
+    let nodes: Vec<_> = (0..16).map(|number| peer(&format!("node-{number}"), "a", 0.12)).collect();
+    let mut chosen = [0; 16];
+    for own in &nodes {
+        let table = table(own.clone(), &nodes);
+        for helper in table.helpers_in(at(0), "a", 90) {
+            let position = nodes.iter().position(|node| node.name == helper.name);
+            chosen[position.expect("a node")] += 1;
+        }
+    }
+    assert!(chosen.iter().all(|count| (1..=14).contains(count)), "{chosen:?}");
+}
+
+#[test]
+fn all_nodes_of_a_zone_agree_on_who_follows_the_store() {
     let nodes = [peer("one", "a", 0.2), peer("two", "a", 0.3), peer("three", "a", 0.1)];
-    let tables = nodes.clone().map(|own| {
-        let mut table = PeerTable::new(own);
-        for node in nodes.clone() {
-            table.insert(node);
+    let chosen = nodes.clone().map(|own| {
+        let table = table(own, &nodes);
+        match table.follower(at(0)) {
+            StoreFollower::Own => table.own().name.clone(),
+            StoreFollower::Peer(node) => node,
         }
-        table
     });
-    for shard in 0..100 {
-        let shard = format!("shard-{shard}");
-        let chosen = tables.each_ref().map(|table| match table.helper_in_own_zone(at(0), &shard) {
-            ShardHelper::Own => table.own().name.clone(),
-            ShardHelper::Peer(node) => node,
-        });
-        assert!(chosen.iter().all(|node| *node == chosen[0]), "{shard}: {chosen:?}");
-    }
+    assert!(chosen.iter().all(|node| *node == chosen[0]), "{chosen:?}");
 }
 
 #[test]
 fn a_peer_that_failed_is_passed_over_for_a_while() {
-    let mut peers = PeerTable::new(peer("own", "a", 0.1));
-    peers.insert(peer("other", "b", 0.1));
-    assert_eq!(peers.helpers_in(at(0), "b").len(), 1);
+    let mut peers = table(peer("own", "a", 0.1), &[peer("other", "b", 0.1)]);
+    let helpers = |peers: &PeerTable, millis| peers.helpers_in(at(millis), "b", 90).len();
+    assert_eq!(helpers(&peers, 0), 1);
     peers.failed(at(0), "other");
-    assert_eq!(peers.helpers_in(at(499), "b").len(), 0);
-    assert_eq!(peers.helpers_in(at(500), "b").len(), 1);
+    assert_eq!(helpers(&peers, 499), 0);
+    assert_eq!(helpers(&peers, 500), 1);
     peers.failed(at(500), "other");
-    assert_eq!(peers.helpers_in(at(1_400), "b").len(), 0, "longer the second time");
+    assert_eq!(helpers(&peers, 1_400), 0, "longer the second time");
     peers.answered("other");
-    assert_eq!(peers.helpers_in(at(1_400), "b").len(), 1);
+    assert_eq!(helpers(&peers, 1_400), 1);
 }
 
 /// What a server's last attempts mean for the choice.
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -256,11 +256,8 @@
 fn delegated(limits: FleetLimits) -> (carobstep_tier::ServerFleet, FanoutState, Vec<FanoutAction>) {
     let (mut fleet, services) = fleet(2, &["a", "b"], limits);
     let mut plan = plan(&mut fleet, &services, 2);
-    plan.delegations = vec![Delegation {
-        peer: name("peer"),
-        shards: vec![ShardIndex(1)],
-        replace_at: at(30),
-    }];
+    plan.delegations =
+        vec![Delegation { peer: name("peer"), shards: vec![ShardIndex(1)], replace_at: at(30) }];
     let mut state = FanoutState::new(plan);
     let actions = state.start(at(0), &mut fleet);
     (fleet, state, actions)
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -58,7 +58,7 @@
     format!(
         "node={name}\nzone={zone}\nlisten.front=127.0.0.1:{callers}\n\
          listen.ready=127.0.0.1:{readiness}\nport_range={peers},{peers}\n\
-         limits.cpu_share=0.25\nbounds.grace_s=6\nbounds.drain_ms=3000\n\
+         limits.cpu_share=0.25\nlimits.link_mbps=1000.0\nbounds.grace_s=6\nbounds.drain_ms=3000\n\
          bounds.retry_ratio=0.2\nbounds.retry_window_s=10\nbounds.retry_slack=52\n\
          platform.addr={store}\nplatform.reads_per_s=2000\n"
     )
