--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -4,10 +4,10 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AttemptEnd, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, FanoutState, GroupIndex,
-    LackingShards, SentTicket, ShardIndex,
+    AttemptEnd, ClassKey, DelegationNews, FanoutAction, FanoutEnd, FanoutPlan, FanoutState,
+    GroupIndex, LackingShards, SentTicket, ShardIndex,
 };
-use carobstep_wire::WireErrorKind;
+use carobstep_wire::{WireError, WireErrorKind};
 use log::debug;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -20,7 +20,7 @@
     gateway::Gateway,
     peer_messages::{DelegatedParts, PeerAnswer, PeerCall},
     peers::{DelegatedScope, search_call},
-    report::{AttemptNote, AttemptTrail},
+    report::{AttemptNote, AttemptTrail, DelegationEnd},
 };
 
 /// Time for which an exchange that is no longer needed may go on, so that its
@@ -51,8 +51,8 @@
 enum FanoutReport {
     /// An attempt at a server ended.
     Attempt { shard: ShardIndex, ticket: SentTicket, exchange: ExchangeEnd },
-    /// A delegation to a peer ended.
-    Delegation { group: GroupIndex, end: DelegationEnd, parts: Option<DelegatedParts> },
+    /// A peer that has shards was heard of.
+    Delegation { group: GroupIndex, news: DelegationNews, parts: Option<DelegatedParts> },
 }
 
 /// Exchanges under way; they are ended a little after nobody needs them.
@@ -102,21 +102,16 @@
     }
 }
 
-/// Carries out one request until its end.
-pub(crate) async fn run_fanout(
-    gateway: &Rc<Gateway>,
-    plan: FanoutPlan,
-    request: Rc<BackendRequest>,
-) -> FanoutOutcome {
-    run_delegated(gateway, plan, request, DelegatedScope::default()).await
-}
-
 /// Carries out one request, of which peers may take shards, until its end.
-pub(crate) async fn run_delegated(
+///
+/// `report` gets the answers so far whenever the node that delegated the shards
+/// should hear of them.
+pub(crate) async fn run_fanout(
     gateway: &Rc<Gateway>,
     plan: FanoutPlan,
     request: Rc<BackendRequest>,
     scope: DelegatedScope,
+    mut report: impl FnMut(&[Option<BackendAnswer>]),
 ) -> FanoutOutcome {
     let shards = plan.services.len();
     let deadline = instant_of(plan.deadline);
@@ -137,7 +132,7 @@
         failure: None,
         trail: AttemptTrail::default(),
     };
-    let end = run.drive(&mut ended).await;
+    let end = run.drive(&mut ended, &mut report).await;
     FanoutOutcome {
         end,
         answered: run.state.answered(),
@@ -169,7 +164,11 @@
 }
 
 impl FanoutRun<'_> {
-    async fn drive(&mut self, ended: &mut UnboundedReceiver<FanoutReport>) -> FanoutEnd {
+    async fn drive(
+        &mut self,
+        ended: &mut UnboundedReceiver<FanoutReport>,
+        report: &mut impl FnMut(&[Option<BackendAnswer>]),
+    ) -> FanoutEnd {
         let mut actions = {
             let gateway = &mut *self.gateway.state.borrow_mut();
             self.state.start(BootTime::now(), &mut gateway.fleet)
@@ -183,6 +182,7 @@
                         let offered = self.offered.get_mut(usize::from(group.0));
                         self.merged.extend(offered.and_then(Option::take));
                     }
+                    FanoutAction::Report => report(&self.answers),
                     FanoutAction::Finish(end) => return end,
                 }
             }
@@ -202,12 +202,12 @@
         let (shard, ticket, exchange) = match report {
             None => return self.state.timer(now, &mut gateway.fleet),
             Some(FanoutReport::Attempt { shard, ticket, exchange }) => (shard, ticket, exchange),
-            Some(FanoutReport::Delegation { group, end, parts }) => {
-                self.note_delegation(now, group, &end);
+            Some(FanoutReport::Delegation { group, news, parts }) => {
+                self.note_delegation(now, group, &news);
                 if let Some(offered) = self.offered.get_mut(usize::from(group.0)) {
                     *offered = parts;
                 }
-                return self.state.delegation_ended(now, group, &end);
+                return self.state.delegation_heard(now, group, &news);
             }
         };
         let ExchangeEnd { end, answer, reason } = exchange;
@@ -232,22 +232,19 @@
         actions
     }
 
-    fn note_delegation(&mut self, now: BootTime, group: GroupIndex, end: &DelegationEnd) {
-        let end = match end {
-            DelegationEnd::Answered(_) => "answered",
-            DelegationEnd::NotSent => "not_sent",
-            DelegationEnd::Lost => "lost",
+    fn note_delegation(&mut self, now: BootTime, group: GroupIndex, news: &DelegationNews) {
+        let end = match news {
+            DelegationNews::Parts(_) | DelegationNews::Ended => return,
+            DelegationNews::NotSent => DelegationEnd::NotSent,
+            DelegationNews::Lost => DelegationEnd::Lost,
         };
         self.gateway.reporter.count_delegation(end);
         let plan = self.state.plan();
         let Some(delegation) = plan.delegations.get(usize::from(group.0)) else { return };
-        if end == "answered" {
-            return;
-        }
         self.trail.push(AttemptNote {
             shard: delegation.shards.first().map_or(0, |shard| shard.0),
             target: delegation.peer.clone(),
-            end,
+            end: end.into(),
             after: now.since(self.started),
             reason: format!("{} shards delegated", delegation.shards.len()),
         });
@@ -266,21 +263,15 @@
         let gateway = self.gateway.clone();
         let reports = self.reports.clone();
         let task = spawn_local(async move {
-            let sent = BootTime::now();
-            let (end, parts) = call_peer(&gateway, &peer, &call, &shards).await;
-            let state = &mut *gateway.state.borrow_mut();
-            match &end {
-                DelegationEnd::Answered(_) => {
-                    let latency = BootTime::now().since(sent);
-                    state.fleet.classes.record_delegation(class, latency);
-                    state.peers.answered(&peer);
-                }
-                DelegationEnd::NotSent | DelegationEnd::Lost => {
-                    state.peers.failed(BootTime::now(), &peer);
-                }
+            let hear = |news, parts| {
+                // Nobody listens once the client has its answer.
+                let _ = reports.send(FanoutReport::Delegation { group, news, parts });
+            };
+            let news = call_peer(&gateway, &peer, &call, &shards, class, hear).await;
+            if matches!(news, DelegationNews::NotSent | DelegationNews::Lost) {
+                gateway.state.borrow_mut().peers.failed(BootTime::now(), &peer);
             }
-            // Nobody listens once the client has its answer.
-            let _ = reports.send(FanoutReport::Delegation { group, end, parts });
+            hear(news, None);
         });
         self.tasks.calls.push(task.abort_handle());
     }
@@ -306,40 +297,64 @@
     }
 }
 
-/// Asks a peer for some shards, and checks that its answer fits them.
+/// Asks a peer for some shards, passes on the parts that fit them, and returns
+/// how the delegation ended.
 async fn call_peer(
     gateway: &Gateway,
     peer: &str,
     call: &PeerCall,
     shards: &[ShardIndex],
-) -> (DelegationEnd, Option<DelegatedParts>) {
+    class: ClassKey,
+    hear: impl Fn(DelegationNews, Option<DelegatedParts>),
+) -> DelegationNews {
     let address = gateway.state.borrow().peers.address(peer);
-    let Some(address) = address else { return (DelegationEnd::NotSent, None) };
-    let answer = gateway.peer_pool.call_typed(address, call).await;
-    let parts = match answer {
-        Ok(PeerAnswer::Parts(parts)) => parts,
-        Ok(PeerAnswer::Refused | PeerAnswer::News(_)) => return (DelegationEnd::NotSent, None),
-        Err(error) => {
-            debug!(peer = peer, error:% = error; "a delegation failed");
-            let end = match error.kind() {
-                WireErrorKind::NotSent => DelegationEnd::NotSent,
-                _ => DelegationEnd::Lost,
-            };
-            return (end, None);
+    let Some(address) = address else { return DelegationNews::NotSent };
+    let sent = BootTime::now();
+    let lost = |error: &WireError| {
+        debug!(peer = peer, error:% = error; "a delegation failed");
+        match error.kind() {
+            WireErrorKind::NotSent => DelegationNews::NotSent,
+            _ => DelegationNews::Lost,
         }
     };
+    let mut replies = match gateway.peer_pool.call_streaming(address, call).await {
+        Ok(replies) => replies,
+        Err(error) => return lost(&error),
+    };
+    let mut heard = false;
+    loop {
+        let parts = match replies.next().await {
+            Ok(Some(PeerAnswer::Parts(parts))) => parts,
+            Ok(Some(PeerAnswer::Refused | PeerAnswer::News(_))) => return DelegationNews::NotSent,
+            Ok(None) => return DelegationNews::Ended,
+            Err(error) => return lost(&error),
+        };
+        if !heard {
+            heard = true;
+            gateway.reporter.count_delegation(DelegationEnd::Answered);
+            let state = &mut *gateway.state.borrow_mut();
+            state.fleet.classes.record_delegation(class, BootTime::now().since(sent));
+            state.peers.answered(peer);
+        }
+        let Some(answered) = positions(&parts, shards) else {
+            debug!(peer = peer; "a peer's parts don't fit the call");
+            return DelegationNews::Lost;
+        };
+        hear(DelegationNews::Parts(answered), Some(parts));
+    }
+}
+
+/// The shards of a call that a peer's parts belong to, `None` if they don't fit it.
+fn positions(parts: &DelegatedParts, shards: &[ShardIndex]) -> Option<Vec<ShardIndex>> {
     let mut answered = Vec::with_capacity(parts.shards.len());
     for position in &parts.shards {
-        let Some(shard) = shards.get(usize::from(*position)) else { continue };
-        if !answered.contains(shard) {
-            answered.push(*shard);
+        let shard = *shards.get(usize::from(*position))?;
+        if answered.contains(&shard) {
+            return None;
         }
+        answered.push(shard);
     }
-    if answered.len() != parts.shards.len() || parts.stamps.len() != answered.len() {
-        debug!(peer = peer; "a peer's parts don't fit the call");
-        return (DelegationEnd::Lost, None);
-    }
-    (DelegationEnd::Answered(answered), Some(parts))
+    (parts.stamps.len() == answered.len()).then_some(answered)
 }
 
 /// The timer's reading for a reading of the boot clock.
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     backend::{BackendAnswer, BackendRequest},
-    fanout::{FanoutOutcome, run_delegated},
+    fanout::{FanoutOutcome, run_fanout},
     gateway::Gateway,
     peers::DelegatedScope,
     report::{RequestReport, Verdict},
@@ -108,7 +108,7 @@
     report.patience = patience;
     let (plan, scope) = plan_of(gateway, &route, arrived, patience.min(route.timeout));
     let request = Rc::new(backend_request(head, body));
-    let mut outcome = run_delegated(gateway, plan, request, scope).await;
+    let mut outcome = run_fanout(gateway, plan, request, scope, |_| {}).await;
     report.take_in(&mut outcome);
     match &route.target {
         RouteTarget::Gather(gather) => search_answer(gather, &outcome),
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -18,7 +18,7 @@
 /// A peer's answer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerAnswer {
-    /// The parts that came in time.
+    /// Parts that came: all that are there at the answer time, then each later one.
     Parts(DelegatedParts),
     /// What has changed in the store.
     News(Box<StoreNews>),
@@ -60,7 +60,7 @@
 }
 
 /// Parts of a search, merged.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct DelegatedParts {
     /// Positions of the shards whose parts are in, in the order of the call.
     pub(crate) shards: Vec<u16>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,20 +8,17 @@
 use carobstep_tier::{
     FanoutPlan, LifecyclePhase, RetryPolicy, ServerFleet, ShardIndex, merge_records,
 };
-use carobstep_wire::PeerHandler;
+use carobstep_wire::{PeerHandler, ReplySink};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use indexmap::IndexMap;
 use log::debug;
 use tokio::{
-    sync::{
-        mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-        oneshot,
-    },
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
     task::spawn_local,
 };
 
 use crate::{
-    backend::BackendRequest,
+    backend::{BackendAnswer, BackendRequest},
     fanout::run_fanout,
     follow::news_for,
     gateway::Gateway,
@@ -32,8 +29,8 @@
 /// each processor.
 const HOP_MARGIN: Duration = Duration::from_millis(4);
 
-/// A call of a peer and where its answer goes.
-type QueuedCall = (PeerCall, oneshot::Sender<PeerAnswer>);
+/// A call of a peer and where its answers go.
+type QueuedCall = (PeerCall, ReplySink<PeerAnswer>);
 
 /// Hands the calls of peers over to the thread that owns the gateway.
 #[derive(Debug)]
@@ -52,11 +49,9 @@
     type Request = PeerCall;
     type Reply = PeerAnswer;
 
-    async fn handle(&self, call: PeerCall) -> PeerAnswer {
-        let (answer, answered) = oneshot::channel();
+    async fn handle(&self, call: PeerCall, replies: ReplySink<PeerAnswer>) {
         // A closed queue means that the process ends.
-        let _ = self.calls.send((call, answer));
-        answered.await.unwrap_or(PeerAnswer::Refused)
+        let _ = self.calls.send((call, replies));
     }
 
     fn count_bad_input(&self) {
@@ -66,49 +61,72 @@
 
 /// Answers the calls of peers for as long as the process lives.
 pub(crate) async fn serve_calls(gateway: Rc<Gateway>, mut queue: UnboundedReceiver<QueuedCall>) {
-    while let Some((call, mut answer)) = queue.recv().await {
+    while let Some((call, replies)) = queue.recv().await {
         let gateway = gateway.clone();
         spawn_local(async move {
-            let served = tokio::select! {
-                served = serve_call(&gateway, call) => served,
-                // The peer has reset its stream.
-                () = answer.closed() => return,
-            };
-            // A failed send means that the peer left in this moment.
-            let _ = answer.send(served);
+            tokio::select! {
+                () = serve_call(&gateway, call, &replies) => {}
+                () = replies.cancelled() => {}
+            }
         });
     }
 }
 
-async fn serve_call(gateway: &Rc<Gateway>, call: PeerCall) -> PeerAnswer {
+async fn serve_call(gateway: &Rc<Gateway>, call: PeerCall, replies: &ReplySink<PeerAnswer>) {
     match call {
-        PeerCall::Search(search) => search_shards(gateway, search).await,
+        PeerCall::Search(search) => search_shards(gateway, search, replies).await,
         PeerCall::Follow(_) if gateway.state.borrow().lifecycle.is_stopping() => {
-            PeerAnswer::Refused
+            replies.send(PeerAnswer::Refused);
         }
-        PeerCall::Follow(call) => news_for(gateway, call).await,
+        PeerCall::Follow(call) => replies.send(news_for(gateway, call).await),
     }
 }
 
-async fn search_shards(gateway: &Rc<Gateway>, search: DelegatedSearch) -> PeerAnswer {
+async fn search_shards(
+    gateway: &Rc<Gateway>,
+    search: DelegatedSearch,
+    replies: &ReplySink<PeerAnswer>,
+) {
     let usable = matches!(gateway.phase(), LifecyclePhase::Ready | LifecyclePhase::CutOff);
     let top = search.top as usize;
     let Some((plan, request)) = usable.then(|| plan_of(gateway, search)).flatten() else {
-        return PeerAnswer::Refused;
+        replies.send(PeerAnswer::Refused);
+        return;
     };
-    let outcome = run_fanout(gateway, plan, Rc::new(request)).await;
-    let mut shards = Vec::with_capacity(outcome.answered);
-    let mut stamps = Vec::with_capacity(outcome.answered);
-    let mut parts = Vec::with_capacity(outcome.answered);
-    for (position, answer) in outcome.answers.iter().enumerate() {
+    let mut sent = vec![false; plan.services.len()];
+    let mut heard = false;
+    let mut report = |answers: &[Option<BackendAnswer>]| {
+        let parts = merge_unsent(answers, &mut sent, top);
+        if !heard || !parts.shards.is_empty() {
+            heard = true;
+            replies.send(PeerAnswer::Parts(parts));
+        }
+    };
+    let scope = DelegatedScope::default();
+    let outcome = run_fanout(gateway, plan, Rc::new(request), scope, &mut report).await;
+    report(&outcome.answers);
+}
+
+/// Merges the parts that were not sent yet.
+fn merge_unsent(
+    answers: &[Option<BackendAnswer>],
+    sent: &mut [bool],
+    top: usize,
+) -> DelegatedParts {
+    let mut merged = DelegatedParts::default();
+    let mut parts = Vec::new();
+    for (position, answer) in answers.iter().enumerate() {
         let Some(answer) = answer else { continue };
         let Some(stamp) = answer.headers.get(headers::SERVER_STAMP) else { continue };
-        shards.push(u16::try_from(position).unwrap_or(u16::MAX));
-        stamps.push(Bytes::copy_from_slice(stamp.as_bytes()));
+        if std::mem::replace(&mut sent[position], true) {
+            continue;
+        }
+        merged.shards.push(u16::try_from(position).unwrap_or(u16::MAX));
+        merged.stamps.push(Bytes::copy_from_slice(stamp.as_bytes()));
         parts.push(&answer.body[..]);
     }
-    let records = merge_records(parts, top);
-    PeerAnswer::Parts(DelegatedParts { shards, stamps, records })
+    merged.records = merge_records(parts, top);
+    merged
 }
 
 fn plan_of(gateway: &Gateway, search: DelegatedSearch) -> Option<(FanoutPlan, BackendRequest)> {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -95,6 +95,18 @@
     }
 }
 
+/// What became of a delegation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum DelegationEnd {
+    /// The peer has sent parts.
+    Answered,
+    /// The peer sent nothing to any server.
+    NotSent,
+    /// The peer or its connection went away.
+    Lost,
+}
+
 /// One attempt that did not succeed.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptNote {
@@ -213,8 +225,8 @@
         self.attempts.with_label_values(&[<&str>::from(end)]).inc();
     }
 
-    pub(crate) fn count_delegation(&self, end: &str) {
-        self.delegations.with_label_values(&[end]).inc();
+    pub(crate) fn count_delegation(&self, end: DelegationEnd) {
+        self.delegations.with_label_values(&[<&str>::from(end)]).inc();
     }
 
     pub(crate) fn count_store_call(&self, answered: bool) {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use carobstep_wire::{ControlMessage, ControlReply, PeerHandler, PeerReply, PeerRequest};
+use carobstep_wire::{
+    ControlMessage, ControlReply, PeerHandler, PeerReply, PeerRequest, ReplySink,
+};
 use tokio::sync::oneshot;
 
 use crate::{context::NodeContext, control_actor::ControlInput, counters::NodeEvent};
@@ -34,13 +36,13 @@
     type Request = PeerRequest;
     type Reply = PeerReply;
 
-    async fn handle(&self, request: PeerRequest) -> PeerReply {
-        match request {
+    async fn handle(&self, request: PeerRequest, replies: ReplySink<PeerReply>) {
+        replies.send(match request {
             PeerRequest::Shard(request) => {
                 PeerReply::Shard(self.context.holders.run(request).await)
             }
             PeerRequest::Control(message) => PeerReply::Control(self.control(message).await),
-        }
+        });
     }
 
     fn count_bad_input(&self) {
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     fanout_plan::{
-        DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards, ShardIndex,
+        DelegationNews, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards, ShardIndex,
     },
     fleet::{PickScope, ServerFleet, ServerKey},
     model::RetryPolicy,
@@ -51,8 +51,9 @@
     answered: usize,
     given_up: usize,
     in_flight: u32,
-    /// Delegations that have not ended.
-    open_groups: Vec<bool>,
+    groups: Vec<GroupState>,
+    /// Number of parts that the node which delegated these shards has got.
+    reported: Option<usize>,
     may_have_run: bool,
     finished: bool,
 }
@@ -79,6 +80,16 @@
     extra: u32,
 }
 
+/// Where a delegation stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GroupState {
+    /// Nothing was heard of the peer.
+    Silent,
+    /// The peer is at work; its end or that of its connection will be heard.
+    Heard,
+    Ended,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum ShardState {
     #[default]
@@ -99,11 +110,12 @@
                 }
             }
         }
-        let open_groups = vec![true; plan.delegations.len()];
+        let groups = vec![GroupState::Silent; plan.delegations.len()];
         Self {
             plan,
             shards,
-            open_groups,
+            groups,
+            reported: None,
             answered: 0,
             given_up: 0,
             in_flight: 0,
@@ -176,25 +188,36 @@
         actions
     }
 
-    /// Takes in the end of a delegation.
-    pub fn delegation_ended(
+    /// Takes in what is heard of a delegation.
+    pub fn delegation_heard(
         &mut self,
         now: BootTime,
         group: GroupIndex,
-        end: &DelegationEnd,
+        news: &DelegationNews,
     ) -> Vec<FanoutAction> {
         let mut actions = Vec::new();
         let position = usize::from(group.0);
-        if self.finished || self.open_groups.get(position) != Some(&true) {
+        let state = self.groups.get(position).copied();
+        if self.finished || state.is_none_or(|state| state == GroupState::Ended) {
             return actions;
         }
-        self.in_flight = self.in_flight.saturating_sub(1);
-        match end {
-            DelegationEnd::Answered(shards) => self.take_parts(group, shards, &mut actions),
-            DelegationEnd::NotSent => self.replace_delegation(now, position, false),
-            DelegationEnd::Lost => self.replace_delegation(now, position, true),
+        self.groups[position] = match news {
+            DelegationNews::Parts(shards) => {
+                self.take_parts(group, shards, &mut actions);
+                GroupState::Heard
+            }
+            DelegationNews::Ended => {
+                self.release_group(position);
+                GroupState::Ended
+            }
+            DelegationNews::NotSent | DelegationNews::Lost => {
+                self.replace_delegation(now, position, *news == DelegationNews::Lost);
+                GroupState::Ended
+            }
+        };
+        if self.groups[position] == GroupState::Ended {
+            self.in_flight = self.in_flight.saturating_sub(1);
         }
-        self.open_groups[position] = false;
         self.check_end(now, &mut actions);
         actions
     }
@@ -213,7 +236,6 @@
             progress.is_none_or(|progress| progress.state == ShardState::Answered)
         };
         if shards.is_empty() || shards.iter().any(answered) {
-            self.release_group(usize::from(group.0));
             return;
         }
         for shard in shards {
@@ -226,7 +248,6 @@
             self.answered += 1;
         }
         actions.push(FanoutAction::Take(group));
-        self.release_group(usize::from(group.0));
     }
 
     /// Lets the shards that a peer could not get wait for the answer time: they
@@ -263,7 +284,8 @@
             return actions;
         }
         for group in 0..self.plan.delegations.len() {
-            if self.open_groups[group] && now >= self.plan.delegations[group].replace_at {
+            let is_silent = self.groups[group] == GroupState::Silent;
+            if is_silent && now >= self.plan.delegations[group].replace_at {
                 // Its answer still counts if it comes first.
                 self.replace_delegation(now, group, true);
             }
@@ -299,7 +321,7 @@
             next = next.min(self.plan.answer_by);
         }
         for (group, delegation) in self.plan.delegations.iter().enumerate() {
-            if self.open_groups[group] && now < delegation.replace_at {
+            if self.groups[group] == GroupState::Silent && now < delegation.replace_at {
                 next = next.min(delegation.replace_at);
             }
         }
@@ -493,6 +515,16 @@
         }
     }
 
+    /// Has the parts sent that came by the answer time, and each later one.
+    fn report(&mut self, now: BootTime, actions: &mut Vec<FanoutAction>) {
+        let count = self.answered;
+        if now < self.plan.answer_by || self.reported == Some(count) {
+            return;
+        }
+        self.reported = Some(count);
+        actions.push(FanoutAction::Report);
+    }
+
     fn give_up(&mut self, position: usize) {
         self.shards[position].state = ShardState::GivenUp;
         self.given_up += 1;
@@ -503,6 +535,10 @@
         let enough = self.answered >= self.plan.least;
         let settled = self.answered + self.given_up == total;
         let hopeless = total - self.given_up < self.plan.least;
+        if self.plan.is_delegated && !settled && now < self.plan.deadline {
+            self.report(now, actions);
+            return;
+        }
         let end = if enough && (settled || now >= self.plan.answer_by) {
             FanoutEnd::Answered
         } else if now >= self.plan.deadline {
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -30,14 +30,17 @@
     pub replace_at: BootTime,
 }
 
-/// How a delegation ended.
+/// What is heard of a delegation.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum DelegationEnd {
-    /// The peer answered with the parts of these shards.
-    Answered(Vec<ShardIndex>),
+pub enum DelegationNews {
+    /// The peer sent the merged parts of these shards and goes on with the
+    /// others; no shards at all is a sign of life.
+    Parts(Vec<ShardIndex>),
+    /// The peer got no more, and has ended its work.
+    Ended,
     /// The peer sent nothing to any server.
     NotSent,
-    /// No answer came; the peer may have called servers.
+    /// The peer or its connection is gone; it may have called servers.
     Lost,
 }
 
@@ -60,7 +63,8 @@
     /// the request: together they reach no more servers than the route allows,
     /// even when one does not know what the other has done.
     pub allowed: IndexMap<ShardIndex, Vec<ServerKey>>,
-    /// Whether another node delegated these shards to this one.
+    /// Whether another node delegated these shards to this one. It gets what is
+    /// there at the answer time, and later parts as they come.
     pub is_delegated: bool,
     /// When the answer goes out with the shards that are there.
     pub answer_by: BootTime,
@@ -80,8 +84,11 @@
     },
     /// Send the shards of a delegation to its peer.
     Delegate(GroupIndex),
-    /// Use the parts that a peer sent: none of them was answered otherwise.
+    /// Use the parts that a peer has just sent: none of them was answered otherwise.
     Take(GroupIndex),
+    /// Send the parts that are there and were not sent yet to the node that
+    /// delegated the shards.
+    Report,
     /// Answer the client; nothing follows.
     Finish(FanoutEnd),
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -36,7 +36,7 @@
 pub use directory::{DirectoryChange, DirectoryNews, ServerDirectory, VersionedServer};
 pub use fanout::FanoutState;
 pub use fanout_plan::{
-    Delegation, DelegationEnd, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards,
+    Delegation, DelegationNews, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards,
     ShardIndex,
 };
 pub use fleet::{
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     io,
+    marker::PhantomData,
     net::{IpAddr, SocketAddr},
     sync::{
         Arc, Mutex, PoisonError,
@@ -11,7 +12,10 @@
     time::Duration,
 };
 
-use h2::{Ping, PingPong, client::SendRequest};
+use h2::{
+    Ping, PingPong,
+    client::{ResponseFuture, SendRequest},
+};
 use indexmap::IndexMap;
 use strum::Display;
 use tokio::{
@@ -32,9 +36,9 @@
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
     stream::{
-        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, MAX_STREAMS, PING_SLOW,
-        PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent, probe_interval,
-        read_frame,
+        CONNECT_PAUSE, CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, FrameReader, MAX_STREAMS,
+        PING_SLOW, PING_TIMEOUT, STREAM_WINDOW_BYTES, SUSPECT_AFTER, lost, not_sent,
+        probe_interval,
     },
 };
 
@@ -195,26 +199,30 @@
         address: SocketAddr,
         request: &Q,
     ) -> Result<R, WireError> {
+        let mut replies = self.call_streaming(address, request).await?;
+        replies.next().await?.ok_or_else(|| {
+            let message = format!("peer {address} ended the stream without a reply");
+            WireError::new(WireErrorKind::Lost, message)
+        })
+    }
+
+    /// Sends one request that gets several replies.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` when no byte of the request left, `Lost` when it may have been
+    /// sent, `Codec` when it is too large.
+    pub async fn call_streaming<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: &Q,
+    ) -> Result<ReplyStream<'_, R>, WireError> {
         let frame = encode(request)?;
         let connection = self.connection(address).await?;
         self.sent_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
-        let mut dead = connection.dead.clone();
-        let suspicion = connection.suspicion.clone();
-        // A reply that came in together with the end of the connection counts.
-        tokio::select! {
-            biased;
-            reply = exchange(connection.sender, address, frame) => {
-                let reply = reply?;
-                connection.last_sign.renew();
-                self.received_bytes.fetch_add(reply.len() as u64, Ordering::Relaxed);
-                decode(&reply)
-            }
-            _ = dead.wait_for(|dead| *dead) => {
-                let message = format!("connection to peer {address} went silent or closed");
-                Err(WireError::new(WireErrorKind::Lost, message))
-            }
-            never = suspect(&suspicion) => match never {},
-        }
+        let response = send(connection.sender.clone(), address, frame).await?;
+        let body = ReplyBody::Awaited(response);
+        Ok(ReplyStream { pool: self, address, connection, body, replies: PhantomData })
     }
 
     /// Finds out whether a peer can be connected, unless a connection is open.
@@ -385,11 +393,11 @@
     }
 }
 
-async fn exchange(
+async fn send(
     sender: SendRequest<Bytes>,
     address: SocketAddr,
     frame: Bytes,
-) -> Result<Bytes, WireError> {
+) -> Result<ResponseFuture, WireError> {
     let mut sender = timeout(CONNECT_TIMEOUT, sender.ready())
         .await
         .map_err(|_| {
@@ -403,10 +411,69 @@
     let (response, mut body) =
         sender.send_request(head, false).map_err(|error| not_sent(&error))?;
     body.send_data(frame, true).map_err(|error| lost(&error))?;
-    let response = response.await.map_err(|error| lost(&error))?;
-    if response.status() != http::StatusCode::OK {
-        let message = format!("peer {address} answered with status {}", response.status());
-        return Err(WireError::new(WireErrorKind::Codec, message));
+    Ok(response)
+}
+
+/// The replies to one request; dropping it cancels the request at the peer.
+#[derive(Debug)]
+pub struct ReplyStream<'pool, R> {
+    pool: &'pool PeerPool,
+    address: SocketAddr,
+    connection: PeerConnection,
+    body: ReplyBody,
+    replies: PhantomData<fn() -> R>,
+}
+
+#[derive(Debug)]
+enum ReplyBody {
+    /// Nothing has come yet.
+    Awaited(ResponseFuture),
+    Open(FrameReader),
+}
+
+impl ReplyBody {
+    async fn next(&mut self, address: SocketAddr) -> Result<Option<Bytes>, WireError> {
+        loop {
+            match self {
+                Self::Open(reader) => return reader.next().await,
+                Self::Awaited(response) => {
+                    let response = response.await.map_err(|error| lost(&error))?;
+                    if response.status() != http::StatusCode::OK {
+                        let status = response.status();
+                        let message = format!("peer {address} answered with status {status}");
+                        return Err(WireError::new(WireErrorKind::Codec, message));
+                    }
+                    *self = Self::Open(FrameReader::new(response.into_body()));
+                }
+            }
+        }
+    }
+}
+
+impl<R: DeserializeOwned> ReplyStream<'_, R> {
+    /// The next reply, `None` behind the last one.
+    ///
+    /// # Errors
+    ///
+    /// `Lost` when the connection went silent or closed, `Codec` when a frame is
+    /// malformed.
+    pub async fn next(&mut self) -> Result<Option<R>, WireError> {
+        let address = self.address;
+        let connection = &mut self.connection;
+        // A reply that came in together with the end of the connection counts.
+        tokio::select! {
+            biased;
+            frame = self.body.next(address) => {
+                connection.last_sign.renew();
+                let Some(frame) = frame? else { return Ok(None) };
+                self.pool.received_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
+                decode(&frame).map(Some)
+            }
+            _ = connection.dead.wait_for(|dead| *dead) => {
+                let message = format!("connection to peer {address} went silent or closed");
+                Err(WireError::new(WireErrorKind::Lost, message))
+            }
+            never = suspect(&connection.suspicion) => match never {},
+        }
     }
-    read_frame(response.into_body()).await
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,8 @@
 //! Messages between nodes and the h2 streams that carry them.
 //!
-//! One request is one h2 stream. Its body is one bincode frame in each
-//! direction; resetting the stream cancels the request.
+//! One request is one h2 stream: one bincode frame to the peer, and one reply or
+//! several back, each with its length in front. Resetting the stream cancels the
+//! request.
 
 mod client;
 mod codec;
@@ -14,7 +15,7 @@
 mod shard_codec;
 mod stream;
 
-pub use client::{PeerHealth, PeerNews, PeerPool};
+pub use client::{PeerHealth, PeerNews, PeerPool, ReplyStream};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use control::{
     CloseNotice, ConfigCopy, ControlMessage, ControlReply, FetchReply, FetchRequest, GossipDigest,
@@ -24,7 +25,7 @@
 pub use error::{WireError, WireErrorKind};
 pub use listener::serve_connections;
 pub use reason::{RefusalReason, RequestOutcome, RetryReason};
-pub use server::{PeerHandler, serve_peers};
+pub use server::{PeerHandler, ReplySink, serve_peers};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
 pub use stream::probe_interval;
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,12 +3,15 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use h2::{RecvStream, server::SendResponse};
+use h2::{RecvStream, SendStream, server::SendResponse};
 use http::{Request, Response, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{
+        mpsc::{UnboundedSender, unbounded_channel},
+        watch,
+    },
     time::timeout,
 };
 
@@ -16,7 +19,9 @@
     codec::{decode, encode},
     error::{WireError, WireErrorKind},
     listener::serve_connections,
-    stream::{CONNECTION_WINDOW_BYTES, MAX_STREAMS, STREAM_WINDOW_BYTES, read_frame},
+    stream::{
+        CONNECTION_WINDOW_BYTES, MAX_STREAMS, STREAM_WINDOW_BYTES, lost, read_frame, with_length,
+    },
 };
 
 /// Time for a peer to finish the handshake of a new connection.
@@ -36,13 +41,37 @@
     /// What they get.
     type Reply: Serialize + Send;
 
-    /// Answers one request. The future is dropped when the peer cancels.
-    fn handle(&self, request: Self::Request) -> impl Future<Output = Self::Reply> + Send;
+    /// Answers one request with one reply or several; the stream ends when the
+    /// sink is dropped. The future is dropped when the peer cancels.
+    fn handle(
+        &self,
+        request: Self::Request,
+        replies: ReplySink<Self::Reply>,
+    ) -> impl Future<Output = ()> + Send;
 
     /// Counts a stream or connection that did not carry a valid request.
     fn count_bad_input(&self);
 }
 
+/// Where the replies to one request go.
+#[derive(Debug)]
+pub struct ReplySink<R> {
+    replies: UnboundedSender<R>,
+}
+
+impl<R> ReplySink<R> {
+    /// Sends one reply; one to a peer that has cancelled is dropped.
+    pub fn send(&self, reply: R) {
+        // The receiver is gone once the peer has reset its stream.
+        let _ = self.replies.send(reply);
+    }
+
+    /// Returns once the peer has cancelled.
+    pub async fn cancelled(&self) {
+        self.replies.closed().await;
+    }
+}
+
 /// Accepts peer connections until `stop` becomes `true`, then lets every
 /// stream in flight finish and returns.
 pub async fn serve_peers<H: PeerHandler>(
@@ -114,12 +143,45 @@
             return;
         }
     };
-    let reply = tokio::select! {
-        reply = handler.handle(request) => reply,
-        _ = std::future::poll_fn(|context| respond.poll_reset(context)) => return,
-    };
-    // A failed send means that the peer has reset the stream.
-    let _ = send_reply(&mut respond, &reply);
+    let (replies, mut queue) = unbounded_channel();
+    let handling = handler.handle(request, ReplySink { replies });
+    tokio::pin!(handling);
+    let mut body = None;
+    let mut handled = false;
+    loop {
+        let reply = tokio::select! {
+            biased;
+            () = handling.as_mut(), if !handled => {
+                handled = true;
+                continue;
+            }
+            reply = queue.recv() => reply,
+            _ = std::future::poll_fn(|context| respond.poll_reset(context)), if body.is_none() => {
+                return;
+            }
+            () = peer_reset(&mut body) => return,
+        };
+        let Some(reply) = reply else { break };
+        let is_last = handled && queue.is_closed() && queue.is_empty();
+        // A failed send means that the peer has reset the stream.
+        if send_reply(&mut respond, &mut body, &reply, is_last).is_err() || is_last {
+            return;
+        }
+    }
+    if let Some(mut body) = body {
+        let _ = body.send_data(Bytes::new(), true);
+    }
+}
+
+/// Returns once the peer has reset a stream whose replies have begun.
+async fn peer_reset(body: &mut Option<SendStream<Bytes>>) {
+    match body {
+        Some(body) => {
+            // Both an error and a reset end the stream.
+            let _ = std::future::poll_fn(|context| body.poll_reset(context)).await;
+        }
+        None => std::future::pending().await,
+    }
 }
 
 async fn read_request<Q: DeserializeOwned>(request: Request<RecvStream>) -> Result<Q, WireError> {
@@ -129,10 +191,17 @@
     decode(&frame)
 }
 
-fn send_reply<R: Serialize>(respond: &mut SendResponse<Bytes>, reply: &R) -> Result<(), WireError> {
-    let frame = encode(reply)?;
-    let mut body = respond
-        .send_response(Response::new(()), false)
-        .map_err(|error| crate::stream::lost(&error))?;
-    body.send_data(frame, true).map_err(|error| crate::stream::lost(&error))
+fn send_reply<R: Serialize>(
+    respond: &mut SendResponse<Bytes>,
+    body: &mut Option<SendStream<Bytes>>,
+    reply: &R,
+    is_last: bool,
+) -> Result<(), WireError> {
+    let frame = with_length(&encode(reply)?);
+    if body.is_none() {
+        let sent = respond.send_response(Response::new(()), false);
+        *body = Some(sent.map_err(|error| lost(&error))?);
+    }
+    let Some(body) = body else { return Ok(()) };
+    body.send_data(frame, is_last).map_err(|error| lost(&error))
 }
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -1,8 +1,8 @@
-//! Bodies of h2 streams: one bounded frame in each direction.
+//! Bodies of h2 streams: one bounded frame to the peer, and one or several back.
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::RecvStream;
 
 use crate::{
@@ -67,6 +67,65 @@
     Ok(frame.freeze())
 }
 
+/// Bytes of the length in front of each reply's frame.
+const LENGTH_BYTES: usize = size_of::<u32>();
+
+/// A reply's frame with its length in front, since several may follow one another.
+pub(crate) fn with_length(frame: &[u8]) -> Bytes {
+    let mut message = BytesMut::with_capacity(LENGTH_BYTES + frame.len());
+    // Frames are bounded far below 4 GiB.
+    message.put_u32_le(u32::try_from(frame.len()).unwrap_or(u32::MAX));
+    message.put_slice(frame);
+    message.freeze()
+}
+
+/// Reads the frames of a reply stream one by one.
+#[derive(Debug)]
+pub(crate) struct FrameReader {
+    body: RecvStream,
+    buffer: BytesMut,
+}
+
+impl FrameReader {
+    pub(crate) fn new(body: RecvStream) -> Self {
+        Self { body, buffer: BytesMut::new() }
+    }
+
+    /// The next frame, `None` behind the last one.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, WireError> {
+        loop {
+            if let Some(frame) = self.take_frame()? {
+                return Ok(Some(frame));
+            }
+            let Some(chunk) = self.body.data().await else {
+                if self.buffer.is_empty() {
+                    return Ok(None);
+                }
+                let message = format!("{} bytes of a broken frame", self.buffer.len());
+                return Err(WireError::new(WireErrorKind::Codec, message));
+            };
+            let chunk = chunk.map_err(|error| lost(&error))?;
+            // A failure to return capacity means that the stream is already closed.
+            let _ = self.body.flow_control().release_capacity(chunk.len());
+            self.buffer.extend_from_slice(&chunk);
+        }
+    }
+
+    fn take_frame(&mut self) -> Result<Option<Bytes>, WireError> {
+        let Some(head) = self.buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let length = u32::from_le_bytes(*head) as usize;
+        if length > MAX_FRAME_BYTES {
+            let message = format!("frame of {length} bytes is over {MAX_FRAME_BYTES}");
+            return Err(WireError::new(WireErrorKind::Codec, message));
+        }
+        if self.buffer.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(LENGTH_BYTES);
+        Ok(Some(self.buffer.split_to(length).freeze()))
+    }
+}
+
 /// Turns an h2 error after the request was sent into its kind.
 pub(crate) fn lost(error: &h2::Error) -> WireError {
     let kind = match error.reason() {
