--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -178,10 +178,7 @@
                 match action {
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
                     FanoutAction::Delegate(group) => self.delegate(group),
-                    FanoutAction::Take(group) => {
-                        let offered = self.offered.get_mut(usize::from(group.0));
-                        self.merged.extend(offered.and_then(Option::take));
-                    }
+                    FanoutAction::Take(group) => self.take(group),
                     FanoutAction::Report => report(&self.answers),
                     FanoutAction::Finish(end) => return end,
                 }
@@ -232,6 +229,20 @@
         actions
     }
 
+    /// Uses the parts that a peer sent. Direct answers to the same shards are
+    /// dropped: no part may be in an answer twice.
+    fn take(&mut self, group: GroupIndex) {
+        let position = usize::from(group.0);
+        let Some(parts) = self.offered.get_mut(position).and_then(Option::take) else { return };
+        let shards = &self.state.plan().delegations[position].shards;
+        for part in &parts.shards {
+            if let Some(shard) = shards.get(usize::from(*part)) {
+                self.answers[usize::from(shard.0)] = None;
+            }
+        }
+        self.merged.push(parts);
+    }
+
     fn note_delegation(&mut self, now: BootTime, group: GroupIndex, news: &DelegationNews) {
         let end = match news {
             DelegationNews::Parts(_) | DelegationNews::Ended => return,
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -222,8 +222,8 @@
         actions
     }
 
-    /// Takes the parts that a peer merged: all of them, or none if a shard among
-    /// them was answered directly meanwhile.
+    /// Takes the parts that a peer merged. They can't be told apart any more, so
+    /// that they replace what was answered directly meanwhile.
     fn take_parts(
         &mut self,
         group: GroupIndex,
@@ -231,21 +231,21 @@
         actions: &mut Vec<FanoutAction>,
     ) {
         self.may_have_run = true;
-        let answered = |shard: &ShardIndex| {
-            let progress = self.shards.get(usize::from(shard.0));
-            progress.is_none_or(|progress| progress.state == ShardState::Answered)
-        };
-        if shards.is_empty() || shards.iter().any(answered) {
+        if shards.is_empty() {
             return;
         }
         for shard in shards {
-            let progress = &mut self.shards[usize::from(shard.0)];
-            if progress.state == ShardState::GivenUp {
-                self.given_up -= 1;
+            let Some(progress) = self.shards.get_mut(usize::from(shard.0)) else { continue };
+            match progress.state {
+                ShardState::Answered => {}
+                ShardState::GivenUp => {
+                    self.given_up -= 1;
+                    self.answered += 1;
+                }
+                ShardState::Open => self.answered += 1,
             }
             progress.state = ShardState::Answered;
             progress.delegated = false;
-            self.answered += 1;
         }
         actions.push(FanoutAction::Take(group));
     }
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -84,7 +84,8 @@
     },
     /// Send the shards of a delegation to its peer.
     Delegate(GroupIndex),
-    /// Use the parts that a peer has just sent: none of them was answered otherwise.
+    /// Use the parts that a peer has just sent, in place of direct answers to the
+    /// same shards.
     Take(GroupIndex),
     /// Send the parts that are there and were not sent yet to the node that
     /// delegated the shards.
