Call the store less at starts and outages; name shards by their servers

Every starting node listed everything, ten pages, since it knew of nobody whom it could ask; in an outage every node called the store twice a second for each kind.

Change: a node lists the others first, by a read that may be old and costs a tenth, and learns the rest from the node that follows the store; only followers watch the nodes. A node that calls the store because its peer has nothing fresh pauses up to 2 s. News of a peer that has no list yet don't count. A delegated shard is named by its servers alone.

Test: none of its own; the paths of lists with old reads are in platform/tests/decoding.rs, the process tests of starts and outages pass.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,6 +27,9 @@
 /// bounds on leaving servers and on configurations are 3 s and more.
 const STALE: Duration = Duration::from_millis(1_900);
 
+/// Time for which a node that has just started waits for a peer's first news.
+const START_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// Pause before the next call after a failed one.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -49,12 +52,19 @@
     }
 }
 
+/// Whether this node follows the store for its zone.
+pub(crate) fn is_follower(gateway: &Gateway) -> bool {
+    gateway.state.borrow().peers.follower(BootTime::now()) == StoreFollower::Own
+}
+
 /// Whether this node has to call the store: no peer does it for the node, or
 /// what the peer says is stale.
 pub(crate) fn must_call_store(gateway: &Gateway) -> bool {
     let now = BootTime::now();
-    let state = gateway.state.borrow();
-    state.peers.follower(now) == StoreFollower::Own || state.freshness.age(now) > STALE
+    let age = gateway.state.borrow().freshness.age(now);
+    // A node that has just started hears from its peer first.
+    let stale = now.since(gateway.started) > START_PATIENCE && age > STALE;
+    stale || is_follower(gateway)
 }
 
 /// Asks the peer that follows the store, for as long as the process lives.
@@ -102,10 +112,15 @@
     let heard = now - news.age;
     let changes = {
         let state = &mut *gateway.state.borrow_mut();
-        state.freshness.servers = state.freshness.servers.max(heard);
-        state.freshness.configuration = state.freshness.configuration.max(heard);
-        state.lifecycle.servers_known();
-        state.directory.take_news(now, news.servers)
+        // A peer that has just started may not have a list yet.
+        if news.servers.revision == 0 {
+            Vec::new()
+        } else {
+            state.freshness.servers = state.freshness.servers.max(heard);
+            state.freshness.configuration = state.freshness.configuration.max(heard);
+            state.lifecycle.servers_known();
+            state.directory.take_news(now, news.servers)
+        }
     };
     gateway.apply_changes(&changes);
     if let Some(nodes) = news.nodes {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -51,6 +51,8 @@
     pub(crate) state: RefCell<GatewayState>,
     /// Counts changes that peers want to know.
     pub(crate) changed: watch::Sender<u64>,
+    /// When the process started.
+    pub(crate) started: BootTime,
     /// Tells this process apart from earlier ones of the node.
     pub(crate) life: u64,
     /// Tells connections to close as soon as they are idle.
@@ -114,6 +116,7 @@
             peer_pool,
             state: RefCell::new(state),
             changed: watch::Sender::new(0),
+            started: BootTime::now(),
             life: RandomState::new().hash_one(settings.node.as_str()).max(1),
             closing: watch::Sender::new(false),
             settings,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -175,7 +175,6 @@
             top: u32::try_from(gather.top).unwrap_or(u32::MAX),
             objective: route.objective,
             timeout: route.timeout,
-            names,
         };
     }
     let plan = FanoutPlan {
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -18,7 +18,7 @@
     peers::{PeerBridge, serve_calls},
     report::Reporter,
     stop,
-    watcher::{FollowedKind, KindWatcher, expire_lapsed},
+    watcher::{expire_lapsed, follow_store},
 };
 
 /// Exit code for a wrong command line or settings file.
@@ -89,9 +89,7 @@
     spawn_local(serve_calls(gateway.clone(), calls));
     spawn_local(serve_peers(peers, Arc::new(bridge), gateway.closing.subscribe()));
     membership::register(&gateway);
-    for kind in [FollowedKind::Configuration, FollowedKind::Servers, FollowedKind::Nodes] {
-        spawn_local(KindWatcher::new(gateway.clone(), kind).run());
-    }
+    spawn_local(follow_store(gateway.clone()));
     spawn_local(follow_peer(gateway.clone()));
     spawn_local(expire_lapsed(gateway.clone()));
     spawn_local(gateway.clone().watch_reach());
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use carobstep_platform::{NODE_KIND, ObjectRequest, write_node};
+use carobstep_platform::{NODE_KIND, ObjectRequest, collection_path, write_node};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use log::{info, warn};
@@ -51,8 +51,7 @@
 async fn write_own(gateway: &Gateway) -> Result<(), String> {
     let own = gateway.state.borrow().peers.own().clone();
     let body = write_node(&own).map_err(|error| error.to_string())?;
-    let list = ObjectRequest::List { kind: NODE_KIND, after: None }.path();
-    let status = send(gateway, Method::POST, list, body.clone()).await?;
+    let status = send(gateway, Method::POST, collection_path(NODE_KIND), body.clone()).await?;
     if status.is_success() {
         return Ok(());
     }
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -29,8 +29,8 @@
 /// Some shards of a search.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct DelegatedSearch {
-    /// The shards.
-    pub(crate) shards: Vec<DelegatedShard>,
+    /// Short names of the servers that may be asked, for each shard.
+    pub(crate) shards: Vec<Vec<u32>>,
     /// Greatest records that are needed of all parts together.
     pub(crate) top: u32,
     /// Servers that may be asked for each shard.
@@ -50,15 +50,6 @@
     pub(crate) body: Bytes,
 }
 
-/// One shard of a delegated search.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct DelegatedShard {
-    /// Name of its service.
-    pub(crate) name: String,
-    /// Short names of the servers that may be asked.
-    pub(crate) servers: Vec<u32>,
-}
-
 /// Parts of a search, merged.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct DelegatedParts {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Calls between nodes: delegated shards of a search.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
@@ -22,7 +22,7 @@
     fanout::run_fanout,
     follow::news_for,
     gateway::Gateway,
-    peer_messages::{DelegatedParts, DelegatedSearch, DelegatedShard, PeerAnswer, PeerCall},
+    peer_messages::{DelegatedParts, DelegatedSearch, PeerAnswer, PeerCall},
 };
 
 /// Time for a delegated answer on its way back: a zone's distance and a turn on
@@ -135,11 +135,11 @@
     let fleet = &mut state.fleet;
     let mut services = Vec::with_capacity(search.shards.len());
     let mut allowed = IndexMap::with_capacity(search.shards.len());
-    for (position, shard) in search.shards.iter().enumerate() {
-        let service = fleet.service(now, &Arc::from(shard.name.as_str()));
+    for (position, short_names) in search.shards.iter().enumerate() {
+        // A shard of which no server is known here is given up at once.
+        let (service, servers) = fleet.find_servers(short_names).unwrap_or_default();
         services.push(service);
-        let index = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
-        allowed.insert(index, fleet.find_servers(service, &shard.servers));
+        allowed.insert(ShardIndex(u16::try_from(position).unwrap_or(u16::MAX)), servers);
     }
     let plan = FanoutPlan {
         services,
@@ -177,19 +177,14 @@
 ) -> PeerCall {
     let now = BootTime::now();
     let delegation = &plan.delegations[group];
-    let mut shards = Vec::with_capacity(delegation.shards.len());
-    for shard in &delegation.shards {
-        let Some(name) = search.names.get(usize::from(shard.0)) else { continue };
-        let servers = plan.allowed.get(shard).map(|keys| fleet.fingerprints(keys));
-        let servers = servers.unwrap_or_default();
-        shards.push(DelegatedShard { name: name.to_string(), servers });
-    }
+    let servers = |shard| plan.allowed.get(shard).map(|keys| fleet.short_names(keys));
+    let shards = delegation.shards.iter().map(|shard| servers(shard).unwrap_or_default());
     let mut copied = Vec::with_capacity(request.headers.len());
     for (name, value) in &request.headers {
         copied.push((name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
     }
     PeerCall::Search(DelegatedSearch {
-        shards,
+        shards: shards.collect(),
         top: search.top,
         attempts: plan.attempts,
         objective: search.objective,
@@ -204,10 +199,8 @@
 }
 
 /// What a peer has to know of the whole search.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DelegatedScope {
-    /// Names of all shards' services.
-    pub(crate) names: Vec<Arc<str>>,
     pub(crate) top: u32,
     pub(crate) objective: Duration,
     pub(crate) timeout: Duration,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -6,17 +6,23 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::{
     CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, NODE_KIND, ObjectEvent, ObjectRequest,
-    SERVER_KIND, StoredObject, WatchPage, read_configuration, read_node, read_page, read_server,
-    read_watch,
+    ReadFreshness, SERVER_KIND, StoredObject, WatchPage, read_configuration, read_node, read_page,
+    read_server, read_watch,
 };
 use carobstep_store::ReplyParts;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use indexmap::IndexMap;
 use log::{info, warn};
-use tokio::time::sleep;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
-use crate::{follow::must_call_store, gateway::Gateway};
+use crate::{
+    follow::{is_follower, must_call_store},
+    gateway::Gateway,
+};
 
 /// Longest wait of one watch. A connection that went silent is found after this
 /// time and [`CALL_TIMEOUT`], and peers learn at this interval that nothing has
@@ -41,6 +47,14 @@
 /// Longest pause after failed calls.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// Longest pause of a node that calls the store only because its peer has
+/// nothing fresh: it hears from the peer when the store is back.
+const MAX_SUBSTITUTE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest time for which a starting node looks for others before it follows
+/// the store by itself.
+const DISCOVERY_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Interval at which a node looks whether it has to call the store again.
 const DUTY_TICK: Duration = Duration::from_millis(100);
 
@@ -49,7 +63,7 @@
 
 /// Kinds of objects that are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum FollowedKind {
+enum FollowedKind {
     /// The configuration.
     Configuration,
     /// The backend servers.
@@ -85,15 +99,18 @@
 }
 
 /// Why a call brought nothing.
+#[derive(strum::Display)]
 enum CallFailure {
     /// The history behind the revision is gone.
+    #[strum(to_string = "the history is gone")]
     HistoryGone,
     /// Anything else.
+    #[strum(to_string = "{0}")]
     Other(String),
 }
 
 /// Follows one kind of objects.
-pub(crate) struct KindWatcher {
+struct KindWatcher {
     gateway: Rc<Gateway>,
     kind: FollowedKind,
     failures: u32,
@@ -102,31 +119,44 @@
 }
 
 impl KindWatcher {
-    pub(crate) fn new(gateway: Rc<Gateway>, kind: FollowedKind) -> Self {
+    fn new(gateway: Rc<Gateway>, kind: FollowedKind) -> Self {
         Self { gateway, kind, failures: 0, told: IndexMap::new() }
     }
 
-    /// Follows the kind for as long as the process lives.
-    pub(crate) async fn run(mut self) {
+    /// Follows the kind for as long as the process lives, from `known` on if
+    /// everything up to that revision was taken in.
+    async fn run(mut self, mut known: Option<u64>) {
         loop {
-            while !must_call_store(&self.gateway) {
+            while !self.must_call() {
                 sleep(DUTY_TICK).await;
             }
-            match self.list().await {
+            let listed = match known.take() {
+                Some(revision) => Ok(revision),
+                None => self.list(ReadFreshness::Latest).await,
+            };
+            match listed {
                 Ok(revision) => self.watch(revision).await,
                 Err(failure) => self.pause_after(failure).await,
             }
         }
     }
 
+    /// Whether this node has to call the store about the kind.
+    fn must_call(&self) -> bool {
+        match self.kind {
+            FollowedKind::Configuration | FollowedKind::Servers => must_call_store(&self.gateway),
+            FollowedKind::Nodes => is_follower(&self.gateway),
+        }
+    }
+
     /// Lists every object and returns the revision from which to watch.
-    async fn list(&mut self) -> Result<u64, CallFailure> {
+    async fn list(&mut self, freshness: ReadFreshness) -> Result<u64, CallFailure> {
         let kind = self.kind.name();
         let mut after: Option<String> = None;
         let mut objects = Vec::new();
         let mut revision = None;
         loop {
-            let request = ObjectRequest::List { kind, after: after.as_deref() };
+            let request = ObjectRequest::List { kind, after: after.as_deref(), freshness };
             let reply = self.call(&request, CALL_TIMEOUT).await?;
             let page = read_page(kind, &reply.body).map_err(CallFailure::from)?;
             // Changes between two pages are seen again in the watch from the first one.
@@ -150,7 +180,7 @@
         let kind = self.kind.name();
         let wait = self.kind.watch_wait();
         let wait_ms = wait.as_millis() as u64;
-        while must_call_store(&self.gateway) {
+        while self.must_call() {
             let request = ObjectRequest::Watch { kind, after: revision, wait_ms };
             let reply = self.call(&request, wait + CALL_TIMEOUT).await;
             let page = reply.and_then(|reply| Ok(read_watch(kind, &reply.body)?));
@@ -223,9 +253,10 @@
         if self.failures == 0 {
             warn!(kind = self.kind.name(), reason = reason.as_str(); "store lost");
         }
-        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
+        let longest = if is_follower(&self.gateway) { MAX_PAUSE } else { MAX_SUBSTITUTE_PAUSE };
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
         self.failures += 1;
-        sleep(pause.min(MAX_PAUSE)).await;
+        sleep(pause.min(longest)).await;
     }
 
     fn take_list(&mut self, revision: u64, objects: &[StoredObject]) {
@@ -346,6 +377,30 @@
     }
 }
 
+/// Follows the store for as long as the process lives.
+///
+/// The other nodes come first: a node that knows them learns the rest from the
+/// one that follows the store, and needs no lists of its own.
+pub(crate) async fn follow_store(gateway: Rc<Gateway>) {
+    let mut nodes = KindWatcher::new(gateway.clone(), FollowedKind::Nodes);
+    let discovering = nodes.list(ReadFreshness::MayBeOld);
+    let known = match timeout(DISCOVERY_PATIENCE, discovering).await {
+        Ok(Ok(revision)) => Some(revision),
+        Ok(Err(failure)) => {
+            warn!(reason:% = failure; "other nodes could not be listed");
+            None
+        }
+        Err(_) => {
+            warn!(patience_ms = DISCOVERY_PATIENCE.as_millis() as u64; "no list of other nodes");
+            None
+        }
+    };
+    spawn_local(nodes.run(known));
+    for kind in [FollowedKind::Configuration, FollowedKind::Servers] {
+        spawn_local(KindWatcher::new(gateway.clone(), kind).run(None));
+    }
+}
+
 /// Gives up the entries that lapsed during an outage and did not come back.
 pub(crate) async fn expire_lapsed(gateway: Rc<Gateway>) {
     loop {
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -117,6 +117,8 @@
     service_names: IndexMap<Arc<str>, ServiceKey>,
     servers: SlotMap<ServerKey, ServerState>,
     server_ids: IndexMap<Arc<str>, ServerKey>,
+    /// Servers by the short names that nodes use among themselves.
+    short_names: IndexMap<u32, ServerKey>,
     /// Latencies of the classes of requests.
     pub classes: ClassTable,
     /// Availability zones that are reached.
@@ -143,6 +145,7 @@
             service_names: IndexMap::new(),
             servers: SlotMap::with_key(),
             server_ids: IndexMap::new(),
+            short_names: IndexMap::new(),
             classes: ClassTable::default(),
             reach: ZoneReach::default(),
         }
@@ -225,6 +228,7 @@
         let state = ServerState::new(now, entry.clone(), service);
         let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
+        self.short_names.insert(short_name(&entry.id), key);
         if let Some(service) = self.services.get_mut(service) {
             service.servers.push(key);
         }
@@ -233,6 +237,7 @@
 
     fn drop_server(&mut self, key: ServerKey) {
         let Some(server) = self.servers.remove(key) else { return };
+        self.short_names.swap_remove(&short_name(&server.entry.id));
         if let Some(service) = self.services.get_mut(server.service) {
             service.servers.retain(|other| *other != key);
         }
@@ -454,20 +459,21 @@
 
     /// Short names of servers, by which a peer finds them again.
     #[must_use]
-    pub fn fingerprints(&self, keys: &[ServerKey]) -> Vec<u32> {
+    pub fn short_names(&self, keys: &[ServerKey]) -> Vec<u32> {
         let servers = keys.iter().filter_map(|key| self.servers.get(*key));
-        servers.map(|server| fingerprint(&server.entry.id)).collect()
+        servers.map(|server| short_name(&server.entry.id)).collect()
     }
 
-    /// The servers of a service that have one of some short names.
+    /// The servers with some short names, and the service that they belong to;
+    /// `None` if this node knows none of them.
     #[must_use]
-    pub fn find_servers(&self, service: ServiceKey, fingerprints: &[u32]) -> Vec<ServerKey> {
-        let Some(state) = self.services.get(service) else { return Vec::new() };
-        let is_named = |key: &&ServerKey| {
-            let server = self.servers.get(**key);
-            server.is_some_and(|server| fingerprints.contains(&fingerprint(&server.entry.id)))
-        };
-        state.servers.iter().filter(is_named).take(fingerprints.len()).copied().collect()
+    pub fn find_servers(&self, short_names: &[u32]) -> Option<(ServiceKey, Vec<ServerKey>)> {
+        let known = short_names.iter().filter_map(|name| self.short_names.get(name).copied());
+        let keys: Vec<_> = known.collect();
+        let service = self.servers.get(*keys.first()?)?.service;
+        let in_service =
+            |key: &ServerKey| self.servers.get(*key).is_some_and(|it| it.service == service);
+        Some((service, keys.into_iter().filter(in_service).collect()))
     }
 
     /// Whether a server has kept every request waiting for too long, or was not
@@ -534,7 +540,7 @@
     }
 }
 
-/// Short name of a server; the servers of one service are too few to share one.
-fn fingerprint(id: &str) -> u32 {
+/// Short name of a server; a deployment has too few servers for two to share one.
+fn short_name(id: &str) -> u32 {
     xxh3_64(id.as_bytes()) as u32
 }
