Let nodes that the store turns away learn from others

Change: a node whose calls to the store fail asks another node of its zone, then of others. A peer whose news stay stale, or come from the asking node, is not asked for 2 s.

Tests: a_node_that_the_store_turns_away_learns_from_a_peer (as a process), a_node_that_the_store_turns_away_asks_another_for_news, shards_that_a_peer_asked_nobody_for_are_asked_directly_without_budget, a_helper_tells_at_once_which_shards_it_asks_nobody_for.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -40,6 +40,8 @@
     /// Attempts that did not succeed.
     pub(crate) trail: AttemptTrail,
     pub(crate) answered: usize,
+    /// Shards that nobody was asked for.
+    pub(crate) unasked: Vec<ShardIndex>,
     /// What the other shards waited for at the end.
     pub(crate) lacking: LackingShards,
     /// Peers that were asked.
@@ -104,14 +106,14 @@
 
 /// Carries out one request, of which peers may take shards, until its end.
 ///
-/// `report` gets the answers so far whenever the node that delegated the shards
-/// should hear of them.
+/// `report` gets the answers so far, and the shards that nobody was asked for,
+/// whenever the node that delegated the shards should hear of them.
 pub(crate) async fn run_fanout(
     gateway: &Rc<Gateway>,
     plan: FanoutPlan,
     request: Rc<BackendRequest>,
     scope: DelegatedScope,
-    mut report: impl FnMut(&[Option<BackendAnswer>]),
+    mut report: impl FnMut(&[Option<BackendAnswer>], &[ShardIndex]),
 ) -> FanoutOutcome {
     let shards = plan.services.len();
     let deadline = instant_of(plan.deadline);
@@ -136,6 +138,7 @@
     FanoutOutcome {
         end,
         answered: run.state.answered(),
+        unasked: run.state.unasked(),
         lacking: run.state.lacking(),
         extra_attempts: run.state.extra_attempts(),
         answers: run.answers,
@@ -167,7 +170,7 @@
     async fn drive(
         &mut self,
         ended: &mut UnboundedReceiver<FanoutReport>,
-        report: &mut impl FnMut(&[Option<BackendAnswer>]),
+        report: &mut impl FnMut(&[Option<BackendAnswer>], &[ShardIndex]),
     ) -> FanoutEnd {
         let mut actions = {
             let gateway = &mut *self.gateway.state.borrow_mut();
@@ -179,7 +182,7 @@
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
                     FanoutAction::Delegate(group) => self.delegate(group),
                     FanoutAction::Take(group) => self.take(group),
-                    FanoutAction::Report => report(&self.answers),
+                    FanoutAction::Report => report(&self.answers, &self.state.unasked()),
                     FanoutAction::Finish(end) => return end,
                 }
             }
@@ -245,7 +248,7 @@
 
     fn note_delegation(&mut self, now: BootTime, group: GroupIndex, news: &DelegationNews) {
         let end = match news {
-            DelegationNews::Parts(_) | DelegationNews::Ended => return,
+            DelegationNews::Parts(_) | DelegationNews::Unasked(_) | DelegationNews::Ended => return,
             DelegationNews::NotSent => DelegationEnd::NotSent,
             DelegationNews::Lost => DelegationEnd::Lost,
         };
@@ -347,25 +350,36 @@
             state.fleet.classes.record_delegation(class, BootTime::now().since(sent));
             state.peers.answered(peer);
         }
-        let Some(answered) = positions(&parts, shards) else {
+        let answered = shards_at(&parts.shards, shards);
+        let unasked = shards_at(&parts.unasked, shards);
+        let (Some(answered), Some(unasked)) = (answered, unasked) else {
             debug!(peer = peer; "a peer's parts don't fit the call");
             return DelegationNews::Lost;
         };
-        hear(DelegationNews::Parts(answered), Some(parts));
+        if parts.stamps.len() != answered.len() {
+            debug!(peer = peer; "a peer's signatures don't fit its parts");
+            return DelegationNews::Lost;
+        }
+        if !answered.is_empty() || unasked.is_empty() {
+            hear(DelegationNews::Parts(answered), Some(parts));
+        }
+        if !unasked.is_empty() {
+            hear(DelegationNews::Unasked(unasked), None);
+        }
     }
 }
 
-/// The shards of a call that a peer's parts belong to, `None` if they don't fit it.
-fn positions(parts: &DelegatedParts, shards: &[ShardIndex]) -> Option<Vec<ShardIndex>> {
-    let mut answered = Vec::with_capacity(parts.shards.len());
-    for position in &parts.shards {
+/// The shards at some positions of a call; `None` if one is not there or comes twice.
+fn shards_at(positions: &[u16], shards: &[ShardIndex]) -> Option<Vec<ShardIndex>> {
+    let mut found = Vec::with_capacity(positions.len());
+    for position in positions {
         let shard = *shards.get(usize::from(*position))?;
-        if answered.contains(&shard) {
+        if found.contains(&shard) {
             return None;
         }
-        answered.push(shard);
+        found.push(shard);
     }
-    (parts.stamps.len() == answered.len()).then_some(answered)
+    Some(found)
 }
 
 /// The timer's reading for a reading of the boot clock.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 //! as they come. Each answer says how old the peer's last answer of the store
 //! is. A node that hears nothing fresh calls the store itself.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_platform::{CONFIGURATION_NAME, StoredObject, read_configuration};
@@ -67,13 +67,23 @@
     stale || is_follower(gateway)
 }
 
+/// The peer that this node asks for news of the store, if any.
+fn news_source(gateway: &Gateway) -> Option<Arc<str>> {
+    let now = BootTime::now();
+    let state = gateway.state.borrow();
+    match state.peers.follower(now) {
+        StoreFollower::Peer(peer) => Some(peer),
+        StoreFollower::Own if state.directory.is_store_failing() => state.peers.substitute(now),
+        StoreFollower::Own => None,
+    }
+}
+
 /// Asks the peer that follows the store, for as long as the process lives.
 pub(crate) async fn follow_peer(gateway: Rc<Gateway>) {
     let mut known = FollowCall { life: 0, servers: 0, nodes: 0, version: 0 };
     let mut asked = None;
     loop {
-        let follower = gateway.state.borrow().peers.follower(BootTime::now());
-        let StoreFollower::Peer(peer) = follower else {
+        let Some(peer) = news_source(&gateway) else {
             sleep(OWN_PAUSE).await;
             continue;
         };
@@ -89,10 +99,22 @@
         let calling = gateway.peer_pool.call_typed(address, &call);
         match timeout(NEWS_WAIT + CALL_TIMEOUT, calling).await {
             Ok(Ok(PeerAnswer::News(news))) => {
+                let is_own = news.source.as_ref() == Some(&gateway.state.borrow().peers.own().name);
+                // The first answer comes at once, a later one after some time for the
+                // peer to hear of the store again.
+                let is_stale = news.age > STALE && known.life == news.life;
                 known.life = news.life;
                 known.servers = news.servers.number;
                 known.nodes = news.node_number;
+                let age_ms = news.age.as_millis() as u64;
                 take_news(&gateway, *news);
+                if is_own || is_stale {
+                    info!(
+                        peer = peer.as_ref(), age_ms = age_ms, source_is_own = is_own;
+                        "a peer has no news of the store"
+                    );
+                    gateway.state.borrow_mut().peers.has_no_news(BootTime::now(), &peer);
+                }
             }
             Ok(Ok(_)) => lose_peer(&gateway, &peer, "it is stopping").await,
             Ok(Err(error)) => lose_peer(&gateway, &peer, &error.to_string()).await,
@@ -147,6 +169,7 @@
     };
     // Without news the answer still tells how fresh the node's knowledge is.
     let _ = timeout(NEWS_WAIT, changes.wait_for(is_news)).await;
+    let source = news_source(gateway);
     let state = gateway.state.borrow();
     let same_life = call.life == gateway.life;
     let mut nodes: Vec<_> = state.peers.entries().cloned().collect();
@@ -156,6 +179,7 @@
     PeerAnswer::News(Box::new(StoreNews {
         life: gateway.life,
         age: state.freshness.age(BootTime::now()),
+        source,
         servers: state.directory.news_after(same_life.then_some(call.servers)),
         node_number: state.node_number,
         nodes: (!same_life || call.nodes != state.node_number).then_some(nodes),
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -108,7 +108,7 @@
     report.patience = patience;
     let (plan, scope) = plan_of(gateway, &route, arrived, patience.min(route.timeout));
     let request = Rc::new(backend_request(head, body));
-    let mut outcome = run_fanout(gateway, plan, request, scope, |_| {}).await;
+    let mut outcome = run_fanout(gateway, plan, request, scope, |_, _| {}).await;
     report.take_in(&mut outcome);
     match &route.target {
         RouteTarget::Gather(gather) => search_answer(gather, &outcome),
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -1,6 +1,6 @@
 //! What nodes say to one another.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use carobstep_tier::{DirectoryNews, PeerEntry};
@@ -59,6 +59,8 @@
     pub(crate) stamps: Vec<Bytes>,
     /// The greatest records of these parts, greatest first.
     pub(crate) records: Bytes,
+    /// Positions of shards that no server was asked for, and none will be.
+    pub(crate) unasked: Vec<u16>,
 }
 
 /// Asks a peer that follows the store for changes; it waits a while for one.
@@ -79,8 +81,11 @@
 pub(crate) struct StoreNews {
     /// Life of the peer from which the numbers come.
     pub(crate) life: u64,
-    /// Time since the store last answered the peer.
+    /// Time since the store last told of what follows, to the peer or to the one
+    /// that told the peer.
     pub(crate) age: Duration,
+    /// Node that the peer asks itself, if it does not hear from the store.
+    pub(crate) source: Option<Arc<str>>,
     pub(crate) servers: DirectoryNews,
     /// Number of the last change of the list of nodes.
     pub(crate) node_number: u64,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -93,40 +93,54 @@
         replies.send(PeerAnswer::Refused);
         return;
     };
-    let mut sent = vec![false; plan.services.len()];
-    let mut heard = false;
-    let mut report = |answers: &[Option<BackendAnswer>]| {
-        let parts = merge_unsent(answers, &mut sent, top);
-        if !heard || !parts.shards.is_empty() {
-            heard = true;
+    let mut ledger = ReportLedger { told: vec![false; plan.services.len()], has_reported: false };
+    let scope = DelegatedScope::default();
+    let mut report = |answers: &[Option<BackendAnswer>], unasked: &[ShardIndex]| {
+        if let Some(parts) = ledger.next_parts(answers, unasked, top) {
             replies.send(PeerAnswer::Parts(parts));
         }
     };
-    let scope = DelegatedScope::default();
     let outcome = run_fanout(gateway, plan, Rc::new(request), scope, &mut report).await;
-    report(&outcome.answers);
+    report(&outcome.answers, &outcome.unasked);
+}
+
+/// What the node that delegated some shards was told of them.
+struct ReportLedger {
+    /// One for each shard.
+    told: Vec<bool>,
+    has_reported: bool,
 }
 
-/// Merges the parts that were not sent yet.
-fn merge_unsent(
-    answers: &[Option<BackendAnswer>],
-    sent: &mut [bool],
-    top: usize,
-) -> DelegatedParts {
-    let mut merged = DelegatedParts::default();
-    let mut parts = Vec::new();
-    for (position, answer) in answers.iter().enumerate() {
-        let Some(answer) = answer else { continue };
-        let Some(stamp) = answer.headers.get(headers::SERVER_STAMP) else { continue };
-        if std::mem::replace(&mut sent[position], true) {
-            continue;
+impl ReportLedger {
+    /// Merges what was not told yet; `None` if nothing is new after a first report.
+    fn next_parts(
+        &mut self,
+        answers: &[Option<BackendAnswer>],
+        unasked: &[ShardIndex],
+        top: usize,
+    ) -> Option<DelegatedParts> {
+        let mut merged = DelegatedParts::default();
+        let mut parts = Vec::new();
+        for (position, answer) in answers.iter().enumerate() {
+            let Some(answer) = answer else { continue };
+            let Some(stamp) = answer.headers.get(headers::SERVER_STAMP) else { continue };
+            if std::mem::replace(&mut self.told[position], true) {
+                continue;
+            }
+            merged.shards.push(u16::try_from(position).unwrap_or(u16::MAX));
+            merged.stamps.push(Bytes::copy_from_slice(stamp.as_bytes()));
+            parts.push(&answer.body[..]);
+        }
+        for shard in unasked {
+            if !std::mem::replace(&mut self.told[usize::from(shard.0)], true) {
+                merged.unasked.push(shard.0);
+            }
         }
-        merged.shards.push(u16::try_from(position).unwrap_or(u16::MAX));
-        merged.stamps.push(Bytes::copy_from_slice(stamp.as_bytes()));
-        parts.push(&answer.body[..]);
+        merged.records = merge_records(parts, top);
+        let is_new = !merged.shards.is_empty() || !merged.unasked.is_empty();
+        let had_reported = std::mem::replace(&mut self.has_reported, true);
+        (is_new || !had_reported).then_some(merged)
     }
-    merged.records = merge_records(parts, top);
-    merged
 }
 
 fn plan_of(gateway: &Gateway, search: DelegatedSearch) -> Option<(FanoutPlan, BackendRequest)> {
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// Whether the last call to the store failed.
+    #[must_use]
+    pub const fn is_store_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
     /// Number of the newest change.
     #[must_use]
     pub const fn number(&self) -> u64 {
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -52,8 +52,10 @@
     given_up: usize,
     in_flight: u32,
     groups: Vec<GroupState>,
-    /// Number of parts that the node which delegated these shards has got.
-    reported: Option<usize>,
+    /// Whether the node that delegated these shards has got a report.
+    has_reported: bool,
+    /// Numbers of answered and given-up shards in its last report.
+    reported: (usize, usize),
     may_have_run: bool,
     finished: bool,
 }
@@ -115,7 +117,8 @@
             plan,
             shards,
             groups,
-            reported: None,
+            has_reported: false,
+            reported: (0, 0),
             answered: 0,
             given_up: 0,
             in_flight: 0,
@@ -206,6 +209,10 @@
                 self.take_parts(group, shards, &mut actions);
                 GroupState::Heard
             }
+            DelegationNews::Unasked(shards) => {
+                self.replace_shards(now, shards);
+                self.groups[position]
+            }
             DelegationNews::Ended => {
                 self.release_group(position);
                 GroupState::Ended
@@ -277,6 +284,16 @@
         }
     }
 
+    /// Has shards asked directly that a peer asked nobody for.
+    fn replace_shards(&mut self, now: BootTime, shards: &[ShardIndex]) {
+        for shard in shards {
+            let Some(progress) = self.shards.get_mut(usize::from(shard.0)) else { continue };
+            if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
+                progress.retry_at = Some(now);
+            }
+        }
+    }
+
     /// Sends what is due and answers when the time is up.
     pub fn timer(&mut self, now: BootTime, fleet: &mut ServerFleet) -> Vec<FanoutAction> {
         let mut actions = Vec::new();
@@ -347,6 +364,18 @@
         &self.plan
     }
 
+    /// Shards that were given up before any server was asked.
+    #[must_use]
+    pub fn unasked(&self) -> Vec<ShardIndex> {
+        let mut unasked = Vec::new();
+        for (position, progress) in self.shards.iter().enumerate() {
+            if progress.state == ShardState::GivenUp && progress.arrived() == 0 {
+                unasked.push(shard_at(position));
+            }
+        }
+        unasked
+    }
+
     /// Number of shards that have answered.
     #[must_use]
     pub const fn answered(&self) -> usize {
@@ -517,11 +546,13 @@
 
     /// Has the parts sent that came by the answer time, and each later one.
     fn report(&mut self, now: BootTime, actions: &mut Vec<FanoutAction>) {
-        let count = self.answered;
-        if now < self.plan.answer_by || self.reported == Some(count) {
+        let counts = (self.answered, self.given_up);
+        let is_due = now >= self.plan.answer_by || self.given_up > self.reported.1;
+        if !is_due || self.has_reported && self.reported == counts {
             return;
         }
-        self.reported = Some(count);
+        self.has_reported = true;
+        self.reported = counts;
         actions.push(FanoutAction::Report);
     }
 
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -36,6 +36,9 @@
     /// The peer sent the merged parts of these shards and goes on with the
     /// others; no shards at all is a sign of life.
     Parts(Vec<ShardIndex>),
+    /// The peer asked no server for these shards and won't, as it knows none of
+    /// them or can't reach any.
+    Unasked(Vec<ShardIndex>),
     /// The peer got no more, and has ended its work.
     Ended,
     /// The peer sent nothing to any server.
@@ -87,8 +90,8 @@
     /// Use the parts that a peer has just sent, in place of direct answers to the
     /// same shards.
     Take(GroupIndex),
-    /// Send the parts that are there and were not sent yet to the node that
-    /// delegated the shards.
+    /// Send the parts that are there and were not sent yet, and the shards that
+    /// nobody was asked for, to the node that delegated them.
     Report,
     /// Answer the client; nothing follows.
     Finish(FanoutEnd),
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -19,6 +19,10 @@
 /// Longest time for which a peer that stays unreachable gets no shards.
 const MAX_AVOID_TIME: Duration = Duration::from_secs(8);
 
+/// Time for which a peer whose news of the store are stale, or come from the
+/// asking node, is not asked for them.
+const NO_NEWS_TIME: Duration = Duration::from_secs(2);
+
 /// Processor time that the calls for one shard take, in seconds of a whole core.
 const SHARD_CALL_SECONDS: f64 = 55e-6;
 
@@ -33,6 +37,9 @@
 /// node's own processor before others help.
 const OWN_CALLS_PART: f64 = 0.15;
 
+/// Key by which the nodes of a zone agree on the one that follows the store.
+const FOLLOWER_KEY: &str = "store";
+
 /// Least share of a core that is reckoned with; keeps a wrong entry from a
 /// division by zero.
 const MIN_CPU_SHARE: f64 = 0.01;
@@ -75,6 +82,8 @@
     entry: PeerEntry,
     avoid_until: BootTime,
     failures: u32,
+    /// Until when it is not asked for news of the store.
+    no_news_until: BootTime,
 }
 
 /// Who follows the platform's store for the nodes of a zone.
@@ -106,7 +115,12 @@
         }
         let known = self.peers.get(&entry.name).is_some_and(|state| state.entry == entry);
         if !known {
-            let state = PeerState { entry, avoid_until: BootTime::ZERO, failures: 0 };
+            let state = PeerState {
+                entry,
+                avoid_until: BootTime::ZERO,
+                failures: 0,
+                no_news_until: BootTime::ZERO,
+            };
             self.peers.insert(state.entry.name.clone(), state);
         }
     }
@@ -211,20 +225,47 @@
         best.map(|(_, helper)| helper)
     }
 
+    /// Notes that a peer has no fresh news of the store of its own.
+    pub fn has_no_news(&mut self, now: BootTime, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            state.no_news_until = now + NO_NEWS_TIME;
+        }
+    }
+
     /// The node of this node's zone that follows the store for the others; all
     /// nodes of the zone that reach the same ones agree on it.
     #[must_use]
     pub fn follower(&self, now: BootTime) -> StoreFollower {
-        const KEY: &str = "store";
-        let own = rendezvous_score(&self.own, KEY);
-        let mut best: Option<(f64, &PeerState)> = None;
-        for state in self.usable(now, &self.own.zone) {
-            let score = rendezvous_score(&state.entry, KEY);
-            if score > best.map_or(own, |(greatest, _)| greatest) {
-                best = Some((score, state));
+        let own = rendezvous_score(&self.own, FOLLOWER_KEY);
+        match self.best_source(now, &self.own.zone) {
+            Some((score, peer)) if score > own => StoreFollower::Peer(peer.clone()),
+            _ => StoreFollower::Own,
+        }
+    }
+
+    /// The peer to ask for news of the store by a node that the store turns away:
+    /// one of its zone, else one of another.
+    #[must_use]
+    pub fn substitute(&self, now: BootTime) -> Option<Arc<str>> {
+        let in_zone = self.best_source(now, &self.own.zone);
+        let mut zones: Vec<&Arc<str>> =
+            self.entries().map(|entry| &entry.zone).filter(|it| **it != self.own.zone).collect();
+        zones.sort();
+        zones.dedup();
+        let elsewhere = || zones.iter().find_map(|zone| self.best_source(now, zone));
+        in_zone.or_else(elsewhere).map(|(_, peer)| peer.clone())
+    }
+
+    fn best_source(&self, now: BootTime, zone: &str) -> Option<(f64, &Arc<str>)> {
+        let sources = self.usable(now, zone).filter(|state| now >= state.no_news_until);
+        let mut best: Option<(f64, &Arc<str>)> = None;
+        for state in sources {
+            let score = rendezvous_score(&state.entry, FOLLOWER_KEY);
+            if best.is_none_or(|(greatest, _)| score > greatest) {
+                best = Some((score, &state.entry.name));
             }
         }
-        best.map_or(StoreFollower::Own, |(_, state)| StoreFollower::Peer(state.entry.name.clone()))
+        best
     }
 
     /// Every known node, without this one.
--- a/crates/tier/tests/beliefs.rs
+++ b/crates/tier/tests/beliefs.rs
@@ -359,6 +359,32 @@
     assert!(chosen.iter().all(|node| *node == chosen[0]), "{chosen:?}");
 }
 
+#[test]
+fn a_node_that_the_store_turns_away_asks_another_for_news() {
+    let nodes = [
+        peer("one", "a", 0.2),
+        peer("two", "a", 0.2),
+        peer("three", "a", 0.2),
+        peer("far", "b", 0.2),
+    ];
+    for own in &nodes[..3] {
+        let mut table = table(own.clone(), &nodes);
+        let mut asked = Vec::new();
+        // Each source turns out to be stale in turn.
+        while let Some(source) = table.substitute(at(0)) {
+            table.has_no_news(at(0), &source);
+            asked.push(source);
+        }
+        let label = format!("{}: {asked:?}", own.name);
+        assert_eq!(asked.len(), 3, "{label}");
+        assert!(!asked.contains(&own.name), "{label}");
+        assert_eq!(&*asked[2], "far", "nodes of the own zone come first, {label}");
+        assert_eq!(table.follower(at(0)), StoreFollower::Own, "{label}");
+        assert!(table.substitute(at(1_999)).is_none(), "{label}");
+        assert!(table.substitute(at(2_000)).is_some(), "they are asked again later, {label}");
+    }
+}
+
 #[test]
 fn a_peer_that_failed_is_passed_over_for_a_while() {
     let mut peers = table(peer("own", "a", 0.1), &[peer("other", "b", 0.1)]);
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -395,6 +395,31 @@
     assert_eq!(actions, [FanoutAction::Take(GROUP), FanoutAction::Finish(FanoutEnd::Answered)]);
 }
 
+#[test]
+fn shards_that_a_peer_asked_nobody_for_are_asked_directly_without_budget() {
+    let limits = FleetLimits { retry_slack: 0.0, ..LIMITS };
+    let (mut fleet, mut state, _) = delegated(limits);
+    let unasked = DelegationNews::Unasked(vec![ShardIndex(1)]);
+    state.delegation_heard(at(2), GROUP, &unasked);
+    let sent = sends(&state.timer(at(2), &mut fleet));
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].0, ShardIndex(1));
+    assert_eq!(state.extra_attempts(), 0);
+}
+
+#[test]
+fn a_helper_tells_at_once_which_shards_it_asks_nobody_for() {
+    let (mut fleet, services) = fleet(3, &["a"], LIMITS);
+    fleet.apply(at(0), &DirectoryChange::Gone(name("shard-1-a")));
+    let mut plan = plan(&mut fleet, &services, 0);
+    plan.is_delegated = true;
+    let mut state = FanoutState::new(plan);
+    let actions = state.start(at(0), &mut fleet);
+    assert!(actions.contains(&FanoutAction::Report), "{actions:?}");
+    assert_eq!(state.unasked(), [ShardIndex(1)]);
+    assert_eq!(sends(&actions).len(), 2, "the others are asked");
+}
+
 #[test]
 fn a_peer_that_is_lost_after_its_first_parts_is_replaced() {
     let (mut fleet, mut state, _) = delegated(LIMITS);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -382,6 +382,35 @@
     }
 }
 
+#[tokio::test]
+async fn a_node_that_the_store_turns_away_learns_from_a_peer() {
+    let fixture = fixture().await;
+    let second = fixture.store.second_address().await;
+    let other = GatewayNode::start("front-a-2", "a", second.address);
+    other.wait_ready().await;
+    let nodes = [(&fixture.node, &fixture.store), (&other, &second)];
+    for (node, _) in nodes {
+        eventually("the nodes know each other", async || {
+            node.metric("carobstep_nodes").await == 2.0
+        })
+        .await;
+    }
+    // One of them follows the store for both, so that each is turned away in turn.
+    for (round, (node, address)) in nodes.into_iter().enumerate() {
+        for fault in [StoreFault::Busy, StoreFault::Silent] {
+            address.set_fault(fault);
+            let version = node.metric("carobstep_configuration_version").await as u64 + 1;
+            fixture.store.put("config", "main", configuration(version));
+            eventually(
+                &format!("node {round} learns of version {version}, {fault:?}"),
+                async || node.metric("carobstep_configuration_version").await == version as f64,
+            )
+            .await;
+            address.set_fault(StoreFault::None);
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_peer_that_is_killed_is_replaced() {
     let fixture = fixture().await;
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -36,26 +36,33 @@
     events: Vec<(u64, String, String, Option<Value>)>,
     /// Revision up to which the history was dropped.
     dropped: u64,
-    fault: StoreFault,
     calls: u64,
 }
 
-/// A running store; its tasks end with the test's runtime.
+/// One address of a running store; its tasks end with the test's runtime.
 #[derive(Clone)]
 pub struct StandinStore {
     pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
+    /// How callers at this address are treated.
+    fault: Arc<Mutex<StoreFault>>,
     changed: watch::Sender<u64>,
 }
 
 impl StandinStore {
     pub async fn start() -> Self {
+        Self::listen(Arc::default(), watch::Sender::new(0)).await
+    }
+
+    /// Another address of the same store, with faults of its own.
+    pub async fn second_address(&self) -> Self {
+        Self::listen(self.state.clone(), self.changed.clone()).await
+    }
+
+    async fn listen(state: Arc<Mutex<StoreState>>, changed: watch::Sender<u64>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let store = Self {
-            address: listener.local_addr().expect("an address"),
-            state: Arc::default(),
-            changed: watch::Sender::new(0),
-        };
+        let address = listener.local_addr().expect("an address");
+        let store = Self { address, state, fault: Arc::default(), changed };
         let serving = store.clone();
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
@@ -112,7 +119,7 @@
     }
 
     pub fn set_fault(&self, fault: StoreFault) {
-        self.lock().fault = fault;
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
     /// Number of calls so far.
@@ -126,11 +133,8 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let fault = {
-            let mut state = self.lock();
-            state.calls += 1;
-            state.fault
-        };
+        self.lock().calls += 1;
+        let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match fault {
             StoreFault::None => {}
             StoreFault::Busy => return empty(StatusCode::SERVICE_UNAVAILABLE),
