Read a pong that is here before its time is found to be up

Cause: a process that did not run for longer than a probe may stay unanswered found on waking that the probe's time was up and, in half of the cases, looked at it before the connection had read the pong. It took a working peer for silent and ended all calls on the connection.

Ruled out: longer bounds; the peer had answered in time.

Change: the connection is polled first.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -314,7 +314,10 @@
     let probe_sign = last_sign.clone();
     tokio::spawn(async move {
         let report = |health| tell(&news, address, health);
+        // The connection goes first: after a time in which this process did not
+        // run, a pong that is already here must be read before its time is up.
         tokio::select! {
+            biased;
             _ = connection => {}
             () = probe(pings, &probe_suspicion, &probe_sign, pong_sender, &report) => {}
         }
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -16,7 +16,7 @@
     RequestId, RequestOutcome, ShardReply, ShardRequest, ShardResult, WireErrorKind, serve_peers,
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
     time::{sleep, timeout},
@@ -212,6 +212,55 @@
     pool.call(front_address, &shard_request(3, "x")).await.unwrap();
 }
 
+/// Forwards connections; what comes back takes 40 ms.
+async fn slow_relay(front: TcpListener, back: SocketAddr) {
+    loop {
+        let (near, _) = front.accept().await.unwrap();
+        tokio::spawn(async move {
+            let far = TcpStream::connect(back).await.unwrap();
+            let (mut near_reader, mut near_writer) = near.into_split();
+            let (mut far_reader, mut far_writer) = far.into_split();
+            tokio::spawn(async move { tokio::io::copy(&mut near_reader, &mut far_writer).await });
+            let mut chunk = [0; 4096];
+            while let Ok(count @ 1..) = far_reader.read(&mut chunk).await {
+                sleep(Duration::from_millis(40)).await;
+                near_writer.write_all(&chunk[..count]).await.unwrap();
+            }
+        });
+    }
+}
+
+#[test]
+fn a_node_that_was_held_up_itself_does_not_take_its_peer_for_silent() {
+    // The peer answers on a thread of its own while the caller's is blocked for
+    // longer than a probe may stay unanswered.
+    let (address_sender, address) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let (address, _handler, _stop) = start().await;
+            let front = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            address_sender.send(front.local_addr().unwrap()).unwrap();
+            slow_relay(front, address).await;
+        });
+    });
+    let address = address.recv().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let (pool, _news) = PeerPool::new(None);
+        for round in 0..8 {
+            let request = shard_request(round, &b"hang"[..]);
+            let hanging = pool.call(address, &request);
+            tokio::pin!(hanging);
+            // A call without a reply has asked for a probe; its pong is on the way.
+            assert!(timeout(Duration::from_millis(70), hanging.as_mut()).await.is_err());
+            std::thread::sleep(Duration::from_millis(400));
+            let after = timeout(Duration::from_millis(30), hanging.as_mut()).await;
+            assert!(after.is_err(), "round {round}: {:?}", after.unwrap());
+        }
+    });
+}
+
 #[tokio::test]
 async fn a_frozen_peer_that_still_accepts_is_not_sent() {
     // The listener's backlog completes connections that nobody serves.
