Add a randomized soak of the gateway

Real gateways as processes, stand-ins behind loopback relays, faults from outside: stops, kills, freezes, reloads, restarts in series and overlapping; links that are delayed, silent, one-way or reset; a store that refuses, is silent or drops its history, for all or for one node; servers that shed, fail, hang, lose answers, send extra or half answers, or whose address goes to a server of another service. Callers keep their connections. The judge sees what callers and servers saw: whole and own answers, one run at most, true refusals, servers per request, the shared retry budget, drained servers, lost requests, ends within the grace, and full service in the end.

--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -1,9 +1,10 @@
 //! A stand-in of a backend server that writes its answers byte by byte.
 
 use std::{
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -12,6 +13,9 @@
     time::sleep,
 };
 
+/// Time that a server works on a request which it answers personally.
+const WORK: Duration = Duration::from_millis(4);
+
 /// How a server treats its requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerFault {
@@ -36,11 +40,19 @@
     Misdirect,
 }
 
+/// A request that came to a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub head: String,
+    /// Whether the server began to work on it.
+    pub ran: bool,
+}
+
 #[derive(Default)]
 struct ServerState {
     fault: ServerFault,
-    /// Request heads that ran.
-    ran: Vec<String>,
+    arrivals: Vec<Arrival>,
     /// Requests that ended because their connection was closed.
     cancelled: usize,
     connections: usize,
@@ -53,16 +65,28 @@
     pub address: SocketAddr,
     /// The one record that it answers with.
     pub record: [u8; 16],
+    /// Service whose answers differ for each request, by [`personal_record`].
+    personal: Option<String>,
     state: Arc<Mutex<ServerState>>,
 }
 
 impl StandinServer {
     pub async fn start(id: &str, record: u8) -> Self {
+        Self::listen(id, record, None).await
+    }
+
+    /// A server whose answers belong to one request and one service.
+    pub async fn start_personal(id: &str, service: &str) -> Self {
+        Self::listen(id, 0, Some(service.to_owned())).await
+    }
+
+    async fn listen(id: &str, record: u8, personal: Option<String>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let server = Self {
             id: id.to_owned(),
             address: listener.local_addr().expect("an address"),
             record: [record; 16],
+            personal,
             state: Arc::default(),
         };
         let serving = server.clone();
@@ -85,7 +109,13 @@
 
     /// Heads of the requests that ran.
     pub fn ran(&self) -> Vec<String> {
-        self.lock().ran.clone()
+        let state = self.lock();
+        state.arrivals.iter().filter(|it| it.ran).map(|it| it.head.clone()).collect()
+    }
+
+    /// Every request that came, refused ones too.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
     }
 
     pub fn cancelled(&self) -> usize {
@@ -100,14 +130,23 @@
         let mut bytes = Vec::new();
         loop {
             let Some(head) = read_request(&mut socket, &mut bytes).await else { return };
-            let fault = self.lock().fault;
-            if !matches!(fault, ServerFault::Shed | ServerFault::Misdirect) {
-                self.lock().ran.push(head.clone());
+            let mut fault = self.lock().fault;
+            if field(&head, "x-carobstep-expect-instance").is_some_and(|id| id != self.id) {
+                fault = ServerFault::Misdirect;
             }
+            let ran = !matches!(fault, ServerFault::Shed | ServerFault::Misdirect);
+            self.lock().arrivals.push(Arrival { at: Instant::now(), head: head.clone(), ran });
             let request_id = field(&head, "x-carobstep-request-id").unwrap_or_default();
-            let body = String::from_utf8_lossy(&self.record).into_owned();
+            let (body, stamp) = match &self.personal {
+                Some(service) => {
+                    sleep(WORK).await;
+                    let record = personal_record(service, &request_id);
+                    (record, format!("{}/{service}/{request_id}", self.id))
+                }
+                None => (String::from_utf8_lossy(&self.record).into_owned(), self.stamp()),
+            };
             let echo = format!("x-carobstep-request-id: {request_id}\r\n");
-            let signed = format!("x-carobstep-server-stamp: {}\r\n{echo}", self.stamp());
+            let signed = format!("x-carobstep-server-stamp: {stamp}\r\n{echo}");
             let answer = match fault {
                 ServerFault::None => message(200, &signed, &body),
                 ServerFault::Extra => {
@@ -142,6 +181,13 @@
     }
 }
 
+/// The record with which every server of a service answers a request.
+pub fn personal_record(service: &str, request_id: &str) -> String {
+    let mut hash = DefaultHasher::new();
+    (service, request_id).hash(&mut hash);
+    format!("{:016x}", hash.finish())
+}
+
 async fn read_request(socket: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<String> {
     loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,8 @@
 mod backend;
 mod explain;
 mod node;
+mod relay;
+mod soak;
 mod store;
 
 use std::time::{Duration, Instant};
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File},
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
@@ -24,6 +24,8 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
+    /// Where other nodes reach it.
+    pub peers: SocketAddr,
     child: Child,
     dir: PathBuf,
 }
@@ -64,6 +66,16 @@
     )
 }
 
+fn spawn(dir: &Path, metrics: u16) -> Child {
+    let log = File::options().create(true).append(true).open(dir.join("log")).expect("a log file");
+    Command::new(env!("CARGO_BIN_EXE_carobstepd"))
+        .args(["gateway", "--metrics", &metrics.to_string()])
+        .env("CAROBSTEP_BOOT", dir.join("settings.conf"))
+        .stdout(Stdio::from(log))
+        .spawn()
+        .expect("a gateway")
+}
+
 impl GatewayNode {
     pub fn start(name: &str, zone: &str, store: SocketAddr) -> Self {
         let ports = [free_port(), free_port(), free_port()];
@@ -73,23 +85,35 @@
         fs::create_dir_all(&dir).expect("a directory");
         let path = dir.join("settings.conf");
         fs::write(&path, settings(name, zone, store, ports)).expect("a settings file");
-        let log = File::create(dir.join("log")).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_carobstepd"))
-            .args(["gateway", "--metrics", &metrics.to_string()])
-            .env("CAROBSTEP_BOOT", &path)
-            .stdout(Stdio::from(log))
-            .spawn()
-            .expect("a gateway");
+        let child = spawn(&dir, metrics);
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
             callers: address(ports[0]),
             readiness: address(ports[1]),
             metrics: address(metrics),
+            peers: address(ports[2]),
             child,
             dir,
         }
     }
 
+    /// Starts the program again after it has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.dir, self.metrics.port());
+    }
+
+    /// Ends the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// How the process ended, if it has.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a status")
+    }
+
     /// Sends a signal by its number.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
@@ -102,7 +126,7 @@
     pub async fn wait_exit(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
-            if let Some(status) = self.child.try_wait().expect("a status") {
+            if let Some(status) = self.exit_status() {
                 return status;
             }
             assert!(start.elapsed() < PATIENCE, "the gateway does not end");
@@ -128,9 +152,13 @@
         HttpClient::default().send(self.callers, call).await.expect("an answer")
     }
 
+    pub fn log_path(&self) -> PathBuf {
+        self.dir.join("log")
+    }
+
     /// Lines of the log as JSON.
     pub fn log(&self) -> Vec<Value> {
-        let text = fs::read_to_string(self.dir.join("log")).expect("a log");
+        let text = fs::read_to_string(self.log_path()).expect("a log");
         let line = |line: &str| serde_json::from_str(line).unwrap_or_else(|_| panic!("{line}"));
         text.lines().map(line).collect()
     }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -37,6 +37,8 @@
     /// Revision up to which the history was dropped.
     dropped: u64,
     calls: u64,
+    /// Addresses that nodes write, and those that are stored in their place.
+    aliases: IndexMap<String, String>,
 }
 
 /// One address of a running store; its tasks end with the test's runtime.
@@ -122,6 +124,11 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Has nodes that register with an address found at another one.
+    pub fn alias(&self, address: SocketAddr, other: SocketAddr) {
+        self.lock().aliases.insert(address.to_string(), other.to_string());
+    }
+
     /// Number of calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -171,7 +178,12 @@
                 empty(StatusCode::from_u16(status).expect("a status"))
             }
             _ => {
-                self.put(&kind, &name, body["spec"].clone());
+                let mut spec = body["spec"].clone();
+                let address = spec["address"].as_str().unwrap_or_default();
+                if let Some(alias) = self.lock().aliases.get(address).cloned() {
+                    spec["address"] = alias.into();
+                }
+                self.put(&kind, &name, spec);
                 empty(StatusCode::OK)
             }
         }
