Order searches by rank where room is short; shrink windows by the objective

A node's window at a server shrank only when the server shed, with 12 requests queued.

Change: an answer that took over 0.3 of its objective shrinks the window, so that requests wait at the node. There those that can't meet their objective any more stand back, and of the others the newest goes first.

--- a/crates/bench/tests/proofs/main.rs
+++ b/crates/bench/tests/proofs/main.rs
@@ -1,9 +1,9 @@
 //! Proofs under failure, with real processes.
 //!
 //! Each proof runs a whole deployment, injects its failures, and judges the
-//! run by the backend servers' reports and the callers' answers. The proofs
-//! run one after another: several deployments at once would compete for the
-//! processor, and a slow node looks like a failed one.
+//! run by the backend servers' reports and the callers' answers. A few run side
+//! by side, each on ports of its own; more would compete for the processor, and
+//! a slow node looks like a failed one.
 
 mod answers;
 mod configuration;
--- a/crates/bench/tests/proofs/support.rs
+++ b/crates/bench/tests/proofs/support.rs
@@ -11,7 +11,7 @@
 };
 use serde_json::json;
 use tokio::{
-    sync::{Mutex, MutexGuard},
+    sync::{Semaphore, SemaphorePermit},
     task::JoinHandle,
 };
 
@@ -22,13 +22,16 @@
 /// Lease term and fence of the proofs; a takeover takes a few seconds.
 pub const LEASE_TERM: Duration = Duration::from_millis(2_000);
 
-static TURN: Mutex<()> = Mutex::const_new(());
+/// Proofs that run side by side; each has ten or so processes on ports of its own.
+const SIDE_BY_SIDE: usize = 3;
 
-/// One proof's deployment. Only one exists at a time.
+static TURN: Semaphore = Semaphore::const_new(SIDE_BY_SIDE);
+
+/// One proof's deployment. Only a few exist at a time.
 pub struct ProofRun {
     pub deployment: Deployment,
     pub side: CallerSide,
-    _turn: MutexGuard<'static, ()>,
+    _turn: SemaphorePermit<'static>,
 }
 
 pub fn options(name: &str) -> DeploymentOptions {
@@ -48,7 +51,7 @@
     }
 
     pub async fn start_with(options: DeploymentOptions, nodes_per_zone: usize) -> Self {
-        let turn = TURN.lock().await;
+        let turn = TURN.acquire().await.unwrap();
         let mut plan = ScenarioPlan::from(ScenarioName::Demo);
         plan.nodes_per_zone = nodes_per_zone;
         let snapshots = options.snapshots.clone();
@@ -60,7 +63,7 @@
 
     /// Starts a deployment whose nodes reach each other through relays.
     pub async fn start_relayed(name: &str) -> (Self, PeerRelays) {
-        let turn = TURN.lock().await;
+        let turn = TURN.acquire().await.unwrap();
         let mut options = options(name);
         options.peer_relays = true;
         let snapshots = options.snapshots.clone();
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -186,6 +186,7 @@
         delegations: dealt.delegations,
         allowed: dealt.allowed,
         is_delegated: false,
+        arrived,
         answer_by,
         deadline: arrived + patience.saturating_sub(ANSWER_MARGIN),
     };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -164,6 +164,7 @@
         delegations: Vec::new(),
         allowed,
         is_delegated: true,
+        arrived: now,
         answer_by: now + search.answer_in,
         deadline: now + search.deadline_in,
     };
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -13,7 +13,7 @@
     fanout_plan::{
         DelegationNews, FanoutAction, FanoutEnd, FanoutPlan, GroupIndex, LackingShards, ShardIndex,
     },
-    fleet::{PickScope, ServerFleet, ServerKey},
+    fleet::{PickScope, SearchRank, ServerFleet, ServerKey},
     model::RetryPolicy,
     stats::AttemptEnd,
 };
@@ -421,7 +421,7 @@
         let progress = &mut self.shards[position];
         let service = self.plan.services[position];
         let class = self.plan.class;
-        let scope = progress.scope(&self.plan, position, now >= self.plan.answer_by);
+        let scope = progress.scope(&self.plan, position, now < self.plan.answer_by);
         let Some(server) = fleet.pick(now, service, class, scope) else { return false };
         if !progress.asked.contains(&server) {
             progress.asked.push(server);
@@ -449,7 +449,7 @@
             return false;
         }
         let service = self.plan.services[position];
-        let scope = progress.scope(&self.plan, position, false);
+        let scope = progress.scope(&self.plan, position, true);
         let target = fleet.pick(now, service, self.plan.class, scope);
         if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
             return false;
@@ -521,7 +521,7 @@
         let progress = &mut self.shards[position];
         progress.retry_at = None;
         let service = self.plan.services[position];
-        let scope = progress.scope(&self.plan, position, false);
+        let scope = progress.scope(&self.plan, position, true);
         if !fleet.has_candidate(service, scope) {
             let refused = std::mem::take(&mut progress.refused);
             if refused.is_empty() {
@@ -595,14 +595,14 @@
         &'plan self,
         plan: &'plan FanoutPlan,
         position: usize,
-        late: bool,
+        in_time: bool,
     ) -> PickScope<'plan> {
         let allowed = plan.allowed.get(&shard_at(position)).map(Vec::as_slice);
         let all_used = self.arrived() >= plan.attempts;
         PickScope {
             tried: &self.tried,
             only: if all_used { Some(&self.asked) } else { allowed },
-            late,
+            rank: SearchRank { in_time, arrived: plan.arrived },
         }
     }
 
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -69,6 +69,8 @@
     /// Whether another node delegated these shards to this one. It gets what is
     /// there at the answer time, and later parts as they come.
     pub is_delegated: bool,
+    /// When the request arrived.
+    pub arrived: BootTime,
     /// When the answer goes out with the shards that are there.
     pub answer_by: BootTime,
     /// When nobody waits for the answer any more.
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -5,7 +5,7 @@
 //! part of their requests or go silent. Own observations decide; health
 //! checks are not made.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_dispatch::TokenBucket;
@@ -53,6 +53,10 @@
 /// have missed their objective: those that can still meet it go first.
 const LATE_DIVISOR: u32 = 2;
 
+/// Time for which a search that found no room counts as waiting; longer than the
+/// pause between two of its tries.
+const WAITING_TIME: Duration = Duration::from_millis(8);
+
 /// Part of its share of the slack that a node has at its start; a node that was
 /// restarted may have used its share already.
 const START_PART: f64 = 0.5;
@@ -93,8 +97,22 @@
     pub tried: &'search [ServerKey],
     /// The only servers that may be asked.
     pub only: Option<&'search [ServerKey]>,
-    /// Whether the search has missed its objective.
-    pub late: bool,
+    /// Which searches it goes before where room is short.
+    pub rank: SearchRank,
+}
+
+/// Order in which searches get room at servers that have too little.
+///
+/// Beyond what the servers carry, taking turns would make every search late:
+/// each one needs nearly all shards. So those that can't meet their objective
+/// any more stand back, and of the others the newest goes first, which has the
+/// most time left.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SearchRank {
+    /// Whether it can still meet its objective.
+    pub in_time: bool,
+    /// When it arrived.
+    pub arrived: BootTime,
 }
 
 /// An attempt that was sent; it is handed back when the attempt has ended.
@@ -130,6 +148,8 @@
     servers: Vec<ServerKey>,
     budget: TokenBucket,
     max_connections: u32,
+    /// The search of the highest rank that found no room lately, and when.
+    waiting: (SearchRank, BootTime),
     /// Where the next choice among equals starts.
     rotation: usize,
 }
@@ -191,6 +211,7 @@
             servers: Vec::new(),
             budget,
             max_connections: u32::MAX,
+            waiting: (SearchRank::default(), BootTime::ZERO),
             rotation: 0,
         });
         self.service_names.insert(name.clone(), key);
@@ -403,8 +424,12 @@
         scope: PickScope<'_>,
     ) -> Option<ServerKey> {
         let share = self.connection_share(service);
-        let share = if scope.late { share / LATE_DIVISOR } else { share };
         let state = self.services.get_mut(service)?;
+        let (waiting, seen) = state.waiting;
+        let is_behind = now.since(seen) < WAITING_TIME && waiting > scope.rank;
+        if is_behind {
+            return None;
+        }
         let count = state.servers.len();
         state.rotation = state.rotation.wrapping_add(1);
         let start = state.rotation;
@@ -413,7 +438,10 @@
         for step in 0..count {
             let key = state.servers[(start + step) % count];
             let Some(server) = self.servers.get(key) else { continue };
-            let room = share.min(server.window());
+            let mut room = share.min(server.window());
+            if !scope.rank.in_time {
+                room = (room / LATE_DIVISOR).max(1);
+            }
             if !self.is_open(server) || server.in_flight >= room {
                 continue;
             }
@@ -425,6 +453,13 @@
                 best = Some((score, key));
             }
         }
+        if let Some(state) = self.services.get_mut(service) {
+            match best {
+                None => state.waiting = (scope.rank, now),
+                Some(_) if state.waiting.0 == scope.rank => state.waiting.1 = BootTime::ZERO,
+                Some(_) => {}
+            }
+        }
         best.map(|(_, key)| key)
     }
 
@@ -521,7 +556,7 @@
     /// Takes in the end of an attempt.
     pub fn ended(&mut self, now: BootTime, ticket: SentTicket, end: AttemptEnd) {
         let latency = now.since(ticket.sent);
-        let median = self.classes.median(ticket.class);
+        let relative = self.classes.relative(ticket.class, latency);
         if end == AttemptEnd::Answered {
             self.classes.record(ticket.class, latency);
         }
@@ -530,7 +565,7 @@
         if matches!(end, AttemptEnd::Answered | AttemptEnd::NotRun | AttemptEnd::WrongServer) {
             self.reach.answered(&server.entry.zone);
         }
-        server.observe(now, end, latency.as_secs_f64() / median.as_secs_f64().max(1e-6));
+        server.observe(now, end, relative);
     }
 }
 
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -40,7 +40,7 @@
     ShardIndex,
 };
 pub use fleet::{
-    FleetLimits, PickScope, SentTicket, ServerFleet, ServerKey, ServerSight, ServiceKey,
+    FleetLimits, PickScope, SearchRank, SentTicket, ServerFleet, ServerKey, ServerSight, ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use merge::{RECORD_BYTES, merge_records};
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -32,14 +32,28 @@
 const MAX_SLOWNESS: f64 = 20.0;
 
 /// Most requests of one node that a server is taken to have room for.
-const MAX_WINDOW: f64 = 16.0;
+const MAX_WINDOW: f64 = 8.0;
 
 /// Growth of the window with each window of answers, as in congestion control.
 const WINDOW_GROWTH: f64 = 0.5;
 
+/// Part of its objective that an attempt may take; beyond it the server has a
+/// queue, and requests do better to wait at the node, which knows their order.
+const MAX_OBJECTIVE_PART: f64 = 0.3;
+
+/// What is left of the window after such an answer.
+const QUEUED_CUT: f64 = 0.8;
+
 /// What is left of the window after a server refused for lack of room.
 const WINDOW_CUT: f64 = 0.6;
 
+/// How long an attempt took, in multiples of what its class knows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptLatency {
+    pub(crate) in_medians: f64,
+    pub(crate) in_objectives: f64,
+}
+
 #[derive(Debug)]
 pub(crate) struct ServerState {
     pub(crate) entry: ServerEntry,
@@ -98,13 +112,18 @@
         matches!(self.entry.phase, ServerPhase::Ready) && !self.misdirected
     }
 
-    /// Takes in the end of an attempt; `slowness` is its time in medians.
-    pub(crate) fn observe(&mut self, now: BootTime, end: AttemptEnd, slowness: f64) {
+    /// Takes in the end of an attempt.
+    pub(crate) fn observe(&mut self, now: BootTime, end: AttemptEnd, latency: AttemptLatency) {
+        let slowness = latency.in_medians;
         match end {
             AttemptEnd::Answered => {
                 self.waiting_since = now;
                 self.unreached = 0;
-                self.window = (self.window + WINDOW_GROWTH / self.window).min(MAX_WINDOW);
+                self.window = if latency.in_objectives > MAX_OBJECTIVE_PART {
+                    (self.window * QUEUED_CUT).max(1.0)
+                } else {
+                    (self.window + WINDOW_GROWTH / self.window).min(MAX_WINDOW)
+                };
                 self.failure_rate -= SAMPLE_WEIGHT * self.failure_rate;
                 self.slow_by(slowness);
             }
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -7,7 +7,10 @@
 use indexmap::IndexMap;
 use strum::{Display, IntoStaticStr};
 
-use crate::model::{RouteConfig, RouteTarget};
+use crate::{
+    model::{RouteConfig, RouteTarget},
+    server_state::AttemptLatency,
+};
 
 /// Share of the attempts after whose latency a second one is sent.
 const HEDGE_QUANTILE: f64 = 0.92;
@@ -169,6 +172,16 @@
         self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.median)
     }
 
+    /// A latency in multiples of the class's median and of its objective.
+    pub(crate) fn relative(&self, class: ClassKey, latency: Duration) -> AttemptLatency {
+        let seconds = latency.as_secs_f64();
+        let objective = self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.objective);
+        AttemptLatency {
+            in_medians: seconds / self.median(class).as_secs_f64().max(1e-6),
+            in_objectives: seconds / objective.as_secs_f64().max(1e-6),
+        }
+    }
+
     /// The latency objective in multiples of the median.
     pub(crate) fn objective_in_medians(&self, class: ClassKey) -> f64 {
         self.get(class).map_or(1.0, |stats| {
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -4,8 +4,8 @@
 
 use carobstep_tier::{
     AttemptEnd, Delegation, DelegationNews, DirectoryChange, FanoutAction, FanoutEnd, FanoutPlan,
-    FanoutState, FleetLimits, GroupIndex, PickScope, RetryPolicy, SentTicket, ServerFleet,
-    ServiceKey, ShardIndex,
+    FanoutState, FleetLimits, GroupIndex, PickScope, RetryPolicy, SearchRank, SentTicket,
+    ServerFleet, ServiceKey, ShardIndex,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -21,6 +21,7 @@
         delegations: Vec::new(),
         allowed: indexmap::IndexMap::new(),
         is_delegated: false,
+        arrived: at(0),
         answer_by: at(80),
         deadline: at(500),
     }
@@ -537,12 +538,12 @@
     for _ in 0..2 {
         fleet.sent(at(0), server, key);
     }
-    assert!(
-        fleet
-            .pick(at(0), services[0], key, PickScope { late: true, ..PickScope::default() })
-            .is_none()
-    );
-    assert!(fleet.pick(at(0), services[0], key, PickScope::default()).is_some());
+    let scope = |in_time| PickScope {
+        rank: SearchRank { in_time, arrived: at(0) },
+        ..PickScope::default()
+    };
+    assert!(fleet.pick(at(0), services[0], key, scope(false)).is_none());
+    assert!(fleet.pick(at(0), services[0], key, scope(true)).is_some());
 }
 
 #[test]
