--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -214,7 +214,7 @@
                 GroupState::Heard
             }
             DelegationNews::Unasked(shards) => {
-                self.replace_shards(now, shards);
+                self.replace_shards(now, shards, false);
                 self.groups[position]
             }
             DelegationNews::Ended => {
@@ -278,21 +278,16 @@
     /// have called servers, so that the direct calls are extra ones.
     fn replace_delegation(&mut self, now: BootTime, group: usize, arrived: bool) {
         self.may_have_run |= arrived;
-        let delegation = &self.plan.delegations[group];
-        for shard in &delegation.shards {
-            let progress = &mut self.shards[usize::from(shard.0)];
-            if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
-                progress.replaced = arrived;
-                progress.retry_at = Some(now);
-            }
-        }
+        let shards = std::mem::take(&mut self.plan.delegations[group].shards);
+        self.replace_shards(now, &shards, arrived);
+        self.plan.delegations[group].shards = shards;
     }
 
-    /// Has shards asked directly that a peer asked nobody for.
-    fn replace_shards(&mut self, now: BootTime, shards: &[ShardIndex]) {
+    fn replace_shards(&mut self, now: BootTime, shards: &[ShardIndex], arrived: bool) {
         for shard in shards {
             let Some(progress) = self.shards.get_mut(usize::from(shard.0)) else { continue };
             if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Open {
+                progress.replaced = arrived;
                 progress.retry_at = Some(now);
             }
         }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -104,9 +104,9 @@
 /// Order in which searches get room at servers that have too little.
 ///
 /// Beyond what the servers carry, taking turns would make every search late:
-/// each one needs nearly all shards. So those that have missed their objective
-/// stand back, the ones that need little more last, and of the others the newest
-/// goes first, which has the most time left.
+/// each one needs nearly all shards. So the newest goes first, which has the most
+/// time left. Those that have missed their objective stand back; among them the
+/// ones that need little more go first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SearchRank {
     /// Whether it can still meet its objective.
