Send no list of servers from a node that has nothing fresh

Change: a node that has heard nothing fresh itself says only that, after a moment in which it may hear something.

Test: none of its own; the process tests of turned-away nodes pass.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -339,7 +339,9 @@
     loop {
         let parts = match replies.next().await {
             Ok(Some(PeerAnswer::Parts(parts))) => parts,
-            Ok(Some(PeerAnswer::Refused | PeerAnswer::News(_))) => return DelegationNews::NotSent,
+            Ok(Some(PeerAnswer::Refused | PeerAnswer::News(_) | PeerAnswer::NoNews(_))) => {
+                return DelegationNews::NotSent;
+            }
             Ok(None) => return DelegationNews::Ended,
             Err(error) => return lost(&error),
         };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -100,22 +100,19 @@
         match timeout(NEWS_WAIT + CALL_TIMEOUT, calling).await {
             Ok(Ok(PeerAnswer::News(news))) => {
                 let is_own = news.source.as_ref() == Some(&gateway.state.borrow().peers.own().name);
-                // The first answer comes at once, a later one after some time for the
-                // peer to hear of the store again.
-                let is_stale = news.age > STALE && known.life == news.life;
+                let is_stale = news.age > STALE;
                 known.life = news.life;
                 known.servers = news.servers.number;
                 known.nodes = news.node_number;
                 let age_ms = news.age.as_millis() as u64;
                 take_news(&gateway, *news);
                 if is_own || is_stale {
-                    info!(
-                        peer = peer.as_ref(), age_ms = age_ms, source_is_own = is_own;
-                        "a peer has no news of the store"
-                    );
-                    gateway.state.borrow_mut().peers.has_no_news(BootTime::now(), &peer);
+                    pass_over(&gateway, &peer, age_ms, is_own);
                 }
             }
+            Ok(Ok(PeerAnswer::NoNews(age))) => {
+                pass_over(&gateway, &peer, age.as_millis() as u64, false);
+            }
             Ok(Ok(_)) => lose_peer(&gateway, &peer, "it is stopping").await,
             Ok(Err(error)) => lose_peer(&gateway, &peer, &error.to_string()).await,
             Err(_) => lose_peer(&gateway, &peer, "it is silent").await,
@@ -123,6 +120,14 @@
     }
 }
 
+fn pass_over(gateway: &Gateway, peer: &str, age_ms: u64, source_is_own: bool) {
+    info!(
+        peer = peer, age_ms = age_ms, source_is_own = source_is_own;
+        "a peer has no news of the store"
+    );
+    gateway.state.borrow_mut().peers.has_no_news(BootTime::now(), peer);
+}
+
 async fn lose_peer(gateway: &Gateway, peer: &str, reason: &str) {
     warn!(peer = peer, reason = reason; "no news of the store from a peer");
     gateway.state.borrow_mut().peers.failed(BootTime::now(), peer);
@@ -160,18 +165,25 @@
 /// Answers a peer that learns of the store from this node.
 pub(crate) async fn news_for(gateway: &Gateway, call: FollowCall) -> PeerAnswer {
     let mut changes = gateway.changed.subscribe();
+    let same_life = call.life == gateway.life;
+    let age = || gateway.state.borrow().freshness.age(BootTime::now());
     let is_news = |_: &u64| {
+        if !same_life {
+            return age() <= STALE;
+        }
         let state = gateway.state.borrow();
-        call.life != gateway.life
-            || call.servers != state.directory.number()
+        call.servers != state.directory.number()
             || call.nodes != state.node_number
             || call.version < state.configuration.version
     };
     // Without news the answer still tells how fresh the node's knowledge is.
     let _ = timeout(NEWS_WAIT, changes.wait_for(is_news)).await;
+    // A whole list is long, and worth nothing if it is old.
+    if !same_life && age() > STALE {
+        return PeerAnswer::NoNews(age());
+    }
     let source = news_source(gateway);
     let state = gateway.state.borrow();
-    let same_life = call.life == gateway.life;
     let mut nodes: Vec<_> = state.peers.entries().cloned().collect();
     nodes.push(state.peers.own().clone());
     let later = call.version < state.configuration.version;
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -22,6 +22,8 @@
     Parts(DelegatedParts),
     /// What has changed in the store.
     News(Box<StoreNews>),
+    /// The peer has heard nothing fresh of the store itself, for as long as this.
+    NoNews(Duration),
     /// The peer is stopping, and sent nothing to any server.
     Refused,
 }
