Count the age of news from the call that asked for them

Nodes that ask each other in a round took each answer's age from its arrival, so that every hop made the news younger by its way; asked in quick succession they never became stale, and nobody called the store or another zone.

Ruled out: the pauses of up to 2 s between a node's own calls; they begin only once its news are stale.

Change: what a peer has heard is dated from the call, plus the time for which the peer says that it waited.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -96,6 +96,7 @@
         let Some(address) = address else { continue };
         known.version = gateway.state.borrow().configuration.version;
         let call = PeerCall::Follow(known.clone());
+        let called = BootTime::now();
         let calling = gateway.peer_pool.call_typed(address, &call);
         match timeout(NEWS_WAIT + CALL_TIMEOUT, calling).await {
             Ok(Ok(PeerAnswer::News(news))) => {
@@ -105,7 +106,7 @@
                 known.servers = news.servers.number;
                 known.nodes = news.node_number;
                 let age_ms = news.age.as_millis() as u64;
-                take_news(&gateway, *news);
+                take_news(&gateway, called, *news);
                 if is_own || is_stale {
                     pass_over(&gateway, &peer, age_ms, is_own);
                 }
@@ -134,9 +135,11 @@
     sleep(RETRY_PAUSE).await;
 }
 
-fn take_news(gateway: &Gateway, news: StoreNews) {
+fn take_news(gateway: &Gateway, called: BootTime, news: StoreNews) {
     let now = BootTime::now();
-    let heard = now - news.age;
+    // Counted from the call, not from the answer: news that go round among nodes
+    // must not become younger by their way.
+    let heard = called + news.waited - news.age;
     let changes = {
         let state = &mut *gateway.state.borrow_mut();
         // A peer that has just started may not have a list yet.
@@ -164,6 +167,7 @@
 
 /// Answers a peer that learns of the store from this node.
 pub(crate) async fn news_for(gateway: &Gateway, call: FollowCall) -> PeerAnswer {
+    let called = BootTime::now();
     let mut changes = gateway.changed.subscribe();
     let same_life = call.life == gateway.life;
     let age = || gateway.state.borrow().freshness.age(BootTime::now());
@@ -184,13 +188,15 @@
     }
     let source = news_source(gateway);
     let state = gateway.state.borrow();
+    let now = BootTime::now();
     let mut nodes: Vec<_> = state.peers.entries().cloned().collect();
     nodes.push(state.peers.own().clone());
     let later = call.version < state.configuration.version;
     let object = state.configuration_object.as_ref().filter(|_| later);
     PeerAnswer::News(Box::new(StoreNews {
         life: gateway.life,
-        age: state.freshness.age(BootTime::now()),
+        age: state.freshness.age(now),
+        waited: now.since(called),
         source,
         servers: state.directory.news_after(same_life.then_some(call.servers)),
         node_number: state.node_number,
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -86,6 +86,8 @@
     /// Time since the store last told of what follows, to the peer or to the one
     /// that told the peer.
     pub(crate) age: Duration,
+    /// Time for which the peer waited for something new before it answered.
+    pub(crate) waited: Duration,
     /// Node that the peer asks itself, if it does not hear from the store.
     pub(crate) source: Option<Arc<str>>,
     pub(crate) servers: DirectoryNews,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -413,6 +413,34 @@
     }
 }
 
+#[tokio::test]
+async fn nodes_that_ask_each_other_know_how_old_their_news_are() {
+    let fixture = fixture().await;
+    let mut others = Vec::new();
+    for number in 2..6 {
+        let name = format!("front-a-{number}");
+        others.push(GatewayNode::start(&name, "a", fixture.store.address));
+    }
+    let nodes: Vec<_> = others.iter().chain([&fixture.node]).collect();
+    for node in &nodes {
+        node.wait_ready().await;
+        eventually("the nodes know each other", async || {
+            node.metric("carobstep_nodes").await == 5.0
+        })
+        .await;
+    }
+    fixture.store.set_fault(StoreFault::Busy);
+    // Watches that wait at the store are still answered.
+    sleep(Duration::from_millis(1_200)).await;
+    let silent = Instant::now();
+    sleep(Duration::from_secs(4)).await;
+    for node in nodes {
+        let silence = silent.elapsed().as_millis() as f64;
+        let age = node.metric("carobstep_store_age_milliseconds").await;
+        assert!(age >= silence, "{age} ms after {silence} ms of silence");
+    }
+}
+
 #[tokio::test]
 async fn a_peer_that_is_killed_is_replaced() {
     let fixture = fixture().await;
