Read what crosses the end of a stopping node's listener

Ruled out: connections that wait for a first request; they are closed with the listener, and nothing of theirs is read.

Change: a stopping node goes on for 100 ms after its listener has closed, even with nothing in flight.

Tests: the table of a_stopping_node_serves_on_until_the_balancer_has_left (ended at 3,820 ms before). a_request_that_comes_while_a_stopping_node_closes_is_ answered plays it with processes; the window is too short for it to fail on the old code.

--- a/crates/tier/src/lifecycle.rs
+++ b/crates/tier/src/lifecycle.rs
@@ -9,6 +9,10 @@
 /// two missed checks, one a second, and one check that was under way.
 const ROTATION_DELAY: Duration = Duration::from_millis(2_800);
 
+/// Time after the listener has closed in which requests that were on their way
+/// are still read, although none is in flight.
+const CROSSING_TIME: Duration = Duration::from_millis(100);
+
 /// Part of the grace time that is kept for ending the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
@@ -117,7 +121,8 @@
         if elapsed < self.timing.close_listener {
             return LifecyclePhase::Leaving;
         }
-        if in_flight == 0 || elapsed >= self.timing.exit {
+        let has_settled = elapsed >= self.timing.close_listener + CROSSING_TIME;
+        if in_flight == 0 && has_settled || elapsed >= self.timing.exit {
             return LifecyclePhase::Ended;
         }
         LifecyclePhase::Finishing
--- a/crates/tier/tests/beliefs.rs
+++ b/crates/tier/tests/beliefs.rs
@@ -215,6 +215,9 @@
         PhaseCase { millis: 1_000, in_flight: 0, phase: LifecyclePhase::Leaving },
         // Two checks of the balancer, one a second, have been missed.
         PhaseCase { millis: 3_000, in_flight: 0, phase: LifecyclePhase::Leaving },
+        // A request may cross the end of the listener.
+        PhaseCase { millis: 3_820, in_flight: 0, phase: LifecyclePhase::Finishing },
+        PhaseCase { millis: 3_900, in_flight: 0, phase: LifecyclePhase::Ended },
         PhaseCase { millis: 4_000, in_flight: 1, phase: LifecyclePhase::Finishing },
         PhaseCase { millis: 4_000, in_flight: 0, phase: LifecyclePhase::Ended },
         // Within the grace time, whatever is in flight.
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -16,12 +16,17 @@
 /// Time that a server works on a request which it answers personally.
 const WORK: Duration = Duration::from_millis(4);
 
+/// Time that a slow server works on a request.
+const SLOW_WORK: Duration = Duration::from_millis(150);
+
 /// How a server treats its requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerFault {
     /// It answers.
     #[default]
     None,
+    /// It answers after [`SLOW_WORK`].
+    Slow,
     /// It refuses as not run.
     Shed,
     /// It runs and answers with 500.
@@ -149,6 +154,10 @@
             let signed = format!("x-carobstep-server-stamp: {stamp}\r\n{echo}");
             let answer = match fault {
                 ServerFault::None => message(200, &signed, &body),
+                ServerFault::Slow => {
+                    sleep(SLOW_WORK).await;
+                    message(200, &signed, &body)
+                }
                 ServerFault::Extra => {
                     let other = "x-carobstep-server-stamp: other\r\n\
                         x-carobstep-request-id: other\r\n";
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -333,6 +333,42 @@
     assert_eq!(fixture.store.names("carobstep-nodes"), Vec::<String>::new());
 }
 
+#[tokio::test]
+async fn a_request_that_comes_while_a_stopping_node_closes_is_answered() {
+    let fixture = fixture().await;
+    for server in &fixture.single {
+        server.set_fault(ServerFault::Slow);
+    }
+    // One request each, in steps that are shorter than the node's own.
+    let mut callers = tokio::task::JoinSet::new();
+    for step in 0..10 {
+        let node = GatewayNode::start(&format!("front-c-{step}"), "c", fixture.store.address);
+        callers.spawn(async move {
+            node.wait_ready().await;
+            node.signal("TERM");
+            sleep(Duration::from_millis(2_700)).await;
+            let mut socket = TcpStream::connect(node.callers).await.expect("a connection");
+            sleep(Duration::from_millis(60 + 15 * step)).await;
+            let id = format!("id-{step}-");
+            let request = format!(
+                "GET /fetch/ HTTP/1.1\r\nhost: 127.0.0.1\r\nx-carobstep-request-id: {id}\r\n\r\n"
+            );
+            let mut answer = Vec::new();
+            let sent = socket.write_all(request.as_bytes()).await;
+            let read = socket.read_to_end(&mut answer).await;
+            let is_answered = sent.is_ok() && read.is_ok() && answer.starts_with(b"HTTP/1.1 200");
+            (id, is_answered)
+        });
+    }
+    let ended = callers.join_all().await;
+    let ran: Vec<String> = fixture.single.iter().flat_map(StandinServer::ran).collect();
+    for (id, is_answered) in ended {
+        // A node that has closed the connection before has not read the request.
+        let has_run = ran.iter().any(|head| head.contains(&id));
+        assert!(is_answered || !has_run, "{id} ran and was not answered");
+    }
+}
+
 #[tokio::test]
 async fn malformed_requests_reach_no_server() {
     let fixture = fixture().await;
