--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,10 +1,16 @@
 //! HTTP connections to a backend server, and request-response exchanges on them.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
+use carobstep_clock::BootTime;
 use carobstep_platform::headers::{self, ServerVerdict};
-use carobstep_tier::{AttemptOutcome, ServerEntry};
+use carobstep_tier::{AttemptOutcome, LeavingServer, PauseRequest, ServerEntry, ServerNotice};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -20,6 +26,8 @@
     time::{Instant, timeout, timeout_at},
 };
 
+use crate::byte_budget::{ByteBudget, ByteMeter, ByteReservation, MeteredStream};
+
 /// Timeout for opening a connection. The kernel retransmits a lost SYN after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -40,8 +48,8 @@
 /// Time before the server's idle timeout from which on a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of a response's header section, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// Largest request body in bytes after which a connection is reused. A server may
 /// respond before it has read a larger body, and would then parse the rest of the
@@ -66,6 +74,16 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Counts the response against the process's limit until it is dropped.
+    _reservation: Rc<ByteReservation>,
+}
+
+/// Limits of an exchange.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExchangeLimits {
+    pub(crate) deadline: Instant,
+    /// Maximum number of bytes of the response, with its header section and framing.
+    pub(crate) response_bytes: usize,
 }
 
 /// Outcome of an exchange.
@@ -83,7 +101,13 @@
 pub(crate) struct ServerPool {
     address: SocketAddr,
     expected_id: HeaderValue,
+    incarnation: LeavingServer,
+    budget: Rc<ByteBudget>,
     idle: RefCell<Vec<IdleConnection>>,
+    /// Whether a response said that the server is leaving.
+    is_leaving: Cell<bool>,
+    /// Until when the server wants no requests.
+    paused_until: Cell<BootTime>,
 }
 
 #[derive(Debug)]
@@ -98,6 +122,7 @@
 struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: Rc<ByteMeter>,
 }
 
 impl Drop for BackendConnection {
@@ -113,29 +138,44 @@
 }
 
 impl ServerPool {
-    pub(crate) fn new(entry: &ServerEntry) -> Self {
+    pub(crate) fn new(entry: &ServerEntry, budget: Rc<ByteBudget>) -> Self {
         // An id that is not a valid header value is replaced by one that matches no
         // server, so that the server refuses the request.
         let expected_id = HeaderValue::from_str(&entry.id)
             .unwrap_or_else(|_| HeaderValue::from_static("invalid"));
-        Self { address: entry.address, expected_id, idle: RefCell::default() }
+        Self {
+            address: entry.address,
+            expected_id,
+            incarnation: LeavingServer { id: entry.id.clone(), born_ms: entry.born_ms },
+            budget,
+            idle: RefCell::default(),
+            is_leaving: Cell::new(false),
+            paused_until: Cell::new(BootTime::ZERO),
+        }
     }
 
-    /// Sends a request and reads the complete response, until `deadline`.
+    /// Returns the incarnation of the server that the connections lead to.
+    pub(crate) const fn incarnation(&self) -> &LeavingServer {
+        &self.incarnation
+    }
+
+    /// Sends a request and reads the complete response, until the deadline. Passes what
+    /// the response says about the server to `on_notice` once its header section is read.
     ///
     /// Uses an idle connection if there is one. If the server has closed it and no
     /// byte of the request was sent, tries the next one, then a new connection.
     pub(crate) async fn exchange(
         &self,
         request: &BackendRequest,
-        deadline: Instant,
+        limits: ExchangeLimits,
+        on_notice: impl Fn(ServerNotice),
     ) -> ExchangeOutcome {
         while let Some(connection) = self.take_idle() {
-            if let Some(outcome) = self.exchange_on(connection, request, deadline).await {
+            if let Some(outcome) = self.exchange_on(connection, request, limits, &on_notice).await {
                 return outcome;
             }
         }
-        let connecting = timeout_at(deadline, timeout(CONNECT_TIMEOUT, self.connect()));
+        let connecting = timeout_at(limits.deadline, timeout(CONNECT_TIMEOUT, self.connect()));
         let connection = match connecting.await {
             Ok(Ok(Ok(connection))) => connection,
             Ok(Ok(Err(error))) => {
@@ -151,7 +191,14 @@
                 );
             }
         };
-        self.exchange_on(connection, request, deadline).await.unwrap_or_else(|| {
+        // Another exchange may have learned it while this one was connecting.
+        if self.is_leaving.get() || BootTime::now() < self.paused_until.get() {
+            return ExchangeOutcome::without_response(
+                AttemptOutcome::Unsent,
+                "the server is leaving or asked for a pause",
+            );
+        }
+        self.exchange_on(connection, request, limits, &on_notice).await.unwrap_or_else(|| {
             ExchangeOutcome::without_response(
                 AttemptOutcome::Unsent,
                 "the server closed a new connection",
@@ -163,15 +210,20 @@
         let socket = TcpStream::connect(self.address).await?;
         socket.set_nodelay(true)?;
         set_socket_options(&socket)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+        let meter = Rc::new(ByteMeter::new(self.budget.clone()));
+        let stream = MeteredStream::new(socket, meter.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
         let address = self.address;
         let driver = spawn_local(async move {
             if let Err(error) = connection.await {
                 debug!(address:% = address, error:% = error; "connection to a server failed");
             }
         });
-        Ok(BackendConnection { sender, driver: driver.abort_handle() })
+        Ok(BackendConnection { sender, driver: driver.abort_handle(), meter })
     }
 
     fn take_idle(&self) -> Option<BackendConnection> {
@@ -186,8 +238,11 @@
         &self,
         mut connection: BackendConnection,
         request: &BackendRequest,
-        deadline: Instant,
+        limits: ExchangeLimits,
+        on_notice: &impl Fn(ServerNotice),
     ) -> Option<ExchangeOutcome> {
+        let deadline = limits.deadline;
+        let reservation = connection.meter.start(limits.response_bytes);
         let sending = connection.sender.try_send_request(self.build_request(request, deadline));
         let response = match timeout_at(deadline, sending).await {
             Ok(Ok(response)) => response,
@@ -195,8 +250,11 @@
                 if error.take_message().is_some() {
                     return None;
                 }
-                let reason = error.into_error().to_string();
-                return Some(ExchangeOutcome::without_response(AttemptOutcome::Failed, reason));
+                let error = error.into_error();
+                if error.is_parse_too_large() {
+                    reservation.exceed();
+                }
+                return Some(failure_outcome(&reservation, error.to_string()));
             }
             Err(_) => {
                 // The other connections to the server may be broken as well.
@@ -207,9 +265,11 @@
                 ));
             }
         };
-        let outcome = match timeout_at(deadline, read_response(response)).await {
+        self.record_notice(&response, on_notice);
+        let reading = read_response(response, limits.response_bytes, reservation.clone());
+        let outcome = match timeout_at(deadline, reading).await {
             Ok(Ok(response)) => self.classify_response(request, response),
-            Ok(Err(reason)) => ExchangeOutcome::without_response(AttemptOutcome::Failed, reason),
+            Ok(Err(reason)) => failure_outcome(&reservation, reason),
             Err(_) => ExchangeOutcome::without_response(
                 AttemptOutcome::TimedOut,
                 "response body incomplete at the deadline",
@@ -219,6 +279,21 @@
         Some(outcome)
     }
 
+    fn record_notice(&self, response: &Response<Incoming>, on_notice: &impl Fn(ServerNotice)) {
+        let notice = headers::server_notice(response.status(), response.headers());
+        if notice == ServerNotice::default() {
+            return;
+        }
+        if notice.is_leaving {
+            self.is_leaving.set(true);
+        }
+        if let PauseRequest::For(pause) = notice.pause {
+            let until = BootTime::now() + pause;
+            self.paused_until.set(self.paused_until.get().max(until));
+        }
+        on_notice(notice);
+    }
+
     fn build_request(&self, request: &BackendRequest, deadline: Instant) -> Request<Full<Bytes>> {
         let mut message = Request::new(Full::new(request.body.clone()));
         *message.method_mut() = request.method.clone();
@@ -299,20 +374,39 @@
     Ok(())
 }
 
-async fn read_response(response: Response<Incoming>) -> Result<BackendResponse, String> {
+/// Returns the outcome of an exchange whose response could not be read.
+fn failure_outcome(reservation: &ByteReservation, reason: String) -> ExchangeOutcome {
+    let outcome =
+        if reservation.is_exceeded() { AttemptOutcome::Oversized } else { AttemptOutcome::Failed };
+    ExchangeOutcome::without_response(outcome, reason)
+}
+
+async fn read_response(
+    response: Response<Incoming>,
+    max_bytes: usize,
+    reservation: Rc<ByteReservation>,
+) -> Result<BackendResponse, String> {
+    /// Initial capacity of the buffer, unless the response states a smaller length.
+    const INITIAL_CAPACITY: usize = 16 * 1024;
     let (head, mut body) = response.into_parts();
     let content_length = head
         .headers
         .get(header::CONTENT_LENGTH)
         .and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-    let mut body_buf = BytesMut::with_capacity(content_length.unwrap_or(0).min(MAX_RESPONSE_BYTES));
+    if content_length.is_some_and(|length| length > max_bytes) {
+        reservation.exceed();
+        return Err(format!("the response is longer than {max_bytes} bytes"));
+    }
+    let mut body_buf = BytesMut::with_capacity(content_length.unwrap_or(0).min(INITIAL_CAPACITY));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| format!("reading the response failed: {error}"))?;
         let Ok(data) = frame.into_data() else { continue };
-        if body_buf.len() + data.len() > MAX_RESPONSE_BYTES {
-            return Err(format!("the response is longer than {MAX_RESPONSE_BYTES} bytes"));
-        }
         body_buf.extend_from_slice(&data);
     }
-    Ok(BackendResponse { status: head.status, headers: head.headers, body: body_buf.freeze() })
+    Ok(BackendResponse {
+        status: head.status,
+        headers: head.headers,
+        body: body_buf.freeze(),
+        _reservation: reservation,
+    })
 }
--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    backend::{BackendRequest, BackendResponse, ExchangeOutcome},
+    backend::{BackendRequest, BackendResponse, ExchangeLimits, ExchangeOutcome},
     gateway::Gateway,
     peer_messages::{DelegatedParts, PeerReply, PeerRequest},
     peers::{DelegatedScope, build_search_request},
@@ -28,6 +28,13 @@
 /// 500 ms.
 const CANCEL_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum size of the response to a request to one service, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Maximum size of the response of one shard of a search, in bytes: over 16,000
+/// records.
+const MAX_PART_BYTES: usize = 256 * 1024;
+
 /// Result of a fan-out.
 #[derive(Debug)]
 pub(crate) struct FanoutResult {
@@ -48,6 +55,9 @@
     /// Number of peers in the plan.
     pub(crate) delegations: usize,
     pub(crate) extra_attempts: u32,
+    /// When enough servers accept requests again, if servers that asked for a pause are
+    /// the obstacle.
+    pub(crate) available_from: Option<BootTime>,
 }
 
 /// Event that a task sends to its fan-out.
@@ -144,8 +154,14 @@
         failed_attempts: FailedAttempts::default(),
     };
     let outcome = run.drive(&mut events_rx, &mut on_progress).await;
+    let available_from = {
+        let plan = run.state.plan();
+        let fleet = &gateway.state.borrow().fleet;
+        fleet.available_from(BootTime::now(), &plan.services, plan.min_shards)
+    };
     FanoutResult {
         outcome,
+        available_from,
         answered: run.state.answered(),
         not_called: run.state.shards_not_called(),
         missing: run.state.missing_shards(),
@@ -299,7 +315,8 @@
         let Some(delegation) = plan.delegations.get(position) else { return };
         let request = {
             let state = self.gateway.state.borrow();
-            build_search_request(&state.fleet, &self.request, plan, position, &self.scope)
+            let leaving = state.directory.recently_leaving(BootTime::now());
+            build_search_request(&state.fleet, &self.request, plan, position, &self.scope, leaving)
         };
         let (shards, class) = (delegation.shards.clone(), plan.class);
         let peer = delegation.peer.clone();
@@ -324,7 +341,9 @@
         let gateway = self.gateway.clone();
         let request = self.request.clone();
         let events_tx = self.events_tx.clone();
-        let deadline = self.deadline;
+        let is_search = self.state.plan().services.len() > 1;
+        let response_bytes = if is_search { MAX_PART_BYTES } else { MAX_RESPONSE_BYTES };
+        let limits = ExchangeLimits { deadline: self.deadline, response_bytes };
         let task = spawn_local(async move {
             let mut guard = AttemptGuard {
                 gateway: gateway.clone(),
@@ -332,7 +351,12 @@
                 outcome: AttemptOutcome::Cancelled,
             };
             let exchange = match gateway.pool(ticket.server) {
-                Some(pool) => pool.exchange(&request, deadline).await,
+                Some(pool) => {
+                    let on_notice = |notice| {
+                        gateway.apply_notice(ticket.server, pool.incarnation(), notice);
+                    };
+                    pool.exchange(&request, limits, on_notice).await
+                }
                 None => ExchangeOutcome::without_response(
                     AttemptOutcome::Unsent,
                     "the server was removed",
@@ -381,6 +405,7 @@
             Ok(None) => return DelegationUpdate::Ended,
             Err(error) => return failure_of(&error),
         };
+        gateway.mark_leaving(&parts.leaving);
         if !has_reply {
             has_reply = true;
             gateway.reporter.count_delegation(DelegationOutcome::Answered);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     gateway::Gateway,
+    membership::check_registration,
     peer_messages::{FollowRequest, PeerReply, PeerRequest, StoreUpdate},
 };
 
@@ -36,7 +37,7 @@
 
 /// Interval at which a node that watches the store itself checks whether it has to
 /// follow a peer.
-const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Times of the last store data, from which the age of the local state follows.
 #[derive(Clone, Copy, Debug, Default)]
@@ -81,12 +82,23 @@
     }
 }
 
+/// Returns the peer whose copy of the store's data a starting node takes once, although
+/// it watches the store itself: a store that was just restored may hold older data.
+fn first_copy_source(gateway: &Gateway) -> Option<Arc<str>> {
+    let now = BootTime::now();
+    let state = gateway.state.borrow();
+    let is_starting = now.since(gateway.started) < STARTUP_WAIT;
+    (is_starting && !state.has_peer_copy).then(|| state.peers.fallback_peer(now)).flatten()
+}
+
 /// Follows the peer that watches the store, for the lifetime of the process.
 pub(crate) async fn follow_peer(gateway: Rc<Gateway>) {
-    let mut follow_request = FollowRequest { life: 0, servers: 0, nodes: 0, version: 0 };
+    let mut follow_request = FollowRequest::default();
     let mut followed_peer = None;
     loop {
-        let Some(peer) = update_source(&gateway) else {
+        let source = update_source(&gateway);
+        let is_copying = source.is_none();
+        let Some(peer) = source.or_else(|| first_copy_source(&gateway)) else {
             sleep(SOURCE_CHECK_INTERVAL).await;
             continue;
         };
@@ -98,6 +110,7 @@
         let address = gateway.state.borrow().peers.address(&peer);
         let Some(address) = address else { continue };
         follow_request.version = gateway.state.borrow().configuration.version;
+        follow_request.leaving = gateway.recently_leaving();
         let request = PeerRequest::Follow(follow_request.clone());
         let called = BootTime::now();
         let calling = gateway.peer_pool.call_typed(address, &request);
@@ -111,7 +124,7 @@
                 follow_request.nodes = update.node_number;
                 let age_ms = update.age.as_millis() as u64;
                 apply_update(&gateway, called, *update);
-                if source_is_own || is_stale {
+                if (source_is_own && !is_copying) || is_stale {
                     handle_stale_peer(&gateway, &peer, age_ms, source_is_own);
                 }
             }
@@ -141,7 +154,7 @@
 }
 
 /// Applies an update that a peer sent in reply to a call made at `called`.
-fn apply_update(gateway: &Gateway, called: BootTime, update: StoreUpdate) {
+fn apply_update(gateway: &Rc<Gateway>, called: BootTime, update: StoreUpdate) {
     let now = BootTime::now();
     // Measured from the call, not from the reply. Otherwise the update would look
     // fresher by the network delay each time that it is passed on, and nodes may
@@ -150,7 +163,7 @@
     let changes = {
         let state = &mut *gateway.state.borrow_mut();
         // A peer that has just started may not have a list of servers yet.
-        if update.servers.revision == 0 {
+        if update.servers.revision.number == 0 {
             Vec::new()
         } else {
             state.freshness.servers = state.freshness.servers.max(confirmed_at);
@@ -160,7 +173,11 @@
         }
     };
     gateway.apply_changes(&changes);
-    if let Some(nodes) = update.nodes {
+    let node_revision = gateway.state.borrow().node_revision;
+    let nodes = update.nodes.filter(|_| update.node_revision >= node_revision);
+    if let Some(nodes) = nodes {
+        check_registration(gateway, update.node_revision.era, &nodes);
+        gateway.state.borrow_mut().node_revision = update.node_revision;
         gateway.update_peers(|peers| peers.replace(nodes));
     }
     if let Some((revision, content)) = update.configuration {
@@ -172,6 +189,9 @@
             }
         }
     }
+    if !std::mem::replace(&mut gateway.state.borrow_mut().has_peer_copy, true) {
+        gateway.notify_peers();
+    }
 }
 
 /// Builds the reply to a peer that follows this node, after waiting up to
@@ -210,6 +230,7 @@
         source,
         servers: state.directory.updates_after(is_same_incarnation.then_some(request.servers)),
         node_number: state.node_change_number,
+        node_revision: state.node_revision,
         nodes: (!is_same_incarnation || request.nodes != state.node_change_number).then_some(nodes),
         configuration: object.map(|object| (object.revision, object.content.get().to_owned())),
     }))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,9 +9,10 @@
 use carobstep_platform::StoredObject;
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, Configuration, DirectoryChange, FleetLimits, LifecyclePhase,
-    NodeLifecycle, NodeSettings, PeerEntry, PeerTable, RouteTable, ServerDirectory, ServerFleet,
-    ServerKey, StopTiming, WeightedRoundRobin,
+    AttemptOutcome, AttemptTicket, Configuration, DirectoryChange, FleetLimits, LeavingServer,
+    LifecyclePhase, NodeLifecycle, NodeSettings, PauseRequest, PeerEntry, PeerTable, RouteTable,
+    ServerDirectory, ServerFleet, ServerKey, ServerNotice, StopTiming, StoreRevision,
+    WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::info;
@@ -25,8 +26,9 @@
 
 use crate::{
     backend::ServerPool,
+    byte_budget::ByteBudget,
     follow::StoreFreshness,
-    report::{GaugeReadings, Reporter},
+    report::{GaugeReadings, NoticeKind, Reporter},
 };
 
 /// Number of nodes assumed to share [`FleetLimits`] until the list of nodes is known.
@@ -43,6 +45,17 @@
 /// may start at any time.
 const MIN_NODE_COUNT: u32 = 4;
 
+/// Share of the process's memory that responses of servers may take.
+const RESPONSE_MEMORY_SHARE: f64 = 0.2;
+
+/// Memory assumed for a process without a limit, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+
+/// Returns the limit on the response bytes that the process holds.
+fn max_held_bytes(memory_bytes: Option<usize>) -> usize {
+    (memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES) as f64 * RESPONSE_MEMORY_SHARE) as usize
+}
+
 /// Process state; all of it is used from one thread.
 pub(crate) struct Gateway {
     pub(crate) settings: NodeSettings,
@@ -80,7 +93,14 @@
     pub(crate) searches: usize,
     pub(crate) lifecycle: NodeLifecycle,
     pub(crate) in_flight: usize,
+    /// Era of the store in which this node's registration was last known to exist.
+    pub(crate) registered_era: Option<u64>,
+    /// Whether a peer has sent its copy of the store's data.
+    pub(crate) has_peer_copy: bool,
+    /// Store revision that the list of nodes reflects.
+    pub(crate) node_revision: StoreRevision,
     pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
+    byte_budget: Rc<ByteBudget>,
 }
 
 impl Gateway {
@@ -113,7 +133,11 @@
             searches: 0,
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
+            registered_era: None,
+            has_peer_copy: false,
+            node_revision: StoreRevision::default(),
             pools: SecondaryMap::new(),
+            byte_budget: Rc::new(ByteBudget::new(max_held_bytes(settings.memory_bytes))),
         };
         Self {
             store: StoreTransport::new(settings.store),
@@ -149,7 +173,7 @@
     }
 
     /// Wakes the calls of peers that wait for an update.
-    fn notify_peers(&self) {
+    pub(crate) fn notify_peers(&self) {
         self.change_count.send_modify(|count| *count += 1);
     }
 
@@ -191,6 +215,47 @@
         self.notify_peers();
     }
 
+    /// Applies what a response of a server says about the server.
+    pub(crate) fn apply_notice(
+        &self,
+        key: ServerKey,
+        incarnation: &LeavingServer,
+        notice: ServerNotice,
+    ) {
+        match notice.pause {
+            PauseRequest::None => {}
+            PauseRequest::For(pause) => {
+                self.reporter.count_server_notice(NoticeKind::Pause);
+                self.state.borrow_mut().fleet.pause_server(BootTime::now(), key, pause);
+            }
+            PauseRequest::Unreadable => {
+                self.reporter.count_server_notice(NoticeKind::UnreadablePause);
+            }
+        }
+        if notice.is_leaving {
+            self.reporter.count_server_notice(NoticeKind::Leaving);
+            self.mark_leaving(std::slice::from_ref(incarnation));
+        }
+    }
+
+    /// Stops new requests to servers that are leaving.
+    pub(crate) fn mark_leaving(&self, servers: &[LeavingServer]) {
+        if servers.is_empty() {
+            return;
+        }
+        let now = BootTime::now();
+        let changes: Vec<_> = {
+            let directory = &mut self.state.borrow_mut().directory;
+            servers.iter().filter_map(|server| directory.mark_leaving(now, server)).collect()
+        };
+        self.apply_changes(&changes);
+    }
+
+    /// Returns the servers that recently said that they are leaving.
+    pub(crate) fn recently_leaving(&self) -> Vec<LeavingServer> {
+        self.state.borrow().directory.recently_leaving(BootTime::now())
+    }
+
     /// Records the outcome of an attempt.
     pub(crate) fn record_attempt(&self, ticket: AttemptTicket, outcome: AttemptOutcome) {
         self.reporter.count_attempt(outcome);
@@ -205,7 +270,7 @@
             return Some(pool.clone());
         }
         let endpoint = state.fleet.endpoint(key)?;
-        let pool = Rc::new(ServerPool::new(&endpoint.entry));
+        let pool = Rc::new(ServerPool::new(&endpoint.entry, state.byte_budget.clone()));
         state.pools.insert(key, pool.clone());
         Some(pool)
     }
@@ -226,6 +291,7 @@
                 nodes: state.peers.live_nodes(),
                 in_flight: state.in_flight,
                 store_age: state.freshness.age(BootTime::now()),
+                store_era: state.directory.revision().era,
                 ready,
             }
         };
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -213,7 +213,7 @@
 /// Builds the response to a search from the responses of servers and peers.
 fn search_response(gather: &GatherConfig, result: &FanoutResult) -> Response<Full<Bytes>> {
     if result.outcome != FanoutOutcome::Answered {
-        return failure_response(result.outcome);
+        return failure_response(result);
     }
     let responses = result.responses.iter().flatten();
     let direct = responses.clone().map(|response| &response.body[..]);
@@ -247,13 +247,13 @@
     }
     // Forwards only a failure that a server stamped. A server's refusal must not
     // reach the caller here, because another attempt may have been executed.
-    let failure = result.failure.filter(|response| {
-        result.outcome == FanoutOutcome::Failed
-            && response.headers.contains_key(headers::SERVER_STAMP)
-    });
+    let has_failed = result.outcome == FanoutOutcome::Failed;
+    let failure = result
+        .failure
+        .take_if(|response| has_failed && response.headers.contains_key(headers::SERVER_STAMP));
     match failure {
         Some(response) => forward_response(response),
-        None => failure_response(result.outcome),
+        None => failure_response(&result),
     }
 }
 
@@ -267,9 +267,12 @@
 }
 
 /// Builds the response to a request that failed.
-fn failure_response(outcome: FanoutOutcome) -> Response<Full<Bytes>> {
-    match outcome {
-        FanoutOutcome::NotRun => unavailable_response(REFUSED_RETRY_AFTER),
+fn failure_response(result: &FanoutResult) -> Response<Full<Bytes>> {
+    match result.outcome {
+        FanoutOutcome::NotRun => {
+            let pause = result.available_from.map(|from| from.since(BootTime::now()));
+            unavailable_response(pause.unwrap_or_default().max(REFUSED_RETRY_AFTER))
+        }
         FanoutOutcome::TimedOut => empty_response(StatusCode::GATEWAY_TIMEOUT),
         FanoutOutcome::Failed | FanoutOutcome::Answered => empty_response(StatusCode::BAD_GATEWAY),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod args;
 mod backend;
+mod byte_budget;
 mod fanout;
 mod follow;
 mod gateway;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,10 +3,13 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use carobstep_platform::{NODE_KIND, ObjectRequest, collection_path, write_node};
+use carobstep_platform::{NODE_KIND, ObjectRequest, collection_path, headers, write_node};
+use carobstep_store::ReplyParts;
+use carobstep_tier::PeerEntry;
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use log::{info, warn};
+use rand::RngExt;
 use tokio::{task::spawn_local, time::sleep};
 
 use crate::gateway::Gateway;
@@ -21,14 +24,25 @@
 /// and other nodes delegate no searches to it.
 const MAX_TRIES: u32 = 30;
 
+/// Longest delay before a node registers again after a restore of the store, so that
+/// the calls of all nodes are spread over this time.
+const MAX_RESTORE_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Registers the node in a background task, with retries.
 pub(crate) fn register(gateway: &Rc<Gateway>) {
+    register_after(gateway, Duration::ZERO);
+}
+
+fn register_after(gateway: &Rc<Gateway>, delay: Duration) {
     let gateway = gateway.clone();
     spawn_local(async move {
+        sleep(delay).await;
         for _ in 0..MAX_TRIES {
             match write_node_object(&gateway).await {
-                Ok(()) => {
-                    info!("registered");
+                Ok(era) => {
+                    info!(era = era; "registered");
+                    let registered_era = &mut gateway.state.borrow_mut().registered_era;
+                    *registered_era = (*registered_era).max(Some(era));
                     return;
                 }
                 Err(reason) => {
@@ -44,6 +58,26 @@
     });
 }
 
+/// Registers the node again if the store was restored from a copy that lacks its
+/// registration. `nodes` is a complete list of the nodes in an era of the store.
+pub(crate) fn check_registration(gateway: &Rc<Gateway>, era: u64, nodes: &[PeerEntry]) {
+    let is_lost = {
+        let state = &mut *gateway.state.borrow_mut();
+        if state.registered_era.is_none_or(|registered| registered >= era)
+            || state.lifecycle.is_stopping()
+        {
+            return;
+        }
+        state.registered_era = Some(era);
+        !nodes.iter().any(|node| node.name == state.peers.own().name)
+    };
+    if is_lost {
+        warn!(era = era; "the store was restored and lacks this node; registering again");
+        let fraction = rand::rng().random_range(0.0..1.0);
+        register_after(gateway, MAX_RESTORE_DELAY.mul_f64(fraction));
+    }
+}
+
 /// Deletes the node's object, so that peers no longer follow the node or
 /// delegate searches to it.
 pub(crate) async fn deregister(gateway: &Gateway) {
@@ -54,20 +88,24 @@
     }
 }
 
-/// Creates the node's object, or replaces the one left by an earlier process.
-async fn write_node_object(gateway: &Gateway) -> Result<(), String> {
+/// Creates the node's object, or replaces the one left by an earlier process. Returns
+/// the era of the store.
+async fn write_node_object(gateway: &Gateway) -> Result<u64, String> {
     let own = gateway.state.borrow().peers.own().clone();
     let body = write_node(&own).map_err(|error| error.to_string())?;
-    let status = send(gateway, Method::POST, collection_path(NODE_KIND), body.clone()).await?;
-    if status.is_success() {
-        return Ok(());
-    }
-    if status != StatusCode::CONFLICT {
-        return Err(format!("status {status}"));
+    let reply = send(gateway, Method::POST, collection_path(NODE_KIND), body.clone()).await?;
+    if reply.status != StatusCode::CONFLICT {
+        return era_of_write(&reply);
     }
     let object_path = ObjectRequest::Get { kind: NODE_KIND, name: &own.name }.path();
-    let status = send(gateway, Method::PUT, object_path, body).await?;
-    if status.is_success() { Ok(()) } else { Err(format!("status {status}")) }
+    era_of_write(&send(gateway, Method::PUT, object_path, body).await?)
+}
+
+fn era_of_write(reply: &ReplyParts) -> Result<u64, String> {
+    if !reply.status.is_success() {
+        return Err(format!("status {}", reply.status));
+    }
+    headers::store_era(&reply.headers).map_err(|error| error.to_string())
 }
 
 async fn send(
@@ -75,7 +113,7 @@
     method: Method,
     path: String,
     body: Vec<u8>,
-) -> Result<StatusCode, String> {
+) -> Result<ReplyParts, String> {
     let request = Request::builder()
         .method(method)
         .uri(path)
@@ -85,5 +123,5 @@
         .map_err(|error| error.to_string())?;
     let reply = gateway.store.call(request, CALL_TIMEOUT).await;
     gateway.reporter.count_store_call(reply.is_ok());
-    reply.map(|reply| reply.status).map_err(|error| error.to_string())
+    reply.map_err(|error| error.to_string())
 }
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use carobstep_tier::{DirectoryUpdate, PeerEntry};
+use carobstep_tier::{DirectoryUpdate, LeavingServer, PeerEntry, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 /// A request to a peer.
@@ -52,6 +52,8 @@
     pub(crate) target: String,
     pub(crate) headers: Vec<(String, Bytes)>,
     pub(crate) body: Bytes,
+    /// Servers that recently said that they are leaving.
+    pub(crate) leaving: Vec<LeavingServer>,
 }
 
 /// Merged results of some shards of a search.
@@ -65,10 +67,12 @@
     pub(crate) records: Bytes,
     /// Shards for which no server was or will be called, as positions in the request.
     pub(crate) unasked: Vec<u16>,
+    /// Servers that recently said that they are leaving.
+    pub(crate) leaving: Vec<LeavingServer>,
 }
 
 /// Request for changes in the store; the peer waits a while for one before it replies.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct FollowRequest {
     /// Incarnation of the peer that assigned the change numbers.
     pub(crate) life: u64,
@@ -78,6 +82,8 @@
     pub(crate) nodes: u64,
     /// Version of the requesting node's configuration.
     pub(crate) version: u64,
+    /// Servers that recently said that they are leaving.
+    pub(crate) leaving: Vec<LeavingServer>,
 }
 
 /// Store data that a peer passes on.
@@ -95,6 +101,8 @@
     pub(crate) servers: DirectoryUpdate,
     /// Change number of the list of nodes.
     pub(crate) node_number: u64,
+    /// Store revision that the list of nodes reflects.
+    pub(crate) node_revision: StoreRevision,
     /// Complete list of nodes, if it has changed.
     pub(crate) nodes: Option<Vec<PeerEntry>>,
     /// Newer configuration, if any: the revision of its object and its content as JSON.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    FanoutPlan, LifecyclePhase, RetryPolicy, ServerFleet, ShardIndex, merge_records,
+    FanoutPlan, LeavingServer, LifecyclePhase, RetryPolicy, ServerFleet, ShardIndex, merge_records,
 };
 use carobstep_wire::{PeerHandler, ReplySink};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -73,6 +73,10 @@
 }
 
 async fn serve_call(gateway: &Rc<Gateway>, request: PeerRequest, replies: &ReplySink<PeerReply>) {
+    match &request {
+        PeerRequest::Search(search) => gateway.mark_leaving(&search.leaving),
+        PeerRequest::Follow(follow) => gateway.mark_leaving(&follow.leaving),
+    }
     match request {
         PeerRequest::Search(search) => search_shards(gateway, search, replies).await,
         PeerRequest::Follow(_) if gateway.state.borrow().lifecycle.is_stopping() => {
@@ -100,7 +104,8 @@
     // Not used, because a peer does not delegate the shards further.
     let scope = DelegatedScope::default();
     let mut send_progress = |responses: &[Option<BackendResponse>], not_called: &[ShardIndex]| {
-        if let Some(parts) = reported.next_parts(responses, not_called, max_records) {
+        if let Some(mut parts) = reported.next_parts(responses, not_called, max_records) {
+            parts.leaving = gateway.recently_leaving();
             replies.send(PeerReply::Parts(parts));
         }
     };
@@ -199,6 +204,7 @@
     plan: &FanoutPlan,
     position: usize,
     scope: &DelegatedScope,
+    leaving: Vec<LeavingServer>,
 ) -> PeerRequest {
     let now = BootTime::now();
     let delegation = &plan.delegations[position];
@@ -220,6 +226,7 @@
         target: request.target.to_string(),
         headers: copied_headers,
         body: request.body.clone(),
+        leaving,
     })
 }
 
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -34,6 +34,7 @@
     delegations: IntCounterVec,
     store_calls: IntCounterVec,
     log_lines: IntCounterVec,
+    server_notices: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -50,6 +51,7 @@
     nodes: IntGauge,
     in_flight: IntGauge,
     store_age_ms: IntGauge,
+    store_era: IntGauge,
     ready: IntGauge,
 }
 
@@ -61,6 +63,7 @@
     pub(crate) nodes: u32,
     pub(crate) in_flight: usize,
     pub(crate) store_age: Duration,
+    pub(crate) store_era: u64,
     pub(crate) ready: bool,
 }
 
@@ -109,6 +112,18 @@
     Lost,
 }
 
+/// What a server said about itself in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum NoticeKind {
+    /// The server is leaving.
+    Leaving,
+    /// The server wants no requests for a time.
+    Pause,
+    /// The server asked for a pause in a form that can't be read; it is ignored.
+    UnreadablePause,
+}
+
 /// A failed attempt.
 #[derive(Clone, Debug)]
 pub(crate) struct FailedAttempt {
@@ -208,6 +223,11 @@
             )?,
             store_calls: counters("carobstep_store_calls_total", "Calls to the store.", "end")?,
             log_lines: counters("carobstep_log_lines_total", "Lines about requests.", "fate")?,
+            server_notices: counters(
+                "carobstep_server_notices_total",
+                "Responses in which a server says that it is leaving or asks for a pause.",
+                "kind",
+            )?,
             gauges: Gauges {
                 version: gauge("carobstep_configuration_version", "Configuration in force.")?,
                 servers: gauge("carobstep_servers", "Backend servers that are believed to exist.")?,
@@ -217,6 +237,7 @@
                     "carobstep_store_age_milliseconds",
                     "Time since the store's last word, by way of peers or not.",
                 )?,
+                store_era: gauge("carobstep_store_era", "Times that the store was restored.")?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -234,6 +255,10 @@
         self.delegations.with_label_values(&[<&str>::from(outcome)]).inc();
     }
 
+    pub(crate) fn count_server_notice(&self, kind: NoticeKind) {
+        self.server_notices.with_label_values(&[<&str>::from(kind)]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -248,6 +273,7 @@
         gauges.in_flight.set(readings.in_flight as i64);
         let age = i64::try_from(readings.store_age.as_millis()).unwrap_or(i64::MAX);
         gauges.store_age_ms.set(age);
+        gauges.store_era.set(i64::try_from(readings.store_era).unwrap_or(i64::MAX));
         gauges.ready.set(i64::from(readings.ready));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -6,10 +6,11 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::{
     CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, NODE_KIND, ObjectEvent, ObjectRequest,
-    ReadFreshness, SERVER_KIND, StoredObject, WatchPage, read_configuration, read_node, read_page,
-    read_server, read_watch,
+    ReadFreshness, SERVER_KIND, StoredObject, WatchPage, headers, read_configuration, read_node,
+    read_page, read_server, read_watch,
 };
 use carobstep_store::ReplyParts;
+use carobstep_tier::StoreRevision;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use indexmap::IndexMap;
@@ -22,6 +23,7 @@
 use crate::{
     follow::{is_store_watcher, must_call_store},
     gateway::Gateway,
+    membership::check_registration,
 };
 
 /// Longest wait of one watch call. A silent connection is detected after this
@@ -56,6 +58,9 @@
 /// store itself.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which a starting node waits for the copy of a peer before it calls the store.
+const PEER_COPY_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Interval at which an inactive watcher checks whether it has to call the store.
 const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -105,6 +110,10 @@
     /// The store has compacted the history after the requested revision.
     #[strum(to_string = "the history is gone")]
     HistoryCompacted,
+    /// The store was restored from an older copy, so that its revisions have another
+    /// meaning than before.
+    #[strum(to_string = "the store was restored")]
+    StoreRestored,
     /// Any other failure, as text.
     #[strum(to_string = "{0}")]
     Other(String),
@@ -126,7 +135,7 @@
 
     /// Lists and watches the objects for the lifetime of the process. Skips the first
     /// list if the changes up to `applied_revision` are already applied.
-    async fn run(mut self, mut applied_revision: Option<u64>) {
+    async fn run(mut self, mut applied_revision: Option<StoreRevision>) {
         loop {
             while !self.must_call() {
                 sleep(WATCH_CHECK_INTERVAL).await;
@@ -151,22 +160,26 @@
     }
 
     /// Lists and applies all objects, and returns the revision to watch from.
-    async fn list(&mut self, freshness: ReadFreshness) -> Result<u64, CallFailure> {
+    async fn list(&mut self, freshness: ReadFreshness) -> Result<StoreRevision, CallFailure> {
         let kind = self.kind.name();
         let mut after: Option<String> = None;
         let mut objects = Vec::new();
         let mut revision = None;
         loop {
             let request = ObjectRequest::List { kind, after: after.as_deref(), freshness };
-            let reply = self.call(&request, CALL_TIMEOUT).await?;
+            let (reply, era) = self.call(&request, CALL_TIMEOUT).await?;
             let page = read_page(kind, &reply.body).map_err(CallFailure::from)?;
             // The watch starts at the revision of the first page, so that it
             // covers changes made between two pages.
-            let first_revision = *revision.get_or_insert(page.revision);
+            let page_revision = StoreRevision { era, number: page.revision };
+            let first_revision = *revision.get_or_insert(page_revision);
+            if first_revision.era != era {
+                return Err(CallFailure::StoreRestored);
+            }
             for object in page.objects {
                 match object {
                     Ok(object) => objects.push(object),
-                    Err(error) => self.log_unreadable("", 0, &error),
+                    Err(error) => self.log_unreadable(&error.to_string(), 0, &error),
                 }
             }
             if !page.more || page.last_name.is_none() {
@@ -177,27 +190,50 @@
         }
     }
 
-    /// Watches and applies changes until the history is compacted, or until this
-    /// node no longer has to call the store.
-    async fn watch(&mut self, mut revision: u64) {
+    /// Watches and applies changes until the history is compacted or replaced by an older
+    /// copy, or until this node no longer has to call the store.
+    async fn watch(&mut self, mut revision: StoreRevision) {
         let kind = self.kind.name();
         let wait = self.kind.watch_wait();
         let wait_ms = wait.as_millis() as u64;
         while self.must_call() {
-            let request = ObjectRequest::Watch { kind, after: revision, wait_ms };
-            let reply = self.call(&request, wait + CALL_TIMEOUT).await;
-            let page = reply.and_then(|reply| Ok(read_watch(kind, &reply.body)?));
+            let request = ObjectRequest::Watch { kind, after: revision.number, wait_ms };
+            let gateway = self.gateway.clone();
+            let reply = tokio::select! {
+                reply = self.call(&request, wait + CALL_TIMEOUT) => reply,
+                // The watch of another kind has noticed it; this one may wait for long.
+                () = wait_for_later_era(&gateway, revision.era) => Err(CallFailure::StoreRestored),
+            };
+            let page = reply.and_then(|(reply, era)| {
+                if era != revision.era {
+                    return Err(CallFailure::StoreRestored);
+                }
+                Ok(read_watch(kind, &reply.body)?)
+            });
             match page {
                 Ok(page) => {
-                    revision = page.revision;
+                    revision.number = page.revision;
                     let is_unchanged = page.events.is_empty();
-                    self.apply_events(page);
+                    if self.kind == WatchedKind::Nodes {
+                        self.gateway.state.borrow_mut().node_revision = revision;
+                    }
+                    self.apply_events(revision.era, page);
                     if !is_unchanged {
                         sleep(self.kind.coalesce_pause()).await;
                     }
                 }
                 Err(CallFailure::HistoryCompacted) => {
-                    info!(kind = kind, revision = revision; "store history was compacted; listing again");
+                    info!(
+                        kind = kind, revision = revision.number;
+                        "store history was compacted; listing again"
+                    );
+                    return;
+                }
+                Err(CallFailure::StoreRestored) => {
+                    warn!(
+                        kind = kind, era = revision.era, revision = revision.number;
+                        "store was restored from an older copy; listing again"
+                    );
                     return;
                 }
                 Err(failure) => self.back_off(failure).await,
@@ -205,11 +241,12 @@
         }
     }
 
+    /// Calls the store; returns its reply and the era of the store.
     async fn call(
         &mut self,
         request: &ObjectRequest<'_>,
         call_timeout: Duration,
-    ) -> Result<ReplyParts, CallFailure> {
+    ) -> Result<(ReplyParts, u64), CallFailure> {
         let called = BootTime::now();
         let reply = self.gateway.store.call(self.build_request(request), call_timeout).await;
         let reply = match reply {
@@ -218,6 +255,10 @@
             Ok(reply) => Err(CallFailure::Other(format!("status {}", reply.status))),
             Err(error) => Err(CallFailure::Other(error.to_string())),
         };
+        let reply = reply.and_then(|reply| {
+            let era = headers::store_era(&reply.headers)?;
+            Ok((reply, era))
+        });
         let failed = matches!(reply, Err(CallFailure::Other(_)));
         self.gateway.reporter.count_store_call(!failed);
         if failed && self.kind == WatchedKind::Servers {
@@ -252,7 +293,10 @@
     }
 
     async fn back_off(&mut self, failure: CallFailure) {
-        let CallFailure::Other(reason) = failure else { return };
+        let CallFailure::Other(reason) = failure else {
+            sleep(MIN_BACKOFF).await;
+            return;
+        };
         if self.consecutive_failures == 0 {
             warn!(kind = self.kind.name(), reason = reason.as_str(); "store lost");
         }
@@ -263,7 +307,7 @@
         sleep(pause.min(max_pause)).await;
     }
 
-    fn apply_list(&mut self, revision: u64, objects: &[StoredObject]) {
+    fn apply_list(&mut self, revision: StoreRevision, objects: &[StoredObject]) {
         match self.kind {
             WatchedKind::Configuration => {
                 for object in objects {
@@ -274,7 +318,10 @@
                 let mut entries = Vec::with_capacity(objects.len());
                 for object in objects {
                     match read_server(object) {
-                        Ok(entry) => entries.push((object.revision, entry)),
+                        Ok(entry) => {
+                            let number = object.revision;
+                            entries.push((StoreRevision { number, ..revision }, entry));
+                        }
                         Err(error) => self.log_unreadable(&object.name, object.revision, &error),
                     }
                 }
@@ -284,6 +331,7 @@
                     state.directory.replace(BootTime::now(), revision, entries)
                 };
                 self.gateway.apply_changes(&changes);
+                self.gateway.notify_peers();
             }
             WatchedKind::Nodes => {
                 let mut nodes = Vec::with_capacity(objects.len());
@@ -293,25 +341,27 @@
                         Err(error) => self.log_unreadable(&object.name, object.revision, &error),
                     }
                 }
+                self.gateway.state.borrow_mut().node_revision = revision;
+                check_registration(&self.gateway, revision.era, &nodes);
                 self.gateway.update_peers(|peers| peers.replace(nodes));
             }
         }
     }
 
-    fn apply_events(&mut self, page: WatchPage) {
+    fn apply_events(&mut self, era: u64, page: WatchPage) {
         let mut changes = Vec::new();
         for event in page.events {
             let event = match event {
                 Ok(event) => event,
                 Err(error) => {
-                    self.log_unreadable("", page.revision, &error);
+                    self.log_unreadable(&error.to_string(), page.revision, &error);
                     continue;
                 }
             };
             match self.kind {
                 WatchedKind::Configuration if event.removed => {}
                 WatchedKind::Configuration => self.apply_configuration(&event.object),
-                WatchedKind::Servers => self.apply_server_event(&event, &mut changes),
+                WatchedKind::Servers => self.apply_server_event(era, &event, &mut changes),
                 WatchedKind::Nodes => self.apply_node_event(&event),
             }
         }
@@ -320,21 +370,22 @@
 
     fn apply_server_event(
         &mut self,
+        era: u64,
         event: &ObjectEvent,
         changes: &mut Vec<carobstep_tier::DirectoryChange>,
     ) {
         let now = BootTime::now();
+        let revision = StoreRevision { era, number: event.object.revision };
         if event.removed {
             let state = &mut *self.gateway.state.borrow_mut();
             // The same page may hold a later event that adds the server again.
-            let revision = event.object.revision;
             state.directory.remove(now, revision, &event.object.name, changes);
             return;
         }
         match read_server(&event.object) {
             Ok(entry) => {
                 let state = &mut *self.gateway.state.borrow_mut();
-                state.directory.insert(event.object.revision, entry, changes);
+                state.directory.insert(revision, entry, changes);
             }
             Err(error) => self.log_unreadable(&event.object.name, event.object.revision, &error),
         }
@@ -375,6 +426,14 @@
     }
 }
 
+/// Waits until the servers were listed in a later era of the store.
+async fn wait_for_later_era(gateway: &Gateway, era: u64) {
+    let mut changes = gateway.change_count.subscribe();
+    let is_later = |_: &u64| gateway.state.borrow().directory.revision().era > era;
+    // The sender lives as long as the gateway.
+    let _ = changes.wait_for(is_later).await;
+}
+
 impl From<DecodeError> for CallFailure {
     fn from(error: DecodeError) -> Self {
         Self::Other(error.to_string())
@@ -400,6 +459,13 @@
         }
     };
     spawn_local(nodes.run(applied_revision));
+    // A store that was just restored may hold an older configuration than the peers.
+    let mut changes = gateway.change_count.subscribe();
+    let has_copy = |_: &u64| gateway.state.borrow().has_peer_copy;
+    if gateway.state.borrow().peers.entries().next().is_some() {
+        // Without a peer that responds, the store is the only source.
+        let _ = timeout(PEER_COPY_TIMEOUT, changes.wait_for(has_copy)).await;
+    }
     for kind in [WatchedKind::Configuration, WatchedKind::Servers] {
         spawn_local(KindWatcher::new(gateway.clone(), kind).run(None));
     }
--- a/crates/tier/src/delegation.rs
+++ b/crates/tier/src/delegation.rs
@@ -78,7 +78,7 @@
     let is_busy = request
         .services
         .first()
-        .is_some_and(|service| fleet.slot_utilization(*service) > MAX_REMOTE_UTILIZATION);
+        .is_some_and(|service| fleet.slot_utilization(now, *service) > MAX_REMOTE_UTILIZATION);
     let should_delegate = peers.should_delegate(request.names.len(), request.objective);
     let mut delegates_by_zone: IndexMap<Arc<str>, Vec<&PeerEntry>> = IndexMap::new();
     let mut shards_by_peer: IndexMap<Arc<str>, Vec<ShardIndex>> = IndexMap::new();
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::model::ServerEntry;
+use crate::model::{LeavingServer, ServerEntry, ServerPhase};
 
 /// Time for which entries that expired during an outage of the store are kept after
 /// the store has recovered; servers that are still running register again within it.
@@ -19,9 +19,31 @@
 /// Maximum number of removals that are remembered in order to reject older updates.
 const MAX_TOMBSTONES: usize = 1024;
 
+/// Maximum number of leaving servers that are remembered; the oldest is forgotten first.
+const MAX_LEAVING: usize = 4096;
+
+/// Time for which a leaving server is named in messages to peers. A follower calls
+/// its peer more often than that.
+const LEAVING_SPREAD_TIME: Duration = Duration::from_secs(5);
+
 /// Maximum number of changes that are kept for incremental updates to peers.
 const MAX_CHANGES: usize = 512;
 
+/// Position in the history of the store.
+///
+/// The revision of a store that was restored from an older copy is lower than before,
+/// and it gives out again the revisions in between. Its era is higher, so that the order
+/// of the two fields is the order of the changes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreRevision {
+    /// Number of times that the store has been restored.
+    pub era: u64,
+    /// Revision within the era.
+    pub number: u64,
+}
+
 /// Addition, change or removal of one server in the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -35,7 +57,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionedServer {
     /// Store revision of the last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Identifier of the server.
     pub id: Arc<str>,
     /// Registration of the server, or `None` if it was removed.
@@ -50,7 +72,7 @@
     /// Whether this is a full snapshot, so that servers missing from it are removed.
     pub whole: bool,
     /// Store revision that the update reflects.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Changed servers, or all servers in a full snapshot.
     pub servers: Vec<VersionedServer>,
 }
@@ -62,8 +84,9 @@
     failing_since: Option<BootTime>,
     recovered_at: Option<BootTime>,
     /// Store revision of the newest change or list.
-    revision: u64,
-    tombstones: IndexMap<Arc<str>, u64>,
+    revision: StoreRevision,
+    tombstones: IndexMap<Arc<str>, RemovedEntry>,
+    leaving: IndexMap<Arc<str>, LeavingMark>,
     /// Number of the last change in `changes`.
     last_change: u64,
     changes: VecDeque<VersionedServer>,
@@ -72,11 +95,39 @@
 #[derive(Clone, Debug)]
 struct ListedEntry {
     entry: ServerEntry,
-    revision: u64,
+    revision: StoreRevision,
     /// When an entry that is missing from the store is removed; `None` for listed entries.
     expires_at: Option<BootTime>,
 }
 
+/// Last known state of a removed entry.
+#[derive(Clone, Copy, Debug)]
+struct RemovedEntry {
+    revision: StoreRevision,
+    born_ms: Option<u64>,
+    report_number: u64,
+}
+
+/// Incarnation of a server that is leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingMark {
+    born_ms: Option<u64>,
+    /// Until when messages to peers name the server.
+    spread_until: BootTime,
+}
+
+impl RemovedEntry {
+    /// Returns whether an entry at `revision` is older than the removal.
+    fn covers(&self, revision: StoreRevision, entry: &ServerEntry) -> bool {
+        // A restored store may hold an entry that it had removed. The server has not
+        // written it again unless its report is newer.
+        let is_restored = revision.era > self.revision.era
+            && entry.born_ms == self.born_ms
+            && entry.report_number <= self.report_number;
+        self.revision >= revision || is_restored
+    }
+}
+
 impl ServerDirectory {
     /// Iterates over the entries of all servers.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
@@ -111,15 +162,29 @@
         self.last_change
     }
 
+    /// Returns the store revision of the newest change or list.
+    #[must_use]
+    pub const fn revision(&self) -> StoreRevision {
+        self.revision
+    }
+
     /// Replaces the directory with the complete list of servers at a store revision;
-    /// returns the changes.
+    /// returns the changes. Ignores a list of an earlier era of the store.
     pub fn replace(
         &mut self,
         now: BootTime,
-        revision: u64,
-        list: Vec<(u64, ServerEntry)>,
+        revision: StoreRevision,
+        list: Vec<(StoreRevision, ServerEntry)>,
     ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
+        if revision.era < self.revision.era {
+            return changes;
+        }
+        if revision.era > self.revision.era && self.revision.number > 0 {
+            // The store lost the registrations of its last seconds; the servers write
+            // them again.
+            self.recovered_at = Some(now);
+        }
         let listed: IndexSet<Arc<str>> = list.iter().map(|(_, entry)| entry.id.clone()).collect();
         let missing: Vec<Arc<str>> =
             self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
@@ -136,11 +201,13 @@
     /// Adds or updates an entry; ignores entries older than the known one or its removal.
     pub fn insert(
         &mut self,
-        revision: u64,
-        entry: ServerEntry,
+        revision: StoreRevision,
+        mut entry: ServerEntry,
         changes: &mut Vec<DirectoryChange>,
     ) {
-        let was_removed = self.tombstones.get(&entry.id).is_some_and(|at| *at >= revision);
+        self.apply_leaving_mark(&mut entry);
+        let removed = self.tombstones.get(&entry.id);
+        let was_removed = removed.is_some_and(|removed| removed.covers(revision, &entry));
         let known = self.entries.get(&entry.id);
         if was_removed || known.is_some_and(|listed| listed.revision > revision) {
             return;
@@ -168,7 +235,7 @@
     pub fn remove(
         &mut self,
         now: BootTime,
-        revision: u64,
+        revision: StoreRevision,
         id: &str,
         changes: &mut Vec<DirectoryChange>,
     ) {
@@ -184,11 +251,17 @@
         self.remove_entry(revision, id, changes);
     }
 
-    fn remove_entry(&mut self, revision: u64, id: &str, changes: &mut Vec<DirectoryChange>) {
+    fn remove_entry(
+        &mut self,
+        revision: StoreRevision,
+        id: &str,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
         let Some((id, listed)) = self.entries.shift_remove_entry(id) else { return };
         let revision = revision.max(listed.revision);
         self.revision = self.revision.max(revision);
-        self.tombstones.insert(id.clone(), revision);
+        let ServerEntry { born_ms, report_number, .. } = listed.entry;
+        self.tombstones.insert(id.clone(), RemovedEntry { revision, born_ms, report_number });
         if self.tombstones.len() > MAX_TOMBSTONES {
             self.tombstones.shift_remove_index(0);
         }
@@ -232,8 +305,75 @@
         }
     }
 
-    /// Applies an update from a peer; returns the resulting changes.
+    /// Records that a server said that it is leaving, or that a peer said so of it. Until
+    /// the server starts again, its entry stays [`ServerPhase::Leaving`]; returns the change
+    /// if it was not.
+    pub fn mark_leaving(
+        &mut self,
+        now: BootTime,
+        server: &LeavingServer,
+    ) -> Option<DirectoryChange> {
+        let LeavingServer { id, born_ms } = server;
+        let listed = self.entries.get_mut(id);
+        if listed.as_ref().is_some_and(|listed| listed.entry.is_born_after(*born_ms)) {
+            return None;
+        }
+        let known = self.leaving.get(id);
+        if known.is_none_or(|mark| mark.born_ms != *born_ms) {
+            let mark = LeavingMark { born_ms: *born_ms, spread_until: now + LEAVING_SPREAD_TIME };
+            self.leaving.insert(id.clone(), mark);
+            if self.leaving.len() > MAX_LEAVING {
+                self.leaving.shift_remove_index(0);
+            }
+        }
+        let listed = listed.filter(|listed| listed.entry.phase != ServerPhase::Leaving)?;
+        listed.entry.phase = ServerPhase::Leaving;
+        let (entry, revision) = (listed.entry.clone(), listed.revision);
+        self.record_change(VersionedServer {
+            revision,
+            id: id.clone(),
+            entry: Some(entry.clone()),
+        });
+        Some(DirectoryChange::Changed(entry))
+    }
+
+    /// Returns the servers that were marked as leaving recently, for messages to peers.
+    #[must_use]
+    pub fn recently_leaving(&self, now: BootTime) -> Vec<LeavingServer> {
+        let mut recent = Vec::new();
+        for (id, mark) in &self.leaving {
+            if now < mark.spread_until {
+                recent.push(LeavingServer { id: id.clone(), born_ms: mark.born_ms });
+            }
+        }
+        recent
+    }
+
+    /// Marks an entry as leaving if its incarnation is known to be, or remembers that a
+    /// peer sent it so marked. Forgets the mark of an earlier incarnation.
+    fn apply_leaving_mark(&mut self, entry: &mut ServerEntry) {
+        let mark = self.leaving.get(&entry.id);
+        if entry.phase == ServerPhase::Leaving {
+            if mark.is_none_or(|mark| entry.is_born_after(mark.born_ms)) {
+                let mark = LeavingMark { born_ms: entry.born_ms, spread_until: BootTime::ZERO };
+                self.leaving.insert(entry.id.clone(), mark);
+            }
+            return;
+        }
+        let Some(mark) = mark else { return };
+        if entry.is_born_after(mark.born_ms) {
+            self.leaving.shift_remove(&entry.id);
+        } else {
+            entry.phase = ServerPhase::Leaving;
+        }
+    }
+
+    /// Applies an update from a peer; returns the resulting changes. Ignores an update of
+    /// an earlier era of the store.
     pub fn apply_update(&mut self, now: BootTime, update: DirectoryUpdate) -> Vec<DirectoryChange> {
+        if update.revision.era < self.revision.era {
+            return Vec::new();
+        }
         if update.whole {
             let known = update.servers.into_iter();
             let list = known.filter_map(|server| Some((server.revision, server.entry?))).collect();
@@ -246,10 +386,16 @@
                 None => self.remove_if_older(server.revision, &server.id, &mut changes),
             }
         }
+        self.revision = self.revision.max(update.revision);
         changes
     }
 
-    fn remove_if_older(&mut self, revision: u64, id: &str, changes: &mut Vec<DirectoryChange>) {
+    fn remove_if_older(
+        &mut self,
+        revision: StoreRevision,
+        id: &str,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
         if self.entries.get(id).is_some_and(|listed| listed.revision <= revision) {
             self.remove_entry(revision, id, changes);
         }
@@ -267,7 +413,7 @@
             .collect();
         let mut changes = Vec::new();
         for id in expired {
-            self.remove_entry(0, &id, &mut changes);
+            self.remove_entry(StoreRevision::default(), &id, &mut changes);
         }
         changes
     }
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -76,8 +76,11 @@
     excluded: Vec<ServerKey>,
     /// Servers in `excluded` that refused because they were full; they may be called again later.
     refused: Vec<ServerKey>,
-    /// All servers that were called, including those that may be called again.
+    /// Servers that an attempt in flight may reach or an earlier one may have reached,
+    /// including those that may be called again.
     called: Vec<ServerKey>,
+    /// Servers that an attempt which has ended may have reached.
+    reached: Vec<ServerKey>,
     in_flight: u32,
     /// Attempts that no server received.
     unsent_attempts: u32,
@@ -144,7 +147,7 @@
     pub fn start(&mut self, now: BootTime, fleet: &mut ServerFleet) -> Vec<FanoutAction> {
         let mut actions = Vec::with_capacity(self.shards.len());
         for position in 0..self.shards.len() {
-            if !fleet.has_available_server(self.plan.services[position]) {
+            if !fleet.has_available_server(now, self.plan.services[position]) {
                 self.abandon_shard(position);
             }
         }
@@ -326,13 +329,27 @@
         actions: &mut Vec<FanoutAction>,
     ) -> bool {
         let rank = self.rank(now);
-        let progress = &mut self.shards[position];
+        let progress = &self.shards[position];
         let service = self.plan.services[position];
         let class = self.plan.class;
         let scope = progress.scope(&self.plan, position, rank);
         let Some(server) = fleet.pick_by_rank(now, service, class, scope) else {
             return false;
         };
+        self.send_to(now, fleet, position, server, actions);
+        true
+    }
+
+    fn send_to(
+        &mut self,
+        now: BootTime,
+        fleet: &mut ServerFleet,
+        position: usize,
+        server: ServerKey,
+        actions: &mut Vec<FanoutAction>,
+    ) {
+        let class = self.plan.class;
+        let progress = &mut self.shards[position];
         if !progress.called.contains(&server) {
             progress.called.push(server);
         }
@@ -343,7 +360,6 @@
         let ticket = fleet.on_attempt_sent(now, server, class);
         let shard = shard_at(position);
         actions.push(FanoutAction::Send { shard, ticket });
-        true
     }
 
     /// Sends a hedge: one more attempt while another is in flight. Returns whether it
@@ -362,14 +378,19 @@
         }
         let service = self.plan.services[position];
         let scope = progress.scope(&self.plan, position, rank);
-        let target = fleet.pick(now, service, self.plan.class, scope);
-        if target.is_none_or(|server| fleet.is_suspect(now, server, self.plan.class)) {
+        if fleet.is_outranked(now, service, rank) {
             return false;
         }
-        if fleet.slot_utilization(service) > MAX_HEDGE_UTILIZATION {
+        let Some(server) = fleet.pick(now, service, self.plan.class, scope) else { return false };
+        if fleet.is_suspect(now, server, self.plan.class)
+            || fleet.slot_utilization(now, service) > MAX_HEDGE_UTILIZATION
+            || !fleet.try_take_extra(now, service)
+        {
             return false;
         }
-        self.send_extra(now, fleet, position, actions)
+        self.send_to(now, fleet, position, server, actions);
+        self.shards[position].extra_attempts += 1;
+        true
     }
 
     /// Sends one more attempt if the retry budget allows it and a server has capacity;
@@ -404,8 +425,15 @@
     ) {
         let may_wait = self.shards.len() > 1 && now < self.plan.answer_by;
         let progress = &mut self.shards[position];
-        if !outcome.may_have_arrived() {
+        if outcome.may_have_arrived() {
+            if !progress.reached.contains(&server) {
+                progress.reached.push(server);
+            }
+        } else {
             progress.unsent_attempts += 1;
+            if !progress.reached.contains(&server) {
+                progress.called.retain(|called| *called != server);
+            }
         }
         // While other shards are still pending, a full server may get free capacity in time.
         if outcome == AttemptOutcome::NotRun && may_wait {
@@ -436,7 +464,7 @@
         progress.retry_at = None;
         let service = self.plan.services[position];
         let scope = progress.scope(&self.plan, position, rank);
-        if !fleet.has_candidate(service, scope) {
+        if !fleet.has_candidate(now, service, scope) {
             let refused = std::mem::take(&mut progress.refused);
             if refused.is_empty() {
                 self.abandon_shard(position);
@@ -448,8 +476,7 @@
         }
         // An attempt is an extra one only if an earlier one may have reached a server, or
         // if a peer may have called one.
-        let no_server_reached = progress.unsent_attempts as usize == progress.called.len()
-            && !progress.peer_may_have_called;
+        let no_server_reached = progress.called.is_empty() && !progress.peer_may_have_called;
         let sent = if no_server_reached {
             self.send(now, fleet, position, actions)
         } else {
@@ -491,9 +518,10 @@
 }
 
 impl ShardProgress {
-    /// Returns the number of servers that this node's attempts may have reached.
+    /// Returns the number of servers that this node's attempts may have reached or may
+    /// still reach.
     fn servers_reached(&self) -> u32 {
-        (self.called.len() as u32).saturating_sub(self.unsent_attempts)
+        self.called.len() as u32
     }
 
     /// Returns which servers may be called next for the shard at `position`.
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -291,12 +291,42 @@
 
     /// Returns whether any server of the service is in a reachable zone and accepts new requests.
     #[must_use]
-    pub fn has_available_server(&self, service: ServiceKey) -> bool {
+    pub fn has_available_server(&self, now: BootTime, service: ServiceKey) -> bool {
         let Some(state) = self.services.get(service) else { return false };
         state
             .servers
             .iter()
-            .any(|key| self.servers.get(*key).is_some_and(|server| self.is_available(server)))
+            .any(|key| self.servers.get(*key).is_some_and(|server| self.is_available(now, server)))
+    }
+
+    /// Returns when enough of the services have a server that accepts requests, if servers
+    /// that asked for a pause are the only obstacle; `None` if too few have any server in
+    /// use.
+    #[must_use]
+    pub fn available_from(
+        &self,
+        now: BootTime,
+        services: &[ServiceKey],
+        needed: usize,
+    ) -> Option<BootTime> {
+        let mut times = Vec::with_capacity(services.len());
+        for service in services {
+            let Some(state) = self.services.get(*service) else { continue };
+            let servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
+            let in_use = servers.filter(|server| {
+                server.is_in_use() && !self.zone_reachability.is_unreachable(&server.entry.zone)
+            });
+            times.extend(in_use.map(|server| server.paused_until.max(now)).min());
+        }
+        times.sort_unstable();
+        times.get(needed.checked_sub(1)?).copied()
+    }
+
+    /// Stops requests to a server for a time that it asked for.
+    pub fn pause_server(&mut self, now: BootTime, key: ServerKey, pause: Duration) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.pause(now, pause);
+        }
     }
 
     /// Returns whether a service has servers and all of them are in unreachable
@@ -342,18 +372,18 @@
         (0..wanted).map(|step| in_zone[(start + step) % count].entry.address).collect()
     }
 
-    fn is_available(&self, server: &ServerState) -> bool {
-        server.is_available() && !self.zone_reachability.is_unreachable(&server.entry.zone)
+    fn is_available(&self, now: BootTime, server: &ServerState) -> bool {
+        server.is_available(now) && !self.zone_reachability.is_unreachable(&server.entry.zone)
     }
 
     /// Returns whether `scope` allows any available server, even if it has no capacity
     /// at the moment.
     #[must_use]
-    pub fn has_candidate(&self, service: ServiceKey, scope: PickScope<'_>) -> bool {
+    pub fn has_candidate(&self, now: BootTime, service: ServiceKey, scope: PickScope<'_>) -> bool {
         let Some(state) = self.services.get(service) else { return false };
         state.servers.iter().any(|key| {
             scope.is_allowed(*key)
-                && self.servers.get(*key).is_some_and(|server| self.is_available(server))
+                && self.servers.get(*key).is_some_and(|server| self.is_available(now, server))
         })
     }
 
@@ -385,7 +415,7 @@
         let state = self.services.get(service)?;
         let mut best: Option<(usize, &Arc<str>)> = None;
         for server in state.servers.iter().filter_map(|key| self.servers.get(*key)) {
-            if !self.is_available(server) {
+            if !self.is_available(now, server) {
                 continue;
             }
             let zone = &server.entry.zone;
@@ -404,11 +434,11 @@
     /// Returns the estimated utilization of a shard's slots (1.0 is full), assuming that
     /// every node has as much demand as this one.
     #[must_use]
-    pub fn slot_utilization(&self, service: ServiceKey) -> f64 {
+    pub fn slot_utilization(&self, now: BootTime, service: ServiceKey) -> f64 {
         let Some(state) = self.services.get(service) else { return 0.0 };
         let servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
         let slots: u32 = servers
-            .filter(|server| self.is_available(server))
+            .filter(|server| self.is_available(now, server))
             .map(|server| server.entry.slots)
             .sum();
         let demand = self.classes.search_concurrency() * f64::from(self.limits.nodes);
@@ -441,6 +471,14 @@
         }
     }
 
+    /// Returns whether a higher-ranked search waits for capacity at the service.
+    #[must_use]
+    pub fn is_outranked(&self, now: BootTime, service: ServiceKey, rank: SearchRank) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        let (waiter, waited_at) = state.waiter;
+        now.since(waited_at) < WAITER_LIFETIME && waiter > rank
+    }
+
     /// Picks a server like [`ServerFleet::pick`], but returns `None` while a
     /// higher-ranked search waits for capacity at the service.
     pub fn pick_by_rank(
@@ -450,10 +488,10 @@
         class: ClassKey,
         scope: PickScope<'_>,
     ) -> Option<ServerKey> {
-        let (waiter, waited_at) = self.services.get(service)?.waiter;
-        if now.since(waited_at) < WAITER_LIFETIME && waiter > scope.rank {
+        if self.is_outranked(now, service, scope.rank) {
             return None;
         }
+        let (waiter, _) = self.services.get(service)?.waiter;
         let picked = self.pick(now, service, class, scope);
         let state = self.services.get_mut(service)?;
         match picked {
@@ -487,7 +525,7 @@
             if !scope.rank.is_on_time {
                 limit = (limit / LATE_LIMIT_DIVISOR).max(1);
             }
-            if !self.is_available(server) || server.in_flight >= limit {
+            if !self.is_available(now, server) || server.in_flight >= limit {
                 continue;
             }
             if !scope.is_allowed(key) {
@@ -502,8 +540,8 @@
     }
 
     /// Selects up to `limit` servers that this node and its delegate in `zone` may both
-    /// call for one search. Available servers come first, then those that are not
-    /// suspect, then those in `zone`.
+    /// call for one search, without those that this node knows to be leaving. Available
+    /// servers come first, then those that are not suspect, then those in `zone`.
     pub fn choose_allowed(
         &mut self,
         now: BootTime,
@@ -514,16 +552,19 @@
     ) -> Vec<ServerKey> {
         let Some(state) = self.services.get_mut(service) else { return Vec::new() };
         state.rotation = state.rotation.wrapping_add(1);
+        let rotation = state.rotation;
         let mut keys = state.servers.clone();
+        // The delegate may not know yet that such a server is leaving.
+        keys.retain(|key| self.servers.get(*key).is_some_and(ServerState::is_in_use));
         if keys.len() <= limit {
             return keys;
         }
-        let start = state.rotation % keys.len();
+        let start = rotation % keys.len();
         keys.rotate_left(start);
         // The sort is stable, so equal servers keep the rotated order.
         keys.sort_by_key(|key| {
             let server = self.servers.get(*key);
-            let is_available = server.is_some_and(|server| self.is_available(server));
+            let is_available = server.is_some_and(|server| self.is_available(now, server));
             let in_zone = server.is_some_and(|server| server.entry.zone.as_ref() == zone);
             (!is_available, self.is_suspect(now, *key, class), !in_zone)
         });
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -35,7 +35,9 @@
 mod stats;
 
 pub use delegation::{DelegationPlan, DelegationRequest, plan_delegations};
-pub use directory::{DirectoryChange, DirectoryUpdate, ServerDirectory, VersionedServer};
+pub use directory::{
+    DirectoryChange, DirectoryUpdate, ServerDirectory, StoreRevision, VersionedServer,
+};
 pub use fanout::FanoutState;
 pub use fanout_plan::{
     Delegation, DelegationIndex, DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan,
@@ -48,8 +50,9 @@
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use merge::{RECORD_BYTES, merge_records};
 pub use model::{
-    CallerLimits, Configuration, GatherConfig, NodeSettings, RetryPolicy, RouteConfig, RouteTarget,
-    ServerEntry, ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
+    CallerLimits, Configuration, GatherConfig, LeavingServer, NodeSettings, PauseRequest,
+    RetryPolicy, RouteConfig, RouteTarget, ServerEntry, ServerNotice, ServerPhase, ServiceBounds,
+    ServiceConfig, WeightedService,
 };
 pub use peers::{PeerEntry, PeerTable, StoreWatcher};
 pub use reach::ZoneReachability;
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -157,6 +157,13 @@
         renumbered == *other
     }
 
+    /// Returns whether the entry belongs to a later incarnation than the one that
+    /// started at `born_ms`. An unknown start time proves no later incarnation.
+    #[must_use]
+    pub const fn is_born_after(&self, born_ms: Option<u64>) -> bool {
+        matches!((self.born_ms, born_ms), (Some(own), Some(other)) if own > other)
+    }
+
     /// Returns whether the server wrote this report after `other`, regardless of the
     /// order in which the store received them; `false` if either start time is unknown.
     #[must_use]
@@ -177,6 +184,39 @@
     Ready,
     /// The server finishes its current requests and then stops.
     Draining,
+    /// A response of the server said that it is leaving. Holds until the server starts
+    /// again, whatever its registration says.
+    Leaving,
+}
+
+/// One incarnation of a backend server that said in a response that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingServer {
+    /// Identifier of the server.
+    pub id: Arc<str>,
+    /// Start time of the server; see [`ServerEntry::born_ms`].
+    pub born_ms: Option<u64>,
+}
+
+/// What a response of a server says about the server itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// Whether the server is leaving and must get no new requests.
+    pub is_leaving: bool,
+    /// Pause that the server asks for after it has refused a request.
+    pub pause: PauseRequest,
+}
+
+/// Pause between requests that a server asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PauseRequest {
+    /// The server asks for no pause.
+    #[default]
+    None,
+    /// The server wants no requests for this time.
+    For(Duration),
+    /// The server asks for a pause in a form that can't be read.
+    Unreadable,
 }
 
 /// Local settings of a node.
@@ -198,6 +238,8 @@
     pub cpu_share: f64,
     /// Bandwidth of the machine's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory that the process may use, if it is limited.
+    pub memory_bytes: Option<usize>,
     /// Bounds on shutdown time and extra requests.
     pub bounds: ServiceBounds,
 }
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -27,6 +27,10 @@
 /// Maximum backoff time for a server that cannot be reached.
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Longest pause after a refusal that a server may ask for. A longer one would take the
+/// server out of use because of one damaged response.
+const MAX_PAUSE: Duration = Duration::from_secs(3600);
+
 /// Lower bound on the slowness in the score, because smaller values are noise.
 const MIN_SLOWNESS: f64 = 0.5;
 
@@ -71,6 +75,8 @@
     slowness: f64,
     failure_rate: f64,
     pub(crate) backoff_until: BootTime,
+    /// Until when the server wants no requests from this node.
+    pub(crate) paused_until: BootTime,
     unreachable_count: u32,
     pub(crate) cold_until: BootTime,
     is_misdirected: bool,
@@ -89,6 +95,7 @@
             slowness: 1.0,
             failure_rate: 0.0,
             backoff_until: BootTime::ZERO,
+            paused_until: BootTime::ZERO,
             unreachable_count: 0,
             is_misdirected: false,
         }
@@ -112,12 +119,24 @@
         load * (1.0 + FAILURE_WEIGHT * self.failure_rate)
     }
 
-    /// Returns whether the server accepts new requests, judged by its registration and by
-    /// whether another server answered at its address.
-    pub(crate) const fn is_available(&self) -> bool {
+    /// Returns whether the server is in use, judged by its registration, by whether it
+    /// said that it is leaving, and by whether another server answered at its address.
+    pub(crate) const fn is_in_use(&self) -> bool {
         matches!(self.entry.phase, ServerPhase::Ready) && !self.is_misdirected
     }
 
+    /// Returns whether the server accepts new requests: it is in use and has not asked
+    /// this node for a pause.
+    pub(crate) fn is_available(&self, now: BootTime) -> bool {
+        self.is_in_use() && now >= self.paused_until
+    }
+
+    /// Stops requests to the server for a time that it asked for. A shorter pause does not
+    /// end a longer one.
+    pub(crate) fn pause(&mut self, now: BootTime, pause: Duration) {
+        self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
+    }
+
     /// Updates the statistics with the outcome of an attempt.
     pub(crate) fn observe(
         &mut self,
@@ -151,7 +170,7 @@
                 self.unreachable_count += 1;
                 self.backoff_until = now + backoff.min(MAX_BACKOFF);
             }
-            AttemptOutcome::Failed => {
+            AttemptOutcome::Failed | AttemptOutcome::Oversized => {
                 self.waiting_since = now;
                 self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
             }
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -57,6 +57,8 @@
     Unsent,
     /// The request may have run, but no usable response was received.
     Failed,
+    /// The response exceeded a limit on its size and was not read to its end.
+    Oversized,
     /// No response was received in time.
     TimedOut,
     /// The request ended while the attempt was in flight.
--- a/crates/tier/tests/fanout.rs
+++ b/crates/tier/tests/fanout.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, Delegation, DelegationIndex, DelegationUpdate, DirectoryChange,
     FanoutAction, FanoutOutcome, FanoutPlan, FanoutState, FleetLimits, PickScope, RetryPolicy,
@@ -607,3 +609,32 @@
         state.on_attempt_ended(at(5), &mut fleet, shard, ticket.server, AttemptOutcome::Answered);
     assert_eq!(finish(&actions), Some(FanoutOutcome::Answered));
 }
+
+/// Guards against a shard that reaches more servers than the route allows: an attempt
+/// that could not be sent to a server must not hide that an earlier one reached it.
+#[test]
+fn a_failed_connection_to_a_server_that_refused_before_is_no_free_attempt() {
+    let (mut fleet, services) = fleet(2, &["a", "b", "c"], LIMITS);
+    let mut plan = plan(&mut fleet, &services, 1);
+    plan.attempts = 1;
+    let mut state = FanoutState::new(plan);
+    let sent = sends(&state.start(at(0), &mut fleet));
+    let (shard, first) = sent[0];
+    let mut reached = vec![first.server];
+    let mut ticket = first;
+    // The server refuses the first attempt, and no connection to it succeeds afterwards.
+    for (step, outcome) in
+        [AttemptOutcome::NotRun, AttemptOutcome::Unsent, AttemptOutcome::Unsent].iter().enumerate()
+    {
+        let now = at(1 + 30 * step as u64);
+        fleet.on_attempt_ended(now, ticket, *outcome);
+        state.on_attempt_ended(now, &mut fleet, shard, ticket.server, *outcome);
+        let again = sends(&state.on_timer(now + Duration::from_millis(25), &mut fleet));
+        let Some((_, next)) = again.iter().find(|(other, _)| *other == shard) else { continue };
+        reached.push(next.server);
+        ticket = *next;
+    }
+    reached.sort_unstable();
+    reached.dedup();
+    assert_eq!(reached.len(), 1, "servers of one shard that may have been called");
+}
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -6,11 +6,16 @@
 
 use carobstep_tier::{
     AttemptOutcome, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry, PeerTable,
-    PickScope, ServerDirectory, ServerPhase, StopTiming, StoreWatcher, VersionedServer,
-    ZoneReachability,
+    PickScope, ServerDirectory, ServerPhase, StopTiming, StoreRevision, StoreWatcher,
+    VersionedServer, ZoneReachability,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
+/// Returns a revision of a store that was never restored.
+const fn rev(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 fn ids(directory: &ServerDirectory) -> Vec<String> {
     directory.entries().map(|entry| entry.id.to_string()).collect()
 }
@@ -19,12 +24,16 @@
 fn entries_that_expired_during_an_outage_are_kept_for_two_seconds() {
     let mut directory = ServerDirectory::default();
     directory.on_store_reply(at(0));
-    directory.replace(at(0), 5, vec![(1, entry("x", "s", "a")), (2, entry("y", "s", "a"))]);
+    directory.replace(
+        at(0),
+        rev(5),
+        vec![(rev(1), entry("x", "s", "a")), (rev(2), entry("y", "s", "a"))],
+    );
     // The store is unavailable for 4 s; the first list afterwards misses one entry.
     directory.on_store_failure(at(100));
     directory.on_store_failure(at(3_000));
     directory.on_store_reply(at(4_000));
-    let changes = directory.replace(at(4_000), 9, vec![(2, entry("y", "s", "a"))]);
+    let changes = directory.replace(at(4_000), rev(9), vec![(rev(2), entry("y", "s", "a"))]);
     assert_eq!(changes, []);
     assert_eq!(ids(&directory), ["x", "y"]);
     assert_eq!(directory.expire(at(5_999)), []);
@@ -35,12 +44,12 @@
 fn an_entry_that_is_registered_again_within_the_grace_period_is_kept() {
     let mut directory = ServerDirectory::default();
     directory.on_store_reply(at(0));
-    directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
+    directory.replace(at(0), rev(5), vec![(rev(1), entry("x", "s", "a"))]);
     directory.on_store_failure(at(100));
     directory.on_store_reply(at(4_000));
-    directory.replace(at(4_000), 9, Vec::new());
+    directory.replace(at(4_000), rev(9), Vec::new());
     let mut changes = Vec::new();
-    directory.insert(10, entry("x", "s", "a"), &mut changes);
+    directory.insert(rev(10), entry("x", "s", "a"), &mut changes);
     assert_eq!(changes, []);
     assert_eq!(directory.expire(at(9_000)), []);
 }
@@ -62,12 +71,12 @@
     for case in cases {
         let mut directory = ServerDirectory::default();
         directory.on_store_reply(at(0));
-        directory.replace(at(0), 5, vec![(1, entry("x", "s", "a"))]);
+        directory.replace(at(0), rev(5), vec![(rev(1), entry("x", "s", "a"))]);
         for millis in case.failed {
             directory.on_store_failure(at(*millis));
         }
         directory.on_store_reply(at(case.listed));
-        let changes = directory.replace(at(case.listed), 6, Vec::new());
+        let changes = directory.replace(at(case.listed), rev(6), Vec::new());
         assert_eq!(changes, [DirectoryChange::Removed(name("x"))], "{}", case.label);
     }
 }
@@ -78,13 +87,13 @@
     draining.phase = ServerPhase::Draining;
     let mut directory = ServerDirectory::default();
     let mut changes = Vec::new();
-    directory.insert(7, draining.clone(), &mut changes);
-    directory.insert(3, entry("x", "s", "a"), &mut changes);
+    directory.insert(rev(7), draining.clone(), &mut changes);
+    directory.insert(rev(3), entry("x", "s", "a"), &mut changes);
     assert_eq!(changes, [DirectoryChange::Changed(draining)]);
-    directory.remove(at(0), 9, "x", &mut changes);
-    directory.insert(8, entry("x", "s", "a"), &mut changes);
+    directory.remove(at(0), rev(9), "x", &mut changes);
+    directory.insert(rev(8), entry("x", "s", "a"), &mut changes);
     assert_eq!(ids(&directory), Vec::<String>::new());
-    directory.insert(10, entry("x", "s", "a"), &mut changes);
+    directory.insert(rev(10), entry("x", "s", "a"), &mut changes);
     assert_eq!(ids(&directory), ["x"]);
 }
 
@@ -115,11 +124,11 @@
         let mut draining = entry("x", "s", "a");
         draining.phase = ServerPhase::Draining;
         (draining.born_ms, draining.report_number) = (Some(5), 7);
-        directory.insert(1, draining.clone(), &mut Vec::new());
+        directory.insert(rev(1), draining.clone(), &mut Vec::new());
         let mut report = entry("x", "s", "a");
         (report.born_ms, report.report_number) = (Some(case.born_ms), case.report_number);
         let mut changes = Vec::new();
-        directory.insert(2, report, &mut changes);
+        directory.insert(rev(2), report, &mut changes);
         assert_eq!(!changes.is_empty(), case.is_applied, "{}", case.label);
     }
 }
@@ -127,11 +136,11 @@
 #[test]
 fn a_report_without_new_content_is_no_change() {
     let mut directory = ServerDirectory::default();
-    directory.insert(1, entry("x", "s", "a"), &mut Vec::new());
+    directory.insert(rev(1), entry("x", "s", "a"), &mut Vec::new());
     let mut next = entry("x", "s", "a");
     next.report_number += 1;
     let mut changes = Vec::new();
-    directory.insert(2, next, &mut changes);
+    directory.insert(rev(2), next, &mut changes);
     assert_eq!((changes.len(), directory.last_change()), (0, 1));
 }
 
@@ -139,17 +148,17 @@
 fn a_peer_gets_a_full_snapshot_first_and_then_only_changes() {
     let mut source = ServerDirectory::default();
     let mut changes = Vec::new();
-    source.insert(1, entry("x", "s", "a"), &mut changes);
-    source.insert(2, entry("y", "s", "a"), &mut changes);
+    source.insert(rev(1), entry("x", "s", "a"), &mut changes);
+    source.insert(rev(2), entry("y", "s", "a"), &mut changes);
     let mut copy = ServerDirectory::default();
     let whole = source.updates_after(None);
     assert!(whole.whole);
     let number = whole.number;
     copy.apply_update(at(0), whole);
     assert_eq!(ids(&copy), ["x", "y"]);
-    source.remove(at(0), 3, "x", &mut changes);
+    source.remove(at(0), rev(3), "x", &mut changes);
     let update = source.updates_after(Some(number));
-    let expected = [VersionedServer { revision: 3, id: name("x"), entry: None }];
+    let expected = [VersionedServer { revision: rev(3), id: name("x"), entry: None }];
     assert_eq!((update.whole, &update.servers[..]), (false, &expected[..]));
     copy.apply_update(at(0), update);
     assert_eq!(ids(&copy), ["y"]);
@@ -195,14 +204,17 @@
     let key = class(&mut fleet);
     for zone in ["b", "c"] {
         assert!(
-            !fleet.is_service_unreachable("shard-0") && fleet.has_available_server(services[0])
+            !fleet.is_service_unreachable("shard-0")
+                && fleet.has_available_server(at(0), services[0])
         );
         fleet.zone_reachability.on_request_sent(at(0), &name(zone));
         fleet.zone_reachability.due_probes(at(300));
         fleet.zone_reachability.on_probe_sent(zone);
         fleet.zone_reachability.on_probe_ended(zone, false);
     }
-    assert!(fleet.is_service_unreachable("shard-0") && !fleet.has_available_server(services[0]));
+    assert!(
+        fleet.is_service_unreachable("shard-0") && !fleet.has_available_server(at(0), services[0])
+    );
     assert!(fleet.pick(at(300), services[0], key, PickScope::default()).is_none());
 }
 
@@ -484,5 +496,5 @@
     draining.phase = ServerPhase::Draining;
     fleet.apply(at(1), &DirectoryChange::Changed(draining));
     assert!(fleet.pick(at(1), services[0], key, PickScope::default()).is_none());
-    assert!(!fleet.has_available_server(services[0]));
+    assert!(!fleet.has_available_server(at(0), services[0]));
 }
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -44,6 +44,53 @@
     Truncate,
     /// The server responds that the address belongs to another server (status 421).
     Misdirect,
+    /// The server says in each response that it is leaving.
+    Leaving,
+    /// The server refuses requests as not executed and says that it is leaving.
+    LeavingAndShed,
+    /// The server refuses requests as not executed, with this `Retry-After`.
+    Pause(&'static str),
+    /// The server sends the start of a response and then bytes without end.
+    Endless(EndlessBytes),
+}
+
+/// Where a server sends bytes without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessBytes {
+    /// One line of the header section.
+    HeaderLine,
+    /// Many lines of the header section.
+    HeaderLines,
+    /// Many responses with status 100, which precede a final one.
+    InformationalResponses,
+    /// A body that ends with the connection.
+    Body,
+    /// A body with a very large stated length.
+    BodyWithLength,
+    /// A body in chunks.
+    Chunks,
+}
+
+impl EndlessBytes {
+    /// Returns the start of the response and what follows it again and again.
+    fn texts(self, headers: &str) -> (String, &'static [u8]) {
+        let ok = "HTTP/1.1 200 OK\r\n";
+        let (start, rest): (String, &[u8]) = match self {
+            Self::HeaderLine => (format!("{ok}{headers}x-long: "), b"yyyyyyyyyyyyyyyy"),
+            Self::HeaderLines => (format!("{ok}{headers}"), b"x-more: yyyyyyy\r\n"),
+            Self::InformationalResponses => (String::new(), b"HTTP/1.1 100 Continue\r\n\r\n"),
+            Self::Body => (format!("{ok}{headers}\r\n"), b"0123456789abcdef"),
+            Self::BodyWithLength => {
+                let length = u64::MAX / 4;
+                (format!("{ok}{headers}content-length: {length}\r\n\r\n"), b"0123456789abcdef")
+            }
+            Self::Chunks => {
+                let head = format!("{ok}{headers}transfer-encoding: chunked\r\n\r\n");
+                (head, b"10\r\n0123456789abcdef\r\n")
+            }
+        };
+        (start, rest)
+    }
 }
 
 /// A request that a server received.
@@ -62,6 +109,8 @@
     /// Requests that were cancelled because the gateway closed the connection.
     cancelled: usize,
     connections: usize,
+    /// Bytes written for [`ServerFault::Endless`].
+    endless_bytes: usize,
 }
 
 /// A running backend server; its tasks stop with the test's async runtime.
@@ -129,6 +178,11 @@
         self.lock().cancelled
     }
 
+    /// Returns how many bytes were written for [`ServerFault::Endless`].
+    pub fn endless_bytes(&self) -> usize {
+        self.lock().endless_bytes
+    }
+
     pub fn stamp(&self) -> String {
         format!("stamp-{}", self.id)
     }
@@ -141,7 +195,13 @@
             if header_value(&head, "x-carobstep-expect-instance").is_some_and(|id| id != self.id) {
                 fault = ServerFault::Misdirect;
             }
-            let executed = !matches!(fault, ServerFault::Shed | ServerFault::Misdirect);
+            let executed = !matches!(
+                fault,
+                ServerFault::Shed
+                    | ServerFault::Misdirect
+                    | ServerFault::LeavingAndShed
+                    | ServerFault::Pause(_)
+            );
             self.lock().arrivals.push(Arrival { at: Instant::now(), head: head.clone(), executed });
             let request_id = header_value(&head, "x-carobstep-request-id").unwrap_or_default();
             let (body, stamp) = match &self.per_request_service {
@@ -172,6 +232,28 @@
                     complete[..complete.len() - 4].to_owned()
                 }
                 ServerFault::Shed => response_text(503, "x-carobstep-not-executed: 1\r\n", ""),
+                ServerFault::Leaving => {
+                    response_text(200, &format!("{stamp_headers}server-leaving: 1\r\n"), &body)
+                }
+                ServerFault::LeavingAndShed => {
+                    let headers = "x-carobstep-not-executed: 1\r\nserver-leaving: 1\r\n";
+                    response_text(503, headers, "")
+                }
+                ServerFault::Pause(wait) => {
+                    let headers = format!("x-carobstep-not-executed: 1\r\nretry-after: {wait}\r\n");
+                    response_text(503, &headers, "")
+                }
+                ServerFault::Endless(bytes) => {
+                    let (start, rest) = bytes.texts(&stamp_headers);
+                    let block = rest.repeat(4096);
+                    let mut sent = socket.write_all(start.as_bytes()).await;
+                    while sent.is_ok() {
+                        sent = socket.write_all(&block).await;
+                        self.lock().endless_bytes += block.len();
+                    }
+                    self.lock().cancelled += 1;
+                    return;
+                }
                 ServerFault::Misdirect => response_text(421, "", ""),
                 ServerFault::Error => response_text(500, &stamp_headers, "broken"),
                 ServerFault::CloseWithoutResponse => return,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,7 +4,9 @@
 mod backend;
 mod explain;
 mod node;
+mod notices;
 mod relay;
+mod restore;
 mod soak;
 mod store;
 
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -152,6 +152,14 @@
         HttpClient::default().send(self.callers, call).await.expect("a response")
     }
 
+    /// Returns the memory of the process that is in use.
+    pub fn resident_bytes(&self) -> usize {
+        let path = format!("/proc/{}/statm", self.child.id());
+        let text = fs::read_to_string(path).expect("memory figures");
+        let pages: usize = text.split(' ').nth(1).expect("a field").parse().expect("a number");
+        pages * 4096
+    }
+
     pub fn log_path(&self) -> PathBuf {
         self.dir.join("log")
     }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -28,8 +28,10 @@
     Unresponsive,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreState {
+    /// Number of times that the store was restored.
+    era: u64,
     revision: u64,
     objects: IndexMap<(String, String), (u64, Value)>,
     /// Changes: revision, kind, name, and content, which is `None` for a removal.
@@ -51,6 +53,9 @@
     changed: watch::Sender<u64>,
 }
 
+/// State of the store at one moment.
+pub struct StoreCopy(StoreState);
+
 impl StandinStore {
     pub async fn start() -> Self {
         Self::listen(Arc::default(), watch::Sender::new(0)).await
@@ -120,6 +125,24 @@
         self.changed.send_replace(revision);
     }
 
+    /// Returns a copy of the store's state, for [`StandinStore::restore`].
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Restores the store from a copy: what was written since is lost, revisions are
+    /// given out again, and the history starts with the copy.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        let (era, calls) = (state.era + 1, state.calls);
+        *state = copy.0.clone();
+        (state.era, state.calls) = (era, calls);
+        state.events.clear();
+        state.compacted = state.revision;
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     pub fn set_fault(&self, fault: StoreFault) {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
@@ -140,6 +163,13 @@
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut response = self.respond_to(request).await;
+        let era = HeaderValue::from(self.lock().era);
+        response.headers_mut().insert("store-era", era);
+        response
+    }
+
+    async fn respond_to(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         self.lock().calls += 1;
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match fault {
@@ -205,12 +235,13 @@
         let has_events = |_: &u64| {
             let state = self.lock();
             after < state.compacted
+                || after > state.revision
                 || state.events.iter().any(|event| event.0 > after && event.1 == kind)
         };
         // After a timeout, the response contains no events.
         let _ = timeout(Duration::from_millis(wait_ms), changed.wait_for(has_events)).await;
         let state = self.lock();
-        if after < state.compacted {
+        if after < state.compacted || after > state.revision {
             return empty_response(StatusCode::GONE);
         }
         let mut events = Vec::new();
