--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -102,14 +102,8 @@
         args: &["--help"],
         settings: None,
         exit_code: 0,
-        stdout: "Usage: carobstepd --settings FILE [--check]",
-        stderr: &[],
-    } },
-    help_names_the_gateway = { "help-gateway", DaemonCase {
-        args: &["--help"],
-        settings: None,
-        exit_code: 0,
-        stdout: "carobstepd gateway [--metrics PORT]",
+        stdout: "Usage: carobstepd --settings FILE [--check]\n       \
+            carobstepd gateway [--metrics PORT]\n",
         stderr: &[],
     } },
     version = { "version", DaemonCase {
