--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -140,7 +140,12 @@
 
     fn try_from(document: PatchDocument) -> Result<Self, PatchError> {
         if document.text.len() > MAX_PATCH_BYTES {
-            return Err(PatchError::oversized("patch", document.text.len(), MAX_PATCH_BYTES, "bytes"));
+            return Err(PatchError::oversized(
+                "patch",
+                document.text.len(),
+                MAX_PATCH_BYTES,
+                "bytes",
+            ));
         }
         let value = parse_jsonc(&document.text)
             .map_err(|error| PatchError::malformed(format!("patch text: {error}")))?;
--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -55,6 +55,9 @@
     /// Number of peers in the plan.
     pub(crate) delegations: usize,
     pub(crate) extra_attempts: u32,
+    /// Whether the request had enough results before the answer time and was waiting for
+    /// further ones.
+    pub(crate) is_finished_by_timer: bool,
     /// When enough servers accept requests again, if servers that asked for a pause are
     /// the obstacle.
     pub(crate) available_from: Option<BootTime>,
@@ -152,6 +155,7 @@
         responses: vec![None; shards],
         failure: None,
         failed_attempts: FailedAttempts::default(),
+        is_finished_by_timer: false,
     };
     let outcome = run.drive(&mut events_rx, &mut on_progress).await;
     let available_from = {
@@ -166,6 +170,7 @@
         not_called: run.state.shards_not_called(),
         missing: run.state.missing_shards(),
         extra_attempts: run.state.extra_attempts(),
+        is_finished_by_timer: run.is_finished_by_timer,
         responses: run.responses,
         accepted_parts: run.accepted_parts,
         failure: run.failure,
@@ -192,6 +197,7 @@
     /// The last response that reported a failure.
     failure: Option<BackendResponse>,
     failed_attempts: FailedAttempts,
+    is_finished_by_timer: bool,
 }
 
 impl FanoutRun<'_> {
@@ -205,6 +211,7 @@
             let gateway = &mut *self.gateway.state.borrow_mut();
             self.state.start(BootTime::now(), &mut gateway.fleet)
         };
+        let mut had_enough = false;
         loop {
             for action in actions {
                 match action {
@@ -214,7 +221,11 @@
                     FanoutAction::Report => {
                         on_progress(&self.responses, &self.state.shards_not_called())
                     }
-                    FanoutAction::Finish(outcome) => return outcome,
+                    FanoutAction::Finish(outcome) => {
+                        self.is_finished_by_timer =
+                            had_enough && outcome == FanoutOutcome::Answered;
+                        return outcome;
+                    }
                 }
             }
             let next_timer = to_instant(self.state.next_timer(BootTime::now()));
@@ -223,6 +234,7 @@
                 event = events_rx.recv() => event,
                 () = sleep_until(next_timer) => None,
             };
+            had_enough = self.state.has_enough();
             actions = self.step(event);
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,15 +1,15 @@
 //! Receives store updates through a peer, to limit the load on the store.
 //!
-//! One node of each zone watches the store; the others follow that node, and
-//! receive changes by long polling. Each reply states the age of the peer's data,
-//! which is the time since the store last answered. A node whose data becomes
-//! stale calls the store itself.
+//! The nodes form a tree, see [`UpdateSource`]; the first one watches the store, and the
+//! others receive changes by long polling. Each reply states the age of the peer's data,
+//! which is the time since the store last answered, and the node that it answered. A
+//! node whose data becomes stale calls the store itself.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_platform::{CONFIGURATION_NAME, StoredObject, read_configuration};
-use carobstep_tier::StoreWatcher;
+use carobstep_tier::UpdateSource;
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -19,29 +19,28 @@
     peer_messages::{FollowRequest, PeerReply, PeerRequest, StoreUpdate},
 };
 
-/// Longest time that a peer waits for a change before it replies without one.
-const UPDATE_WAIT: Duration = Duration::from_millis(500);
-
-/// Timeout of a call to a peer, in addition to [`UPDATE_WAIT`].
+/// Timeout of a call to a peer, in addition to the time that the peer may wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Age of the store data above which a node calls the store itself. The time limits
-/// for draining servers and for configuration changes are 3 s or longer.
-const MAX_STORE_AGE: Duration = Duration::from_millis(1_900);
-
 /// Time after its start for which a node waits for a peer's first update.
-const STARTUP_WAIT: Duration = Duration::from_millis(1_000);
+const STARTUP_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Least difference in age for which fresher data is sent to a peer although nothing has
+/// changed.
+const MIN_AGE_GAIN: Duration = Duration::from_millis(250);
+
 /// Interval at which a node that watches the store itself checks whether it has to
 /// follow a peer.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Times of the last store data, from which the age of the local state follows.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct StoreFreshness {
+    /// Node that the store last answered, if that was a peer.
+    pub(crate) origin: Option<Arc<str>>,
     /// When the store last answered about configurations, directly or through a peer.
     pub(crate) configuration: BootTime,
     /// When the store last answered about servers, directly or through a peer.
@@ -55,30 +54,33 @@
     }
 }
 
-/// Whether this node is the one that watches the store for its zone.
+/// Whether this node watches the store for others.
 pub(crate) fn is_store_watcher(gateway: &Gateway) -> bool {
-    gateway.state.borrow().peers.store_watcher(BootTime::now()) == StoreWatcher::Own
+    gateway.state.borrow().peers.update_source(BootTime::now()) == UpdateSource::Store
 }
 
-/// Whether this node has to call the store, because it is its zone's watcher or
+/// Whether this node has to call the store, because it watches the store for others or
 /// because the data received from the peer is stale.
 pub(crate) fn must_call_store(gateway: &Gateway) -> bool {
     let now = BootTime::now();
-    let age = gateway.state.borrow().freshness.age(now);
-    // A node that has just started waits for its peer's first update.
-    let is_stale = now.since(gateway.started) > STARTUP_WAIT && age > MAX_STORE_AGE;
+    let is_stale = {
+        let state = gateway.state.borrow();
+        let call_age = gateway.timing.call_age(state.peers.tree_place(now));
+        // A node that has just started waits for its peer's first update.
+        now.since(gateway.started) > STARTUP_WAIT && state.freshness.age(now) > call_age
+    };
     is_stale || is_store_watcher(gateway)
 }
 
-/// Returns the peer that this node follows: the node that watches the store for the
-/// zone, or another peer if this node watches the store and its own calls fail.
-fn update_source(gateway: &Gateway) -> Option<Arc<str>> {
+/// Returns the peer that this node follows: its parent in the tree, or another peer if
+/// this node watches the store and its own calls fail.
+fn peer_to_follow(gateway: &Gateway) -> Option<Arc<str>> {
     let now = BootTime::now();
     let state = gateway.state.borrow();
-    match state.peers.store_watcher(now) {
-        StoreWatcher::Peer(peer) => Some(peer),
-        StoreWatcher::Own if state.directory.is_store_failing() => state.peers.fallback_peer(now),
-        StoreWatcher::Own => None,
+    match state.peers.update_source(now) {
+        UpdateSource::Peer(peer) => Some(peer),
+        UpdateSource::Store if state.directory.is_store_failing() => state.peers.fallback_peer(now),
+        UpdateSource::Store => None,
     }
 }
 
@@ -96,7 +98,7 @@
     let mut follow_request = FollowRequest::default();
     let mut followed_peer = None;
     loop {
-        let source = update_source(&gateway);
+        let source = peer_to_follow(&gateway);
         let is_copying = source.is_none();
         let Some(peer) = source.or_else(|| first_copy_source(&gateway)) else {
             sleep(SOURCE_CHECK_INTERVAL).await;
@@ -109,19 +111,26 @@
         }
         let address = gateway.state.borrow().peers.address(&peer);
         let Some(address) = address else { continue };
-        follow_request.version = gateway.state.borrow().configuration.version;
-        follow_request.leaving = gateway.recently_leaving();
+        {
+            let state = gateway.state.borrow();
+            let now = BootTime::now();
+            follow_request.version = state.configuration.version;
+            follow_request.revision = state.directory.revision();
+            follow_request.nodes = state.peers.revision();
+            follow_request.age = state.freshness.age(now);
+            follow_request.leaving = state.directory.recently_leaving(now);
+        }
         let request = PeerRequest::Follow(follow_request.clone());
         let called = BootTime::now();
         let calling = gateway.peer_pool.call_typed(address, &request);
-        match timeout(UPDATE_WAIT + CALL_TIMEOUT, calling).await {
+        match timeout(gateway.timing.update_wait() + CALL_TIMEOUT, calling).await {
             Ok(Ok(PeerReply::News(update))) => {
+                // Data that this node itself had from the store is no news.
                 let source_is_own =
-                    update.source.as_ref() == Some(&gateway.state.borrow().peers.own().name);
-                let is_stale = update.age > MAX_STORE_AGE;
+                    update.origin.as_ref() == Some(&gateway.state.borrow().peers.own().name);
+                let is_stale = update.age > gateway.timing.max_age();
                 follow_request.life = update.life;
                 follow_request.servers = update.servers.number;
-                follow_request.nodes = update.node_number;
                 let age_ms = update.age.as_millis() as u64;
                 apply_update(&gateway, called, *update);
                 if (source_is_own && !is_copying) || is_stale {
@@ -144,7 +153,11 @@
         peer = peer, age_ms = age_ms, source_is_own = source_is_own;
         "a peer has no news of the store"
     );
-    gateway.state.borrow_mut().peers.mark_stale(BootTime::now(), peer);
+    let now = BootTime::now();
+    // At the start of all nodes, the peer has no data yet, but will have soon.
+    if now.since(gateway.started) > STARTUP_WAIT {
+        gateway.state.borrow_mut().peers.mark_stale(now, peer);
+    }
 }
 
 async fn handle_peer_failure(gateway: &Gateway, peer: &str, reason: &str) {
@@ -166,19 +179,26 @@
         if update.servers.revision.number == 0 {
             Vec::new()
         } else {
-            state.freshness.servers = state.freshness.servers.max(confirmed_at);
-            state.freshness.configuration = state.freshness.configuration.max(confirmed_at);
+            let freshness = &mut state.freshness;
+            if confirmed_at > freshness.servers.min(freshness.configuration) {
+                freshness.origin = update.origin;
+            }
+            freshness.servers = freshness.servers.max(confirmed_at);
+            freshness.configuration = freshness.configuration.max(confirmed_at);
             state.lifecycle.on_server_list();
             state.directory.apply_update(now, update.servers)
         }
     };
     gateway.apply_changes(&changes);
-    let node_revision = gateway.state.borrow().node_revision;
-    let nodes = update.nodes.filter(|_| update.node_revision >= node_revision);
-    if let Some(nodes) = nodes {
-        check_registration(gateway, update.node_revision.era, &nodes);
-        gateway.state.borrow_mut().node_revision = update.node_revision;
-        gateway.update_peers(|peers| peers.replace(nodes));
+    if let Some(nodes) = update.nodes {
+        if nodes.whole {
+            check_registration(gateway, nodes.revision.era, &nodes.changed);
+        }
+        gateway.update_peers(|peers| peers.apply_update(nodes));
+    }
+    {
+        let known = &mut gateway.state.borrow_mut().configuration_revision;
+        *known = (*known).max(update.configuration_revision);
     }
     if let Some((revision, content)) = update.configuration {
         let object = StoredObject::from_peer(CONFIGURATION_NAME, revision, content);
@@ -189,49 +209,54 @@
             }
         }
     }
-    if !std::mem::replace(&mut gateway.state.borrow_mut().has_peer_copy, true) {
-        gateway.notify_peers();
-    }
+    gateway.state.borrow_mut().has_peer_copy = true;
+    // Passes on the age of the data, although nothing may have changed.
+    gateway.notify_peers();
 }
 
-/// Builds the reply to a peer that follows this node, after waiting up to
-/// [`UPDATE_WAIT`] for a change.
+/// Builds the reply to a peer that follows this node, after waiting for a change or for
+/// fresher data.
 pub(crate) async fn wait_for_update(gateway: &Gateway, request: FollowRequest) -> PeerReply {
     let called = BootTime::now();
     let mut changes = gateway.change_count.subscribe();
     let is_same_incarnation = request.life == gateway.incarnation;
+    let max_age = gateway.timing.max_age();
     let age = || gateway.state.borrow().freshness.age(BootTime::now());
     let has_update = |_: &u64| {
         if !is_same_incarnation {
-            return age() <= MAX_STORE_AGE;
+            return age() <= max_age;
         }
         let state = gateway.state.borrow();
+        let now = BootTime::now();
         request.servers != state.directory.last_change()
-            || request.nodes != state.node_change_number
+            || request.nodes < state.peers.revision()
             || request.version < state.configuration.version
+            || state.freshness.age(now) + MIN_AGE_GAIN < request.age + now.since(called)
     };
     // After a timeout, the reply still carries the age of this node's data.
-    let _ = timeout(UPDATE_WAIT, changes.wait_for(has_update)).await;
-    // A full list is large, and useless to the peer if it is stale.
-    if !is_same_incarnation && age() > MAX_STORE_AGE {
+    let _ = timeout(gateway.timing.update_wait(), changes.wait_for(has_update)).await;
+    // Stale data is of no use to a peer that does not follow this node yet.
+    if !is_same_incarnation && age() > max_age {
         return PeerReply::NoNews(age());
     }
-    let source = update_source(gateway);
     let state = gateway.state.borrow();
     let now = BootTime::now();
-    let mut nodes: Vec<_> = state.peers.entries().cloned().collect();
-    nodes.push(state.peers.own().clone());
     let is_outdated = request.version < state.configuration.version;
     let object = state.configuration_object.as_ref().filter(|_| is_outdated);
+    let servers = if is_same_incarnation {
+        state.directory.updates_after(Some(request.servers))
+    } else {
+        state.directory.updates_since(request.revision)
+    };
+    let has_newer_nodes = request.nodes < state.peers.revision();
     PeerReply::News(Box::new(StoreUpdate {
         life: gateway.incarnation,
         age: state.freshness.age(now),
         waited: now.since(called),
-        source,
-        servers: state.directory.updates_after(is_same_incarnation.then_some(request.servers)),
-        node_number: state.node_change_number,
-        node_revision: state.node_revision,
-        nodes: (!is_same_incarnation || request.nodes != state.node_change_number).then_some(nodes),
+        origin: Some(state.freshness.origin.clone().unwrap_or(state.peers.own().name.clone())),
+        servers,
+        nodes: has_newer_nodes.then(|| state.peers.updates_since(request.nodes)),
+        configuration_revision: state.configuration_revision,
         configuration: object.map(|object| (object.revision, object.content.get().to_owned())),
     }))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,10 +9,10 @@
 use carobstep_platform::StoredObject;
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, Configuration, DirectoryChange, FleetLimits, LeavingServer,
-    LifecyclePhase, NodeLifecycle, NodeSettings, PauseRequest, PeerEntry, PeerTable, RouteTable,
-    ServerDirectory, ServerFleet, ServerKey, ServerNotice, StopTiming, StoreRevision,
-    WeightedRoundRobin,
+    AttemptOutcome, AttemptTicket, Configuration, DirectoryChange, FinishLag, FleetLimits,
+    LeavingServer, LifecyclePhase, NodeLifecycle, NodeSettings, PauseRequest, PeerEntry, PeerTable,
+    RouteTable, ServerDirectory, ServerFleet, ServerKey, ServerNotice, SpreadTiming, StopTiming,
+    StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::info;
@@ -45,6 +45,10 @@
 /// may start at any time.
 const MIN_NODE_COUNT: u32 = 4;
 
+/// Number of changes of servers at the same time that get a log line each; more get one
+/// line together.
+const MAX_LOGGED_CHANGES: usize = 32;
+
 /// Share of the process's memory that responses of servers may take.
 const RESPONSE_MEMORY_SHARE: f64 = 0.2;
 
@@ -66,6 +70,8 @@
     /// Number of changes so far; an increment wakes the calls of peers that wait for
     /// an update.
     pub(crate) change_count: watch::Sender<u64>,
+    /// Times of the calls that spread the store's data.
+    pub(crate) timing: SpreadTiming,
     /// Start time of the process.
     pub(crate) started: BootTime,
     /// Non-zero random number that distinguishes this process from earlier ones
@@ -81,24 +87,23 @@
     pub(crate) configuration: Rc<Configuration>,
     /// Store object that the configuration was read from, forwarded to peers.
     pub(crate) configuration_object: Option<StoredObject>,
+    /// Store revision up to which all changes of the configuration are applied.
+    pub(crate) configuration_revision: StoreRevision,
     pub(crate) freshness: StoreFreshness,
     pub(crate) routes: RouteTable,
     pub(crate) round_robin: WeightedRoundRobin,
     pub(crate) directory: ServerDirectory,
     pub(crate) fleet: ServerFleet,
     pub(crate) peers: PeerTable,
-    /// Change number of the list of nodes, incremented with each change.
-    pub(crate) node_change_number: u64,
     /// Number of searches since the start of the process.
     pub(crate) searches: usize,
+    pub(crate) finish_lag: FinishLag,
     pub(crate) lifecycle: NodeLifecycle,
     pub(crate) in_flight: usize,
     /// Era of the store in which this node's registration was last known to exist.
     pub(crate) registered_era: Option<u64>,
     /// Whether a peer has sent its copy of the store's data.
     pub(crate) has_peer_copy: bool,
-    /// Store revision that the list of nodes reflects.
-    pub(crate) node_revision: StoreRevision,
     pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
     byte_budget: Rc<ByteBudget>,
 }
@@ -123,19 +128,19 @@
         let state = GatewayState {
             configuration: Rc::new(Configuration::default()),
             configuration_object: None,
+            configuration_revision: StoreRevision::default(),
             freshness: StoreFreshness::default(),
             routes: RouteTable::default(),
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits),
             peers: PeerTable::new(own),
-            node_change_number: 0,
             searches: 0,
+            finish_lag: FinishLag::new(settings.cpu_share),
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
             registered_era: None,
             has_peer_copy: false,
-            node_revision: StoreRevision::default(),
             pools: SecondaryMap::new(),
             byte_budget: Rc::new(ByteBudget::new(max_held_bytes(settings.memory_bytes))),
         };
@@ -145,6 +150,7 @@
             peer_pool,
             state: RefCell::new(state),
             change_count: watch::Sender::new(0),
+            timing: SpreadTiming::within(settings.bounds.spread),
             started: BootTime::now(),
             incarnation: RandomState::new().hash_one(settings.node.as_str()).max(1),
             closing: watch::Sender::new(false),
@@ -184,8 +190,13 @@
         }
         let now = BootTime::now();
         let state = &mut *self.state.borrow_mut();
+        let is_logged = changes.len() <= MAX_LOGGED_CHANGES;
+        if !is_logged {
+            info!(changes = changes.len(); "servers changed");
+        }
         for change in changes {
             match change {
+                _ if !is_logged => {}
                 DirectoryChange::Changed(entry) => info!(
                     server = entry.id.as_ref(), service = entry.service.as_ref(),
                     address:% = entry.address, phase:% = entry.phase;
@@ -204,7 +215,6 @@
     pub(crate) fn update_peers(&self, change: impl FnOnce(&mut PeerTable)) {
         let state = &mut *self.state.borrow_mut();
         change(&mut state.peers);
-        state.node_change_number += 1;
         let nodes = state.peers.live_nodes();
         let bounds = self.settings.bounds;
         state.fleet.set_limits(FleetLimits {
@@ -256,6 +266,15 @@
         self.state.borrow().directory.recently_leaving(BootTime::now())
     }
 
+    /// Records the time at which the answer to a search is ready, if it was waited for
+    /// until the answer time.
+    pub(crate) fn record_finish(&self, answer_by: BootTime, shards: usize) {
+        let now = BootTime::now();
+        if now >= answer_by {
+            self.state.borrow_mut().finish_lag.record(shards, now.since(answer_by));
+        }
+    }
+
     /// Records the outcome of an attempt.
     pub(crate) fn record_attempt(&self, ticket: AttemptTicket, outcome: AttemptOutcome) {
         self.reporter.count_attempt(outcome);
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -109,10 +109,19 @@
     report.caller_timeout = caller_timeout;
     let (plan, scope) = plan_fanout(gateway, &route, arrived, caller_timeout.min(route.timeout));
     let request = Rc::new(backend_request(head, body));
+    let answer_by = plan.answer_by;
     let mut result = run_fanout(gateway, plan, request, scope, |_, _| {}).await;
     report.record_result(&mut result);
     match &route.target {
-        RouteTarget::Gather(gather) => search_response(gather, &result),
+        RouteTarget::Gather(gather) => {
+            let response = search_response(gather, &result);
+            // A search that had too few results at the answer time says nothing about the
+            // time that finishing takes.
+            if result.is_finished_by_timer {
+                gateway.record_finish(answer_by, gather.shards.len());
+            }
+            response
+        }
         RouteTarget::Service(_) | RouteTarget::Split(_) => single_response(result),
     }
 }
@@ -159,7 +168,14 @@
     let services: Vec<_> =
         service_names.iter().map(|name| fleet.get_or_insert_service(arrived, name)).collect();
     let class = fleet.classes.class_of(route);
-    let answer_by = arrived + route.objective.saturating_sub(CALLER_MARGIN).min(timeout);
+    let reserve = match &route.target {
+        RouteTarget::Gather(gather) => {
+            state.finish_lag.reserve(gather.shards.len(), route.objective)
+        }
+        RouteTarget::Service(_) | RouteTarget::Split(_) => Duration::ZERO,
+    };
+    let answer_in = route.objective.saturating_sub(CALLER_MARGIN + reserve);
+    let answer_by = arrived + answer_in.min(timeout);
     let mut scope = DelegatedScope::default();
     let mut delegation_plan = DelegationPlan::default();
     if let RouteTarget::Gather(gather) = &route.target {
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,9 +3,11 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use carobstep_platform::{NODE_KIND, ObjectRequest, collection_path, headers, write_node};
+use carobstep_platform::{
+    NODE_KIND, ObjectRequest, collection_path, headers, read_node, read_object, write_node,
+};
 use carobstep_store::ReplyParts;
-use carobstep_tier::PeerEntry;
+use carobstep_tier::{PeerEntry, StoreRevision};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::Full;
 use log::{info, warn};
@@ -60,7 +62,11 @@
 
 /// Registers the node again if the store was restored from a copy that lacks its
 /// registration. `nodes` is a complete list of the nodes in an era of the store.
-pub(crate) fn check_registration(gateway: &Rc<Gateway>, era: u64, nodes: &[PeerEntry]) {
+pub(crate) fn check_registration(
+    gateway: &Rc<Gateway>,
+    era: u64,
+    nodes: &[(StoreRevision, PeerEntry)],
+) {
     let is_lost = {
         let state = &mut *gateway.state.borrow_mut();
         if state.registered_era.is_none_or(|registered| registered >= era)
@@ -69,7 +75,7 @@
             return;
         }
         state.registered_era = Some(era);
-        !nodes.iter().any(|node| node.name == state.peers.own().name)
+        !nodes.iter().any(|(_, node)| node.name == state.peers.own().name)
     };
     if is_lost {
         warn!(era = era; "the store was restored and lacks this node; registering again");
@@ -97,6 +103,11 @@
     if reply.status != StatusCode::CONFLICT {
         return era_of_write(&reply);
     }
+    // A process that crashed has left the same object, which needs no second call.
+    let stored = read_object(&reply.body).and_then(|object| read_node(&object));
+    if stored.is_ok_and(|node| node == own) {
+        return era_of(&reply);
+    }
     let object_path = ObjectRequest::Get { kind: NODE_KIND, name: &own.name }.path();
     era_of_write(&send(gateway, Method::PUT, object_path, body).await?)
 }
@@ -105,6 +116,10 @@
     if !reply.status.is_success() {
         return Err(format!("status {}", reply.status));
     }
+    era_of(reply)
+}
+
+fn era_of(reply: &ReplyParts) -> Result<u64, String> {
     headers::store_era(&reply.headers).map_err(|error| error.to_string())
 }
 
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use carobstep_tier::{DirectoryUpdate, LeavingServer, PeerEntry, StoreRevision};
+use carobstep_tier::{DirectoryUpdate, LeavingServer, PeerUpdate, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 /// A request to a peer.
@@ -78,8 +78,13 @@
     pub(crate) life: u64,
     /// Change number of the requesting node's list of servers.
     pub(crate) servers: u64,
-    /// Change number of the requesting node's list of nodes.
-    pub(crate) nodes: u64,
+    /// Store revision of the requesting node's list of servers, from which a peer that it
+    /// has not followed before continues.
+    pub(crate) revision: StoreRevision,
+    /// Store revision of the requesting node's list of nodes.
+    pub(crate) nodes: StoreRevision,
+    /// Age of the requesting node's data.
+    pub(crate) age: Duration,
     /// Version of the requesting node's configuration.
     pub(crate) version: u64,
     /// Servers that recently said that they are leaving.
@@ -96,15 +101,13 @@
     pub(crate) age: Duration,
     /// Time for which the peer waited for a change before it replied.
     pub(crate) waited: Duration,
-    /// Node that the peer follows in turn, if any.
-    pub(crate) source: Option<Arc<str>>,
+    /// Node that the store confirmed this data to.
+    pub(crate) origin: Option<Arc<str>>,
     pub(crate) servers: DirectoryUpdate,
-    /// Change number of the list of nodes.
-    pub(crate) node_number: u64,
-    /// Store revision that the list of nodes reflects.
-    pub(crate) node_revision: StoreRevision,
-    /// Complete list of nodes, if it has changed.
-    pub(crate) nodes: Option<Vec<PeerEntry>>,
+    /// Changes of the list of nodes, if there are any.
+    pub(crate) nodes: Option<PeerUpdate>,
+    /// Store revision up to which the configuration is current.
+    pub(crate) configuration_revision: StoreRevision,
     /// Newer configuration, if any: the revision of its object and its content as JSON.
     pub(crate) configuration: Option<(u64, String)>,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -161,6 +161,7 @@
 ) -> Option<(FanoutPlan, BackendRequest)> {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
+    let reserve = state.finish_lag.reserve(search.shards.len(), search.objective);
     let fleet = &mut state.fleet;
     let mut services = Vec::with_capacity(search.shards.len());
     let mut allowed = IndexMap::with_capacity(search.shards.len());
@@ -180,7 +181,7 @@
         allowed,
         is_delegated: true,
         arrived: now,
-        answer_by: now + search.answer_in,
+        answer_by: now + search.answer_in.saturating_sub(reserve),
         deadline: now + search.deadline_in,
     };
     let mut forwarded = HeaderMap::with_capacity(search.headers.len());
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -10,7 +10,7 @@
     read_page, read_server, read_watch,
 };
 use carobstep_store::ReplyParts;
-use carobstep_tier::StoreRevision;
+use carobstep_tier::{PeerEntry, SpreadTiming, StoreRevision};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use indexmap::IndexMap;
@@ -26,11 +26,6 @@
     membership::check_registration,
 };
 
-/// Longest wait of one watch call. A silent connection is detected after this
-/// time plus [`CALL_TIMEOUT`], and peers learn at this interval that nothing has
-/// changed.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-
 /// Longest wait of one watch call for nodes, whose changes are not urgent.
 const NODE_WATCH_WAIT: Duration = Duration::from_secs(10);
 
@@ -47,17 +42,18 @@
 /// Shortest pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Longest pause after a failed call.
-const MAX_BACKOFF: Duration = Duration::from_millis(500);
-
-/// Longest pause after a failed call for a node that calls the store only because
-/// its peer's data is stale; the peer informs it when the store is available again.
-const MAX_FALLBACK_BACKOFF: Duration = Duration::from_secs(2);
-
 /// Timeout for the initial list of nodes; without the list, the node watches the
 /// store itself.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Reads of the list of nodes by a node that starts, until one shows another node. A read
+/// that may be stale costs a tenth.
+const DISCOVERY_READS: [ReadFreshness; 3] =
+    [ReadFreshness::MayBeStale, ReadFreshness::MayBeStale, ReadFreshness::Latest];
+
+/// Pause between two of those reads.
+const DISCOVERY_PAUSE: Duration = Duration::from_millis(600);
+
 /// Time for which a starting node waits for the copy of a peer before it calls the store.
 const PEER_COPY_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -95,10 +91,11 @@
         }
     }
 
-    /// Returns the longest wait of one watch call.
-    const fn watch_wait(self) -> Duration {
+    /// Returns the longest wait of one watch call. A silent connection is detected after
+    /// this time plus [`CALL_TIMEOUT`].
+    fn watch_wait(self, timing: SpreadTiming) -> Duration {
         match self {
-            Self::Configuration | Self::Servers => WATCH_WAIT,
+            Self::Configuration | Self::Servers => timing.watch_wait(),
             Self::Nodes => NODE_WATCH_WAIT,
         }
     }
@@ -133,24 +130,40 @@
         Self { gateway, kind, consecutive_failures: 0, reported: IndexMap::new() }
     }
 
-    /// Lists and watches the objects for the lifetime of the process. Skips the first
-    /// list if the changes up to `applied_revision` are already applied.
-    async fn run(mut self, mut applied_revision: Option<StoreRevision>) {
+    /// Watches the objects for the lifetime of the process, from the revision that is known
+    /// from peers if possible. Lists them otherwise.
+    async fn run(mut self) {
+        let mut must_list = false;
         loop {
             while !self.must_call() {
                 sleep(WATCH_CHECK_INTERVAL).await;
             }
-            let listed = match applied_revision.take() {
+            let known = self.known_revision().filter(|_| !must_list);
+            let listed = match known {
                 Some(revision) => Ok(revision),
-                None => self.list(ReadFreshness::Latest).await,
+                None => self.list().await,
             };
-            match listed {
+            must_list = match listed {
                 Ok(revision) => self.watch(revision).await,
-                Err(failure) => self.back_off(failure).await,
-            }
+                Err(failure) => {
+                    self.back_off(failure).await;
+                    must_list
+                }
+            };
         }
     }
 
+    /// Returns the store revision up to which all changes are applied, if there is one.
+    fn known_revision(&self) -> Option<StoreRevision> {
+        let state = self.gateway.state.borrow();
+        let revision = match self.kind {
+            WatchedKind::Configuration => state.configuration_revision,
+            WatchedKind::Servers => state.directory.revision(),
+            WatchedKind::Nodes => state.peers.revision(),
+        };
+        (revision.number > 0).then_some(revision)
+    }
+
     /// Whether this node has to call the store for this kind of objects.
     fn must_call(&self) -> bool {
         match self.kind {
@@ -160,12 +173,13 @@
     }
 
     /// Lists and applies all objects, and returns the revision to watch from.
-    async fn list(&mut self, freshness: ReadFreshness) -> Result<StoreRevision, CallFailure> {
+    async fn list(&mut self) -> Result<StoreRevision, CallFailure> {
         let kind = self.kind.name();
         let mut after: Option<String> = None;
         let mut objects = Vec::new();
         let mut revision = None;
         loop {
+            let freshness = ReadFreshness::Latest;
             let request = ObjectRequest::List { kind, after: after.as_deref(), freshness };
             let (reply, era) = self.call(&request, CALL_TIMEOUT).await?;
             let page = read_page(kind, &reply.body).map_err(CallFailure::from)?;
@@ -184,17 +198,46 @@
             }
             if !page.more || page.last_name.is_none() {
                 self.apply_list(first_revision, &objects);
+                self.confirm(first_revision);
                 return Ok(first_revision);
             }
             after = page.last_name;
         }
     }
 
+    /// Reads the first page of the list of nodes.
+    async fn read_node_page(&mut self, freshness: ReadFreshness) -> Result<(), CallFailure> {
+        let kind = self.kind.name();
+        let request = ObjectRequest::List { kind, after: None, freshness };
+        let (reply, era) = self.call(&request, CALL_TIMEOUT).await?;
+        let page = read_page(kind, &reply.body)?;
+        let objects: Vec<_> = page.objects.into_iter().flatten().collect();
+        let nodes = self.read_nodes(era, &objects);
+        self.gateway.update_peers(|peers| peers.seed(nodes));
+        Ok(())
+    }
+
+    fn read_nodes(
+        &mut self,
+        era: u64,
+        objects: &[StoredObject],
+    ) -> Vec<(StoreRevision, PeerEntry)> {
+        let mut nodes = Vec::with_capacity(objects.len());
+        for object in objects {
+            match read_node(object) {
+                Ok(node) => nodes.push((StoreRevision { era, number: object.revision }, node)),
+                Err(error) => self.log_unreadable(&object.name, object.revision, &error),
+            }
+        }
+        nodes
+    }
+
     /// Watches and applies changes until the history is compacted or replaced by an older
-    /// copy, or until this node no longer has to call the store.
-    async fn watch(&mut self, mut revision: StoreRevision) {
+    /// copy, or until this node no longer has to call the store. Returns whether the
+    /// objects must be listed again.
+    async fn watch(&mut self, mut revision: StoreRevision) -> bool {
         let kind = self.kind.name();
-        let wait = self.kind.watch_wait();
+        let wait = self.kind.watch_wait(self.gateway.timing);
         let wait_ms = wait.as_millis() as u64;
         while self.must_call() {
             let request = ObjectRequest::Watch { kind, after: revision.number, wait_ms };
@@ -214,10 +257,8 @@
                 Ok(page) => {
                     revision.number = page.revision;
                     let is_unchanged = page.events.is_empty();
-                    if self.kind == WatchedKind::Nodes {
-                        self.gateway.state.borrow_mut().node_revision = revision;
-                    }
                     self.apply_events(revision.era, page);
+                    self.confirm(revision);
                     if !is_unchanged {
                         sleep(self.kind.coalesce_pause()).await;
                     }
@@ -227,18 +268,33 @@
                         kind = kind, revision = revision.number;
                         "store history was compacted; listing again"
                     );
-                    return;
+                    return true;
                 }
                 Err(CallFailure::StoreRestored) => {
                     warn!(
                         kind = kind, era = revision.era, revision = revision.number;
                         "store was restored from an older copy; listing again"
                     );
-                    return;
+                    return true;
                 }
                 Err(failure) => self.back_off(failure).await,
             }
         }
+        false
+    }
+
+    /// Records that all changes up to a revision are applied.
+    fn confirm(&self, revision: StoreRevision) {
+        let state = &mut *self.gateway.state.borrow_mut();
+        match self.kind {
+            WatchedKind::Configuration => {
+                state.configuration_revision = state.configuration_revision.max(revision);
+            }
+            WatchedKind::Servers => state.directory.confirm(revision),
+            // The revision of the nodes advances with their changes only, since each
+            // advance is sent to the followers.
+            WatchedKind::Nodes => {}
+        }
     }
 
     /// Calls the store; returns its reply and the era of the store.
@@ -277,8 +333,11 @@
                 state.freshness.servers = replied_at;
                 state.directory.on_store_reply(replied_at);
             }
-            WatchedKind::Nodes => {}
+            WatchedKind::Nodes => return Ok(reply),
         }
+        state.freshness.origin = None;
+        // Peers learn that the data is still current.
+        self.gateway.notify_peers();
         Ok(reply)
     }
 
@@ -300,8 +359,8 @@
         if self.consecutive_failures == 0 {
             warn!(kind = self.kind.name(), reason = reason.as_str(); "store lost");
         }
-        let max_pause =
-            if is_store_watcher(&self.gateway) { MAX_BACKOFF } else { MAX_FALLBACK_BACKOFF };
+        let place = self.gateway.state.borrow().peers.tree_place(BootTime::now());
+        let max_pause = self.gateway.timing.max_backoff(place);
         let pause = MIN_BACKOFF * 2u32.pow(self.consecutive_failures.min(8));
         self.consecutive_failures += 1;
         sleep(pause.min(max_pause)).await;
@@ -334,16 +393,9 @@
                 self.gateway.notify_peers();
             }
             WatchedKind::Nodes => {
-                let mut nodes = Vec::with_capacity(objects.len());
-                for object in objects {
-                    match read_node(object) {
-                        Ok(node) => nodes.push(node),
-                        Err(error) => self.log_unreadable(&object.name, object.revision, &error),
-                    }
-                }
-                self.gateway.state.borrow_mut().node_revision = revision;
+                let nodes = self.read_nodes(revision.era, objects);
                 check_registration(&self.gateway, revision.era, &nodes);
-                self.gateway.update_peers(|peers| peers.replace(nodes));
+                self.gateway.update_peers(|peers| peers.replace(revision, nodes));
             }
         }
     }
@@ -362,7 +414,10 @@
                 WatchedKind::Configuration if event.removed => {}
                 WatchedKind::Configuration => self.apply_configuration(&event.object),
                 WatchedKind::Servers => self.apply_server_event(era, &event, &mut changes),
-                WatchedKind::Nodes => self.apply_node_event(&event),
+                WatchedKind::Nodes => {
+                    let removed_at = StoreRevision { era, number: page.revision };
+                    self.apply_node_event(removed_at, &event);
+                }
             }
         }
         self.gateway.apply_changes(&changes);
@@ -391,13 +446,14 @@
         }
     }
 
-    fn apply_node_event(&mut self, event: &ObjectEvent) {
+    fn apply_node_event(&mut self, page_revision: StoreRevision, event: &ObjectEvent) {
         if event.removed {
-            self.gateway.update_peers(|peers| peers.remove(&event.object.name));
+            self.gateway.update_peers(|peers| peers.remove(page_revision, &event.object.name));
             return;
         }
+        let revision = StoreRevision { number: event.object.revision, ..page_revision };
         match read_node(&event.object) {
-            Ok(node) => self.gateway.update_peers(|peers| peers.insert(node)),
+            Ok(node) => self.gateway.update_peers(|peers| peers.insert(revision, node)),
             Err(error) => self.log_unreadable(&event.object.name, event.object.revision, &error),
         }
     }
@@ -446,19 +502,8 @@
 /// and the servers from the node that watches the store, and need not list them.
 pub(crate) async fn watch_store(gateway: Rc<Gateway>) {
     let mut nodes = KindWatcher::new(gateway.clone(), WatchedKind::Nodes);
-    let discovering = nodes.list(ReadFreshness::MayBeStale);
-    let applied_revision = match timeout(DISCOVERY_TIMEOUT, discovering).await {
-        Ok(Ok(revision)) => Some(revision),
-        Ok(Err(failure)) => {
-            warn!(reason:% = failure; "other nodes could not be listed");
-            None
-        }
-        Err(_) => {
-            warn!(patience_ms = DISCOVERY_TIMEOUT.as_millis() as u64; "no list of other nodes");
-            None
-        }
-    };
-    spawn_local(nodes.run(applied_revision));
+    discover_nodes(&mut nodes).await;
+    spawn_local(nodes.run());
     // A store that was just restored may hold an older configuration than the peers.
     let mut changes = gateway.change_count.subscribe();
     let has_copy = |_: &u64| gateway.state.borrow().has_peer_copy;
@@ -467,7 +512,31 @@
         let _ = timeout(PEER_COPY_TIMEOUT, changes.wait_for(has_copy)).await;
     }
     for kind in [WatchedKind::Configuration, WatchedKind::Servers] {
-        spawn_local(KindWatcher::new(gateway.clone(), kind).run(None));
+        spawn_local(KindWatcher::new(gateway.clone(), kind).run());
+    }
+}
+
+/// Reads some of the other nodes, which know all of them. Reads again if there are none,
+/// since all nodes may be starting at the same time.
+async fn discover_nodes(nodes: &mut KindWatcher) {
+    for (position, freshness) in DISCOVERY_READS.into_iter().enumerate() {
+        if position > 0 {
+            sleep(DISCOVERY_PAUSE).await;
+        }
+        match timeout(DISCOVERY_TIMEOUT, nodes.read_node_page(freshness)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(failure)) => {
+                warn!(reason:% = failure; "other nodes could not be listed");
+                return;
+            }
+            Err(_) => {
+                warn!(patience_ms = DISCOVERY_TIMEOUT.as_millis() as u64; "no list of other nodes");
+                return;
+            }
+        }
+        if nodes.gateway.state.borrow().peers.entries().next().is_some() {
+            return;
+        }
     }
 }
 
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -85,6 +85,8 @@
     recovered_at: Option<BootTime>,
     /// Store revision of the newest change or list.
     revision: StoreRevision,
+    /// Revision since which every removal is in `tombstones`.
+    history_since: StoreRevision,
     tombstones: IndexMap<Arc<str>, RemovedEntry>,
     leaving: IndexMap<Arc<str>, LeavingMark>,
     /// Number of the last change in `changes`.
@@ -162,7 +164,12 @@
         self.last_change
     }
 
-    /// Returns the store revision of the newest change or list.
+    /// Records that all changes up to a revision are applied.
+    pub fn confirm(&mut self, revision: StoreRevision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Returns the store revision up to which all changes are applied.
     #[must_use]
     pub const fn revision(&self) -> StoreRevision {
         self.revision
@@ -180,7 +187,9 @@
         if revision.era < self.revision.era {
             return changes;
         }
-        if revision.era > self.revision.era && self.revision.number > 0 {
+        if self.revision.number == 0 {
+            self.history_since = revision;
+        } else if revision.era > self.revision.era {
             // The store lost the registrations of its last seconds; the servers write
             // them again.
             self.recovered_at = Some(now);
@@ -262,8 +271,10 @@
         self.revision = self.revision.max(revision);
         let ServerEntry { born_ms, report_number, .. } = listed.entry;
         self.tombstones.insert(id.clone(), RemovedEntry { revision, born_ms, report_number });
-        if self.tombstones.len() > MAX_TOMBSTONES {
-            self.tombstones.shift_remove_index(0);
+        if self.tombstones.len() > MAX_TOMBSTONES
+            && let Some((_, forgotten)) = self.tombstones.shift_remove_index(0)
+        {
+            self.history_since = self.history_since.max(forgotten.revision);
         }
         changes.push(DirectoryChange::Removed(id.clone()));
         self.record_change(VersionedServer { revision, id, entry: None });
@@ -277,6 +288,30 @@
         }
     }
 
+    /// Returns the changes since a store revision for a peer that got its data from another
+    /// node, or a full snapshot if they are not known any more.
+    #[must_use]
+    pub fn updates_since(&self, since: StoreRevision) -> DirectoryUpdate {
+        if since.number == 0 || since < self.history_since {
+            return self.updates_after(None);
+        }
+        let mut servers = Vec::new();
+        for (id, listed) in &self.entries {
+            // A server is marked as leaving without a change in the store.
+            if listed.revision >= since || listed.entry.phase == ServerPhase::Leaving {
+                let entry = Some(listed.entry.clone());
+                servers.push(VersionedServer { revision: listed.revision, id: id.clone(), entry });
+            }
+        }
+        for (id, removed) in &self.tombstones {
+            if removed.revision >= since && !self.entries.contains_key(id) {
+                let revision = removed.revision;
+                servers.push(VersionedServer { revision, id: id.clone(), entry: None });
+            }
+        }
+        DirectoryUpdate { number: self.last_change, whole: false, revision: self.revision, servers }
+    }
+
     /// Returns the changes after change `number`, or a full snapshot if they are not
     /// kept any more.
     #[must_use]
@@ -413,7 +448,8 @@
             .collect();
         let mut changes = Vec::new();
         for id in expired {
-            self.remove_entry(StoreRevision::default(), &id, &mut changes);
+            // Peers that know a later revision than that of the entry must learn of this.
+            self.remove_entry(self.revision, &id, &mut changes);
         }
         changes
     }
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -284,6 +284,12 @@
         &self.plan
     }
 
+    /// Returns whether enough shards have answered for a response.
+    #[must_use]
+    pub const fn has_enough(&self) -> bool {
+        self.answered >= self.plan.min_shards
+    }
+
     /// Counts the shards that have not answered, by what they wait for.
     #[must_use]
     pub fn missing_shards(&self) -> MissingShards {
@@ -496,7 +502,7 @@
     /// finishes only when every shard has answered or is abandoned, and reports until then.
     fn finish_if_done(&mut self, now: BootTime, actions: &mut Vec<FanoutAction>) {
         let total = self.shards.len();
-        let has_enough = self.answered >= self.plan.min_shards;
+        let has_enough = self.has_enough();
         let all_resolved = self.answered + self.abandoned == total;
         let is_unattainable = total - self.abandoned < self.plan.min_shards;
         if self.plan.is_delegated && !all_resolved && now < self.plan.deadline {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -10,6 +10,7 @@
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - reachability of availability zones: [`ZoneReachability`]
 //! - delegation of shards to other nodes: [`PeerTable`], [`plan_delegations`]
+//! - spreading of the store's data over the nodes: [`UpdateSource`], [`SpreadTiming`]
 //! - one request to a service or to every shard of an index: [`FanoutState`]
 //! - readiness and graceful shutdown: [`NodeLifecycle`]
 //!
@@ -24,6 +25,7 @@
 mod directory;
 mod fanout;
 mod fanout_plan;
+mod finish_lag;
 mod fleet;
 mod lifecycle;
 mod merge;
@@ -33,6 +35,7 @@
 mod routes;
 mod server_state;
 mod stats;
+mod update_tree;
 
 pub use delegation::{DelegationPlan, DelegationRequest, plan_delegations};
 pub use directory::{
@@ -43,6 +46,7 @@
     Delegation, DelegationIndex, DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan,
     MissingShards, ShardIndex,
 };
+pub use finish_lag::FinishLag;
 pub use fleet::{
     AttemptTicket, FleetLimits, PickScope, SearchRank, ServerEndpoint, ServerFleet, ServerKey,
     ServiceKey,
@@ -54,7 +58,8 @@
     RetryPolicy, RouteConfig, RouteTarget, ServerEntry, ServerNotice, ServerPhase, ServiceBounds,
     ServiceConfig, WeightedService,
 };
-pub use peers::{PeerEntry, PeerTable, StoreWatcher};
+pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use reach::ZoneReachability;
 pub use routes::{RouteTable, WeightedRoundRobin};
 pub use stats::{AttemptOutcome, ClassKey, ClassTable};
+pub use update_tree::{SpreadTiming, TreePlace, UpdateSource};
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -244,9 +244,12 @@
     pub bounds: ServiceBounds,
 }
 
-/// Bounds that the tier guarantees to its users: on shutdown time and extra requests.
+/// Bounds that the tier guarantees to its users: on the time until a change takes effect,
+/// on shutdown time and extra requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceBounds {
+    /// Time within which a change in the store must take effect on every node.
+    pub spread: Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
     /// Extra requests (retries and hedges) that are allowed per first request to a service.
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -10,9 +10,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
+use crate::{directory::StoreRevision, update_tree::TreeRank};
+
 /// Initial time for which a peer gets no delegations after it was silent or
 /// unreachable; doubles with each further failure.
 const BACKOFF: Duration = Duration::from_millis(500);
@@ -38,9 +40,12 @@
 /// this node before shards are delegated within the zone.
 const MAX_DIRECT_CALLS_SHARE: f64 = 0.15;
 
-/// Rendezvous-hashing key by which the nodes of a zone agree on the one that watches
-/// the store.
-const STORE_WATCH_KEY: &str = "store";
+/// Number of consecutive failures after which a peer no longer counts as live.
+const MAX_LIVE_FAILURES: u32 = 6;
+
+/// Maximum number of removals that are remembered for incremental updates; the oldest is
+/// forgotten first.
+const MAX_REMOVED: usize = 1024;
 
 /// Lower bound on a node's share of a core; prevents a division by zero for an
 /// invalid entry.
@@ -67,7 +72,7 @@
 
 impl PeerEntry {
     /// Returns the seconds that the calls for one shard take on the node's CPU and link.
-    fn shard_seconds(&self) -> f64 {
+    pub(crate) fn shard_seconds(&self) -> f64 {
         let processor = SHARD_CALL_CPU_SECONDS / self.cpu_share.max(MIN_CPU_SHARE);
         processor + SHARD_CALL_BITS / (self.link_mbps.max(MIN_LINK_MBPS) * 1e6)
     }
@@ -77,32 +82,73 @@
 #[derive(Clone, Debug)]
 pub struct PeerTable {
     own: PeerEntry,
+    own_rank: TreeRank,
     peers: IndexMap<Arc<str>, PeerState>,
+    /// Store revision that the table reflects.
+    revision: StoreRevision,
+    /// Revision since which every removal is in `removed`.
+    history_since: StoreRevision,
+    removed: IndexMap<Arc<str>, StoreRevision>,
 }
 
 #[derive(Clone, Debug)]
-struct PeerState {
-    entry: PeerEntry,
+pub(crate) struct PeerState {
+    pub(crate) entry: PeerEntry,
+    pub(crate) rank: TreeRank,
+    /// Store revision of the last change of the entry.
+    revision: StoreRevision,
     backoff_until: BootTime,
     failures: u32,
     /// Until when the peer is not asked for store updates.
     stale_until: BootTime,
 }
 
-/// Node that watches the platform's store for all nodes of a zone.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StoreWatcher {
-    /// This node itself.
-    Own,
-    /// The peer with this name.
-    Peer(Arc<str>),
+impl PeerState {
+    pub(crate) fn is_usable(&self, now: BootTime) -> bool {
+        now >= self.backoff_until
+    }
+
+    /// Returns whether the peer's store updates were not found to be stale recently.
+    pub(crate) fn is_fresh(&self, now: BootTime) -> bool {
+        now >= self.stale_until
+    }
+}
+
+/// Update of the list of nodes that a node sends to a peer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PeerUpdate {
+    /// Store revision that the update reflects.
+    pub revision: StoreRevision,
+    /// Whether this is the full list, so that nodes missing from it are removed.
+    pub whole: bool,
+    /// Changed nodes, or all nodes in a full list, with the revision of the change.
+    pub changed: Vec<(StoreRevision, PeerEntry)>,
+    /// Removed nodes, with the revision of the removal.
+    pub removed: Vec<(StoreRevision, Arc<str>)>,
 }
 
 impl PeerTable {
     /// Creates a table that contains only this node.
     #[must_use]
     pub fn new(own: PeerEntry) -> Self {
-        Self { own, peers: IndexMap::new() }
+        Self {
+            own_rank: TreeRank::from(&own),
+            own,
+            peers: IndexMap::new(),
+            revision: StoreRevision::default(),
+            history_since: StoreRevision::default(),
+            removed: IndexMap::new(),
+        }
+    }
+
+    pub(crate) const fn own_rank(&self) -> TreeRank {
+        self.own_rank
+    }
+
+    /// Returns the store revision that the table reflects.
+    #[must_use]
+    pub const fn revision(&self) -> StoreRevision {
+        self.revision
     }
 
     /// Returns the entry of this node.
@@ -113,41 +159,120 @@
 
     /// Adds or updates a peer. A changed entry resets the peer's failures; an entry for
     /// this node is ignored.
-    pub fn insert(&mut self, entry: PeerEntry) {
+    pub fn insert(&mut self, revision: StoreRevision, entry: PeerEntry) {
+        self.revision = self.revision.max(revision);
         if entry.name == self.own.name {
             return;
         }
-        let known = self.peers.get(&entry.name).is_some_and(|state| state.entry == entry);
-        if !known {
-            let state = PeerState {
-                entry,
-                backoff_until: BootTime::ZERO,
-                failures: 0,
-                stale_until: BootTime::ZERO,
-            };
-            self.peers.insert(state.entry.name.clone(), state);
+        self.removed.shift_remove(&entry.name);
+        if let Some(known) = self.peers.get_mut(&entry.name).filter(|known| known.entry == entry) {
+            known.revision = known.revision.max(revision);
+            return;
+        }
+        let state = PeerState {
+            rank: TreeRank::from(&entry),
+            entry,
+            revision,
+            backoff_until: BootTime::ZERO,
+            failures: 0,
+            stale_until: BootTime::ZERO,
+        };
+        self.peers.insert(state.entry.name.clone(), state);
+    }
+
+    /// Adds peers from an incomplete list, which says nothing about other nodes.
+    pub fn seed(&mut self, listed: Vec<(StoreRevision, PeerEntry)>) {
+        let revision = self.revision;
+        for (listed_revision, entry) in listed {
+            self.insert(listed_revision, entry);
         }
+        // The changes up to the entries' revisions are still to be learned.
+        self.revision = revision;
     }
 
     /// Removes a peer; ignores names that are not known.
-    pub fn remove(&mut self, name: &str) {
-        self.peers.swap_remove(name);
+    pub fn remove(&mut self, revision: StoreRevision, name: &str) {
+        self.revision = self.revision.max(revision);
+        let Some((name, _)) = self.peers.swap_remove_entry(name) else { return };
+        self.removed.shift_remove(&name);
+        self.removed.insert(name, revision);
+        if self.removed.len() > MAX_REMOVED
+            && let Some((_, forgotten)) = self.removed.shift_remove_index(0)
+        {
+            self.history_since = self.history_since.max(forgotten);
+        }
     }
 
     /// Replaces all peers with a complete list; unchanged entries keep their state.
-    pub fn replace(&mut self, listed: Vec<PeerEntry>) {
-        self.peers.retain(|name, _| listed.iter().any(|entry| entry.name == *name));
-        for entry in listed {
-            self.insert(entry);
+    pub fn replace(&mut self, revision: StoreRevision, listed: Vec<(StoreRevision, PeerEntry)>) {
+        if self.revision == StoreRevision::default() {
+            self.history_since = revision;
         }
+        let names: IndexSet<Arc<str>> =
+            listed.iter().map(|(_, entry)| entry.name.clone()).collect();
+        let missing: Vec<Arc<str>> =
+            self.peers.keys().filter(|name| !names.contains(*name)).cloned().collect();
+        for name in missing {
+            self.remove(revision, &name);
+        }
+        for (revision, entry) in listed {
+            self.insert(revision, entry);
+        }
+        self.revision = self.revision.max(revision);
     }
 
-    /// Returns the number of live nodes, including this one: those with fewer than 6
-    /// consecutive failures. They share the limits.
+    /// Returns the changes since a revision, and this node's own entry; the full list if
+    /// the changes are not known any more.
+    #[must_use]
+    pub fn updates_since(&self, since: StoreRevision) -> PeerUpdate {
+        let whole = since.number == 0
+            || since.era != self.revision.era
+            || since < self.history_since
+            || since > self.revision;
+        let mut update = PeerUpdate { revision: self.revision, whole, ..PeerUpdate::default() };
+        update.changed.push((self.revision, self.own.clone()));
+        for peer in self.peers.values() {
+            if whole || peer.revision >= since {
+                update.changed.push((peer.revision, peer.entry.clone()));
+            }
+        }
+        for (name, revision) in &self.removed {
+            if !whole && *revision >= since {
+                update.removed.push((*revision, name.clone()));
+            }
+        }
+        update
+    }
+
+    /// Applies an update from a peer. Ignores one that is older than this table.
+    pub fn apply_update(&mut self, update: PeerUpdate) {
+        if update.revision < self.revision {
+            return;
+        }
+        if update.whole {
+            self.replace(update.revision, update.changed);
+            return;
+        }
+        for (revision, name) in update.removed {
+            let known = self.peers.get(&name);
+            if known.is_some_and(|known| known.revision <= revision) {
+                self.remove(revision, &name);
+            }
+        }
+        for (revision, entry) in update.changed {
+            self.insert(revision, entry);
+        }
+        self.revision = self.revision.max(update.revision);
+    }
+
+    /// Returns the number of live nodes, including this one. They share the limits.
     #[must_use]
     pub fn live_nodes(&self) -> u32 {
-        let live = self.peers.values().filter(|state| state.failures < 6).count();
-        u32::try_from(live + 1).unwrap_or(u32::MAX)
+        u32::try_from(self.live_peers().count() + 1).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn live_peers(&self) -> impl Iterator<Item = &PeerState> {
+        self.peers.values().filter(|state| state.failures < MAX_LIVE_FAILURES)
     }
 
     /// Returns the address on which a peer listens for other nodes, if the peer is known.
@@ -238,17 +363,6 @@
         }
     }
 
-    /// Returns the node that watches the store for this zone. All nodes of the zone that
-    /// reach the same peers agree on it.
-    #[must_use]
-    pub fn store_watcher(&self, now: BootTime) -> StoreWatcher {
-        let own = rendezvous_score(&self.own, STORE_WATCH_KEY);
-        match self.best_update_source(now, &self.own.zone) {
-            Some((score, peer)) if score > own => StoreWatcher::Peer(peer.clone()),
-            _ => StoreWatcher::Own,
-        }
-    }
-
     /// Returns the peer to ask for store updates while the store does not serve this
     /// node: one in the local zone if possible, else one in another zone.
     #[must_use]
@@ -259,19 +373,12 @@
         zones.sort();
         zones.dedup();
         let in_other_zones = || zones.iter().find_map(|zone| self.best_update_source(now, zone));
-        in_zone.or_else(in_other_zones).map(|(_, peer)| peer.clone())
+        in_zone.or_else(in_other_zones).map(|peer| peer.entry.name.clone())
     }
 
-    fn best_update_source(&self, now: BootTime, zone: &str) -> Option<(f64, &Arc<str>)> {
-        let sources = self.usable(now, zone).filter(|state| now >= state.stale_until);
-        let mut best: Option<(f64, &Arc<str>)> = None;
-        for state in sources {
-            let score = rendezvous_score(&state.entry, STORE_WATCH_KEY);
-            if best.is_none_or(|(greatest, _)| score > greatest) {
-                best = Some((score, &state.entry.name));
-            }
-        }
-        best
+    fn best_update_source(&self, now: BootTime, zone: &str) -> Option<&PeerState> {
+        let sources = self.usable(now, zone).filter(|state| state.is_fresh(now));
+        sources.min_by(|one, other| one.rank.order(&other.rank))
     }
 
     /// Iterates over all known peers, excluding this node.
@@ -279,16 +386,16 @@
         self.peers.values().map(|state| &state.entry)
     }
 
-    fn usable(&self, now: BootTime, zone: &str) -> impl Iterator<Item = &PeerState> {
+    pub(crate) fn usable(&self, now: BootTime, zone: &str) -> impl Iterator<Item = &PeerState> {
         self.peers
             .values()
-            .filter(move |state| state.entry.zone.as_ref() == zone && now >= state.backoff_until)
+            .filter(move |state| state.entry.zone.as_ref() == zone && state.is_usable(now))
     }
 }
 
 /// Computes the score of a node for a key in weighted rendezvous hashing: the node with
 /// the highest score gets the key, so each gets keys in proportion to its speed.
-fn rendezvous_score(peer: &PeerEntry, key: &str) -> f64 {
+pub(crate) fn rendezvous_score(peer: &PeerEntry, key: &str) -> f64 {
     let mut bytes = Vec::with_capacity(peer.name.len() + key.len() + 1);
     bytes.extend_from_slice(peer.name.as_bytes());
     bytes.push(0);
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -6,8 +6,8 @@
 
 use carobstep_tier::{
     AttemptOutcome, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry, PeerTable,
-    PickScope, ServerDirectory, ServerPhase, StopTiming, StoreRevision, StoreWatcher,
-    VersionedServer, ZoneReachability,
+    PickScope, ServerDirectory, ServerPhase, StopTiming, StoreRevision, VersionedServer,
+    ZoneReachability,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -269,7 +269,7 @@
 fn table(own: PeerEntry, others: &[PeerEntry]) -> PeerTable {
     let mut table = PeerTable::new(own);
     for node in others {
-        table.insert(node.clone());
+        table.insert(rev(1), node.clone());
     }
     table
 }
@@ -376,19 +376,6 @@
     assert!(chosen.iter().all(|count| (1..=14).contains(count)), "{chosen:?}");
 }
 
-#[test]
-fn all_nodes_of_a_zone_agree_on_which_one_watches_the_store() {
-    let nodes = [peer("one", "a", 0.2), peer("two", "a", 0.3), peer("three", "a", 0.1)];
-    let chosen = nodes.clone().map(|own| {
-        let table = table(own, &nodes);
-        match table.store_watcher(at(0)) {
-            StoreWatcher::Own => table.own().name.clone(),
-            StoreWatcher::Peer(node) => node,
-        }
-    });
-    assert!(chosen.iter().all(|node| *node == chosen[0]), "{chosen:?}");
-}
-
 #[test]
 fn a_node_that_the_store_does_not_serve_asks_peers_for_updates() {
     let nodes = [
@@ -409,7 +396,6 @@
         assert_eq!(sources.len(), 3, "{label}");
         assert!(!sources.contains(&own.name), "{label}");
         assert_eq!(&*sources[2], "far", "nodes of the local zone come first, {label}");
-        assert_eq!(table.store_watcher(at(0)), StoreWatcher::Own, "{label}");
         assert!(table.fallback_peer(at(1_999)).is_none(), "{label}");
         assert!(
             table.fallback_peer(at(2_000)).is_some(),
