Use a holder with a late probe if no other holder of the service answers

Cause of the zone proofs that failed once beside other work: a log of such a run shows the only other node of a cut zone as suspect for 10 ms, after one pong that came more than 50 ms late. Its servers had no usable holder for that time, and a search lacked five shards. A probe that waits for the processor at the peer is no silence; the timer at this node was not late (the pong is read before the timeout is checked).

A suspect holder is now avoided only while another server of the service has a holder that answers; 250 ms later it is unreachable, as before. A node logs when the platform stops answering, and when it answers again.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -12,10 +12,10 @@
 use carobstep_dispatch::{AdmissionGate, ServerRouter};
 use carobstep_store::HttpStore;
 use carobstep_wire::{
-    PeerPool, PeerReply, PeerRequest, RefusalReason, RequestOutcome, ShardReply, ShardRequest,
-    WireErrorKind,
+    PeerHealth, PeerPool, PeerReply, PeerRequest, RefusalReason, RequestOutcome, ShardReply,
+    ShardRequest, WireErrorKind,
 };
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use ractor::ActorRef;
 use tokio::sync::{Semaphore, watch};
 
@@ -24,6 +24,7 @@
     control_actor::ControlInput,
     counters::{CounterSet, NodeEvent},
     holder::HolderRegistry,
+    reach::{HeldServer, usable_servers},
     split::StaticSplit,
 };
 
@@ -68,8 +69,10 @@
     pub split: Option<StaticSplit>,
     /// Actors of the backend servers whose grants this node holds.
     pub holders: HolderRegistry,
-    /// Addresses of peers that do not answer probes.
-    pub unusable_peers: Mutex<IndexSet<SocketAddr>>,
+    /// Health of the peers that do not answer probes in time.
+    pub failing_peers: Mutex<IndexMap<SocketAddr, PeerHealth>>,
+    /// Whether the last call to the platform got no reply.
+    pub platform_lost: AtomicBool,
     /// Whether the process was asked to stop.
     pub stopping: AtomicBool,
     /// Permits that limit the callers' requests in flight.
@@ -105,11 +108,15 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets whether requests may go to a peer. Returns whether that is a change.
-    pub fn set_peer_usable(&self, address: SocketAddr, usable: bool) -> bool {
+    /// Sets the health of a peer. Returns whether that is a change.
+    pub fn set_peer_health(&self, address: SocketAddr, health: PeerHealth) -> bool {
         let changed = {
-            let mut unusable = self.lock_unusable_peers();
-            if usable { unusable.swap_remove(&address) } else { unusable.insert(address) }
+            let mut failing = self.lock_failing_peers();
+            let before = match health {
+                PeerHealth::Reachable => failing.swap_remove(&address),
+                PeerHealth::Suspect | PeerHealth::Unreachable => failing.insert(address, health),
+            };
+            before.unwrap_or(PeerHealth::Reachable) != health
         };
         if changed {
             self.apply_routes(&self.latest_view());
@@ -117,28 +124,34 @@
         changed
     }
 
-    /// Whether a peer does not answer probes.
+    /// Whether a peer does not answer probes in time.
     #[must_use]
-    pub fn is_peer_unusable(&self, address: SocketAddr) -> bool {
-        self.lock_unusable_peers().contains(&address)
+    pub fn is_peer_failing(&self, address: SocketAddr) -> bool {
+        self.lock_failing_peers().contains_key(&address)
     }
 
     /// Updates the router's record of which servers have a reachable holder. Does
     /// nothing if the router has another topology than the view.
     pub fn apply_routes(&self, view: &NodeView) {
         let mut router = self.lock_router();
-        let unusable = self.lock_unusable_peers();
+        let failing = self.lock_failing_peers();
         if !Arc::ptr_eq(router.topology(), &view.topology) {
             return;
         }
-        for (key, route) in (0..).map(ServerKey).zip(&view.routes) {
-            let usable = route.as_ref().is_some_and(|route| !unusable.contains(&route.address));
+        let mut servers = Vec::with_capacity(view.routes.len());
+        for ((_, server), route) in view.topology.servers().zip(&view.routes) {
+            let holder = route
+                .as_ref()
+                .map(|route| failing.get(&route.address).copied().unwrap_or(PeerHealth::Reachable));
+            servers.push(HeldServer { service: server.service, holder });
+        }
+        for (key, usable) in (0..).map(ServerKey).zip(usable_servers(&servers)) {
             router.set_usable(key, usable);
         }
     }
 
-    fn lock_unusable_peers(&self) -> MutexGuard<'_, IndexSet<SocketAddr>> {
-        self.unusable_peers.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_failing_peers(&self) -> MutexGuard<'_, IndexMap<SocketAddr, PeerHealth>> {
+        self.failing_peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Checks that this node may send a request to a backend server now.
--- a/crates/node/src/control_actor.rs
+++ b/crates/node/src/control_actor.rs
@@ -1,7 +1,11 @@
 //! Actor that drives the control state: it feeds events in, executes the
 //! resulting effects and publishes the node's view.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use carobstep_clock::BootTime;
 use carobstep_config::{
@@ -213,9 +217,18 @@
         tokio::spawn(async move {
             context.counters.count_event(NodeEvent::PlatformCalls);
             let result = context.store.call(object).await;
-            if let Err(error) = &result {
-                context.counters.count_event(NodeEvent::PlatformFailures);
-                log::debug!("platform call failed: {error}");
+            match &result {
+                Ok(_) => {
+                    if context.platform_lost.swap(false, Ordering::Relaxed) {
+                        log::info!("the platform answers again");
+                    }
+                }
+                Err(error) => {
+                    context.counters.count_event(NodeEvent::PlatformFailures);
+                    if !context.platform_lost.swap(true, Ordering::Relaxed) {
+                        log::warn!("the platform does not answer: {error}");
+                    }
+                }
             }
             // A failed send means that the process is ending.
             let _ = myself.cast(ControlInput::Event(ControlEvent::ObjectReplied { call, result }));
--- a/crates/node/src/peer_watch.rs
+++ b/crates/node/src/peer_watch.rs
@@ -22,29 +22,29 @@
     mut updates: UnboundedReceiver<PeerHealthUpdate>,
 ) {
     while let Some(PeerHealthUpdate { address, health }) = updates.recv().await {
-        let usable = health == PeerHealth::Reachable;
-        if !context.set_peer_usable(address, usable) {
+        let was_failing = context.is_peer_failing(address);
+        if !context.set_peer_health(address, health) {
             continue;
         }
         log::info!(peer = address.to_string().as_str(); "peer is {health}");
-        if !usable {
+        if !was_failing {
             tokio::spawn(recheck(context.clone(), address));
         }
     }
 }
 
-/// Probes a peer with increasing delays until it is usable again. Marks it usable
+/// Probes a peer with increasing delays until it answers again. Marks it reachable
 /// and stops as soon as no route goes to it, since only routes send requests.
 async fn recheck(context: Arc<NodeContext>, address: SocketAddr) {
     let mut delay = INITIAL_RECHECK_DELAY;
     loop {
         sleep(delay).await;
         delay = MAX_RECHECK_DELAY.min(delay * 2);
-        if !context.is_peer_unusable(address) {
+        if !context.is_peer_failing(address) {
             return;
         }
         if !context.latest_view().has_route_to(address) {
-            context.set_peer_usable(address, true);
+            context.set_peer_health(address, PeerHealth::Reachable);
             return;
         }
         // The pool reports a success as an update of the peer's health.
