Test malformed bytes at every listener and decoder, and late copies of responses

Six failures that similar systems had were tried: a late copy of a response on a connection in use, a server that left in use after a restart, and one malformed message at each listener, in a server's response and in each kind of store object. None happens here; the tests stay.

--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -38,6 +39,11 @@
     Hang,
     /// The server sends a second, unrelated response after each one.
     ExtraResponse,
+    /// The server sends each response a second time when the next request arrives on the
+    /// connection, before the response to that one.
+    LateCopy,
+    /// The server responds with bytes that depend on this seed and are no response.
+    Noise(u64),
     /// The server responds with success but without its stamp.
     NoStamp,
     /// The server closes the connection within a response.
@@ -189,6 +195,7 @@
 
     async fn serve(self, mut socket: TcpStream) {
         let mut bytes = Vec::new();
+        let mut last_response = String::new();
         loop {
             let Some(head) = read_request(&mut socket, &mut bytes).await else { return };
             let mut fault = self.lock().fault;
@@ -226,6 +233,18 @@
                     response_text(200, &stamp_headers, &body)
                         + &response_text(200, other, "not yours 123456")
                 }
+                ServerFault::LateCopy => {
+                    let response = response_text(200, &stamp_headers, &body);
+                    std::mem::replace(&mut last_response, response.clone()) + &response
+                }
+                ServerFault::Noise(seed) => {
+                    let mut rng = StdRng::seed_from_u64(seed);
+                    let noise: Vec<u8> =
+                        (0..rng.random_range(1..600)).map(|_| rng.random()).collect();
+                    // The gateway may have closed the connection.
+                    let _ = socket.write_all(&noise).await;
+                    return;
+                }
                 ServerFault::NoStamp => response_text(200, &echo, &body),
                 ServerFault::Truncate => {
                     let complete = response_text(200, &stamp_headers, &body);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod explain;
+mod hostile;
 mod node;
 mod notices;
 mod relay;
