Print the running requests when a stand-in server's limit is exceeded

The proof of a frozen holder fails now and then with one violation, and its logs don't show which requests ran. The server's log now names them, with their connection, age and deadline.

--- a/crates/standin/src/backend/execution.rs
+++ b/crates/standin/src/backend/execution.rs
@@ -7,7 +7,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use super::state::ServerState;
+use super::{load_tracker::ExecutionStart, state::ServerState};
 
 /// How the execution of a request ended, unless it was cancelled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,12 +21,14 @@
 /// A running request; counted as running until it is dropped.
 struct RunningRequest {
     state: Arc<ServerState>,
+    /// Number of the execution.
+    number: u64,
     completed: bool,
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.state.tracker().finish_execution(self.completed);
+        self.state.tracker().finish_execution(self.number, self.completed);
     }
 }
 
@@ -43,8 +45,14 @@
     deadline: Option<Instant>,
 ) -> ExecutionOutcome {
     let service_time = state.draw_service_time();
-    state.tracker().start_execution(request_id, idempotency_key);
-    let running = RunningRequest { state: Arc::clone(state), completed: false };
+    let start = ExecutionStart {
+        request_id: request_id.to_owned(),
+        connection_id,
+        started: Instant::now(),
+        deadline,
+    };
+    let number = state.tracker().start_execution(start, idempotency_key);
+    let running = RunningRequest { state: Arc::clone(state), number, completed: false };
     let (outcome_tx, outcome_rx) = oneshot::channel();
     tokio::spawn(execute(running, connection_id, service_time, deadline, outcome_tx));
     // `execute` sends no outcome only after a cancellation, when nobody waits for it.
--- a/crates/standin/src/backend/load_tracker.rs
+++ b/crates/standin/src/backend/load_tracker.rs
@@ -1,7 +1,10 @@
 //! Tracks the running requests, connections and executions of a backend server.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 /// Maximum number of ids and keys in [`ServerReport::executions`].
 ///
@@ -49,13 +52,33 @@
 pub(crate) struct LoadTracker {
     /// Counts since the server started.
     pub(crate) report: ServerReport,
+    /// Running requests by the number of their execution.
+    running: IndexMap<u64, ExecutionStart>,
     slot_limit: u32,
     connection_limit: u32,
 }
 
+/// A request whose execution starts.
+#[derive(Clone, Debug)]
+pub(crate) struct ExecutionStart {
+    /// Id of the request.
+    pub(crate) request_id: String,
+    /// Id of the connection that the request arrived on.
+    pub(crate) connection_id: u64,
+    /// Start of the execution.
+    pub(crate) started: Instant,
+    /// When the execution is stopped, if it has a deadline.
+    pub(crate) deadline: Option<Instant>,
+}
+
 impl LoadTracker {
     pub(crate) fn new(slot_limit: u32, connection_limit: u32) -> Self {
-        Self { report: ServerReport::default(), slot_limit, connection_limit }
+        Self {
+            report: ServerReport::default(),
+            running: IndexMap::new(),
+            slot_limit,
+            connection_limit,
+        }
     }
 
     /// Records a new connection and returns its id, numbered from zero.
@@ -76,18 +99,49 @@
         self.report.connections -= 1;
     }
 
-    /// Records that the execution of a request starts.
-    pub(crate) fn start_execution(&mut self, request_id: &str, idempotency_key: Option<&str>) {
+    /// Records that the execution of a request starts; returns its number.
+    pub(crate) fn start_execution(
+        &mut self,
+        start: ExecutionStart,
+        idempotency_key: Option<&str>,
+    ) -> u64 {
         let report = &mut self.report;
         report.executed += 1;
         report.running += 1;
         report.peak_running = report.peak_running.max(report.running);
-        if report.running > self.slot_limit {
+        let number = report.executed;
+        let is_violation = report.running > self.slot_limit;
+        if is_violation {
             report.violations += 1;
         }
-        for key in [Some(request_id), idempotency_key].into_iter().flatten() {
+        for key in [Some(start.request_id.as_str()), idempotency_key].into_iter().flatten() {
             self.record_execution(key);
         }
+        self.running.insert(number, start);
+        if is_violation {
+            self.print_violation();
+        }
+        number
+    }
+
+    /// Prints the running requests, from which the cause of a violation can be told.
+    fn print_violation(&self) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        eprintln!(
+            "violation at {} ms: {} requests run on {} slots",
+            since_epoch.as_millis(),
+            self.running.len(),
+            self.slot_limit
+        );
+        for start in self.running.values() {
+            let left = start.deadline.map(|deadline| deadline.duration_since(Instant::now()));
+            eprintln!(
+                "  request {} on connection {}: runs for {:?}, deadline in {left:?}",
+                start.request_id,
+                start.connection_id,
+                start.started.elapsed(),
+            );
+        }
     }
 
     fn record_execution(&mut self, key: &str) {
@@ -102,7 +156,8 @@
     }
 
     /// Records that the execution of a request completed or was stopped.
-    pub(crate) fn finish_execution(&mut self, completed: bool) {
+    pub(crate) fn finish_execution(&mut self, number: u64, completed: bool) {
+        self.running.swap_remove(&number);
         self.report.running -= 1;
         if completed {
             self.report.completed += 1;
