Let nodes use a share of the retry budget that is below one request

Ruled out: missing servers (all had two others) and the route's attempts.

The server is picked before the budget is taken, so that nothing has to be refunded.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -85,6 +85,21 @@
         true
     }
 
+    /// Takes one token, or a fraction of one with that probability; returns whether the
+    /// extra request may be sent. `chance` is a random number from 0 to 1.
+    ///
+    /// For a budget that is shared by so many nodes that the share of each is below one
+    /// token: on average, all nodes together send as many requests as there are tokens.
+    pub fn try_take_fraction(&mut self, now: BootTime, chance: f64) -> bool {
+        self.refill(now);
+        if self.tokens >= 1.0 - ROUNDING {
+            return self.try_take(now);
+        }
+        // Consumed in either case; otherwise repeated tries would succeed in the end.
+        let fraction = std::mem::take(&mut self.tokens);
+        chance < fraction
+    }
+
     /// Puts back the token of an extra request that caused no load on a backend server.
     pub fn refund(&mut self) {
         if self.ratio > 0.0 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -122,6 +122,7 @@
             cpu_share: settings.cpu_share,
             link_mbps: settings.link_mbps,
         };
+        let incarnation = RandomState::new().hash_one(settings.node.as_str()).max(1);
         // The connection events of the pool are not needed: each delegation
         // reports the failure of its peer itself.
         let (peer_pool, _) = PeerPool::new(Some(settings.caller_listener.ip()));
@@ -133,7 +134,7 @@
             routes: RouteTable::default(),
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
-            fleet: ServerFleet::new(settings.zone.clone(), limits),
+            fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
             peers: PeerTable::new(own),
             searches: 0,
             finish_lag: FinishLag::new(settings.cpu_share),
@@ -152,7 +153,7 @@
             change_count: watch::Sender::new(0),
             timing: SpreadTiming::within(settings.bounds.spread),
             started: BootTime::now(),
-            incarnation: RandomState::new().hash_one(settings.node.as_str()).max(1),
+            incarnation,
             closing: watch::Sender::new(false),
             settings,
         }
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -408,14 +408,16 @@
         position: usize,
         actions: &mut Vec<FanoutAction>,
     ) -> bool {
+        let rank = self.rank(now);
         let service = self.plan.services[position];
-        if !fleet.try_take_extra(now, service) {
+        let scope = self.shards[position].scope(&self.plan, position, rank);
+        let Some(server) = fleet.pick_by_rank(now, service, self.plan.class, scope) else {
             return false;
-        }
-        if !self.send(now, fleet, position, actions) {
-            fleet.refund_extra(service);
+        };
+        if !fleet.try_take_extra(now, service) {
             return false;
         }
+        self.send_to(now, fleet, position, server, actions);
         self.shards[position].extra_attempts += 1;
         true
     }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -137,6 +137,10 @@
 pub struct ServerFleet {
     zone: Arc<str>,
     limits: FleetLimits,
+    /// Differs between nodes, so that their random numbers do.
+    seed: u64,
+    /// Number of random numbers drawn.
+    draws: u64,
     services: SlotMap<ServiceKey, ServiceState>,
     service_names: IndexMap<Arc<str>, ServiceKey>,
     servers: SlotMap<ServerKey, ServerState>,
@@ -168,6 +172,8 @@
         Self {
             zone,
             limits,
+            seed: 0,
+            draws: 0,
             services: SlotMap::with_key(),
             service_names: IndexMap::new(),
             servers: SlotMap::with_key(),
@@ -178,6 +184,13 @@
         }
     }
 
+    /// Sets the seed of the random numbers, which must differ between nodes.
+    #[must_use]
+    pub const fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
     /// Replaces the shared limits and adjusts the retry budgets of all services.
     pub fn set_limits(&mut self, limits: FleetLimits) {
         self.limits = limits;
@@ -459,16 +472,12 @@
     }
 
     /// Takes one extra request from the service's retry budget; returns `false` if the
-    /// budget is exhausted.
+    /// budget is exhausted. With less than one request left, the result is random.
     pub fn try_take_extra(&mut self, now: BootTime, service: ServiceKey) -> bool {
-        self.services.get_mut(service).is_some_and(|state| state.budget.try_take(now))
-    }
-
-    /// Refunds the retry budget for an extra request that was not sent to a server.
-    pub fn refund_extra(&mut self, service: ServiceKey) {
-        if let Some(state) = self.services.get_mut(service) {
-            state.budget.refund();
-        }
+        let Some(state) = self.services.get_mut(service) else { return false };
+        self.draws = self.draws.wrapping_add(1);
+        let chance = hash_fraction(self.seed, self.draws);
+        state.budget.try_take_fraction(now, chance)
     }
 
     /// Returns whether a higher-ranked search waits for capacity at the service.
@@ -669,6 +678,14 @@
     }
 }
 
+/// Returns a number from 0 to 1 that looks random.
+fn hash_fraction(seed: u64, number: u64) -> f64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes[8..].copy_from_slice(&number.to_le_bytes());
+    (xxh3_64(&bytes) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// Returns the hashed identifier of a server; collisions are not handled, as a
 /// deployment has too few servers for them to be likely.
 fn id_hash(id: &str) -> u32 {
