Don't let a node that was paused vouch for itself

In a zone of two, a node is half of its witnesses and counted as vouching for itself without end, so that after its term it could start requests until its first event.

After a pause of the fence time or longer and past its term, a node starts nothing until a renewal or another witness confirms its lease with a call sent since.

Two tests of a zone failed first: a node that wakes up in a zone of two, listed as gone meanwhile, and one without the platform.

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -131,6 +131,10 @@
     /// Handles an event that happened at `now` and appends the resulting
     /// effects to `effects`.
     pub fn handle(&mut self, now: BootTime, event: ControlEvent, effects: &mut Vec<ControlEffect>) {
+        if self.lease.was_paused(now, &self.options.lease) {
+            self.lease.resumed_at = Some(now);
+        }
+        self.lease.ran_at = now;
         self.now = now;
         self.handle_event(event);
         self.advance();
@@ -250,7 +254,7 @@
     /// still run.
     pub fn may_dispatch(&self, now: BootTime, server: &ServerName) -> Result<u64, RefusalReason> {
         let Some(held) = self.held_grants.get(server) else { return Err(RefusalReason::NotHolder) };
-        if !self.lease.guard.may_dispatch(now, &self.options.lease) {
+        if !self.lease.guard.may_dispatch(now, &self.options.lease) || self.is_lease_doubtful(now) {
             return Err(RefusalReason::LeaseLapsed);
         }
         held.may_dispatch(now)
--- a/crates/control/src/state/own_lease.rs
+++ b/crates/control/src/state/own_lease.rs
@@ -13,6 +13,7 @@
 use crate::{
     event::ControlEffect,
     lease::{LeaseGuard, LeaseState},
+    options::LeaseTiming,
     record::{LeaseRecord, LeaseRecordState},
 };
 
@@ -48,6 +49,11 @@
     in_flight: bool,
     next_vouch_at: BootTime,
     vouch_round: u64,
+    /// When the control state last handled an event.
+    pub(super) ran_at: BootTime,
+    /// When the process ran again after a pause, until a renewal or another witness
+    /// confirms the lease.
+    pub(super) resumed_at: Option<BootTime>,
 }
 
 impl OwnLease {
@@ -68,6 +74,20 @@
             in_flight: false,
             next_vouch_at: now,
             vouch_round: 0,
+            ran_at: now,
+            resumed_at: None,
+        }
+    }
+
+    /// Whether the process was paused, or held up for as long, until `now`.
+    pub(super) fn was_paused(&self, now: BootTime, timing: &LeaseTiming) -> bool {
+        now >= self.ran_at + timing.fence
+    }
+
+    /// Records that the lease was confirmed by a call that was sent at `sent_at`.
+    fn end_doubt(&mut self, sent_at: BootTime) {
+        if self.resumed_at.is_some_and(|resumed_at| sent_at >= resumed_at) {
+            self.resumed_at = None;
         }
     }
 
@@ -80,6 +100,15 @@
 }
 
 impl ControlState {
+    /// Whether another node may have taken over this node's grants while the process was
+    /// paused. In a zone of two the node itself is half of its witnesses, so that its
+    /// own word does not suffice then.
+    pub(super) fn is_lease_doubtful(&self, now: BootTime) -> bool {
+        let timing = &self.options.lease;
+        let is_past_term = now >= self.lease.guard.term_end(timing);
+        is_past_term && (self.lease.resumed_at.is_some() || self.lease.was_paused(now, timing))
+    }
+
     pub(super) fn advance_lease(&mut self) {
         self.request_vouches();
         if self.lease.in_flight || self.now < self.lease.next_at {
@@ -153,6 +182,7 @@
             }
             WriteOutcome::Written(version) => {
                 self.lease.guard.confirm();
+                self.lease.end_doubt(self.lease.sent_at);
                 self.lease.last_confirmed = self.lease.last_written.take();
                 self.lease.record_renewal(self.now, version);
                 if self.phase == NodePhase::Leaving {
@@ -353,6 +383,7 @@
     pub(super) fn on_vouch(&mut self, witness: NodeName, incarnation: u64, sent_at: BootTime) {
         if incarnation == self.lease.incarnation {
             self.lease.guard.record_vouch(witness, sent_at);
+            self.lease.end_doubt(sent_at);
         }
     }
 
--- a/crates/control/tests/zone/grants.rs
+++ b/crates/control/tests/zone/grants.rs
@@ -112,6 +112,56 @@
     assert_loads!(zone, [2, 2]);
 }
 
+/// Guards against a process that was paused and acts on a lease that has expired: in a
+/// zone of two, a node that vouches for itself is half of the witnesses.
+#[test]
+fn a_node_that_was_paused_does_not_vouch_for_itself() {
+    let mut zone = TestZone::new(2, 2);
+    zone.store.vms = vec![entry_vm(0, "z1"), entry_vm(1, "z1")];
+    zone.run(START_TIME);
+    let held: Vec<_> =
+        zone.nodes[0].state.held_grants().map(|(server, _)| server.clone()).collect();
+    assert!(!held.is_empty());
+    zone.nodes[0].alive = false;
+    let listed = zone.store.vms.clone();
+    let address = zone.nodes[0].address.to_string();
+    zone.store.vms.retain(|vm| vm.address != address);
+    zone.run(Duration::from_secs(60));
+    // The process runs again and has not yet handled any event.
+    zone.nodes[0].alive = true;
+    zone.store.vms = listed;
+    for server in &held {
+        assert_eq!(zone.dispatchers(server), [1], "{server} at the resumption");
+    }
+    zone.run(Duration::from_secs(20));
+    assert_single_holders(&zone, 2);
+}
+
+#[test]
+fn a_node_that_was_paused_without_platform_goes_on_once_its_witness_vouches() {
+    let mut zone = TestZone::new(2, 2);
+    zone.run(START_TIME);
+    for node in &mut zone.nodes {
+        node.reaches_store = false;
+    }
+    zone.run(Duration::from_secs(30));
+    let held: Vec<_> =
+        zone.nodes[0].state.held_grants().map(|(server, _)| server.clone()).collect();
+    zone.broken_links = vec![(0, 1)];
+    zone.nodes[0].alive = false;
+    zone.run(Duration::from_secs(10));
+    zone.nodes[0].alive = true;
+    zone.run(Duration::from_secs(5));
+    for server in &held {
+        assert!(zone.dispatchers(server).is_empty(), "{server} without a vouch");
+    }
+    zone.broken_links.clear();
+    zone.run(Duration::from_secs(10));
+    for server in &held {
+        assert_eq!(zone.dispatchers(server), [0], "{server}");
+    }
+}
+
 #[test]
 fn a_restarted_node_reacquires_its_grants() {
     let mut zone = TestZone::new(2, 2);
