Share which zones are unreachable between nodes

Nodes name the zones that they can't reach to the peers that they follow and to their followers. A peer probes such a zone at once and avoids it only if its own probes fail. The table of cases has a zone that only the peer can't reach.

A test of restores waits for the log line that it reads.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -119,6 +119,7 @@
             follow_request.nodes = state.peers.revision();
             follow_request.age = state.freshness.age(now);
             follow_request.leaving = state.directory.recently_leaving(now);
+            follow_request.unreachable_zones = state.fleet.zone_reachability.unreachable_zones();
         }
         let request = PeerRequest::Follow(follow_request.clone());
         let called = BootTime::now();
@@ -173,6 +174,7 @@
     // fresher by the network delay each time that it is passed on, and nodes may
     // follow each other in a cycle.
     let confirmed_at = called + update.waited - update.age;
+    gateway.suspect_zones(&update.unreachable_zones);
     let changes = {
         let state = &mut *gateway.state.borrow_mut();
         // A peer that has just started may not have a list of servers yet.
@@ -221,11 +223,16 @@
     let mut changes = gateway.change_count.subscribe();
     let is_same_incarnation = request.life == gateway.incarnation;
     let max_age = gateway.timing.max_age();
+    let zones = || gateway.state.borrow().fleet.zone_reachability.unreachable_zones();
+    let zones_before = zones();
     let age = || gateway.state.borrow().freshness.age(BootTime::now());
     let has_update = |_: &u64| {
         if !is_same_incarnation {
             return age() <= max_age;
         }
+        if zones() != zones_before {
+            return true;
+        }
         let state = gateway.state.borrow();
         let now = BootTime::now();
         request.servers != state.directory.last_change()
@@ -253,6 +260,7 @@
         life: gateway.incarnation,
         age: state.freshness.age(now),
         waited: now.since(called),
+        unreachable_zones: state.fleet.zone_reachability.unreachable_zones(),
         origin: Some(state.freshness.origin.clone().unwrap_or(state.peers.own().name.clone())),
         servers,
         nodes: has_newer_nodes.then(|| state.peers.updates_since(request.nodes)),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -262,6 +262,17 @@
         self.apply_changes(&changes);
     }
 
+    /// Probes zones that a peer can't reach, other than the local one.
+    pub(crate) fn suspect_zones(&self, zones: &[Arc<str>]) {
+        let now = BootTime::now();
+        let fleet = &mut self.state.borrow_mut().fleet;
+        for zone in zones {
+            if *zone != self.settings.zone {
+                fleet.zone_reachability.suspect(now, zone);
+            }
+        }
+    }
+
     /// Returns the servers that recently said that they are leaving.
     pub(crate) fn recently_leaving(&self) -> Vec<LeavingServer> {
         self.state.borrow().directory.recently_leaving(BootTime::now())
@@ -346,6 +357,7 @@
         if changed {
             info!(zone = zone.as_ref(), reached = reached; "availability zone reached or lost");
             self.update_readiness();
+            self.notify_peers();
         }
     }
 
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -89,6 +89,8 @@
     pub(crate) version: u64,
     /// Servers that recently said that they are leaving.
     pub(crate) leaving: Vec<LeavingServer>,
+    /// Availability zones that the requesting node can't reach.
+    pub(crate) unreachable_zones: Vec<Arc<str>>,
 }
 
 /// Store data that a peer passes on.
@@ -101,6 +103,8 @@
     pub(crate) age: Duration,
     /// Time for which the peer waited for a change before it replied.
     pub(crate) waited: Duration,
+    /// Availability zones that the peer can't reach.
+    pub(crate) unreachable_zones: Vec<Arc<str>>,
     /// Node that the store confirmed this data to.
     pub(crate) origin: Option<Arc<str>>,
     pub(crate) servers: DirectoryUpdate,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -75,7 +75,10 @@
 async fn serve_call(gateway: &Rc<Gateway>, request: PeerRequest, replies: &ReplySink<PeerReply>) {
     match &request {
         PeerRequest::Search(search) => gateway.mark_leaving(&search.leaving),
-        PeerRequest::Follow(follow) => gateway.mark_leaving(&follow.leaving),
+        PeerRequest::Follow(follow) => {
+            gateway.mark_leaving(&follow.leaving);
+            gateway.suspect_zones(&follow.unreachable_zones);
+        }
     }
     match request {
         PeerRequest::Search(search) => search_shards(gateway, search, replies).await,
--- a/crates/tier/src/reach.rs
+++ b/crates/tier/src/reach.rs
@@ -65,6 +65,24 @@
         self.zones.get(zone).is_some_and(|state| state.is_unreachable)
     }
 
+    /// Records that a peer found a zone unreachable. It is probed at once, and counts as
+    /// unreachable only if the probes of this node fail, too.
+    pub fn suspect(&mut self, now: BootTime, zone: &Arc<str>) {
+        let state = self.zones.entry(zone.clone()).or_default();
+        if state.is_unreachable || now < state.next_probe {
+            return;
+        }
+        let since = now - PROBE_AFTER;
+        state.unanswered_since = Some(state.unanswered_since.unwrap_or(since).min(since));
+    }
+
+    /// Returns the zones that count as unreachable.
+    #[must_use]
+    pub fn unreachable_zones(&self) -> Vec<Arc<str>> {
+        let unreachable = self.zones.iter().filter(|(_, state)| state.is_unreachable);
+        unreachable.map(|(zone, _)| zone.clone()).collect()
+    }
+
     /// Returns whether any zone counts as unreachable.
     #[must_use]
     pub fn any_unreachable(&self) -> bool {
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -189,6 +189,43 @@
     assert!(reachability.on_probe_ended("b", true) && !reachability.is_unreachable("b"));
 }
 
+/// Guards against each node of a large fleet losing a search before it learns that a zone
+/// is cut off.
+#[test]
+fn a_zone_that_a_peer_cannot_reach_is_probed_before_it_is_avoided() {
+    /// Results of the probes that follow a peer's message.
+    struct HintCase {
+        label: &'static str,
+        reached: [bool; 2],
+        is_unreachable: bool,
+    }
+    let cases = [
+        HintCase { label: "cut off here, too", reached: [false, false], is_unreachable: true },
+        HintCase { label: "one server is down", reached: [false, true], is_unreachable: false },
+        HintCase { label: "only the peer", reached: [true, true], is_unreachable: false },
+    ];
+    for case in cases {
+        let mut reachability = ZoneReachability::default();
+        let zone = name("b");
+        assert!(reachability.due_probes(at(0)).is_empty());
+        reachability.suspect(at(0), &zone);
+        assert!(!reachability.is_unreachable("b"), "{}", case.label);
+        assert_eq!(reachability.due_probes(at(0)), [zone.clone()], "{}", case.label);
+        for _ in case.reached {
+            reachability.on_probe_sent("b");
+        }
+        for reached in case.reached {
+            reachability.on_probe_ended("b", reached);
+        }
+        assert_eq!(reachability.is_unreachable("b"), case.is_unreachable, "{}", case.label);
+        let expected = if case.is_unreachable { vec![zone.clone()] } else { Vec::new() };
+        assert_eq!(reachability.unreachable_zones(), expected, "{}", case.label);
+        // Repeated messages cause no more probes than one each 250 ms.
+        reachability.suspect(at(100), &zone);
+        assert!(reachability.due_probes(at(100)).is_empty(), "{}", case.label);
+    }
+}
+
 #[test]
 fn a_zone_that_answers_is_not_probed() {
     let zone = name("b");
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -79,12 +79,13 @@
     for (name, zone) in [("front-a-2", "a"), ("front-a-3", "a"), ("front-b-1", "b")] {
         let node = GatewayNode::start(name, zone, fixture.store.address);
         node.wait_ready().await;
-        let applied: Vec<_> = node
-            .log()
-            .into_iter()
-            .filter(|line| line["message"] == "configuration in force")
-            .map(|line| line["version"].clone())
-            .collect();
-        assert_eq!(applied, [json!(7)], "{name}");
+        let applied = || -> Vec<_> {
+            let lines = node.log().into_iter();
+            let applied = lines.filter(|line| line["message"] == "configuration in force");
+            applied.map(|line| line["version"].clone()).collect()
+        };
+        // Log lines are written by a thread of their own.
+        eventually("the log line is written", async || !applied().is_empty()).await;
+        assert_eq!(applied(), [json!(7)], "{name}");
     }
 }
