--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -210,7 +210,7 @@
         assert!(reachability.due_probes(at(0)).is_empty());
         reachability.suspect(at(0), &zone);
         assert!(!reachability.is_unreachable("b"), "{}", case.label);
-        assert_eq!(reachability.due_probes(at(0)), [zone.clone()], "{}", case.label);
+        assert_eq!(reachability.due_probes(at(0)), std::slice::from_ref(&zone), "{}", case.label);
         for _ in case.reached {
             reachability.on_probe_sent("b");
         }
