--- /dev/null
+++ b/crates/tier/src/fleet/selection.rs
@@ -0,0 +1,231 @@
+//! Choice of a server for a request, by its load, health and zone.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+
+use super::{ServerFleet, ServerKey, ServiceKey};
+use crate::{server_state::ServerState, stats::ClassKey};
+
+/// Factor on the score of a stalled server (see [`STALL_HEDGE_DELAYS`]); lower scores win.
+const STALLED_PENALTY: f64 = 8.0;
+
+/// Multiple of the hedge delay without any response after which a server with
+/// requests in flight counts as stalled.
+const STALL_HEDGE_DELAYS: f64 = 1.0;
+
+/// Factor on the score of a server that recently could not be reached or was full.
+const BACKOFF_PENALTY: f64 = 60.0;
+
+/// Penalty for a server in another availability zone, as a fraction of the latency
+/// objective. Traffic between zones is billed, so a request may wait this long in
+/// order to stay in the local zone.
+const CROSS_ZONE_PENALTY: f64 = 0.4;
+
+/// Factor on the score of a server that is still slow after its start.
+const COLD_START_PENALTY: f64 = 1.6;
+
+/// Divides a server's limit on requests in flight for searches that have already
+/// missed their latency objective, so that searches which can still meet it go first.
+const LATE_LIMIT_DIVISOR: u32 = 2;
+
+/// Time for which a search that found no available server counts as waiting; longer
+/// than the delay between two of its retries.
+const WAITER_LIFETIME: Duration = Duration::from_millis(8);
+
+/// Restricts which servers may be picked for a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PickScope<'search> {
+    /// Servers that must not be picked.
+    pub excluded: &'search [ServerKey],
+    /// The only servers that may be picked; `None` allows all servers of the service.
+    pub allowed: Option<&'search [ServerKey]>,
+    /// Rank of the search when servers are short of capacity.
+    pub rank: SearchRank,
+}
+
+/// Order in which searches get capacity at overloaded servers; greater ranks go first.
+///
+/// Each search needs nearly all shards, so a fair order would make every search
+/// late under overload. Instead, searches that can still meet their latency
+/// objective come first, the newest of them leading because it has the most time
+/// left. Among the late ones, those that already have at least half of the
+/// required shards come first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SearchRank {
+    /// Whether the search can still meet its latency objective.
+    pub is_on_time: bool,
+    /// Whether the search is late and at least half of the required shards have answered.
+    pub is_half_complete: bool,
+    /// When the search arrived.
+    pub arrived: BootTime,
+}
+
+impl ServerFleet {
+    /// Returns the zone whose servers should be called for a shard: the first one in
+    /// `preference` that has an available server that is not suspect, else the first
+    /// one with any available server. See [`ServerFleet::is_suspect`].
+    #[must_use]
+    pub fn best_zone(
+        &self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        preference: &[Arc<str>],
+    ) -> Option<Arc<str>> {
+        let state = self.services.get(service)?;
+        let mut best: Option<(usize, &Arc<str>)> = None;
+        for server in state.servers.iter().filter_map(|key| self.servers.get(*key)) {
+            if !self.is_available(now, server) {
+                continue;
+            }
+            let zone = &server.entry.zone;
+            let rank = preference.iter().position(|other| other == zone);
+            let mut rank = rank.unwrap_or(preference.len());
+            if now < server.backoff_until || self.is_stalled(now, server, class) {
+                rank += preference.len() + 1;
+            }
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, zone));
+            }
+        }
+        best.map(|(_, zone)| zone.clone())
+    }
+
+    /// Returns whether a higher-ranked search waits for capacity at the service.
+    #[must_use]
+    pub fn is_outranked(&self, now: BootTime, service: ServiceKey, rank: SearchRank) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        let (waiter, waited_at) = state.waiter;
+        now.since(waited_at) < WAITER_LIFETIME && waiter > rank
+    }
+
+    /// Picks a server like [`ServerFleet::pick`], but returns `None` while a
+    /// higher-ranked search waits for capacity at the service.
+    pub fn pick_by_rank(
+        &mut self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        scope: PickScope<'_>,
+    ) -> Option<ServerKey> {
+        if self.is_outranked(now, service, scope.rank) {
+            return None;
+        }
+        let (waiter, _) = self.services.get(service)?.waiter;
+        let picked = self.pick(now, service, class, scope);
+        let state = self.services.get_mut(service)?;
+        match picked {
+            None => state.waiter = (scope.rank, now),
+            Some(_) if waiter == scope.rank => state.waiter.1 = BootTime::ZERO,
+            Some(_) => {}
+        }
+        picked
+    }
+
+    /// Picks the server with the lowest score among those that `scope` allows and that
+    /// have capacity for a request of `class`.
+    pub fn pick(
+        &mut self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        scope: PickScope<'_>,
+    ) -> Option<ServerKey> {
+        let max_connections = self.connection_share(service);
+        let state = self.services.get_mut(service)?;
+        let count = state.servers.len();
+        state.rotation = state.rotation.wrapping_add(1);
+        let start = state.rotation;
+        let state = self.services.get(service)?;
+        let mut best: Option<(f64, ServerKey)> = None;
+        for step in 0..count {
+            let key = state.servers[(start + step) % count];
+            let Some(server) = self.servers.get(key) else { continue };
+            let mut limit = max_connections.min(server.window());
+            if !scope.rank.is_on_time {
+                limit = (limit / LATE_LIMIT_DIVISOR).max(1);
+            }
+            if !self.is_available(now, server) || server.in_flight >= limit {
+                continue;
+            }
+            if !scope.is_allowed(key) {
+                continue;
+            }
+            let score = self.score(now, server, class);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Selects up to `limit` servers that this node and its delegate in `zone` may both
+    /// call for one search, without those that this node knows to be leaving. Available
+    /// servers come first, then those that are not suspect, then those in `zone`.
+    pub fn choose_allowed(
+        &mut self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        zone: &str,
+        limit: usize,
+    ) -> Vec<ServerKey> {
+        let Some(state) = self.services.get_mut(service) else { return Vec::new() };
+        state.rotation = state.rotation.wrapping_add(1);
+        let rotation = state.rotation;
+        let mut keys = state.servers.clone();
+        // The delegate may not know yet that such a server is leaving.
+        keys.retain(|key| self.servers.get(*key).is_some_and(ServerState::is_in_use));
+        if keys.len() <= limit {
+            return keys;
+        }
+        let start = rotation % keys.len();
+        keys.rotate_left(start);
+        // The sort is stable, so equal servers keep the rotated order.
+        keys.sort_by_key(|key| {
+            let server = self.servers.get(*key);
+            let is_available = server.is_some_and(|server| self.is_available(now, server));
+            let in_zone = server.is_some_and(|server| server.entry.zone.as_ref() == zone);
+            (!is_available, self.is_suspect(now, *key, class), !in_zone)
+        });
+        keys.truncate(limit);
+        keys
+    }
+
+    /// Returns whether a server is stalled or in backoff, so that an extra request to
+    /// it would be wasted. Unknown servers count as suspect.
+    #[must_use]
+    pub fn is_suspect(&self, now: BootTime, key: ServerKey, class: ClassKey) -> bool {
+        let Some(server) = self.servers.get(key) else { return true };
+        now < server.backoff_until || self.is_stalled(now, server, class)
+    }
+
+    fn is_stalled(&self, now: BootTime, server: &ServerState, class: ClassKey) -> bool {
+        let stall_after = self.classes.hedge_delay(class).mul_f64(STALL_HEDGE_DELAYS);
+        server.in_flight > 0 && now.since(server.waiting_since) > stall_after
+    }
+
+    fn score(&self, now: BootTime, server: &ServerState, class: ClassKey) -> f64 {
+        let mut score = server.expected_load();
+        if now < server.cold_until {
+            score *= COLD_START_PENALTY;
+        }
+        if self.is_stalled(now, server, class) {
+            score *= STALLED_PENALTY;
+        }
+        if now < server.backoff_until {
+            score *= BACKOFF_PENALTY;
+        }
+        if server.entry.zone != self.zone {
+            score += CROSS_ZONE_PENALTY * self.classes.objective_in_medians(class);
+        }
+        score
+    }
+}
+
+impl PickScope<'_> {
+    pub(super) fn is_allowed(&self, key: ServerKey) -> bool {
+        !self.excluded.contains(&key) && self.allowed.is_none_or(|allowed| allowed.contains(&key))
+    }
+}
