Tell callers of a cut-off node when the balancer sends them elsewhere

Until the balancer has missed two checks they reach no other node. The node now names the time until then. The test counts it from the moment at which the node stopped being ready.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -58,9 +58,9 @@
     /// Whether the request had enough results before the answer time and was waiting for
     /// further ones.
     pub(crate) is_finished_by_timer: bool,
-    /// When enough servers accept requests again, if servers that asked for a pause are
-    /// the obstacle.
-    pub(crate) available_from: Option<BootTime>,
+    /// Time after which a refused caller finds servers that accept requests, here or by
+    /// way of another node, as far as it is known.
+    pub(crate) retry_delay: Duration,
 }
 
 /// Event that a task sends to its fan-out.
@@ -158,14 +158,19 @@
         is_finished_by_timer: false,
     };
     let outcome = run.drive(&mut events_rx, &mut on_progress).await;
-    let available_from = {
+    let retry_delay = {
         let plan = run.state.plan();
-        let fleet = &gateway.state.borrow().fleet;
-        fleet.available_from(BootTime::now(), &plan.services, plan.min_shards)
+        let state = gateway.state.borrow();
+        let now = BootTime::now();
+        let from = state.fleet.available_from(now, &plan.services, plan.min_shards);
+        match from {
+            Some(from) => from.since(now),
+            None => state.lifecycle.balancer_delay(now),
+        }
     };
     FanoutResult {
         outcome,
-        available_from,
+        retry_delay,
         answered: run.state.answered(),
         not_called: run.state.shards_not_called(),
         missing: run.state.missing_shards(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -367,7 +367,7 @@
         let fleet = &state.fleet;
         let has_unreachable_route = fleet.zone_reachability.any_unreachable()
             && state.configuration.routes.iter().any(|route| fleet.is_route_unreachable(route));
-        if state.lifecycle.set_unreachable(has_unreachable_route) {
+        if state.lifecycle.set_unreachable(BootTime::now(), has_unreachable_route) {
             info!(cut_off = has_unreachable_route; "readiness changed with the zones in reach");
         }
     }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -285,10 +285,7 @@
 /// Builds the response to a request that failed.
 fn failure_response(result: &FanoutResult) -> Response<Full<Bytes>> {
     match result.outcome {
-        FanoutOutcome::NotRun => {
-            let pause = result.available_from.map(|from| from.since(BootTime::now()));
-            unavailable_response(pause.unwrap_or_default().max(REFUSED_RETRY_AFTER))
-        }
+        FanoutOutcome::NotRun => unavailable_response(result.retry_delay.max(REFUSED_RETRY_AFTER)),
         FanoutOutcome::TimedOut => empty_response(StatusCode::GATEWAY_TIMEOUT),
         FanoutOutcome::Failed | FanoutOutcome::Answered => empty_response(StatusCode::BAD_GATEWAY),
     }
--- a/crates/tier/src/lifecycle.rs
+++ b/crates/tier/src/lifecycle.rs
@@ -5,9 +5,9 @@
 use carobstep_clock::BootTime;
 use strum::Display;
 
-/// Time that the load balancer needs to take a stopping node out of rotation: two
+/// Time that the load balancer needs to take a node out of rotation: two
 /// failed readiness checks at an interval of one second, and one check that was in
-/// progress at the signal.
+/// progress when the node stopped being ready.
 const BALANCER_REMOVAL_DELAY: Duration = Duration::from_millis(2_800);
 
 /// Time for which the node still reads requests after its listener has closed, even
@@ -58,8 +58,8 @@
 pub struct NodeLifecycle {
     knows_configuration: bool,
     knows_servers: bool,
-    /// Whether unreachable zones make a route unservable.
-    has_unreachable_route: bool,
+    /// Since when unreachable zones make a route unservable, if they do.
+    cut_off_since: Option<BootTime>,
     stopping_since: Option<BootTime>,
     timing: StopTiming,
 }
@@ -71,7 +71,7 @@
         Self {
             knows_configuration: false,
             knows_servers: false,
-            has_unreachable_route: false,
+            cut_off_since: None,
             stopping_since: None,
             timing,
         }
@@ -89,12 +89,24 @@
 
     /// Records whether some requests cannot be served because zones are unreachable;
     /// returns whether that has changed.
-    pub const fn set_unreachable(&mut self, has_unreachable_route: bool) -> bool {
-        let changed = self.has_unreachable_route != has_unreachable_route;
-        self.has_unreachable_route = has_unreachable_route;
+    pub const fn set_unreachable(&mut self, now: BootTime, has_unreachable_route: bool) -> bool {
+        let changed = self.cut_off_since.is_some() != has_unreachable_route;
+        if changed {
+            self.cut_off_since = if has_unreachable_route { Some(now) } else { None };
+        }
         changed
     }
 
+    /// Returns the time after which the load balancer sends a refused caller to another
+    /// node; zero if this node is not cut off, or has been for long enough.
+    #[must_use]
+    pub fn balancer_delay(&self, now: BootTime) -> Duration {
+        match self.cut_off_since {
+            Some(since) => (since + BALANCER_REMOVAL_DELAY).since(now),
+            None => Duration::ZERO,
+        }
+    }
+
     /// Records the stop signal; repeated signals are ignored.
     pub const fn stop(&mut self, now: BootTime) {
         if self.stopping_since.is_none() {
@@ -113,7 +125,7 @@
     pub fn phase(&self, now: BootTime, in_flight: usize) -> LifecyclePhase {
         let Some(since) = self.stopping_since else {
             let is_initialized = self.knows_configuration && self.knows_servers;
-            return match (is_initialized, self.has_unreachable_route) {
+            return match (is_initialized, self.cut_off_since.is_some()) {
                 (false, _) => LifecyclePhase::Starting,
                 (true, true) => LifecyclePhase::CutOff,
                 (true, false) => LifecyclePhase::Ready,
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -262,6 +262,22 @@
     phase: LifecyclePhase,
 }
 
+/// Guards against callers that a node in a cut-off zone asks to come back at once, only
+/// to be refused again before the balancer sends them elsewhere.
+#[test]
+fn a_cut_off_node_names_the_time_until_the_balancer_has_left() {
+    let mut lifecycle = NodeLifecycle::new(StopTiming::within(Duration::from_secs(6)));
+    let delay =
+        |lifecycle: &NodeLifecycle, millis| lifecycle.balancer_delay(at(millis)).as_millis();
+    assert_eq!(delay(&lifecycle, 0), 0);
+    lifecycle.set_unreachable(at(1_000), true);
+    assert!(!lifecycle.set_unreachable(at(1_500), true), "it was cut off before");
+    let delays = [1_000, 1_800, 3_799, 3_800, 9_000].map(|millis| delay(&lifecycle, millis));
+    assert_eq!(delays, [2_800, 2_000, 1, 0, 0]);
+    lifecycle.set_unreachable(at(9_000), false);
+    assert_eq!(delay(&lifecycle, 9_000), 0);
+}
+
 #[test]
 fn a_stopping_node_serves_on_until_the_balancer_has_left() {
     let mut lifecycle = NodeLifecycle::new(StopTiming::within(Duration::from_secs(6)));
@@ -270,7 +286,7 @@
     assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Starting);
     lifecycle.on_server_list();
     assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Ready);
-    assert!(lifecycle.set_unreachable(true));
+    assert!(lifecycle.set_unreachable(at(0), true));
     assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::CutOff);
     lifecycle.stop(at(1_000));
     lifecycle.stop(at(2_000));
