Release a response's bytes when its connection becomes idle

The meter of a kept connection held the last response's reservation until the next request on it, so that some large responses on idle connections could exhaust the limit of the process and make every response fail as oversized. Seen by reading; a test with one large response and a drained server failed first (502).

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -357,6 +357,7 @@
         {
             return;
         }
+        connection.meter.stop();
         let idle = headers::keep_alive_timeout(&response.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let expires = Instant::now() + idle.saturating_sub(IDLE_MARGIN);
         self.idle.borrow_mut().push(IdleConnection { connection, expires });
--- a/crates/gateway/src/byte_budget.rs
+++ b/crates/gateway/src/byte_budget.rs
@@ -101,6 +101,12 @@
         self.reservation.replace(reservation.clone());
         reservation
     }
+
+    /// Ends a response: releases its bytes unless the response still exists, and allows
+    /// no further ones.
+    pub(crate) fn stop(&self) {
+        self.start(0);
+    }
 }
 
 fn new_reservation(budget: &Rc<ByteBudget>, max_bytes: usize) -> Rc<ByteReservation> {
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -21,6 +21,9 @@
 /// Processing time of a slow server.
 const SLOW_PROCESSING_TIME: Duration = Duration::from_millis(150);
 
+/// Size of a large response body.
+pub const LARGE_BODY_BYTES: usize = 600_000;
+
 /// Fault of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerFault {
@@ -48,6 +51,8 @@
     NoStamp,
     /// The server closes the connection within a response.
     Truncate,
+    /// The server responds with a body of [`LARGE_BODY_BYTES`].
+    Large,
     /// The server responds that the address belongs to another server (status 421).
     Misdirect,
     /// The server says in each response that it is leaving.
@@ -262,6 +267,9 @@
                     let headers = format!("x-carobstep-not-executed: 1\r\nretry-after: {wait}\r\n");
                     response_text(503, &headers, "")
                 }
+                ServerFault::Large => {
+                    response_text(200, &stamp_headers, &"x".repeat(LARGE_BODY_BYTES))
+                }
                 ServerFault::Endless(bytes) => {
                     let (start, rest) = bytes.texts(&stamp_headers);
                     let block = rest.repeat(4096);
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -78,13 +78,19 @@
 
 impl GatewayNode {
     pub fn start(name: &str, zone: &str, store: SocketAddr) -> Self {
+        Self::start_with(name, zone, store, "")
+    }
+
+    /// Starts a node with further lines in its settings file.
+    pub fn start_with(name: &str, zone: &str, store: SocketAddr, more: &str) -> Self {
         let ports = [free_port(), free_port(), free_port()];
         let metrics = free_port();
         let unique = format!("carobstep-gateway-{}-{}", std::process::id(), ports[0]);
         let dir = std::env::temp_dir().join(unique);
         fs::create_dir_all(&dir).expect("a directory");
         let path = dir.join("settings.conf");
-        fs::write(&path, settings(name, zone, store, ports)).expect("a settings file");
+        let text = settings(name, zone, store, ports) + more;
+        fs::write(&path, text).expect("a settings file");
         let child = spawn(&dir, metrics);
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Fixture,
-    backend::{EndlessBytes, ServerFault, StandinServer},
+    backend::{EndlessBytes, LARGE_BODY_BYTES, ServerFault, StandinServer},
     configuration, fixture, get,
     node::{GatewayNode, eventually},
     post, server_entry,
@@ -233,3 +233,28 @@
         assert!(resident < MAX_RESIDENT_BYTES, "{resident} bytes");
     }
 }
+
+/// Guards against responses that count against the limit of the process while their
+/// connections are idle.
+#[tokio::test]
+async fn large_responses_count_only_until_they_are_passed_on() {
+    let fixture = fixture().await;
+    // Responses may take a fifth: 0.8 MB, one large response.
+    let memory = "limits.memory_mb=4\n";
+    let node = GatewayNode::start_with("front-a-2", "a", fixture.store.address, memory);
+    node.wait_ready().await;
+    let [first, second] = &fixture.single[..] else { panic!("two servers") };
+    first.set_fault(ServerFault::Large);
+    second.set_fault(ServerFault::Shed);
+    let response = node.request(&get("/fetch/", "id-first")).await;
+    assert_eq!((response.status.as_u16(), response.body.len()), (200, LARGE_BODY_BYTES));
+    // The connection to the first server stays open and idle.
+    fixture.store.put("servers", &first.id, server_entry(first, "single", "a", "draining"));
+    eventually("the drain is applied", async || {
+        node.log().iter().any(|line| line["phase"] == "draining")
+    })
+    .await;
+    second.set_fault(ServerFault::Large);
+    let response = node.request(&get("/fetch/", "id-second")).await;
+    assert_eq!((response.status.as_u16(), response.body.len()), (200, LARGE_BODY_BYTES));
+}
