Tell servers that are out of reach from servers that are given up

A request's line now counts shards "out of reach", carobstep_delegations_total has the end "not_called", carobstep_unreachable_zones is a gauge, and the line about a zone names the probed server and the reason.

Test: explain::log_and_metrics_tell_servers_out_of_reach_from_servers_that_fail. No decision has changed.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -372,9 +372,8 @@
         update: &DelegationUpdate,
     ) {
         let outcome = match update {
-            DelegationUpdate::PartialResults(_)
-            | DelegationUpdate::NotCalled(_)
-            | DelegationUpdate::Ended => return,
+            DelegationUpdate::PartialResults(_) | DelegationUpdate::Ended => return,
+            DelegationUpdate::NotCalled(_) => DelegationOutcome::NotCalled,
             DelegationUpdate::NotSent => DelegationOutcome::NotSent,
             DelegationUpdate::Lost => DelegationOutcome::Lost,
         };
@@ -386,7 +385,10 @@
             target: delegation.peer.clone(),
             outcome: outcome.into(),
             after: now.since(self.started),
-            reason: format!("{} shards delegated", delegation.shards.len()),
+            reason: match update {
+                DelegationUpdate::NotCalled(shards) => format!("{} shards", shards.len()),
+                _ => format!("{} shards delegated", delegation.shards.len()),
+            },
         });
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -422,6 +422,7 @@
                 ready,
                 quarantined_requests: state.crashes.quarantined(),
                 limited_servers: state.fleet.limited_servers(),
+                unreachable_zones: state.fleet.zone_reachability.unreachable_zones().len(),
             }
         };
         self.reporter.encode_metrics(readings)
@@ -449,11 +450,19 @@
 
     async fn probe(self: Rc<Self>, zone: Arc<str>, address: SocketAddr) {
         let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-        let reached = matches!(connecting, Ok(Ok(_)));
+        let (reached, reason) = match connecting {
+            Ok(Ok(_)) => (true, String::new()),
+            Ok(Err(error)) => (false, error.to_string()),
+            Err(_) => (false, "connecting timed out".to_owned()),
+        };
         let changed =
             self.state.borrow_mut().fleet.zone_reachability.on_probe_ended(&zone, reached);
         if changed {
-            info!(zone = zone.as_ref(), reached = reached; "availability zone reached or lost");
+            info!(
+                zone = zone.as_ref(), reached = reached, server:% = address,
+                reason = reason.as_str();
+                "availability zone reached or lost"
+            );
             self.update_readiness();
             self.notify_peers();
         }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -61,6 +61,7 @@
     ready: IntGauge,
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
+    unreachable_zones: IntGauge,
 }
 
 /// Values for the gauges.
@@ -75,6 +76,7 @@
     pub(crate) ready: bool,
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
+    pub(crate) unreachable_zones: usize,
 }
 
 /// Final classification of a request.
@@ -120,6 +122,8 @@
     Answered,
     /// The peer sent no request to any server.
     NotSent,
+    /// The peer called no server for some of the shards.
+    NotCalled,
     /// The peer or the connection to it failed.
     Lost,
 }
@@ -275,6 +279,10 @@
                     "carobstep_limited_servers",
                     "Backend servers that name a limit on their requests.",
                 )?,
+                unreachable_zones: gauge(
+                    "carobstep_unreachable_zones",
+                    "Availability zones whose servers this node can't reach.",
+                )?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -322,6 +330,7 @@
         gauges.ready.set(i64::from(readings.ready));
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
+        gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!(error:% = error; "encoding the metrics failed");
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -100,6 +100,8 @@
     extra_attempts: u32,
     /// Until when the shard waits for a token of a server that limits its requests.
     token_wait: Option<BootTime>,
+    /// Whether the shard was abandoned because this node reaches none of its servers.
+    is_out_of_reach: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -157,6 +159,8 @@
             let is_placed = fleet.has_available_server(now, self.plan.services[position])
                 && (self.shards[position].delegated || self.can_get_token(now, fleet, position));
             if !is_placed {
+                let service = self.plan.services[position];
+                self.shards[position].is_out_of_reach = fleet.is_out_of_reach(now, service);
                 self.abandon_shard(position);
             }
         }
@@ -315,6 +319,7 @@
         for progress in &self.shards {
             match progress.state {
                 ShardState::Answered => {}
+                ShardState::Abandoned if progress.is_out_of_reach => missing.out_of_reach += 1,
                 ShardState::Abandoned => missing.abandoned += 1,
                 ShardState::Pending if progress.delegated => missing.at_peer += 1,
                 ShardState::Pending if progress.in_flight > 0 => missing.at_server += 1,
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -130,6 +130,8 @@
     pub unsent: u32,
     /// Shards for which no server may be called any more.
     pub abandoned: u32,
+    /// Shards whose servers are all out of this node's reach.
+    pub out_of_reach: u32,
 }
 
 impl fmt::Display for MissingShards {
@@ -140,6 +142,7 @@
             (self.after_peer, "unsent after a peer"),
             (self.unsent, "unsent"),
             (self.abandoned, "given up"),
+            (self.out_of_reach, "out of reach"),
         ];
         let mut separator = "";
         for (count, place) in parts {
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -327,6 +327,17 @@
         }
     }
 
+    /// Returns whether servers of a service accept requests, all of them in zones that this
+    /// node can't reach.
+    #[must_use]
+    pub fn is_out_of_reach(&self, now: BootTime, service: ServiceKey) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        let servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
+        let mut available = servers.filter(|server| server.is_available(now)).peekable();
+        available.peek().is_some()
+            && available.all(|server| self.zone_reachability.is_unreachable(&server.entry.zone))
+    }
+
     /// Returns whether a service has servers and all of them are in unreachable
     /// availability zones.
     #[must_use]
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -7,7 +7,7 @@
     fixture, get,
     node::GatewayNode,
     node::eventually,
-    post,
+    post, server_entry,
     store::{StandinStore, StoreFault},
 };
 
@@ -72,3 +72,27 @@
     assert!(node.metric("carobstep_store_calls_total{end=\"answered\"}").await >= 1.0);
     assert!(node.metric("carobstep_ready").await == 0.0);
 }
+
+#[tokio::test]
+async fn log_and_metrics_tell_servers_out_of_reach_from_servers_that_fail() {
+    let fixture = fixture().await;
+    for server in fixture.shards.iter().chain(&fixture.single) {
+        let service = if server.id.starts_with("i-single") { "single" } else { &server.id[2..] };
+        let mut entry = server_entry(server, service, "a", "ready");
+        // Nothing listens there.
+        entry["addr"] = Value::from("127.0.0.1:1");
+        fixture.store.put("servers", &server.id, entry);
+    }
+    let unreachable = "carobstep_unreachable_zones";
+    eventually("the zone is out of reach", async || {
+        fixture.node.request(&get("/search/", "id")).await;
+        fixture.node.metric(unreachable).await == 1.0
+    })
+    .await;
+    assert_eq!(fixture.node.request(&get("/search/", "unreached-1")).await.status, 503);
+    let (line, _) = attempts(&fixture.node, "unreached-1").await;
+    assert_eq!(line["lacking"], "3 out of reach");
+    let lost = fixture.node.log().into_iter().find(|line| line["reached"] == "false");
+    let lost = lost.expect("a log line");
+    assert!(lost["reason"].as_str().expect("text").contains("refused"), "{lost}");
+}
