Test that callers are served while a node has no links to servers, which fails

Two real nodes, two servers of each service and links that can fail for one node only: connections that hang after they are accepted, that are reset, or that live on while new ones are refused, for all servers, a zone, a service or one server.

Seen: the node without links answers 504 at the deadline for as long as it lasts, and the node with links serves 35 of 50, because it delegates searches to the other one. With both cut, nobody is refused at once.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod hostile;
 mod limits;
+mod links;
 mod node;
 mod notices;
 mod relay;
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -115,6 +115,11 @@
         let _ = self.child.wait();
     }
 
+    /// Returns the identifier of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the exit status if the process has exited.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("a status")
