--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -11,8 +12,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers::{self, ServerVerdict};
 use carobstep_tier::{
-    AttemptOutcome, LimitNotice, PauseRequest, RequestFingerprint, ServerEntry, ServerIncarnation,
-    ServerNotice,
+    AttemptOutcome, LimitNotice, PauseRequest, ProbeOutcome, RequestFingerprint, ServerEntry,
+    ServerIncarnation, ServerNotice,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
@@ -34,6 +35,16 @@
 /// Timeout for opening a connection. The kernel retransmits a lost SYN after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Timeout for the connection of a probe; the zones of a region are a few milliseconds
+/// apart.
+const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Timeout for the response to a probe, which waits for a slot like any request.
+const PROBE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Maximum size of the response to a probe, in bytes.
+const MAX_PROBE_BYTES: usize = 64 * 1024;
+
 /// Time in milliseconds for which sent bytes may stay unacknowledged; longer than
 /// two retransmissions of a lost packet take.
 const TCP_USER_TIMEOUT_MS: u32 = 1_500;
@@ -161,6 +172,31 @@
     }
 }
 
+impl BackendResponse {
+    /// Creates a response from its parts, the bytes of which are counted by `reservation`.
+    pub(crate) const fn new(
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+        reservation: Rc<ByteReservation>,
+    ) -> Self {
+        Self { status, headers, body, _reservation: reservation }
+    }
+}
+
+/// Why a probe got no response.
+#[derive(Clone, Debug)]
+pub(crate) struct ProbeFailure {
+    pub(crate) outcome: ProbeOutcome,
+    pub(crate) reason: String,
+}
+
+impl ProbeFailure {
+    fn unreachable(reason: impl Into<String>) -> Self {
+        Self { outcome: ProbeOutcome::Unreachable, reason: reason.into() }
+    }
+}
+
 impl ExchangeOutcome {
     pub(crate) fn without_response(outcome: AttemptOutcome, reason: impl Into<String>) -> Self {
         Self { outcome, response: None, reason: reason.into(), is_broken: false }
@@ -237,6 +273,85 @@
         })
     }
 
+    /// Finds out whether the server responds, on an open connection or a new one: either may
+    /// be lost while the other is not. Without `path`, an accepted connection has to do.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response.
+    pub(crate) async fn probe(
+        &self,
+        path: Option<&str>,
+        on_notice: impl Fn(ServerNotice),
+    ) -> Result<(), ProbeFailure> {
+        let connecting = async {
+            match timeout(PROBE_CONNECT_TIMEOUT, self.connect()).await {
+                Ok(Ok(connection)) => Ok(connection),
+                Ok(Err(error)) => Err(ProbeFailure::unreachable(error.to_string())),
+                Err(_) => Err(ProbeFailure::unreachable("connecting timed out")),
+            }
+        };
+        let Some(path) = path else { return connecting.await.map(drop) };
+        let request = self.probe_request(path);
+        let mut on_new =
+            pin!(async { self.probe_on(connecting.await?, &request, &on_notice).await });
+        let Some(idle) = self.take_idle() else { return on_new.await };
+        let mut on_idle = pin!(self.probe_on(idle, &request, &on_notice));
+        tokio::select! {
+            outcome = on_new.as_mut() => match outcome {
+                Ok(()) => Ok(()),
+                Err(failure) => on_idle.await.map_err(|_| failure),
+            },
+            outcome = on_idle.as_mut() => match outcome {
+                Ok(()) => Ok(()),
+                Err(_) => on_new.await,
+            },
+        }
+    }
+
+    async fn probe_on(
+        &self,
+        mut connection: BackendConnection,
+        request: &BackendRequest,
+        on_notice: &impl Fn(ServerNotice),
+    ) -> Result<(), ProbeFailure> {
+        let deadline = Instant::now() + PROBE_RESPONSE_TIMEOUT;
+        let reservation = connection.meter.start(MAX_PROBE_BYTES);
+        let sending = connection.sender.try_send_request(self.build_request(request, deadline));
+        let response = match timeout_at(deadline, sending).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                let error = error.into_error();
+                // Bytes that are no response have come from the server as well.
+                return if error.is_parse() {
+                    Ok(())
+                } else {
+                    Err(ProbeFailure::unreachable(error.to_string()))
+                };
+            }
+            Err(_) => {
+                let reason = "no response".to_owned();
+                return Err(ProbeFailure { outcome: ProbeOutcome::Silent, reason });
+            }
+        };
+        self.record_notice(request, &response, on_notice);
+        let reading = read_response(response, MAX_PROBE_BYTES, reservation);
+        // The link works even if the body is incomplete.
+        if let Ok(Ok(response)) = timeout_at(deadline, reading).await {
+            self.release_connection(connection, request, &response);
+        }
+        Ok(())
+    }
+
+    fn probe_request(&self, path: &str) -> BackendRequest {
+        let mut headers = HeaderMap::new();
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+        let target = path.parse().unwrap_or_default();
+        BackendRequest { method: Method::GET, target, headers, body: Bytes::new() }
+    }
+
     async fn connect(&self) -> std::io::Result<BackendConnection> {
         let socket = TcpStream::connect(self.address).await?;
         socket.set_nodelay(true)?;
@@ -308,7 +423,9 @@
                 "response body incomplete at the deadline",
             ),
         };
-        self.release_connection(connection, request, &outcome);
+        if let Some(response) = &outcome.response {
+            self.release_connection(connection, request, response);
+        }
         Some(outcome)
     }
 
@@ -329,9 +446,6 @@
             self.no_reuse_until.set(BootTime::now() + NO_REUSE_TIME);
             self.idle.borrow_mut().clear();
         }
-        if notice == ServerNotice::default() {
-            return;
-        }
         if notice.is_leaving {
             self.is_leaving.set(true);
         }
@@ -395,9 +509,8 @@
         &self,
         connection: BackendConnection,
         request: &BackendRequest,
-        outcome: &ExchangeOutcome,
+        response: &BackendResponse,
     ) {
-        let Some(response) = &outcome.response else { return };
         if headers::closes_connection(&response.headers)
             || request.body.len() > MAX_REUSE_BODY_BYTES
             || BootTime::now() < self.no_reuse_until.get()
@@ -457,10 +570,5 @@
         let Ok(data) = frame.into_data() else { continue };
         body_buf.extend_from_slice(&data);
     }
-    Ok(BackendResponse {
-        status: head.status,
-        headers: head.headers,
-        body: body_buf.freeze(),
-        _reservation: reservation,
-    })
+    Ok(BackendResponse::new(head.status, head.headers, body_buf.freeze(), reservation))
 }
--- a/crates/gateway/src/byte_budget.rs
+++ b/crates/gateway/src/byte_budget.rs
@@ -29,6 +29,16 @@
         Self { max_bytes, held_bytes: Cell::new(0) }
     }
 
+    /// Starts to count the bytes of a response of at most `max_bytes`.
+    pub(crate) fn reserve(self: &Rc<Self>, max_bytes: usize) -> Rc<ByteReservation> {
+        Rc::new(ByteReservation {
+            budget: self.clone(),
+            max_bytes,
+            held_bytes: Cell::new(0),
+            is_exceeded: Cell::new(false),
+        })
+    }
+
     fn try_hold(&self, bytes: usize) -> bool {
         let held_bytes = self.held_bytes.get().saturating_add(bytes);
         if held_bytes > self.max_bytes {
@@ -63,7 +73,8 @@
         self.is_exceeded.set(true);
     }
 
-    fn try_hold(&self, bytes: usize) -> bool {
+    /// Counts bytes of the response; returns whether the limits allow them.
+    pub(crate) fn try_hold(&self, bytes: usize) -> bool {
         let held_bytes = self.held_bytes.get().saturating_add(bytes);
         if held_bytes > self.max_bytes || !self.budget.try_hold(bytes) {
             self.is_exceeded.set(true);
@@ -91,13 +102,13 @@
 impl ByteMeter {
     /// Creates a meter that allows no bytes until [`ByteMeter::start`].
     pub(crate) fn new(budget: Rc<ByteBudget>) -> Self {
-        let reservation = RefCell::new(new_reservation(&budget, 0));
+        let reservation = RefCell::new(budget.reserve(0));
         Self { budget, reservation }
     }
 
     /// Starts a response of at most `max_bytes`.
     pub(crate) fn start(&self, max_bytes: usize) -> Rc<ByteReservation> {
-        let reservation = new_reservation(&self.budget, max_bytes);
+        let reservation = self.budget.reserve(max_bytes);
         self.reservation.replace(reservation.clone());
         reservation
     }
@@ -109,15 +120,6 @@
     }
 }
 
-fn new_reservation(budget: &Rc<ByteBudget>, max_bytes: usize) -> Rc<ByteReservation> {
-    Rc::new(ByteReservation {
-        budget: budget.clone(),
-        max_bytes,
-        held_bytes: Cell::new(0),
-        is_exceeded: Cell::new(false),
-    })
-}
-
 /// A socket whose received bytes are counted; reading fails beyond the limit.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -6,13 +6,16 @@
     time::Duration,
 };
 
+use bytes::BytesMut;
 use carobstep_clock::BootTime;
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, ClassKey, CrashEvidence, DelegationIndex, DelegationUpdate,
-    FanoutAction, FanoutOutcome, FanoutPlan, FanoutState, MissingShards, RequestFingerprint,
-    ServerEntry, ServerIncarnation, ServerKey, ShardIndex,
+    FanoutAction, FanoutOutcome, FanoutPlan, FanoutState, MissingShards, PlacementRequest,
+    RequestFingerprint, ServerEntry, ServerIncarnation, ServerKey, ShardIndex, place_with_peers,
 };
-use carobstep_wire::{WireError, WireErrorKind};
+use carobstep_wire::{ReplyStream, WireError, WireErrorKind};
+use http::StatusCode;
+use indexmap::IndexMap;
 use log::debug;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -23,8 +26,11 @@
 use crate::{
     backend::{BackendRequest, BackendResponse, ExchangeLimits, ExchangeOutcome},
     gateway::{Gateway, GatewayState},
-    peer_messages::{DelegatedParts, PeerReply, PeerRequest},
-    peers::{DelegatedScope, build_search_request},
+    peer_messages::{
+        DelegatedOutcome, DelegatedParts, DelegatedResponse, DelegatedVerdict, PeerReply,
+        PeerRequest,
+    },
+    peers::{DelegatedScope, build_delegated_request, read_headers},
     report::{DelegationOutcome, FailedAttempt, FailedAttempts},
 };
 
@@ -73,7 +79,18 @@
     /// An attempt at a server ended.
     Attempt { shard: ShardIndex, ticket: AttemptTicket, exchange: ExchangeOutcome },
     /// A delegation made progress or ended.
-    Delegation { index: DelegationIndex, update: DelegationUpdate, parts: Option<DelegatedParts> },
+    Delegation { index: DelegationIndex, update: DelegationUpdate, result: Option<PeerResult> },
+}
+
+/// What a peer has sent for a delegation.
+#[derive(Clone, Debug)]
+enum PeerResult {
+    /// Merged results of shards of a search.
+    Parts(DelegatedParts),
+    /// The response to a request to one service, also if it reports a failure.
+    Response(BackendResponse),
+    /// Time after which a refused caller may find servers that accept requests.
+    RetryIn(Duration),
 }
 
 /// Running tasks of a fan-out. On drop, calls to peers are aborted at once, and
@@ -82,14 +99,14 @@
     /// Exchanges with servers.
     exchanges: Vec<AbortHandle>,
     /// Calls to peers.
-    calls: Vec<AbortHandle>,
+    calls: IndexMap<DelegationIndex, AbortHandle>,
     /// Delay between the drop and the abort of the exchanges.
     cancel_delay: Duration,
 }
 
 impl Drop for ExchangeTasks {
     fn drop(&mut self) {
-        for call in &self.calls {
+        for call in self.calls.values() {
             call.abort();
         }
         self.exchanges.retain(|handle| !handle.is_finished());
@@ -175,13 +192,14 @@
         deadline,
         started: BootTime::now(),
         scope,
-        pending_parts: vec![None; plan.delegations.len()],
+        pending_results: vec![None; plan.delegations.len()],
         accepted_parts: Vec::new(),
+        peer_retry_at: None,
         state: TrackedState { gateway, state: FanoutState::new(plan) },
         events_tx,
         tasks: ExchangeTasks {
             exchanges: Vec::with_capacity(shards),
-            calls: Vec::new(),
+            calls: IndexMap::new(),
             cancel_delay,
         },
         responses: vec![None; shards],
@@ -192,18 +210,7 @@
         has_response: false,
     };
     let outcome = run.drive(&mut events_rx, &mut on_progress).await;
-    let retry_delay = {
-        let plan = run.state.plan();
-        let state = &mut *gateway.state.borrow_mut();
-        let now = BootTime::now();
-        let from = state.fleet.available_from(now, &plan.services, plan.min_shards);
-        let is_refused = outcome == FanoutOutcome::NotRun;
-        let token_at = if is_refused { state.fleet.book_return(now, &plan.services) } else { None };
-        match from {
-            Some(from) => from.max(token_at.unwrap_or(from)).since(now),
-            None => state.lifecycle.balancer_delay(now),
-        }
-    };
+    let retry_delay = run.retry_delay(outcome);
     FanoutResult {
         outcome,
         retry_delay,
@@ -216,7 +223,7 @@
         accepted_parts: run.accepted_parts,
         failure: run.failure,
         failed_attempts: run.failed_attempts,
-        delegations: run.pending_parts.len(),
+        delegations: run.pending_results.len(),
     }
 }
 
@@ -228,9 +235,11 @@
     started: BootTime,
     scope: DelegatedScope,
     /// Results received from each peer and not accepted yet.
-    pending_parts: Vec<Option<DelegatedParts>>,
+    pending_results: Vec<Option<PeerResult>>,
     /// Results of peers that are part of the response.
     accepted_parts: Vec<DelegatedParts>,
+    /// When a peer expects servers to accept requests that refused this one.
+    peer_retry_at: Option<BootTime>,
     state: TrackedState<'gateway>,
     events_tx: UnboundedSender<FanoutEvent>,
     tasks: ExchangeTasks,
@@ -257,11 +266,13 @@
         };
         let mut had_enough = false;
         loop {
+            actions.extend(self.place_with_peers());
             for action in actions {
                 match action {
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
                     FanoutAction::Delegate(index) => self.delegate(index),
-                    FanoutAction::UsePartialResults(index) => self.accept_parts(index),
+                    FanoutAction::Cancel(index) => self.cancel(index),
+                    FanoutAction::UsePartialResults(index) => self.accept_results(index),
                     FanoutAction::Report => {
                         on_progress(&self.responses, &self.state.shards_not_called())
                     }
@@ -294,10 +305,20 @@
         let (shard, ticket, exchange) = match event {
             None => return self.state.on_timer(now, &mut gateway.fleet),
             Some(FanoutEvent::Attempt { shard, ticket, exchange }) => (shard, ticket, exchange),
-            Some(FanoutEvent::Delegation { index, update, parts }) => {
+            Some(FanoutEvent::Delegation { index, update, result }) => {
                 self.record_delegation_failure(now, index, &update);
-                if let Some(pending) = self.pending_parts.get_mut(usize::from(index.0)) {
-                    *pending = parts;
+                match result {
+                    Some(PeerResult::RetryIn(retry_in)) => {
+                        self.peer_retry_at = self.peer_retry_at.max(Some(now + retry_in));
+                    }
+                    Some(PeerResult::Response(response)) if update == DelegationUpdate::Failed => {
+                        self.failure = Some(response);
+                    }
+                    result => {
+                        if let Some(pending) = self.pending_results.get_mut(usize::from(index.0)) {
+                            *pending = result;
+                        }
+                    }
                 }
                 return self.state.on_delegation_update(now, index, &update);
             }
@@ -306,6 +327,7 @@
         let answered_before = self.state.answered();
         if is_broken {
             self.gateway.reporter.count_broken_attempt();
+            gateway.fleet.on_connection_broken(ticket.server);
             if answered_before == 0 {
                 self.record_crash(gateway, ticket.server);
             }
@@ -350,18 +372,67 @@
 
     /// Accepts the results that a peer sent. Drops this node's own responses of the
     /// same shards, because a shard must not be included twice.
-    fn accept_parts(&mut self, index: DelegationIndex) {
+    fn accept_results(&mut self, index: DelegationIndex) {
         let position = usize::from(index.0);
-        let Some(parts) = self.pending_parts.get_mut(position).and_then(Option::take) else {
-            return;
-        };
+        let result = self.pending_results.get_mut(position).and_then(Option::take);
         let shards = &self.state.plan().delegations[position].shards;
-        for shard_position in &parts.shards {
-            if let Some(shard) = shards.get(usize::from(*shard_position)) {
-                self.responses[usize::from(shard.0)] = None;
+        match result {
+            Some(PeerResult::Parts(parts)) => {
+                for shard_position in &parts.shards {
+                    if let Some(shard) = shards.get(usize::from(*shard_position)) {
+                        self.responses[usize::from(shard.0)] = None;
+                    }
+                }
+                self.accepted_parts.push(parts);
+            }
+            Some(PeerResult::Response(response)) => {
+                if let Some(shard) = shards.first() {
+                    self.responses[usize::from(shard.0)] = Some(response);
+                }
             }
+            Some(PeerResult::RetryIn(_)) | None => {}
         }
-        self.accepted_parts.push(parts);
+    }
+
+    /// Lets peers call servers for the shards that this node can't call any for.
+    fn place_with_peers(&mut self) -> Vec<FanoutAction> {
+        let unplaced = self.state.unplaced_shards();
+        if unplaced.is_empty() {
+            return Vec::new();
+        }
+        let now = BootTime::now();
+        let state = &mut *self.gateway.state.borrow_mut();
+        state.requests += 1;
+        let plan = self.state.plan();
+        let request = PlacementRequest {
+            is_search: self.scope.is_search,
+            is_cautious: plan.is_cautious,
+            class: plan.class,
+            objective: self.scope.objective,
+            attempts: plan.attempts,
+            answer_by: plan.answer_by,
+            deadline: plan.deadline,
+            number: state.requests,
+        };
+        let placement = place_with_peers(now, request, &unplaced, &mut state.fleet, &state.peers);
+        let actions = self.state.place(now, &mut state.fleet, placement);
+        self.pending_results.resize(self.state.plan().delegations.len(), None);
+        actions
+    }
+
+    /// Returns the time after which a caller that is refused now may be served.
+    fn retry_delay(&self, outcome: FanoutOutcome) -> Duration {
+        let plan = self.state.plan();
+        let state = &mut *self.gateway.state.borrow_mut();
+        let now = BootTime::now();
+        let is_refused = outcome == FanoutOutcome::NotRun;
+        let token_at = if is_refused { state.fleet.book_return(now, &plan.services) } else { None };
+        let from = state.fleet.available_from(now, &plan.services, plan.min_shards);
+        let own_delay = match from {
+            Some(from) => from.max(token_at.unwrap_or(from)).since(now),
+            None => state.retry_delay_without_links(now, plan),
+        };
+        own_delay.max(self.peer_retry_at.map_or(Duration::ZERO, |at| at.since(now)))
     }
 
     /// Records the failure of a delegation, if `update` is one.
@@ -373,6 +444,8 @@
     ) {
         let outcome = match update {
             DelegationUpdate::PartialResults(_) | DelegationUpdate::Ended => return,
+            DelegationUpdate::Failed => DelegationOutcome::Failed,
+            DelegationUpdate::NotRun => DelegationOutcome::NotRun,
             DelegationUpdate::NotCalled(_) => DelegationOutcome::NotCalled,
             DelegationUpdate::NotSent => DelegationOutcome::NotSent,
             DelegationUpdate::Lost => DelegationOutcome::Lost,
@@ -397,27 +470,35 @@
         let plan = self.state.plan();
         let position = usize::from(index.0);
         let Some(delegation) = plan.delegations.get(position) else { return };
-        let request = {
-            let state = self.gateway.state.borrow();
-            let leaving = state.directory.recently_leaving(BootTime::now());
-            build_search_request(&state.fleet, &self.request, plan, position, &self.scope, leaving)
-        };
+        let request = build_delegated_request(
+            &self.gateway.state.borrow(),
+            &self.request,
+            plan,
+            delegation,
+            &self.scope,
+        );
         let (shards, class) = (delegation.shards.clone(), plan.class);
         let peer = delegation.peer.clone();
         let gateway = self.gateway.clone();
         let events_tx = self.events_tx.clone();
         let task = spawn_local(async move {
-            let notify = |update, parts| {
+            let notify = |update, result| {
                 // The receiver is gone once the fan-out has finished.
-                let _ = events_tx.send(FanoutEvent::Delegation { index, update, parts });
+                let _ = events_tx.send(FanoutEvent::Delegation { index, update, result });
             };
             let update = call_peer(&gateway, &peer, &request, &shards, class, notify).await;
-            if matches!(update, DelegationUpdate::NotSent | DelegationUpdate::Lost) {
-                gateway.state.borrow_mut().peers.on_failed(BootTime::now(), &peer);
+            if let Some(update) = update {
+                notify(update, None);
             }
-            notify(update, None);
         });
-        self.tasks.calls.push(task.abort_handle());
+        self.tasks.calls.insert(index, task.abort_handle());
+    }
+
+    /// Ends the call of a delegation.
+    fn cancel(&self, index: DelegationIndex) {
+        if let Some(call) = self.tasks.calls.get(&index) {
+            call.abort();
+        }
     }
 
     /// Starts an exchange with a server.
@@ -440,7 +521,8 @@
             let exchange = match gateway.pool(ticket.server) {
                 Some(pool) => {
                     let on_notice = |notice| {
-                        gateway.apply_notice(&ticket, pool.incarnation(), notice);
+                        let AttemptTicket { server, sent, .. } = ticket;
+                        gateway.apply_notice(server, sent, pool.incarnation(), notice);
                     };
                     pool.exchange(&request, limits, on_notice).await
                 }
@@ -458,24 +540,26 @@
     }
 }
 
-/// Sends a search request for `shards` to a peer, passes each valid reply to
-/// `notify`, and returns how the delegation ended.
+/// Sends a request for `shards` to a peer, passes each valid reply to `notify`, and returns
+/// how the delegation ended; `None` if the last reply says so.
 async fn call_peer(
     gateway: &Gateway,
     peer: &str,
     request: &PeerRequest,
     shards: &[ShardIndex],
     class: ClassKey,
-    notify: impl Fn(DelegationUpdate, Option<DelegatedParts>),
-) -> DelegationUpdate {
+    notify: impl Fn(DelegationUpdate, Option<PeerResult>),
+) -> Option<DelegationUpdate> {
     let address = gateway.state.borrow().peers.address(peer);
-    let Some(address) = address else { return DelegationUpdate::NotSent };
+    let Some(address) = address else { return Some(DelegationUpdate::NotSent) };
     let sent = BootTime::now();
+    let on_failure = || gateway.state.borrow_mut().peers.on_failed(BootTime::now(), peer);
     let failure_of = |error: &WireError| {
         debug!(peer = peer, error:% = error; "delegation failed");
+        on_failure();
         match error.kind() {
-            WireErrorKind::NotSent => DelegationUpdate::NotSent,
-            _ => DelegationUpdate::Lost,
+            WireErrorKind::NotSent => Some(DelegationUpdate::NotSent),
+            _ => Some(DelegationUpdate::Lost),
         }
     };
     let mut replies = match gateway.peer_pool.call_streaming(address, request).await {
@@ -484,39 +568,139 @@
     };
     let mut has_reply = false;
     loop {
-        let parts = match replies.next().await {
-            Ok(Some(PeerReply::Parts(parts))) => parts,
-            Ok(Some(_)) => {
-                return DelegationUpdate::NotSent;
-            }
-            Ok(None) => return DelegationUpdate::Ended,
+        let reply = match replies.next().await {
+            Ok(Some(reply)) => reply,
+            Ok(None) => return Some(DelegationUpdate::Ended),
             Err(error) => return failure_of(&error),
         };
-        gateway.mark_leaving(&parts.leaving);
+        let (leaving, links) = match &reply {
+            PeerReply::Parts(parts) => (&parts.leaving[..], &parts.links[..]),
+            PeerReply::Outcome(outcome) => (&outcome.leaving[..], &outcome.links[..]),
+            PeerReply::Full(retry_in) => {
+                gateway.state.borrow_mut().peers.on_full(BootTime::now(), peer, *retry_in);
+                return Some(DelegationUpdate::NotSent);
+            }
+            _ => {
+                on_failure();
+                return Some(DelegationUpdate::NotSent);
+            }
+        };
+        gateway.mark_leaving(leaving);
+        gateway.merge_links(links);
         if !has_reply {
             has_reply = true;
             gateway.reporter.count_delegation(DelegationOutcome::Answered);
             let state = &mut *gateway.state.borrow_mut();
-            state.fleet.classes.record_delegation(class, BootTime::now().since(sent));
-            state.peers.on_answered(peer);
+            let now = BootTime::now();
+            state.fleet.classes.record_delegation(class, now.since(sent));
+            state.peers.on_answered(now, peer);
         }
-        let answered = shards_at(&parts.shards, shards);
-        let not_called = shards_at(&parts.unasked, shards);
-        let (Some(answered), Some(not_called)) = (answered, not_called) else {
-            debug!(peer = peer; "a peer's reply names a shard twice or one that was not requested");
-            return DelegationUpdate::Lost;
-        };
-        if parts.stamps.len() != answered.len() {
-            debug!(peer = peer; "a peer's reply has a different number of stamps and shards");
-            return DelegationUpdate::Lost;
+        match reply {
+            PeerReply::Parts(parts) => {
+                let is_valid = pass_parts(peer, parts, shards, &notify);
+                if !is_valid {
+                    return Some(DelegationUpdate::Lost);
+                }
+            }
+            PeerReply::Outcome(outcome) => {
+                return pass_outcome(gateway, *outcome, shards, &mut replies, &notify).await;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Passes results of shards to `notify`; returns whether they are valid.
+fn pass_parts(
+    peer: &str,
+    parts: DelegatedParts,
+    shards: &[ShardIndex],
+    notify: &impl Fn(DelegationUpdate, Option<PeerResult>),
+) -> bool {
+    let answered = shards_at(&parts.shards, shards);
+    let not_called = shards_at(&parts.unasked, shards);
+    let (Some(answered), Some(not_called)) = (answered, not_called) else {
+        debug!(peer = peer; "a peer's reply names a shard twice or one that was not requested");
+        return false;
+    };
+    if parts.stamps.len() != answered.len() {
+        debug!(peer = peer; "a peer's reply has a different number of stamps and shards");
+        return false;
+    }
+    if !answered.is_empty() || not_called.is_empty() {
+        notify(DelegationUpdate::PartialResults(answered), Some(PeerResult::Parts(parts)));
+    }
+    if !not_called.is_empty() {
+        notify(DelegationUpdate::NotCalled(not_called), None);
+    }
+    true
+}
+
+/// Passes the outcome of a request to one service to `notify`, and returns how the delegation
+/// ended; `None` if `notify` knows.
+async fn pass_outcome(
+    gateway: &Gateway,
+    outcome: DelegatedOutcome,
+    shards: &[ShardIndex],
+    replies: &mut ReplyStream<'_, PeerReply>,
+    notify: &impl Fn(DelegationUpdate, Option<PeerResult>),
+) -> Option<DelegationUpdate> {
+    let DelegatedOutcome { verdict, response, retry_in, .. } = outcome;
+    let response = match response {
+        Some(response) => read_response(gateway, response, replies).await,
+        None => None,
+    };
+    let result = response.map(PeerResult::Response);
+    match verdict {
+        DelegatedVerdict::Answered if result.is_some() => {
+            notify(DelegationUpdate::PartialResults(shards.to_vec()), result);
+            return Some(DelegationUpdate::Ended);
+        }
+        DelegatedVerdict::Answered | DelegatedVerdict::Failed => {
+            notify(DelegationUpdate::Failed, result);
+        }
+        DelegatedVerdict::NotRun => {
+            notify(DelegationUpdate::NotRun, Some(PeerResult::RetryIn(retry_in)));
         }
-        if !answered.is_empty() || not_called.is_empty() {
-            notify(DelegationUpdate::PartialResults(answered), Some(parts));
+        DelegatedVerdict::NotCalled => {
+            notify(
+                DelegationUpdate::NotCalled(shards.to_vec()),
+                Some(PeerResult::RetryIn(retry_in)),
+            );
+            return Some(DelegationUpdate::Ended);
         }
-        if !not_called.is_empty() {
-            notify(DelegationUpdate::NotCalled(not_called), None);
+    }
+    None
+}
+
+/// Reads the rest of a response; `None` if it is incomplete, invalid or too large.
+async fn read_response(
+    gateway: &Gateway,
+    response: DelegatedResponse,
+    replies: &mut ReplyStream<'_, PeerReply>,
+) -> Option<BackendResponse> {
+    let reservation = gateway.state.borrow().byte_budget.reserve(MAX_RESPONSE_BYTES);
+    let DelegatedResponse { status, headers, length, body: mut part } = response;
+    let mut body = BytesMut::new();
+    loop {
+        if !reservation.try_hold(part.len()) {
+            return None;
+        }
+        body.extend_from_slice(&part);
+        if body.len() >= length {
+            break;
         }
+        part = match replies.next().await {
+            Ok(Some(PeerReply::MoreBody(part))) => part,
+            _ => return None,
+        };
+    }
+    if body.len() > length {
+        return None;
     }
+    let status = StatusCode::from_u16(status).ok()?;
+    let headers = read_headers(&headers)?;
+    Some(BackendResponse::new(status, headers, body.freeze(), reservation))
 }
 
 /// Maps positions in a request to its shards; `None` if a position is out of range
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -47,6 +47,8 @@
     crashes: u64,
     /// Number of the last change of the leaving servers.
     leaving: u64,
+    /// Number of the last change of a link report.
+    links: u64,
 }
 
 /// Times of the last store data, from which the age of the local state follows.
@@ -133,24 +135,27 @@
             follow_request.revision = state.directory.revision();
             follow_request.nodes = state.peers.revision();
             follow_request.age = state.freshness.age(now);
-            follow_request.unreachable_zones = state.fleet.zone_reachability.unreachable_zones();
             if confirmed.life != follow_request.life {
                 confirmed = ConfirmedChanges { life: follow_request.life, ..Default::default() };
                 follow_request.limits_known = 0;
                 follow_request.crashes_known = 0;
+                follow_request.links_known = 0;
             }
             let limits = state.fleet.limits_after(confirmed.limits);
             let crashes = state.crashes.updates_after(now, confirmed.crashes);
+            let links = state.peers.link_reports().updates_after(confirmed.links);
             let (leaving_number, leaving) = state.directory.leaving_after(confirmed.leaving);
             sent = ConfirmedChanges {
                 life: 0,
                 limits: limits.number,
                 crashes: crashes.number,
                 leaving: leaving_number,
+                links: links.number,
             };
             follow_request.leaving = leaving;
             follow_request.limits = limits.records;
             follow_request.crashes = crashes.records;
+            follow_request.links = links.reports;
         }
         let request = PeerRequest::Follow(follow_request.clone());
         let called = BootTime::now();
@@ -165,6 +170,7 @@
                 follow_request.servers = update.servers.number;
                 follow_request.limits_known = update.limits.number;
                 follow_request.crashes_known = update.crashes.number;
+                follow_request.links_known = update.links.number;
                 confirmed = ConfirmedChanges { life: update.life, ..sent };
                 let age_ms = update.age.as_millis() as u64;
                 apply_update(&gateway, called, *update);
@@ -176,6 +182,7 @@
                 gateway.mark_leaving(&reply.leaving);
                 gateway.merge_limits(&reply.limits);
                 gateway.merge_crashes(&reply.crashes);
+                gateway.merge_links(&reply.links);
                 handle_stale_peer(&gateway, &peer, reply.age.as_millis() as u64, false);
             }
             // A peer refuses to be followed only while it is stopping.
@@ -211,7 +218,7 @@
     // fresher by the network delay each time that it is passed on, and nodes may
     // follow each other in a cycle.
     let confirmed_at = called + update.waited - update.age;
-    gateway.suspect_zones(&update.unreachable_zones);
+    gateway.merge_links(&update.links.reports);
     let changes = {
         let state = &mut *gateway.state.borrow_mut();
         // A peer that has just started may not have a list of servers yet.
@@ -265,6 +272,7 @@
         leaving,
         limits: state.fleet.limits_after(0).records,
         crashes: state.crashes.updates_after(now, 0).records,
+        links: state.peers.link_reports().updates_after(0).reports,
     }
 }
 
@@ -275,21 +283,17 @@
     let mut changes = gateway.change_count.subscribe();
     let is_same_incarnation = request.life == gateway.incarnation;
     let max_age = gateway.timing.max_age();
-    let zones = || gateway.state.borrow().fleet.zone_reachability.unreachable_zones();
-    let zones_before = zones();
     let age = || gateway.state.borrow().freshness.age(BootTime::now());
     let has_update = |_: &u64| {
         if !is_same_incarnation {
             return age() <= max_age;
         }
-        if zones() != zones_before {
-            return true;
-        }
         let state = gateway.state.borrow();
         let now = BootTime::now();
         request.servers != state.directory.last_change()
             || request.limits_known != state.fleet.last_limit_change()
             || request.crashes_known != state.crashes.last_change()
+            || request.links_known != state.peers.link_reports().last_change()
             || request.nodes < state.peers.revision()
             || request.version < state.configuration.version
             || state.freshness.age(now) + MIN_AGE_GAIN < request.age + now.since(called)
@@ -314,7 +318,11 @@
         life: gateway.incarnation,
         age: state.freshness.age(now),
         waited: now.since(called),
-        unreachable_zones: state.fleet.zone_reachability.unreachable_zones(),
+        links: state.peers.link_reports().updates_after(if is_same_incarnation {
+            request.links_known
+        } else {
+            0
+        }),
         origin: Some(state.freshness.origin.clone().unwrap_or(state.peers.own().name.clone())),
         servers,
         limits: state.fleet.limits_after(if is_same_incarnation {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell, collections::hash_map::RandomState, hash::BuildHasher, net::SocketAddr, rc::Rc,
-    sync::Arc, time::Duration,
+    time::Duration,
 };
 
 use carobstep_clock::BootTime;
@@ -12,37 +12,25 @@
     AttemptOutcome, AttemptTicket, Configuration, CrashEvidence, CrashRecord, CrashTable,
     DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice, LimitRecord,
     NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
-    QuarantineChange, QuotaLedger, RequestAdmission, RequestFingerprint, RouteTable,
+    QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
     ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
     StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::{info, warn};
 use slotmap::SecondaryMap;
-use tokio::{
-    net::TcpStream,
-    sync::{Notify, watch},
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::sync::{Notify, watch};
 
 use crate::{
     backend::ServerPool,
     byte_budget::ByteBudget,
     follow::StoreFreshness,
-    report::{GaugeReadings, NoticeKind, Reporter},
+    report::{GaugeReadings, NoticeKind, RelayAdmission, Reporter},
 };
 
 /// Number of nodes assumed to share [`FleetLimits`] until the list of nodes is known.
 const INITIAL_NODE_COUNT: u32 = 10;
 
-/// Interval at which unresponsive availability zones are checked for.
-const REACHABILITY_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Timeout for a probe's connection attempt; the zones of a region are a few
-/// milliseconds apart.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Minimum number of nodes assumed to share [`FleetLimits`], because further nodes
 /// may start at any time.
 const MIN_NODE_COUNT: u32 = 4;
@@ -102,13 +90,15 @@
     pub(crate) quotas: QuotaLedger,
     /// Nodes that take this one for the owner of limits.
     pub(crate) support: OwnerSupport,
+    /// Room for requests of nodes that have lost their links to servers.
+    pub(crate) room: RelayRoom,
     /// Requests that crashed servers.
     pub(crate) crashes: CrashTable,
     /// Requests that this node has quarantined or cleared and not announced yet.
     pub(crate) unannounced: Vec<RequestFingerprint>,
     pub(crate) peers: PeerTable,
-    /// Number of searches since the start of the process.
-    pub(crate) searches: usize,
+    /// Number of requests since the start of the process.
+    pub(crate) requests: usize,
     pub(crate) finish_lag: FinishLag,
     pub(crate) lifecycle: NodeLifecycle,
     pub(crate) in_flight: usize,
@@ -117,7 +107,23 @@
     /// Whether a peer has sent its copy of the store's data.
     pub(crate) has_peer_copy: bool,
     pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
-    byte_budget: Rc<ByteBudget>,
+    pub(crate) byte_budget: Rc<ByteBudget>,
+}
+
+/// Counts a request as in flight until it is answered or its caller disconnects.
+pub(crate) struct InFlightGuard<'gateway>(&'gateway Gateway);
+
+impl<'gateway> InFlightGuard<'gateway> {
+    pub(crate) fn new(gateway: &'gateway Gateway) -> Self {
+        gateway.state.borrow_mut().in_flight += 1;
+        Self(gateway)
+    }
+}
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().in_flight -= 1;
+    }
 }
 
 impl Gateway {
@@ -149,10 +155,11 @@
             fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
             quotas: QuotaLedger::default(),
             support: OwnerSupport::default(),
+            room: RelayRoom::new(BootTime::now()),
             crashes: CrashTable::default(),
             unannounced: Vec::new(),
             peers: PeerTable::new(own),
-            searches: 0,
+            requests: 0,
             finish_lag: FinishLag::new(settings.cpu_share),
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
@@ -243,18 +250,24 @@
         self.notify_peers();
     }
 
-    /// Applies what a response of a server says about the server.
+    /// Applies what a response of a server, to a request that was sent at `sent`, says about
+    /// the server.
     pub(crate) fn apply_notice(
         &self,
-        ticket: &AttemptTicket,
+        server: ServerKey,
+        sent: BootTime,
         incarnation: &ServerIncarnation,
         notice: ServerNotice,
     ) {
+        self.state.borrow_mut().fleet.on_response(BootTime::now(), server);
+        if notice == ServerNotice::default() {
+            return;
+        }
         match notice.pause {
             PauseRequest::None => {}
             PauseRequest::For(pause) => {
                 self.reporter.count_server_notice(NoticeKind::Pause);
-                self.state.borrow_mut().fleet.pause_server(BootTime::now(), ticket.server, pause);
+                self.state.borrow_mut().fleet.pause_server(BootTime::now(), server, pause);
             }
             PauseRequest::Unreadable => {
                 self.reporter.count_server_notice(NoticeKind::UnreadablePause);
@@ -269,7 +282,7 @@
         }
         let change = {
             let fleet = &mut self.state.borrow_mut().fleet;
-            fleet.observe_limit(BootTime::now(), ticket.sent, incarnation, notice.limit)
+            fleet.observe_limit(BootTime::now(), sent, incarnation, notice.limit)
         };
         if let Some(change) = change {
             self.log_limit(incarnation, change, "response");
@@ -358,15 +371,15 @@
         self.apply_changes(&changes);
     }
 
-    /// Probes zones that a peer can't reach, other than the local one.
-    pub(crate) fn suspect_zones(&self, zones: &[Arc<str>]) {
-        let now = BootTime::now();
-        let fleet = &mut self.state.borrow_mut().fleet;
-        for zone in zones {
-            if *zone != self.settings.zone {
-                fleet.zone_reachability.suspect(now, zone);
-            }
-        }
+    /// Takes on a request of a node that has lost its links to the servers of `shards`
+    /// shards, if there is room for it; fails with the time until there is.
+    pub(crate) fn take_relayed(&self, shards: usize, priority: u32) -> Result<(), Duration> {
+        let state = &mut *self.state.borrow_mut();
+        let seconds = state.peers.own().shard_seconds() * shards as f64;
+        let admission = state.room.try_take(BootTime::now(), seconds, priority);
+        let outcome = if admission.is_ok() { RelayAdmission::Taken } else { RelayAdmission::Full };
+        self.reporter.count_relayed(outcome);
+        admission
     }
 
     /// Returns the servers that recently said that they are leaving.
@@ -412,72 +425,24 @@
         let ready = self.phase() == LifecyclePhase::Ready;
         let readings = {
             let state = self.state.borrow();
+            let now = BootTime::now();
             GaugeReadings {
                 version: state.configuration.version,
                 servers: state.fleet.server_count(),
                 nodes: state.peers.live_nodes(),
                 in_flight: state.in_flight,
-                store_age: state.freshness.age(BootTime::now()),
+                store_age: state.freshness.age(now),
                 store_era: state.directory.revision().era,
                 ready,
                 quarantined_requests: state.crashes.quarantined(),
                 limited_servers: state.fleet.limited_servers(),
-                unreachable_zones: state.fleet.zone_reachability.unreachable_zones().len(),
+                unreachable_zones: state.fleet.lost_zones(now).len(),
+                lost_servers: state.fleet.lost_servers(now),
+                nodes_without_links: state.peers.link_reports().nodes_without_links(),
             }
         };
         self.reporter.encode_metrics(readings)
     }
-
-    /// Probes unresponsive availability zones and keeps the readiness of the node up to
-    /// date, for the lifetime of the process.
-    pub(crate) async fn monitor_zones(self: Rc<Self>) {
-        let mut round = 0;
-        loop {
-            sleep(REACHABILITY_INTERVAL).await;
-            let now = BootTime::now();
-            let due = self.state.borrow_mut().fleet.zone_reachability.due_probes(now);
-            for zone in due {
-                round += 1;
-                let targets = self.state.borrow().fleet.probe_targets(&zone, round);
-                for address in targets {
-                    self.state.borrow_mut().fleet.zone_reachability.on_probe_sent(&zone);
-                    spawn_local(self.clone().probe(zone.clone(), address));
-                }
-            }
-            self.update_readiness();
-        }
-    }
-
-    async fn probe(self: Rc<Self>, zone: Arc<str>, address: SocketAddr) {
-        let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-        let (reached, reason) = match connecting {
-            Ok(Ok(_)) => (true, String::new()),
-            Ok(Err(error)) => (false, error.to_string()),
-            Err(_) => (false, "connecting timed out".to_owned()),
-        };
-        let changed =
-            self.state.borrow_mut().fleet.zone_reachability.on_probe_ended(&zone, reached);
-        if changed {
-            info!(
-                zone = zone.as_ref(), reached = reached, server:% = address,
-                reason = reason.as_str();
-                "availability zone reached or lost"
-            );
-            self.update_readiness();
-            self.notify_peers();
-        }
-    }
-
-    /// Reports the node as not ready if unreachable zones make a route unservable.
-    fn update_readiness(&self) {
-        let state = &mut *self.state.borrow_mut();
-        let fleet = &state.fleet;
-        let has_unreachable_route = fleet.zone_reachability.any_unreachable()
-            && state.configuration.routes.iter().any(|route| fleet.is_route_unreachable(route));
-        if state.lifecycle.set_unreachable(BootTime::now(), has_unreachable_route) {
-            info!(cut_off = has_unreachable_route; "readiness changed with the zones in reach");
-        }
-    }
 }
 
 impl GatewayState {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -6,8 +6,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    CallerLimits, DelegationPlan, DelegationRequest, FanoutOutcome, FanoutPlan, GatherConfig,
-    LifecyclePhase, RequestAdmission, RouteConfig, RouteTarget, merge_records, plan_delegations,
+    CallerLimits, FanoutOutcome, FanoutPlan, FanoutRole, GatherConfig, LifecyclePhase,
+    PlacementRequest, RequestAdmission, RouteConfig, RouteTarget, merge_records, place_request,
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,7 +16,7 @@
 use crate::{
     backend::{BackendRequest, BackendResponse},
     fanout::{FanoutResult, run_fanout},
-    gateway::Gateway,
+    gateway::{Gateway, InFlightGuard},
     peers::DelegatedScope,
     report::{RequestReport, RequestVerdict},
 };
@@ -35,22 +35,6 @@
 /// Retry delay sent to callers when no server executed the request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(60);
 
-/// Counts a request as in flight until it is answered or its caller disconnects.
-struct InFlightGuard<'gateway>(&'gateway Gateway);
-
-impl<'gateway> InFlightGuard<'gateway> {
-    fn new(gateway: &'gateway Gateway) -> Self {
-        gateway.state.borrow_mut().in_flight += 1;
-        Self(gateway)
-    }
-}
-
-impl Drop for InFlightGuard<'_> {
-    fn drop(&mut self) {
-        self.0.state.borrow_mut().in_flight -= 1;
-    }
-}
-
 /// Handles one request and returns the response.
 pub(crate) async fn handle(
     gateway: Rc<Gateway>,
@@ -186,41 +170,47 @@
     };
     let answer_in = route.objective.saturating_sub(CALLER_MARGIN + reserve);
     let answer_by = arrived + answer_in.min(timeout);
-    let mut scope = DelegatedScope::default();
-    let mut delegation_plan = DelegationPlan::default();
-    if let RouteTarget::Gather(gather) = &route.target {
-        state.searches += 1;
-        let request = DelegationRequest {
-            names: &service_names,
-            services: &services,
-            class,
-            objective: route.objective,
-            attempts: route.attempts,
-            answer_by,
-            number: state.searches,
-        };
-        if !is_cautious {
-            delegation_plan = plan_delegations(arrived, request, fleet, &state.peers);
-        }
-        scope = DelegatedScope {
-            max_records: u32::try_from(gather.max_records).unwrap_or(u32::MAX),
-            objective: route.objective,
-            timeout: route.timeout,
-        };
-    }
+    let is_search = matches!(route.target, RouteTarget::Gather(_));
+    let max_records = match &route.target {
+        RouteTarget::Gather(gather) => gather.max_records,
+        RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
+    };
+    let deadline = arrived + timeout.saturating_sub(RESPONSE_MARGIN);
+    state.requests += 1;
+    let request = PlacementRequest {
+        is_search,
+        is_cautious,
+        class,
+        objective: route.objective,
+        attempts: route.attempts,
+        answer_by,
+        deadline,
+        number: state.requests,
+    };
+    let placement = place_request(arrived, request, &service_names, &services, fleet, &state.peers);
+    let delegated: usize = placement.delegations.iter().map(|it| it.shards.len()).sum();
+    let own_seconds = (services.len() - delegated) as f64 * state.peers.own().shard_seconds();
+    state.room.record_own(arrived, own_seconds);
+    let scope = DelegatedScope {
+        is_search,
+        priority: route.priority,
+        max_records: u32::try_from(max_records).unwrap_or(u32::MAX),
+        objective: route.objective,
+        timeout: route.timeout,
+    };
     let plan = FanoutPlan {
         services,
         min_shards,
         retry: route.retry,
         attempts: route.attempts,
         class,
-        delegations: delegation_plan.delegations,
-        allowed: delegation_plan.allowed,
-        is_delegated: false,
+        delegations: placement.delegations,
+        allowed: placement.allowed,
+        role: FanoutRole::Entry { has_peers: state.peers.live_nodes() > 1 },
         is_cautious,
         arrived,
         answer_by,
-        deadline: arrived + timeout.saturating_sub(RESPONSE_MARGIN),
+        deadline,
     };
     (plan, scope)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod gateway;
 mod handler;
 mod ingress;
+mod links;
 mod main_entry;
 mod membership;
 mod peer_messages;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -14,7 +14,9 @@
     args::GatewayArgs,
     follow::follow_peer,
     gateway::Gateway,
-    ingress, membership,
+    ingress,
+    links::monitor_links,
+    membership,
     peers::{PeerBridge, serve_calls},
     quarantine::announce_quarantines,
     quota::ask_for_tokens,
@@ -101,7 +103,7 @@
     spawn_local(remove_expired(gateway.clone()));
     spawn_local(ask_for_tokens(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
-    spawn_local(gateway.clone().monitor_zones());
+    spawn_local(monitor_links(gateway.clone()));
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness_listener));
     spawn_local(ingress::serve_callers(gateway.clone(), caller_listener));
     info!(callers:% = gateway.settings.caller_listener; "started");
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -4,22 +4,25 @@
 
 use bytes::Bytes;
 use carobstep_tier::{
-    CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, PeerUpdate, QuotaAsk,
-    ServerIncarnation, StoreRevision,
+    CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, LinkReport, LinkUpdate,
+    PeerUpdate, QuotaAsk, ServerIncarnation, StoreRevision,
 };
 use serde::{Deserialize, Serialize};
 
 /// A request to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
-    /// A search of some shards, which the receiver executes.
-    Search(DelegatedSearch),
+    /// A request for some shards, whose servers the receiver calls.
+    Delegated(DelegatedRequest),
     /// A call for changes in the store, by long polling.
     Follow(FollowRequest),
     /// A request for tokens for servers that limit their requests.
     Quota(QuotaRequest),
     /// Requests that crash servers.
     Crashes(Vec<CrashRecord>),
+    /// A call to find out whether the receiver can call servers in place of the sender, with
+    /// what is known of the sender's links.
+    Contact(Vec<LinkReport>),
 }
 
 /// A reply to a [`PeerRequest`].
@@ -39,6 +42,52 @@
     Quota(QuotaReply),
     /// The message was received.
     Received,
+    /// The peer has no room for a request of a node that has lost its links, for this time.
+    Full(Duration),
+    /// Outcome of a request to one service.
+    Outcome(Box<DelegatedOutcome>),
+    /// A further part of the response's body.
+    MoreBody(Bytes),
+    /// Reply to a call to find out about the peer, with what is known of its links.
+    Contact(Vec<LinkReport>),
+}
+
+/// How a request to one service ended that a peer has sent for this node.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct DelegatedOutcome {
+    pub(crate) verdict: DelegatedVerdict,
+    /// The server's response, also if it reports a failure.
+    pub(crate) response: Option<DelegatedResponse>,
+    /// Time after which a refused caller may find servers that accept requests.
+    pub(crate) retry_in: Duration,
+    /// Servers that recently said that they are leaving.
+    pub(crate) leaving: Vec<ServerIncarnation>,
+    /// What is known of the peer's links.
+    pub(crate) links: Vec<LinkReport>,
+}
+
+/// Result of a request to one service that a peer has sent for this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum DelegatedVerdict {
+    /// A server responded successfully.
+    Answered,
+    /// The request may have run, without success.
+    Failed,
+    /// Servers were called, and none has run the request.
+    NotRun,
+    /// No server was called.
+    NotCalled,
+}
+
+/// Response of a server.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct DelegatedResponse {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, Bytes)>,
+    /// Length of the whole body, in bytes.
+    pub(crate) length: usize,
+    /// First part of the body; the others follow.
+    pub(crate) body: Bytes,
 }
 
 /// Request for tokens to the node that the sender takes for their owner.
@@ -61,9 +110,22 @@
     pub(crate) records: Vec<LimitRecord>,
 }
 
-/// Part of a search that a peer executes: some of its shards.
+/// Part of a request that a peer executes: some of its shards, the only one of a request to
+/// one service.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct DelegatedSearch {
+pub(crate) struct DelegatedRequest {
+    /// Whether the results of the shards are merged.
+    pub(crate) is_search: bool,
+    /// Whether the request may run at most once.
+    pub(crate) is_at_most_once: bool,
+    /// Whether servers may have crashed under the request.
+    pub(crate) is_cautious: bool,
+    /// Whether the sender has lost its links to servers of the shards.
+    pub(crate) is_relay: bool,
+    /// Whether no server was called for the shards before.
+    pub(crate) is_first: bool,
+    /// Priority of the route; 0 is the highest.
+    pub(crate) priority: u32,
     /// For each shard, the hashed identifiers of the servers that may be called.
     pub(crate) shards: Vec<Vec<u32>>,
     /// Maximum number of greatest records to return from all shards together.
@@ -76,7 +138,7 @@
     pub(crate) timeout: Duration,
     /// Time until the response to the caller is due with the results at hand.
     pub(crate) answer_in: Duration,
-    /// Time until the search is abandoned.
+    /// Time until the request is abandoned.
     pub(crate) deadline_in: Duration,
     pub(crate) method: String,
     /// Path and query.
@@ -100,6 +162,8 @@
     pub(crate) unasked: Vec<u16>,
     /// Servers that recently said that they are leaving.
     pub(crate) leaving: Vec<ServerIncarnation>,
+    /// What is known of the peer's links.
+    pub(crate) links: Vec<LinkReport>,
 }
 
 /// Request for changes in the store; the peer waits a while for one before it replies.
@@ -121,8 +185,11 @@
     /// Servers that said that they are leaving since the last request that this incarnation
     /// of the peer has replied to.
     pub(crate) leaving: Vec<ServerIncarnation>,
-    /// Availability zones that the requesting node can't reach.
-    pub(crate) unreachable_zones: Vec<Arc<str>>,
+    /// Number of the peer's last change of a link report that the requesting node knows.
+    pub(crate) links_known: u64,
+    /// Link reports that have changed since the last request that this incarnation of the
+    /// peer has replied to.
+    pub(crate) links: Vec<LinkReport>,
     /// Number of the peer's last change of a limit that the requesting node knows.
     pub(crate) limits_known: u64,
     /// Limits that have changed since the last request that this incarnation of the peer
@@ -147,6 +214,8 @@
     pub(crate) limits: Vec<LimitRecord>,
     /// Requests that crashed servers.
     pub(crate) crashes: Vec<CrashRecord>,
+    /// Zones whose servers nodes don't reach.
+    pub(crate) links: Vec<LinkReport>,
 }
 
 /// Store data that a peer passes on.
@@ -159,8 +228,8 @@
     pub(crate) age: Duration,
     /// Time for which the peer waited for a change before it replied.
     pub(crate) waited: Duration,
-    /// Availability zones that the peer can't reach.
-    pub(crate) unreachable_zones: Vec<Arc<str>>,
+    /// Link reports that have changed.
+    pub(crate) links: LinkUpdate,
     /// Node that the store confirmed this data to.
     pub(crate) origin: Option<Arc<str>>,
     pub(crate) servers: DirectoryUpdate,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Requests from peers: delegated shards of a search, and store updates.
+//! Requests from peers: delegated shards of a request, and store updates.
 
 use std::{rc::Rc, time::Duration};
 
@@ -6,7 +6,7 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    FanoutPlan, LifecyclePhase, RetryPolicy, ServerFleet, ServerIncarnation, ShardIndex,
+    Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy, ShardIndex,
     merge_records,
 };
 use carobstep_wire::{PeerHandler, ReplySink};
@@ -22,8 +22,11 @@
     backend::{BackendRequest, BackendResponse},
     fanout::run_fanout,
     follow::wait_for_update,
-    gateway::Gateway,
-    peer_messages::{DelegatedParts, DelegatedSearch, PeerReply, PeerRequest},
+    gateway::{Gateway, GatewayState, InFlightGuard},
+    peer_messages::{
+        DelegatedOutcome, DelegatedParts, DelegatedRequest, DelegatedResponse, DelegatedVerdict,
+        PeerReply, PeerRequest,
+    },
     quota::grant_tokens,
 };
 
@@ -31,6 +34,10 @@
 /// zones, and scheduling on both nodes.
 const HOP_MARGIN: Duration = Duration::from_millis(4);
 
+/// Maximum size of the part of a response's body in one message, in bytes; well below that
+/// of a message.
+const MAX_CHUNK_BYTES: usize = 1024 * 1024;
+
 /// A request of a peer and the sink for its replies.
 type QueuedCall = (PeerRequest, ReplySink<PeerReply>);
 
@@ -76,22 +83,25 @@
 
 async fn serve_call(gateway: &Rc<Gateway>, request: PeerRequest, replies: &ReplySink<PeerReply>) {
     match &request {
-        PeerRequest::Search(search) => gateway.mark_leaving(&search.leaving),
+        PeerRequest::Delegated(delegated) => gateway.mark_leaving(&delegated.leaving),
         PeerRequest::Follow(follow) => {
             gateway.mark_leaving(&follow.leaving);
-            gateway.suspect_zones(&follow.unreachable_zones);
+            gateway.merge_links(&follow.links);
             gateway.merge_limits(&follow.limits);
             gateway.merge_crashes(&follow.crashes);
         }
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
+        PeerRequest::Contact(links) => gateway.merge_links(links),
         PeerRequest::Quota(_) => {}
     }
+    let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
-        PeerRequest::Search(search) => search_shards(gateway, search, replies).await,
-        PeerRequest::Follow(_) if gateway.state.borrow().lifecycle.is_stopping() => {
+        PeerRequest::Delegated(request) => serve_delegated(gateway, request, replies).await,
+        PeerRequest::Follow(_) | PeerRequest::Contact(_) if is_stopping => {
             replies.send(PeerReply::Refused);
         }
         PeerRequest::Crashes(_) => replies.send(PeerReply::Received),
+        PeerRequest::Contact(_) => replies.send(PeerReply::Contact(gateway.own_links())),
         PeerRequest::Quota(request) => {
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
@@ -99,19 +109,45 @@
     }
 }
 
-async fn search_shards(
+/// Calls servers for a request of another node.
+async fn serve_delegated(
     gateway: &Rc<Gateway>,
-    search: DelegatedSearch,
+    request: DelegatedRequest,
     replies: &ReplySink<PeerReply>,
 ) {
     let is_serving = matches!(gateway.phase(), LifecyclePhase::Ready | LifecyclePhase::CutOff);
-    let max_records = search.top as usize;
-    let Some((plan, request)) =
-        is_serving.then(|| plan_delegated_search(gateway, search)).flatten()
-    else {
+    if !is_serving {
+        replies.send(PeerReply::Refused);
+        return;
+    }
+    if request.is_relay {
+        let admission = gateway.take_relayed(request.shards.len(), request.priority);
+        if let Err(retry_in) = admission {
+            replies.send(PeerReply::Full(retry_in));
+            return;
+        }
+    }
+    // A node that stops finishes what it has taken on.
+    let _in_flight = InFlightGuard::new(gateway);
+    let (is_search, max_records) = (request.is_search, request.top as usize);
+    let Some((plan, request)) = plan_delegated(gateway, request) else {
         replies.send(PeerReply::Refused);
         return;
     };
+    if is_search {
+        search_shards(gateway, plan, request, max_records, replies).await;
+    } else {
+        call_service(gateway, plan, request, replies).await;
+    }
+}
+
+async fn search_shards(
+    gateway: &Rc<Gateway>,
+    plan: FanoutPlan,
+    request: BackendRequest,
+    max_records: usize,
+    replies: &ReplySink<PeerReply>,
+) {
     let mut reported =
         ReportedShards { is_shard_reported: vec![false; plan.services.len()], has_replied: false };
     // Not used, because a peer does not delegate the shards further.
@@ -119,6 +155,7 @@
     let mut send_progress = |responses: &[Option<BackendResponse>], not_called: &[ShardIndex]| {
         if let Some(mut parts) = reported.next_parts(responses, not_called, max_records) {
             parts.leaving = gateway.recently_leaving();
+            parts.links = gateway.own_links();
             replies.send(PeerReply::Parts(parts));
         }
     };
@@ -126,6 +163,47 @@
     send_progress(&result.responses, &result.not_called);
 }
 
+/// Sends a request to one service, and its outcome to the node that delegated it.
+async fn call_service(
+    gateway: &Rc<Gateway>,
+    plan: FanoutPlan,
+    request: BackendRequest,
+    replies: &ReplySink<PeerReply>,
+) {
+    let scope = DelegatedScope::default();
+    let mut result = run_fanout(gateway, plan, Rc::new(request), scope, |_, _| {}).await;
+    let (verdict, response) = match result.outcome {
+        FanoutOutcome::Answered => {
+            (DelegatedVerdict::Answered, result.responses.first_mut().and_then(Option::take))
+        }
+        FanoutOutcome::NotRun if !result.not_called.is_empty() => {
+            (DelegatedVerdict::NotCalled, None)
+        }
+        FanoutOutcome::NotRun => (DelegatedVerdict::NotRun, None),
+        FanoutOutcome::Failed | FanoutOutcome::TimedOut => {
+            (DelegatedVerdict::Failed, result.failure.take())
+        }
+    };
+    let mut rest = Bytes::new();
+    let response = response.map(|response| {
+        let mut body = response.body;
+        let length = body.len();
+        rest = body.split_off(length.min(MAX_CHUNK_BYTES));
+        let (status, headers) = (response.status.as_u16(), copy_headers(&response.headers));
+        DelegatedResponse { status, headers, length, body }
+    });
+    replies.send(PeerReply::Outcome(Box::new(DelegatedOutcome {
+        verdict,
+        response,
+        retry_in: result.retry_delay,
+        leaving: gateway.recently_leaving(),
+        links: gateway.own_links(),
+    })));
+    while !rest.is_empty() {
+        replies.send(PeerReply::MoreBody(rest.split_to(rest.len().min(MAX_CHUNK_BYTES))));
+    }
+}
+
 /// Which shards have been reported to the node that delegated them.
 struct ReportedShards {
     /// One entry for each shard.
@@ -167,18 +245,23 @@
     }
 }
 
-/// Plans a delegated search; `None` if the request can't be decoded as HTTP.
-fn plan_delegated_search(
+/// Plans a delegated request; `None` if it can't be decoded as HTTP.
+fn plan_delegated(
     gateway: &Gateway,
-    search: DelegatedSearch,
+    delegated: DelegatedRequest,
 ) -> Option<(FanoutPlan, BackendRequest)> {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
-    let reserve = state.finish_lag.reserve(search.shards.len(), search.objective);
+    let DelegatedRequest { is_search, is_first, objective, .. } = delegated;
+    let reserve = if is_search {
+        state.finish_lag.reserve(delegated.shards.len(), objective)
+    } else {
+        Duration::ZERO
+    };
     let fleet = &mut state.fleet;
-    let mut services = Vec::with_capacity(search.shards.len());
-    let mut allowed = IndexMap::with_capacity(search.shards.len());
-    for (position, id_hashes) in search.shards.iter().enumerate() {
+    let mut services = Vec::with_capacity(delegated.shards.len());
+    let mut allowed = IndexMap::with_capacity(delegated.shards.len());
+    for (position, id_hashes) in delegated.shards.iter().enumerate() {
         // A shard without a server that this node knows is abandoned at once.
         let (service, servers) = fleet.find_servers_by_hash(id_hashes).unwrap_or_default();
         services.push(service);
@@ -186,50 +269,50 @@
     }
     let plan = FanoutPlan {
         services,
-        min_shards: 0,
-        retry: RetryPolicy::Idempotent,
-        attempts: search.attempts,
-        class: fleet.classes.class_for(search.objective, search.timeout, true),
+        min_shards: usize::from(!is_search),
+        retry: if delegated.is_at_most_once {
+            RetryPolicy::AtMostOnce
+        } else {
+            RetryPolicy::Idempotent
+        },
+        attempts: delegated.attempts,
+        class: fleet.classes.class_for(objective, delegated.timeout, is_search),
         delegations: Vec::new(),
         allowed,
-        is_delegated: true,
-        is_cautious: false,
+        role: FanoutRole::Delegate { is_first },
+        is_cautious: delegated.is_cautious,
         arrived: now,
-        answer_by: now + search.answer_in.saturating_sub(reserve),
-        deadline: now + search.deadline_in,
+        answer_by: now + delegated.answer_in.saturating_sub(reserve),
+        deadline: now + delegated.deadline_in,
     };
-    let mut forwarded = HeaderMap::with_capacity(search.headers.len());
-    for (name, value) in &search.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        forwarded.append(name, HeaderValue::from_bytes(value).ok()?);
-    }
+    let headers = read_headers(&delegated.headers)?;
     let request = BackendRequest {
-        method: search.method.parse().ok()?,
-        target: search.target.parse().ok()?,
-        headers: forwarded,
-        body: search.body,
+        method: delegated.method.parse().ok()?,
+        target: delegated.target.parse().ok()?,
+        headers,
+        body: delegated.body,
     };
     Some((plan, request))
 }
 
 /// Builds the request that delegates shards to a peer.
-pub(crate) fn build_search_request(
-    fleet: &ServerFleet,
+pub(crate) fn build_delegated_request(
+    state: &GatewayState,
     request: &BackendRequest,
     plan: &FanoutPlan,
-    position: usize,
+    delegation: &Delegation,
     scope: &DelegatedScope,
-    leaving: Vec<ServerIncarnation>,
 ) -> PeerRequest {
     let now = BootTime::now();
-    let delegation = &plan.delegations[position];
-    let servers = |shard| plan.allowed.get(shard).map(|keys| fleet.id_hashes(keys));
+    let servers = |shard| plan.allowed.get(shard).map(|keys| state.fleet.id_hashes(keys));
     let shards = delegation.shards.iter().map(|shard| servers(shard).unwrap_or_default());
-    let mut copied_headers = Vec::with_capacity(request.headers.len());
-    for (name, value) in &request.headers {
-        copied_headers.push((name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
-    }
-    PeerRequest::Search(DelegatedSearch {
+    PeerRequest::Delegated(DelegatedRequest {
+        is_search: scope.is_search,
+        is_at_most_once: plan.retry == RetryPolicy::AtMostOnce,
+        is_cautious: plan.is_cautious,
+        is_relay: delegation.is_relay,
+        is_first: delegation.is_first,
+        priority: scope.priority,
         shards: shards.collect(),
         top: scope.max_records,
         attempts: plan.attempts,
@@ -239,15 +322,37 @@
         deadline_in: plan.deadline.since(now),
         method: request.method.to_string(),
         target: request.target.to_string(),
-        headers: copied_headers,
+        headers: copy_headers(&request.headers),
         body: request.body.clone(),
-        leaving,
+        leaving: state.directory.recently_leaving(now),
     })
 }
 
-/// Properties of the whole search that a peer needs.
+fn copy_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let mut copied = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        copied.push((name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
+    }
+    copied
+}
+
+/// Decodes copied headers; `None` if a name or value is not valid in HTTP.
+pub(crate) fn read_headers(copied: &[(String, Bytes)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(copied.len());
+    for (name, value) in copied {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
+
+/// Properties of the whole request that a peer needs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DelegatedScope {
+    /// Whether the results of the shards are merged.
+    pub(crate) is_search: bool,
+    /// Priority of the route; 0 is the highest.
+    pub(crate) priority: u32,
     /// Maximum number of greatest records in the response.
     pub(crate) max_records: u32,
     /// Latency objective of the route; determines the latency class with the timeout.
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -41,6 +41,7 @@
     server_notices: IntCounterVec,
     limited_attempts: IntCounterVec,
     broken_attempts: IntCounter,
+    relayed_requests: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -62,6 +63,8 @@
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
     unreachable_zones: IntGauge,
+    lost_servers: IntGauge,
+    nodes_without_links: IntGauge,
 }
 
 /// Values for the gauges.
@@ -77,6 +80,8 @@
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
     pub(crate) unreachable_zones: usize,
+    pub(crate) lost_servers: usize,
+    pub(crate) nodes_without_links: usize,
 }
 
 /// Final classification of a request.
@@ -124,10 +129,24 @@
     NotSent,
     /// The peer called no server for some of the shards.
     NotCalled,
+    /// The peer called servers for a request to one service without success.
+    Failed,
+    /// No server that the peer called for a request to one service has run it.
+    NotRun,
     /// The peer or the connection to it failed.
     Lost,
 }
 
+/// Whether this node takes a request of a node that has lost its links to servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum RelayAdmission {
+    /// It calls servers for it.
+    Taken,
+    /// It has no room for it.
+    Full,
+}
+
 /// What a server said about itself in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -250,6 +269,11 @@
                 "Responses in which a server says that it is leaving, asks for a pause or names a limit.",
                 "kind",
             )?,
+            relayed_requests: counters(
+                "carobstep_relayed_requests_total",
+                "Requests of nodes that have lost their links to servers.",
+                "kind",
+            )?,
             broken_attempts: {
                 let help = "Attempts whose server closed the connection before it responded.";
                 let counter = IntCounter::new("carobstep_broken_attempts_total", help)?;
@@ -283,6 +307,14 @@
                     "carobstep_unreachable_zones",
                     "Availability zones whose servers this node can't reach.",
                 )?,
+                lost_servers: gauge(
+                    "carobstep_lost_servers",
+                    "Backend servers that don't respond to this node.",
+                )?,
+                nodes_without_links: gauge(
+                    "carobstep_nodes_without_links",
+                    "Nodes, with this one, that can't reach the servers of some zone.",
+                )?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -312,6 +344,10 @@
         self.broken_attempts.inc();
     }
 
+    pub(crate) fn count_relayed(&self, admission: RelayAdmission) {
+        self.relayed_requests.with_label_values(&[<&str>::from(admission)]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -331,6 +367,8 @@
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
+        gauges.lost_servers.set(readings.lost_servers as i64);
+        gauges.nodes_without_links.set(readings.nodes_without_links as i64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!(error:% = error; "encoding the metrics failed");
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod caution;
 mod delegated;
+mod relayed;
 mod tokens;
 
 use std::time::Duration;
@@ -16,7 +17,8 @@
 
 use crate::{
     fanout_plan::{
-        DelegationIndex, FanoutAction, FanoutOutcome, FanoutPlan, MissingShards, ShardIndex,
+        DelegationIndex, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole, MissingShards,
+        ShardIndex,
     },
     fleet::{AttemptKind, LimitedUse, PickScope, SearchRank, ServerFleet, ServerKey},
     model::RetryPolicy,
@@ -92,6 +94,16 @@
     peer_may_have_called: bool,
     /// Whether the shard is delegated to a peer and not called directly yet.
     delegated: bool,
+    /// Whether this node can't call servers for the shard, so that a peer has to.
+    needs_peer: bool,
+    /// Number of times that it was delegated for that reason.
+    relays: u32,
+    /// Whether no further peer can call servers for the shard.
+    has_no_peer: bool,
+    /// Delegation that may still return a result of the shard.
+    awaited: Option<DelegationIndex>,
+    /// Servers to which an attempt could not be sent.
+    unsent_to: Vec<ServerKey>,
     state: ShardState,
     hedge_at: BootTime,
     /// When the shard is retried, if it waits for a server, the budget or a delay.
@@ -127,10 +139,11 @@
     #[must_use]
     pub fn new(plan: FanoutPlan) -> Self {
         let mut shards = vec![ShardProgress::default(); plan.services.len()];
-        for delegation in &plan.delegations {
+        for (position, delegation) in plan.delegations.iter().enumerate() {
             for shard in &delegation.shards {
                 if let Some(progress) = shards.get_mut(usize::from(shard.0)) {
                     progress.delegated = true;
+                    progress.awaited = Some(delegation_at(position));
                 }
             }
         }
@@ -156,10 +169,11 @@
     pub fn start(&mut self, now: BootTime, fleet: &mut ServerFleet) -> Vec<FanoutAction> {
         let mut actions = Vec::with_capacity(self.shards.len());
         for position in 0..self.shards.len() {
-            let is_placed = fleet.has_available_server(now, self.plan.services[position])
-                && (self.shards[position].delegated || self.can_get_token(now, fleet, position));
+            let service = self.plan.services[position];
+            let is_placed = self.shards[position].delegated
+                || fleet.has_available_server(now, service)
+                    && self.can_get_token(now, fleet, position);
             if !is_placed {
-                let service = self.plan.services[position];
                 self.shards[position].is_out_of_reach = fleet.is_out_of_reach(now, service);
                 self.abandon_shard(position);
             }
@@ -169,21 +183,25 @@
             return actions;
         }
         for position in 0..self.plan.delegations.len() {
-            actions.push(FanoutAction::Delegate(DelegationIndex(
-                u16::try_from(position).unwrap_or(0),
-            )));
+            actions.push(FanoutAction::Delegate(delegation_at(position)));
             self.in_flight += 1;
         }
         for position in 0..self.shards.len() {
             let service = self.plan.services[position];
             if self.shards[position].delegated {
+                let is_relayed = !fleet.has_responding_server(now, service);
+                self.shards[position].relays = u32::from(is_relayed);
                 fleet.earn_extra(now, service, DELEGATOR_SHARE);
                 continue;
             }
             if self.shards[position].state == ShardState::Abandoned {
                 continue;
             }
-            let fraction = if self.plan.is_delegated { DELEGATE_SHARE } else { 1.0 };
+            let fraction = match self.plan.role {
+                FanoutRole::Entry { .. } => 1.0,
+                FanoutRole::Delegate { is_first: true } => DELEGATE_SHARE,
+                FanoutRole::Delegate { is_first: false } => 0.0,
+            };
             fleet.earn_extra(now, service, fraction);
             if self.waits_for_token(now, fleet, position) {
                 continue;
@@ -257,7 +275,8 @@
         if self.plan.retry == RetryPolicy::Idempotent {
             for position in 0..self.shards.len() {
                 let progress = &self.shards[position];
-                let waiting = progress.retry_at.is_some() || progress.delegated;
+                let waiting =
+                    progress.retry_at.is_some() || progress.delegated || progress.needs_peer;
                 if progress.state != ShardState::Pending || waiting || now < progress.hedge_at {
                     continue;
                 }
@@ -286,7 +305,8 @@
         }
         let hedges = self.plan.retry == RetryPolicy::Idempotent;
         for progress in &self.shards {
-            if progress.state != ShardState::Pending || progress.delegated {
+            let is_placed = progress.delegated || progress.needs_peer;
+            if progress.state != ShardState::Pending || is_placed {
                 continue;
             }
             match progress.retry_at {
@@ -367,6 +387,7 @@
             }
         } else {
             progress.unsent_attempts += 1;
+            progress.unsent_to.push(server);
             if !progress.reached.contains(&server) {
                 progress.called.retain(|called| *called != server);
             }
@@ -375,14 +396,18 @@
         if outcome == AttemptOutcome::NotRun && may_wait {
             progress.refused.push(server);
         }
-        if progress.in_flight > 0 {
+        if progress.in_flight > 0 || progress.delegated || progress.needs_peer {
             return;
         }
         let is_final = outcome.may_have_run() && self.plan.retry == RetryPolicy::AtMostOnce;
-        if is_final || progress.unsent_attempts >= MAX_UNSENT_ATTEMPTS {
+        if is_final {
             self.abandon_shard(position);
             return;
         }
+        if progress.unsent_attempts >= MAX_UNSENT_ATTEMPTS {
+            self.leave_to_peer(now, fleet, position);
+            return;
+        }
         self.retry(now, fleet, position, actions);
     }
 
@@ -407,14 +432,20 @@
         if !fleet.has_candidate(now, service, scope) {
             let refused = std::mem::take(&mut progress.refused);
             if refused.is_empty() {
-                self.abandon_shard(position);
+                self.leave_to_peer(now, fleet, position);
                 return;
             }
             progress.excluded.retain(|server| !refused.contains(server));
             progress.retry_at = Some(now + REFUSED_RETRY_DELAY);
             return;
         }
-        let can_be_placed = match progress.token_wait {
+        if !fleet.has_responding_candidate(now, service, scope)
+            && self.can_use_peer(now, fleet, position)
+        {
+            self.shards[position].needs_peer = true;
+            return;
+        }
+        let can_be_placed = match self.shards[position].token_wait {
             Some(until) => now < until,
             None => self.can_get_token(now, fleet, position),
         };
@@ -456,7 +487,8 @@
         let has_enough = self.has_enough();
         let all_resolved = self.answered + self.abandoned == total;
         let is_unattainable = total - self.abandoned < self.plan.min_shards;
-        if self.plan.is_delegated && !all_resolved && now < self.plan.deadline {
+        let is_delegate = matches!(self.plan.role, FanoutRole::Delegate { .. });
+        if is_delegate && !all_resolved && now < self.plan.deadline {
             self.report_if_due(now, actions);
             return;
         }
@@ -503,6 +535,10 @@
     }
 }
 
+fn delegation_at(position: usize) -> DelegationIndex {
+    DelegationIndex(u16::try_from(position).unwrap_or(u16::MAX))
+}
+
 fn shard_at(position: usize) -> ShardIndex {
     ShardIndex(u16::try_from(position).unwrap_or(u16::MAX))
 }
--- a/crates/tier/src/fanout/attempts.rs
+++ b/crates/tier/src/fanout/attempts.rs
@@ -81,7 +81,15 @@
         if fleet.is_outranked(now, service, rank) {
             return false;
         }
-        let Some(server) = fleet.pick(now, service, self.plan.class, scope) else { return false };
+        let Some(server) = fleet.pick(now, service, self.plan.class, scope) else {
+            // The attempts in flight wait for servers that this node has lost meanwhile.
+            let is_hopeless = progress.called.iter().all(|it| !fleet.is_responding(now, *it));
+            if is_hopeless && self.can_use_peer(now, fleet, position) {
+                self.shards[position].needs_peer = true;
+                return true;
+            }
+            return false;
+        };
         if fleet.is_suspect(now, server, self.plan.class)
             || fleet.slot_utilization(now, service) > MAX_HEDGE_UTILIZATION
             || !fleet.try_take_extra(now, service)
--- a/crates/tier/src/fanout/delegated.rs
+++ b/crates/tier/src/fanout/delegated.rs
@@ -4,7 +4,10 @@
 use carobstep_clock::BootTime;
 
 use super::{DelegationState, FanoutState, ShardState, shard_at};
-use crate::fanout_plan::{DelegationIndex, DelegationUpdate, FanoutAction, ShardIndex};
+use crate::{
+    fanout_plan::{DelegationIndex, DelegationUpdate, FanoutAction, ShardIndex},
+    model::RetryPolicy,
+};
 
 impl FanoutState {
     /// Handles an update on a delegation.
@@ -26,15 +29,30 @@
                 DelegationState::Responding
             }
             DelegationUpdate::NotCalled(shards) => {
+                for shard in shards {
+                    if let Some(progress) = self.shards.get_mut(usize::from(shard.0)) {
+                        progress.awaited = None;
+                    }
+                }
                 self.fall_back_shards(now, shards, false);
-                self.delegation_states[position]
+                let is_awaited = self.shards.iter().any(|shard| shard.awaited == Some(index));
+                if is_awaited { self.delegation_states[position] } else { DelegationState::Ended }
             }
             DelegationUpdate::Ended => {
                 self.defer_shards(position);
                 DelegationState::Ended
             }
-            DelegationUpdate::NotSent | DelegationUpdate::Lost => {
-                self.fall_back(now, position, *update == DelegationUpdate::Lost);
+            DelegationUpdate::NotSent => {
+                self.fall_back(now, position, false);
+                DelegationState::Ended
+            }
+            DelegationUpdate::Lost => {
+                self.fall_back(now, position, true);
+                DelegationState::Ended
+            }
+            DelegationUpdate::Failed | DelegationUpdate::NotRun => {
+                self.may_have_run |= *update == DelegationUpdate::Failed;
+                self.abandon_delegated(position);
                 DelegationState::Ended
             }
         };
@@ -73,9 +91,26 @@
         actions.push(FanoutAction::UsePartialResults(index));
     }
 
+    /// Gives up the shards of a delegation that have no result yet.
+    fn abandon_delegated(&mut self, position: usize) {
+        let shards = std::mem::take(&mut self.plan.delegations[position].shards);
+        for shard in &shards {
+            let progress = &mut self.shards[usize::from(shard.0)];
+            if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Pending {
+                self.abandon_shard(usize::from(shard.0));
+            }
+        }
+        self.plan.delegations[position].shards = shards;
+    }
+
     /// Schedules direct calls at the answer time for the shards that a peer could not get;
     /// by then, the answer is sent without them if enough other shards have answered.
     fn defer_shards(&mut self, position: usize) {
+        if self.plan.retry == RetryPolicy::AtMostOnce {
+            self.may_have_run = true;
+            self.abandon_delegated(position);
+            return;
+        }
         let delegation = &self.plan.delegations[position];
         for shard in &delegation.shards {
             let progress = &mut self.shards[usize::from(shard.0)];
@@ -91,6 +126,10 @@
     /// requests.
     pub(super) fn fall_back(&mut self, now: BootTime, position: usize, may_have_called: bool) {
         self.may_have_run |= may_have_called;
+        if may_have_called && self.plan.retry == RetryPolicy::AtMostOnce {
+            self.abandon_delegated(position);
+            return;
+        }
         let shards = std::mem::take(&mut self.plan.delegations[position].shards);
         self.fall_back_shards(now, &shards, may_have_called);
         self.plan.delegations[position].shards = shards;
@@ -100,7 +139,7 @@
         for shard in shards {
             let Some(progress) = self.shards.get_mut(usize::from(shard.0)) else { continue };
             if std::mem::take(&mut progress.delegated) && progress.state == ShardState::Pending {
-                progress.peer_may_have_called = may_have_called;
+                progress.peer_may_have_called |= may_have_called;
                 progress.retry_at = Some(now);
             }
         }
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -26,8 +26,29 @@
     pub peer: Arc<str>,
     /// Shards that the peer calls.
     pub shards: Vec<ShardIndex>,
-    /// When the shards are called directly if the peer has not responded.
+    /// Whether this node has lost its links to the servers of some of the shards.
+    pub is_relay: bool,
+    /// When the shards are called otherwise if the peer has not responded.
     pub fallback_at: BootTime,
+    /// Whether the shards have not been called for before, so that both nodes share the
+    /// credit that they earn for the retry budget.
+    pub is_first: bool,
+}
+
+/// For whom a node executes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FanoutRole {
+    /// For its own caller.
+    Entry {
+        /// Whether other nodes are known, which may call servers that this one can't.
+        has_peers: bool,
+    },
+    /// For a node that has delegated the shards. That node gets the available results at the
+    /// answer time, and later ones as they arrive.
+    Delegate {
+        /// See [`Delegation::is_first`].
+        is_first: bool,
+    },
 }
 
 /// What a node learns about one of its delegations, from the peer or from the connection
@@ -42,6 +63,11 @@
     NotCalled(Vec<ShardIndex>),
     /// The peer has finished and has no further results.
     Ended,
+    /// The peer has called servers for its only shard without success.
+    Failed,
+    /// The peer has called servers for its only shard; none has run the request, and no
+    /// further one may be called.
+    NotRun,
     /// The delegation did not reach the peer, so the peer has called no server.
     NotSent,
     /// The peer or the connection to it was lost; the peer may have called servers.
@@ -67,9 +93,8 @@
     /// client's request selects them once, so that both nodes together reach no more
     /// servers than the route allows, even if neither knows what the other has done.
     pub allowed: IndexMap<ShardIndex, Vec<ServerKey>>,
-    /// Whether another node delegated these shards to this one. That node gets the
-    /// available results at the answer time, and later ones as they arrive.
-    pub is_delegated: bool,
+    /// For whom this node executes the request.
+    pub role: FanoutRole,
     /// Whether servers may have crashed under the request, so that it is sent to one server
     /// first, and to others once that has responded.
     pub is_cautious: bool,
@@ -94,6 +119,8 @@
     },
     /// Send the shards of a delegation to its peer.
     Delegate(DelegationIndex),
+    /// End the call of a delegation, whose results are not used any more.
+    Cancel(DelegationIndex),
     /// Use the partial results that a peer has just sent, in place of direct answers to
     /// the same shards.
     UsePartialResults(DelegationIndex),
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -6,6 +6,7 @@
 //! outcomes of this node's own requests (passive health checking); no active
 //! health checks are sent to single servers.
 
+mod links;
 mod quotas;
 mod selection;
 
@@ -22,9 +23,9 @@
     credit::CreditIncome,
     directory::DirectoryChange,
     limits::LimitTable,
-    model::{Configuration, RouteConfig, RouteTarget, ServerEntry, ServerIncarnation},
+    links::ZoneLinks,
+    model::{Configuration, ServerEntry, ServerIncarnation},
     quota::ServerQuota,
-    reach::ZoneReachability,
     server_state::ServerState,
     stats::{AttemptOutcome, ClassKey, ClassTable},
 };
@@ -118,8 +119,10 @@
     limit_table: LimitTable,
     /// Latency statistics per class of requests.
     pub classes: ClassTable,
-    /// Reachability of the availability zones.
-    pub zone_reachability: ZoneReachability,
+    /// Links to the servers of each availability zone.
+    zone_links: ZoneLinks,
+    /// When the links to single servers are examined next.
+    next_link_scan: BootTime,
 }
 
 #[derive(Debug)]
@@ -129,6 +132,7 @@
     /// What the first requests of late have earned for the budget.
     income: CreditIncome,
     max_connections: u32,
+    health_path: Option<Arc<str>>,
     /// Rank of the highest-ranked search that recently found no available server,
     /// and when that was.
     waiter: (SearchRank, BootTime),
@@ -140,6 +144,8 @@
     waiting: u32,
     /// When the last of the refused callers was asked to return.
     returns_until: BootTime,
+    /// Until when other nodes are not asked to call its servers, since none could.
+    relay_futile_until: BootTime,
 }
 
 impl ServerFleet {
@@ -158,7 +164,8 @@
             id_hashes: IndexMap::new(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
-            zone_reachability: ZoneReachability::default(),
+            zone_links: ZoneLinks::default(),
+            next_link_scan: BootTime::ZERO,
         }
     }
 
@@ -184,6 +191,7 @@
             let key = self.get_or_insert_service(now, name);
             if let Some(service) = self.services.get_mut(key) {
                 service.max_connections = config.max_connections;
+                service.health_path = config.health_path.clone();
             }
         }
         let services = &mut self.services;
@@ -212,11 +220,13 @@
             budget,
             income: CreditIncome::new(now),
             max_connections: u32::MAX,
+            health_path: None,
             waiter: (SearchRank::default(), BootTime::ZERO),
             rotation: 0,
             oldest_waiter: (BootTime::ZERO, BootTime::ZERO),
             waiting: 0,
             returns_until: BootTime::ZERO,
+            relay_futile_until: BootTime::ZERO,
         });
         self.service_names.insert(name.clone(), key);
         key
@@ -280,6 +290,13 @@
         Some(ServerEndpoint { entry: server.entry.clone(), connections })
     }
 
+    /// Returns the path of the health check of a server, if it has one.
+    #[must_use]
+    pub fn health_path(&self, key: ServerKey) -> Option<Arc<str>> {
+        let server = self.servers.get(key)?;
+        self.services.get(server.service)?.health_path.clone()
+    }
+
     /// Returns the number of connections that this node may have open to each server
     /// of a service: its share of the limit for all nodes.
     fn connection_share(&self, service: ServiceKey) -> u32 {
@@ -287,7 +304,7 @@
         (total / self.limits.nodes.max(1)).max(MIN_CONNECTIONS)
     }
 
-    /// Returns whether any server of the service is in a reachable zone and accepts new requests.
+    /// Returns whether this node reaches any server of the service that accepts new requests.
     #[must_use]
     pub fn has_available_server(&self, now: BootTime, service: ServiceKey) -> bool {
         let Some(state) = self.services.get(service) else { return false };
@@ -311,9 +328,7 @@
         for service in services {
             let Some(state) = self.services.get(*service) else { continue };
             let servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
-            let in_use = servers.filter(|server| {
-                server.is_in_use() && !self.zone_reachability.is_unreachable(&server.entry.zone)
-            });
+            let in_use = servers.filter(|server| server.is_in_use() && self.has_link(now, server));
             times.extend(in_use.map(|server| server.paused_until.max(now)).min());
         }
         times.sort_unstable();
@@ -327,62 +342,24 @@
         }
     }
 
-    /// Returns whether servers of a service accept requests, all of them in zones that this
-    /// node can't reach.
+    /// Returns whether servers of a service accept requests, none of which this node
+    /// reaches.
     #[must_use]
     pub fn is_out_of_reach(&self, now: BootTime, service: ServiceKey) -> bool {
         let Some(state) = self.services.get(service) else { return false };
         let servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
         let mut available = servers.filter(|server| server.is_available(now)).peekable();
-        available.peek().is_some()
-            && available.all(|server| self.zone_reachability.is_unreachable(&server.entry.zone))
-    }
-
-    /// Returns whether a service has servers and all of them are in unreachable
-    /// availability zones.
-    #[must_use]
-    pub fn is_service_unreachable(&self, name: &str) -> bool {
-        let service = self.service_names.get(name).and_then(|key| self.services.get(*key));
-        let Some(service) = service else { return false };
-        let mut has_servers = false;
-        for server in service.servers.iter().filter_map(|key| self.servers.get(*key)) {
-            if !self.zone_reachability.is_unreachable(&server.entry.zone) {
-                return false;
-            }
-            has_servers = true;
-        }
-        has_servers
-    }
-
-    /// Returns whether a route cannot be served because availability zones are unreachable.
-    #[must_use]
-    pub fn is_route_unreachable(&self, route: &RouteConfig) -> bool {
-        match &route.target {
-            RouteTarget::Service(service) => self.is_service_unreachable(service),
-            RouteTarget::Split(services) => {
-                services.iter().any(|service| self.is_service_unreachable(&service.service))
-            }
-            RouteTarget::Gather(gather) => {
-                let unreachable =
-                    gather.shards.iter().filter(|shard| self.is_service_unreachable(shard)).count();
-                gather.shards.len() - unreachable < gather.min_shards()
-            }
-        }
+        available.peek().is_some() && available.all(|server| !self.has_link(now, server))
     }
 
-    /// Returns the addresses of up to [`ZoneReachability::probes_per_zone`] servers in a zone,
-    /// starting at index `start` (modulo their number) so that probes rotate over all servers.
+    /// Returns the key of a service by its name, if it is known.
     #[must_use]
-    pub fn probe_targets(&self, zone: &str, start: usize) -> Vec<std::net::SocketAddr> {
-        let in_zone: Vec<_> =
-            self.servers.values().filter(|server| server.entry.zone.as_ref() == zone).collect();
-        let count = in_zone.len();
-        let wanted = ZoneReachability::probes_per_zone().min(count);
-        (0..wanted).map(|step| in_zone[(start + step) % count].entry.address).collect()
+    pub fn service_key(&self, name: &str) -> Option<ServiceKey> {
+        self.service_names.get(name).copied()
     }
 
     fn is_available(&self, now: BootTime, server: &ServerState) -> bool {
-        server.is_available(now) && !self.zone_reachability.is_unreachable(&server.entry.zone)
+        server.is_available(now) && self.has_link(now, server)
     }
 
     /// Returns whether `scope` allows any available server, even if it has no capacity
@@ -396,6 +373,21 @@
         })
     }
 
+    /// Returns whether `scope` allows any available server that responds to this node.
+    #[must_use]
+    pub fn has_responding_candidate(
+        &self,
+        now: BootTime,
+        service: ServiceKey,
+        scope: PickScope<'_>,
+    ) -> bool {
+        self.servers_of(service).iter().any(|key| {
+            scope.is_allowed(*key)
+                && self.accepts_requests(now, *key)
+                && self.is_responding(now, *key)
+        })
+    }
+
     /// Returns the number of known servers.
     #[must_use]
     pub fn server_count(&self) -> usize {
@@ -485,6 +477,7 @@
         class: ClassKey,
         kind: AttemptKind,
     ) -> AttemptTicket {
+        let hedge_delay = self.classes.hedge_delay(class);
         if let Some(state) = self.servers.get_mut(server) {
             if let Some(quota) = &mut state.quota {
                 quota.take(now);
@@ -493,7 +486,8 @@
                 state.waiting_since = now;
             }
             state.in_flight += 1;
-            self.zone_reachability.on_request_sent(now, &state.entry.zone);
+            state.link.on_sent(hedge_delay);
+            self.zone_links.on_sent(now, &state.entry.zone, hedge_delay);
         }
         AttemptTicket { server, class, sent: now, kind }
     }
@@ -520,13 +514,16 @@
         if let Some(quota) = server.quota.as_mut().filter(|_| outcome == AttemptOutcome::Unsent) {
             quota.refund();
         }
-        if matches!(
-            outcome,
-            AttemptOutcome::Answered | AttemptOutcome::NotRun | AttemptOutcome::WrongServer
-        ) {
-            self.zone_reachability.on_answered(&server.entry.zone);
+        if outcome == AttemptOutcome::Unsent {
+            server.link.on_failure();
+        }
+        if server.in_flight == 0 && !outcome.is_response() {
+            server.link.on_silence(now.since(server.waiting_since));
         }
         server.observe(now, outcome, relative, typical_slowness);
+        if outcome.is_response() {
+            self.on_response(now, ticket.server);
+        }
     }
 }
 
--- a/crates/tier/src/fleet/selection.rs
+++ b/crates/tier/src/fleet/selection.rs
@@ -87,7 +87,7 @@
             let zone = &server.entry.zone;
             let rank = preference.iter().position(|other| other == zone);
             let mut rank = rank.unwrap_or(preference.len());
-            if now < server.backoff_until || self.is_stalled(now, server, class) {
+            if self.is_backed_off(now, server) || self.is_stalled(now, server, class) {
                 rank += preference.len() + 1;
             }
             if best.is_none_or(|(least, _)| rank < least) {
@@ -203,8 +203,9 @@
     }
 
     /// Selects up to `limit` servers that this node and its delegate in `zone` may both
-    /// call for one search, without those that this node knows to be leaving. Available
-    /// servers come first, then those that are not suspect, then those that limit no
+    /// call for one request, without those that this node knows to be leaving. Servers that
+    /// this node may have called already come first, then available ones, whether this node
+    /// reaches them or not, then those that are not suspect, then those that limit no
     /// requests, then those in `zone`.
     pub fn choose_allowed(
         &mut self,
@@ -213,6 +214,7 @@
         class: ClassKey,
         zone: &str,
         limit: usize,
+        called: &[ServerKey],
     ) -> Vec<ServerKey> {
         let Some(state) = self.services.get_mut(service) else { return Vec::new() };
         state.rotation = state.rotation.wrapping_add(1);
@@ -228,10 +230,12 @@
         // The sort is stable, so equal servers keep the rotated order.
         keys.sort_by_key(|key| {
             let server = self.servers.get(*key);
-            let is_available = server.is_some_and(|server| self.is_available(now, server));
+            let is_available = server.is_some_and(|server| server.is_available(now));
+            let has_link = server.is_some_and(|server| self.has_link(now, server));
             let in_zone = server.is_some_and(|server| server.entry.zone.as_ref() == zone);
             let is_limited = server.is_some_and(|server| server.quota.is_some());
-            (!is_available, self.is_suspect(now, *key, class), is_limited, !in_zone)
+            let is_suspect = has_link && self.is_suspect(now, *key, class);
+            (!called.contains(key), !is_available, is_suspect, is_limited, !in_zone)
         });
         keys.truncate(limit);
         keys
@@ -242,7 +246,12 @@
     #[must_use]
     pub fn is_suspect(&self, now: BootTime, key: ServerKey, class: ClassKey) -> bool {
         let Some(server) = self.servers.get(key) else { return true };
-        now < server.backoff_until || self.is_stalled(now, server, class)
+        self.is_backed_off(now, server) || self.is_stalled(now, server, class)
+    }
+
+    /// Returns whether a server recently could not be reached, was full or did not respond.
+    fn is_backed_off(&self, now: BootTime, server: &ServerState) -> bool {
+        now < server.backoff_until || server.link.is_lost()
     }
 
     fn is_stalled(&self, now: BootTime, server: &ServerState, class: ClassKey) -> bool {
@@ -269,7 +278,7 @@
         if self.is_stalled(now, server, class) {
             score *= STALLED_PENALTY;
         }
-        if now < server.backoff_until {
+        if self.is_backed_off(now, server) {
             score *= BACKOFF_PENALTY;
         }
         if server.entry.zone != self.zone {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -10,8 +10,9 @@
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - limits on requests that servers name: [`LimitTable`], [`QuotaLedger`]
 //! - requests that crash servers: [`CrashTable`]
-//! - reachability of availability zones: [`ZoneReachability`]
-//! - delegation of shards to other nodes: [`PeerTable`], [`plan_delegations`]
+//! - links to servers, judged by what they answer: [`ServerFleet::due_probes`]
+//! - which node calls the servers of a shard: [`place_request`], [`PeerTable`],
+//!   [`LinkReports`], [`RelayRoom`]
 //! - spreading of the store's data over the nodes: [`UpdateSource`], [`SpreadTiming`]
 //! - one request to a service or to every shard of an index: [`FanoutState`]
 //! - readiness and graceful shutdown: [`NodeLifecycle`]
@@ -25,7 +26,6 @@
 
 mod crashes;
 mod credit;
-mod delegation;
 mod directory;
 mod fanout;
 mod fanout_plan;
@@ -34,11 +34,15 @@
 mod fleet;
 mod lifecycle;
 mod limits;
+mod link_reports;
+mod links;
 mod merge;
 mod model;
 mod peers;
+mod placement;
 mod quota;
-mod reach;
+mod relay_room;
+mod relays;
 mod routes;
 mod server_state;
 mod stats;
@@ -47,14 +51,13 @@
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
 };
-pub use delegation::{DelegationPlan, DelegationRequest, plan_delegations};
 pub use directory::{
     DirectoryChange, DirectoryUpdate, ServerDirectory, StoreRevision, VersionedServer,
 };
 pub use fanout::FanoutState;
 pub use fanout_plan::{
     Delegation, DelegationIndex, DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan,
-    MissingShards, ShardIndex,
+    FanoutRole, MissingShards, ShardIndex,
 };
 pub use fingerprint::RequestFingerprint;
 pub use finish_lag::FinishLag;
@@ -64,6 +67,8 @@
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
 pub use limits::{LimitRecord, LimitTable, LimitUpdate};
+pub use link_reports::{LinkReport, LinkReports, LinkUpdate};
+pub use links::ProbeOutcome;
 pub use merge::{RECORD_BYTES, merge_records};
 pub use model::{
     CallerLimits, Configuration, GatherConfig, InvalidRate, LimitNotice, NodeSettings,
@@ -71,8 +76,9 @@
     ServerIncarnation, ServerNotice, ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
 };
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
+pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
 pub use quota::{OwnerSupport, QuotaAsk, QuotaLedger, ask_interval, support_interval};
-pub use reach::ZoneReachability;
+pub use relay_room::RelayRoom;
 pub use routes::{RouteTable, WeightedRoundRobin};
 pub use stats::{AttemptOutcome, ClassKey, ClassTable};
 pub use update_tree::{SpreadTiming, TreePlace, UpdateSource};
--- a/crates/tier/src/lifecycle.rs
+++ b/crates/tier/src/lifecycle.rs
@@ -97,6 +97,12 @@
         changed
     }
 
+    /// Returns whether some requests can't be served here while other nodes may serve them.
+    #[must_use]
+    pub const fn is_cut_off(&self) -> bool {
+        self.cut_off_since.is_some()
+    }
+
     /// Returns the time after which the load balancer sends a refused caller to another
     /// node; zero if this node is not cut off, or has been for long enough.
     #[must_use]
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -98,6 +98,8 @@
 pub struct ServiceConfig {
     /// Maximum number of connections that each of its servers accepts from all nodes together.
     pub max_connections: u32,
+    /// Path of the health check of its servers.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits on what a client may send.
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -13,7 +13,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use crate::{directory::StoreRevision, update_tree::TreeRank};
+use crate::{directory::StoreRevision, link_reports::LinkReports, update_tree::TreeRank};
 
 /// Initial time for which a peer gets no delegations after it was silent or
 /// unreachable; doubles with each further failure.
@@ -72,7 +72,8 @@
 
 impl PeerEntry {
     /// Returns the seconds that the calls for one shard take on the node's CPU and link.
-    pub(crate) fn shard_seconds(&self) -> f64 {
+    #[must_use]
+    pub fn shard_seconds(&self) -> f64 {
         let processor = SHARD_CALL_CPU_SECONDS / self.cpu_share.max(MIN_CPU_SHARE);
         processor + SHARD_CALL_BITS / (self.link_mbps.max(MIN_LINK_MBPS) * 1e6)
     }
@@ -83,7 +84,9 @@
 pub struct PeerTable {
     own: PeerEntry,
     own_rank: TreeRank,
-    peers: IndexMap<Arc<str>, PeerState>,
+    pub(crate) peers: IndexMap<Arc<str>, PeerState>,
+    /// Zones whose servers this node and its peers don't reach.
+    pub(crate) link_reports: LinkReports,
     /// Store revision that the table reflects.
     revision: StoreRevision,
     /// Revision since which every removal is in `removed`.
@@ -98,7 +101,11 @@
     /// Store revision of the last change of the entry.
     revision: StoreRevision,
     backoff_until: BootTime,
-    failures: u32,
+    pub(crate) failures: u32,
+    /// When the peer last responded to this node.
+    pub(crate) contact_at: BootTime,
+    /// Until when the peer has no room for requests of nodes without links.
+    pub(crate) full_until: BootTime,
     /// Until when the peer is not asked for store updates.
     stale_until: BootTime,
 }
@@ -133,6 +140,7 @@
     pub fn new(own: PeerEntry) -> Self {
         Self {
             own_rank: TreeRank::from(&own),
+            link_reports: LinkReports::new(own.name.clone()),
             own,
             peers: IndexMap::new(),
             revision: StoreRevision::default(),
@@ -175,6 +183,8 @@
             revision,
             backoff_until: BootTime::ZERO,
             failures: 0,
+            contact_at: BootTime::ZERO,
+            full_until: BootTime::ZERO,
             stale_until: BootTime::ZERO,
         };
         self.peers.insert(state.entry.name.clone(), state);
@@ -194,6 +204,7 @@
     pub fn remove(&mut self, revision: StoreRevision, name: &str) {
         self.revision = self.revision.max(revision);
         let Some((name, _)) = self.peers.swap_remove_entry(name) else { return };
+        self.link_reports.remove(&name);
         self.removed.shift_remove(&name);
         self.removed.insert(name, revision);
         if self.removed.len() > MAX_REMOVED
@@ -294,9 +305,10 @@
     }
 
     /// Records that a peer answered.
-    pub fn on_answered(&mut self, name: &str) {
+    pub fn on_answered(&mut self, now: BootTime, name: &str) {
         if let Some(state) = self.peers.get_mut(name) {
             state.failures = 0;
+            state.contact_at = now;
             state.backoff_until = BootTime::ZERO;
         }
     }
@@ -329,17 +341,29 @@
     /// to spread the load.
     #[must_use]
     pub fn delegates_in_zone(&self, now: BootTime, zone: &str, shards: usize) -> Vec<&PeerEntry> {
-        let mut candidates: Vec<_> = self
-            .usable(now, zone)
-            .map(|state| (state.entry.shard_seconds(), &state.entry))
-            .collect();
+        let reaching = self.usable(now, zone).filter(|it| self.reaches(&it.entry.name, zone));
+        let candidates = reaching.map(|state| &state.entry).collect();
+        let is_local = *zone == *self.own.zone;
+        let own_speed = if is_local { 1.0 / self.own.shard_seconds() } else { 0.0 };
+        self.fastest(candidates, shards, own_speed)
+    }
+
+    /// Returns as many of the fastest candidates as minimize the estimated time of `shards`
+    /// shards. This node calls some of them itself at `own_speed`, in shards per second.
+    pub(crate) fn fastest<'peer>(
+        &self,
+        candidates: Vec<&'peer PeerEntry>,
+        shards: usize,
+        own_speed: f64,
+    ) -> Vec<&'peer PeerEntry> {
+        let with_seconds = candidates.into_iter().map(|peer| (peer.shard_seconds(), peer));
+        let mut candidates: Vec<_> = with_seconds.collect();
         candidates.sort_by(|one, other| {
             let score = |peer: &PeerEntry| rendezvous_score(peer, &self.own.name);
             one.0.total_cmp(&other.0).then_with(|| score(other.1).total_cmp(&score(one.1)))
         });
         let call_seconds = PEER_CALL_CPU_SECONDS / self.own.cpu_share.max(MIN_CPU_SHARE);
-        let is_local = *zone == *self.own.zone;
-        let mut speed = if is_local { 1.0 / self.own.shard_seconds() } else { 0.0 };
+        let mut speed = own_speed;
         let mut best = (shards as f64 / speed, 0);
         for (position, (shard_seconds, _)) in candidates.iter().enumerate() {
             let count = position + 1;
@@ -349,7 +373,7 @@
                 best = (seconds, count);
             }
         }
-        candidates.into_iter().take(best.1).map(|(_, entry)| entry).collect()
+        candidates.into_iter().take(best.1).map(|(_, peer)| peer).collect()
     }
 
     /// Chooses the node that calls the servers of a shard, by weighted rendezvous hashing.
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     fleet::ServiceKey,
+    links::ServerLink,
     model::{ServerEntry, ServerPhase},
     quota::ServerQuota,
     stats::AttemptOutcome,
@@ -86,6 +87,7 @@
     pub(crate) entry: ServerEntry,
     pub(crate) service: ServiceKey,
     pub(crate) in_flight: u32,
+    pub(crate) link: ServerLink,
     /// Estimated number of this node's requests that the server can process at once.
     window: f64,
     /// Start of the wait for the next response, while requests are in flight.
@@ -122,6 +124,7 @@
             entry,
             service,
             in_flight: 0,
+            link: ServerLink::new(),
             window: MAX_WINDOW,
             waiting_since: now,
             health: ObservedHealth { slowness: DEFAULT_SLOWNESS, failure_rate: 0.0 },
@@ -180,6 +183,25 @@
         self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
     }
 
+    /// Returns whether requests wait for a response of the server.
+    pub(crate) const fn is_waiting(&self) -> bool {
+        self.in_flight > 0
+    }
+
+    /// Ends the backoff after attempts that could not be sent.
+    pub(crate) const fn forget_link_failures(&mut self) {
+        self.backoff_until = BootTime::ZERO;
+        self.unreachable_count = 0;
+    }
+
+    /// Forgets what the outcomes of requests have shown.
+    pub(crate) fn forget_observations(&mut self, now: BootTime) {
+        self.forget_link_failures();
+        self.health_until = now;
+        self.window = MAX_WINDOW;
+        self.waiting_since = now;
+    }
+
     /// Updates the statistics with the outcome of an attempt. `typical_slowness` is that
     /// of a server of which nothing is known.
     pub(crate) fn observe(
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -72,6 +72,12 @@
         !matches!(self, Self::NotRun | Self::WrongServer | Self::Unsent)
     }
 
+    /// Returns whether the server has certainly sent a response.
+    #[must_use]
+    pub const fn is_response(self) -> bool {
+        matches!(self, Self::Answered | Self::NotRun | Self::WrongServer | Self::Oversized)
+    }
+
     /// Returns whether the request may have reached the server.
     #[must_use]
     pub const fn may_have_arrived(self) -> bool {
--- a/crates/tier/tests/crashes.rs
+++ b/crates/tier/tests/crashes.rs
@@ -7,8 +7,9 @@
 
 use carobstep_tier::{
     AttemptOutcome, ClassKey, CrashEvidence, CrashRecord, CrashTable, Delegation, DelegationIndex,
-    DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan, FanoutState, QuarantineChange,
-    RequestAdmission, RequestFingerprint, RetryPolicy, ServerIncarnation, ServiceKey, ShardIndex,
+    DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole, FanoutState,
+    QuarantineChange, RequestAdmission, RequestFingerprint, RetryPolicy, ServerIncarnation,
+    ServiceKey, ShardIndex,
 };
 use indexmap::IndexMap;
 use support::{LIMITS, OBJECTIVE, at, class, fleet, name};
@@ -181,7 +182,7 @@
         class,
         delegations: Vec::new(),
         allowed: IndexMap::new(),
-        is_delegated: false,
+        role: FanoutRole::Entry { has_peers: false },
         is_cautious,
         arrived: at(0),
         answer_by: at(0) + OBJECTIVE,
@@ -258,6 +259,8 @@
         peer: name("peer"),
         shards: (0..8).map(ShardIndex).collect(),
         fallback_at: at(20),
+        is_first: true,
+        is_relay: false,
     };
     let search = FanoutPlan { delegations: vec![delegation], ..plan(services, key, false) };
     let mut state = FanoutState::new(search);
--- a/crates/tier/tests/departures.rs
+++ b/crates/tier/tests/departures.rs
@@ -10,9 +10,9 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    DirectoryChange, FanoutAction, FanoutOutcome, FanoutPlan, FanoutState, PickScope, RetryPolicy,
-    ServerDirectory, ServerEntry, ServerFleet, ServerIncarnation, ServerPhase, ServiceKey,
-    StoreRevision,
+    DirectoryChange, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole, FanoutState, PickScope,
+    RetryPolicy, ServerDirectory, ServerEntry, ServerFleet, ServerIncarnation, ServerPhase,
+    ServiceKey, StoreRevision,
 };
 use indexmap::IndexMap;
 use support::{LIMITS, at, class, entry, fleet, name};
@@ -129,7 +129,7 @@
     let (mut fleet, services) = fleet(1, &["b", "c"], LIMITS);
     let key = class(&mut fleet);
     let gone = leave(&mut fleet, "shard-0-b", "b");
-    let allowed = fleet.choose_allowed(at(0), services[0], key, "b", 2);
+    let allowed = fleet.choose_allowed(at(0), services[0], key, "b", 2, &[]);
     assert_eq!(allowed.len(), 1);
     assert!(!fleet.id_hashes(&allowed).is_empty() && gone.phase == ServerPhase::Leaving);
     let picked = fleet.pick(at(0), services[0], key, PickScope::default());
@@ -152,7 +152,7 @@
         class: class(fleet),
         delegations: Vec::new(),
         allowed: IndexMap::new(),
-        is_delegated: false,
+        role: FanoutRole::Entry { has_peers: false },
         is_cautious: false,
         arrived: at(0),
         answer_by: at(80),
@@ -217,7 +217,7 @@
         for (position, pause) in case.pauses.into_iter().enumerate() {
             let Some(pause) = pause else { continue };
             let zone = ["a", "b"][position % 2];
-            let servers = fleet.choose_allowed(at(0), services[position / 2], key, zone, 1);
+            let servers = fleet.choose_allowed(at(0), services[position / 2], key, zone, 1, &[]);
             fleet.pause_server(at(0), servers[0], Duration::from_millis(pause));
         }
         let mut state = FanoutState::new(plan(&mut fleet, &services, case.min_shards));
--- a/crates/tier/tests/fanout/delegated.rs
+++ b/crates/tier/tests/fanout/delegated.rs
@@ -3,7 +3,7 @@
 
 use carobstep_tier::{
     AttemptOutcome, Delegation, DelegationIndex, DelegationUpdate, DirectoryChange, FanoutAction,
-    FanoutOutcome, FanoutState, FleetLimits, ShardIndex,
+    FanoutOutcome, FanoutRole, FanoutState, FleetLimits, ShardIndex,
 };
 
 use crate::{
@@ -17,8 +17,13 @@
 fn delegated(limits: FleetLimits) -> (carobstep_tier::ServerFleet, FanoutState, Vec<FanoutAction>) {
     let (mut fleet, services) = fleet(2, &["a", "b"], limits);
     let mut plan = plan(&mut fleet, &services, 2);
-    plan.delegations =
-        vec![Delegation { peer: name("peer"), shards: vec![ShardIndex(1)], fallback_at: at(30) }];
+    plan.delegations = vec![Delegation {
+        peer: name("peer"),
+        shards: vec![ShardIndex(1)],
+        fallback_at: at(30),
+        is_first: true,
+        is_relay: false,
+    }];
     let mut state = FanoutState::new(plan);
     let actions = state.start(at(0), &mut fleet);
     (fleet, state, actions)
@@ -81,6 +86,8 @@
         peer: name("peer"),
         shards: vec![ShardIndex(0), ShardIndex(1), ShardIndex(2)],
         fallback_at: at(30),
+        is_first: true,
+        is_relay: false,
     }];
     let mut state = FanoutState::new(plan);
     state.start(at(0), &mut fleet);
@@ -152,6 +159,8 @@
         peer: name("peer"),
         shards: vec![ShardIndex(0), ShardIndex(1), ShardIndex(2)],
         fallback_at: at(30),
+        is_first: true,
+        is_relay: false,
     }];
     let mut state = FanoutState::new(plan);
     state.start(at(0), &mut fleet);
@@ -198,7 +207,7 @@
     let (mut fleet, services) = fleet(3, &["a"], LIMITS);
     fleet.apply(at(0), &DirectoryChange::Removed(name("shard-1-a")));
     let mut plan = plan(&mut fleet, &services, 0);
-    plan.is_delegated = true;
+    plan.role = FanoutRole::Delegate { is_first: true };
     let mut state = FanoutState::new(plan);
     let actions = state.start(at(0), &mut fleet);
     assert!(actions.contains(&FanoutAction::Report), "{actions:?}");
@@ -224,7 +233,7 @@
 fn a_delegate_reports_at_the_answer_time_and_after_each_later_answer() {
     let (mut fleet, services) = fleet(3, &["a", "b"], LIMITS);
     let mut plan = plan(&mut fleet, &services, 0);
-    plan.is_delegated = true;
+    plan.role = FanoutRole::Delegate { is_first: true };
     let mut state = FanoutState::new(plan);
     let sent = sends(&state.start(at(0), &mut fleet));
     let mut answer = |state: &mut FanoutState, position: usize, millis: u64| {
@@ -287,16 +296,21 @@
             let mut allowed = Vec::new();
             // The choice among equal servers rotates, so later searches choose others.
             for _ in 0..=round {
-                allowed = own.choose_allowed(at(0), services[0], own_plan.class, "b", 2);
+                allowed = own.choose_allowed(at(0), services[0], own_plan.class, "b", 2, &[]);
             }
             let id_hashes = own.id_hashes(&allowed);
             own_plan.allowed.insert(shard, allowed);
-            own_plan.delegations =
-                vec![Delegation { peer: name("peer"), shards: vec![shard], fallback_at: at(30) }];
+            own_plan.delegations = vec![Delegation {
+                peer: name("peer"),
+                shards: vec![shard],
+                fallback_at: at(30),
+                is_first: true,
+                is_relay: false,
+            }];
 
             let (mut delegate, services) = fleet(1, case.known_to_delegate, LIMITS);
             let mut delegate_plan = plan(&mut delegate, &services, 0);
-            delegate_plan.is_delegated = true;
+            delegate_plan.role = FanoutRole::Delegate { is_first: true };
             let (service, servers) =
                 delegate.find_servers_by_hash(&id_hashes).expect("known servers");
             assert_eq!(service, services[0]);
--- a/crates/tier/tests/fanout/main.rs
+++ b/crates/tier/tests/fanout/main.rs
@@ -1,6 +1,7 @@
 //! Fan-out of one request: retries, hedges, delegation and the answer time.
 
 mod delegated;
+mod relayed;
 mod retries;
 #[path = "../support/mod.rs"]
 mod support;
@@ -9,8 +10,8 @@
 
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, AttemptTicket, DirectoryChange, FanoutAction, FanoutOutcome,
-    FanoutPlan, FanoutState, FleetLimits, PickScope, RetryPolicy, SearchRank, ServerFleet,
-    ServiceKey, ShardIndex,
+    FanoutPlan, FanoutRole, FanoutState, FleetLimits, PickScope, RetryPolicy, SearchRank,
+    ServerFleet, ServiceKey, ShardIndex,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -23,7 +24,7 @@
         class: class(fleet),
         delegations: Vec::new(),
         allowed: indexmap::IndexMap::new(),
-        is_delegated: false,
+        role: FanoutRole::Entry { has_peers: false },
         is_cautious: false,
         arrived: at(0),
         answer_by: at(80),
@@ -124,7 +125,7 @@
 
 fn with_connections(service: &str, max_connections: u32) -> carobstep_tier::Configuration {
     let mut configuration = carobstep_tier::Configuration::default();
-    let config = carobstep_tier::ServiceConfig { max_connections };
+    let config = carobstep_tier::ServiceConfig { max_connections, health_path: None };
     configuration.services.insert(name(service), config);
     configuration
 }
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -7,7 +7,6 @@
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry,
     PeerTable, PickScope, ServerDirectory, ServerPhase, StopTiming, StoreRevision, VersionedServer,
-    ZoneReachability,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -169,92 +168,6 @@
     );
 }
 
-#[test]
-fn a_silent_zone_is_down_only_after_its_probes_failed() {
-    let zone = name("b");
-    let mut reachability = ZoneReachability::default();
-    reachability.on_request_sent(at(0), &zone);
-    assert!(reachability.due_probes(at(199)).is_empty());
-    assert_eq!(reachability.due_probes(at(200)), std::slice::from_ref(&zone));
-    reachability.on_probe_sent("b");
-    reachability.on_probe_sent("b");
-    assert!(
-        !reachability.on_probe_ended("b", false) && !reachability.is_unreachable("b"),
-        "one of two probes"
-    );
-    assert!(reachability.on_probe_ended("b", false) && reachability.is_unreachable("b"));
-    assert!(reachability.due_probes(at(300)).is_empty(), "probed less than one interval ago");
-    assert_eq!(reachability.due_probes(at(450)), [zone]);
-    reachability.on_probe_sent("b");
-    assert!(reachability.on_probe_ended("b", true) && !reachability.is_unreachable("b"));
-}
-
-/// Guards against each node of a large fleet losing a search before it learns that a zone
-/// is cut off.
-#[test]
-fn a_zone_that_a_peer_cannot_reach_is_probed_before_it_is_avoided() {
-    /// Results of the probes that follow a peer's message.
-    struct HintCase {
-        label: &'static str,
-        reached: [bool; 2],
-        is_unreachable: bool,
-    }
-    let cases = [
-        HintCase { label: "cut off here, too", reached: [false, false], is_unreachable: true },
-        HintCase { label: "one server is down", reached: [false, true], is_unreachable: false },
-        HintCase { label: "only the peer", reached: [true, true], is_unreachable: false },
-    ];
-    for case in cases {
-        let mut reachability = ZoneReachability::default();
-        let zone = name("b");
-        assert!(reachability.due_probes(at(0)).is_empty());
-        reachability.suspect(at(0), &zone);
-        assert!(!reachability.is_unreachable("b"), "{}", case.label);
-        assert_eq!(reachability.due_probes(at(0)), std::slice::from_ref(&zone), "{}", case.label);
-        for _ in case.reached {
-            reachability.on_probe_sent("b");
-        }
-        for reached in case.reached {
-            reachability.on_probe_ended("b", reached);
-        }
-        assert_eq!(reachability.is_unreachable("b"), case.is_unreachable, "{}", case.label);
-        let expected = if case.is_unreachable { vec![zone.clone()] } else { Vec::new() };
-        assert_eq!(reachability.unreachable_zones(), expected, "{}", case.label);
-        // Repeated messages cause no more probes than one each 250 ms.
-        reachability.suspect(at(100), &zone);
-        assert!(reachability.due_probes(at(100)).is_empty(), "{}", case.label);
-    }
-}
-
-#[test]
-fn a_zone_that_answers_is_not_probed() {
-    let zone = name("b");
-    let mut reachability = ZoneReachability::default();
-    reachability.on_request_sent(at(0), &zone);
-    reachability.on_answered("b");
-    assert!(reachability.due_probes(at(1_000)).is_empty());
-}
-
-#[test]
-fn a_service_is_cut_off_when_all_its_servers_are_in_unreachable_zones() {
-    let (mut fleet, services) = fleet(1, &["b", "c"], LIMITS);
-    let key = class(&mut fleet);
-    for zone in ["b", "c"] {
-        assert!(
-            !fleet.is_service_unreachable("shard-0")
-                && fleet.has_available_server(at(0), services[0])
-        );
-        fleet.zone_reachability.on_request_sent(at(0), &name(zone));
-        fleet.zone_reachability.due_probes(at(300));
-        fleet.zone_reachability.on_probe_sent(zone);
-        fleet.zone_reachability.on_probe_ended(zone, false);
-    }
-    assert!(
-        fleet.is_service_unreachable("shard-0") && !fleet.has_available_server(at(0), services[0])
-    );
-    assert!(fleet.pick(at(300), services[0], key, PickScope::default()).is_none());
-}
-
 /// Expected phase of a stopping node at a point in time.
 struct PhaseCase {
     millis: u64,
@@ -467,7 +380,7 @@
     assert_eq!(delegates(&peers, 500), 1);
     peers.on_failed(at(500), "other");
     assert_eq!(delegates(&peers, 1_400), 0, "longer the second time");
-    peers.on_answered("other");
+    peers.on_answered(at(1_400), "other");
     assert_eq!(delegates(&peers, 1_400), 1);
 }
 
--- a/crates/tier/tests/overload.rs
+++ b/crates/tier/tests/overload.rs
@@ -11,8 +11,8 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, FanoutAction, FanoutOutcome, FanoutPlan, FanoutState,
-    RetryPolicy, ServerFleet, ServiceKey, ShardIndex,
+    AttemptOutcome, AttemptTicket, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole,
+    FanoutState, RetryPolicy, ServerFleet, ServiceKey, ShardIndex,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -155,7 +155,7 @@
             class: class(fleet),
             delegations: Vec::new(),
             allowed: IndexMap::new(),
-            is_delegated: false,
+            role: FanoutRole::Entry { has_peers: false },
             is_cautious: false,
             arrived: self.now,
             answer_by: self.now + (OBJECTIVE - MARGIN),
@@ -193,6 +193,7 @@
                 }
                 FanoutAction::Finish(outcome) => self.finish(search, outcome),
                 FanoutAction::Delegate(_)
+                | FanoutAction::Cancel(_)
                 | FanoutAction::UsePartialResults(_)
                 | FanoutAction::Report => {}
             }
--- a/crates/tier/tests/server_limits.rs
+++ b/crates/tier/tests/server_limits.rs
@@ -8,9 +8,9 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, ClassKey, FanoutAction, FanoutOutcome, FanoutPlan, FanoutState,
-    LimitNotice, LimitRecord, LimitTable, OwnerSupport, PeerEntry, PeerTable, QuotaAsk,
-    QuotaLedger, RequestRate, RetryPolicy, ServerFleet, ServerIncarnation, ServiceKey,
+    AttemptKind, AttemptOutcome, ClassKey, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole,
+    FanoutState, LimitNotice, LimitRecord, LimitTable, OwnerSupport, PeerEntry, PeerTable,
+    QuotaAsk, QuotaLedger, RequestRate, RetryPolicy, ServerFleet, ServerIncarnation, ServiceKey,
     StoreRevision, ask_interval,
 };
 use indexmap::IndexMap;
@@ -269,7 +269,7 @@
         class: key,
         delegations: Vec::new(),
         allowed: IndexMap::new(),
-        is_delegated: false,
+        role: FanoutRole::Entry { has_peers: false },
         is_cautious: false,
         arrived: at(0),
         answer_by: at(0) + OBJECTIVE,
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -25,6 +25,9 @@
 /// Part of the path of requests that crash a server with [`ServerFault::CrashOnRequest`].
 pub const CRASHING_PATH: &str = "crashing";
 
+/// Path of the health check.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// Time for which a crashed server refuses connections.
 const CRASH_TIME: Duration = Duration::from_millis(400);
 
@@ -77,6 +80,13 @@
     Endless(EndlessBytes),
 }
 
+impl ServerFault {
+    /// Whether a server with this fault answers health checks as usual.
+    const fn answers_health_checks(self) -> bool {
+        !matches!(self, Self::Hang | Self::Noise(_) | Self::Endless(_) | Self::CloseWithoutResponse)
+    }
+}
+
 /// Where a server sends bytes without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndlessBytes {
@@ -248,6 +258,13 @@
         loop {
             let Some(head) = read_request(&mut socket, &mut bytes).await else { return };
             let mut fault = self.lock().fault;
+            let is_health_check = head.starts_with(&format!("GET {HEALTH_PATH} "));
+            if is_health_check && fault.answers_health_checks() {
+                if socket.write_all(response_text(200, "", "").as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             if header_value(&head, "x-carobstep-expect-instance").is_some_and(|id| id != self.id) {
                 fault = ServerFault::Misdirect;
             }
@@ -258,7 +275,10 @@
                     | ServerFault::LeavingAndShed
                     | ServerFault::Pause(_)
             );
-            self.lock().arrivals.push(Arrival { at: Instant::now(), head: head.clone(), executed });
+            if !is_health_check {
+                let arrival = Arrival { at: Instant::now(), head: head.clone(), executed };
+                self.lock().arrivals.push(arrival);
+            }
             let request_id = header_value(&head, "x-carobstep-request-id").unwrap_or_default();
             let (body, stamp) = match &self.per_request_service {
                 Some(service) => {
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -92,7 +92,10 @@
     assert_eq!(fixture.node.request(&get("/search/", "unreached-1")).await.status, 503);
     let (line, _) = attempts(&fixture.node, "unreached-1").await;
     assert_eq!(line["lacking"], "3 out of reach");
-    let lost = fixture.node.log().into_iter().find(|line| line["reached"] == "false");
+    let lost =
+        fixture.node.log().into_iter().find(|line| {
+            line["message"] == "no server of an availability zone responds to this node"
+        });
     let lost = lost.expect("a log line");
     assert!(lost["reason"].as_str().expect("text").contains("refused"), "{lost}");
 }
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -10,6 +10,7 @@
     task::JoinSet,
     time::{interval, sleep},
 };
+use yare::parameterized;
 
 use crate::{
     backend::{StandinServer, header_value},
@@ -148,6 +149,17 @@
         calls.join_all().await
     }
 
+    /// Prints what the nodes have logged of links and failed requests.
+    fn print_logs(&self) {
+        for (number, node) in self.nodes.iter().enumerate() {
+            for line in node.log() {
+                if line["message"] != "server changed" && line["status"] != 200 {
+                    println!("node {number}: {line}");
+                }
+            }
+        }
+    }
+
     /// Returns how often each order was executed.
     fn order_executions(&self) -> IndexMap<String, usize> {
         let mut executions = IndexMap::new();
@@ -183,77 +195,73 @@
     counts
 }
 
-/// Links that one of two nodes loses.
-struct LostLinksCase {
+#[parameterized(
+    all_stay_silent = { LinkFault::Stalled, LinkScope::All },
+    all_are_reset = { LinkFault::Reset, LinkScope::All },
+    all_accept_no_new_connections = { LinkFault::NoNewConnections, LinkScope::All },
+    a_zone_stays_silent = { LinkFault::Stalled, LinkScope::Zone("a") },
+    another_zone_is_reset = { LinkFault::Reset, LinkScope::Zone("b") },
+    a_shard_stays_silent = { LinkFault::Stalled, LinkScope::Service("shard-1") },
+    a_service_is_reset = { LinkFault::Reset, LinkScope::Service("single") },
+    one_server_stays_silent = { LinkFault::Stalled, LinkScope::One },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn callers_of_a_node_without_links_to_servers_are_served_like_those_of_others(
     fault: LinkFault,
     scope: LinkScope,
-}
-
-#[tokio::test]
-async fn callers_of_a_node_without_links_to_servers_are_served_like_those_of_others() {
-    let cases = [
-        LostLinksCase { fault: LinkFault::Stalled, scope: LinkScope::All },
-        LostLinksCase { fault: LinkFault::Reset, scope: LinkScope::All },
-        LostLinksCase { fault: LinkFault::NoNewConnections, scope: LinkScope::All },
-        LostLinksCase { fault: LinkFault::Stalled, scope: LinkScope::Zone("a") },
-        LostLinksCase { fault: LinkFault::Reset, scope: LinkScope::Zone("b") },
-        LostLinksCase { fault: LinkFault::Stalled, scope: LinkScope::Service("shard-1") },
-        LostLinksCase { fault: LinkFault::Reset, scope: LinkScope::Service("single") },
-        LostLinksCase { fault: LinkFault::Stalled, scope: LinkScope::One },
-    ];
-    for LostLinksCase { fault, scope } in cases {
-        let label = format!("{fault:?} {scope:?}");
-        let cluster = LinkCluster::start(2).await;
-        tokio::join!(cluster.call(0, "before"), cluster.call(1, "before"));
-        cluster.set_fault(0, scope, fault);
-        tokio::join!(cluster.call(0, "noticing"), sleep(DETECTION_TIME));
-        let (cut, other) = tokio::join!(cluster.call(0, "cut"), cluster.call(1, "cut"));
-        let counts = statuses(&cut);
-        assert_eq!(served(&other), REQUESTS, "{label}: {:?}", statuses(&other));
-        assert!(served(&cut) * 20 >= REQUESTS * 19, "{label}: {counts:?}");
-        assert!(in_time(&cut) * 10 >= REQUESTS * 9, "{label}: {} in time", in_time(&cut));
-        let repeated: Vec<_> =
-            cluster.order_executions().into_iter().filter(|(_, count)| *count > 1).collect();
-        assert!(repeated.is_empty(), "{label}: {repeated:?}");
-        assert!(cluster.nodes[0].is_ready().await, "{label}");
-        cluster.set_fault(0, scope, LinkFault::None);
-        sleep(RETURN_TIME).await;
-        let answered = "carobstep_attempts_total{end=\"answered\"}";
-        let before = cluster.nodes[0].metric(answered).await;
-        let back = cluster.call(0, "back").await;
-        assert_eq!(served(&back), REQUESTS, "{label}: {:?}", statuses(&back));
-        let own = cluster.nodes[0].metric(answered).await - before;
-        assert!(own >= REQUESTS as f64, "{label}: {own} attempts of its own");
+) {
+    let label = format!("{fault:?} {scope:?}");
+    let cluster = LinkCluster::start(2).await;
+    tokio::join!(cluster.call(0, "before"), cluster.call(1, "before"));
+    cluster.set_fault(0, scope, fault);
+    tokio::join!(cluster.call(0, "noticing"), sleep(DETECTION_TIME));
+    let (cut, other) = tokio::join!(cluster.call(0, "cut"), cluster.call(1, "cut"));
+    let counts = statuses(&cut);
+    if served(&cut) * 20 < REQUESTS * 19 {
+        cluster.print_logs();
     }
+    assert_eq!(served(&other), REQUESTS, "{label}: {:?}", statuses(&other));
+    assert!(served(&cut) * 20 >= REQUESTS * 19, "{label}: {counts:?}");
+    assert!(in_time(&cut) * 10 >= REQUESTS * 9, "{label}: {} in time", in_time(&cut));
+    let repeated: Vec<_> =
+        cluster.order_executions().into_iter().filter(|(_, count)| *count > 1).collect();
+    assert!(repeated.is_empty(), "{label}: {repeated:?}");
+    assert!(cluster.nodes[0].is_ready().await, "{label}");
+    cluster.set_fault(0, scope, LinkFault::None);
+    sleep(RETURN_TIME).await;
+    let answered = "carobstep_attempts_total{end=\"answered\"}";
+    let before = cluster.nodes[0].metric(answered).await;
+    let back = cluster.call(0, "back").await;
+    assert_eq!(served(&back), REQUESTS, "{label}: {:?}", statuses(&back));
+    let own = cluster.nodes[0].metric(answered).await - before;
+    assert!(own >= REQUESTS as f64, "{label}: {own} attempts of its own");
 }
 
-#[tokio::test]
-async fn callers_are_refused_at_once_while_no_node_reaches_servers() {
-    for fault in [LinkFault::Stalled, LinkFault::Reset] {
-        let cluster = LinkCluster::start(2).await;
-        tokio::join!(cluster.call(0, "before"), cluster.call(1, "before"));
-        for node in 0..2 {
-            cluster.set_fault(node, LinkScope::All, fault);
-        }
-        tokio::join!(
-            cluster.call(0, "noticing"),
-            cluster.call(1, "noticing"),
-            sleep(DETECTION_TIME)
-        );
-        let (one, other) = tokio::join!(cluster.call(0, "cut"), cluster.call(1, "cut"));
-        for outcome in one.iter().chain(&other) {
-            let CallOutcome { path, status, took, headers } = outcome;
-            assert_eq!(*status, 503, "{fault:?}: {path}");
-            assert!(*took < REFUSAL_TIME, "{fault:?}: {path} refused after {took:?}");
-            let retry_after = headers["retry-after"].to_str().expect("text");
-            let retry_after: f64 = retry_after.parse().expect("a number");
-            assert!((0.0..=MAX_RETRY_AFTER).contains(&retry_after), "{fault:?}: {retry_after}");
-        }
-        for node in 0..2 {
-            cluster.set_fault(node, LinkScope::All, LinkFault::None);
-        }
-        sleep(RETURN_TIME).await;
-        let (one, other) = tokio::join!(cluster.call(0, "back"), cluster.call(1, "back"));
-        assert_eq!((served(&one), served(&other)), (REQUESTS, REQUESTS), "{fault:?}");
+#[parameterized(
+    they_stay_silent = { LinkFault::Stalled },
+    they_are_reset = { LinkFault::Reset },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn callers_are_refused_at_once_while_no_node_reaches_servers(fault: LinkFault) {
+    let cluster = LinkCluster::start(2).await;
+    tokio::join!(cluster.call(0, "before"), cluster.call(1, "before"));
+    for node in 0..2 {
+        cluster.set_fault(node, LinkScope::All, fault);
+    }
+    tokio::join!(cluster.call(0, "noticing"), cluster.call(1, "noticing"), sleep(DETECTION_TIME));
+    let (one, other) = tokio::join!(cluster.call(0, "cut"), cluster.call(1, "cut"));
+    for outcome in one.iter().chain(&other) {
+        let CallOutcome { path, status, took, headers } = outcome;
+        assert_eq!(*status, 503, "{fault:?}: {path}");
+        assert!(*took < REFUSAL_TIME, "{fault:?}: {path} refused after {took:?}");
+        let retry_after = headers["retry-after"].to_str().expect("text");
+        let retry_after: f64 = retry_after.parse().expect("a number");
+        assert!((0.0..=MAX_RETRY_AFTER).contains(&retry_after), "{fault:?}: {retry_after}");
+    }
+    for node in 0..2 {
+        cluster.set_fault(node, LinkScope::All, LinkFault::None);
     }
+    sleep(RETURN_TIME).await;
+    let (one, other) = tokio::join!(cluster.call(0, "back"), cluster.call(1, "back"));
+    assert_eq!((served(&one), served(&other)), (REQUESTS, REQUESTS), "{fault:?}");
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,7 +16,7 @@
 
 use std::time::{Duration, Instant};
 
-use backend::{ServerFault, StandinServer, header_value};
+use backend::{HEALTH_PATH, ServerFault, StandinServer, header_value};
 use carobstep_bench::{HttpCall, HttpClient};
 use node::{GatewayNode, eventually, settings};
 use serde_json::{Value, json};
@@ -50,9 +50,11 @@
         "name": "order", "host": "127.0.0.1", "path_prefix": "/order/", "type": "non_idempotent",
         "timeout_ms": 800, "goal_ms": 400, "priority": 2, "attempts": 2, "service": "single",
     });
+    let services = ["single", "shard-0", "shard-1", "shard-2"]
+        .map(|name| json!({ "name": name, "health_path": HEALTH_PATH, "max_conns": 25 }));
     json!({
         "version": version, "routes": [search, fetch, order],
-        "services": [{ "name": "single", "health_path": "/healthz", "max_conns": 25 }],
+        "services": services,
         "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
             "header_timeout_ms": 3000, "idle_timeout_ms": 5000 },
     })
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -1,8 +1,13 @@
 //! A loopback TCP relay that injects faults into the link to a listener.
 
-use std::{fs, net::SocketAddr, time::Duration};
+use std::{
+    fs, io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use indexmap::IndexMap;
+use rustix::net::{self, AddressFamily, RecvFlags, SendFlags, SocketType};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -90,13 +95,24 @@
         self.target.send_replace(target);
     }
 
+    /// Returns which of the processes with faults of their own has opened a connection.
+    fn owner_of(&self, client: &TcpStream) -> Option<u32> {
+        let faults = self.faults.borrow();
+        if faults.by_process.is_empty() {
+            return None;
+        }
+        let inode = socket_inode(client.peer_addr().ok()?, self.address).ok()?;
+        let link = format!("socket:[{inode}]");
+        let is_link = |file: fs::DirEntry| fs::read_link(file.path()).is_ok_and(|it| *it == *link);
+        faults.by_process.keys().copied().find(|process| {
+            let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
+            files.flatten().any(is_link)
+        })
+    }
+
     /// Relays one connection in both directions.
     async fn relay_connection(self, client: TcpStream) {
-        let owner = {
-            let faults = self.faults.borrow();
-            let remote = client.peer_addr().ok();
-            remote.and_then(|remote| owner_of(remote, self.address, faults.by_process.keys()))
-        };
+        let owner = self.owner_of(&client);
         let mut faults = self.faults.subscribe();
         // The wait fails only when the relay is stopping.
         let _ = faults.wait_for(|faults| faults.of(owner) != LinkFault::Stalled).await;
@@ -120,28 +136,44 @@
     }
 }
 
-/// Returns which of `processes` has the socket at `local` that is connected to `remote`.
-fn owner_of<'process>(
-    local: SocketAddr,
-    remote: SocketAddr,
-    processes: impl Iterator<Item = &'process u32>,
-) -> Option<u32> {
-    let mut processes = processes.peekable();
-    processes.peek()?;
-    let sockets = fs::read_to_string("/proc/net/tcp").ok()?;
-    let (local, remote) = (format!(":{:04X}", local.port()), format!(":{:04X}", remote.port()));
-    let inode = sockets.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        let is_found = fields.get(1)?.ends_with(&local) && fields.get(2)?.ends_with(&remote);
-        is_found.then(|| fields.get(9).copied())?
-    })?;
-    let link = format!("socket:[{inode}]");
-    processes.copied().find(|process| {
-        let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
-        files
-            .flatten()
-            .any(|file| fs::read_link(file.path()).is_ok_and(|it| it.as_os_str() == &*link))
-    })
+/// Asks the kernel for the inode of the IPv4 socket at `local` that is connected to `remote`.
+fn socket_inode(local: SocketAddr, remote: SocketAddr) -> io::Result<u32> {
+    /// Type of the request and of its reply (`SOCK_DIAG_BY_FAMILY`).
+    const DIAG_BY_FAMILY: u16 = 20;
+    const REQUEST_BYTES: u32 = 72;
+    const REQUEST_FLAG: u16 = 1;
+    const AF_INET: u8 = 2;
+    const IPPROTO_TCP: u8 = 6;
+    /// Position of the inode in the reply.
+    const INODE_AT: usize = 84;
+    let mut request = REQUEST_BYTES.to_ne_bytes().to_vec();
+    request.extend(DIAG_BY_FAMILY.to_ne_bytes());
+    request.extend(REQUEST_FLAG.to_ne_bytes());
+    request.extend([0; 8]);
+    request.extend([AF_INET, IPPROTO_TCP, 0, 0]);
+    // All states of a connection.
+    request.extend(u32::MAX.to_ne_bytes());
+    request.extend(local.port().to_be_bytes());
+    request.extend(remote.port().to_be_bytes());
+    for address in [local, remote] {
+        let IpAddr::V4(ip) = address.ip() else { return Err(io::ErrorKind::Unsupported.into()) };
+        request.extend(ip.octets());
+        request.extend([0; 12]);
+    }
+    request.extend([0; 4]);
+    // No cookie.
+    request.extend([0xff; 8]);
+    let socket =
+        net::socket(AddressFamily::NETLINK, SocketType::RAW, Some(net::netlink::SOCK_DIAG))?;
+    net::send(&socket, &request, SendFlags::empty())?;
+    let mut reply = [0; 512];
+    let (count, _) = net::recv(&socket, &mut reply, RecvFlags::empty())?;
+    let kind = reply[4..6].try_into().map(u16::from_ne_bytes);
+    let inode = reply[INODE_AT..INODE_AT + 4].try_into().map(u32::from_ne_bytes);
+    match (kind, inode) {
+        (Ok(DIAG_BY_FAMILY), Ok(inode)) if count >= INODE_AT + 4 => Ok(inode),
+        _ => Err(io::ErrorKind::NotFound.into()),
+    }
 }
 
 /// Copies bytes in one direction, subject to the fault of the link.
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -19,7 +19,7 @@
     faults::{FAULT_TIME, FaultKind, FaultPlan, ServerGroup},
 };
 use crate::{
-    backend::{ServerFault, StandinServer},
+    backend::{HEALTH_PATH, ServerFault, StandinServer},
     node::GatewayNode,
     relay::{LinkFault, LinkRelay},
     store::{StandinStore, StoreFault},
@@ -148,12 +148,16 @@
     let search = json!({
         "name": "search", "host": "127.0.0.1", "path_prefix": "/search/", "type": "idempotent",
         "timeout_ms": 800, "goal_ms": 150 + version / 3 % 3, "priority": 1, "attempts": ATTEMPTS,
-        "gather": shards, "top_k": 4, "oldest_version": MIN_SHARE,
+        "gather": &shards, "top_k": 4, "oldest_version": MIN_SHARE,
     });
+    let names = shards.iter().map(String::as_str).chain(["single"]);
+    let services: Vec<_> = names
+        .map(|name| json!({ "name": name, "health_path": HEALTH_PATH, "max_conns": 40 }))
+        .collect();
     json!({
         "version": version,
         "routes": [search, single("fetch", "idempotent"), single("order", "non_idempotent")],
-        "services": [{ "name": "single", "health_path": "/healthz", "max_conns": 40 }],
+        "services": services,
         "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
             "header_timeout_ms": 3000, "idle_timeout_ms": 5000 },
     })
