Wait for a peer that is busy with shards instead of asking another one

Cause: a peer that was silent for the usual time was replaced by the next one, as it is by direct calls. The retry budget paid for some of the shards only; the others were given up, marked as out of reach of all nodes, and refused to later searches for half a second. The next peer got servers of its own to call.

Now a shard that a live peer may still return is waited for; a peer that is lost is replaced as far as the budget allows, with the servers that were chosen first. This also rules out that the results of two peers overlap, so that the call of a silent peer needs no cancellation. Services count as out of reach of all nodes only if a peer has said so.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -15,7 +15,6 @@
 };
 use carobstep_wire::{ReplyStream, WireError, WireErrorKind};
 use http::StatusCode;
-use indexmap::IndexMap;
 use log::debug;
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -99,14 +98,14 @@
     /// Exchanges with servers.
     exchanges: Vec<AbortHandle>,
     /// Calls to peers.
-    calls: IndexMap<DelegationIndex, AbortHandle>,
+    calls: Vec<AbortHandle>,
     /// Delay between the drop and the abort of the exchanges.
     cancel_delay: Duration,
 }
 
 impl Drop for ExchangeTasks {
     fn drop(&mut self) {
-        for call in self.calls.values() {
+        for call in &self.calls {
             call.abort();
         }
         self.exchanges.retain(|handle| !handle.is_finished());
@@ -199,7 +198,7 @@
         events_tx,
         tasks: ExchangeTasks {
             exchanges: Vec::with_capacity(shards),
-            calls: IndexMap::new(),
+            calls: Vec::new(),
             cancel_delay,
         },
         responses: vec![None; shards],
@@ -271,7 +270,6 @@
                 match action {
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
                     FanoutAction::Delegate(index) => self.delegate(index),
-                    FanoutAction::Cancel(index) => self.cancel(index),
                     FanoutAction::UsePartialResults(index) => self.accept_results(index),
                     FanoutAction::Report => {
                         on_progress(&self.responses, &self.state.shards_not_called())
@@ -491,14 +489,7 @@
                 notify(update, None);
             }
         });
-        self.tasks.calls.insert(index, task.abort_handle());
-    }
-
-    /// Ends the call of a delegation.
-    fn cancel(&self, index: DelegationIndex) {
-        if let Some(call) = self.tasks.calls.get(&index) {
-            call.abort();
-        }
+        self.tasks.calls.push(task.abort_handle());
     }
 
     /// Starts an exchange with a server.
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -100,6 +100,8 @@
     relays: u32,
     /// Whether no further peer can call servers for the shard.
     has_no_peer: bool,
+    /// Whether a peer could not call servers for the shard either.
+    is_refused_by_peer: bool,
     /// Delegation that may still return a result of the shard.
     awaited: Option<DelegationIndex>,
     /// Servers to which an attempt could not be sent.
--- a/crates/tier/src/fanout/delegated.rs
+++ b/crates/tier/src/fanout/delegated.rs
@@ -32,6 +32,7 @@
                 for shard in shards {
                     if let Some(progress) = self.shards.get_mut(usize::from(shard.0)) {
                         progress.awaited = None;
+                        progress.is_refused_by_peer = true;
                     }
                 }
                 self.fall_back_shards(now, shards, false);
--- a/crates/tier/src/fanout/relayed.rs
+++ b/crates/tier/src/fanout/relayed.rs
@@ -7,7 +7,7 @@
     BUSY_RETRY_DELAY, DelegationState, FanoutState, HEDGE_RECHECK_DELAY, delegation_at, shard_at,
 };
 use crate::{
-    fanout_plan::{DelegationIndex, FanoutAction, FanoutRole},
+    fanout_plan::{FanoutAction, FanoutRole},
     fleet::ServerFleet,
     placement::{Placement, UnplacedShard},
 };
@@ -25,6 +25,11 @@
         fleet: &mut ServerFleet,
         position: usize,
     ) {
+        // The merged results of two peers must not include the same shard.
+        if self.is_awaited(position) {
+            self.shards[position].delegated = true;
+            return;
+        }
         if self.can_use_peer(now, fleet, position) {
             self.shards[position].needs_peer = true;
             return;
@@ -43,6 +48,7 @@
         let has_peers = self.plan.role == FanoutRole::Entry { has_peers: true };
         let service = self.plan.services[position];
         if !has_peers
+            || self.is_awaited(position)
             || progress.has_no_peer
             || progress.relays >= MAX_RELAYS
             || fleet.is_relay_futile(now, service)
@@ -97,15 +103,14 @@
             // The whole credit was earned when the request started.
             delegation.is_first = false;
             for shard in &delegation.shards {
+                // Another peer may have called the servers that were chosen before.
                 if let Some(servers) = placement.allowed.get(shard) {
-                    self.plan.allowed.insert(*shard, servers.clone());
+                    self.plan.allowed.entry(*shard).or_insert_with(|| servers.clone());
                 }
             }
             let index = delegation_at(self.plan.delegations.len());
             for shard in &delegation.shards {
-                // The merged results of two peers must not include the same shard.
-                let earlier = self.shards[usize::from(shard.0)].awaited.replace(index);
-                self.cancel_delegation(earlier, &mut actions);
+                self.shards[usize::from(shard.0)].awaited = Some(index);
             }
             self.plan.delegations.push(delegation);
             self.delegation_states.push(DelegationState::Silent);
@@ -116,41 +121,38 @@
             if !std::mem::take(&mut self.shards[position].needs_peer) {
                 continue;
             }
-            let service = self.plan.services[position];
-            let has_returned = fleet.end_return(now, service);
-            let progress = &mut self.shards[position];
-            progress.has_no_peer = true;
-            if progress.relays > 0 {
-                fleet.on_relays_failed(now, service);
-            }
-            let is_lost = progress.called.iter().all(|it| !fleet.is_reached(now, *it));
-            if progress.in_flight == 0 || has_returned {
-                // A server that is only silent is called as the last resort.
-                progress.retry_at = Some(now);
-            } else if is_lost {
-                progress.is_out_of_reach = true;
-                self.abandon_shard(position);
-            } else {
-                progress.hedge_at = now + HEDGE_RECHECK_DELAY;
-            }
+            self.keep_unplaced(now, fleet, position);
         }
         self.finish_if_done(now, &mut actions);
         actions
     }
 
-    fn cancel_delegation(
-        &mut self,
-        index: Option<DelegationIndex>,
-        actions: &mut Vec<FanoutAction>,
-    ) {
-        let Some(index) = index else { return };
-        let state = &mut self.delegation_states[usize::from(index.0)];
-        if *state == DelegationState::Ended {
-            return;
+    /// Decides what becomes of a shard that no further peer calls servers for.
+    fn keep_unplaced(&mut self, now: BootTime, fleet: &mut ServerFleet, position: usize) {
+        let service = self.plan.services[position];
+        let has_returned = fleet.end_return(now, service);
+        let progress = &mut self.shards[position];
+        progress.has_no_peer = true;
+        if progress.is_refused_by_peer {
+            fleet.on_relays_failed(now, service);
         }
-        *state = DelegationState::Ended;
-        self.in_flight = self.in_flight.saturating_sub(1);
-        actions.push(FanoutAction::Cancel(index));
+        let is_lost = progress.called.iter().all(|it| !fleet.is_reached(now, *it));
+        if progress.in_flight == 0 || has_returned {
+            // A server that is only silent is called as the last resort.
+            progress.retry_at = Some(now);
+        } else if is_lost {
+            progress.is_out_of_reach = true;
+            self.abandon_shard(position);
+        } else {
+            progress.hedge_at = now + HEDGE_RECHECK_DELAY;
+        }
+    }
+
+    /// Returns whether a peer that has been silent so far may still return the shard.
+    fn is_awaited(&self, position: usize) -> bool {
+        let awaited = self.shards[position].awaited;
+        let state = awaited.map(|index| self.delegation_states[usize::from(index.0)]);
+        state.is_some_and(|state| state != DelegationState::Ended)
     }
 
     /// Marks a shard as delegated if the retry budget allows it; returns whether it is.
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -119,8 +119,6 @@
     },
     /// Send the shards of a delegation to its peer.
     Delegate(DelegationIndex),
-    /// End the call of a delegation, whose results are not used any more.
-    Cancel(DelegationIndex),
     /// Use the partial results that a peer has just sent, in place of direct answers to
     /// the same shards.
     UsePartialResults(DelegationIndex),
--- a/crates/tier/src/placement.rs
+++ b/crates/tier/src/placement.rs
@@ -256,19 +256,12 @@
     }
 
     fn finish(self, fleet: &ServerFleet) -> Placement {
-        let PlacementRequest { class, answer_by, deadline, is_search, .. } = self.request;
-        // A single request has no partial results by which a peer shows that it works on it.
-        let fallback_at = if is_search {
-            (self.now + fleet.classes.delegation_delay(class)).min(answer_by)
-        } else {
-            deadline
-        };
-        let delegation = |(peer, PeerShards { shards, is_relay })| Delegation {
-            peer,
-            shards,
-            is_relay,
-            fallback_at,
-            is_first: true,
+        let (now, PlacementRequest { class, answer_by, deadline, .. }) = (self.now, self.request);
+        let silent_until = now + fleet.classes.delegation_delay(class);
+        let delegation = |(peer, PeerShards { shards, is_relay })| {
+            // There is nothing else to do while a peer with links works on the shards.
+            let fallback_at = if is_relay { deadline } else { silent_until.min(answer_by) };
+            Delegation { peer, shards, is_relay, fallback_at, is_first: true }
         };
         let delegations = self.shards_by_peer.into_iter().map(delegation).collect();
         Placement { delegations, allowed: self.allowed }
