Don't take connections that a lost link resets for crashes of servers

Seen by callers: while both nodes had lost their links by resets, callers were asked to return after 10 s, since their requests were refused as ones that crash servers. With one node cut, 10 of 10 requests that were in flight there were refused by the other node, which reached all servers.

Cause: a connection that breaks before a response counted as a crash of the server whatever else the node heard from it. The class of fault: what one node sees of a link is taken for the state of the server by all.

Now the evidence is held back until another server of the zone has responded, which is probed for at once, and dropped if the links to the zone turn out to be lost (crates/tier/src/crash_doubts.rs). On all nodes, a response on a connection from before the assumed crash refutes the evidence, and the refutation spreads with the records.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -162,6 +162,7 @@
 #[derive(Debug)]
 struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
+    opened: BootTime,
     driver: AbortHandle,
     meter: Rc<ByteMeter>,
 }
@@ -227,7 +228,8 @@
     }
 
     /// Sends a request and reads the complete response, until the deadline. Passes what
-    /// the response says about the server to `on_notice` once its header section is read.
+    /// the response says about the server to `on_notice` once its header section is read,
+    /// and when the connection was opened.
     ///
     /// Uses an idle connection if there is one. If the server has closed it and no
     /// byte of the request was sent, tries the next one, then a new connection.
@@ -235,7 +237,7 @@
         &self,
         request: &BackendRequest,
         limits: ExchangeLimits,
-        on_notice: impl Fn(ServerNotice),
+        on_notice: impl Fn(BootTime, ServerNotice),
     ) -> ExchangeOutcome {
         while let Some(connection) = self.take_idle() {
             if let Some(outcome) = self.exchange_on(connection, request, limits, &on_notice).await {
@@ -282,7 +284,7 @@
     pub(crate) async fn probe(
         &self,
         path: Option<&str>,
-        on_notice: impl Fn(ServerNotice),
+        on_notice: impl Fn(BootTime, ServerNotice),
     ) -> Result<(), ProbeFailure> {
         let connecting = async {
             match timeout(PROBE_CONNECT_TIMEOUT, self.connect()).await {
@@ -313,7 +315,7 @@
         &self,
         mut connection: BackendConnection,
         request: &BackendRequest,
-        on_notice: &impl Fn(ServerNotice),
+        on_notice: &impl Fn(BootTime, ServerNotice),
     ) -> Result<(), ProbeFailure> {
         let deadline = Instant::now() + PROBE_RESPONSE_TIMEOUT;
         let reservation = connection.meter.start(MAX_PROBE_BYTES);
@@ -334,7 +336,7 @@
                 return Err(ProbeFailure { outcome: ProbeOutcome::Silent, reason });
             }
         };
-        self.record_notice(request, &response, on_notice);
+        self.record_notice(connection.opened, request, &response, on_notice);
         let reading = read_response(response, MAX_PROBE_BYTES, reservation);
         // The link works even if the body is incomplete.
         if let Ok(Ok(response)) = timeout_at(deadline, reading).await {
@@ -369,7 +371,8 @@
                 debug!(address:% = address, error:% = error; "connection to a server failed");
             }
         });
-        Ok(BackendConnection { sender, driver: driver.abort_handle(), meter })
+        let opened = BootTime::now();
+        Ok(BackendConnection { sender, opened, driver: driver.abort_handle(), meter })
     }
 
     fn take_idle(&self) -> Option<BackendConnection> {
@@ -385,7 +388,7 @@
         mut connection: BackendConnection,
         request: &BackendRequest,
         limits: ExchangeLimits,
-        on_notice: &impl Fn(ServerNotice),
+        on_notice: &impl Fn(BootTime, ServerNotice),
     ) -> Option<ExchangeOutcome> {
         let deadline = limits.deadline;
         let reservation = connection.meter.start(limits.response_bytes);
@@ -413,7 +416,7 @@
                 ));
             }
         };
-        self.record_notice(request, &response, on_notice);
+        self.record_notice(connection.opened, request, &response, on_notice);
         let reading = read_response(response, limits.response_bytes, reservation.clone());
         let outcome = match timeout_at(deadline, reading).await {
             Ok(Ok(response)) => self.classify_response(request, response),
@@ -432,9 +435,10 @@
     /// Records what the header section of a response says about the server.
     fn record_notice(
         &self,
+        opened: BootTime,
         request: &BackendRequest,
         response: &Response<Incoming>,
-        on_notice: &impl Fn(ServerNotice),
+        on_notice: &impl Fn(BootTime, ServerNotice),
     ) {
         let mut notice = headers::server_notice(response.status(), response.headers());
         // A late copy of an earlier response may name a limit that has ended since.
@@ -453,7 +457,7 @@
             let until = BootTime::now() + pause;
             self.paused_until.set(self.paused_until.get().max(until));
         }
-        on_notice(notice);
+        on_notice(opened, notice);
     }
 
     fn build_request(&self, request: &BackendRequest, deadline: Instant) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -9,9 +9,9 @@
 use bytes::BytesMut;
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, ClassKey, CrashEvidence, DelegationIndex, DelegationUpdate,
-    FanoutAction, FanoutOutcome, FanoutPlan, FanoutState, MissingShards, PlacementRequest,
-    RequestFingerprint, ServerEntry, ServerIncarnation, ServerKey, ShardIndex, place_with_peers,
+    AttemptOutcome, AttemptTicket, ClassKey, DelegationIndex, DelegationUpdate, FanoutAction,
+    FanoutOutcome, FanoutPlan, FanoutState, MissingShards, PlacementRequest, RequestFingerprint,
+    ServerKey, ShardIndex, place_with_peers,
 };
 use carobstep_wire::{ReplyStream, WireError, WireErrorKind};
 use http::StatusCode;
@@ -297,7 +297,7 @@
         let now = BootTime::now();
         let gateway = &mut *self.gateway.state.borrow_mut();
         // Servers that a peer has called for this request may have crashed under it.
-        if gateway.crashes.is_suspected(self.fingerprint) {
+        if gateway.is_suspected(self.fingerprint) {
             self.state.suspect();
         }
         let (shard, ticket, exchange) = match event {
@@ -361,11 +361,13 @@
 
     /// Records that a server may have crashed under the request.
     fn record_crash(&self, state: &mut GatewayState, server: ServerKey) {
-        let Some(endpoint) = state.fleet.endpoint(server) else { return };
-        let ServerEntry { id, born_ms, .. } = endpoint.entry;
-        let evidence = CrashEvidence::of(&ServerIncarnation { id, born_ms });
-        state.record_crash(self.fingerprint, evidence);
-        self.gateway.notify_peers();
+        let (now, request) = (BootTime::now(), self.fingerprint);
+        let evidence = state.crash_doubts.record(now, request, server, &mut state.fleet);
+        if let Some(evidence) = evidence {
+            state.record_crash(request, evidence);
+            self.gateway.notify_peers();
+        }
+        self.gateway.links_notify.notify_one();
     }
 
     /// Accepts the results that a peer sent. Drops this node's own responses of the
@@ -511,9 +513,9 @@
             };
             let exchange = match gateway.pool(ticket.server) {
                 Some(pool) => {
-                    let on_notice = |notice| {
-                        let AttemptTicket { server, sent, .. } = ticket;
-                        gateway.apply_notice(server, sent, pool.incarnation(), notice);
+                    let on_notice = |opened, notice| {
+                        let times = (opened, ticket.sent);
+                        gateway.apply_notice(ticket.server, times, pool.incarnation(), notice);
                     };
                     pool.exchange(&request, limits, on_notice).await
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,9 +9,9 @@
 use carobstep_platform::StoredObject;
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, Configuration, CrashEvidence, CrashRecord, CrashTable,
-    DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice, LimitRecord,
-    NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
+    AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
+    CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
+    LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
     QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
     ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
     StopTiming, StoreRevision, WeightedRoundRobin,
@@ -62,6 +62,8 @@
     pub(crate) change_count: watch::Sender<u64>,
     /// Times of the calls that spread the store's data.
     pub(crate) timing: SpreadTiming,
+    /// Wakes the task that looks after the links to servers.
+    pub(crate) links_notify: Notify,
     /// Wakes the task that announces the requests that this node has quarantined or cleared.
     pub(crate) quarantine_notify: Notify,
     /// Start time of the process.
@@ -94,6 +96,8 @@
     pub(crate) room: RelayRoom,
     /// Requests that crashed servers.
     pub(crate) crashes: CrashTable,
+    /// Crashes that may be lost links.
+    pub(crate) crash_doubts: CrashDoubts,
     /// Requests that this node has quarantined or cleared and not announced yet.
     pub(crate) unannounced: Vec<RequestFingerprint>,
     pub(crate) peers: PeerTable,
@@ -157,6 +161,7 @@
             support: OwnerSupport::default(),
             room: RelayRoom::new(BootTime::now()),
             crashes: CrashTable::default(),
+            crash_doubts: CrashDoubts::default(),
             unannounced: Vec::new(),
             peers: PeerTable::new(own),
             requests: 0,
@@ -175,6 +180,7 @@
             state: RefCell::new(state),
             change_count: watch::Sender::new(0),
             timing: SpreadTiming::within(settings.bounds.spread),
+            links_notify: Notify::new(),
             quarantine_notify: Notify::new(),
             started: BootTime::now(),
             incarnation,
@@ -250,16 +256,24 @@
         self.notify_peers();
     }
 
-    /// Applies what a response of a server, to a request that was sent at `sent`, says about
-    /// the server.
+    /// Applies what a response of a server, to a request that was sent at `sent` on a
+    /// connection that was opened at `opened`, says about the server.
     pub(crate) fn apply_notice(
         &self,
         server: ServerKey,
-        sent: BootTime,
+        (opened, sent): (BootTime, BootTime),
         incarnation: &ServerIncarnation,
         notice: ServerNotice,
     ) {
-        self.state.borrow_mut().fleet.on_response(BootTime::now(), server);
+        {
+            let state = &mut *self.state.borrow_mut();
+            state.fleet.on_response(BootTime::now(), server);
+            if let Some(exonerated) = state.fleet.exonerate(opened, server) {
+                state.refute_crash(&exonerated);
+                self.notify_peers();
+                self.quarantine_notify.notify_one();
+            }
+        }
         if notice == ServerNotice::default() {
             return;
         }
@@ -348,12 +362,13 @@
             return;
         }
         let now = BootTime::now();
-        let crashes = &mut self.state.borrow_mut().crashes;
-        let before = crashes.last_change();
+        let state = &mut *self.state.borrow_mut();
+        let before = state.crashes.last_change();
         for record in records {
-            log_quarantine(record.request, crashes.merge(now, record));
+            log_quarantine(record.request, state.crashes.merge(now, record));
         }
-        if crashes.last_change() != before {
+        if state.crashes.last_change() != before {
+            state.fleet.accuse_by_evidence(now, state.crashes.evidence());
             self.notify_peers();
         }
     }
@@ -446,7 +461,29 @@
 }
 
 impl GatewayState {
-    /// Records that a server may have crashed under a request.
+    /// Records that a server has not crashed after all.
+    fn refute_crash(&mut self, server: &ServerIncarnation) {
+        let evidence = CrashEvidence::of(server);
+        for (request, change) in self.crashes.refute(BootTime::now(), evidence) {
+            self.on_quarantine(request, Some(change));
+        }
+    }
+
+    /// Records the crashes that are certain to be no lost links; returns whether there are any.
+    pub(crate) fn resolve_crash_doubts(&mut self, now: BootTime) -> bool {
+        let confirmed = self.crash_doubts.resolve(now, &self.fleet);
+        for (request, evidence) in &confirmed {
+            self.record_crash(*request, *evidence);
+        }
+        !confirmed.is_empty()
+    }
+
+    /// Returns whether servers may have crashed under a request.
+    pub(crate) fn is_suspected(&self, request: RequestFingerprint) -> bool {
+        self.crashes.is_suspected(request) || self.crash_doubts.is_suspected(request)
+    }
+
+    /// Records that a server has crashed under a request.
     pub(crate) fn record_crash(&mut self, request: RequestFingerprint, evidence: CrashEvidence) {
         let change = self.crashes.record_crash(BootTime::now(), request, evidence);
         self.on_quarantine(request, change);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -7,10 +7,7 @@
 use carobstep_tier::{FanoutPlan, LinkReport, ProbeOutcome, RouteConfig, RouteTarget, ServerKey};
 use indexmap::IndexSet;
 use log::{debug, info};
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{task::spawn_local, time::timeout};
 
 use crate::{
     backend::ProbeFailure,
@@ -29,8 +26,13 @@
 pub(crate) async fn monitor_links(gateway: Rc<Gateway>) {
     let called = Rc::default();
     loop {
-        sleep(CHECK_INTERVAL).await;
+        // A broken connection is looked into at once.
+        let _ = timeout(CHECK_INTERVAL, gateway.links_notify.notified()).await;
         let now = BootTime::now();
+        if gateway.state.borrow_mut().resolve_crash_doubts(now) {
+            gateway.notify_peers();
+            gateway.quarantine_notify.notify_one();
+        }
         for server in gateway.state.borrow_mut().fleet.due_probes(now) {
             spawn_local(probe(gateway.clone(), server));
         }
@@ -46,7 +48,9 @@
     let Some(pool) = gateway.pool(server) else { return };
     let path = gateway.state.borrow().fleet.health_path(server);
     let sent = BootTime::now();
-    let on_notice = |notice| gateway.apply_notice(server, sent, pool.incarnation(), notice);
+    let on_notice = |opened, notice| {
+        gateway.apply_notice(server, (opened, sent), pool.incarnation(), notice);
+    };
     let (outcome, reason) = match pool.probe(path.as_deref(), on_notice).await {
         Ok(()) => (ProbeOutcome::Answered, String::new()),
         Err(ProbeFailure { outcome, reason }) => (outcome, reason),
@@ -64,6 +68,7 @@
         );
     }
     report_lost_zones(&gateway);
+    gateway.links_notify.notify_one();
 }
 
 fn lost_zones(gateway: &Gateway) -> Vec<Arc<str>> {
--- a/crates/tier/src/crashes.rs
+++ b/crates/tier/src/crashes.rs
@@ -31,6 +31,9 @@
 /// Number of such probes by all nodes together; each may crash a server.
 const MAX_PROBES: u8 = 2;
 
+/// Maximum number of refuted crashes that a record lists; further ones count again.
+const MAX_REFUTED: usize = 64;
+
 /// Maximum number of records; those of requests that are not quarantined are forgotten first.
 const MAX_RECORDS: usize = 2048;
 
@@ -61,6 +64,8 @@
     pub epoch: u32,
     /// Evidence since then.
     pub crashes: Vec<CrashEvidence>,
+    /// Evidence that a later response of the server has refuted.
+    pub refuted: Vec<CrashEvidence>,
     /// Number of times that the quarantined request was sent to find out about it.
     pub probes: u8,
     /// Time since the last change.
@@ -190,7 +195,14 @@
         }
         let known = self.records.get(&request);
         let mut record = known.map_or(
-            CrashRecord { request, epoch: 0, crashes: Vec::new(), probes: 0, age: Duration::ZERO },
+            CrashRecord {
+                request,
+                epoch: 0,
+                crashes: Vec::new(),
+                refuted: Vec::new(),
+                probes: 0,
+                age: Duration::ZERO,
+            },
             |known| known.record.clone(),
         );
         if !record.crashes.contains(&evidence) {
@@ -220,6 +232,7 @@
         let was_quarantined = known.is_quarantined();
         known.record.epoch = known.record.epoch.saturating_add(1);
         known.record.crashes.clear();
+        known.record.refuted.clear();
         known.record.probes = 0;
         known.changed_at = now;
         self.last_change += 1;
@@ -238,7 +251,9 @@
 
     /// Applies a record of this node or of a peer.
     pub fn merge(&mut self, now: BootTime, record: &CrashRecord) -> Option<QuarantineChange> {
-        if record.age >= RECORD_LIFETIME || record.crashes.len() > MAX_CRASHES + 1 {
+        let is_too_long =
+            record.crashes.len() > MAX_CRASHES + 1 || record.refuted.len() > MAX_REFUTED;
+        if record.age >= RECORD_LIFETIME || is_too_long {
             return None;
         }
         let known = self.records.get(&record.request);
@@ -250,9 +265,14 @@
             }
             if own.epoch == record.epoch {
                 merged.crashes.extend_from_slice(&own.crashes);
+                merged.refuted.extend_from_slice(&own.refuted);
                 merged.probes = merged.probes.max(own.probes);
             }
         }
+        merged.refuted.sort_unstable();
+        merged.refuted.dedup();
+        merged.refuted.truncate(MAX_REFUTED);
+        merged.crashes.retain(|evidence| !merged.refuted.contains(evidence));
         merged.crashes.sort_unstable();
         merged.crashes.dedup();
         // Which ones are kept must not depend on the order of the messages.
@@ -269,7 +289,9 @@
         let is_quarantined = known.is_quarantined();
         self.records.insert(record.request, known);
         self.evict();
-        if !record.crashes.is_empty() && self.forgive(record.request) {
+        let has_evidence = self.records.get(&record.request);
+        let has_evidence = has_evidence.is_some_and(|known| !known.record.crashes.is_empty());
+        if has_evidence && self.forgive(record.request) {
             // This node knows a response to the request that the other one does not.
             let ended = self.clear(now, record.request);
             return ended.filter(|_| was_quarantined);
@@ -281,6 +303,32 @@
         }
     }
 
+    /// Records that a server has not crashed, since it has responded on a connection from
+    /// before. Returns the requests whose standing has changed.
+    pub fn refute(
+        &mut self,
+        now: BootTime,
+        evidence: CrashEvidence,
+    ) -> Vec<(RequestFingerprint, QuarantineChange)> {
+        let mut changes = Vec::new();
+        let accused = self.records.values().filter(|it| it.record.crashes.contains(&evidence));
+        let accused: Vec<_> = accused.map(|known| known.record.clone()).collect();
+        for mut record in accused {
+            record.refuted.truncate(MAX_REFUTED - 1);
+            record.refuted.push(evidence);
+            record.age = self.record(now, record.request).map_or(Duration::ZERO, |it| it.age);
+            if let Some(change) = self.merge(now, &record) {
+                changes.push((record.request, change));
+            }
+        }
+        changes
+    }
+
+    /// Returns the evidence for which a record is suspected.
+    pub fn evidence(&self) -> impl Iterator<Item = CrashEvidence> {
+        self.records.values().flat_map(|known| known.record.crashes.iter().copied())
+    }
+
     fn evict(&mut self) {
         if self.records.len() <= MAX_RECORDS {
             return;
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -373,6 +373,18 @@
         })
     }
 
+    pub(crate) fn server(&self, key: ServerKey) -> Option<&ServerState> {
+        self.servers.get(key)
+    }
+
+    pub(crate) fn server_mut(&mut self, key: ServerKey) -> Option<&mut ServerState> {
+        self.servers.get_mut(key)
+    }
+
+    pub(crate) fn servers_mut(&mut self) -> impl Iterator<Item = &mut ServerState> {
+        self.servers.values_mut()
+    }
+
     /// Returns whether `scope` allows any available server that responds to this node.
     #[must_use]
     pub fn has_responding_candidate(
--- a/crates/tier/src/fleet/links.rs
+++ b/crates/tier/src/fleet/links.rs
@@ -133,6 +133,36 @@
         self.services.get(service).map_or(&[], |state| &state.servers)
     }
 
+    /// Returns whether a zone has a server that accepts requests other than those that may
+    /// have crashed.
+    pub(crate) fn has_witness(
+        &self,
+        now: BootTime,
+        zone: &str,
+        is_accused: impl Fn(ServerKey) -> bool,
+    ) -> bool {
+        self.servers.iter().any(|(key, server)| {
+            *server.entry.zone == *zone && server.is_available(now) && !is_accused(key)
+        })
+    }
+
+    /// Probes servers of a zone at once.
+    pub(crate) fn probe_zone(&mut self, now: BootTime, zone: &Arc<str>) {
+        self.zone_links.suspect_at(now, zone);
+    }
+
+    /// Returns whether no server of a zone responds to this node.
+    #[must_use]
+    pub fn is_zone_lost(&self, now: BootTime, zone: &str) -> bool {
+        self.zone_links.is_lost(now, zone)
+    }
+
+    /// Returns whether any server of a zone has responded since `time`.
+    #[must_use]
+    pub fn has_responded_since(&self, time: BootTime, zone: &str) -> bool {
+        self.zone_links.last_response(zone) > time
+    }
+
     /// Probes the servers of a zone that another node doesn't reach, unless this node does.
     pub fn suspect_zone(&mut self, now: BootTime, zone: &Arc<str>) {
         self.zone_links.suspect(now, zone);
@@ -171,7 +201,10 @@
             let middle = start % targets.len();
             targets.rotate_left(middle);
             // The sort is stable, so that equal servers keep the rotated order.
-            targets.sort_by_key(|(_, server)| (server.link.is_lost(), !server.is_waiting()));
+            targets.sort_by_key(|(_, server)| {
+                // A server that this node waits for may be slow, or crash under the request.
+                (server.accused_since.is_some(), server.link.is_lost(), server.is_waiting())
+            });
             due.extend(targets.iter().take(PROBES_PER_ROUND).map(|(key, _)| *key));
         }
         if now >= self.next_link_scan {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -24,6 +24,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod crash_doubts;
 mod crashes;
 mod credit;
 mod directory;
@@ -48,6 +49,7 @@
 mod stats;
 mod update_tree;
 
+pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
 };
--- a/crates/tier/src/links.rs
+++ b/crates/tier/src/links.rs
@@ -274,11 +274,17 @@
         true
     }
 
+    /// Makes servers of a zone be probed at `time` unless one responds until then.
+    pub(crate) fn suspect_at(&mut self, time: BootTime, zone: &Arc<str>) {
+        let link = self.entry(zone);
+        link.suspect_at = Some(link.suspect_at.map_or(time, |at| at.min(time)));
+    }
+
     /// Makes the servers of a zone be probed at once, unless one has responded lately.
     pub(crate) fn suspect(&mut self, now: BootTime, zone: &Arc<str>) {
         let link = self.entry(zone);
         if now.since(link.last_response) >= MAX_ZONE_INTERVAL && now >= link.next_round {
-            link.suspect_at = Some(now.min(link.suspect_at.unwrap_or(now)));
+            self.suspect_at(now, zone);
         }
     }
 
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -200,6 +200,12 @@
     pub born_ms: Option<u64>,
 }
 
+impl From<&ServerEntry> for ServerIncarnation {
+    fn from(entry: &ServerEntry) -> Self {
+        Self { id: entry.id.clone(), born_ms: entry.born_ms }
+    }
+}
+
 /// What a response of a server says about the server itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerNotice {
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -102,6 +102,8 @@
     unreachable_count: u32,
     pub(crate) cold_until: BootTime,
     is_misdirected: bool,
+    /// Since when the server may have crashed, unless it has responded on an older connection.
+    pub(crate) accused_since: Option<BootTime>,
     /// This node's part of the limit that the server names.
     pub(crate) quota: Option<ServerQuota>,
 }
@@ -133,6 +135,7 @@
             paused_until: BootTime::ZERO,
             unreachable_count: 0,
             is_misdirected: false,
+            accused_since: None,
             quota: None,
         }
     }
