Refuse at once, and leave the balancer, in a zone that is cut off from all others

Cause: a node without links relayed requests to peers that had responded before the links were lost, which the cut had taken away as well, and stayed ready until a call to each of them had failed. A probe waited for 350 ms on an open connection although no new one could be opened.

Now earlier responses of peers count no more once a zone is lost; a node is not ready as soon as a route can be served neither here nor by a peer that has responded since, unless all other nodes report the same loss, and is ready again when peers have helped for 300 ms. A probe on an open connection gets 200 ms if no other can be opened, zones are probed after 150 ms of silence, and all that are silent as soon as one is lost.

Tests: a_cut_off_node_is_ready_again_once_peers_have_helped_for_a_while, only_nodes_that_have_responded_lately_get_requests.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -39,6 +39,9 @@
 /// apart.
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Timeout for the response on an open connection, if no other can be opened.
+const PROBE_IDLE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Timeout for the response to a probe, which waits for a slot like any request.
 const PROBE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -193,6 +196,10 @@
 }
 
 impl ProbeFailure {
+    fn silent() -> Self {
+        Self { outcome: ProbeOutcome::Silent, reason: "no response".to_owned() }
+    }
+
     fn unreachable(reason: impl Into<String>) -> Self {
         Self { outcome: ProbeOutcome::Unreachable, reason: reason.into() }
     }
@@ -299,10 +306,14 @@
             pin!(async { self.probe_on(connecting.await?, &request, &on_notice).await });
         let Some(idle) = self.take_idle() else { return on_new.await };
         let mut on_idle = pin!(self.probe_on(idle, &request, &on_notice));
+        let idle_until = Instant::now() + PROBE_IDLE_TIMEOUT;
         tokio::select! {
             outcome = on_new.as_mut() => match outcome {
                 Ok(()) => Ok(()),
-                Err(failure) => on_idle.await.map_err(|_| failure),
+                // A connection that stays open shows that the server may only be slow.
+                Err(_) => timeout_at(idle_until, on_idle)
+                    .await
+                    .unwrap_or_else(|_| Err(ProbeFailure::silent())),
             },
             outcome = on_idle.as_mut() => match outcome {
                 Ok(()) => Ok(()),
@@ -331,10 +342,7 @@
                     Err(ProbeFailure::unreachable(error.to_string()))
                 };
             }
-            Err(_) => {
-                let reason = "no response".to_owned();
-                return Err(ProbeFailure { outcome: ProbeOutcome::Silent, reason });
-            }
+            Err(_) => return Err(ProbeFailure::silent()),
         };
         self.record_notice(connection.opened, request, &response, on_notice);
         let reading = read_response(response, MAX_PROBE_BYTES, reservation);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -4,7 +4,9 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_tier::{FanoutPlan, LinkReport, ProbeOutcome, RouteConfig, RouteTarget, ServerKey};
+use carobstep_tier::{
+    FanoutPlan, LinkReport, ProbeOutcome, RouteConfig, RouteTarget, ServerKey, ServingReach,
+};
 use indexmap::IndexSet;
 use log::{debug, info};
 use tokio::{task::spawn_local, time::timeout};
@@ -79,8 +81,16 @@
 fn report_lost_zones(gateway: &Gateway) {
     let lost_zones = lost_zones(gateway);
     let names = lost_zones.join(",");
-    if !gateway.state.borrow_mut().peers.link_reports_mut().set_own(lost_zones) {
-        return;
+    {
+        let peers = &mut gateway.state.borrow_mut().peers;
+        let own = peers.own().name.clone();
+        let is_further_loss = lost_zones.iter().any(|zone| peers.reaches(&own, zone));
+        if !peers.link_reports_mut().set_own(lost_zones) {
+            return;
+        }
+        if is_further_loss {
+            peers.forget_contacts();
+        }
     }
     info!(lost_zones = names.as_str(); "links to the servers of availability zones changed");
     gateway.notify_peers();
@@ -121,15 +131,20 @@
     }
 }
 
-/// Reports the node as not ready if a route can't be served here, and other nodes may serve
-/// it that don't respond to this one.
+/// Reports the node as not ready if a route can't be served here and other nodes may serve
+/// it, none of which responds to this one.
 fn update_readiness(gateway: &Gateway) {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
-    let is_cut_off = state.fleet.has_lost_links(now)
-        && !state.peers.is_in_contact_with_all(now)
-        && state.configuration.routes.iter().any(|route| !state.can_serve(now, route));
-    if state.lifecycle.set_unreachable(now, is_cut_off) {
+    let reach = if !state.fleet.has_lost_links(now) {
+        ServingReach::Own
+    } else if state.configuration.routes.iter().any(|route| state.is_cut_off(now, route)) {
+        ServingReach::CutOff
+    } else {
+        ServingReach::Peers
+    };
+    if state.lifecycle.set_reach(now, reach) {
+        let is_cut_off = state.lifecycle.is_cut_off();
         info!(cut_off = is_cut_off; "readiness changed with the servers and nodes in reach");
     }
 }
@@ -152,21 +167,24 @@
             .map_or(Duration::ZERO, |at| at.since(now))
     }
 
-    /// Returns whether the servers that a route needs are in reach of this node or of a peer
-    /// that responds, as far as there are any.
-    fn can_serve(&self, now: BootTime, route: &RouteConfig) -> bool {
+    /// Returns whether servers that a route needs are out of reach of this node and of the
+    /// peers that respond, but not of all other nodes.
+    fn is_cut_off(&self, now: BootTime, route: &RouteConfig) -> bool {
         let is_lost = |name: &Arc<str>| {
             let Some(service) = self.fleet.service_key(name) else { return false };
+            if !self.fleet.is_out_of_reach(now, service) {
+                return false;
+            }
             let zones = self.fleet.zones_of(now, service);
-            self.fleet.is_out_of_reach(now, service)
-                && self.peers.relay_room_due(now, &zones).is_none()
+            self.peers.relay_room_due(now, &zones).is_none()
+                && zones.iter().any(|zone| self.peers.any_reaches(zone))
         };
         match &route.target {
-            RouteTarget::Service(service) => !is_lost(service),
-            RouteTarget::Split(services) => !services.iter().any(|it| is_lost(&it.service)),
+            RouteTarget::Service(service) => is_lost(service),
+            RouteTarget::Split(services) => services.iter().any(|it| is_lost(&it.service)),
             RouteTarget::Gather(gather) => {
                 let lost = gather.shards.iter().filter(|shard| is_lost(shard)).count();
-                gather.shards.len() - lost >= gather.min_shards()
+                gather.shards.len() - lost < gather.min_shards()
             }
         }
     }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -67,7 +67,7 @@
     AttemptKind, AttemptTicket, FleetLimits, LimitChange, LimitedUse, PickScope, SearchRank,
     ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
 };
-pub use lifecycle::{LifecyclePhase, NodeLifecycle, StopTiming};
+pub use lifecycle::{LifecyclePhase, NodeLifecycle, ServingReach, StopTiming};
 pub use limits::{LimitRecord, LimitTable, LimitUpdate};
 pub use link_reports::{LinkReport, LinkReports, LinkUpdate};
 pub use links::ProbeOutcome;
--- a/crates/tier/src/lifecycle.rs
+++ b/crates/tier/src/lifecycle.rs
@@ -14,6 +14,10 @@
 /// if none is in flight, because some may have been on their way.
 const IN_TRANSIT_TIME: Duration = Duration::from_millis(100);
 
+/// Time for which a node that was cut off must be able to serve its callers by way of peers
+/// before it counts as ready again.
+const RETURN_DELAY: Duration = Duration::from_millis(300);
+
 /// Part of the grace period that is reserved for exiting the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
@@ -35,6 +39,17 @@
     Ended,
 }
 
+/// Who can call the servers that a node's callers need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServingReach {
+    /// The node itself, as far as any node can.
+    Own,
+    /// The node or its peers.
+    Peers,
+    /// Other nodes, none of which responds to this one.
+    CutOff,
+}
+
 /// Times at which the steps of a shutdown are due, relative to the signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopTiming {
@@ -58,8 +73,10 @@
 pub struct NodeLifecycle {
     knows_configuration: bool,
     knows_servers: bool,
-    /// Since when unreachable zones make a route unservable, if they do.
+    /// Since when some requests can't be served, if that is so.
     cut_off_since: Option<BootTime>,
+    /// Since when they can be served again by way of peers.
+    returning_since: Option<BootTime>,
     stopping_since: Option<BootTime>,
     timing: StopTiming,
 }
@@ -72,6 +89,7 @@
             knows_configuration: false,
             knows_servers: false,
             cut_off_since: None,
+            returning_since: None,
             stopping_since: None,
             timing,
         }
@@ -87,14 +105,24 @@
         self.knows_servers = true;
     }
 
-    /// Records whether some requests cannot be served because zones are unreachable;
-    /// returns whether that has changed.
-    pub const fn set_unreachable(&mut self, now: BootTime, has_unreachable_route: bool) -> bool {
-        let changed = self.cut_off_since.is_some() != has_unreachable_route;
-        if changed {
-            self.cut_off_since = if has_unreachable_route { Some(now) } else { None };
+    /// Records which requests can be served; returns whether readiness has changed.
+    pub fn set_reach(&mut self, now: BootTime, reach: ServingReach) -> bool {
+        let was_cut_off = self.is_cut_off();
+        let is_cut_off = match reach {
+            ServingReach::Own => false,
+            ServingReach::CutOff => true,
+            ServingReach::Peers => {
+                let since = *self.returning_since.get_or_insert(now);
+                was_cut_off && now.since(since) < RETURN_DELAY
+            }
+        };
+        if reach != ServingReach::Peers {
+            self.returning_since = None;
+        }
+        if was_cut_off != is_cut_off {
+            self.cut_off_since = is_cut_off.then_some(now);
         }
-        changed
+        was_cut_off != is_cut_off
     }
 
     /// Returns whether some requests can't be served here while other nodes may serve them.
--- a/crates/tier/src/links.rs
+++ b/crates/tier/src/links.rs
@@ -13,7 +13,10 @@
 
 /// Time without a response from a zone, while requests to it wait, after which some of its
 /// servers are probed.
-const ZONE_SILENCE: Duration = Duration::from_millis(200);
+const ZONE_SILENCE: Duration = Duration::from_millis(150);
+
+/// Time since its last response after which a zone is probed because another one is lost.
+const RECENT_RESPONSE: Duration = Duration::from_millis(50);
 
 /// Time without a response from a server, while requests to it wait, after which it is
 /// probed; longer than the pauses of a sound server.
@@ -263,15 +266,19 @@
         true
     }
 
-    /// Records that too many servers of a zone don't respond; returns whether the zone
-    /// counted as reached before.
-    pub(crate) fn on_lost(&mut self, now: BootTime, zone: &Arc<str>) -> bool {
+    /// Records that too many servers of a zone don't respond. The other zones may be lost for
+    /// the same reason and are probed at once, unless they have responded lately.
+    pub(crate) fn on_lost(&mut self, now: BootTime, zone: &Arc<str>) {
         let link = self.entry(zone);
         if matches!(link.state, ZoneState::Lost { .. }) {
-            return false;
+            return;
         }
         link.state = ZoneState::Lost { since: now };
-        true
+        for link in self.zones.values_mut() {
+            if now.since(link.last_response) >= RECENT_RESPONSE {
+                link.suspect_at = Some(link.suspect_at.map_or(now, |at| at.min(now)));
+            }
+        }
     }
 
     /// Makes servers of a zone be probed at `time` unless one responds until then.
--- a/crates/tier/src/relays.rs
+++ b/crates/tier/src/relays.rs
@@ -105,10 +105,19 @@
         due.map(|peer| peer.entry.name.clone()).collect()
     }
 
-    /// Returns whether all registered nodes respond to this one.
+    /// Makes the earlier responses of peers count no more, since what has cut this node off
+    /// from servers may have cut it off from peers.
+    pub fn forget_contacts(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.contact_at = BootTime::ZERO;
+        }
+    }
+
+    /// Returns whether any registered peer may reach servers of a zone, whether it responds to
+    /// this node or not.
     #[must_use]
-    pub fn is_in_contact_with_all(&self, now: BootTime) -> bool {
-        self.peers.values().all(|peer| peer.failures == 0 && peer.is_usable(now))
+    pub fn any_reaches(&self, zone: &str) -> bool {
+        self.peers.keys().any(|peer| self.reaches(peer, zone))
     }
 
     fn relays(&self, now: BootTime, zone: &str) -> impl Iterator<Item = &PeerState> {
--- a/crates/tier/tests/links.rs
+++ b/crates/tier/tests/links.rs
@@ -81,8 +81,8 @@
         let (mut fleet, services) = fleet(count, &["a", "b"], LIMITS);
         let key = class(&mut fleet);
         send_to_all(&mut fleet, at(0), &services, key);
-        assert!(fleet.due_probes(at(199)).is_empty(), "{label}");
-        let probed = fleet.due_probes(at(200));
+        assert!(fleet.due_probes(at(149)).is_empty(), "{label}");
+        let probed = fleet.due_probes(at(150));
         assert_eq!(probed.len(), outcomes.len(), "{label}");
         for (server, outcome) in probed.iter().zip(outcomes) {
             assert_eq!(zone_of(&fleet, *server), "a", "{label}");
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -6,7 +6,8 @@
 
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry,
-    PeerTable, PickScope, ServerDirectory, ServerPhase, StopTiming, StoreRevision, VersionedServer,
+    PeerTable, PickScope, ServerDirectory, ServerPhase, ServingReach, StopTiming, StoreRevision,
+    VersionedServer,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -183,14 +184,30 @@
     let delay =
         |lifecycle: &NodeLifecycle, millis| lifecycle.balancer_delay(at(millis)).as_millis();
     assert_eq!(delay(&lifecycle, 0), 0);
-    lifecycle.set_unreachable(at(1_000), true);
-    assert!(!lifecycle.set_unreachable(at(1_500), true), "it was cut off before");
+    lifecycle.set_reach(at(1_000), ServingReach::CutOff);
+    assert!(!lifecycle.set_reach(at(1_500), ServingReach::CutOff), "it was cut off before");
     let delays = [1_000, 1_800, 3_799, 3_800, 9_000].map(|millis| delay(&lifecycle, millis));
     assert_eq!(delays, [2_800, 2_000, 1, 0, 0]);
-    lifecycle.set_unreachable(at(9_000), false);
+    lifecycle.set_reach(at(9_000), ServingReach::Own);
     assert_eq!(delay(&lifecycle, 9_000), 0);
 }
 
+/// Guards against a node in a zone that is cut off that the balancer keeps, because peers of
+/// the same zone seem to be able to help for a moment.
+#[test]
+fn a_cut_off_node_is_ready_again_once_peers_have_helped_for_a_while() {
+    let mut lifecycle = NodeLifecycle::new(StopTiming::within(Duration::from_secs(6)));
+    assert!(!lifecycle.set_reach(at(0), ServingReach::Peers), "ready from the start");
+    assert!(lifecycle.set_reach(at(10), ServingReach::CutOff));
+    assert!(!lifecycle.set_reach(at(50), ServingReach::Peers));
+    assert!(!lifecycle.set_reach(at(300), ServingReach::CutOff));
+    assert!(!lifecycle.set_reach(at(400), ServingReach::Peers));
+    assert!(!lifecycle.set_reach(at(699), ServingReach::Peers) && lifecycle.is_cut_off());
+    assert!(lifecycle.set_reach(at(700), ServingReach::Peers) && !lifecycle.is_cut_off());
+    assert!(lifecycle.set_reach(at(800), ServingReach::CutOff));
+    assert!(lifecycle.set_reach(at(801), ServingReach::Own), "at once when the links are back");
+}
+
 #[test]
 fn a_stopping_node_serves_on_until_the_balancer_has_left() {
     let mut lifecycle = NodeLifecycle::new(StopTiming::within(Duration::from_secs(6)));
@@ -199,7 +216,7 @@
     assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Starting);
     lifecycle.on_server_list();
     assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::Ready);
-    assert!(lifecycle.set_unreachable(at(0), true));
+    assert!(lifecycle.set_reach(at(0), ServingReach::CutOff));
     assert_eq!(lifecycle.phase(at(0), 0), LifecyclePhase::CutOff);
     lifecycle.stop(at(1_000));
     lifecycle.stop(at(2_000));
--- a/crates/tier/tests/placement.rs
+++ b/crates/tier/tests/placement.rs
@@ -240,6 +240,12 @@
     table.on_answered(at(449), "a-1");
     assert!(table.contacts_to_check(at(450), &[name("a")]).is_empty());
     assert_eq!(place(&mut fleet, &services[..1], &table, request).delegations.len(), 1);
+    // The links to the peers may have been lost with those to the servers.
+    table.forget_contacts();
+    assert!(place(&mut fleet, &services[..1], &table, request).delegations.is_empty());
+    assert!(table.any_reaches("a"), "it may be there");
+    lose(&mut table, "a-1", &["a"]);
+    assert!(!table.any_reaches("a"));
 }
 
 #[test]
