Spread the return to a zone over the number of nodes

Cause: the return was spread over the same time whatever the number of nodes. Now it is 5 ms for each node, at most 1.5 s.

--- a/crates/tier/src/fleet/links.rs
+++ b/crates/tier/src/fleet/links.rs
@@ -31,7 +31,8 @@
         server.waiting_since = now;
         let zone = server.entry.zone.clone();
         let random_fraction = || hash_fraction(self.seed, now.as_micros());
-        if !self.zone_links.on_response(now, &zone, random_fraction) {
+        let nodes = self.limits.nodes;
+        if !self.zone_links.on_response(now, &zone, nodes, random_fraction) {
             return;
         }
         // What the lost links have shown of the servers is not the servers' fault.
--- a/crates/tier/src/links.rs
+++ b/crates/tier/src/links.rs
@@ -45,8 +45,11 @@
 /// other.
 const MIN_SPREAD_LOSS: Duration = Duration::from_millis(2_000);
 
-/// Time within which the nodes return to a zone.
-const RETURN_SPREAD: Duration = Duration::from_millis(1_500);
+/// Time within which the nodes return to a zone, for each of them.
+const RETURN_SPREAD_PER_NODE: Duration = Duration::from_millis(5);
+
+/// Longest time within which the nodes return to a zone.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(1_500);
 
 /// What a probe has shown of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -248,11 +251,12 @@
     }
 
     /// Records a response from a zone; returns whether the zone was lost. `random_fraction`
-    /// returns a number from 0 to 1.
+    /// returns a number from 0 to 1, and `nodes` is the number of nodes that may return.
     pub(crate) fn on_response(
         &mut self,
         now: BootTime,
         zone: &Arc<str>,
+        nodes: u32,
         random_fraction: impl FnOnce() -> f64,
     ) -> bool {
         let link = self.entry(zone);
@@ -260,7 +264,8 @@
         link.suspect_at = None;
         let ZoneState::Lost { since } = link.state else { return false };
         let is_spread = now.since(since) >= MIN_SPREAD_LOSS;
-        let until = now + RETURN_SPREAD.mul_f64(random_fraction());
+        let spread = (RETURN_SPREAD_PER_NODE * nodes).min(MAX_RETURN_SPREAD);
+        let until = now + spread.mul_f64(random_fraction());
         link.state = if is_spread { ZoneState::Returning { until } } else { ZoneState::Reached };
         link.rounds = 0;
         true
