Choose as many delegates as the shards of their zone need

A search over 20 shards, 8 of which have servers in another zone, was split over as many delegates as 20 shards would need, so that some had one shard. Each costs a message, and a delegate with one shard can't tell a request that crashes servers from a broken connection.

--- a/crates/tier/src/placement.rs
+++ b/crates/tier/src/placement.rs
@@ -103,36 +103,37 @@
         .first()
         .is_some_and(|service| fleet.slot_utilization(now, *service) > MAX_REMOTE_UTILIZATION);
     let should_delegate = peers.should_delegate(names.len(), request.objective);
-    let mut delegates_by_zone: IndexMap<Arc<str>, Vec<&PeerEntry>> = IndexMap::new();
     let mut draft = PlacementDraft::new(now, request, names.len());
     let mut unreached = Vec::new();
-    for (position, name) in names.iter().enumerate() {
-        let service = services[position];
-        let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
-        if !fleet.has_responding_server(now, service) {
-            unreached.push(UnplacedShard::new(position, service));
+    let mut shards_by_zone: IndexMap<Arc<str>, Vec<usize>> = IndexMap::new();
+    for (position, service) in services.iter().enumerate() {
+        if !fleet.has_responding_server(now, *service) {
+            unreached.push(UnplacedShard::new(position, *service));
             continue;
         }
-        let Some(zone) = fleet.best_zone(now, service, request.class, &preference) else {
+        let Some(zone) = fleet.best_zone(now, *service, request.class, &preference) else {
             continue;
         };
         let is_direct =
             if zone == *local_zone { !should_delegate } else { is_busy && !should_delegate };
-        if is_direct || !may_delegate {
-            continue;
+        if !is_direct && may_delegate {
+            shards_by_zone.entry(zone).or_default().push(position);
         }
-        let delegates = delegates_by_zone.entry(zone.clone()).or_insert_with(|| {
-            let mut delegates = peers.delegates_in_zone(now, &zone, names.len());
-            if zone == *local_zone {
-                delegates.push(peers.own());
-            }
-            delegates
-        });
-        let Some(delegate) = PeerTable::choose_delegate(delegates, name) else { continue };
-        if delegate.name == peers.own().name {
-            continue;
+    }
+    for (zone, positions) in shards_by_zone {
+        let mut delegates = peers.delegates_in_zone(now, &zone, positions.len());
+        if zone == *local_zone {
+            delegates.push(peers.own());
+        }
+        for position in positions {
+            let delegate = PeerTable::choose_delegate(&delegates, &names[position]);
+            let Some(delegate) = delegate.filter(|it| it.name != peers.own().name) else {
+                continue;
+            };
+            let shard = ShardIndex(u16::try_from(position).unwrap_or(u16::MAX));
+            let place = (&delegate.name, &*zone);
+            draft.assign(fleet, (shard, services[position]), place, &[]);
         }
-        draft.assign(fleet, (shard, service), (&delegate.name, &zone), &[]);
     }
     if request.is_cautious && !unreached.is_empty() {
         let numbered = services.iter().enumerate();
