Keep a search that crashes servers from the second servers of its shards

Cause: the first attempts end one server of each shard before anything is known of the search. Up to three more were called before it was sent with caution, by each delegate for itself, then one more as a trial; and shards without a response were hedged at their second servers, although no shard had responded.

Now a search is sent on with caution from the first broken connection until any server has responded, is given up if three have broken and none has responded, and is not hedged before; a delegate reports broken shards at once and leaves them to the node that knows whether other shards have responded. A request that is quarantined meanwhile is sent to no further server.

A search still ends one server of each shard.

Test: a_search_that_crashes_servers_leaves_the_second_server_of_each_shard failed before (23 servers of 20 allowed in its first case).

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -60,6 +60,8 @@
     pub(crate) answered: usize,
     /// Shards for which no server was called.
     pub(crate) not_called: Vec<ShardIndex>,
+    /// Shards that were given up because servers may have crashed.
+    pub(crate) broken: Vec<ShardIndex>,
     /// Shards without a response, counted by what they were waiting for.
     pub(crate) missing: MissingShards,
     /// Number of peers in the plan.
@@ -73,6 +75,24 @@
     pub(crate) retry_delay: Duration,
 }
 
+/// Results of a delegated search so far.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FanoutProgress<'fanout> {
+    pub(crate) responses: &'fanout [Option<BackendResponse>],
+    /// Shards for which no server was called.
+    pub(crate) not_called: &'fanout [ShardIndex],
+    /// Shards that were given up because servers may have crashed.
+    pub(crate) broken: &'fanout [ShardIndex],
+}
+
+impl FanoutResult {
+    /// Returns the results of a delegated search.
+    pub(crate) fn progress(&self) -> FanoutProgress<'_> {
+        let Self { responses, not_called, broken, .. } = self;
+        FanoutProgress { responses, not_called, broken }
+    }
+}
+
 /// Event that a task sends to its fan-out.
 enum FanoutEvent {
     /// An attempt at a server ended.
@@ -171,14 +191,13 @@
 
 /// Executes one request, some shards of which may be delegated to peers.
 ///
-/// Calls `on_progress` with the responses so far and the shards for which no server
-/// was called whenever the node that delegated the shards should be informed.
+/// Calls `on_progress` whenever the node that delegated the shards should be informed.
 pub(crate) async fn run_fanout(
     gateway: &Rc<Gateway>,
     plan: FanoutPlan,
     request: Rc<BackendRequest>,
     scope: DelegatedScope,
-    mut on_progress: impl FnMut(&[Option<BackendResponse>], &[ShardIndex]),
+    mut on_progress: impl FnMut(&FanoutProgress<'_>),
 ) -> FanoutResult {
     let shards = plan.services.len();
     let deadline = to_instant(plan.deadline);
@@ -215,6 +234,7 @@
         retry_delay,
         answered: run.state.answered(),
         not_called: run.state.shards_not_called(),
+        broken: run.state.broken_shards(),
         missing: run.state.missing_shards(),
         extra_attempts: run.state.extra_attempts(),
         is_finished_by_timer: run.is_finished_by_timer,
@@ -257,7 +277,7 @@
     async fn drive(
         &mut self,
         events_rx: &mut UnboundedReceiver<FanoutEvent>,
-        on_progress: &mut impl FnMut(&[Option<BackendResponse>], &[ShardIndex]),
+        on_progress: &mut impl FnMut(&FanoutProgress<'_>),
     ) -> FanoutOutcome {
         let mut actions = {
             let gateway = &mut *self.gateway.state.borrow_mut();
@@ -271,9 +291,11 @@
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
                     FanoutAction::Delegate(index) => self.delegate(index),
                     FanoutAction::UsePartialResults(index) => self.accept_results(index),
-                    FanoutAction::Report => {
-                        on_progress(&self.responses, &self.state.shards_not_called())
-                    }
+                    FanoutAction::Report => on_progress(&FanoutProgress {
+                        responses: &self.responses,
+                        not_called: &self.state.shards_not_called(),
+                        broken: &self.state.broken_shards(),
+                    }),
                     FanoutAction::Finish(outcome) => {
                         self.is_finished_by_timer =
                             had_enough && outcome == FanoutOutcome::Answered;
@@ -300,6 +322,9 @@
         if gateway.is_suspected(self.fingerprint) {
             self.state.suspect();
         }
+        if gateway.crashes.is_quarantined(self.fingerprint) {
+            self.state.stop_sending();
+        }
         let (shard, ticket, exchange) = match event {
             None => return self.state.on_timer(now, &mut gateway.fleet),
             Some(FanoutEvent::Attempt { shard, ticket, exchange }) => (shard, ticket, exchange),
@@ -443,7 +468,9 @@
         update: &DelegationUpdate,
     ) {
         let outcome = match update {
-            DelegationUpdate::PartialResults(_) | DelegationUpdate::Ended => return,
+            DelegationUpdate::PartialResults(_)
+            | DelegationUpdate::Broken(_)
+            | DelegationUpdate::Ended => return,
             DelegationUpdate::Failed => DelegationOutcome::Failed,
             DelegationUpdate::NotRun => DelegationOutcome::NotRun,
             DelegationUpdate::NotCalled(_) => DelegationOutcome::NotCalled,
@@ -612,7 +639,8 @@
 ) -> bool {
     let answered = shards_at(&parts.shards, shards);
     let not_called = shards_at(&parts.unasked, shards);
-    let (Some(answered), Some(not_called)) = (answered, not_called) else {
+    let broken = shards_at(&parts.broken, shards);
+    let (Some(answered), Some(not_called), Some(broken)) = (answered, not_called, broken) else {
         debug!(peer = peer; "a peer's reply names a shard twice or one that was not requested");
         return false;
     };
@@ -620,12 +648,15 @@
         debug!(peer = peer; "a peer's reply has a different number of stamps and shards");
         return false;
     }
-    if !answered.is_empty() || not_called.is_empty() {
+    if !answered.is_empty() || not_called.is_empty() && broken.is_empty() {
         notify(DelegationUpdate::PartialResults(answered), Some(PeerResult::Parts(parts)));
     }
     if !not_called.is_empty() {
         notify(DelegationUpdate::NotCalled(not_called), None);
     }
+    if !broken.is_empty() {
+        notify(DelegationUpdate::Broken(broken), None);
+    }
     true
 }
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -103,7 +103,7 @@
     let is_cautious = admission == RequestAdmission::Cautious;
     let (plan, scope) = plan_fanout(gateway, &route, arrived, timeout, is_cautious);
     let answer_by = plan.answer_by;
-    let mut result = run_fanout(gateway, plan, request, scope, |_, _| {}).await;
+    let mut result = run_fanout(gateway, plan, request, scope, |_| {}).await;
     report.record_result(&mut result);
     match &route.target {
         RouteTarget::Gather(gather) => {
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -160,6 +160,9 @@
     pub(crate) records: Bytes,
     /// Shards for which no server was or will be called, as positions in the request.
     pub(crate) unasked: Vec<u16>,
+    /// Shards under which servers may have crashed, as positions in the request. No further
+    /// server is called for them.
+    pub(crate) broken: Vec<u16>,
     /// Servers that recently said that they are leaving.
     pub(crate) leaving: Vec<ServerIncarnation>,
     /// What is known of the peer's links.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,8 +19,8 @@
 };
 
 use crate::{
-    backend::{BackendRequest, BackendResponse},
-    fanout::run_fanout,
+    backend::BackendRequest,
+    fanout::{FanoutProgress, run_fanout},
     follow::wait_for_update,
     gateway::{Gateway, GatewayState, InFlightGuard},
     peer_messages::{
@@ -152,15 +152,15 @@
         ReportedShards { is_shard_reported: vec![false; plan.services.len()], has_replied: false };
     // Not used, because a peer does not delegate the shards further.
     let scope = DelegatedScope::default();
-    let mut send_progress = |responses: &[Option<BackendResponse>], not_called: &[ShardIndex]| {
-        if let Some(mut parts) = reported.next_parts(responses, not_called, max_records) {
+    let mut send_progress = |progress: &FanoutProgress<'_>| {
+        if let Some(mut parts) = reported.next_parts(progress, max_records) {
             parts.leaving = gateway.recently_leaving();
             parts.links = gateway.own_links();
             replies.send(PeerReply::Parts(parts));
         }
     };
     let result = run_fanout(gateway, plan, Rc::new(request), scope, &mut send_progress).await;
-    send_progress(&result.responses, &result.not_called);
+    send_progress(&result.progress());
 }
 
 /// Sends a request to one service, and its outcome to the node that delegated it.
@@ -171,7 +171,7 @@
     replies: &ReplySink<PeerReply>,
 ) {
     let scope = DelegatedScope::default();
-    let mut result = run_fanout(gateway, plan, Rc::new(request), scope, |_, _| {}).await;
+    let mut result = run_fanout(gateway, plan, Rc::new(request), scope, |_| {}).await;
     let (verdict, response) = match result.outcome {
         FanoutOutcome::Answered => {
             (DelegatedVerdict::Answered, result.responses.first_mut().and_then(Option::take))
@@ -217,10 +217,10 @@
     /// none, except on the first call.
     fn next_parts(
         &mut self,
-        responses: &[Option<BackendResponse>],
-        not_called: &[ShardIndex],
+        progress: &FanoutProgress<'_>,
         max_records: usize,
     ) -> Option<DelegatedParts> {
+        let FanoutProgress { responses, not_called, broken } = progress;
         let mut parts = DelegatedParts::default();
         let mut bodies = Vec::new();
         for (position, response) in responses.iter().enumerate() {
@@ -233,13 +233,19 @@
             parts.stamps.push(Bytes::copy_from_slice(stamp.as_bytes()));
             bodies.push(&response.body[..]);
         }
-        for shard in not_called {
+        for shard in *not_called {
             if !std::mem::replace(&mut self.is_shard_reported[usize::from(shard.0)], true) {
                 parts.unasked.push(shard.0);
             }
         }
+        for shard in *broken {
+            if !std::mem::replace(&mut self.is_shard_reported[usize::from(shard.0)], true) {
+                parts.broken.push(shard.0);
+            }
+        }
         parts.records = merge_records(bodies, max_records);
-        let is_new = !parts.shards.is_empty() || !parts.unasked.is_empty();
+        let is_new =
+            !(parts.shards.is_empty() && parts.unasked.is_empty() && parts.broken.is_empty());
         let had_replied = std::mem::replace(&mut self.has_replied, true);
         (is_new || !had_replied).then_some(parts)
     }
--- a/crates/tier/src/crashes.rs
+++ b/crates/tier/src/crashes.rs
@@ -150,6 +150,12 @@
         self.records.get(&request).is_some_and(|known| !known.record.crashes.is_empty())
     }
 
+    /// Returns whether a request is quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self, request: RequestFingerprint) -> bool {
+        self.records.get(&request).is_some_and(KnownCrashes::is_quarantined)
+    }
+
     /// Returns whether and how a request may be sent. `is_prober` tells whether this node
     /// finds out about the request for all others.
     pub fn admit(
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -70,6 +70,8 @@
     may_have_run: bool,
     /// Number of attempts whose server closed the connection before it responded.
     broken_attempts: u32,
+    /// Whether the request is sent to no further server.
+    is_stopped: bool,
     /// The only attempt in flight while the request is sent with caution.
     canary: Option<(usize, ServerKey)>,
     finished: bool,
@@ -100,6 +102,8 @@
     relays: u32,
     /// Whether no further peer can call servers for the shard.
     has_no_peer: bool,
+    /// Whether the connection of an attempt broke before the server responded.
+    is_broken: bool,
     /// Whether a peer could not call servers for the shard either.
     is_refused_by_peer: bool,
     /// Delegation that may still return a result of the shard.
@@ -161,6 +165,7 @@
             in_flight: 0,
             may_have_run: false,
             broken_attempts: 0,
+            is_stopped: false,
             canary: None,
             finished: false,
         }
@@ -427,6 +432,10 @@
             self.shards[position].retry_at = Some(now + BUSY_RETRY_DELAY);
             return;
         }
+        if self.is_hopeless() {
+            self.abandon_shard(position);
+            return;
+        }
         let progress = &mut self.shards[position];
         progress.retry_at = None;
         let service = self.plan.services[position];
--- a/crates/tier/src/fanout/attempts.rs
+++ b/crates/tier/src/fanout/attempts.rs
@@ -72,7 +72,7 @@
     ) -> bool {
         let rank = self.rank(now);
         let progress = &self.shards[position];
-        if !progress.may_hedge(&self.plan) || self.is_cautious() {
+        if !progress.may_hedge(&self.plan) || self.is_cautious() || !self.may_hedge() {
             return false;
         }
         let service = self.plan.services[position];
--- a/crates/tier/src/fanout/delegated.rs
+++ b/crates/tier/src/fanout/delegated.rs
@@ -39,6 +39,12 @@
                 let is_awaited = self.shards.iter().any(|shard| shard.awaited == Some(index));
                 if is_awaited { self.delegation_states[position] } else { DelegationState::Ended }
             }
+            DelegationUpdate::Broken(shards) => {
+                self.may_have_run = true;
+                self.on_broken_at_peer(now, shards);
+                let is_awaited = self.shards.iter().any(|shard| shard.awaited == Some(index));
+                if is_awaited { DelegationState::Responding } else { DelegationState::Ended }
+            }
             DelegationUpdate::Ended => {
                 self.defer_shards(position);
                 DelegationState::Ended
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -61,6 +61,9 @@
     /// The peer has called no server for these shards and will not, because it knows
     /// none of them or cannot reach any.
     NotCalled(Vec<ShardIndex>),
+    /// The servers that the peer has called for these shards closed their connections before
+    /// they responded, and none has responded to the search. The peer calls no further ones.
+    Broken(Vec<ShardIndex>),
     /// The peer has finished and has no further results.
     Ended,
     /// The peer has called servers for its only shard without success.
--- a/crates/tier/tests/crashes.rs
+++ b/crates/tier/tests/crashes.rs
@@ -318,3 +318,61 @@
     assert_eq!(outcome, Some(FanoutOutcome::Failed));
     assert!(crashed <= 11, "{crashed} servers of 16");
 }
+
+/// A search that crashes every server that runs it.
+struct DeadlyCase {
+    label: &'static str,
+    /// Number of nodes that call the servers of a part of the shards each.
+    nodes: usize,
+    shards_of_each: usize,
+    /// Time that a server works on the search before it crashes, in milliseconds.
+    work: u64,
+}
+
+/// Guards against a search that ends both servers of every shard, so that nobody is served
+/// until they have started again.
+#[test]
+fn a_search_that_crashes_servers_leaves_the_second_server_of_each_shard() {
+    let cases = [
+        DeadlyCase { label: "at once", nodes: 1, shards_of_each: 20, work: 1 },
+        DeadlyCase { label: "after some work", nodes: 1, shards_of_each: 20, work: 8 },
+        DeadlyCase { label: "after the hedge delay", nodes: 1, shards_of_each: 20, work: 45 },
+        DeadlyCase { label: "several delegates", nodes: 5, shards_of_each: 4, work: 8 },
+        DeadlyCase { label: "several delegates, late", nodes: 5, shards_of_each: 4, work: 45 },
+        DeadlyCase { label: "many delegates", nodes: 10, shards_of_each: 2, work: 8 },
+    ];
+    for DeadlyCase { label, nodes, shards_of_each, work } in cases {
+        let mut crashed = 0;
+        for _ in 0..nodes {
+            let (mut fleet, services) = fleet(shards_of_each, &["a", "b"], LIMITS);
+            let key = class(&mut fleet);
+            let mut plan = plan(services, key, false);
+            if nodes > 1 {
+                (plan.role, plan.min_shards) = (FanoutRole::Delegate { is_first: true }, 0);
+            }
+            let mut state = FanoutState::new(plan);
+            let mut running = Vec::new();
+            let mut actions = state.start(at(0), &mut fleet);
+            for millis in 0..400 {
+                let now = at(millis);
+                for action in std::mem::take(&mut actions) {
+                    if let FanoutAction::Send { shard, ticket } = action {
+                        // Not all servers start to work on it in the same moment.
+                        running.push((millis + work + u64::from(shard.0 % 5), shard, ticket));
+                        crashed += 1;
+                    }
+                }
+                actions.extend(state.on_timer(now, &mut fleet));
+                for (_, shard, ticket) in running.extract_if(.., |it| it.0 <= millis) {
+                    let failed = AttemptOutcome::Failed;
+                    fleet.on_attempt_ended(now, ticket, failed);
+                    state.on_connection_broken(shard, ticket.server);
+                    let ended =
+                        state.on_attempt_ended(now, &mut fleet, shard, ticket.server, failed);
+                    actions.extend(ended);
+                }
+            }
+        }
+        assert_eq!(crashed, nodes * shards_of_each, "{label}");
+    }
+}
