--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,63 +1,99 @@
-"""One spoiled answer of a backend ends the process of the gateway."""
+"""A late removal by a process that has stopped takes away the registration of the next one."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standin"))
-from lab import TROUBLE, Client, Lab, run_case  # noqa: E402
+from lab import TROUBLE, Client, Lab, Unable, run_case  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-SPOILED = "9999999999999999999"
-MAX_LOST = 3
+CONTACT_S, LIMIT, SPAN_S = 4.0, 10.0, 4.0
+LATE_S = 5.0
 
 
 async def case(lab: Lab):
-    spoiled = []
+    is_limited = False
+    first_named, passed_on, arrivals = {}, {}, {}
+    node_of = {}
+
+    def late_delete(kind, name):
+        return LATE_S if TROUBLE and kind == "carobstep-nodes" else 0
+
+    async def on_arrival(backend, first, headers):
+        request_id = headers.get("x-carobstep-request-id")
+        if request_id in node_of:
+            arrivals.setdefault(backend.ident, []).append((lab.record.now(), node_of[request_id]))
 
     async def work(backend, first, headers, body, writer):
         request_id = headers["x-carobstep-request-id"]
-        if "/slow" in first:
-            await asyncio.sleep(0.8)
-            return backend.stamped(request_id)
         await asyncio.sleep(0.02)
-        seconds = "15"
-        if TROUBLE and "/spoil" in first and not spoiled:
-            seconds = SPOILED
-            spoiled.append(backend.ident)
-            lab.record.write("spoiled", backend=backend.ident, answers=backend.answers)
-        return backend.stamped(request_id, more=[("Keep-Alive", f"timeout={seconds}")])
-
-    lab.work = work
-    lab.configuration([lab.route("order", "non_idempotent", "orders-desk"),
-                       lab.route("fetch", "idempotent", "airline-portal")],
+        more = []
+        if is_limited and backend.service == "orders-desk":
+            more = [("Server-Limit", str(LIMIT))]
+            first_named.setdefault(backend.ident, lab.record.now())
+            passed_on.setdefault((backend.ident, node_of[request_id]), lab.record.now())
+        return backend.stamped(request_id, more=more)
+
+    lab.late_delete, lab.on_arrival, lab.work = late_delete, on_arrival, work
+    lab.configuration([lab.route("fetch", "idempotent", "orders-desk"),
+                       lab.route("view", "idempotent", "airline-portal")],
                       ["orders-desk", "airline-portal"])
-    for number, zone in enumerate(["perth-a", "perth-b", "perth-c"] * 2):
-        await lab.add_backend(f"i-o{number + 1}", "orders-desk", zone)
-        await lab.add_backend(f"i-p{number + 1}", "airline-portal", zone)
-    await lab.start_nodes(["perth-a", "perth-b", "perth-c"])
-    node = lab.nodes[0]
-    clients = [Client(lab, node) for _ in range(9)]
-    for number in range(60):
-        await asyncio.gather(*(
-            client.request("GET", f"/fetch/{number}", f"f{number}-{place}")
-            for place, client in enumerate(clients[:2])))
-    for place, client in enumerate(clients):
-        await client.request("POST", "/order/first", f"w{place}", body=b'{"order":0}')
-    orders = [asyncio.ensure_future(client.request(
-        "POST", "/order/slow", f"o{place}", body=b'{"order":1}')) for place, client in enumerate(clients[1:])]
-    await asyncio.sleep(0.3)
-    await clients[0].request("GET", "/fetch/spoil", "f-spoil")
-    answers = await asyncio.gather(*orders)
-    await asyncio.sleep(0.5)
-    exits = [(it.name, it.process.poll()) for it in lab.nodes if it.process.poll() is not None]
-    lab.record.write("ended by itself", nodes=exits)
-    lost = [f"o{place}" for place, (status, _, _) in enumerate(answers)
-            if status == 0 and lab.runs.get(f"o{place}")]
-    if len(lost) > MAX_LOST:
-        return [f"LOST: {len(lost)} orders from kept connections, passed on to sound backends, got no answer: "
-                f"{lost}; processes that ended by themselves: {exits}"]
-    return []
+    zones = ["perth-a", "perth-b", "perth-c"]
+    for number in range(2):
+        await lab.add_backend(f"i-o{number + 1}", "orders-desk", "perth-a", slots=8)
+    for number in range(10):
+        await lab.add_backend(f"i-p{number + 1}", "airline-portal", zones[number % 3])
+    await lab.start_nodes(["perth-a", "perth-a", "perth-a", "perth-b", "perth-c", "perth-c"])
+
+    async def restart(node):
+        # The platform stops a process and starts it again once it has ended.
+        node.signal(signal.SIGTERM)
+        while node.process.poll() is None:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+        node.start()
+        await node.wait_ready()
+
+    restarts = []
+    for node in lab.nodes[:3]:
+        restarts.append(lab.spawn(restart(node)))
+        await asyncio.sleep(1.3)
+    await asyncio.gather(*restarts)
+    restarted = lab.record.now()
+    await asyncio.sleep(10)
+    lab.record.write("registered nodes", names=sorted(lab.store.objects.get("carobstep-nodes", {})))
+
+    async def caller(node, place):
+        client, number = Client(lab, node), 0
+        while True:
+            number += 1
+            request_id = f"{node.name}-{place}-{number}"
+            node_of[request_id] = node.name
+            status, headers, _ = await client.request("GET", f"/fetch/{place}-{number}", request_id, 2000)
+            # A client honours Retry-After up to a third of the time that it has left.
+            wait = float(headers.get("retry-after", 0.05))
+            await asyncio.sleep(0.02 if status == 200 else min(wait, 0.6))
+
+    for node in lab.nodes:
+        for place in range(10):
+            lab.spawn(caller(node, place))
+    await asyncio.sleep(2)
+    is_limited = True
+    lab.record.write("limit", per_second=LIMIT)
+    await asyncio.sleep(25)
+    broken = []
+    most = 1.5 * LIMIT * SPAN_S + 5
+    for ident, seen in arrivals.items():
+        counted = [at for at, node in seen if at > first_named[ident] + CONTACT_S
+                   and at > passed_on.get((ident, node), 1e9) + 0.5]
+        worst = max(sum(1 for other in counted if at <= other < at + SPAN_S) for at in counted)
+        lab.record.write("arrivals", backend=ident, most_in_span=worst, allowed=most)
+        if worst > most:
+            broken.append(f"LIMIT: {ident} named {LIMIT} requests a second and got {worst} in {SPAN_S} s, "
+                          f"more than {most}; the last restart ended {first_named[ident] - restarted:.0f} s before")
+    return broken
 
 
 run_case(FOLDER, case)
--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -79,7 +79,7 @@
         self.changed = asyncio.Event()
 
         self.servers = {}
-        self.connections, self.is_cut = {}, set()
+        self.connections, self.is_cut, self.waiting = {}, set(), {}
 
     async def address_for(self, caller):
         """Returns an address of the store; a case sees there which node calls."""
@@ -89,6 +89,16 @@
                 lambda reader, writer: self.serve(caller, reader, writer), host, 0)
         return "%s:%d" % self.servers[caller].sockets[0].getsockname()
 
+    def cut_watch(self, caller, kind):
+        """Cuts off the watch of a node; returns how long it has been waiting, if it has."""
+        started, writer = self.waiting.get((caller, kind), (None, None))
+        if writer is None:
+            return None
+        waited = self.lab.record.now() - started
+        self.lab.record.write("watch cut off", node=caller, kind=kind, waited=round(waited, 3))
+        writer.transport.abort()
+        return waited
+
     async def cut(self, caller, seconds):
         """Partitions a node from the store: its connections are reset, and new ones too."""
         self.lab.record.write("cut from the store", node=caller, seconds=seconds)
@@ -133,7 +143,13 @@
             while True:
                 first, _, body = await read_message(reader)
                 method, target, _ = first.split(" ", 2)
-                status, reply = await self.answer(method, target, body)
+                key = (caller, target.split("/")[2].split("?")[0])
+                if "watch=" in target:
+                    self.waiting[key] = (self.lab.record.now(), writer)
+                try:
+                    status, reply = await self.answer(method, target, body)
+                finally:
+                    self.waiting.pop(key, None)
                 headers = [("Content-Type", "application/json"), ("Store-Era", "0")]
                 writer.write(message(f"HTTP/1.1 {status} X", headers, reply))
                 await writer.drain()
