--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standin"))
-from lab import TROUBLE, Client, Lab, Unable, run_case  # noqa: E402
+from lab import TROUBLE, Client, Lab, run_case  # noqa: E402
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 CONTACT_S, LIMIT, SPAN_S = 4.0, 10.0, 4.0
--- a/review/standin/lab.py
+++ b/review/standin/lab.py
@@ -77,9 +77,8 @@
         self.objects = {}
         self.events = []
         self.changed = asyncio.Event()
-
         self.servers = {}
-        self.connections, self.is_cut, self.waiting = {}, set(), {}
+        self.waiting = {}
 
     async def address_for(self, caller):
         """Returns an address of the store; a case sees there which node calls."""
@@ -99,16 +98,6 @@
         writer.transport.abort()
         return waited
 
-    async def cut(self, caller, seconds):
-        """Partitions a node from the store: its connections are reset, and new ones too."""
-        self.lab.record.write("cut from the store", node=caller, seconds=seconds)
-        self.is_cut.add(caller)
-        for writer in list(self.connections.get(caller, ())):
-            writer.transport.abort()
-        await asyncio.sleep(seconds)
-        self.is_cut.discard(caller)
-        self.lab.record.write("reaches the store again", node=caller)
-
     def change(self, kind, name, spec, deleted=False):
         """Writes an object; `spec` is a value, or the bytes that lie in the store."""
         raw = spec if isinstance(spec, bytes) else json.dumps(spec).encode()
@@ -135,10 +124,6 @@
 
     async def serve(self, caller, reader, writer):
         self.lab.tasks.add(asyncio.current_task())
-        if caller in self.is_cut:
-            return writer.transport.abort()
-        connections = self.connections.setdefault(caller, set())
-        connections.add(writer)
         try:
             while True:
                 first, _, body = await read_message(reader)
@@ -157,7 +142,6 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            connections.discard(writer)
             writer.close()
 
     async def answer(self, method, target, body):
@@ -191,26 +175,36 @@
             items = [self.encode(of_kind[it]) for it in names[:500]]
             more = b"true" if len(names) > 500 else b"false"
             return 200, b'{"items":[' + b",".join(items) + b'],"more":%s,"as_of":%d}' % (more, self.rev)
+        value = json.loads(body) if body else {}
+        condition = query.get("rev") or value.get("meta", {}).get("rev")
+
+        def holds():
+            return name in of_kind and condition in (None, of_kind[name]["rev"], str(of_kind[name]["rev"]))
+
         if method == "DELETE":
             late = self.lab.late_delete(kind, name)
             if late:
-                # Done later and not answered; the connection returns nothing further.
+                # Done later, if its condition still holds, and not answered; the connection
+                # returns nothing further.
                 self.lab.record.write("late write", call=f"{method} {kind}/{name}", after_s=late)
                 await asyncio.sleep(late)
-                if name in of_kind:
+                if holds():
                     self.change(kind, name, b"null", deleted=True)
                     self.lab.record.write("late write done", call=f"{method} {kind}/{name}")
                 await asyncio.Event().wait()
             if name not in of_kind:
                 return 404, b"{}"
+            if not holds():
+                return 409, self.encode(of_kind[name])
             return 200, self.encode(self.change(kind, name, b"null", deleted=True))
-        value = json.loads(body)
         if method == "POST":
             name = value["meta"]["name"]
             if name in of_kind:
                 return 409, self.encode(of_kind[name])
         elif name not in of_kind:
             return 404, b"{}"
+        elif not holds():
+            return 409, self.encode(of_kind[name])
         return 200, self.encode(self.change(kind, name, value.get("spec")))
 
 
@@ -511,6 +505,8 @@
 
     async def play():
         lab = Lab(folder)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(case(lab), 115)
             for line in broken:
@@ -518,7 +514,7 @@
                 print(line)
             lab.record.write("result", trouble=TROUBLE, broken=len(broken))
             return 1 if broken else 0
-        except (Unable, OSError, asyncio.TimeoutError) as error:
+        except (Unable, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             lab.record.write("unable", error=repr(error))
             print(f"the case could not run: {error!r}")
             return 2
