--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -71,13 +71,6 @@
         report.verdict = RequestVerdict::Starting;
         return unavailable_response(STARTING_RETRY_AFTER);
     }
-    let body = match read_body(&configuration.limits, &head.headers, body).await {
-        Ok(body) => body,
-        Err(status) => {
-            report.verdict = RequestVerdict::BadRequest;
-            return empty_response(status);
-        }
-    };
     if !head.headers.contains_key(headers::REQUEST_ID) {
         report.verdict = RequestVerdict::BadRequest;
         return empty_response(StatusCode::BAD_REQUEST);
@@ -89,6 +82,13 @@
         return empty_response(StatusCode::NOT_FOUND);
     };
     report.route = Some(route.clone());
+    let body = match read_body(&configuration.limits, &head.headers, body).await {
+        Ok(body) => body,
+        Err(status) => {
+            report.verdict = RequestVerdict::BadRequest;
+            return empty_response(status);
+        }
+    };
     let caller_timeout = headers::deadline_of(&head.headers).unwrap_or(route.timeout);
     report.caller_timeout = caller_timeout;
     let request = Rc::new(backend_request(head, body));
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -73,9 +73,10 @@
 pub use links::ProbeOutcome;
 pub use merge::{RECORD_BYTES, merge_records};
 pub use model::{
-    CallerLimits, Configuration, GatherConfig, InvalidRate, LimitNotice, NodeSettings,
-    PauseRequest, RequestRate, RetryPolicy, RouteConfig, RouteTarget, ServerEntry,
-    ServerIncarnation, ServerNotice, ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
+    AccountConfig, AccountQuota, CallerLimits, ColdBounds, Configuration, GatherConfig,
+    InvalidRate, LimitNotice, NodeSettings, PauseRequest, QuotaBounds, RequestRate, RetryPolicy,
+    RouteConfig, RouteTarget, ServerEntry, ServerIncarnation, ServerLoad, ServerNotice,
+    ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
 };
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -17,6 +17,31 @@
     pub services: IndexMap<Arc<str>, ServiceConfig>,
     /// Limits on what a client may send.
     pub limits: CallerLimits,
+    /// Client accounts; `None` if requests carry no keys.
+    pub accounts: Option<Vec<AccountConfig>>,
+}
+
+/// Client account: who may send requests, and how many.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountConfig {
+    /// Name of the account, which servers get with each request.
+    pub name: Arc<str>,
+    /// Keys of the account. They are secret: neither logs nor servers get them.
+    pub keys: Vec<Arc<str>>,
+    /// Priority of the account's requests, which takes precedence over that of their route;
+    /// 0 is the highest.
+    pub priority: Option<u32>,
+    /// Limit on the account's requests over all nodes, if there is one.
+    pub quota: Option<AccountQuota>,
+}
+
+/// Limit on the requests of a client account over all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AccountQuota {
+    /// Sustained rate.
+    pub rate: RequestRate,
+    /// Requests beyond the rate that may come at once.
+    pub burst: u32,
 }
 
 /// Route: which requests match it and how they are handled.
@@ -40,6 +65,8 @@
     pub attempts: u32,
     /// Target of the requests.
     pub target: RouteTarget,
+    /// Whether requests need no key.
+    pub is_public: bool,
 }
 
 /// Whether a request may run more than once.
@@ -94,12 +121,15 @@
 }
 
 /// Limits that the configuration sets for a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServiceConfig {
     /// Maximum number of connections that each of its servers accepts from all nodes together.
     pub max_connections: u32,
     /// Path of the health check of its servers.
     pub health_path: Option<Arc<str>>,
+    /// Requests per second that each of its servers takes from all nodes together while it
+    /// is cold after its start, if that is limited.
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// Limits on what a client may send.
@@ -215,6 +245,23 @@
     pub pause: PauseRequest,
     /// Limit on its requests that the server names.
     pub limit: LimitNotice,
+    /// Load that the server states.
+    pub load: Option<ServerLoad>,
+    /// Time for which the server says that it stays cold.
+    pub cold_for: Option<Duration>,
+}
+
+/// Load that a server states in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that the server is working on.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that the server works on concurrently.
+    pub slots: u32,
+    /// Time that work takes on the server's machine at the moment, in percent of the usual.
+    pub work_percent: u32,
 }
 
 /// Pause between requests that a server asks for.
@@ -297,6 +344,8 @@
     pub link_mbps: f64,
     /// Memory that the process may use, if it is limited.
     pub memory_bytes: Option<usize>,
+    /// Descriptors that the process may have open, if they are limited.
+    pub max_descriptors: Option<usize>,
     /// Bounds on shutdown time and extra requests.
     pub bounds: ServiceBounds,
 }
@@ -313,4 +362,35 @@
     pub retry_ratio: f64,
     /// Extra requests to a service that are allowed per window on top of the ratio.
     pub retry_slack: f64,
+    /// Length of that window, if it is stated.
+    pub retry_window: Option<Duration>,
+    /// Tolerance of the limits on client accounts, if there are any.
+    pub quota: Option<QuotaBounds>,
+    /// Tolerance of the limits on cold servers, if there are any.
+    pub cold: Option<ColdBounds>,
+    /// Time within which an evacuation of a zone must take effect on every node, if zones
+    /// are evacuated.
+    pub evacuation: Option<Duration>,
+}
+
+/// Tolerance of the limits on client accounts: in any window, all nodes together may pass on
+/// `(rate * window + burst) * (1 + over) + slack` requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the window.
+    pub window: Duration,
+    /// Tolerated excess, as a fraction.
+    pub over: f64,
+    /// Requests that are tolerated on top.
+    pub slack: f64,
+}
+
+/// Tolerance of the limits on cold servers: in any second, all nodes together may send
+/// `rate * over + slack` requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBounds {
+    /// Factor on the rate.
+    pub over: f64,
+    /// Requests that are tolerated on top.
+    pub slack: f64,
 }
--- a/crates/tier/tests/fanout/main.rs
+++ b/crates/tier/tests/fanout/main.rs
@@ -125,7 +125,7 @@
 
 fn with_connections(service: &str, max_connections: u32) -> carobstep_tier::Configuration {
     let mut configuration = carobstep_tier::Configuration::default();
-    let config = carobstep_tier::ServiceConfig { max_connections, health_path: None };
+    let config = carobstep_tier::ServiceConfig { max_connections, ..Default::default() };
     configuration.services.insert(name(service), config);
     configuration
 }
--- a/crates/tier/tests/routes.rs
+++ b/crates/tier/tests/routes.rs
@@ -18,6 +18,7 @@
         priority: 1,
         attempts: 2,
         target: RouteTarget::Service("service".into()),
+        is_public: false,
     })
 }
 
