--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell, collections::hash_map::RandomState, hash::BuildHasher, net::SocketAddr, rc::Rc,
-    time::Duration,
+    sync::Arc, time::Duration,
 };
 
 use carobstep_clock::BootTime;
@@ -11,12 +11,13 @@
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
     CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
-    LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
-    QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
-    ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
-    StopTiming, StoreRevision, WeightedRoundRobin,
+    LimitRecord, NodeLifecycle, NodeSettings, ObservationLedger, OwnerSupport, PauseRequest,
+    PeerEntry, PeerTable, QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission,
+    RequestFingerprint, RouteTable, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey,
+    ServerNotice, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
+use indexmap::IndexMap;
 use log::{info, warn};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, watch};
@@ -92,6 +93,10 @@
     pub(crate) quotas: QuotaLedger,
     /// Nodes that take this one for the owner of limits.
     pub(crate) support: OwnerSupport,
+    /// Failures of servers that the nodes of the zone have reported to this one.
+    pub(crate) observations: ObservationLedger,
+    /// When nodes of the zone last heard of such failures from this one.
+    pub(crate) observation_contacts: IndexMap<Arc<str>, BootTime>,
     /// Room for requests of nodes that have lost their links to servers.
     pub(crate) room: RelayRoom,
     /// Requests that crashed servers.
@@ -159,6 +164,8 @@
             fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
             quotas: QuotaLedger::default(),
             support: OwnerSupport::default(),
+            observations: ObservationLedger::default(),
+            observation_contacts: IndexMap::new(),
             room: RelayRoom::new(BootTime::now()),
             crashes: CrashTable::default(),
             crash_doubts: CrashDoubts::default(),
@@ -451,6 +458,7 @@
                 ready,
                 quarantined_requests: state.crashes.quarantined(),
                 limited_servers: state.fleet.limited_servers(),
+                failing_servers: state.fleet.failing_servers(now),
                 unreachable_zones: state.fleet.lost_zones(now).len(),
                 lost_servers: state.fleet.lost_servers(now),
                 nodes_without_links: state.peers.link_reports().nodes_without_links(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod links;
 mod main_entry;
 mod membership;
+mod observations;
 mod peer_messages;
 mod peers;
 mod quarantine;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -17,6 +17,7 @@
     ingress,
     links::monitor_links,
     membership,
+    observations::share_observations,
     peers::{PeerBridge, serve_calls},
     quarantine::announce_quarantines,
     quota::ask_for_tokens,
@@ -102,6 +103,7 @@
     spawn_local(follow_peer(gateway.clone()));
     spawn_local(remove_expired(gateway.clone()));
     spawn_local(ask_for_tokens(gateway.clone()));
+    spawn_local(share_observations(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness_listener));
--- /dev/null
+++ b/crates/gateway/src/observations.rs
@@ -0,0 +1,151 @@
+//! Calls by which the nodes of an availability zone tell each other which servers fail.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use carobstep_tier::report_interval;
+use carobstep_wire::WireErrorKind;
+use indexmap::IndexMap;
+use log::{debug, info};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    gateway::Gateway,
+    peer_messages::{ObservationsReply, ObservationsRequest, PeerReply, PeerRequest},
+    report::ObservationCall,
+};
+
+/// Timeout of a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which a node that does not know these calls gets none.
+const UNAWARE_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Time within which a node of the zone has heard of the failures if it called this node.
+const MIN_CONTACT_INTERVALS: u32 = 3;
+
+/// Number of failing servers from which the first report is logged.
+const MIN_LOGGED_SERVERS: usize = 3;
+
+/// Reports the failures of servers to the first node of the zone, and as that node tells
+/// the others of them, for the lifetime of the process.
+pub(crate) async fn share_observations(gateway: Rc<Gateway>) {
+    let mut unaware: IndexMap<Arc<str>, BootTime> = IndexMap::new();
+    let mut was_failing = false;
+    loop {
+        let now = BootTime::now();
+        unaware.retain(|_, since| now.since(*since) < UNAWARE_LIFETIME);
+        let (owner, nodes) = {
+            let state = gateway.state.borrow();
+            let zone = state.peers.own().zone.clone();
+            let in_zone = state.peers.live_entries().filter(|peer| peer.zone == zone).count();
+            let nodes = u32::try_from(in_zone + 1).unwrap_or(u32::MAX);
+            (state.peers.quota_owner(now, &zone), nodes)
+        };
+        let interval = report_interval(nodes);
+        let failing = gateway.state.borrow().fleet.failing_servers(now);
+        if (failing >= MIN_LOGGED_SERVERS) != was_failing {
+            was_failing = !was_failing;
+            let owner = owner.as_deref().unwrap_or("this node");
+            info!(servers = failing, owner = owner, nodes = nodes; "servers fail, as seen in the zone");
+        }
+        match owner {
+            None => {
+                let reports = gateway.state.borrow_mut().fleet.take_observations(now);
+                let request = ObservationsRequest { reports, ..ObservationsRequest::default() };
+                let reply = merge_observations(&gateway, &request);
+                apply_reply(&gateway, &reply);
+                tell_zone(&gateway, interval, &reply);
+            }
+            Some(owner) if failing > 0 && !unaware.contains_key(&owner) => {
+                if !report_to(&gateway, &owner).await {
+                    unaware.insert(owner, now);
+                }
+            }
+            Some(_) => {}
+        }
+        sleep(interval).await;
+    }
+}
+
+/// Reports to the first node of the zone; returns whether it knows such calls.
+async fn report_to(gateway: &Rc<Gateway>, owner: &Arc<str>) -> bool {
+    let (address, request) = {
+        let state = &mut *gateway.state.borrow_mut();
+        let Some(address) = state.peers.address(owner) else { return true };
+        let reports = state.fleet.take_observations(BootTime::now());
+        let node = state.peers.own().name.clone();
+        (address, PeerRequest::Observations(ObservationsRequest { node, reports, failing: None }))
+    };
+    gateway.reporter.count_observations(ObservationCall::Reported);
+    let calling = gateway.peer_pool.call_typed(address, &request);
+    match timeout(CALL_TIMEOUT, calling).await {
+        Ok(Ok(PeerReply::Observations(reply))) => apply_reply(gateway, &reply),
+        Ok(Ok(_)) => debug!(peer = owner.as_ref(); "a peer's reply names no failing servers"),
+        Ok(Err(error)) if error.kind() == WireErrorKind::Codec => return false,
+        Ok(Err(_)) | Err(_) => {
+            gateway.reporter.count_observations(ObservationCall::Unanswered);
+            gateway.state.borrow_mut().peers.on_failed(BootTime::now(), owner);
+        }
+    }
+    true
+}
+
+/// Tells the nodes of the zone that have not called lately of failing servers, if there are
+/// any.
+fn tell_zone(gateway: &Rc<Gateway>, interval: Duration, reply: &ObservationsReply) {
+    if reply.failing.is_empty() {
+        return;
+    }
+    let now = BootTime::now();
+    let (addresses, node) = {
+        let state = &mut *gateway.state.borrow_mut();
+        let contacts = &mut state.observation_contacts;
+        contacts.retain(|_, at| now.since(*at) < interval * MIN_CONTACT_INTERVALS);
+        let zone = &state.peers.own().zone;
+        let silent = state.peers.live_entries();
+        let silent = silent.filter(|it| it.zone == *zone && !contacts.contains_key(&it.name));
+        let told: Vec<_> = silent.map(|it| (it.name.clone(), it.address)).collect();
+        contacts.extend(told.iter().map(|(name, _)| (name.clone(), now)));
+        (told, state.peers.own().name.clone())
+    };
+    let failing = Some(reply.failing.clone());
+    let request = ObservationsRequest { node, reports: Vec::new(), failing };
+    let request = Rc::new(PeerRequest::Observations(request));
+    for (_, address) in addresses {
+        let (gateway, request) = (gateway.clone(), request.clone());
+        gateway.reporter.count_observations(ObservationCall::Told);
+        spawn_local(async move {
+            let calling = gateway.peer_pool.call_typed::<_, PeerReply>(address, &*request);
+            if !matches!(timeout(CALL_TIMEOUT, calling).await, Ok(Ok(_))) {
+                debug!(peer:% = address; "a peer was not told of failing servers");
+            }
+        });
+    }
+}
+
+fn apply_reply(gateway: &Gateway, reply: &ObservationsReply) {
+    gateway.state.borrow_mut().fleet.apply_observations(BootTime::now(), &reply.failing);
+}
+
+/// Adds up what a node, which may be this one, has observed, and applies what it knows of
+/// the zone.
+pub(crate) fn merge_observations(
+    gateway: &Gateway,
+    request: &ObservationsRequest,
+) -> ObservationsReply {
+    let now = BootTime::now();
+    let state = &mut *gateway.state.borrow_mut();
+    if let Some(failing) = &request.failing {
+        state.fleet.apply_observations(now, failing);
+        return ObservationsReply::default();
+    }
+    if !request.node.is_empty() {
+        state.observation_contacts.insert(request.node.clone(), now);
+    }
+    state.observations.merge(now, &request.reports);
+    ObservationsReply { failing: state.observations.failing(now) }
+}
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use carobstep_tier::{
     CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, LinkReport, LinkUpdate,
-    PeerUpdate, QuotaAsk, ServerIncarnation, StoreRevision,
+    PeerUpdate, QuotaAsk, ServerIncarnation, ServerObservation, StoreRevision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,8 @@
     /// A call to find out whether the receiver can call servers in place of the sender, with
     /// what is known of the sender's links.
     Contact(Vec<LinkReport>),
+    /// Failures of servers that nodes of the zone have observed.
+    Observations(ObservationsRequest),
 }
 
 /// A reply to a [`PeerRequest`].
@@ -50,6 +52,8 @@
     MoreBody(Bytes),
     /// Reply to a call to find out about the peer, with what is known of its links.
     Contact(Vec<LinkReport>),
+    /// Failures of servers that all nodes of the zone have observed.
+    Observations(ObservationsReply),
 }
 
 /// How a request to one service ended that a peer has sent for this node.
@@ -90,6 +94,24 @@
     pub(crate) body: Bytes,
 }
 
+/// What a node tells another one of its zone about servers that fail.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ObservationsRequest {
+    /// Name of the sender.
+    pub(crate) node: Arc<str>,
+    /// Attempts of the sender since its last report.
+    pub(crate) reports: Vec<ServerObservation>,
+    /// Recent attempts of all nodes of the zone, if the sender adds them up.
+    pub(crate) failing: Option<Vec<ServerObservation>>,
+}
+
+/// Reply to a report.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ObservationsReply {
+    /// Recent attempts of all nodes of the zone at the servers that fail.
+    pub(crate) failing: Vec<ServerObservation>,
+}
+
 /// Request for tokens to the node that the sender takes for their owner.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct QuotaRequest {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,7 @@
     fanout::{FanoutProgress, run_fanout},
     follow::wait_for_update,
     gateway::{Gateway, GatewayState, InFlightGuard},
+    observations::merge_observations,
     peer_messages::{
         DelegatedOutcome, DelegatedParts, DelegatedRequest, DelegatedResponse, DelegatedVerdict,
         PeerReply, PeerRequest,
@@ -92,7 +93,7 @@
         }
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
-        PeerRequest::Quota(_) => {}
+        PeerRequest::Quota(_) | PeerRequest::Observations(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -105,6 +106,9 @@
         PeerRequest::Quota(request) => {
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
+        PeerRequest::Observations(request) => {
+            replies.send(PeerReply::Observations(merge_observations(gateway, &request)));
+        }
         PeerRequest::Follow(request) => replies.send(wait_for_update(gateway, request).await),
     }
 }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -42,6 +42,7 @@
     limited_attempts: IntCounterVec,
     broken_attempts: IntCounter,
     relayed_requests: IntCounterVec,
+    observations: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -62,6 +63,7 @@
     ready: IntGauge,
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
+    failing_servers: IntGauge,
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
@@ -79,6 +81,7 @@
     pub(crate) ready: bool,
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
+    pub(crate) failing_servers: usize,
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
@@ -147,6 +150,18 @@
     Full,
 }
 
+/// Call to another node of the zone about servers that fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ObservationCall {
+    /// This node reported its attempts to the node that adds them up.
+    Reported,
+    /// That node did not reply.
+    Unanswered,
+    /// This node told another one of the failures in the zone.
+    Told,
+}
+
 /// What a server said about itself in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -274,6 +289,11 @@
                 "Requests of nodes that have lost their links to servers.",
                 "kind",
             )?,
+            observations: counters(
+                "carobstep_observation_calls_total",
+                "Calls to nodes of this zone about servers that fail.",
+                "kind",
+            )?,
             broken_attempts: {
                 let help = "Attempts whose server closed the connection before it responded.";
                 let counter = IntCounter::new("carobstep_broken_attempts_total", help)?;
@@ -303,6 +323,10 @@
                     "carobstep_limited_servers",
                     "Backend servers that name a limit on their requests.",
                 )?,
+                failing_servers: gauge(
+                    "carobstep_failing_servers",
+                    "Backend servers that failed lately, as seen by the nodes of this zone.",
+                )?,
                 unreachable_zones: gauge(
                     "carobstep_unreachable_zones",
                     "Availability zones whose servers this node can't reach.",
@@ -348,6 +372,10 @@
         self.relayed_requests.with_label_values(&[<&str>::from(admission)]).inc();
     }
 
+    pub(crate) fn count_observations(&self, call: ObservationCall) {
+        self.observations.with_label_values(&[<&str>::from(call)]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -366,6 +394,7 @@
         gauges.ready.set(i64::from(readings.ready));
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
+        gauges.failing_servers.set(readings.failing_servers as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
         gauges.nodes_without_links.set(readings.nodes_without_links as i64);
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -22,6 +22,7 @@
     },
     fleet::{AttemptKind, LimitedUse, PickScope, SearchRank, ServerFleet, ServerKey},
     model::RetryPolicy,
+    observations::AttemptStake,
     stats::AttemptOutcome,
 };
 
@@ -537,6 +538,11 @@
             excluded: &self.excluded,
             allowed: if attempts_exhausted { Some(&self.called) } else { allowed },
             rank,
+            stake: if self.servers_reached() + 1 >= plan.attempts {
+                AttemptStake::Last
+            } else {
+                AttemptStake::Repeatable
+            },
             limited: if self.token_wait.is_some() { LimitedUse::Awaited } else { LimitedUse::Free },
         }
     }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -7,6 +7,7 @@
 //! health checks are sent to single servers.
 
 mod links;
+mod observations;
 mod quotas;
 mod selection;
 
--- /dev/null
+++ b/crates/tier/src/fleet/observations.rs
@@ -0,0 +1,47 @@
+//! Failures of servers that the nodes of a zone tell each other.
+
+use carobstep_clock::BootTime;
+use indexmap::IndexMap;
+
+use super::{ServerFleet, ServerKey, id_hash};
+use crate::observations::{FailureOdds, ServerObservation};
+
+impl ServerFleet {
+    /// Returns the attempts since the last call at the servers that have failed lately.
+    pub fn take_observations(&mut self, now: BootTime) -> Vec<ServerObservation> {
+        let mut reports = Vec::new();
+        for server in self.servers.values_mut() {
+            if server.trouble.has_failed(now) {
+                let hash = id_hash(&server.entry.id);
+                reports.extend(server.trouble.take_report(now, hash));
+            }
+        }
+        reports
+    }
+
+    /// Returns the number of servers that have failed lately, here or at other nodes of the
+    /// zone.
+    #[must_use]
+    pub fn failing_servers(&self, now: BootTime) -> usize {
+        self.servers.values().filter(|server| server.trouble.has_failed(now)).count()
+    }
+
+    /// Applies the attempts of all nodes of the zone at the servers that fail; those
+    /// that failed before count as sound.
+    pub fn apply_observations(&mut self, now: BootTime, failing: &[ServerObservation]) {
+        let failing: IndexMap<u32, ServerObservation> =
+            failing.iter().map(|it| (it.server, *it)).collect();
+        for server in self.servers.values_mut() {
+            let observation = failing.get(&id_hash(&server.entry.id)).copied();
+            if observation.is_some() || server.trouble.is_told(now) {
+                server.trouble.set_zone(now, observation.unwrap_or_default());
+            }
+        }
+    }
+
+    /// Returns the probabilities that an attempt at a server fails.
+    #[must_use]
+    pub fn failure_odds(&self, now: BootTime, key: ServerKey) -> FailureOdds {
+        self.servers.get(key).map(|server| server.trouble.odds(now)).unwrap_or_default()
+    }
+}
--- a/crates/tier/src/fleet/selection.rs
+++ b/crates/tier/src/fleet/selection.rs
@@ -4,8 +4,9 @@
 
 use carobstep_clock::BootTime;
 
-use super::{LimitedUse, ServerFleet, ServerKey, ServiceKey, ServiceState};
+use super::{LimitedUse, ServerFleet, ServerKey, ServiceKey, ServiceState, hash_fraction};
 use crate::{
+    observations::AttemptStake,
     server_state::{ServerState, typical_slowness},
     stats::ClassKey,
 };
@@ -32,6 +33,9 @@
 /// missed their latency objective, so that searches which can still meet it go first.
 const LATE_LIMIT_DIVISOR: u32 = 2;
 
+/// Number of levels by which servers that fail are told apart for a delegate.
+const TROUBLE_LEVELS: f64 = 4.0;
+
 /// Time for which a search that found no available server counts as waiting; longer
 /// than the delay between two of its retries.
 const WAITER_LIFETIME: Duration = Duration::from_millis(8);
@@ -47,6 +51,8 @@
     pub rank: SearchRank,
     /// Whether servers that limit their requests may be picked.
     pub limited: LimitedUse,
+    /// What is at stake if the attempt fails.
+    pub stake: AttemptStake,
 }
 
 /// Order in which searches get capacity at overloaded servers; greater ranks go first.
@@ -165,8 +171,11 @@
         let count = state.servers.len();
         state.rotation = state.rotation.wrapping_add(1);
         let start = state.rotation;
+        self.draws = self.draws.wrapping_add(1);
+        let draw = hash_fraction(self.seed, self.draws);
         let state = self.services.get(service)?;
         let typical_slowness = self.typical_slowness(now, state);
+        let objective = self.classes.objective_in_medians(class);
         let mut best: Option<(f64, ServerKey)> = None;
         let mut best_limited: Option<(f64, ServerKey)> = None;
         for step in 0..count {
@@ -182,7 +191,8 @@
             if !scope.is_allowed(key) {
                 continue;
             }
-            let score = self.score(now, server, class, typical_slowness);
+            let failure_cost = server.trouble.odds(now).cost(objective, scope.stake, draw);
+            let score = self.score(now, server, class, typical_slowness) + failure_cost;
             let best = if self.lacks_token(now, server, scope.limited) {
                 &mut best_limited
             } else {
@@ -205,8 +215,8 @@
     /// Selects up to `limit` servers that this node and its delegate in `zone` may both
     /// call for one request, without those that this node knows to be leaving. Servers that
     /// this node may have called already come first, then available ones, whether this node
-    /// reaches them or not, then those that are not suspect, then those that limit no
-    /// requests, then those in `zone`.
+    /// reaches them or not, then those that are not suspect, then those that fail less, then
+    /// those that limit no requests, then those in `zone`.
     pub fn choose_allowed(
         &mut self,
         now: BootTime,
@@ -235,7 +245,9 @@
             let in_zone = server.is_some_and(|server| server.entry.zone.as_ref() == zone);
             let is_limited = server.is_some_and(|server| server.quota.is_some());
             let is_suspect = has_link && self.is_suspect(now, *key, class);
-            (!called.contains(key), !is_available, is_suspect, is_limited, !in_zone)
+            let odds = server.map(|server| server.trouble.odds(now).total()).unwrap_or_default();
+            let trouble = (odds * TROUBLE_LEVELS).round() as u32;
+            (!called.contains(key), !is_available, is_suspect, trouble, is_limited, !in_zone)
         });
         keys.truncate(limit);
         keys
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,6 +8,7 @@
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
 //! - load balancing over backend servers: [`ServerFleet`]
+//! - failures of servers that the nodes of a zone tell each other: [`ObservationLedger`]
 //! - limits on requests that servers name: [`LimitTable`], [`QuotaLedger`]
 //! - requests that crash servers: [`CrashTable`]
 //! - links to servers, judged by what they answer: [`ServerFleet::due_probes`]
@@ -39,6 +40,7 @@
 mod links;
 mod merge;
 mod model;
+mod observations;
 mod peers;
 mod placement;
 mod quota;
@@ -78,6 +80,9 @@
     RouteConfig, RouteTarget, ServerEntry, ServerIncarnation, ServerLoad, ServerNotice,
     ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
 };
+pub use observations::{
+    AttemptStake, FailureOdds, ObservationLedger, ServerObservation, report_interval,
+};
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
 pub use quota::{OwnerSupport, QuotaAsk, QuotaLedger, ask_interval, support_interval};
--- /dev/null
+++ b/crates/tier/src/observations.rs
@@ -0,0 +1,303 @@
+//! How likely a request to a server fails, from what the nodes of a zone see of it.
+//!
+//! Answers troubles of a few seconds in which many servers turn requests away or lose
+//! answers, in fleets whose nodes each send too few requests to notice. The nodes of an
+//! availability zone report their counts to one of them, which adds them up. All counts
+//! fade within a second or two, and a few requests go on trying a server that fails.
+
+use std::time::Duration;
+
+use carobstep_clock::BootTime;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::stats::AttemptOutcome;
+
+/// Time in which counts of a whole zone fade to 1/e.
+const ZONE_FADING: Duration = Duration::from_millis(1_200);
+
+/// Time in which the counts of one node fade to 1/e: longer, because they are fewer.
+const OWN_FADING: Duration = Duration::from_secs(3);
+
+/// Age from which the counts of a zone are not used any more, since the node that adds them
+/// up is gone.
+const ZONE_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Successful attempts that are assumed in addition to the observed ones.
+const PRIOR_ATTEMPTS: f64 = 2.0;
+
+/// Faded number of failures below which a server counts as sound and is not reported.
+const MIN_FAILURES: f64 = 0.15;
+
+/// Faded number of failures in a zone, and their share of the attempts, from which its nodes
+/// are told of them: single failures would keep all of them calling.
+const MIN_TOLD_FAILURES: f64 = 0.8;
+const MIN_TOLD_SHARE: f64 = 0.08;
+
+/// Costs of the failures of an attempt, in latency objectives: a refusal costs a round trip
+/// and some of the retry budget, the others cost one of the few attempts of the route.
+const TURNED_AWAY_COST: f64 = 1.5;
+const LOST_COST: f64 = 3.0;
+const SILENT_COST: f64 = 3.0;
+
+/// Factor on these costs for the last attempt of a request.
+const LAST_ATTEMPT_FACTOR: f64 = 3.0;
+
+/// Decrease of the share of requests that try a failing server, for each of its failures.
+const TRIAL_DECREASE: f64 = 4.0;
+
+/// Least time between two reports of a node.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time between two reports of a node for each node of its zone, so that the node that
+/// receives them is not busy with them.
+const REPORT_INTERVAL_PER_NODE: Duration = Duration::from_millis(8);
+
+/// Parts of an attempt in which reports count.
+const REPORTED_PARTS: f64 = 10.0;
+
+/// Returns the time between two reports of a node in a zone of `nodes` nodes.
+#[must_use]
+pub fn report_interval(nodes: u32) -> Duration {
+    (REPORT_INTERVAL_PER_NODE * nodes).max(MIN_REPORT_INTERVAL)
+}
+
+/// What is at stake with an attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AttemptStake {
+    /// Another server may be called if it fails.
+    #[default]
+    Repeatable,
+    /// No other server may be called.
+    Last,
+}
+
+/// Attempts at a server in tenths, as nodes report them to each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerObservation {
+    /// Hash of the server's identifier.
+    pub server: u32,
+    /// Attempts that have ended.
+    pub attempts: u16,
+    /// Attempts that the server has not run.
+    pub turned_away: u16,
+    /// Attempts that may have run, without a usable response.
+    pub lost: u16,
+    /// Attempts without a response in time.
+    pub silent: u16,
+}
+
+/// Numbers of attempts at a server by their outcomes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct AttemptCounts {
+    attempts: f64,
+    turned_away: f64,
+    lost: f64,
+    silent: f64,
+}
+
+/// Counts as of a time.
+#[derive(Clone, Copy, Debug, Default)]
+struct FadingCounts {
+    counts: AttemptCounts,
+    counted_at: BootTime,
+}
+
+/// Probabilities that an attempt at a server fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FailureOdds {
+    /// Probability that the server does not run it.
+    pub turned_away: f64,
+    /// Probability that its response is lost or not usable.
+    pub lost: f64,
+    /// Probability that it gets no response in time.
+    pub silent: f64,
+    /// Share of the requests that try the server nevertheless.
+    pub trial_share: f64,
+}
+
+/// Recent attempts at a server: those of this node, and all of its zone.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ServerTrouble {
+    own: FadingCounts,
+    /// Attempts that have not been reported yet.
+    unreported: FadingCounts,
+    /// Sum over the zone, if another node has sent it.
+    zone: Option<FadingCounts>,
+}
+
+/// Attempts at failing servers of all nodes of a zone.
+#[derive(Clone, Debug, Default)]
+pub struct ObservationLedger {
+    servers: IndexMap<u32, FadingCounts>,
+}
+
+impl AttemptCounts {
+    fn of(outcome: AttemptOutcome) -> Option<Self> {
+        let one = Self { attempts: 1.0, ..Self::default() };
+        match outcome {
+            AttemptOutcome::Answered => Some(one),
+            AttemptOutcome::NotRun => Some(Self { turned_away: 1.0, ..one }),
+            AttemptOutcome::Failed | AttemptOutcome::Oversized => Some(Self { lost: 1.0, ..one }),
+            AttemptOutcome::TimedOut => Some(Self { silent: 1.0, ..one }),
+            AttemptOutcome::WrongServer | AttemptOutcome::Unsent | AttemptOutcome::Cancelled => {
+                None
+            }
+        }
+    }
+
+    fn failures(self) -> f64 {
+        self.turned_away + self.lost + self.silent
+    }
+
+    /// Returns the counts times `factor`, plus `other`.
+    fn scaled_plus(self, factor: f64, other: Self) -> Self {
+        Self {
+            attempts: self.attempts.mul_add(factor, other.attempts),
+            turned_away: self.turned_away.mul_add(factor, other.turned_away),
+            lost: self.lost.mul_add(factor, other.lost),
+            silent: self.silent.mul_add(factor, other.silent),
+        }
+    }
+
+    fn odds(self) -> FailureOdds {
+        if self.failures() < MIN_FAILURES {
+            return FailureOdds::default();
+        }
+        let trials = self.attempts + PRIOR_ATTEMPTS;
+        FailureOdds {
+            turned_away: self.turned_away / trials,
+            lost: self.lost / trials,
+            silent: self.silent / trials,
+            trial_share: 1.0 / TRIAL_DECREASE.mul_add(self.failures(), 1.0),
+        }
+    }
+
+    fn to_observation(self, server: u32) -> ServerObservation {
+        let parts = |count: f64| (count * REPORTED_PARTS).round() as u16;
+        ServerObservation {
+            server,
+            attempts: parts(self.attempts),
+            turned_away: parts(self.turned_away),
+            lost: parts(self.lost),
+            silent: parts(self.silent),
+        }
+    }
+}
+
+impl From<ServerObservation> for AttemptCounts {
+    fn from(observation: ServerObservation) -> Self {
+        let count = |parts: u16| f64::from(parts) / REPORTED_PARTS;
+        Self {
+            attempts: count(observation.attempts),
+            turned_away: count(observation.turned_away),
+            lost: count(observation.lost),
+            silent: count(observation.silent),
+        }
+    }
+}
+
+impl FadingCounts {
+    fn at(&self, now: BootTime, fading: Duration) -> AttemptCounts {
+        let age = now.since(self.counted_at).as_secs_f64() / fading.as_secs_f64();
+        self.counts.scaled_plus((-age).exp(), AttemptCounts::default())
+    }
+
+    fn add(&mut self, now: BootTime, fading: Duration, counts: AttemptCounts) {
+        *self = Self { counts: self.at(now, fading).scaled_plus(1.0, counts), counted_at: now };
+    }
+}
+
+impl FailureOdds {
+    /// Returns the probability that an attempt fails in any way.
+    #[must_use]
+    pub fn total(self) -> f64 {
+        self.turned_away + self.lost + self.silent
+    }
+
+    /// Returns the expected cost of an attempt's failure, in the unit of `objective`, the
+    /// latency objective of the request. `draw` is a random number from 0 to 1 that lets some
+    /// requests ignore the failures.
+    #[must_use]
+    pub fn cost(self, objective: f64, stake: AttemptStake, draw: f64) -> f64 {
+        let lost_attempt = self.lost.mul_add(LOST_COST, self.silent * SILENT_COST);
+        let cost = objective * self.turned_away.mul_add(TURNED_AWAY_COST, lost_attempt);
+        match stake {
+            AttemptStake::Repeatable if draw < self.trial_share => 0.0,
+            AttemptStake::Repeatable => cost,
+            AttemptStake::Last => cost * LAST_ATTEMPT_FACTOR,
+        }
+    }
+}
+
+impl ServerTrouble {
+    /// Records the outcome of an attempt of this node.
+    pub(crate) fn observe(&mut self, now: BootTime, outcome: AttemptOutcome) {
+        let Some(counts) = AttemptCounts::of(outcome) else { return };
+        self.own.add(now, OWN_FADING, counts);
+        self.unreported.add(now, ZONE_FADING, counts);
+    }
+
+    /// Returns the probabilities that an attempt fails.
+    pub(crate) fn odds(&self, now: BootTime) -> FailureOdds {
+        let own = || self.own.at(now, OWN_FADING);
+        let counts = self
+            .fresh_zone(now)
+            .map_or_else(own, |zone| zone.scaled_plus(1.0, self.unreported.at(now, ZONE_FADING)));
+        counts.odds()
+    }
+
+    fn fresh_zone(&self, now: BootTime) -> Option<AttemptCounts> {
+        let zone = self.zone.filter(|zone| now.since(zone.counted_at) < ZONE_LIFETIME)?;
+        Some(zone.at(now, ZONE_FADING))
+    }
+
+    /// Returns whether another node has told of failures of the server lately.
+    pub(crate) fn is_told(&self, now: BootTime) -> bool {
+        self.fresh_zone(now).is_some()
+    }
+
+    /// Returns whether the server has failed lately, here or at other nodes of the zone.
+    pub(crate) fn has_failed(&self, now: BootTime) -> bool {
+        let own = self.own.at(now, OWN_FADING).failures();
+        let zone = self.fresh_zone(now).map_or(0.0, AttemptCounts::failures);
+        own.max(zone) >= MIN_FAILURES
+    }
+
+    /// Returns the attempts since the last report if the server has failed lately.
+    pub(crate) fn take_report(&mut self, now: BootTime, server: u32) -> Option<ServerObservation> {
+        if !self.has_failed(now) {
+            return None;
+        }
+        let report = std::mem::take(&mut self.unreported).at(now, ZONE_FADING);
+        Some(report.to_observation(server)).filter(|report| report.attempts > 0)
+    }
+
+    /// Replaces what is known of the zone's attempts.
+    pub(crate) fn set_zone(&mut self, now: BootTime, observation: ServerObservation) {
+        self.zone = Some(FadingCounts { counts: observation.into(), counted_at: now });
+    }
+}
+
+impl ObservationLedger {
+    /// Adds the attempts that a node reports.
+    pub fn merge(&mut self, now: BootTime, reports: &[ServerObservation]) {
+        for report in reports {
+            let counts = self.servers.entry(report.server).or_default();
+            counts.add(now, ZONE_FADING, (*report).into());
+        }
+    }
+
+    /// Returns the attempts at the servers that fail, and forgets those that don't any more.
+    pub fn failing(&mut self, now: BootTime) -> Vec<ServerObservation> {
+        self.servers.retain(|_, it| it.at(now, ZONE_FADING).failures() >= MIN_FAILURES);
+        let mut failing = Vec::new();
+        for (server, counts) in &self.servers {
+            let counts = counts.at(now, ZONE_FADING);
+            if counts.failures() >= MIN_TOLD_FAILURES && counts.odds().total() >= MIN_TOLD_SHARE {
+                failing.push(counts.to_observation(*server));
+            }
+        }
+        failing
+    }
+}
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -8,17 +8,14 @@
     fleet::ServiceKey,
     links::ServerLink,
     model::{ServerEntry, ServerPhase},
+    observations::ServerTrouble,
     quota::ServerQuota,
     stats::AttemptOutcome,
 };
 
-/// Weight of one attempt in a server's failure rate and slowness.
+/// Weight of one attempt in a server's slowness.
 const SAMPLE_WEIGHT: f64 = 1.0 / 8.0;
 
-/// Weight of the failure rate in the score of a server: a server that fails every
-/// request has its score multiplied by one plus this.
-const FAILURE_WEIGHT: f64 = 6.0;
-
 /// Backoff time after a server shed a request.
 const SHED_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -79,7 +76,6 @@
 struct ObservedHealth {
     /// Moving average of the latency, in multiples of the class's median.
     slowness: f64,
-    failure_rate: f64,
 }
 
 #[derive(Debug)]
@@ -96,6 +92,8 @@
     health: ObservedHealth,
     /// Until when that holds.
     health_until: BootTime,
+    /// Recent failures.
+    pub(crate) trouble: ServerTrouble,
     pub(crate) backoff_until: BootTime,
     /// Until when the server wants no requests from this node.
     pub(crate) paused_until: BootTime,
@@ -129,7 +127,8 @@
             link: ServerLink::new(),
             window: MAX_WINDOW,
             waiting_since: now,
-            health: ObservedHealth { slowness: DEFAULT_SLOWNESS, failure_rate: 0.0 },
+            health: ObservedHealth { slowness: DEFAULT_SLOWNESS },
+            trouble: ServerTrouble::default(),
             health_until: now + UNOBSERVED_TIME,
             backoff_until: BootTime::ZERO,
             paused_until: BootTime::ZERO,
@@ -152,19 +151,17 @@
     }
 
     /// Returns the expected cost of one more request in multiples of the class's median
-    /// latency, including the failure rate. `typical_slowness` is that of a server of
-    /// which nothing is known.
+    /// latency. `typical_slowness` is that of a server of which nothing is known.
     pub(crate) fn expected_load(&self, now: BootTime, typical_slowness: f64) -> f64 {
         let health = self.health_at(now, typical_slowness);
-        let load = f64::from(self.in_flight + 1) * health.slowness.max(MIN_SLOWNESS);
-        load * (1.0 + FAILURE_WEIGHT * health.failure_rate)
+        f64::from(self.in_flight + 1) * health.slowness.max(MIN_SLOWNESS)
     }
 
     fn health_at(&self, now: BootTime, typical_slowness: f64) -> ObservedHealth {
         if now < self.health_until {
             self.health
         } else {
-            ObservedHealth { slowness: typical_slowness, failure_rate: 0.0 }
+            ObservedHealth { slowness: typical_slowness }
         }
     }
 
@@ -200,6 +197,7 @@
     /// Forgets what the outcomes of requests have shown.
     pub(crate) fn forget_observations(&mut self, now: BootTime) {
         self.forget_link_failures();
+        self.trouble = ServerTrouble::default();
         self.health_until = now;
         self.window = MAX_WINDOW;
         self.waiting_since = now;
@@ -214,6 +212,7 @@
         latency: AttemptLatency,
         typical_slowness: f64,
     ) {
+        self.trouble.observe(now, outcome);
         let mut health = self.health_at(now, typical_slowness);
         let slowness = latency.in_medians;
         match outcome {
@@ -225,12 +224,10 @@
                 } else {
                     (self.window + WINDOW_GROWTH / self.window).min(MAX_WINDOW)
                 };
-                health.failure_rate -= SAMPLE_WEIGHT * health.failure_rate;
                 health.record_slowness(slowness);
             }
             AttemptOutcome::NotRun => {
                 self.waiting_since = now;
-                health.record_failure();
                 self.backoff_until = now + SHED_BACKOFF;
                 let in_use = f64::from(self.in_flight + 1).min(self.window);
                 self.window = (in_use * REFUSED_WINDOW_FACTOR).max(1.0);
@@ -247,10 +244,8 @@
             }
             AttemptOutcome::Failed | AttemptOutcome::Oversized => {
                 self.waiting_since = now;
-                health.record_failure();
             }
             AttemptOutcome::TimedOut => {
-                health.record_failure();
                 health.record_slowness(slowness);
             }
             // The attempt would have taken at least this long.
@@ -265,10 +260,6 @@
 }
 
 impl ObservedHealth {
-    fn record_failure(&mut self) {
-        self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate);
-    }
-
     fn record_slowness(&mut self, slowness: f64) {
         self.slowness += SAMPLE_WEIGHT * (slowness.min(MAX_SLOWNESS) - self.slowness);
     }
--- /dev/null
+++ b/crates/tier/tests/observations.rs
@@ -0,0 +1,340 @@
+//! Troubles of some seconds in a fleet whose nodes each send less than one search a second:
+//! most servers turn requests away, or half of them lose answers.
+
+mod support;
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashSet},
+    time::Duration,
+};
+
+use carobstep_clock::BootTime;
+use carobstep_tier::{
+    AttemptOutcome, AttemptTicket, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole,
+    FanoutState, FleetLimits, ObservationLedger, PickScope, RetryPolicy, ServerFleet, ServerKey,
+    ServiceKey, ShardIndex, report_interval,
+};
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use support::{LIMITS, OBJECTIVE, add_servers, at, class, fleet, name};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const NODES: usize = 64;
+const SHARDS: usize = 16;
+const SEARCHES_PER_SECOND: f64 = 38.0;
+const DEADLINE: Duration = Duration::from_millis(600);
+
+/// Time from an attempt to its response, and to its refusal.
+const RESPONSE_TIME: Duration = Duration::from_millis(12);
+const REFUSAL_TIME: Duration = Duration::from_millis(1);
+
+/// When the trouble starts and ends.
+const TROUBLE: (u64, u64) = (4_000, 10_000);
+
+/// When those who forget have forgotten, and the end of the load.
+const FORGOTTEN: u64 = 12_000;
+const END: u64 = 14_000;
+
+/// Failures of servers, and what callers get.
+struct TroubleCase {
+    label: &'static str,
+    /// Share of the servers that fail, and of the attempts at them that do.
+    servers: f64,
+    attempts: f64,
+    outcome: AttemptOutcome,
+    /// Least share of searches served in time during the trouble, with shared observations.
+    in_time: f64,
+    /// Least gain over nodes that share nothing.
+    gain: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives,
+    Ends { search: usize, shard: u16, attempt: usize, outcome: usize },
+    Timer { search: usize },
+    Share,
+}
+
+const OUTCOMES: [AttemptOutcome; 3] =
+    [AttemptOutcome::Answered, AttemptOutcome::NotRun, AttemptOutcome::Failed];
+
+struct Search {
+    node: usize,
+    arrived: BootTime,
+    state: FanoutState,
+    ended: Option<(BootTime, FanoutOutcome)>,
+}
+
+struct Simulation<'case> {
+    case: &'case TroubleCase,
+    is_shared: bool,
+    rng: StdRng,
+    now: BootTime,
+    events: BinaryHeap<Reverse<(BootTime, usize, Event)>>,
+    nodes: Vec<(ServerFleet, Vec<ServiceKey>)>,
+    ledgers: Vec<ObservationLedger>,
+    failing: HashSet<String>,
+    searches: Vec<Search>,
+    tickets: Vec<AttemptTicket>,
+    /// Attempts at failing servers, and all, by phase: during the trouble, after it.
+    attempts: [(u32, u32); 2],
+}
+
+impl<'case> Simulation<'case> {
+    fn new(case: &'case TroubleCase, is_shared: bool) -> Self {
+        let mut rng = StdRng::seed_from_u64(11);
+        let limits = FleetLimits { retry_slack: 168.0, nodes: NODES as u32, ..LIMITS };
+        let nodes: Vec<_> = (0..NODES)
+            .map(|number| {
+                let zone = name(ZONES[number % ZONES.len()]);
+                let mut fleet = ServerFleet::new(zone, limits).with_seed(number as u64);
+                let services = add_servers(&mut fleet, SHARDS, &ZONES);
+                (fleet, services)
+            })
+            .collect();
+        let mut failing = HashSet::new();
+        for shard in 0..SHARDS {
+            for zone in ZONES {
+                if rng.random_range(0.0..1.0) < case.servers {
+                    failing.insert(format!("shard-{shard}-{zone}"));
+                }
+            }
+        }
+        let mut simulation = Self {
+            case,
+            is_shared,
+            rng,
+            now: at(0),
+            events: BinaryHeap::new(),
+            nodes,
+            ledgers: vec![ObservationLedger::default(); ZONES.len()],
+            failing,
+            searches: Vec::new(),
+            tickets: Vec::new(),
+            attempts: [(0, 0); 2],
+        };
+        simulation.push(at(0), Event::Arrives);
+        simulation.push(at(0), Event::Share);
+        simulation
+    }
+
+    fn push(&mut self, when: BootTime, event: Event) {
+        let number = self.events.len() + self.tickets.len();
+        self.events.push(Reverse((when, number, event)));
+    }
+
+    /// Returns the share of the searches of the trouble that were served in time, and the
+    /// shares of attempts at failing servers during it and after it was forgotten, relative
+    /// to the share of these servers.
+    fn run(mut self) -> (f64, f64, f64) {
+        while let Some(Reverse((when, _, event))) = self.events.pop() {
+            self.now = when;
+            match event {
+                Event::Arrives => self.on_arrival(),
+                Event::Ends { search, shard, attempt, outcome } => {
+                    self.on_end(search, shard, attempt, OUTCOMES[outcome]);
+                }
+                Event::Timer { search } => self.on_timer(search),
+                Event::Share => self.share(),
+            }
+        }
+        let (mut count, mut in_time) = (0, 0);
+        for search in &self.searches {
+            if search.arrived < at(TROUBLE.0) || search.arrived >= at(TROUBLE.1) {
+                continue;
+            }
+            let (when, outcome) = search.ended.expect("every search ends");
+            count += 1;
+            let is_served = outcome == FanoutOutcome::Answered;
+            in_time += u32::from(is_served && when.since(search.arrived) <= OBJECTIVE);
+        }
+        let servers = (SHARDS * ZONES.len()) as f64 / self.failing.len() as f64;
+        let share = |(some, all): (u32, u32)| f64::from(some) / f64::from(all) * servers;
+        (f64::from(in_time) / f64::from(count), share(self.attempts[0]), share(self.attempts[1]))
+    }
+
+    fn on_arrival(&mut self) {
+        let node = self.rng.random_range(0..NODES);
+        let (fleet, services) = &mut self.nodes[node];
+        let plan = FanoutPlan {
+            services: services.clone(),
+            min_shards: SHARDS,
+            retry: RetryPolicy::Idempotent,
+            attempts: 2,
+            class: class(fleet),
+            delegations: Vec::new(),
+            allowed: IndexMap::new(),
+            role: FanoutRole::Entry { has_peers: false },
+            is_cautious: false,
+            arrived: self.now,
+            answer_by: self.now + OBJECTIVE,
+            deadline: self.now + DEADLINE,
+        };
+        let mut state = FanoutState::new(plan);
+        let actions = state.start(self.now, fleet);
+        self.searches.push(Search { node, arrived: self.now, state, ended: None });
+        self.execute(self.searches.len() - 1, actions);
+        let gap = self.rng.random_range(0.0..2.0) / SEARCHES_PER_SECOND;
+        if self.now < at(END) {
+            self.push(self.now + Duration::from_secs_f64(gap), Event::Arrives);
+        }
+    }
+
+    fn execute(&mut self, search: usize, actions: Vec<FanoutAction>) {
+        for action in actions {
+            match action {
+                FanoutAction::Send { shard, ticket } => self.send(search, shard, ticket),
+                FanoutAction::Finish(outcome) => {
+                    self.searches[search].ended = Some((self.now, outcome));
+                }
+                FanoutAction::Delegate(_)
+                | FanoutAction::UsePartialResults(_)
+                | FanoutAction::Report => {}
+            }
+        }
+        if self.searches[search].ended.is_none() {
+            let due = self.searches[search].state.next_timer(self.now);
+            self.push(due.max(self.now + Duration::from_micros(200)), Event::Timer { search });
+        }
+    }
+
+    fn send(&mut self, search: usize, shard: ShardIndex, ticket: AttemptTicket) {
+        let fleet = &self.nodes[self.searches[search].node].0;
+        let id = fleet.endpoint(ticket.server).expect("a server").entry.id;
+        let is_troubled = self.now >= at(TROUBLE.0) && self.now < at(TROUBLE.1);
+        let is_failing = self.failing.contains(&*id);
+        let phase = usize::from(!is_troubled);
+        if is_troubled || self.now >= at(FORGOTTEN) {
+            self.attempts[phase].0 += u32::from(is_failing);
+            self.attempts[phase].1 += 1;
+        }
+        let fails =
+            is_failing && is_troubled && self.rng.random_range(0.0..1.0) < self.case.attempts;
+        let outcome = if fails { self.case.outcome } else { AttemptOutcome::Answered };
+        let is_refused = outcome == AttemptOutcome::NotRun;
+        let time = if is_refused { REFUSAL_TIME } else { RESPONSE_TIME };
+        let time = time.mul_f64(self.rng.random_range(0.8..1.4));
+        let outcome = OUTCOMES.iter().position(|it| *it == outcome).expect("a listed outcome");
+        self.tickets.push(ticket);
+        let attempt = self.tickets.len() - 1;
+        self.push(self.now + time, Event::Ends { search, shard: shard.0, attempt, outcome });
+    }
+
+    fn on_end(&mut self, search: usize, shard: u16, attempt: usize, outcome: AttemptOutcome) {
+        let ticket = self.tickets[attempt];
+        let Search { node, state, ended, .. } = &mut self.searches[search];
+        let fleet = &mut self.nodes[*node].0;
+        fleet.on_attempt_ended(self.now, ticket, outcome);
+        if ended.is_some() {
+            return;
+        }
+        let index = ShardIndex(shard);
+        let actions = state.on_attempt_ended(self.now, fleet, index, ticket.server, outcome);
+        self.execute(search, actions);
+    }
+
+    fn on_timer(&mut self, search: usize) {
+        let Search { node, state, ended, .. } = &mut self.searches[search];
+        if ended.is_none() {
+            let actions = state.on_timer(self.now, &mut self.nodes[*node].0);
+            self.execute(search, actions);
+        }
+    }
+
+    fn share(&mut self) {
+        if !self.is_shared {
+            return;
+        }
+        for (number, (fleet, _)) in self.nodes.iter_mut().enumerate() {
+            let reports = fleet.take_observations(self.now);
+            let ledger = &mut self.ledgers[number % ZONES.len()];
+            ledger.merge(self.now, &reports);
+            let failing = ledger.failing(self.now);
+            fleet.apply_observations(self.now, &failing);
+        }
+        if self.now < at(END) {
+            let interval = report_interval((NODES / ZONES.len()) as u32);
+            self.push(self.now + interval, Event::Share);
+        }
+    }
+}
+
+#[test]
+fn nodes_of_a_zone_find_the_sound_servers_together_and_forget_within_two_seconds() {
+    let cases = [
+        TroubleCase {
+            label: "80% of the servers turn 60% away",
+            servers: 0.8,
+            attempts: 0.6,
+            outcome: AttemptOutcome::NotRun,
+            in_time: 0.12,
+            gain: 0.05,
+        },
+        TroubleCase {
+            label: "half of the servers lose 40% of the answers",
+            servers: 0.5,
+            attempts: 0.4,
+            outcome: AttemptOutcome::Failed,
+            in_time: 0.85,
+            gain: 0.15,
+        },
+    ];
+    for case in &cases {
+        let label = case.label;
+        let (alone, at_failing_alone, _) = Simulation::new(case, false).run();
+        let (in_time, at_failing, after) = Simulation::new(case, true).run();
+        eprintln!(
+            "{label}: {alone:.3} in time alone, {in_time:.3} shared; attempts at failing servers \
+             {at_failing_alone:.3} alone, {at_failing:.3} shared, {after:.3} after"
+        );
+        assert!(in_time >= case.in_time, "{label}: {in_time:.3} in time");
+        assert!(in_time >= alone + case.gain, "{label}: {in_time:.3}, alone {alone:.3}");
+        // A few requests go on trying the failing servers, and all do when they are sound.
+        assert!(at_failing > 0.02, "{label}: {at_failing:.3} of the attempts at failing servers");
+        assert!(after >= 0.85, "{label}: {after:.3} of the attempts after it");
+    }
+}
+
+/// Returns how many of 100 requests of a node in zone `a` go to each server.
+fn picks(fleet: &mut ServerFleet, service: ServiceKey, millis: u64) -> IndexMap<ServerKey, u32> {
+    let key = class(fleet);
+    let mut picks = IndexMap::new();
+    for _ in 0..100 {
+        let picked = fleet.pick(at(millis), service, key, PickScope::default());
+        *picks.entry(picked.expect("a server")).or_default() += 1;
+    }
+    picks
+}
+
+#[test]
+fn a_node_without_its_zone_goes_on_with_what_it_has_seen_itself() {
+    let (mut fleet, services) = fleet(1, &["a", "a2"], LIMITS);
+    let key = class(&mut fleet);
+    let calm = picks(&mut fleet, services[0], 0);
+    let local = *calm.keys().next().expect("a server");
+    assert_eq!(calm[&local], 100, "without failures the local server is picked");
+    let attempt = |fleet: &mut ServerFleet, millis, outcome| {
+        let ticket =
+            fleet.on_attempt_sent(at(millis), local, key, carobstep_tier::AttemptKind::First);
+        fleet.on_attempt_ended(at(millis + 1), ticket, outcome);
+    };
+    for millis in 0..6 {
+        attempt(&mut fleet, millis, AttemptOutcome::Failed);
+    }
+    let own = fleet.failure_odds(at(100), local).total();
+    assert!(own > 0.6, "{own}");
+    let reports = fleet.take_observations(at(100));
+    assert_eq!((reports.len(), reports[0].lost), (1, reports[0].attempts));
+    assert!(fleet.take_observations(at(100)).is_empty(), "attempts are reported once");
+    let after_loss = picks(&mut fleet, services[0], 100);
+    let tried = after_loss.get(&local).copied().unwrap_or_default();
+    assert!((1..30).contains(&tried), "{tried} of 100 try the failing server");
+    // The zone says that the server is sound again; that node falls silent later.
+    fleet.apply_observations(at(200), &reports);
+    fleet.apply_observations(at(400), &[]);
+    assert_eq!(fleet.failure_odds(at(450), local).total(), 0.0);
+    assert!(fleet.failure_odds(at(1_500), local).total() > 0.0);
+    assert_eq!(fleet.failure_odds(at(15_000), local).total(), 0.0);
+}
--- a/crates/tier/tests/support/mod.rs
+++ b/crates/tier/tests/support/mod.rs
@@ -38,6 +38,12 @@
 /// Builds the fleet of a node in zone `a`, with one server per shard in each of `zones`.
 pub fn fleet(shards: usize, zones: &[&str], limits: FleetLimits) -> (ServerFleet, Vec<ServiceKey>) {
     let mut fleet = ServerFleet::new(name("a"), limits);
+    let services = add_servers(&mut fleet, shards, zones);
+    (fleet, services)
+}
+
+/// Adds one server per shard in each of `zones` to a fleet.
+pub fn add_servers(fleet: &mut ServerFleet, shards: usize, zones: &[&str]) -> Vec<ServiceKey> {
     let mut services = Vec::new();
     for shard in 0..shards {
         let service = format!("shard-{shard}");
@@ -47,7 +53,7 @@
             fleet.apply(at(0), &DirectoryChange::Changed(entry(&id, &service, zone)));
         }
     }
-    (fleet, services)
+    services
 }
 
 pub fn class(fleet: &mut ServerFleet) -> ClassKey {
