Share out limits of any subject, and retry budgets by demand

Cause: the retry budget of a service was divided equally among all nodes. With 64 nodes each has two retries, and as two fast nodes of each zone call nearly all servers, most of the budget can't be used while servers fail. The sharing of tokens that servers' limits use was bound to servers.

Change: the ledger of tokens takes limits of any subject (servers' limits, cold servers, accounts, retry budgets). The messages are new variants; nodes that don't know them leave the equal shares in use.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -286,6 +286,9 @@
         let mut had_enough = false;
         loop {
             actions.extend(self.place_with_peers());
+            if self.gateway.state.borrow().fleet.lacks_extra_tokens() {
+                self.gateway.extra_notify.notify_one();
+            }
             for action in actions {
                 match action {
                     FanoutAction::Send { shard, ticket } => self.send(shard, ticket),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,9 +12,9 @@
     AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
     CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
     LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
-    QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
-    ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
-    StopTiming, StoreRevision, WeightedRoundRobin,
+    QuarantineChange, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable, ServerDirectory,
+    ServerFleet, ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
+    StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::{info, warn};
@@ -66,6 +66,8 @@
     pub(crate) links_notify: Notify,
     /// Wakes the task that announces the requests that this node has quarantined or cleared.
     pub(crate) quarantine_notify: Notify,
+    /// Wakes the task that asks for tokens of shared retry budgets.
+    pub(crate) extra_notify: Notify,
     /// Start time of the process.
     pub(crate) started: BootTime,
     /// Non-zero random number that distinguishes this process from earlier ones
@@ -89,7 +91,7 @@
     pub(crate) directory: ServerDirectory,
     pub(crate) fleet: ServerFleet,
     /// Tokens that this node shares out.
-    pub(crate) quotas: QuotaLedger,
+    pub(crate) quotas: ShareLedger,
     /// Nodes that take this one for the owner of limits.
     pub(crate) support: OwnerSupport,
     /// Room for requests of nodes that have lost their links to servers.
@@ -157,7 +159,7 @@
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
-            quotas: QuotaLedger::default(),
+            quotas: ShareLedger::default(),
             support: OwnerSupport::default(),
             room: RelayRoom::new(BootTime::now()),
             crashes: CrashTable::default(),
@@ -182,6 +184,7 @@
             timing: SpreadTiming::within(settings.bounds.spread),
             links_notify: Notify::new(),
             quarantine_notify: Notify::new(),
+            extra_notify: Notify::new(),
             started: BootTime::now(),
             incarnation,
             closing: watch::Sender::new(false),
@@ -248,11 +251,13 @@
         change(&mut state.peers);
         let nodes = state.peers.live_nodes();
         let bounds = self.settings.bounds;
-        state.fleet.set_limits(FleetLimits {
+        let limits = FleetLimits {
             retry_ratio: bounds.retry_ratio,
             retry_slack: bounds.retry_slack,
             nodes: nodes.max(MIN_NODE_COUNT),
-        });
+        };
+        state.fleet.set_limits(limits);
+        state.fleet.set_extra_pool(limits.extra_pool(bounds.retry_window, state.peers.zones()));
         self.notify_peers();
     }
 
@@ -454,6 +459,7 @@
                 unreachable_zones: state.fleet.lost_zones(now).len(),
                 lost_servers: state.fleet.lost_servers(now),
                 nodes_without_links: state.peers.link_reports().nodes_without_links(),
+                extra_use: state.fleet.extra_use(),
             }
         };
         self.reporter.encode_metrics(readings)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod quarantine;
 mod quota;
 mod report;
+mod shares;
 mod stop;
 mod watcher;
 
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -21,6 +21,7 @@
     quarantine::announce_quarantines,
     quota::ask_for_tokens,
     report::Reporter,
+    shares::ask_for_extra,
     stop,
     watcher::{remove_expired, watch_store},
 };
@@ -102,6 +103,7 @@
     spawn_local(follow_peer(gateway.clone()));
     spawn_local(remove_expired(gateway.clone()));
     spawn_local(ask_for_tokens(gateway.clone()));
+    spawn_local(ask_for_extra(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness_listener));
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -5,11 +5,15 @@
 use bytes::Bytes;
 use carobstep_tier::{
     CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, LinkReport, LinkUpdate,
-    PeerUpdate, QuotaAsk, ServerIncarnation, StoreRevision,
+    PeerUpdate, QuotaAsk, ServerIncarnation, ShareAsk, ShareGrant, StoreRevision,
 };
 use serde::{Deserialize, Serialize};
 
 /// A request to a peer.
+///
+/// Nodes of the version before read these messages too: variants are only appended, and the
+/// types of existing ones keep their fields. A node answers a variant that it doesn't know
+/// with status 400.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
     /// A request for some shards, whose servers the receiver calls.
@@ -23,6 +27,8 @@
     /// A call to find out whether the receiver can call servers in place of the sender, with
     /// what is known of the sender's links.
     Contact(Vec<LinkReport>),
+    /// A request for tokens of limits that all nodes share.
+    Share(ShareRequest),
 }
 
 /// A reply to a [`PeerRequest`].
@@ -50,6 +56,17 @@
     MoreBody(Bytes),
     /// Reply to a call to find out about the peer, with what is known of its links.
     Contact(Vec<LinkReport>),
+    /// Tokens of shared limits, one entry for each of the request.
+    Share(Vec<ShareGrant>),
+}
+
+/// Request for tokens of shared limits to the node that the sender takes for their owner.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ShareRequest {
+    /// Name of the sender.
+    pub(crate) node: Arc<str>,
+    /// What the sender asks for and reports; may be empty.
+    pub(crate) asks: Vec<ShareAsk>,
 }
 
 /// How a request to one service ended that a peer has sent for this node.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,7 @@
         PeerReply, PeerRequest,
     },
     quota::grant_tokens,
+    shares::grant_shares,
 };
 
 /// Time reserved for the transfer of a peer's reply: the network latency between two
@@ -92,7 +93,7 @@
         }
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
-        PeerRequest::Quota(_) => {}
+        PeerRequest::Quota(_) | PeerRequest::Share(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -105,6 +106,9 @@
         PeerRequest::Quota(request) => {
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
+        PeerRequest::Share(request) => {
+            replies.send(PeerReply::Share(grant_shares(gateway, &request)));
+        }
         PeerRequest::Follow(request) => replies.send(wait_for_update(gateway, request).await),
     }
 }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_tier::{QuotaAsk, ask_interval, support_interval};
+use carobstep_tier::{QuotaAsk, SharedSubject, ask_interval, server_terms, support_interval};
 use indexmap::IndexMap;
 use log::debug;
 use tokio::{
@@ -116,7 +116,10 @@
         }
         let share = shares.get(&ask.zone).copied().unwrap_or_default();
         let granted = match record.rate {
-            Some(rate) => state.quotas.grant(now, &record.server, rate, share, ask.tokens),
+            Some(rate) => {
+                let subject = SharedSubject::Server(record.server.clone());
+                state.quotas.grant(now, &subject, server_terms(rate), share, ask.tokens)
+            }
             None => 0,
         };
         reply.tokens.push(granted);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,8 +5,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, FanoutOutcome, MissingShards, RequestFingerprint, RouteConfig,
-    RouteTarget,
+    AttemptKind, AttemptOutcome, ExtraUse, FanoutOutcome, MissingShards, RequestFingerprint,
+    RouteConfig, RouteTarget,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -65,6 +65,9 @@
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
+    extra_paid: IntGauge,
+    extra_refused: IntGauge,
+    extra_pooled: IntGauge,
 }
 
 /// Values for the gauges.
@@ -82,6 +85,7 @@
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
+    pub(crate) extra_use: ExtraUse,
 }
 
 /// Final classification of a request.
@@ -315,6 +319,18 @@
                     "carobstep_nodes_without_links",
                     "Nodes, with this one, that can't reach the servers of some zone.",
                 )?,
+                extra_paid: gauge(
+                    "carobstep_extra_requests_paid",
+                    "Retries and hedges that the retry budgets paid for.",
+                )?,
+                extra_refused: gauge(
+                    "carobstep_extra_requests_refused",
+                    "Times that a retry budget could not pay for a retry or hedge.",
+                )?,
+                extra_pooled: gauge(
+                    "carobstep_extra_tokens_pooled",
+                    "Tokens that this node got from retry budgets that nodes share by demand.",
+                )?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -369,6 +385,10 @@
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
         gauges.nodes_without_links.set(readings.nodes_without_links as i64);
+        let count = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        gauges.extra_paid.set(count(readings.extra_use.paid));
+        gauges.extra_refused.set(count(readings.extra_use.refused));
+        gauges.extra_pooled.set(count(readings.extra_use.pooled));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!(error:% = error; "encoding the metrics failed");
--- /dev/null
+++ b/crates/gateway/src/shares.rs
@@ -0,0 +1,131 @@
+//! Tokens of limits that all nodes share: asks their owners for them, and grants them.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use carobstep_tier::{ShareAsk, ShareGrant, ShareTerms, SharedSubject};
+use carobstep_wire::{WireError, WireErrorKind};
+use log::debug;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    gateway::{Gateway, GatewayState},
+    peer_messages::{PeerReply, PeerRequest, ShareRequest},
+};
+
+/// Timeout of a call to an owner; a retry that waits longer is of little use.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Least time between two calls, so that retries that fail together cost one call.
+const ASK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time for which an owner that doesn't know such requests is not asked again.
+const UNKNOWN_PAUSE: Duration = Duration::from_secs(5);
+
+/// Asks the owner in this node's zone for tokens of retry budgets when requests lack them,
+/// for the lifetime of the process.
+pub(crate) async fn ask_for_extra(gateway: Rc<Gateway>) {
+    let mut unknown_until = BootTime::ZERO;
+    loop {
+        gateway.extra_notify.notified().await;
+        let asked_at = BootTime::now();
+        let asks = gateway.state.borrow_mut().fleet.extra_asks(asked_at);
+        if asks.is_empty() || asked_at < unknown_until {
+            sleep(ASK_INTERVAL).await;
+            continue;
+        }
+        let (request, owner) = {
+            let state = gateway.state.borrow();
+            let entry = |(service, tokens): &(Arc<str>, u32)| ShareAsk {
+                subject: SharedSubject::ExtraRequests(service.clone()),
+                tokens: *tokens,
+                used: 0,
+                recent: 0,
+            };
+            let own = state.peers.own();
+            let asks = asks.iter().map(entry).collect();
+            let owner = state.peers.quota_owner(asked_at, &own.zone);
+            (ShareRequest { node: own.name.clone(), asks }, owner)
+        };
+        let grants = match owner {
+            None => grant_shares(&gateway, &request),
+            Some(owner) => match call_owner(&gateway, &owner, request).await {
+                Ok(grants) => grants,
+                Err(error) => {
+                    debug!(peer = owner.as_ref(), error:% = error; "no tokens for retries");
+                    if error.kind() == WireErrorKind::Codec {
+                        unknown_until = asked_at + UNKNOWN_PAUSE;
+                    }
+                    Vec::new()
+                }
+            },
+        };
+        let now = BootTime::now();
+        {
+            let fleet = &mut gateway.state.borrow_mut().fleet;
+            for (position, (service, tokens)) in asks.iter().enumerate() {
+                let granted = grants.get(position).map_or(0, |grant| grant.tokens);
+                fleet.add_extra_tokens(now, asked_at, service, (*tokens, granted));
+            }
+        }
+        sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// Sends requests for tokens to the node that owns the limits.
+///
+/// # Errors
+///
+/// Fails with kind `Codec` if the node doesn't know such requests, and otherwise if it does
+/// not reply; it then counts as failed.
+pub(crate) async fn call_owner(
+    gateway: &Gateway,
+    owner: &Arc<str>,
+    request: ShareRequest,
+) -> Result<Vec<ShareGrant>, WireError> {
+    let address = gateway.state.borrow().peers.address(owner);
+    let unreachable = |text: &str| WireError::new(WireErrorKind::NotSent, text.to_owned());
+    let address = address.ok_or_else(|| unreachable("the owner is not known any more"))?;
+    let request = PeerRequest::Share(request);
+    let calling = gateway.peer_pool.call_typed(address, &request);
+    let reply = timeout(ASK_TIMEOUT, calling)
+        .await
+        .unwrap_or_else(|_| Err(unreachable("the owner did not reply in time")));
+    match reply {
+        Ok(PeerReply::Share(grants)) => Ok(grants),
+        Ok(_) => Err(WireError::new(WireErrorKind::Codec, "another reply".to_owned())),
+        Err(error) => {
+            if error.kind() != WireErrorKind::Codec {
+                gateway.state.borrow_mut().peers.on_failed(BootTime::now(), owner);
+            }
+            Err(error)
+        }
+    }
+}
+
+/// Grants tokens that a node, which may be this one, asks for.
+pub(crate) fn grant_shares(gateway: &Gateway, request: &ShareRequest) -> Vec<ShareGrant> {
+    let now = BootTime::now();
+    let uptime = now.since(gateway.started);
+    let state = &mut *gateway.state.borrow_mut();
+    let mut grants = Vec::with_capacity(request.asks.len());
+    for ask in &request.asks {
+        let Some(terms) = terms_of(state, uptime, &ask.subject) else {
+            grants.push(ShareGrant::default());
+            continue;
+        };
+        let tokens = state.quotas.grant(now, &ask.subject, terms, 1.0, ask.tokens);
+        let left = state.quotas.tokens(now, &ask.subject, terms, 1.0);
+        let level = (left / terms.depth.max(1.0) * 1000.0).clamp(0.0, 1000.0) as u16;
+        grants.push(ShareGrant { tokens, level, is_known: true });
+    }
+    grants
+}
+
+/// Returns the terms on which this node hands out a limit, if it owns such limits.
+fn terms_of(state: &GatewayState, uptime: Duration, subject: &SharedSubject) -> Option<ShareTerms> {
+    match subject {
+        SharedSubject::ExtraRequests(_) => Some(state.fleet.extra_pool()?.terms(uptime)),
+        SharedSubject::Server(_) | SharedSubject::ColdServer(_) | SharedSubject::Account(_) => None,
+    }
+}
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -6,6 +6,7 @@
 //! outcomes of this node's own requests (passive health checking); no active
 //! health checks are sent to single servers.
 
+mod extras;
 mod links;
 mod quotas;
 mod selection;
@@ -13,22 +14,23 @@
 use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_dispatch::TokenBucket;
 use indexmap::IndexMap;
 use slotmap::{SlotMap, new_key_type};
 use strum::{Display, IntoStaticStr};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    credit::CreditIncome,
     directory::DirectoryChange,
     limits::LimitTable,
     links::ZoneLinks,
     model::{Configuration, ServerEntry, ServerIncarnation},
-    quota::ServerQuota,
+    quota::NodeShare,
+    retry_budget::RetryBudget,
     server_state::ServerState,
+    shares::ExtraPool,
     stats::{AttemptOutcome, ClassKey, ClassTable},
 };
+pub use extras::ExtraUse;
 pub use quotas::{LimitChange, LimitedUse};
 pub use selection::{PickScope, SearchRank};
 
@@ -40,14 +42,6 @@
     pub struct ServiceKey;
 }
 
-/// Fraction of the shared retry budget that the nodes use; the rest covers nodes
-/// that started or stopped within the window.
-const USABLE_BUDGET_SHARE: f64 = 0.8;
-
-/// Fraction of its maximum extra-request tokens that a node starts with; before a
-/// restart it may have used its share of the window already.
-const INITIAL_BUDGET_SHARE: f64 = 0.5;
-
 /// Number of connections that a node may always open to a server.
 const MIN_CONNECTIONS: u32 = 4;
 
@@ -62,12 +56,6 @@
     pub nodes: u32,
 }
 
-impl FleetLimits {
-    fn max_extra_tokens(&self) -> f64 {
-        self.retry_slack * USABLE_BUDGET_SHARE / f64::from(self.nodes.max(1))
-    }
-}
-
 /// Information needed to connect to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerEndpoint {
@@ -115,6 +103,10 @@
     server_ids: IndexMap<Arc<str>, ServerKey>,
     /// Servers by the hashed identifiers that nodes exchange with each other.
     id_hashes: IndexMap<u32, ServerKey>,
+    /// Part of the retry budget of each service that the nodes of a zone share by demand.
+    extra_pool: Option<ExtraPool>,
+    /// How extra requests were paid for.
+    extra_use: ExtraUse,
     /// Limits on requests that servers name.
     limit_table: LimitTable,
     /// Latency statistics per class of requests.
@@ -128,9 +120,7 @@
 #[derive(Debug)]
 struct ServiceState {
     servers: Vec<ServerKey>,
-    budget: TokenBucket,
-    /// What the first requests of late have earned for the budget.
-    income: CreditIncome,
+    budget: RetryBudget,
     max_connections: u32,
     health_path: Option<Arc<str>>,
     /// Rank of the highest-ranked search that recently found no available server,
@@ -162,6 +152,8 @@
             servers: SlotMap::with_key(),
             server_ids: IndexMap::new(),
             id_hashes: IndexMap::new(),
+            extra_pool: None,
+            extra_use: ExtraUse::default(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
             zone_links: ZoneLinks::default(),
@@ -180,7 +172,7 @@
     pub fn set_limits(&mut self, limits: FleetLimits) {
         self.limits = limits;
         for service in self.services.values_mut() {
-            service.budget.set_max_tokens(limits.max_extra_tokens());
+            service.budget.set_limits(limits, self.extra_pool);
         }
     }
 
@@ -210,15 +202,10 @@
         if let Some(key) = self.service_names.get(name) {
             return *key;
         }
-        let max_tokens = self.limits.max_extra_tokens();
-        let ratio = self.limits.retry_ratio * USABLE_BUDGET_SHARE;
-        let mut budget =
-            TokenBucket::new(ratio, 0.0, now).with_tokens(max_tokens * INITIAL_BUDGET_SHARE);
-        budget.set_max_tokens(max_tokens);
+        let budget = RetryBudget::new(now, self.limits, self.extra_pool);
         let key = self.services.insert(ServiceState {
             servers: Vec::new(),
             budget,
-            income: CreditIncome::new(now),
             max_connections: u32::MAX,
             health_path: None,
             waiter: (SearchRank::default(), BootTime::ZERO),
@@ -264,7 +251,7 @@
         let service = self.get_or_insert_service(now, &entry.service);
         let incarnation = ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms };
         let mut state = ServerState::new(now, entry.clone(), service);
-        state.quota = self.limit_table.rate_of(&incarnation).map(ServerQuota::new);
+        state.quota = self.limit_table.rate_of(&incarnation).map(NodeShare::new);
         let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
         self.id_hashes.insert(id_hash(&entry.id), key);
@@ -410,8 +397,7 @@
     /// of the credit that this node gets; for delegated shards two nodes share it.
     pub fn earn_extra(&mut self, now: BootTime, service: ServiceKey, fraction: f64) {
         if let Some(state) = self.services.get_mut(service) {
-            state.budget.earn_fraction(fraction);
-            state.income.record(now, state.budget.ratio() * fraction);
+            state.budget.earn(now, fraction);
         }
     }
 
@@ -419,10 +405,7 @@
     /// by `deadline`.
     #[must_use]
     pub fn expects_extra(&self, now: BootTime, service: ServiceKey, deadline: BootTime) -> bool {
-        let Some(state) = self.services.get(service) else { return false };
-        let missing = (1.0 - state.budget.tokens()).max(0.0);
-        missing <= 0.0
-            || state.income.seconds_for(now, missing) <= deadline.since(now).as_secs_f64()
+        self.services.get(service).is_some_and(|state| state.budget.expects(now, deadline))
     }
 
     /// Returns the estimated utilization of a shard's slots (1.0 is full), assuming that
@@ -458,7 +441,13 @@
         let Some(state) = self.services.get_mut(service) else { return false };
         self.draws = self.draws.wrapping_add(1);
         let chance = hash_fraction(self.seed, self.draws);
-        state.budget.try_take_fraction(now, chance)
+        let is_taken = state.budget.try_take(now, chance);
+        if is_taken {
+            self.extra_use.paid += 1;
+        } else {
+            self.extra_use.refused += 1;
+        }
+        is_taken
     }
 
     /// Returns the hashed identifiers of servers, by which a peer looks them up.
--- /dev/null
+++ b/crates/tier/src/fleet/extras.rs
@@ -0,0 +1,78 @@
+//! Extra requests that the nodes of an availability zone share by demand.
+
+use std::sync::Arc;
+
+use carobstep_clock::BootTime;
+
+use super::ServerFleet;
+use crate::shares::ExtraPool;
+
+/// Extra requests since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ExtraUse {
+    /// Extra requests that the retry budget paid for.
+    pub paid: u64,
+    /// Times that it could not pay for one.
+    pub refused: u64,
+    /// Tokens that this node got from pools.
+    pub pooled: u64,
+}
+
+impl ServerFleet {
+    /// Sets the part of the retry budget of each service that the nodes of a zone share by
+    /// demand; `None` divides it equally among all nodes.
+    pub fn set_extra_pool(&mut self, pool: Option<ExtraPool>) {
+        if self.extra_pool == pool {
+            return;
+        }
+        self.extra_pool = pool;
+        self.set_limits(self.limits);
+    }
+
+    /// Returns the part of the retry budgets that nodes share by demand, if there is one.
+    #[must_use]
+    pub const fn extra_pool(&self) -> Option<ExtraPool> {
+        self.extra_pool
+    }
+
+    /// Returns how extra requests were paid for so far.
+    #[must_use]
+    pub const fn extra_use(&self) -> ExtraUse {
+        self.extra_use
+    }
+
+    /// Returns whether requests lack tokens of a pool.
+    #[must_use]
+    pub fn lacks_extra_tokens(&self) -> bool {
+        self.extra_pool.is_some()
+            && self.services.values().any(|service| service.budget.lacks_pool_tokens())
+    }
+
+    /// Returns the services for which tokens are to be asked for, with their number, and
+    /// counts the demand anew.
+    pub fn extra_asks(&mut self, now: BootTime) -> Vec<(Arc<str>, u32)> {
+        let mut asks = Vec::new();
+        for (name, key) in &self.service_names {
+            let Some(service) = self.services.get_mut(*key) else { continue };
+            let tokens = service.budget.ask(now);
+            if tokens > 0 {
+                asks.push((name.clone(), tokens));
+            }
+        }
+        asks
+    }
+
+    /// Adds tokens for a service that were granted when `asked` were asked for at `asked_at`.
+    pub fn add_extra_tokens(
+        &mut self,
+        now: BootTime,
+        asked_at: BootTime,
+        service: &str,
+        (asked, granted): (u32, u32),
+    ) {
+        let Some(key) = self.service_names.get(service) else { return };
+        let Some(state) = self.services.get_mut(*key) else { return };
+        state.budget.add(now, asked_at, asked, granted);
+        self.extra_use.pooled += u64::from(granted);
+    }
+}
--- a/crates/tier/src/fleet/quotas.rs
+++ b/crates/tier/src/fleet/quotas.rs
@@ -13,7 +13,7 @@
 use crate::{
     limits::{LimitRecord, LimitUpdate},
     model::{LimitNotice, RequestRate, ServerIncarnation},
-    quota::{QuotaAsk, ServerQuota},
+    quota::{NodeShare, QuotaAsk},
     server_state::ServerState,
 };
 
@@ -84,15 +84,15 @@
         }
         match (record.rate, &mut server.quota) {
             (Some(rate), Some(quota)) => {
-                quota.rate = rate;
+                quota.set_rate(rate);
                 Some(LimitChange::Named(rate))
             }
             (Some(rate), quota) => {
-                *quota = Some(ServerQuota::new(rate));
+                *quota = Some(NodeShare::new(rate));
                 Some(LimitChange::Named(rate))
             }
             (None, quota) => {
-                let ServerQuota { attempts, .. } = quota.take()?;
+                let NodeShare { attempts, .. } = quota.take()?;
                 Some(LimitChange::Ended { attempts })
             }
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,7 +8,8 @@
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
 //! - load balancing over backend servers: [`ServerFleet`]
-//! - limits on requests that servers name: [`LimitTable`], [`QuotaLedger`]
+//! - limits on requests that servers name: [`LimitTable`]
+//! - limits that all nodes share: [`ShareLedger`]
 //! - requests that crash servers: [`CrashTable`]
 //! - links to servers, judged by what they answer: [`ServerFleet::due_probes`]
 //! - which node calls the servers of a shard: [`place_request`], [`PeerTable`],
@@ -44,8 +45,10 @@
 mod quota;
 mod relay_room;
 mod relays;
+mod retry_budget;
 mod routes;
 mod server_state;
+mod shares;
 mod stats;
 mod update_tree;
 
@@ -64,8 +67,8 @@
 pub use fingerprint::RequestFingerprint;
 pub use finish_lag::FinishLag;
 pub use fleet::{
-    AttemptKind, AttemptTicket, FleetLimits, LimitChange, LimitedUse, PickScope, SearchRank,
-    ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
+    AttemptKind, AttemptTicket, ExtraUse, FleetLimits, LimitChange, LimitedUse, PickScope,
+    SearchRank, ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, ServingReach, StopTiming};
 pub use limits::{LimitRecord, LimitTable, LimitUpdate};
@@ -80,8 +83,9 @@
 };
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
-pub use quota::{OwnerSupport, QuotaAsk, QuotaLedger, ask_interval, support_interval};
+pub use quota::{OwnerSupport, QuotaAsk, ask_interval, server_terms, support_interval};
 pub use relay_room::RelayRoom;
 pub use routes::{RouteTable, WeightedRoundRobin};
+pub use shares::{ExtraPool, ShareAsk, ShareGrant, ShareLedger, ShareTerms, SharedSubject};
 pub use stats::{AttemptOutcome, ClassKey, ClassTable};
 pub use update_tree::{SpreadTiming, TreePlace, UpdateSource};
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -283,6 +283,13 @@
         u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of availability zones that have nodes, including this one.
+    #[must_use]
+    pub fn zones(&self) -> usize {
+        let own = std::iter::once(&self.own);
+        own.chain(self.entries()).map(|entry| &entry.zone).collect::<IndexSet<_>>().len()
+    }
+
     /// Returns the number of live nodes, including this one. They share the limits.
     #[must_use]
     pub fn live_nodes(&self) -> u32 {
--- a/crates/tier/src/quota.rs
+++ b/crates/tier/src/quota.rs
@@ -1,4 +1,4 @@
-//! Division of a server's request limit among the nodes.
+//! Division of a request limit among the nodes.
 //!
 //! One node of each availability zone, the owner, shares out the limits of the zone's
 //! servers as tokens, one for each request. A node asks for as many tokens as it had
@@ -12,10 +12,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    limits::LimitRecord,
-    model::{RequestRate, ServerIncarnation},
-};
+use crate::{limits::LimitRecord, model::RequestRate, shares::ShareTerms};
+
+/// Time over whose income the owner's tokens for a server add up.
+const BURST_TIME: Duration = Duration::from_millis(250);
 
 /// Time after which an unused token expires.
 const TOKEN_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -24,13 +24,6 @@
 /// any request, the end of a limit would not be noticed.
 const MIN_RATE: f64 = 0.5;
 
-/// Time over whose income the owner's unissued tokens add up.
-const BURST_TIME: Duration = Duration::from_millis(250);
-
-/// Share of the available tokens that one request for tokens may get, so that the other
-/// nodes get some as well.
-const GRANT_SHARE: f64 = 0.5;
-
 /// Tokens that a node asks for, relative to its requests since it last asked.
 const DEMAND_FACTOR: f64 = 1.25;
 
@@ -55,9 +48,6 @@
 /// Longest interval between two requests for tokens; shorter than a token's lifetime.
 const MAX_ASK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after which the owner forgets a server for which no tokens are asked for.
-const BUCKET_LIFETIME: Duration = Duration::from_secs(10);
-
 /// Interval between two calls by which a node without demand tells an owner that it takes
 /// it for the owner, per node of the fleet.
 const SUPPORT_INTERVAL_PER_NODE: Duration = Duration::from_micros(5_000);
@@ -132,6 +122,14 @@
     (ASK_INTERVAL_PER_NODE * nodes).clamp(MIN_ASK_INTERVAL, MAX_ASK_INTERVAL)
 }
 
+/// Returns the terms on which the owner shares out the limit of a server.
+#[must_use]
+pub fn server_terms(rate: RequestRate) -> ShareTerms {
+    let per_second = rate.per_second().max(MIN_RATE);
+    let depth = per_second * BURST_TIME.as_secs_f64();
+    ShareTerms { per_second, depth, saved: Duration::ZERO }
+}
+
 /// Request for tokens for one server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaAsk {
@@ -143,11 +141,11 @@
     pub tokens: u32,
 }
 
-/// This node's part of a server's limit.
+/// This node's part of a limit that all nodes share.
 #[derive(Clone, Debug)]
-pub(crate) struct ServerQuota {
+pub(crate) struct NodeShare {
     pub(crate) rate: RequestRate,
-    /// Attempts of this node since it knows of the limit.
+    /// Requests of this node since it knows of the limit.
     pub(crate) attempts: u64,
     /// Unused tokens and when they expire, the oldest first.
     batches: VecDeque<(BootTime, u32)>,
@@ -156,6 +154,8 @@
     /// When this node last got fewer tokens than it asked for.
     short_at: BootTime,
     income: Option<TokenIncome>,
+    /// Maximum number of tokens that this node asks for at once.
+    max_asked: f64,
 }
 
 /// Average rate at which a node gets tokens.
@@ -165,7 +165,7 @@
     per_second: f64,
 }
 
-impl ServerQuota {
+impl NodeShare {
     pub(crate) fn new(rate: RequestRate) -> Self {
         Self {
             rate,
@@ -174,9 +174,22 @@
             demand: 0,
             short_at: BootTime::ZERO,
             income: None,
+            max_asked: rate.per_second().max(MIN_RATE) * MAX_ASKED_TIME.as_secs_f64(),
         }
     }
 
+    /// Lets this node ask for more tokens at once than come in during [`MAX_ASKED_TIME`].
+    pub(crate) const fn with_max_asked(mut self, tokens: f64) -> Self {
+        self.max_asked = self.max_asked.max(tokens);
+        self
+    }
+
+    /// Replaces the rate of the limit.
+    pub(crate) fn set_rate(&mut self, rate: RequestRate) {
+        self.rate = rate;
+        self.max_asked = rate.per_second().max(MIN_RATE) * MAX_ASKED_TIME.as_secs_f64();
+    }
+
     pub(crate) fn tokens(&self, now: BootTime) -> u32 {
         let valid = self.batches.iter().filter(|(expires_at, _)| *expires_at > now);
         valid.map(|(_, tokens)| tokens).sum()
@@ -206,9 +219,9 @@
 
     /// Returns how many tokens to ask for now, and starts to count the demand anew.
     pub(crate) fn ask(&mut self, now: BootTime) -> u32 {
-        let most = self.rate.per_second().max(MIN_RATE) * MAX_ASKED_TIME.as_secs_f64();
         let demand = std::mem::take(&mut self.demand);
-        let target = (f64::from(demand) * DEMAND_FACTOR).min(most.max(1.0)).ceil() as u32;
+        let most = self.max_asked.max(1.0);
+        let target = (f64::from(demand) * DEMAND_FACTOR).min(most).ceil() as u32;
         target.saturating_sub(self.tokens(now))
     }
 
@@ -232,66 +245,23 @@
         }
     }
 
+    /// Returns whether requests have used or lacked tokens since the last request for tokens.
+    pub(crate) const fn has_demand(&self) -> bool {
+        self.demand > 0
+    }
+
+    /// Returns whether this node recently got fewer tokens than it asked for.
+    pub(crate) fn is_contended(&self, now: BootTime) -> bool {
+        now.since(self.short_at) < INCOME_LIFETIME
+    }
+
     /// Returns the rate in tokens per second that this node can expect.
     pub(crate) fn expected_rate(&self, now: BootTime) -> f64 {
         let income = self.income.filter(|income| now.since(income.measured_at) < INCOME_LIFETIME);
         let rate = self.rate.per_second().max(MIN_RATE);
-        let is_contended = now.since(self.short_at) < INCOME_LIFETIME;
         income.map_or(rate, |income| {
-            let least = if is_contended { 0.0 } else { rate * UNCONTENDED_SHARE };
+            let least = if self.is_contended(now) { 0.0 } else { rate * UNCONTENDED_SHARE };
             income.per_second.max(least)
         })
     }
 }
-
-/// Tokens for the limited servers of a zone at the node that shares them out.
-#[derive(Clone, Debug, Default)]
-pub struct QuotaLedger {
-    buckets: IndexMap<ServerIncarnation, QuotaBucket>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct QuotaBucket {
-    tokens: f64,
-    refilled_at: BootTime,
-}
-
-impl QuotaLedger {
-    /// Returns how many of the tokens that a node asks for it gets. `share` is the share
-    /// of the limit that this node hands out.
-    pub fn grant(
-        &mut self,
-        now: BootTime,
-        server: &ServerIncarnation,
-        rate: RequestRate,
-        share: f64,
-        asked: u32,
-    ) -> u32 {
-        if !self.buckets.contains_key(server) {
-            self.buckets.retain(|_, bucket| now.since(bucket.refilled_at) < BUCKET_LIFETIME);
-        }
-        let new = QuotaBucket { tokens: 0.0, refilled_at: now };
-        let bucket = self.buckets.entry(server.clone()).or_insert(new);
-        let per_second = rate.per_second().max(MIN_RATE) * share;
-        let income = per_second * now.since(bucket.refilled_at).as_secs_f64();
-        let most = (per_second * BURST_TIME.as_secs_f64()).max(1.0);
-        bucket.tokens = (bucket.tokens + income).min(most);
-        bucket.refilled_at = now;
-        let share = (bucket.tokens * GRANT_SHARE).ceil().min(bucket.tokens.floor());
-        let granted = share.min(f64::from(asked));
-        bucket.tokens -= granted;
-        granted as u32
-    }
-
-    /// Returns the number of servers for which tokens were asked for recently.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.buckets.len()
-    }
-
-    /// Returns whether no tokens were asked for recently.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.buckets.is_empty()
-    }
-}
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -8,7 +8,7 @@
     fleet::ServiceKey,
     links::ServerLink,
     model::{ServerEntry, ServerPhase},
-    quota::ServerQuota,
+    quota::NodeShare,
     stats::AttemptOutcome,
 };
 
@@ -105,7 +105,7 @@
     /// Since when the server may have crashed, unless it has responded on an older connection.
     pub(crate) accused_since: Option<BootTime>,
     /// This node's part of the limit that the server names.
-    pub(crate) quota: Option<ServerQuota>,
+    pub(crate) quota: Option<NodeShare>,
 }
 
 /// Returns the slowness to expect of a server of which nothing is known: that of the
--- /dev/null
+++ b/crates/tier/src/shares.rs
@@ -0,0 +1,168 @@
+//! Limits that hold for the requests of all nodes together, shared out as tokens.
+//!
+//! Some node owns each limit and hands out its tokens, one for each request, to the nodes
+//! that ask for them. The sum of the tokens stays within the limit however many nodes there
+//! are and however uneven their load is. The same ledger serves all kinds of limits: those
+//! that servers name, those of servers that are cold, those of client accounts, and the
+//! retry budgets of services.
+
+use std::{sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::model::{RequestRate, ServerIncarnation};
+
+/// Share of the available tokens that one request for tokens may get, so that the other
+/// nodes get some as well.
+const GRANT_SHARE: f64 = 0.5;
+
+/// Time after which the owner forgets a limit for which no tokens are asked for.
+const BUCKET_LIFETIME: Duration = Duration::from_secs(10);
+
+/// What a limit that all nodes share is a limit on. Nodes exchange it: variants are only
+/// appended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum SharedSubject {
+    /// Requests to a server that names a limit in its responses.
+    Server(ServerIncarnation),
+    /// Requests to a server that is cold.
+    ColdServer(ServerIncarnation),
+    /// Requests of the client account with this name.
+    Account(Arc<str>),
+    /// Extra requests (retries and hedges) to the service with this name.
+    ExtraRequests(Arc<str>),
+}
+
+/// How the tokens of a limit come in at their owner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShareTerms {
+    /// Tokens per second.
+    pub per_second: f64,
+    /// Maximum number of tokens that add up while none are asked for; at least one.
+    pub depth: f64,
+    /// Time for which tokens have added up when the first ones are asked for.
+    pub saved: Duration,
+}
+
+/// Tokens that this node hands out as the owner of limits.
+#[derive(Clone, Debug, Default)]
+pub struct ShareLedger {
+    buckets: IndexMap<SharedSubject, ShareBucket>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ShareBucket {
+    tokens: f64,
+    refilled_at: BootTime,
+}
+
+impl ShareLedger {
+    /// Returns how many of the tokens that a node asks for it gets. `share` is the share of
+    /// the limit that this node hands out.
+    pub fn grant(
+        &mut self,
+        now: BootTime,
+        subject: &SharedSubject,
+        terms: ShareTerms,
+        share: f64,
+        asked: u32,
+    ) -> u32 {
+        let bucket = self.refill(now, subject, terms, share);
+        let available = (bucket.tokens * GRANT_SHARE).ceil().min(bucket.tokens.floor());
+        let granted = available.clamp(0.0, f64::from(asked));
+        bucket.tokens -= granted;
+        granted as u32
+    }
+
+    /// Records requests that were sent without tokens; the tokens may become negative.
+    pub fn charge(
+        &mut self,
+        now: BootTime,
+        subject: &SharedSubject,
+        terms: ShareTerms,
+        share: f64,
+        used: u32,
+    ) {
+        self.refill(now, subject, terms, share).tokens -= f64::from(used);
+    }
+
+    /// Returns the number of tokens at hand; negative if more were used.
+    pub fn tokens(
+        &mut self,
+        now: BootTime,
+        subject: &SharedSubject,
+        terms: ShareTerms,
+        share: f64,
+    ) -> f64 {
+        self.refill(now, subject, terms, share).tokens
+    }
+
+    fn refill(
+        &mut self,
+        now: BootTime,
+        subject: &SharedSubject,
+        terms: ShareTerms,
+        share: f64,
+    ) -> &mut ShareBucket {
+        if !self.buckets.contains_key(subject) {
+            self.buckets.retain(|_, bucket| now.since(bucket.refilled_at) < BUCKET_LIFETIME);
+        }
+        let per_second = terms.per_second * share;
+        let most = (terms.depth * share).max(1.0);
+        let saved = (per_second * terms.saved.as_secs_f64()).min(most);
+        let new = ShareBucket { tokens: saved, refilled_at: now };
+        let bucket = self.buckets.entry(subject.clone()).or_insert(new);
+        let income = per_second * now.since(bucket.refilled_at).as_secs_f64();
+        bucket.tokens = (bucket.tokens + income).min(most);
+        bucket.refilled_at = now;
+        bucket
+    }
+
+    /// Returns the number of limits for which tokens were asked for recently.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Returns whether no tokens were asked for recently.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+}
+
+/// Request for tokens, and report of requests that were sent without any.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareAsk {
+    /// The limit.
+    pub subject: SharedSubject,
+    /// Number of tokens that are asked for.
+    pub tokens: u32,
+    /// Requests that the node has sent without tokens since its last report.
+    pub used: u32,
+    /// Requests that the node has sent in the last window of the limit, with and without
+    /// tokens; a new owner starts from their sum.
+    pub recent: u32,
+}
+
+/// Reply to a [`ShareAsk`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareGrant {
+    /// Tokens that the node may use.
+    pub tokens: u32,
+    /// Tokens that are left at the owner, in thousandths of the most that add up.
+    pub level: u16,
+    /// Whether the owner knows the limit.
+    pub is_known: bool,
+}
+
+/// Retry budget of the services that nodes of one availability zone share by demand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExtraPool {
+    /// Extra requests per second.
+    pub rate: RequestRate,
+    /// Maximum number of extra requests that add up.
+    pub depth: f64,
+}
--- a/crates/tier/tests/server_limits.rs
+++ b/crates/tier/tests/server_limits.rs
@@ -10,8 +10,8 @@
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, ClassKey, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole,
     FanoutState, LimitNotice, LimitRecord, LimitTable, OwnerSupport, PeerEntry, PeerTable,
-    QuotaAsk, QuotaLedger, RequestRate, RetryPolicy, ServerFleet, ServerIncarnation, ServiceKey,
-    StoreRevision, ask_interval,
+    QuotaAsk, RequestRate, RetryPolicy, ServerFleet, ServerIncarnation, ServiceKey, ShareLedger,
+    SharedSubject, StoreRevision, ask_interval, server_terms,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -158,11 +158,12 @@
         table.observe(at(0), at(0), &ServerIncarnation { id, born_ms: Some(1) }, limited);
     }
     assert_eq!(table.updates_after(0).records.len(), 4096);
-    let mut ledger = QuotaLedger::default();
+    let mut ledger = ShareLedger::default();
     for number in 0..100 {
         let id = name(&format!("server-{number}"));
         let server = ServerIncarnation { id, born_ms: Some(1) };
-        ledger.grant(at(number * 1_000), &server, rate(5.0), 1.0, 1);
+        let subject = SharedSubject::Server(server);
+        ledger.grant(at(number * 1_000), &subject, server_terms(rate(5.0)), 1.0, 1);
     }
     assert!(ledger.len() <= 11, "{}", ledger.len());
 }
@@ -185,7 +186,7 @@
         fleet.merge_limits(at(0), &[record(1, 1, Some(case.limit))]);
         nodes.push((fleet, services[0], key));
     }
-    let mut ledger = QuotaLedger::default();
+    let mut ledger = ShareLedger::default();
     let count = u32::try_from(nodes.len()).expect("a number");
     let interval = ask_interval(count).as_millis() as u64;
     let mut rng = StdRng::seed_from_u64(1);
@@ -206,7 +207,9 @@
             }
             for ask in fleet.token_asks(at(millis)) {
                 let limit = ask.record.rate.expect("a limit");
-                let granted = ledger.grant(at(millis), &ask.record.server, limit, 1.0, ask.tokens);
+                let subject = SharedSubject::Server(ask.record.server.clone());
+                let terms = server_terms(limit);
+                let granted = ledger.grant(at(millis), &subject, terms, 1.0, ask.tokens);
                 fleet.add_tokens(at(millis), at(millis), &ask, granted);
             }
         }
