--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod quarantine;
 mod quota;
 mod report;
+mod shares;
 mod stop;
 mod watcher;
 
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -22,6 +22,7 @@
     quarantine::announce_quarantines,
     quota::ask_for_tokens,
     report::Reporter,
+    shares::ask_for_extra,
     stop,
     watcher::{remove_expired, watch_store},
 };
@@ -103,6 +104,7 @@
     spawn_local(follow_peer(gateway.clone()));
     spawn_local(remove_expired(gateway.clone()));
     spawn_local(ask_for_tokens(gateway.clone()));
+    spawn_local(ask_for_extra(gateway.clone()));
     spawn_local(share_observations(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,7 @@
         PeerReply, PeerRequest,
     },
     quota::grant_tokens,
+    shares::grant_shares,
 };
 
 /// Time reserved for the transfer of a peer's reply: the network latency between two
@@ -93,7 +94,7 @@
         }
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
-        PeerRequest::Quota(_) | PeerRequest::Observations(_) => {}
+        PeerRequest::Quota(_) | PeerRequest::Share(_) | PeerRequest::Observations(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -106,6 +107,9 @@
         PeerRequest::Quota(request) => {
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
+        PeerRequest::Share(request) => {
+            replies.send(PeerReply::Share(grant_shares(gateway, &request)));
+        }
         PeerRequest::Observations(request) => {
             replies.send(PeerReply::Observations(merge_observations(gateway, &request)));
         }
