Ask for the keys of client accounts

Cause: requests of configurations with accounts reached servers with the key and with whatever account the client named, and unknown keys were served.

Change: a table of the accounts in force decides by the request's key before the body is read: 401 without a known key unless the route is public. The key is removed from the request, in which servers and peers get the account's name; a delegate removes a key that a node with an older configuration passed on. The priority of the account comes before that of the route. A key that two accounts list counts for the first, which is logged.

Configurations without accounts behave as before.

--- /dev/null
+++ b/crates/gateway/src/accounts.rs
@@ -0,0 +1,65 @@
+//! Client accounts of requests: whose key a request carries, and what servers learn of it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use carobstep_platform::headers;
+use carobstep_tier::{AccountAccess, KeyConflict, RequestPriority, RouteConfig};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use log::warn;
+
+use crate::{gateway::Gateway, handler::empty_response};
+
+/// Client account of a request that may be served.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestAccess {
+    /// Name of the account.
+    pub(crate) name: Option<Arc<str>>,
+    /// Priority of the request, by its account and its route.
+    pub(crate) priority: RequestPriority,
+}
+
+/// Finds the client account of a request, and puts its name in the place of its key. Returns
+/// `None` if the route needs a key that no account has.
+pub(crate) fn identify(
+    gateway: &Gateway,
+    route: &RouteConfig,
+    headers: &mut HeaderMap,
+) -> Option<RequestAccess> {
+    let accounts = &gateway.state.borrow().accounts;
+    let account = match accounts.identify(route.is_public, headers::account_key_of(headers)) {
+        AccountAccess::Denied => return None,
+        AccountAccess::Open => None,
+        AccountAccess::Anonymous => {
+            headers::set_account(headers, None);
+            None
+        }
+        AccountAccess::Known(account) => Some(account),
+    };
+    let entry = account.and_then(|account| accounts.get(account));
+    if let Some(entry) = entry {
+        headers::set_account(headers, Some(&entry.name));
+    }
+    Some(RequestAccess {
+        name: entry.map(|entry| entry.name.clone()),
+        priority: RequestPriority::new(entry.and_then(|entry| entry.priority), route.priority),
+    })
+}
+
+/// Builds the response to a request whose key no account has.
+pub(crate) fn unknown_key_response() -> Response<Full<Bytes>> {
+    let mut response = empty_response(StatusCode::UNAUTHORIZED);
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Token"));
+    response
+}
+
+/// Logs the accounts that list the same key, without the key.
+pub(crate) fn log_conflicts(conflicts: &[KeyConflict]) {
+    for KeyConflict { holder, other } in conflicts {
+        warn!(
+            account = holder.as_ref(), other = other.as_ref();
+            "two client accounts list the same key; it counts for the first"
+        );
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,12 +9,12 @@
 use carobstep_platform::StoredObject;
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
-    CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
-    LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
-    QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
-    ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
-    StopTiming, StoreRevision, WeightedRoundRobin,
+    AccountTable, AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence,
+    CrashRecord, CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange,
+    LimitNotice, LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry,
+    PeerTable, QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint,
+    RouteTable, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice,
+    SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::{info, warn};
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    accounts::log_conflicts,
     backend::ServerPool,
     byte_budget::ByteBudget,
     follow::StoreFreshness,
@@ -85,6 +86,7 @@
     pub(crate) configuration_revision: StoreRevision,
     pub(crate) freshness: StoreFreshness,
     pub(crate) routes: RouteTable,
+    pub(crate) accounts: AccountTable,
     pub(crate) round_robin: WeightedRoundRobin,
     pub(crate) directory: ServerDirectory,
     pub(crate) fleet: ServerFleet,
@@ -154,6 +156,7 @@
             configuration_revision: StoreRevision::default(),
             freshness: StoreFreshness::default(),
             routes: RouteTable::default(),
+            accounts: AccountTable::default(),
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
@@ -201,6 +204,8 @@
             "configuration in force"
         );
         state.routes = RouteTable::from(&configuration);
+        let conflicts = state.accounts.configure(configuration.accounts.as_deref());
+        log_conflicts(&conflicts);
         state.round_robin.retain(&configuration);
         state.fleet.configure(BootTime::now(), &configuration);
         state.lifecycle.on_configuration();
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 
 use crate::{
+    accounts::{RequestAccess, identify, unknown_key_response},
     backend::{BackendRequest, BackendResponse},
     fanout::{FanoutResult, run_fanout},
     gateway::{Gateway, InFlightGuard},
@@ -57,7 +58,7 @@
 async fn respond(
     gateway: &Rc<Gateway>,
     arrived: BootTime,
-    head: Parts,
+    mut head: Parts,
     body: Incoming,
     report: &mut RequestReport<'_>,
 ) -> Response<Full<Bytes>> {
@@ -82,6 +83,11 @@
         return empty_response(StatusCode::NOT_FOUND);
     };
     report.route = Some(route.clone());
+    let Some(access) = identify(gateway, &route, &mut head.headers) else {
+        report.verdict = RequestVerdict::UnknownKey;
+        return unknown_key_response();
+    };
+    report.account = access.name.clone();
     let body = match read_body(&configuration.limits, &head.headers, body).await {
         Ok(body) => body,
         Err(status) => {
@@ -101,7 +107,7 @@
     }
     let timeout = caller_timeout.min(route.timeout);
     let is_cautious = admission == RequestAdmission::Cautious;
-    let (plan, scope) = plan_fanout(gateway, &route, arrived, timeout, is_cautious);
+    let (plan, scope) = plan_fanout(gateway, &route, &access, arrived, timeout, is_cautious);
     let answer_by = plan.answer_by;
     let mut result = run_fanout(gateway, plan, request, scope, |_| {}).await;
     report.record_result(&mut result);
@@ -145,6 +151,7 @@
 fn plan_fanout(
     gateway: &Gateway,
     route: &RouteConfig,
+    access: &RequestAccess,
     arrived: BootTime,
     timeout: Duration,
     is_cautious: bool,
@@ -193,7 +200,7 @@
     state.room.record_own(arrived, own_seconds);
     let scope = DelegatedScope {
         is_search,
-        priority: route.priority,
+        priority: access.priority.level(),
         max_records: u32::try_from(max_records).unwrap_or(u32::MAX),
         objective: route.objective,
         timeout: route.timeout,
@@ -301,7 +308,7 @@
     response
 }
 
-fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
+pub(crate) fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
     response
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -291,7 +291,11 @@
         answer_by: now + delegated.answer_in.saturating_sub(reserve),
         deadline: now + delegated.deadline_in,
     };
-    let headers = read_headers(&delegated.headers)?;
+    let mut headers = read_headers(&delegated.headers)?;
+    // The sender may not have the configuration yet that introduces accounts.
+    if state.accounts.is_in_force() {
+        headers::remove_account_key(&mut headers);
+    }
     let request = BackendRequest {
         method: delegated.method.parse().ok()?,
         target: delegated.target.parse().ok()?,
@@ -357,7 +361,7 @@
 pub(crate) struct DelegatedScope {
     /// Whether the results of the shards are merged.
     pub(crate) is_search: bool,
-    /// Priority of the route; 0 is the highest.
+    /// Priority of the request; 0 is the highest.
     pub(crate) priority: u32,
     /// Maximum number of greatest records in the response.
     pub(crate) max_records: u32,
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -96,6 +96,8 @@
     BadRequest,
     /// No route matches the request.
     NoRoute,
+    /// The route needs the key of a client account, and no account has the request's key.
+    UnknownKey,
     /// Enough servers responded successfully.
     Answered,
     /// No server executed the request.
@@ -220,6 +222,8 @@
     /// Time since the store last answered this node or the peer that it follows.
     pub(crate) store_age: Duration,
     pub(crate) route: Option<Arc<RouteConfig>>,
+    /// Name of the client account.
+    pub(crate) account: Option<Arc<str>>,
     pub(crate) caller_timeout: Duration,
     pub(crate) verdict: RequestVerdict,
     pub(crate) shards: usize,
@@ -403,6 +407,7 @@
             version: 0,
             store_age: Duration::ZERO,
             route: None,
+            account: None,
             caller_timeout: Duration::ZERO,
             verdict: RequestVerdict::Abandoned,
             shards: 0,
@@ -459,6 +464,7 @@
             request_id = id,
             fingerprint = self.fingerprint.map(|it| it.to_string()).unwrap_or_default().as_str(),
             route = route,
+            account = self.account.as_deref().unwrap_or(""),
             version = self.version,
             store_age_ms = self.store_age.as_millis() as u64,
             status = self.status.map_or(0, |status| status.as_u16()),
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
+//! - client accounts and their keys: [`AccountTable`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - limits on requests that servers name: [`LimitTable`], [`QuotaLedger`]
 //! - requests that crash servers: [`CrashTable`]
@@ -24,6 +25,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod accounts;
 mod crash_doubts;
 mod crashes;
 mod credit;
@@ -49,6 +51,9 @@
 mod stats;
 mod update_tree;
 
+pub use accounts::{
+    AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
+};
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
+use crate::accounts::SecretKey;
+
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
@@ -27,7 +29,7 @@
     /// Name of the account, which servers get with each request.
     pub name: Arc<str>,
     /// Keys of the account. They are secret: neither logs nor servers get them.
-    pub keys: Vec<Arc<str>>,
+    pub keys: Vec<SecretKey>,
     /// Priority of the account's requests, which takes precedence over that of their route;
     /// 0 is the highest.
     pub priority: Option<u32>,
