--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -148,6 +148,8 @@
     idle: RefCell<Vec<IdleConnection>>,
     /// Whether a response said that the server is leaving.
     is_leaving: Cell<bool>,
+    /// Whether the servers of its zone get no requests.
+    pub(crate) is_evacuated: Cell<bool>,
     /// Until when the server wants no requests.
     paused_until: Cell<BootTime>,
     /// Until when connections are not reused.
@@ -224,6 +226,7 @@
             budget,
             idle: RefCell::default(),
             is_leaving: Cell::new(false),
+            is_evacuated: Cell::new(false),
             paused_until: Cell::new(BootTime::ZERO),
             no_reuse_until: Cell::new(BootTime::ZERO),
         }
@@ -268,10 +271,13 @@
             }
         };
         // Another exchange may have learned it while this one was connecting.
-        if self.is_leaving.get() || BootTime::now() < self.paused_until.get() {
+        if self.is_leaving.get()
+            || self.is_evacuated.get()
+            || BootTime::now() < self.paused_until.get()
+        {
             return ExchangeOutcome::without_response(
                 AttemptOutcome::Unsent,
-                "the server is leaving or asked for a pause",
+                "the server is leaving, evacuated or asked for a pause",
             );
         }
         self.exchange_on(connection, request, limits, &on_notice).await.unwrap_or_else(|| {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,13 +10,15 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::{CONFIGURATION_NAME, StoredObject, read_configuration};
 use carobstep_tier::UpdateSource;
+use carobstep_wire::WireErrorKind;
+use indexmap::IndexMap;
 use log::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::{
     gateway::Gateway,
     membership::check_registration,
-    peer_messages::{FollowRequest, PeerReply, PeerRequest, StaleReply, StoreUpdate},
+    peer_messages::{Extension, FollowRequest, PeerReply, PeerRequest, StaleReply, StoreUpdate},
 };
 
 /// Timeout of a call to a peer, in addition to the time that the peer may wait.
@@ -32,6 +34,9 @@
 /// changed.
 const MIN_AGE_GAIN: Duration = Duration::from_millis(250);
 
+/// Time for which a peer that can't decode an extended call for changes gets plain ones.
+const OLD_PEER_MEMORY: Duration = Duration::from_secs(60);
+
 /// Interval at which a node that watches the store itself checks whether it has to
 /// follow a peer.
 const SOURCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -60,6 +65,8 @@
     pub(crate) configuration: BootTime,
     /// When the store last answered about servers, directly or through a peer.
     pub(crate) servers: BootTime,
+    /// When the store last answered about evacuations, directly or through a peer.
+    pub(crate) evacuations: BootTime,
 }
 
 impl StoreFreshness {
@@ -67,6 +74,11 @@
     pub(crate) fn age(&self, now: BootTime) -> Duration {
         now.since(self.configuration.min(self.servers))
     }
+
+    /// Returns the age of what is known of evacuations.
+    pub(crate) fn evacuation_age(&self, now: BootTime) -> Duration {
+        now.since(self.evacuations)
+    }
 }
 
 /// Whether this node watches the store for others.
@@ -87,6 +99,19 @@
     is_stale || is_store_watcher(gateway)
 }
 
+/// Whether this node has to read the evacuations from the store, because it watches the
+/// store for others, or because the peer that it follows doesn't send them.
+pub(crate) fn must_read_evacuations(gateway: &Gateway) -> bool {
+    let now = BootTime::now();
+    let is_lacking = {
+        let state = gateway.state.borrow();
+        let call_age = gateway.timing.call_age(state.peers.tree_place(now));
+        let is_stale = state.freshness.evacuation_age(now) > call_age;
+        state.follows_old_peer || (now.since(gateway.started) > STARTUP_WAIT && is_stale)
+    };
+    is_lacking || is_store_watcher(gateway)
+}
+
 /// Returns the peer that this node follows: its parent in the tree, or another peer if
 /// this node watches the store and its own calls fail.
 fn peer_to_follow(gateway: &Gateway) -> Option<Arc<str>> {
@@ -113,6 +138,7 @@
     let mut follow_request = FollowRequest::default();
     let mut followed_peer = None;
     let mut confirmed = ConfirmedChanges::default();
+    let mut old_peers: IndexMap<Arc<str>, BootTime> = IndexMap::new();
     loop {
         let sent;
         let source = peer_to_follow(&gateway);
@@ -157,10 +183,32 @@
             follow_request.crashes = crashes.records;
             follow_request.links = links.reports;
         }
-        let request = PeerRequest::Follow(follow_request.clone());
         let called = BootTime::now();
+        old_peers.retain(|_, until| called < *until);
+        let is_old = old_peers.contains_key(&peer);
+        gateway.state.borrow_mut().follows_old_peer = is_old;
+        let extensions = if is_old { Vec::new() } else { gateway.follow_extensions() };
+        let is_extended = !extensions.is_empty();
+        let request = if is_extended {
+            PeerRequest::FollowExtended(Box::new(follow_request.clone()), extensions)
+        } else {
+            PeerRequest::Follow(follow_request.clone())
+        };
         let calling = gateway.peer_pool.call_typed(address, &request);
-        match timeout(gateway.timing.update_wait() + CALL_TIMEOUT, calling).await {
+        let reply = timeout(gateway.timing.update_wait() + CALL_TIMEOUT, calling).await;
+        let reply = match reply {
+            Ok(Ok(PeerReply::ExtendedNews(update, extensions))) => {
+                gateway.apply_extensions(&peer, called + update.waited, &extensions);
+                Ok(Ok(PeerReply::News(update)))
+            }
+            Ok(Err(error)) if is_extended && error.kind() == WireErrorKind::Codec => {
+                info!(peer = peer.as_ref(); "a peer knows no extended calls for changes");
+                old_peers.insert(peer, called + OLD_PEER_MEMORY);
+                continue;
+            }
+            reply => reply,
+        };
+        match reply {
             Ok(Ok(PeerReply::News(update))) => {
                 // Data that this node itself had from the store is no news.
                 let source_is_own =
@@ -278,7 +326,12 @@
 
 /// Builds the reply to a peer that follows this node, after waiting for a change or for
 /// fresher data.
-pub(crate) async fn wait_for_update(gateway: &Gateway, request: FollowRequest) -> PeerReply {
+/// `extensions` is what an extended call sent in addition.
+pub(crate) async fn wait_for_update(
+    gateway: &Gateway,
+    request: FollowRequest,
+    extensions: Option<&[Extension]>,
+) -> PeerReply {
     let called = BootTime::now();
     let mut changes = gateway.change_count.subscribe();
     let is_same_incarnation = request.life == gateway.incarnation;
@@ -288,6 +341,9 @@
         if !is_same_incarnation {
             return age() <= max_age;
         }
+        if extensions.is_some_and(|extensions| gateway.has_extended_news(extensions)) {
+            return true;
+        }
         let state = gateway.state.borrow();
         let now = BootTime::now();
         request.servers != state.directory.last_change()
@@ -314,7 +370,7 @@
         state.directory.updates_since(request.revision)
     };
     let has_newer_nodes = request.nodes < state.peers.revision();
-    PeerReply::News(Box::new(StoreUpdate {
+    let update = Box::new(StoreUpdate {
         life: gateway.incarnation,
         age: state.freshness.age(now),
         waited: now.since(called),
@@ -336,5 +392,9 @@
         nodes: has_newer_nodes.then(|| state.peers.updates_since(request.nodes)),
         configuration_revision: state.configuration_revision,
         configuration: object.map(|object| (object.revision, object.content.get().to_owned())),
-    }))
+    });
+    match extensions {
+        Some(_) => PeerReply::ExtendedNews(update, gateway.news_extensions(now)),
+        None => PeerReply::News(update),
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,11 +10,11 @@
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
-    CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
-    LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
-    QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
-    ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
-    StopTiming, StoreRevision, WeightedRoundRobin,
+    CrashTable, DirectoryChange, EvacuationTable, FinishLag, FleetLimits, LifecyclePhase,
+    LimitChange, LimitNotice, LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest,
+    PeerEntry, PeerTable, QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission,
+    RequestFingerprint, RouteTable, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey,
+    ServerNotice, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::{info, warn};
@@ -100,6 +100,9 @@
     pub(crate) crash_doubts: CrashDoubts,
     /// Requests that this node has quarantined or cleared and not announced yet.
     pub(crate) unannounced: Vec<RequestFingerprint>,
+    pub(crate) evacuations: EvacuationTable,
+    /// Whether the followed peer sends no data in addition to changes in the store.
+    pub(crate) follows_old_peer: bool,
     pub(crate) peers: PeerTable,
     /// Number of requests since the start of the process.
     pub(crate) requests: usize,
@@ -110,7 +113,7 @@
     pub(crate) registered_era: Option<u64>,
     /// Whether a peer has sent its copy of the store's data.
     pub(crate) has_peer_copy: bool,
-    pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
+    pub(crate) pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
     pub(crate) byte_budget: Rc<ByteBudget>,
 }
 
@@ -163,6 +166,8 @@
             crashes: CrashTable::default(),
             crash_doubts: CrashDoubts::default(),
             unannounced: Vec::new(),
+            evacuations: EvacuationTable::default(),
+            follows_old_peer: false,
             peers: PeerTable::new(own),
             requests: 0,
             finish_lag: FinishLag::new(settings.cpu_share),
@@ -426,6 +431,7 @@
         }
         let endpoint = state.fleet.endpoint(key)?;
         let pool = Rc::new(ServerPool::new(&endpoint.entry, state.byte_budget.clone()));
+        pool.is_evacuated.set(state.fleet.is_evacuated(key));
         state.pools.insert(key, pool.clone());
         Some(pool)
     }
@@ -450,6 +456,7 @@
                 store_era: state.directory.revision().era,
                 ready,
                 quarantined_requests: state.crashes.quarantined(),
+                evacuated_zones: state.evacuations.zones().count(),
                 limited_servers: state.fleet.limited_servers(),
                 unreachable_zones: state.fleet.lost_zones(now).len(),
                 lost_servers: state.fleet.lost_servers(now),
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -7,7 +7,7 @@
     CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, LinkReport, LinkUpdate,
     PeerUpdate, QuotaAsk, ServerIncarnation, StoreRevision,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A request to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -23,6 +23,41 @@
     /// A call to find out whether the receiver can call servers in place of the sender, with
     /// what is known of the sender's links.
     Contact(Vec<LinkReport>),
+    /// Like [`PeerRequest::Follow`], with further data. A node that doesn't know it can't
+    /// decode it.
+    FollowExtended(Box<FollowRequest>, Vec<Extension>),
+}
+
+/// Further data of a message. The receiver skips kinds that it doesn't know.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Extension {
+    /// Number of an [`ExtensionKind`].
+    pub(crate) kind: u16,
+    /// Encoded content.
+    pub(crate) content: Bytes,
+}
+
+/// Known kinds of further data; the numbers never change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u16)]
+pub(crate) enum ExtensionKind {
+    /// In a request, the [`StoreRevision`] of the last change of the evacuations that the
+    /// requesting node knows; in a reply, an [`carobstep_tier::EvacuationUpdate`].
+    Evacuations = 1,
+}
+
+impl Extension {
+    /// Encodes further data; `None` if it is too large for a message.
+    pub(crate) fn encode<T: Serialize>(kind: ExtensionKind, content: &T) -> Option<Self> {
+        let content = carobstep_wire::encode(content).ok()?;
+        Some(Self { kind: kind as u16, content })
+    }
+
+    /// Decodes the data of one kind; `None` if there is none that can be decoded.
+    pub(crate) fn find<T: DeserializeOwned>(extensions: &[Self], kind: ExtensionKind) -> Option<T> {
+        let extension = extensions.iter().find(|extension| extension.kind == kind as u16)?;
+        carobstep_wire::decode(&extension.content).ok()
+    }
 }
 
 /// A reply to a [`PeerRequest`].
@@ -50,6 +85,9 @@
     MoreBody(Bytes),
     /// Reply to a call to find out about the peer, with what is known of its links.
     Contact(Vec<LinkReport>),
+    /// Like [`PeerReply::News`], with further data; only in reply to
+    /// [`PeerRequest::FollowExtended`].
+    ExtendedNews(Box<StoreUpdate>, Vec<Extension>),
 }
 
 /// How a request to one service ended that a peer has sent for this node.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,7 +25,7 @@
     gateway::{Gateway, GatewayState, InFlightGuard},
     peer_messages::{
         DelegatedOutcome, DelegatedParts, DelegatedRequest, DelegatedResponse, DelegatedVerdict,
-        PeerReply, PeerRequest,
+        FollowRequest, PeerReply, PeerRequest,
     },
     quota::grant_tokens,
 };
@@ -84,12 +84,8 @@
 async fn serve_call(gateway: &Rc<Gateway>, request: PeerRequest, replies: &ReplySink<PeerReply>) {
     match &request {
         PeerRequest::Delegated(delegated) => gateway.mark_leaving(&delegated.leaving),
-        PeerRequest::Follow(follow) => {
-            gateway.mark_leaving(&follow.leaving);
-            gateway.merge_links(&follow.links);
-            gateway.merge_limits(&follow.limits);
-            gateway.merge_crashes(&follow.crashes);
-        }
+        PeerRequest::Follow(follow) => merge_follower(gateway, follow),
+        PeerRequest::FollowExtended(follow, _) => merge_follower(gateway, follow),
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
         PeerRequest::Quota(_) => {}
@@ -97,7 +93,9 @@
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
         PeerRequest::Delegated(request) => serve_delegated(gateway, request, replies).await,
-        PeerRequest::Follow(_) | PeerRequest::Contact(_) if is_stopping => {
+        PeerRequest::Follow(_) | PeerRequest::FollowExtended(..) | PeerRequest::Contact(_)
+            if is_stopping =>
+        {
             replies.send(PeerReply::Refused);
         }
         PeerRequest::Crashes(_) => replies.send(PeerReply::Received),
@@ -105,10 +103,23 @@
         PeerRequest::Quota(request) => {
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
-        PeerRequest::Follow(request) => replies.send(wait_for_update(gateway, request).await),
+        PeerRequest::Follow(request) => {
+            replies.send(wait_for_update(gateway, request, None).await);
+        }
+        PeerRequest::FollowExtended(request, extensions) => {
+            replies.send(wait_for_update(gateway, *request, Some(&extensions)).await);
+        }
     }
 }
 
+/// Applies what a follower knows.
+fn merge_follower(gateway: &Rc<Gateway>, follow: &FollowRequest) {
+    gateway.mark_leaving(&follow.leaving);
+    gateway.merge_links(&follow.links);
+    gateway.merge_limits(&follow.limits);
+    gateway.merge_crashes(&follow.crashes);
+}
+
 /// Calls servers for a request of another node.
 async fn serve_delegated(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,8 +5,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, FanoutOutcome, MissingShards, RequestFingerprint, RouteConfig,
-    RouteTarget,
+    AttemptKind, AttemptOutcome, EvacuationChange, FanoutOutcome, MissingShards,
+    RequestFingerprint, RouteConfig, RouteTarget,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -42,6 +42,7 @@
     limited_attempts: IntCounterVec,
     broken_attempts: IntCounter,
     relayed_requests: IntCounterVec,
+    evacuation_changes: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -62,6 +63,7 @@
     ready: IntGauge,
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
+    evacuated_zones: IntGauge,
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
@@ -79,6 +81,7 @@
     pub(crate) ready: bool,
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
+    pub(crate) evacuated_zones: usize,
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
@@ -274,6 +277,11 @@
                 "Requests of nodes that have lost their links to servers.",
                 "kind",
             )?,
+            evacuation_changes: counters(
+                "carobstep_evacuation_changes_total",
+                "Evacuations of availability zones that this node has seen start or end.",
+                "kind",
+            )?,
             broken_attempts: {
                 let help = "Attempts whose server closed the connection before it responded.";
                 let counter = IntCounter::new("carobstep_broken_attempts_total", help)?;
@@ -303,6 +311,10 @@
                     "carobstep_limited_servers",
                     "Backend servers that name a limit on their requests.",
                 )?,
+                evacuated_zones: gauge(
+                    "carobstep_evacuated_zones",
+                    "Availability zones whose servers get no requests.",
+                )?,
                 unreachable_zones: gauge(
                     "carobstep_unreachable_zones",
                     "Availability zones whose servers this node can't reach.",
@@ -348,6 +360,14 @@
         self.relayed_requests.with_label_values(&[<&str>::from(admission)]).inc();
     }
 
+    pub(crate) fn count_evacuation_change(&self, change: &EvacuationChange) {
+        let kind = match change {
+            EvacuationChange::Started(_) => "started",
+            EvacuationChange::Ended(_) => "ended",
+        };
+        self.evacuation_changes.with_label_values(&[kind]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -366,6 +386,7 @@
         gauges.ready.set(i64::from(readings.ready));
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
+        gauges.evacuated_zones.set(readings.evacuated_zones as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
         gauges.nodes_without_links.set(readings.nodes_without_links as i64);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use carobstep_clock::BootTime;
 use carobstep_platform::{
-    CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, NODE_KIND, ObjectEvent, ObjectRequest,
-    ReadFreshness, SERVER_KIND, StoredObject, WatchPage, headers, read_configuration, read_node,
-    read_page, read_server, read_watch,
+    CONFIGURATION_KIND, CONFIGURATION_NAME, DecodeError, EVACUATION_KIND, NODE_KIND, ObjectEvent,
+    ObjectRequest, ReadFreshness, SERVER_KIND, StoredObject, WatchPage, headers,
+    read_configuration, read_node, read_page, read_server, read_watch,
 };
 use carobstep_store::ReplyParts;
 use carobstep_tier::{PeerEntry, SpreadTiming, StoreRevision};
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    follow::{is_store_watcher, must_call_store},
+    follow::{is_store_watcher, must_call_store, must_read_evacuations},
     gateway::Gateway,
     membership::check_registration,
 };
@@ -72,6 +72,8 @@
     Servers,
     /// The nodes that run this daemon.
     Nodes,
+    /// The availability zones that are evacuated.
+    Evacuations,
 }
 
 impl WatchedKind {
@@ -80,13 +82,14 @@
             Self::Configuration => CONFIGURATION_KIND,
             Self::Servers => SERVER_KIND,
             Self::Nodes => NODE_KIND,
+            Self::Evacuations => EVACUATION_KIND,
         }
     }
 
     /// Returns the pause after changes before the next watch call.
     const fn coalesce_pause(self) -> Duration {
         match self {
-            Self::Configuration | Self::Servers => COALESCE_PAUSE,
+            Self::Configuration | Self::Servers | Self::Evacuations => COALESCE_PAUSE,
             Self::Nodes => NODE_COALESCE_PAUSE,
         }
     }
@@ -95,7 +98,7 @@
     /// this time plus [`CALL_TIMEOUT`].
     fn watch_wait(self, timing: SpreadTiming) -> Duration {
         match self {
-            Self::Configuration | Self::Servers => timing.watch_wait(),
+            Self::Configuration | Self::Servers | Self::Evacuations => timing.watch_wait(),
             Self::Nodes => NODE_WATCH_WAIT,
         }
     }
@@ -160,6 +163,7 @@
             WatchedKind::Configuration => state.configuration_revision,
             WatchedKind::Servers => state.directory.revision(),
             WatchedKind::Nodes => state.peers.revision(),
+            WatchedKind::Evacuations => state.evacuations.revision(),
         };
         (revision.number > 0).then_some(revision)
     }
@@ -169,6 +173,7 @@
         match self.kind {
             WatchedKind::Configuration | WatchedKind::Servers => must_call_store(&self.gateway),
             WatchedKind::Nodes => is_store_watcher(&self.gateway),
+            WatchedKind::Evacuations => must_read_evacuations(&self.gateway),
         }
     }
 
@@ -294,6 +299,7 @@
             // The revision of the nodes advances with their changes only, since each
             // advance is sent to the followers.
             WatchedKind::Nodes => {}
+            WatchedKind::Evacuations => state.evacuations.confirm(revision),
         }
     }
 
@@ -334,6 +340,10 @@
                 state.directory.on_store_reply(replied_at);
             }
             WatchedKind::Nodes => return Ok(reply),
+            WatchedKind::Evacuations => {
+                state.freshness.evacuations = replied_at;
+                return Ok(reply);
+            }
         }
         state.freshness.origin = None;
         // Peers learn that the data is still current.
@@ -397,6 +407,13 @@
                 check_registration(&self.gateway, revision.era, &nodes);
                 self.gateway.update_peers(|peers| peers.replace(revision, nodes));
             }
+            WatchedKind::Evacuations => {
+                let names = objects.iter().map(|object| object.name.as_str().into());
+                let zones: Vec<_> = names.collect();
+                self.gateway.update_evacuations("store", |evacuations| {
+                    evacuations.replace(BootTime::now(), revision, &zones)
+                });
+            }
         }
     }
 
@@ -418,6 +435,13 @@
                     let removed_at = StoreRevision { era, number: page.revision };
                     self.apply_node_event(removed_at, &event);
                 }
+                WatchedKind::Evacuations => {
+                    let revision = StoreRevision { era, number: page.revision };
+                    let zone = event.object.name.as_str().into();
+                    self.gateway.update_evacuations("store", |evacuations| {
+                        evacuations.apply_event(BootTime::now(), revision, &zone, event.removed)
+                    });
+                }
             }
         }
         self.gateway.apply_changes(&changes);
@@ -514,6 +538,9 @@
     for kind in [WatchedKind::Configuration, WatchedKind::Servers] {
         spawn_local(KindWatcher::new(gateway.clone(), kind).run());
     }
+    if gateway.settings.bounds.evacuation.is_some() {
+        spawn_local(KindWatcher::new(gateway, WatchedKind::Evacuations).run());
+    }
 }
 
 /// Reads some of the other nodes, which know all of them. Reads again if there are none,
@@ -551,5 +578,8 @@
             let changes = gateway.state.borrow_mut().directory.expire(now);
             gateway.apply_changes(&changes);
         }
+        if gateway.settings.bounds.evacuation.is_some() {
+            gateway.update_evacuations("restored store", |evacuations| evacuations.expire(now));
+        }
     }
 }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -6,6 +6,7 @@
 //! outcomes of this node's own requests (passive health checking); no active
 //! health checks are sent to single servers.
 
+mod evacuated;
 mod links;
 mod quotas;
 mod selection;
@@ -115,6 +116,8 @@
     server_ids: IndexMap<Arc<str>, ServerKey>,
     /// Servers by the hashed identifiers that nodes exchange with each other.
     id_hashes: IndexMap<u32, ServerKey>,
+    /// Zones whose servers get no requests.
+    evacuated_zones: Vec<Arc<str>>,
     /// Limits on requests that servers name.
     limit_table: LimitTable,
     /// Latency statistics per class of requests.
@@ -162,6 +165,7 @@
             servers: SlotMap::with_key(),
             server_ids: IndexMap::new(),
             id_hashes: IndexMap::new(),
+            evacuated_zones: Vec::new(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
             zone_links: ZoneLinks::default(),
@@ -254,6 +258,7 @@
                 && server.entry.born_ms == entry.born_ms;
             if same_incarnation {
                 server.apply_report(entry.clone());
+                server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
                 return None;
             }
         }
@@ -265,6 +270,7 @@
         let incarnation = ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms };
         let mut state = ServerState::new(now, entry.clone(), service);
         state.quota = self.limit_table.rate_of(&incarnation).map(ServerQuota::new);
+        state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
         self.id_hashes.insert(id_hash(&entry.id), key);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
+//! - zones whose servers get no requests: [`EvacuationTable`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - limits on requests that servers name: [`LimitTable`], [`QuotaLedger`]
 //! - requests that crash servers: [`CrashTable`]
@@ -28,6 +29,7 @@
 mod crashes;
 mod credit;
 mod directory;
+mod evacuations;
 mod fanout;
 mod fanout_plan;
 mod fingerprint;
@@ -56,6 +58,7 @@
 pub use directory::{
     DirectoryChange, DirectoryUpdate, ServerDirectory, StoreRevision, VersionedServer,
 };
+pub use evacuations::{EvacuationChange, EvacuationTable, EvacuationUpdate};
 pub use fanout::FanoutState;
 pub use fanout_plan::{
     Delegation, DelegationIndex, DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan,
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -102,6 +102,8 @@
     unreachable_count: u32,
     pub(crate) cold_until: BootTime,
     is_misdirected: bool,
+    /// Whether the servers of its zone get no requests.
+    pub(crate) is_evacuated: bool,
     /// Since when the server may have crashed, unless it has responded on an older connection.
     pub(crate) accused_since: Option<BootTime>,
     /// This node's part of the limit that the server names.
@@ -135,6 +137,7 @@
             paused_until: BootTime::ZERO,
             unreachable_count: 0,
             is_misdirected: false,
+            is_evacuated: false,
             accused_since: None,
             quota: None,
         }
@@ -169,9 +172,10 @@
     }
 
     /// Returns whether the server is in use, judged by its registration, by whether it
-    /// said that it is leaving, and by whether another server answered at its address.
+    /// said that it is leaving, by whether its zone is evacuated, and by whether another
+    /// server answered at its address.
     pub(crate) const fn is_in_use(&self) -> bool {
-        matches!(self.entry.phase, ServerPhase::Ready) && !self.is_misdirected
+        matches!(self.entry.phase, ServerPhase::Ready) && !self.is_misdirected && !self.is_evacuated
     }
 
     /// Returns whether the server accepts new requests: it is in use and has not asked
