--- /dev/null
+++ b/tests/gateway/evacuation.rs
@@ -0,0 +1,62 @@
+//! Evacuated availability zones, on a node that watches the store and on one that follows it.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::{
+    fixture, get,
+    node::{GatewayNode, eventually},
+    server_entry,
+};
+
+const EVACUATION: &str = "bounds.evac_ms=3000\n";
+
+#[tokio::test]
+async fn servers_of_an_evacuated_zone_get_nothing_until_it_is_removed() {
+    let fixture = fixture().await;
+    let [kept, evacuated] = &fixture.single[..] else { panic!("two servers") };
+    fixture.store.put("servers", &kept.id, server_entry(kept, "single", "b", "ready"));
+    let first = GatewayNode::start_with("front-a-2", "a", fixture.store.address, EVACUATION);
+    let second = GatewayNode::start_with("front-a-3", "a", fixture.store.address, EVACUATION);
+    for node in [&first, &second] {
+        node.wait_ready().await;
+    }
+    let is_known = async |count: f64| {
+        for node in [&first, &second] {
+            eventually("the evacuation is known", async || {
+                node.metric("carobstep_evacuated_zones").await == count
+            })
+            .await;
+        }
+    };
+    fixture.store.put("evacuations", "a", json!({}));
+    is_known(1.0).await;
+    let before = evacuated.arrivals().len();
+    for number in 0..10 {
+        for node in [&first, &second] {
+            let response = node.request(&get("/fetch/", &format!("id-{number}"))).await;
+            assert_eq!(response.status, 200);
+        }
+    }
+    assert_eq!(evacuated.arrivals().len(), before, "requests to an evacuated zone");
+    // The word of the store is old by now, and still holds.
+    fixture.store.remove("evacuations", "a");
+    is_known(0.0).await;
+    eventually("requests to the zone", async || {
+        first.request(&get("/fetch/", "id-again")).await;
+        evacuated.arrivals().len() > before
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn without_a_bound_in_the_settings_evacuations_cost_no_call() {
+    let fixture = fixture().await;
+    fixture.store.put("evacuations", "a", json!({}));
+    sleep(Duration::from_millis(500)).await;
+    let response = fixture.node.request(&get("/fetch/", "id-1")).await;
+    assert_eq!(response.status, 200);
+    assert_eq!(fixture.node.metric("carobstep_evacuated_zones").await, 0.0);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod backend;
 mod crashes;
+mod evacuation;
 mod explain;
 mod hostile;
 mod limits;
