--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,11 +10,12 @@
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
     AccountTable, AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence,
-    CrashRecord, CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange,
-    LimitNotice, LimitRecord, NodeLifecycle, NodeSettings, ObservationLedger, OwnerSupport,
-    PauseRequest, PeerEntry, PeerTable, QuarantineChange, RelayRoom, RequestAdmission,
-    RequestFingerprint, RouteTable, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey,
-    ServerNotice, ShareLedger, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
+    CrashRecord, CrashTable, DirectoryChange, EvacuationTable, FinishLag, FleetLimits,
+    LifecyclePhase, LimitChange, LimitNotice, LimitRecord, NodeLifecycle, NodeSettings,
+    ObservationLedger, OwnerSupport, PauseRequest, PeerEntry, PeerTable, QuarantineChange,
+    RelayRoom, RequestAdmission, RequestFingerprint, RouteTable, ServerDirectory, ServerFleet,
+    ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
+    StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use indexmap::IndexMap;
@@ -109,6 +110,9 @@
     pub(crate) crash_doubts: CrashDoubts,
     /// Requests that this node has quarantined or cleared and not announced yet.
     pub(crate) unannounced: Vec<RequestFingerprint>,
+    pub(crate) evacuations: EvacuationTable,
+    /// Whether the followed peer sends no data in addition to changes in the store.
+    pub(crate) follows_old_peer: bool,
     pub(crate) peers: PeerTable,
     /// Number of requests since the start of the process.
     pub(crate) requests: usize,
@@ -119,7 +123,7 @@
     pub(crate) registered_era: Option<u64>,
     /// Whether a peer has sent its copy of the store's data.
     pub(crate) has_peer_copy: bool,
-    pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
+    pub(crate) pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
     pub(crate) byte_budget: Rc<ByteBudget>,
 }
 
@@ -175,6 +179,8 @@
             crashes: CrashTable::default(),
             crash_doubts: CrashDoubts::default(),
             unannounced: Vec::new(),
+            evacuations: EvacuationTable::default(),
+            follows_old_peer: false,
             peers: PeerTable::new(own),
             requests: 0,
             finish_lag: FinishLag::new(settings.cpu_share),
@@ -443,6 +449,7 @@
         }
         let endpoint = state.fleet.endpoint(key)?;
         let pool = Rc::new(ServerPool::new(&endpoint.entry, state.byte_budget.clone()));
+        pool.is_evacuated.set(state.fleet.is_evacuated(key));
         state.pools.insert(key, pool.clone());
         Some(pool)
     }
@@ -467,6 +474,7 @@
                 store_era: state.directory.revision().era,
                 ready,
                 quarantined_requests: state.crashes.quarantined(),
+                evacuated_zones: state.evacuations.zones().count(),
                 limited_servers: state.fleet.limited_servers(),
                 failing_servers: state.fleet.failing_servers(now),
                 unreachable_zones: state.fleet.lost_zones(now).len(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod args;
 mod backend;
 mod byte_budget;
+mod evacuation;
 mod fanout;
 mod follow;
 mod gateway;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,8 +5,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, ExtraUse, FanoutOutcome, MissingShards, RequestFingerprint,
-    RouteConfig, RouteTarget,
+    AttemptKind, AttemptOutcome, EvacuationChange, ExtraUse, FanoutOutcome, MissingShards,
+    RequestFingerprint, RouteConfig, RouteTarget,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -43,6 +43,7 @@
     broken_attempts: IntCounter,
     relayed_requests: IntCounterVec,
     observations: IntCounterVec,
+    evacuation_changes: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -64,6 +65,7 @@
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
     failing_servers: IntGauge,
+    evacuated_zones: IntGauge,
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
@@ -85,6 +87,7 @@
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
     pub(crate) failing_servers: usize,
+    pub(crate) evacuated_zones: usize,
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
@@ -302,6 +305,11 @@
                 "Calls to nodes of this zone about servers that fail.",
                 "kind",
             )?,
+            evacuation_changes: counters(
+                "carobstep_evacuation_changes_total",
+                "Evacuations of availability zones that this node has seen start or end.",
+                "kind",
+            )?,
             broken_attempts: {
                 let help = "Attempts whose server closed the connection before it responded.";
                 let counter = IntCounter::new("carobstep_broken_attempts_total", help)?;
@@ -335,6 +343,10 @@
                     "carobstep_failing_servers",
                     "Backend servers that failed lately, as seen by the nodes of this zone.",
                 )?,
+                evacuated_zones: gauge(
+                    "carobstep_evacuated_zones",
+                    "Availability zones whose servers get no requests.",
+                )?,
                 unreachable_zones: gauge(
                     "carobstep_unreachable_zones",
                     "Availability zones whose servers this node can't reach.",
@@ -396,6 +408,14 @@
         self.observations.with_label_values(&[<&str>::from(call)]).inc();
     }
 
+    pub(crate) fn count_evacuation_change(&self, change: &EvacuationChange) {
+        let kind = match change {
+            EvacuationChange::Started(_) => "started",
+            EvacuationChange::Ended(_) => "ended",
+        };
+        self.evacuation_changes.with_label_values(&[kind]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -415,6 +435,7 @@
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
         gauges.failing_servers.set(readings.failing_servers as i64);
+        gauges.evacuated_zones.set(readings.evacuated_zones as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
         gauges.nodes_without_links.set(readings.nodes_without_links as i64);
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -6,6 +6,7 @@
 //! outcomes of this node's own requests (passive health checking); no active
 //! health checks are sent to single servers.
 
+mod evacuated;
 mod extras;
 mod links;
 mod observations;
@@ -108,6 +109,8 @@
     extra_pool: Option<ExtraPool>,
     /// How extra requests were paid for.
     extra_use: ExtraUse,
+    /// Zones whose servers get no requests.
+    evacuated_zones: Vec<Arc<str>>,
     /// Limits on requests that servers name.
     limit_table: LimitTable,
     /// Latency statistics per class of requests.
@@ -155,6 +158,7 @@
             id_hashes: IndexMap::new(),
             extra_pool: None,
             extra_use: ExtraUse::default(),
+            evacuated_zones: Vec::new(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
             zone_links: ZoneLinks::default(),
@@ -242,6 +246,7 @@
                 && server.entry.born_ms == entry.born_ms;
             if same_incarnation {
                 server.apply_report(entry.clone());
+                server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
                 return None;
             }
         }
@@ -253,6 +258,7 @@
         let incarnation = ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms };
         let mut state = ServerState::new(now, entry.clone(), service);
         state.quota = self.limit_table.rate_of(&incarnation).map(NodeShare::new);
+        state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
         self.id_hashes.insert(id_hash(&entry.id), key);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,6 +8,7 @@
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
 //! - client accounts and their keys: [`AccountTable`]
+//! - zones whose servers get no requests: [`EvacuationTable`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - failures of servers that the nodes of a zone tell each other: [`ObservationLedger`]
 //! - limits on requests that servers name: [`LimitTable`]
@@ -32,6 +33,7 @@
 mod crashes;
 mod credit;
 mod directory;
+mod evacuations;
 mod fanout;
 mod fanout_plan;
 mod fingerprint;
@@ -66,6 +68,7 @@
 pub use directory::{
     DirectoryChange, DirectoryUpdate, ServerDirectory, StoreRevision, VersionedServer,
 };
+pub use evacuations::{EvacuationChange, EvacuationTable, EvacuationUpdate};
 pub use fanout::FanoutState;
 pub use fanout_plan::{
     Delegation, DelegationIndex, DelegationUpdate, FanoutAction, FanoutOutcome, FanoutPlan,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod backend;
 mod crashes;
+mod evacuation;
 mod explain;
 mod hostile;
 mod limits;
