Take a refusal for that of an order only if it is certain to be

Servers saw an order at two of them: a refused health check's answer, which names no request, came a second time on a connection that had gone back to the pool, and was taken for the refusal of the order that waited there.

A refusal now counts as "not run" only if it names the request or comes on a connection that carried nothing else; otherwise the attempt has failed, and connections to the server are not reused for a while, on which its refusals are certain again. That is the cost where a server's refusals carry no id: one order in a while ends as one that may have run, and new connections. Probes have a connection of their own: one that carried a probe never carries a request.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -1,9 +1,12 @@
 //! HTTP connections to a backend server, and request-response exchanges on them.
 
+mod probe;
+
+pub(crate) use probe::ProbeFailure;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -12,8 +15,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers::{self, ServerVerdict};
 use carobstep_tier::{
-    AttemptOutcome, LimitNotice, PauseRequest, ProbeOutcome, RequestFingerprint, ServerEntry,
-    ServerIncarnation, ServerNotice,
+    AttemptOutcome, LimitNotice, PauseRequest, RequestFingerprint, ServerEntry, ServerIncarnation,
+    ServerNotice,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
@@ -35,19 +38,6 @@
 /// Timeout for opening a connection. The kernel retransmits a lost SYN after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Timeout for the connection of a probe; the zones of a region are a few milliseconds
-/// apart.
-const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Timeout for the response on an open connection, if no other can be opened.
-const PROBE_IDLE_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// Timeout for the response to a probe, which waits for a slot like any request.
-const PROBE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
-
-/// Maximum size of the response to a probe, in bytes.
-const MAX_PROBE_BYTES: usize = 64 * 1024;
-
 /// Time in milliseconds for which sent bytes may stay unacknowledged; longer than
 /// two retransmissions of a lost packet take.
 const TCP_USER_TIMEOUT_MS: u32 = 1_500;
@@ -146,6 +136,9 @@
     incarnation: ServerIncarnation,
     budget: Rc<ByteBudget>,
     idle: RefCell<Vec<IdleConnection>>,
+    /// Connection that carried a probe. It carries no other request: a late answer to a
+    /// probe names no request, and could be taken for that of another one.
+    idle_probe: RefCell<Option<IdleConnection>>,
     /// Whether a response said that the server is leaving.
     is_leaving: Cell<bool>,
     /// Until when the server wants no requests.
@@ -161,11 +154,19 @@
     expires: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.expires > now && self.connection.sender.is_ready()
+    }
+}
+
 /// An open connection; dropping it closes the socket.
 #[derive(Debug)]
 struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     opened: BootTime,
+    /// Whether a request was sent on it before.
+    is_used: bool,
     driver: AbortHandle,
     meter: Rc<ByteMeter>,
 }
@@ -188,23 +189,6 @@
     }
 }
 
-/// Why a probe got no response.
-#[derive(Clone, Debug)]
-pub(crate) struct ProbeFailure {
-    pub(crate) outcome: ProbeOutcome,
-    pub(crate) reason: String,
-}
-
-impl ProbeFailure {
-    fn silent() -> Self {
-        Self { outcome: ProbeOutcome::Silent, reason: "no response".to_owned() }
-    }
-
-    fn unreachable(reason: impl Into<String>) -> Self {
-        Self { outcome: ProbeOutcome::Unreachable, reason: reason.into() }
-    }
-}
-
 impl ExchangeOutcome {
     pub(crate) fn without_response(outcome: AttemptOutcome, reason: impl Into<String>) -> Self {
         Self { outcome, response: None, reason: reason.into(), is_broken: false }
@@ -223,6 +207,7 @@
             incarnation: ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms },
             budget,
             idle: RefCell::default(),
+            idle_probe: RefCell::default(),
             is_leaving: Cell::new(false),
             paused_until: Cell::new(BootTime::ZERO),
             no_reuse_until: Cell::new(BootTime::ZERO),
@@ -282,86 +267,6 @@
         })
     }
 
-    /// Finds out whether the server responds, on an open connection or a new one: either may
-    /// be lost while the other is not. Without `path`, an accepted connection has to do.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is no response.
-    pub(crate) async fn probe(
-        &self,
-        path: Option<&str>,
-        on_notice: impl Fn(BootTime, ServerNotice),
-    ) -> Result<(), ProbeFailure> {
-        let connecting = async {
-            match timeout(PROBE_CONNECT_TIMEOUT, self.connect()).await {
-                Ok(Ok(connection)) => Ok(connection),
-                Ok(Err(error)) => Err(ProbeFailure::unreachable(error.to_string())),
-                Err(_) => Err(ProbeFailure::unreachable("connecting timed out")),
-            }
-        };
-        let Some(path) = path else { return connecting.await.map(drop) };
-        let request = self.probe_request(path);
-        let mut on_new =
-            pin!(async { self.probe_on(connecting.await?, &request, &on_notice).await });
-        let Some(idle) = self.take_idle() else { return on_new.await };
-        let mut on_idle = pin!(self.probe_on(idle, &request, &on_notice));
-        let idle_until = Instant::now() + PROBE_IDLE_TIMEOUT;
-        tokio::select! {
-            outcome = on_new.as_mut() => match outcome {
-                Ok(()) => Ok(()),
-                // A connection that stays open shows that the server may only be slow.
-                Err(_) => timeout_at(idle_until, on_idle)
-                    .await
-                    .unwrap_or_else(|_| Err(ProbeFailure::silent())),
-            },
-            outcome = on_idle.as_mut() => match outcome {
-                Ok(()) => Ok(()),
-                Err(_) => on_new.await,
-            },
-        }
-    }
-
-    async fn probe_on(
-        &self,
-        mut connection: BackendConnection,
-        request: &BackendRequest,
-        on_notice: &impl Fn(BootTime, ServerNotice),
-    ) -> Result<(), ProbeFailure> {
-        let deadline = Instant::now() + PROBE_RESPONSE_TIMEOUT;
-        let reservation = connection.meter.start(MAX_PROBE_BYTES);
-        let sending = connection.sender.try_send_request(self.build_request(request, deadline));
-        let response = match timeout_at(deadline, sending).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
-                let error = error.into_error();
-                // Bytes that are no response have come from the server as well.
-                return if error.is_parse() {
-                    Ok(())
-                } else {
-                    Err(ProbeFailure::unreachable(error.to_string()))
-                };
-            }
-            Err(_) => return Err(ProbeFailure::silent()),
-        };
-        self.record_notice(connection.opened, request, &response, on_notice);
-        let reading = read_response(response, MAX_PROBE_BYTES, reservation);
-        // The link works even if the body is incomplete.
-        if let Ok(Ok(response)) = timeout_at(deadline, reading).await {
-            self.release_connection(connection, request, &response);
-        }
-        Ok(())
-    }
-
-    fn probe_request(&self, path: &str) -> BackendRequest {
-        let mut headers = HeaderMap::new();
-        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
-            headers.insert(header::HOST, host);
-        }
-        let target = path.parse().unwrap_or_default();
-        BackendRequest { method: Method::GET, target, headers, body: Bytes::new() }
-    }
-
     async fn connect(&self) -> std::io::Result<BackendConnection> {
         let socket = TcpStream::connect(self.address).await?;
         socket.set_nodelay(true)?;
@@ -380,13 +285,14 @@
             }
         });
         let opened = BootTime::now();
-        Ok(BackendConnection { sender, opened, driver: driver.abort_handle(), meter })
+        let driver = driver.abort_handle();
+        Ok(BackendConnection { sender, opened, is_used: false, driver, meter })
     }
 
     fn take_idle(&self) -> Option<BackendConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|entry| entry.expires > now && entry.connection.sender.is_ready());
+        idle.retain(|entry| entry.is_usable(now));
         idle.pop().map(|entry| entry.connection)
     }
 
@@ -427,15 +333,17 @@
         self.record_notice(connection.opened, request, &response, on_notice);
         let reading = read_response(response, limits.response_bytes, reservation.clone());
         let outcome = match timeout_at(deadline, reading).await {
-            Ok(Ok(response)) => self.classify_response(request, response),
+            Ok(Ok(response)) => self.classify_response(&connection, request, response),
             Ok(Err(reason)) => failure_outcome(&reservation, reason),
             Err(_) => ExchangeOutcome::without_response(
                 AttemptOutcome::TimedOut,
                 "response body incomplete at the deadline",
             ),
         };
-        if let Some(response) = &outcome.response {
-            self.release_connection(connection, request, response);
+        if let Some(response) = &outcome.response
+            && let Some(entry) = self.idle_after(connection, request, response)
+        {
+            self.idle.borrow_mut().push(entry);
         }
         Some(outcome)
     }
@@ -455,8 +363,7 @@
             notice.limit = LimitNotice::Unknown;
         }
         if is_for_another_request(request, response.headers()) {
-            self.no_reuse_until.set(BootTime::now() + NO_REUSE_TIME);
-            self.idle.borrow_mut().clear();
+            self.stop_reuse();
         }
         if notice.is_leaving {
             self.is_leaving.set(true);
@@ -468,6 +375,11 @@
         on_notice(opened, notice);
     }
 
+    fn stop_reuse(&self) {
+        self.no_reuse_until.set(BootTime::now() + NO_REUSE_TIME);
+        self.idle.borrow_mut().clear();
+    }
+
     fn build_request(&self, request: &BackendRequest, deadline: Instant) -> Request<Full<Bytes>> {
         let mut message = Request::new(Full::new(request.body.clone()));
         *message.method_mut() = request.method.clone();
@@ -483,6 +395,7 @@
     /// Classifies a complete response as an outcome.
     fn classify_response(
         &self,
+        connection: &BackendConnection,
         request: &BackendRequest,
         response: BackendResponse,
     ) -> ExchangeOutcome {
@@ -498,6 +411,14 @@
         }
         let status = response.status;
         let verdict = ServerVerdict::of(status, &response.headers);
+        let is_refusal = matches!(verdict, ServerVerdict::NotRun | ServerVerdict::WrongServer);
+        if is_refusal && !is_certain_answer(connection, request, &response.headers) {
+            // The server's refusals may never name the request. On new connections they
+            // are certain.
+            self.stop_reuse();
+            let reason = "the refusal may belong to another request";
+            return ExchangeOutcome::without_response(AttemptOutcome::Failed, reason);
+        }
         let has_stamp = response.headers.contains_key(headers::SERVER_STAMP);
         let (outcome, reason) = match verdict {
             ServerVerdict::Success if has_stamp => (AttemptOutcome::Answered, String::new()),
@@ -516,26 +437,39 @@
         ExchangeOutcome { outcome, response: Some(response), reason, is_broken: false }
     }
 
-    /// Returns a connection to the pool if it can be reused.
-    fn release_connection(
+    /// Returns a connection on which a request was answered, if it can be reused.
+    fn idle_after(
         &self,
-        connection: BackendConnection,
+        mut connection: BackendConnection,
         request: &BackendRequest,
         response: &BackendResponse,
-    ) {
+    ) -> Option<IdleConnection> {
         if headers::closes_connection(&response.headers)
             || request.body.len() > MAX_REUSE_BODY_BYTES
             || BootTime::now() < self.no_reuse_until.get()
         {
-            return;
+            return None;
         }
         connection.meter.stop();
+        connection.is_used = true;
         let idle = headers::keep_alive_timeout(&response.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let expires = Instant::now() + idle.saturating_sub(IDLE_MARGIN);
-        self.idle.borrow_mut().push(IdleConnection { connection, expires });
+        Some(IdleConnection { connection, expires })
     }
 }
 
+/// Returns whether a response is certain to be that of the request: it names the request,
+/// or nothing else was sent on the connection.
+fn is_certain_answer(
+    connection: &BackendConnection,
+    request: &BackendRequest,
+    response: &HeaderMap,
+) -> bool {
+    let echoed_id = response.get(headers::REQUEST_ID);
+    !connection.is_used
+        || (echoed_id.is_some() && echoed_id == request.headers.get(headers::REQUEST_ID))
+}
+
 /// Returns whether a response names another request than the one that was sent.
 fn is_for_another_request(request: &BackendRequest, response: &HeaderMap) -> bool {
     let echoed_id = response.get(headers::REQUEST_ID);
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -55,6 +55,9 @@
     /// The server sends each response a second time when the next request arrives on the
     /// connection, before the response to that one.
     LateCopy,
+    /// The server sends a refusal that names no request before the response to each request
+    /// but the first on a connection.
+    LateRefusal,
     /// The server responds with bytes that depend on this seed and are no response.
     Noise(u64),
     /// The server responds with success but without its stamp.
@@ -255,8 +258,10 @@
     async fn serve(self, mut socket: TcpStream) {
         let mut bytes = Vec::new();
         let mut last_response = String::new();
+        let mut requests = 0;
         loop {
             let Some(head) = read_request(&mut socket, &mut bytes).await else { return };
+            requests += 1;
             let mut fault = self.lock().fault;
             let is_health_check = head.starts_with(&format!("GET {HEALTH_PATH} "));
             if is_health_check && fault.answers_health_checks() {
@@ -306,6 +311,11 @@
                     let response = response_text(200, &stamp_headers, &body);
                     std::mem::replace(&mut last_response, response.clone()) + &response
                 }
+                ServerFault::LateRefusal => {
+                    let refusal = response_text(503, "x-carobstep-not-executed: 1\r\n", "");
+                    let late = if requests > 1 { refusal } else { String::new() };
+                    late + &response_text(200, &stamp_headers, &body)
+                }
                 ServerFault::Noise(seed) => {
                     let mut rng = StdRng::seed_from_u64(seed);
                     let noise: Vec<u8> =
--- a/tests/gateway/hostile.rs
+++ b/tests/gateway/hostile.rs
@@ -15,9 +15,10 @@
 
 use crate::{
     Fixture,
-    backend::{ServerFault, StandinServer},
+    backend::{ServerFault, StandinServer, header_value},
     fixture, get,
     node::{GatewayNode, eventually},
+    post,
 };
 
 /// Number of malformed messages for each receiver.
@@ -43,6 +44,30 @@
     assert!(served >= 29, "{served} of 30 served");
 }
 
+#[tokio::test]
+async fn an_order_does_not_run_twice_after_a_late_refusal_that_names_no_request() {
+    let fixture = fixture().await;
+    for number in 0..6 {
+        let response = fixture.node.request(&get("/fetch/", &format!("warm-{number}"))).await;
+        assert_eq!(response.status, 200);
+    }
+    for server in &fixture.single {
+        server.set_fault(ServerFault::LateRefusal);
+    }
+    let mut served = 0;
+    for number in 0..12 {
+        let id = format!("order-{number}");
+        let response = fixture.node.request(&post("/order/", &id)).await;
+        served += usize::from(response.status == 200);
+        let heads = fixture.single.iter().flat_map(StandinServer::executed);
+        let runs =
+            heads.filter(|head| header_value(head, "x-carobstep-request-id").as_ref() == Some(&id));
+        assert!(runs.count() <= 1, "{id} ran twice");
+    }
+    // Each server is noticed with its first late refusal.
+    assert!(served >= 10, "{served} of 12 served");
+}
+
 /// Start of a message that a random rest is appended to.
 fn message(rng: &mut StdRng, starts: &[&[u8]]) -> Vec<u8> {
     let start = starts[rng.random_range(0..starts.len())];
