Let no revision run ahead of a removal that is deferred

Callers' requests went on reaching a server whose entry was removed: the node that watched the store deferred the removal after a watch that was cut off, claimed the revision behind it, and stopped. The next one watched from the claimed revision, and no node ever saw the removal.

The revision that a directory claims, to peers and to itself, now precedes every removal that it defers. A list says nothing of when its missing entries were removed, so that the revision before the list is claimed; in a restored store it is the start of the era, from which a node lists again.

The same cause elsewhere: entries raised the claimed revision above that of the list or update they came in, which may be older than some of its pages (servers and nodes). They no longer do.

a_removal_that_is_deferred_is_not_hidden_from_peers_by_the_revision failed before the change and passes with it.

--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -25,6 +25,10 @@
 /// Time for which a leaving server is named in searches that are delegated to peers.
 const LEAVING_SPREAD_TIME: Duration = Duration::from_secs(5);
 
+/// Lowest revision of a store's era that counts as known; the history since then is gone
+/// after a restore, so that a node that continues from it lists again.
+const FIRST_REVISION: u64 = 1;
+
 /// Maximum number of changes that are kept for incremental updates to peers.
 const MAX_CHANGES: usize = 512;
 
@@ -82,7 +86,7 @@
     entries: IndexMap<Arc<str>, ListedEntry>,
     failing_since: Option<BootTime>,
     recovered_at: Option<BootTime>,
-    /// Store revision of the newest change or list.
+    /// Store revision up to which all changes are known; deferred removals included.
     revision: StoreRevision,
     /// Revision since which every removal is in `tombstones`.
     history_since: StoreRevision,
@@ -99,8 +103,16 @@
 struct ListedEntry {
     entry: ServerEntry,
     revision: StoreRevision,
-    /// When an entry that is missing from the store is removed; `None` for listed entries.
-    expires_at: Option<BootTime>,
+    /// Removal of an entry that is missing from the store; `None` for listed entries.
+    deferred: Option<DeferredRemoval>,
+}
+
+/// Removal that is put off until a grace period ends.
+#[derive(Clone, Copy, Debug)]
+struct DeferredRemoval {
+    due_at: BootTime,
+    /// Latest revision that is certain to precede the removal.
+    known_before: StoreRevision,
 }
 
 /// Last known state of a removed entry.
@@ -172,10 +184,12 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Returns the store revision up to which all changes are applied.
+    /// Returns the store revision up to which all changes are applied. It precedes every
+    /// deferred removal, so that a node that continues from it learns of the removal.
     #[must_use]
-    pub const fn revision(&self) -> StoreRevision {
-        self.revision
+    pub fn revision(&self) -> StoreRevision {
+        let deferred = self.entries.values().filter_map(|listed| listed.deferred);
+        deferred.map(|removal| removal.known_before).fold(self.revision, StoreRevision::min)
     }
 
     /// Replaces the directory with the complete list of servers at a store revision;
@@ -187,7 +201,8 @@
         list: Vec<(StoreRevision, ServerEntry)>,
     ) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        if revision.era < self.revision.era {
+        let known = self.revision;
+        if revision.era < known.era {
             return changes;
         }
         if self.revision.number == 0 {
@@ -200,13 +215,20 @@
         let listed: IndexSet<Arc<str>> = list.iter().map(|(_, entry)| entry.id.clone()).collect();
         let missing: Vec<Arc<str>> =
             self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        // Nothing tells when the missing entries were removed.
+        let known_before = if known.era == revision.era {
+            known.min(revision)
+        } else {
+            StoreRevision { number: FIRST_REVISION, ..revision }
+        };
         for id in missing {
-            self.remove(now, revision, &id, &mut changes);
+            self.remove_or_defer(now, revision, known_before, &id, &mut changes);
         }
         for (revision, entry) in list {
             self.insert(revision, entry, &mut changes);
         }
-        self.revision = self.revision.max(revision);
+        // An entry may be newer than the list: it doesn't tell what was removed before it.
+        self.revision = known.max(revision);
         changes
     }
 
@@ -231,7 +253,7 @@
         let is_unchanged = known.is_some_and(|listed| listed.entry.has_same_content(&entry));
         let is_rewritten = known.is_none_or(|listed| listed.revision != revision);
         self.revision = self.revision.max(revision);
-        let listed = ListedEntry { entry: entry.clone(), revision, expires_at: None };
+        let listed = ListedEntry { entry: entry.clone(), revision, deferred: None };
         self.entries.insert(entry.id.clone(), listed);
         if !is_unchanged {
             changes.push(DirectoryChange::Changed(entry.clone()));
@@ -255,14 +277,31 @@
         revision: StoreRevision,
         id: &str,
         changes: &mut Vec<DirectoryChange>,
+    ) {
+        let known_before = StoreRevision { number: revision.number.saturating_sub(1), ..revision };
+        self.remove_or_defer(now, revision, known_before, id, changes);
+    }
+
+    fn remove_or_defer(
+        &mut self,
+        now: BootTime,
+        revision: StoreRevision,
+        known_before: StoreRevision,
+        id: &str,
+        changes: &mut Vec<DirectoryChange>,
     ) {
         let Some(listed) = self.entries.get_mut(id) else { return };
         if listed.revision > revision {
             return;
         }
         let grace_end = self.recovered_at.map(|recovered_at| recovered_at + EXPIRY_GRACE);
-        if let Some(end) = grace_end.filter(|end| now < *end) {
-            listed.expires_at.get_or_insert(end);
+        if let Some(due_at) = grace_end.filter(|end| now < *end) {
+            let removal = DeferredRemoval { due_at, known_before };
+            let deferred = listed.deferred.get_or_insert(removal);
+            // Peers ignore what is known of an earlier era.
+            if deferred.known_before.era < known_before.era {
+                deferred.known_before = known_before;
+            }
             return;
         }
         self.remove_entry(revision, id, changes);
@@ -317,7 +356,12 @@
                 servers.push(VersionedServer { revision, id: id.clone(), entry: None });
             }
         }
-        DirectoryUpdate { number: self.last_change, whole: false, revision: self.revision, servers }
+        DirectoryUpdate {
+            number: self.last_change,
+            whole: false,
+            revision: self.revision(),
+            servers,
+        }
     }
 
     /// Returns the changes after change `number`, or a full snapshot if they are not
@@ -331,7 +375,7 @@
             return DirectoryUpdate {
                 number: self.last_change,
                 whole: false,
-                revision: self.revision,
+                revision: self.revision(),
                 servers,
             };
         }
@@ -343,7 +387,7 @@
         DirectoryUpdate {
             number: self.last_change,
             whole: true,
-            revision: self.revision,
+            revision: self.revision(),
             servers: self.entries.values().map(server).collect(),
         }
     }
@@ -440,6 +484,7 @@
             let list = known.filter_map(|server| Some((server.revision, server.entry?))).collect();
             return self.replace(now, update.revision, list);
         }
+        let known = self.revision;
         let mut changes = Vec::new();
         for server in update.servers {
             match server.entry {
@@ -447,7 +492,8 @@
                 None => self.remove_if_older(server.revision, &server.id, &mut changes),
             }
         }
-        self.revision = self.revision.max(update.revision);
+        // The peer may have deferred a removal that precedes these changes.
+        self.revision = known.max(update.revision);
         changes
     }
 
@@ -465,7 +511,7 @@
     /// Removes the expired entries whose grace period has ended; returns the changes.
     pub fn expire(&mut self, now: BootTime) -> Vec<DirectoryChange> {
         let is_expired =
-            |listed: &&ListedEntry| listed.expires_at.is_some_and(|expires_at| expires_at <= now);
+            |listed: &&ListedEntry| listed.deferred.is_some_and(|removal| removal.due_at <= now);
         let expired: Vec<Arc<str>> = self
             .entries
             .values()
@@ -483,6 +529,6 @@
     /// Returns when [`ServerDirectory::expire`] is due next.
     #[must_use]
     pub fn next_expiry(&self) -> Option<BootTime> {
-        self.entries.values().filter_map(|listed| listed.expires_at).min()
+        self.entries.values().filter_map(|listed| Some(listed.deferred?.due_at)).min()
     }
 }
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -216,7 +216,8 @@
 
     /// Replaces all peers with a complete list; unchanged entries keep their state.
     pub fn replace(&mut self, revision: StoreRevision, listed: Vec<(StoreRevision, PeerEntry)>) {
-        if self.revision == StoreRevision::default() {
+        let known = self.revision;
+        if known == StoreRevision::default() {
             self.history_since = revision;
         }
         let names: IndexSet<Arc<str>> =
@@ -229,7 +230,8 @@
         for (revision, entry) in listed {
             self.insert(revision, entry);
         }
-        self.revision = self.revision.max(revision);
+        // An entry may be newer than the list: it doesn't tell what was removed before it.
+        self.revision = known.max(revision);
     }
 
     /// Returns the changes since a revision, and this node's own entry; the full list if
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -40,6 +40,67 @@
     assert_eq!(directory.expire(at(6_000)), [DirectoryChange::Removed(name("x"))]);
 }
 
+/// A removal that a directory defers after an outage.
+struct DeferredCase {
+    label: &'static str,
+    remove: fn(&mut ServerDirectory),
+    /// Revision that another node may continue from meanwhile.
+    known: StoreRevision,
+}
+
+#[test]
+fn a_removal_that_is_deferred_is_not_hidden_from_peers_by_the_revision() {
+    let cases = [
+        DeferredCase {
+            label: "an event",
+            remove: |directory| {
+                directory.remove(at(4_100), rev(7), "x", &mut Vec::new());
+                directory.insert(rev(8), entry("z", "s", "a"), &mut Vec::new());
+                directory.confirm(rev(9));
+            },
+            known: rev(6),
+        },
+        DeferredCase {
+            label: "a list",
+            remove: |directory| {
+                let list = vec![(rev(2), entry("y", "s", "a")), (rev(11), entry("z", "s", "a"))];
+                directory.replace(at(4_100), rev(9), list);
+            },
+            known: rev(5),
+        },
+        DeferredCase {
+            label: "a list of a restored store",
+            remove: |directory| {
+                let list = vec![(StoreRevision { era: 1, number: 2 }, entry("y", "s", "a"))];
+                directory.replace(at(4_100), StoreRevision { era: 1, number: 4 }, list);
+            },
+            known: StoreRevision { era: 1, number: 1 },
+        },
+    ];
+    for case in cases {
+        let mut directory = ServerDirectory::default();
+        let list = vec![(rev(1), entry("x", "s", "a")), (rev(2), entry("y", "s", "a"))];
+        directory.replace(at(0), rev(5), list);
+        let mut follower = directory.clone();
+        directory.on_store_failure(at(100));
+        directory.on_store_reply(at(4_000));
+        let before = directory.last_change();
+        (case.remove)(&mut directory);
+        assert_eq!(directory.revision(), case.known, "{}", case.label);
+        let update = directory.updates_after(Some(before));
+        follower.apply_update(at(4_200), update);
+        assert!(ids(&follower).contains(&"x".to_owned()), "{}", case.label);
+        assert_eq!(follower.revision().max(case.known), case.known, "{}", case.label);
+        let mut newcomer = ServerDirectory::default();
+        newcomer.apply_update(at(4_200), directory.updates_after(None));
+        assert_eq!(newcomer.revision(), case.known, "{}: a new node", case.label);
+        directory.expire(at(6_200));
+        assert!(directory.revision() > case.known, "{}", case.label);
+        follower.apply_update(at(6_300), directory.updates_after(Some(before)));
+        assert!(!ids(&follower).contains(&"x".to_owned()), "{}", case.label);
+    }
+}
+
 #[test]
 fn an_entry_that_is_registered_again_within_the_grace_period_is_kept() {
     let mut directory = ServerDirectory::default();
