--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -296,7 +296,8 @@
             || request.links_known != state.peers.link_reports().last_change()
             || request.nodes < state.peers.revision()
             || request.version < state.configuration.version
-            || state.freshness.age(now) + MIN_AGE_GAIN < request.age + now.since(called)
+            || state.freshness.age(now) + MIN_AGE_GAIN
+                < request.age.saturating_add(now.since(called))
     };
     // After a timeout, the reply still carries the age of this node's data.
     let _ = timeout(gateway.timing.update_wait(), changes.wait_for(has_update)).await;
