--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -37,6 +37,7 @@
     attempts: IntCounterVec,
     delegations: IntCounterVec,
     store_calls: IntCounterVec,
+    unreadable_objects: IntCounterVec,
     log_lines: IntCounterVec,
     server_notices: IntCounterVec,
     limited_attempts: IntCounterVec,
@@ -263,6 +264,11 @@
                 "end",
             )?,
             store_calls: counters("carobstep_store_calls_total", "Calls to the store.", "end")?,
+            unreadable_objects: counters(
+                "carobstep_unreadable_objects_total",
+                "Revisions of objects in the store that can't be read and are ignored.",
+                "kind",
+            )?,
             log_lines: counters("carobstep_log_lines_total", "Lines about requests.", "fate")?,
             server_notices: counters(
                 "carobstep_server_notices_total",
@@ -353,6 +359,10 @@
         self.store_calls.with_label_values(&[outcome]).inc();
     }
 
+    pub(crate) fn count_unreadable(&self, kind: &str) {
+        self.unreadable_objects.with_label_values(&[kind]).inc();
+    }
+
     /// Returns every metric in the text format of Prometheus.
     pub(crate) fn encode_metrics(&self, readings: GaugeReadings) -> Vec<u8> {
         let gauges = &self.gauges;
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -442,7 +442,12 @@
                 let state = &mut *self.gateway.state.borrow_mut();
                 state.directory.insert(revision, entry, changes);
             }
-            Err(error) => self.log_unreadable(&event.object.name, event.object.revision, &error),
+            Err(error) => {
+                self.log_unreadable(&event.object.name, event.object.revision, &error);
+                // What replaced the entry names no server.
+                let state = &mut *self.gateway.state.borrow_mut();
+                state.directory.remove(now, revision, &event.object.name, changes);
+            }
         }
     }
 
@@ -475,6 +480,7 @@
         if self.reported.insert(name.to_owned(), revision) == Some(revision) {
             return;
         }
+        self.gateway.reporter.count_unreadable(self.kind.name());
         if self.reported.len() > MAX_REPORTED {
             self.reported.shift_remove_index(0);
         }
