--- a/crates/tier/src/observations.rs
+++ b/crates/tier/src/observations.rs
@@ -17,14 +17,17 @@
 const ZONE_FADING: Duration = Duration::from_millis(1_200);
 
 /// Time in which the counts of one node fade to 1/e: longer, because they are fewer.
-const OWN_FADING: Duration = Duration::from_secs(3);
+const OWN_FADING: Duration = Duration::from_secs(2);
 
 /// Age from which the counts of a zone are not used any more, since the node that adds them
 /// up is gone.
 const ZONE_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Successful attempts that are assumed in addition to the observed ones.
-const PRIOR_ATTEMPTS: f64 = 2.0;
+/// Successful attempts that are assumed in addition to those that one node has observed.
+const PRIOR_OWN_ATTEMPTS: f64 = 2.0;
+
+/// Successful attempts that are assumed in addition to those of a zone.
+const PRIOR_JOINT_ATTEMPTS: f64 = 0.5;
 
 /// Faded number of failures below which a server counts as sound and is not reported.
 const MIN_FAILURES: f64 = 0.15;
@@ -43,9 +46,17 @@
 /// Factor on these costs for the last attempt of a request.
 const LAST_ATTEMPT_FACTOR: f64 = 3.0;
 
-/// Decrease of the share of requests that try a failing server, for each of its failures.
+/// Exponential decrease of the share of requests that try a failing server, for each of its
+/// failures.
 const TRIAL_DECREASE: f64 = 4.0;
 
+/// Least share of requests that try a failing server.
+const MIN_TRIAL_SHARE: f64 = 0.03;
+
+/// Number of attempts beyond which older ones count less, so that a server with many
+/// requests is forgiven as fast as one with few.
+const MAX_ATTEMPTS: f64 = 12.0;
+
 /// Least time between two reports of a node.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -126,10 +137,17 @@
     zone: Option<FadingCounts>,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportedServer {
+    counts: FadingCounts,
+    /// Whether the nodes of the zone are told of its failures, until they have faded.
+    is_told: bool,
+}
+
 /// Attempts at failing servers of all nodes of a zone.
 #[derive(Clone, Debug, Default)]
 pub struct ObservationLedger {
-    servers: IndexMap<u32, FadingCounts>,
+    servers: IndexMap<u32, ReportedServer>,
 }
 
 impl AttemptCounts {
@@ -160,16 +178,16 @@
         }
     }
 
-    fn odds(self) -> FailureOdds {
+    fn odds(self, prior_attempts: f64) -> FailureOdds {
         if self.failures() < MIN_FAILURES {
             return FailureOdds::default();
         }
-        let trials = self.attempts + PRIOR_ATTEMPTS;
+        let trials = self.attempts + prior_attempts;
         FailureOdds {
             turned_away: self.turned_away / trials,
             lost: self.lost / trials,
             silent: self.silent / trials,
-            trial_share: 1.0 / TRIAL_DECREASE.mul_add(self.failures(), 1.0),
+            trial_share: (-TRIAL_DECREASE * self.failures()).exp().max(MIN_TRIAL_SHARE),
         }
     }
 
@@ -204,7 +222,10 @@
     }
 
     fn add(&mut self, now: BootTime, fading: Duration, counts: AttemptCounts) {
-        *self = Self { counts: self.at(now, fading).scaled_plus(1.0, counts), counted_at: now };
+        let sum = self.at(now, fading).scaled_plus(1.0, counts);
+        let factor = MAX_ATTEMPTS / sum.attempts.max(MAX_ATTEMPTS);
+        let counts = sum.scaled_plus(factor, AttemptCounts::default());
+        *self = Self { counts, counted_at: now };
     }
 }
 
@@ -240,11 +261,14 @@
 
     /// Returns the probabilities that an attempt fails.
     pub(crate) fn odds(&self, now: BootTime) -> FailureOdds {
+        let prior = if self.is_told(now) { PRIOR_JOINT_ATTEMPTS } else { PRIOR_OWN_ATTEMPTS };
+        self.counts(now).odds(prior)
+    }
+
+    fn counts(&self, now: BootTime) -> AttemptCounts {
         let own = || self.own.at(now, OWN_FADING);
-        let counts = self
-            .fresh_zone(now)
-            .map_or_else(own, |zone| zone.scaled_plus(1.0, self.unreported.at(now, ZONE_FADING)));
-        counts.odds()
+        self.fresh_zone(now)
+            .map_or_else(own, |zone| zone.scaled_plus(1.0, self.unreported.at(now, ZONE_FADING)))
     }
 
     fn fresh_zone(&self, now: BootTime) -> Option<AttemptCounts> {
@@ -283,18 +307,20 @@
     /// Adds the attempts that a node reports.
     pub fn merge(&mut self, now: BootTime, reports: &[ServerObservation]) {
         for report in reports {
-            let counts = self.servers.entry(report.server).or_default();
-            counts.add(now, ZONE_FADING, (*report).into());
+            let reported = self.servers.entry(report.server).or_default();
+            reported.counts.add(now, ZONE_FADING, (*report).into());
         }
     }
 
     /// Returns the attempts at the servers that fail, and forgets those that don't any more.
     pub fn failing(&mut self, now: BootTime) -> Vec<ServerObservation> {
-        self.servers.retain(|_, it| it.at(now, ZONE_FADING).failures() >= MIN_FAILURES);
+        self.servers.retain(|_, it| it.counts.at(now, ZONE_FADING).failures() >= MIN_FAILURES);
         let mut failing = Vec::new();
-        for (server, counts) in &self.servers {
-            let counts = counts.at(now, ZONE_FADING);
-            if counts.failures() >= MIN_TOLD_FAILURES && counts.odds().total() >= MIN_TOLD_SHARE {
+        for (server, reported) in &mut self.servers {
+            let counts = reported.counts.at(now, ZONE_FADING);
+            reported.is_told |= counts.failures() >= MIN_TOLD_FAILURES
+                && counts.odds(PRIOR_JOINT_ATTEMPTS).total() >= MIN_TOLD_SHARE;
+            if reported.is_told {
                 failing.push(counts.to_observation(*server));
             }
         }
