Give servers that start or recover a share that grows as their answers stay good

A new server counted as fast as the fastest one of its service, or, while it said that it was cold, had its score multiplied. With one request at a time at most nodes, the least score always wins, so that it was flooded or got nothing; one that had been slow was left alone for 30 s and then got full demand from every node.

Each node now lets such a server compete for a request with a probability that follows from its answers and the time; the part of all requests comes out right whatever the number of nodes. Servers are tried again after 10 s without a word.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -282,6 +282,9 @@
         if notice == ServerNotice::default() {
             return;
         }
+        if let Some(cold_for) = notice.cold_for {
+            self.state.borrow_mut().fleet.record_cold(BootTime::now(), server, cold_for);
+        }
         match notice.pause {
             PauseRequest::None => {}
             PauseRequest::For(pause) => {
@@ -456,6 +459,7 @@
                 store_era: state.directory.revision().era,
                 ready,
                 quarantined_requests: state.crashes.quarantined(),
+                paced_servers: state.fleet.paced_servers(now),
                 evacuated_zones: state.evacuations.zones().count(),
                 limited_servers: state.fleet.limited_servers(),
                 unreachable_zones: state.fleet.lost_zones(now).len(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod links;
 mod main_entry;
 mod membership;
+mod pace;
 mod peer_messages;
 mod peers;
 mod quarantine;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, EvacuationChange, FanoutOutcome, MissingShards,
+    AttemptKind, AttemptOutcome, EvacuationChange, FanoutOutcome, MissingShards, PaceEnd,
     RequestFingerprint, RouteConfig, RouteTarget,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -43,6 +43,7 @@
     broken_attempts: IntCounter,
     relayed_requests: IntCounterVec,
     evacuation_changes: IntCounterVec,
+    pace_ends: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -64,6 +65,7 @@
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
     evacuated_zones: IntGauge,
+    paced_servers: IntGauge,
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
@@ -82,6 +84,7 @@
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
     pub(crate) evacuated_zones: usize,
+    pub(crate) paced_servers: usize,
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
@@ -277,6 +280,11 @@
                 "Requests of nodes that have lost their links to servers.",
                 "kind",
             )?,
+            pace_ends: counters(
+                "carobstep_pace_ends_total",
+                "Servers that no longer get fewer requests than others after a start or recovery.",
+                "kind",
+            )?,
             evacuation_changes: counters(
                 "carobstep_evacuation_changes_total",
                 "Evacuations of availability zones that this node has seen start or end.",
@@ -311,6 +319,10 @@
                     "carobstep_limited_servers",
                     "Backend servers that name a limit on their requests.",
                 )?,
+                paced_servers: gauge(
+                    "carobstep_paced_servers",
+                    "Backend servers that get fewer requests, since they started or recovered.",
+                )?,
                 evacuated_zones: gauge(
                     "carobstep_evacuated_zones",
                     "Availability zones whose servers get no requests.",
@@ -360,6 +372,10 @@
         self.relayed_requests.with_label_values(&[<&str>::from(admission)]).inc();
     }
 
+    pub(crate) fn count_pace_end(&self, end: PaceEnd) {
+        self.pace_ends.with_label_values(&[<&str>::from(end)]).inc();
+    }
+
     pub(crate) fn count_evacuation_change(&self, change: &EvacuationChange) {
         let kind = match change {
             EvacuationChange::Started(_) => "started",
@@ -386,6 +402,7 @@
         gauges.ready.set(i64::from(readings.ready));
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
+        gauges.paced_servers.set(readings.paced_servers as i64);
         gauges.evacuated_zones.set(readings.evacuated_zones as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -24,6 +24,7 @@
     follow::{is_store_watcher, must_call_store, must_read_evacuations},
     gateway::Gateway,
     membership::check_registration,
+    pace::report_paces,
 };
 
 /// Longest wait of one watch call for nodes, whose changes are not urgent.
@@ -567,12 +568,13 @@
     }
 }
 
-/// Removes entries that expired during an outage of the store and were not renewed,
+/// Reports the paces of servers, and removes entries that expired during an outage of the store and were not renewed,
 /// for the lifetime of the process.
 pub(crate) async fn remove_expired(gateway: Rc<Gateway>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
         let now = BootTime::now();
+        report_paces(&gateway);
         let is_due = gateway.state.borrow().directory.next_expiry().is_some_and(|due| due <= now);
         if is_due {
             let changes = gateway.state.borrow_mut().directory.expire(now);
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -8,6 +8,7 @@
 
 mod evacuated;
 mod links;
+mod paced;
 mod quotas;
 mod selection;
 
@@ -26,10 +27,12 @@
     limits::LimitTable,
     links::ZoneLinks,
     model::{Configuration, ServerEntry, ServerIncarnation},
+    pace::PaceRule,
     quota::ServerQuota,
     server_state::ServerState,
     stats::{AttemptOutcome, ClassKey, ClassTable},
 };
+pub use paced::PaceEvent;
 pub use quotas::{LimitChange, LimitedUse};
 pub use selection::{PickScope, SearchRank};
 
@@ -116,6 +119,9 @@
     server_ids: IndexMap<Arc<str>, ServerKey>,
     /// Servers by the hashed identifiers that nodes exchange with each other.
     id_hashes: IndexMap<u32, ServerKey>,
+    pace_rule: PaceRule,
+    /// Ends of ramps that were not reported yet.
+    pace_events: Vec<PaceEvent>,
     /// Zones whose servers get no requests.
     evacuated_zones: Vec<Arc<str>>,
     /// Limits on requests that servers name.
@@ -165,6 +171,8 @@
             servers: SlotMap::with_key(),
             server_ids: IndexMap::new(),
             id_hashes: IndexMap::new(),
+            pace_rule: PaceRule::default(),
+            pace_events: Vec::new(),
             evacuated_zones: Vec::new(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
@@ -257,7 +265,7 @@
                 && server.entry.service == entry.service
                 && server.entry.born_ms == entry.born_ms;
             if same_incarnation {
-                server.apply_report(entry.clone());
+                server.apply_report(now, entry.clone());
                 server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
                 return None;
             }
@@ -268,7 +276,7 @@
         }
         let service = self.get_or_insert_service(now, &entry.service);
         let incarnation = ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms };
-        let mut state = ServerState::new(now, entry.clone(), service);
+        let mut state = ServerState::new(now, entry.clone(), service, self.pace_rule);
         state.quota = self.limit_table.rate_of(&incarnation).map(ServerQuota::new);
         state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         let key = self.servers.insert(state);
@@ -539,6 +547,11 @@
             server.link.on_silence(now.since(server.waiting_since));
         }
         server.observe(now, outcome, relative, typical_slowness);
+        let end = server.observe_pace(now, outcome, relative.in_medians, typical_slowness);
+        let id = end.map(|_| server.entry.id.clone());
+        if let (Some((end, good, bad)), Some(server)) = (end, id) {
+            self.record_pace_event(PaceEvent { server, end, good, bad });
+        }
         if outcome.is_response() {
             self.on_response(now, ticket.server);
         }
--- a/crates/tier/src/fleet/evacuated.rs
+++ b/crates/tier/src/fleet/evacuated.rs
@@ -19,6 +19,7 @@
             server.is_evacuated = is_evacuated;
             // What was seen of it before says little of its return.
             server.forget_observations(now);
+            server.start_pace(now);
             changed.push(key);
         }
         self.evacuated_zones = zones;
--- a/crates/tier/src/fleet/selection.rs
+++ b/crates/tier/src/fleet/selection.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 
-use super::{LimitedUse, ServerFleet, ServerKey, ServiceKey, ServiceState};
+use super::{LimitedUse, ServerFleet, ServerKey, ServiceKey, ServiceState, paced::PaceRivals};
 use crate::{
     server_state::{ServerState, typical_slowness},
     stats::ClassKey,
@@ -17,6 +17,14 @@
 /// requests in flight counts as stalled.
 const STALL_HEDGE_DELAYS: f64 = 1.0;
 
+/// Factor on the share of a stalled server, next to which one that has just started gets
+/// more requests.
+const STALLED_SHARE: f64 = 0.25;
+
+/// Quality of a server from which on another one that has just started is kept from
+/// requests in its favor. See [`ServerState::quality`].
+const MIN_RIVAL_QUALITY: f64 = 0.25;
+
 /// Factor on the score of a server that recently could not be reached or was full.
 const BACKOFF_PENALTY: f64 = 60.0;
 
@@ -25,9 +33,6 @@
 /// order to stay in the local zone.
 const CROSS_ZONE_PENALTY: f64 = 0.4;
 
-/// Factor on the score of a server that is still slow after its start.
-const COLD_START_PENALTY: f64 = 1.6;
-
 /// Divides a server's limit on requests in flight for searches that have already
 /// missed their latency objective, so that searches which can still meet it go first.
 const LATE_LIMIT_DIVISOR: u32 = 2;
@@ -165,6 +170,8 @@
         let count = state.servers.len();
         state.rotation = state.rotation.wrapping_add(1);
         let start = state.rotation;
+        let rivals = self.pace_rivals(now, service, class, scope);
+        let draw = self.draw_pace(rivals);
         let state = self.services.get(service)?;
         let typical_slowness = self.typical_slowness(now, state);
         let mut best: Option<(f64, ServerKey)> = None;
@@ -179,7 +186,8 @@
             if !self.is_available(now, server) || server.in_flight >= limit {
                 continue;
             }
-            if !scope.is_allowed(key) {
+            let is_local = server.entry.zone == self.zone;
+            if !scope.is_allowed(key) || !draw.admits(now, step, server, is_local) {
                 continue;
             }
             let score = self.score(now, server, class, typical_slowness);
@@ -264,6 +272,32 @@
         typical_slowness(now, servers)
     }
 
+    /// Returns the servers that `scope` allows and that respond, as rivals for a request.
+    fn pace_rivals(
+        &self,
+        now: BootTime,
+        service: ServiceKey,
+        class: ClassKey,
+        scope: PickScope<'_>,
+    ) -> PaceRivals {
+        let mut rivals = PaceRivals::default();
+        let Some(state) = self.services.get(service) else { return rivals };
+        let typical_slowness = self.typical_slowness(now, state);
+        for key in &state.servers {
+            let Some(server) = self.servers.get(*key) else { continue };
+            let is_sound = self.is_available(now, server)
+                && !self.is_backed_off(now, server)
+                && server.quality(now, typical_slowness) >= MIN_RIVAL_QUALITY;
+            if !is_sound || !scope.is_allowed(*key) {
+                continue;
+            }
+            let is_stalled = self.is_stalled(now, server, class);
+            let factor = if is_stalled { STALLED_SHARE } else { 1.0 };
+            rivals.add(server.share(now) * factor, server.entry.zone == self.zone);
+        }
+        rivals
+    }
+
     fn score(
         &self,
         now: BootTime,
@@ -272,9 +306,6 @@
         typical_slowness: f64,
     ) -> f64 {
         let mut score = server.expected_load(now, typical_slowness);
-        if now < server.cold_until {
-            score *= COLD_START_PENALTY;
-        }
         if self.is_stalled(now, server, class) {
             score *= STALLED_PENALTY;
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -41,6 +41,7 @@
 mod links;
 mod merge;
 mod model;
+mod pace;
 mod peers;
 mod placement;
 mod quota;
@@ -67,8 +68,8 @@
 pub use fingerprint::RequestFingerprint;
 pub use finish_lag::FinishLag;
 pub use fleet::{
-    AttemptKind, AttemptTicket, FleetLimits, LimitChange, LimitedUse, PickScope, SearchRank,
-    ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
+    AttemptKind, AttemptTicket, FleetLimits, LimitChange, LimitedUse, PaceEvent, PickScope,
+    SearchRank, ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, ServingReach, StopTiming};
 pub use limits::{LimitRecord, LimitTable, LimitUpdate};
@@ -81,6 +82,7 @@
     RouteConfig, RouteTarget, ServerEntry, ServerIncarnation, ServerLoad, ServerNotice,
     ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
 };
+pub use pace::{PaceEnd, PaceRule};
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
 pub use quota::{OwnerSupport, QuotaAsk, QuotaLedger, ask_interval, support_interval};
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -8,6 +8,7 @@
     fleet::ServiceKey,
     links::ServerLink,
     model::{ServerEntry, ServerPhase},
+    pace::{PaceEnd, PaceRule, PaceSign, ServerPace},
     quota::ServerQuota,
     stats::AttemptOutcome,
 };
@@ -34,8 +35,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(3600);
 
 /// Time without any response after which what was observed of a server is forgotten. It is
-/// then taken for as fast as the fastest one of its service, so that it is tried again.
-const OBSERVATION_LIFETIME: Duration = Duration::from_secs(30);
+/// then taken for as fast as the fastest one of its service and tried again, at a pace.
+const OBSERVATION_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Time after which a server that has never been observed is taken for that fast.
 const UNOBSERVED_TIME: Duration = Duration::from_secs(3);
@@ -96,11 +97,17 @@
     health: ObservedHealth,
     /// Until when that holds.
     health_until: BootTime,
+    /// Whether a request has shown something of it since its start or since its links were
+    /// lost. Lost links say nothing of the server itself.
+    is_observed: bool,
     pub(crate) backoff_until: BootTime,
     /// Until when the server wants no requests from this node.
     pub(crate) paused_until: BootTime,
     unreachable_count: u32,
     pub(crate) cold_until: BootTime,
+    pace_rule: PaceRule,
+    /// Set while it gets fewer requests than others, since it has started or recovered.
+    pace: Option<ServerPace>,
     is_misdirected: bool,
     /// Whether the servers of its zone get no requests.
     pub(crate) is_evacuated: bool,
@@ -122,9 +129,17 @@
 
 impl ServerState {
     /// Creates the state of a server without any observations.
-    pub(crate) fn new(now: BootTime, entry: ServerEntry, service: ServiceKey) -> Self {
+    pub(crate) fn new(
+        now: BootTime,
+        entry: ServerEntry,
+        service: ServiceKey,
+        pace_rule: PaceRule,
+    ) -> Self {
+        let cold_until = now + entry.cold_left;
         Self {
-            cold_until: now + entry.cold_left,
+            cold_until,
+            pace_rule,
+            pace: Some(ServerPace::new(pace_rule, now, cold_until)),
             entry,
             service,
             in_flight: 0,
@@ -133,6 +148,7 @@
             waiting_since: now,
             health: ObservedHealth { slowness: DEFAULT_SLOWNESS, failure_rate: 0.0 },
             health_until: now + UNOBSERVED_TIME,
+            is_observed: false,
             backoff_until: BootTime::ZERO,
             paused_until: BootTime::ZERO,
             unreachable_count: 0,
@@ -144,7 +160,10 @@
     }
 
     /// Applies a new report of the same incarnation.
-    pub(crate) fn apply_report(&mut self, entry: ServerEntry) {
+    pub(crate) fn apply_report(&mut self, now: BootTime, entry: ServerEntry) {
+        if entry.report_number != self.entry.report_number {
+            self.record_cold(now, entry.cold_left);
+        }
         self.entry = entry;
         self.is_misdirected = false;
     }
@@ -163,7 +182,25 @@
         load * (1.0 + FAILURE_WEIGHT * health.failure_rate)
     }
 
+    /// Returns how good the server is at the moment, in comparison with the fastest one of
+    /// its service: from 0 to 1.
+    pub(crate) fn quality(&self, now: BootTime, typical_slowness: f64) -> f64 {
+        let health = self.health_at(now, typical_slowness);
+        let slowness = health.slowness.max(MIN_SLOWNESS);
+        let speed = typical_slowness.max(MIN_SLOWNESS) / slowness;
+        speed.min(1.0) / (1.0 + FAILURE_WEIGHT * health.failure_rate)
+    }
+
+    /// Returns the health by which the server is compared with others. While it gets fewer
+    /// requests, those that it gets must not be kept from it by what was seen before.
     fn health_at(&self, now: BootTime, typical_slowness: f64) -> ObservedHealth {
+        if self.pace.is_some() {
+            return ObservedHealth { slowness: typical_slowness, failure_rate: 0.0 };
+        }
+        self.observed_health(now, typical_slowness)
+    }
+
+    fn observed_health(&self, now: BootTime, typical_slowness: f64) -> ObservedHealth {
         if now < self.health_until {
             self.health
         } else {
@@ -188,6 +225,70 @@
     /// end a longer one.
     pub(crate) fn pause(&mut self, now: BootTime, pause: Duration) {
         self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
+        self.start_pace(self.paused_until);
+    }
+
+    /// Returns the share of requests that the server gets in comparison with others; 1 is
+    /// that of a server that is known.
+    pub(crate) fn share(&self, now: BootTime) -> f64 {
+        let is_lapsed = self.is_observed && now >= self.health_until;
+        let pace = self.pace.or_else(|| is_lapsed.then(|| self.lapsed_pace()));
+        pace.map_or(1.0, |pace| pace.share(now).min(1.0))
+    }
+
+    /// Returns the pace of a server that nothing is known of any more.
+    const fn lapsed_pace(&self) -> ServerPace {
+        ServerPace::new(self.pace_rule, self.health_until, self.cold_until)
+    }
+
+    /// Lets the server get fewer requests than others from `since` on, and then more.
+    pub(crate) fn start_pace(&mut self, since: BootTime) {
+        self.pace = Some(ServerPace::new(self.pace_rule, since, self.cold_until));
+    }
+
+    /// Records that the server says that it stays cold for a time.
+    pub(crate) fn record_cold(&mut self, now: BootTime, cold_left: Duration) {
+        if cold_left.is_zero() {
+            return;
+        }
+        let was_cold = now < self.cold_until;
+        self.cold_until = now + cold_left;
+        if !was_cold {
+            self.start_pace(now);
+        }
+    }
+
+    /// Applies an outcome to the pace; returns why it ended, with the numbers of good and bad
+    /// answers, if it did.
+    pub(crate) fn observe_pace(
+        &mut self,
+        now: BootTime,
+        outcome: AttemptOutcome,
+        in_medians: f64,
+        typical_slowness: f64,
+    ) -> Option<(PaceEnd, u32, u32)> {
+        let relative = in_medians / typical_slowness.max(DEFAULT_SLOWNESS);
+        let sign = match outcome {
+            AttemptOutcome::Answered => PaceSign::Answered(relative),
+            AttemptOutcome::NotRun
+            | AttemptOutcome::Unsent
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Oversized
+            | AttemptOutcome::TimedOut => PaceSign::Bad,
+            AttemptOutcome::WrongServer | AttemptOutcome::Cancelled => return None,
+        };
+        if self.pace.is_none() && self.is_observed && now >= self.health_until {
+            self.pace = Some(self.lapsed_pace());
+        }
+        let pace = self.pace.as_mut()?;
+        let end = pace.observe(now, sign);
+        let (good, bad) = (pace.good, pace.bad);
+        let end = end.inspect(|_| self.pace = None)?;
+        if end == PaceEnd::Warm {
+            // What was seen of it while it was cold says little now.
+            self.health = ObservedHealth { slowness: in_medians, failure_rate: 0.0 };
+        }
+        Some((end, good, bad))
     }
 
     /// Returns whether requests wait for a response of the server.
@@ -205,6 +306,8 @@
     pub(crate) fn forget_observations(&mut self, now: BootTime) {
         self.forget_link_failures();
         self.health_until = now;
+        self.is_observed = false;
+        self.pace = None;
         self.window = MAX_WINDOW;
         self.waiting_since = now;
     }
@@ -218,7 +321,7 @@
         latency: AttemptLatency,
         typical_slowness: f64,
     ) {
-        let mut health = self.health_at(now, typical_slowness);
+        let mut health = self.observed_health(now, typical_slowness);
         let slowness = latency.in_medians;
         match outcome {
             AttemptOutcome::Answered => {
@@ -264,6 +367,7 @@
             AttemptOutcome::Cancelled => return,
         }
         self.health = health;
+        self.is_observed = true;
         self.health_until = now + OBSERVATION_LIFETIME;
     }
 }
