--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod main_entry;
 mod membership;
 mod observations;
+mod pace;
 mod peer_messages;
 mod peers;
 mod quarantine;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,7 +5,7 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, EvacuationChange, ExtraUse, FanoutOutcome, MissingShards,
+    AttemptKind, AttemptOutcome, EvacuationChange, ExtraUse, FanoutOutcome, MissingShards, PaceEnd,
     RequestFingerprint, RouteConfig, RouteTarget,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -45,6 +45,7 @@
     relayed_requests: IntCounterVec,
     observations: IntCounterVec,
     evacuation_changes: IntCounterVec,
+    pace_ends: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -67,6 +68,7 @@
     limited_servers: IntGauge,
     failing_servers: IntGauge,
     evacuated_zones: IntGauge,
+    paced_servers: IntGauge,
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
@@ -89,6 +91,7 @@
     pub(crate) limited_servers: usize,
     pub(crate) failing_servers: usize,
     pub(crate) evacuated_zones: usize,
+    pub(crate) paced_servers: usize,
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
@@ -311,6 +314,11 @@
                 "Calls to nodes of this zone about servers that fail.",
                 "kind",
             )?,
+            pace_ends: counters(
+                "carobstep_pace_ends_total",
+                "Servers that no longer get fewer requests than others after a start or recovery.",
+                "kind",
+            )?,
             evacuation_changes: counters(
                 "carobstep_evacuation_changes_total",
                 "Evacuations of availability zones that this node has seen start or end.",
@@ -349,6 +357,10 @@
                     "carobstep_failing_servers",
                     "Backend servers that failed lately, as seen by the nodes of this zone.",
                 )?,
+                paced_servers: gauge(
+                    "carobstep_paced_servers",
+                    "Backend servers that get fewer requests, since they started or recovered.",
+                )?,
                 evacuated_zones: gauge(
                     "carobstep_evacuated_zones",
                     "Availability zones whose servers get no requests.",
@@ -414,6 +426,10 @@
         self.observations.with_label_values(&[<&str>::from(call)]).inc();
     }
 
+    pub(crate) fn count_pace_end(&self, end: PaceEnd) {
+        self.pace_ends.with_label_values(&[<&str>::from(end)]).inc();
+    }
+
     pub(crate) fn count_evacuation_change(&self, change: &EvacuationChange) {
         let kind = match change {
             EvacuationChange::Started(_) => "started",
@@ -445,6 +461,7 @@
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
         gauges.failing_servers.set(readings.failing_servers as i64);
+        gauges.paced_servers.set(readings.paced_servers as i64);
         gauges.evacuated_zones.set(readings.evacuated_zones as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -46,6 +46,7 @@
 mod merge;
 mod model;
 mod observations;
+mod pace;
 mod peers;
 mod placement;
 mod quota;
@@ -77,8 +78,8 @@
 pub use fingerprint::RequestFingerprint;
 pub use finish_lag::FinishLag;
 pub use fleet::{
-    AttemptKind, AttemptTicket, ExtraUse, FleetLimits, LimitChange, LimitedUse, PickScope,
-    SearchRank, ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
+    AttemptKind, AttemptTicket, ExtraUse, FleetLimits, LimitChange, LimitedUse, PaceEvent,
+    PickScope, SearchRank, ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, ServingReach, StopTiming};
 pub use limits::{LimitRecord, LimitTable, LimitUpdate};
@@ -94,6 +95,7 @@
 pub use observations::{
     AttemptStake, FailureOdds, ObservationLedger, ServerObservation, report_interval,
 };
+pub use pace::{PaceEnd, PaceRule};
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
 pub use quota::{OwnerSupport, QuotaAsk, ask_interval, server_terms, support_interval};
