Remove only the own entry of a node, and write it again when it is gone

Servers that named a limit got up to twice of it: an earlier process had removed its entry, the store executed that seconds later, and the entry of the next process was gone. Nothing wrote it again, and nodes that didn't see each other each shared out the whole limit.

A node removes its entry only while it has the revision that the node wrote or found. It registers again when it sees, in an event, a list or an update of a peer, that the entry is gone after that revision; a removal seen while a write is under way is not missed.

a_node_whose_entry_was_removed_late_registers_again failed before the change and passes with it. The stand-in of the store now answers writes with the object and honours the revision that a removal names.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     gateway::Gateway,
-    membership::check_registration,
+    membership::{check_registration, check_removal},
     peer_messages::{FollowRequest, PeerReply, PeerRequest, StaleReply, StoreUpdate},
 };
 
@@ -241,7 +241,10 @@
     gateway.merge_crashes(&update.crashes.records);
     if let Some(nodes) = update.nodes {
         if nodes.whole {
-            check_registration(gateway, nodes.revision.era, &nodes.changed);
+            check_registration(gateway, nodes.revision, &nodes.changed);
+        }
+        for (revision, name) in &nodes.removed {
+            check_removal(gateway, *revision, name);
         }
         gateway.update_peers(|peers| peers.apply_update(nodes));
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,10 +11,10 @@
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
     CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
-    LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
-    QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
-    ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, SpreadTiming,
-    StopTiming, StoreRevision, WeightedRoundRobin,
+    LimitRecord, NodeLifecycle, NodeRegistration, NodeSettings, OwnerSupport, PauseRequest,
+    PeerEntry, PeerTable, QuarantineChange, QuotaLedger, RelayRoom, RequestAdmission,
+    RequestFingerprint, RouteTable, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey,
+    ServerNotice, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use log::{info, warn};
@@ -106,8 +106,7 @@
     pub(crate) finish_lag: FinishLag,
     pub(crate) lifecycle: NodeLifecycle,
     pub(crate) in_flight: usize,
-    /// Era of the store in which this node's registration was last known to exist.
-    pub(crate) registered_era: Option<u64>,
+    pub(crate) registration: NodeRegistration,
     /// Whether a peer has sent its copy of the store's data.
     pub(crate) has_peer_copy: bool,
     pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
@@ -168,7 +167,7 @@
             finish_lag: FinishLag::new(settings.cpu_share),
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
-            registered_era: None,
+            registration: NodeRegistration::default(),
             has_peer_copy: false,
             pools: SecondaryMap::new(),
             byte_budget: Rc::new(ByteBudget::new(max_held_bytes(settings.memory_bytes))),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -23,7 +23,7 @@
 use crate::{
     follow::{is_store_watcher, must_call_store},
     gateway::Gateway,
-    membership::check_registration,
+    membership::{check_registration, check_removal},
 };
 
 /// Longest wait of one watch call for nodes, whose changes are not urgent.
@@ -394,7 +394,7 @@
             }
             WatchedKind::Nodes => {
                 let nodes = self.read_nodes(revision.era, objects);
-                check_registration(&self.gateway, revision.era, &nodes);
+                check_registration(&self.gateway, revision, &nodes);
                 self.gateway.update_peers(|peers| peers.replace(revision, nodes));
             }
         }
@@ -402,6 +402,8 @@
 
     fn apply_events(&mut self, era: u64, page: WatchPage) {
         let mut changes = Vec::new();
+        // Of several events of an object, the last one holds.
+        let mut removed = IndexMap::new();
         for event in page.events {
             let event = match event {
                 Ok(event) => event,
@@ -417,9 +419,13 @@
                 WatchedKind::Nodes => {
                     let removed_at = StoreRevision { era, number: page.revision };
                     self.apply_node_event(removed_at, &event);
+                    removed.insert(event.object.name, (event.removed, removed_at));
                 }
             }
         }
+        for (name, (_, removed_at)) in removed.iter().filter(|(_, (removed, _))| *removed) {
+            check_removal(&self.gateway, *removed_at, name);
+        }
         self.gateway.apply_changes(&changes);
     }
 
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -42,6 +42,7 @@
 mod peers;
 mod placement;
 mod quota;
+mod registration;
 mod relay_room;
 mod relays;
 mod routes;
@@ -81,6 +82,7 @@
 pub use peers::{PeerEntry, PeerTable, PeerUpdate};
 pub use placement::{Placement, PlacementRequest, UnplacedShard, place_request, place_with_peers};
 pub use quota::{OwnerSupport, QuotaAsk, QuotaLedger, ask_interval, support_interval};
+pub use registration::NodeRegistration;
 pub use relay_room::RelayRoom;
 pub use routes::{RouteTable, WeightedRoundRobin};
 pub use stats::{AttemptOutcome, ClassKey, ClassTable};
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -63,6 +63,24 @@
 
 /// A node that starts right after a restore must not apply the store's older
 /// configuration when another node has a newer one.
+#[tokio::test]
+async fn a_node_whose_entry_was_removed_late_registers_again() {
+    let fixture = fixture().await;
+    let mut follower = GatewayNode::start("front-a-2", "a", fixture.store.address);
+    follower.wait_ready().await;
+    let names = || fixture.store.object_names("carobstep-nodes");
+    eventually("both nodes are registered", async || names().len() == 2).await;
+    for _ in 0..2 {
+        for name in ["front-a-1", "front-a-2"] {
+            assert!(fixture.store.remove("carobstep-nodes", name));
+            eventually(&format!("{name} is registered again"), async || names().len() == 2).await;
+        }
+    }
+    follower.signal("TERM");
+    follower.wait_exit().await;
+    assert_eq!(names(), ["front-a-1"], "a stopping node removes the entry that it wrote");
+}
+
 #[tokio::test]
 async fn a_starting_node_takes_the_newest_configuration_from_a_peer() {
     let fixture = fixture().await;
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -201,8 +201,11 @@
         let name = name.unwrap_or_default();
         let exists = self.object_names(&kind).contains(&name);
         match (method, exists) {
-            (Method::POST, true) => empty_response(StatusCode::CONFLICT),
+            (Method::POST, true) => self.object_response(StatusCode::CONFLICT, &kind, &name),
             (Method::PUT, false) => empty_response(StatusCode::NOT_FOUND),
+            (Method::DELETE, true) if !self.has_revision(&kind, &name, query.get("rev")) => {
+                self.object_response(StatusCode::CONFLICT, &kind, &name)
+            }
             (Method::DELETE, _) => {
                 let status = if self.remove(&kind, &name) { 200 } else { 404 };
                 empty_response(StatusCode::from_u16(status).expect("a status"))
@@ -214,11 +217,28 @@
                     spec["address"] = alias.into();
                 }
                 self.put(&kind, &name, spec);
-                empty_response(StatusCode::OK)
+                self.object_response(StatusCode::OK, &kind, &name)
             }
         }
     }
 
+    /// Whether an object has the revision that a call requires, if it requires one.
+    fn has_revision(&self, kind: &str, name: &str, required: Option<&&str>) -> bool {
+        let state = self.lock();
+        let stored = state.objects.get(&(kind.to_owned(), name.to_owned()));
+        let stored = stored.map(|(revision, _)| revision.to_string());
+        required.is_none_or(|required| stored.as_deref() == Some(*required))
+    }
+
+    fn object_response(&self, status: StatusCode, kind: &str, name: &str) -> Response<Full<Bytes>> {
+        let state = self.lock();
+        let stored = state.objects.get(&(kind.to_owned(), name.to_owned()));
+        let Some((revision, content)) = stored else { return empty_response(status) };
+        let mut response = json_response(&object(name, *revision, content));
+        *response.status_mut() = status;
+        response
+    }
+
     fn list(&self, kind: &str) -> Response<Full<Bytes>> {
         let state = self.lock();
         let mut items = Vec::new();
