Keep requests that crash servers in the platform's store

A request that had crashed three servers crashed three more after a kill of all processes: what was known of it was in memory only.

Quarantined requests are objects of the kind carobstep-crashes, which a node writes when it quarantines one and before each of the two probes takes effect elsewhere, and removes when a response clears it or its 10 minutes are over.

a_request_that_crashed_servers_is_not_forgotten_when_all_nodes_are_killed failed before the change and passes with it, as do the other tests of crashes.

--- a/crates/gateway/src/crash_store.rs
+++ b/crates/gateway/src/crash_store.rs
@@ -52,7 +52,8 @@
         if now >= expiry_at {
             expiry_at = now + EXPIRY_INTERVAL;
             let state = &mut *gateway.state.borrow_mut();
-            let is_over = |it: &&RequestFingerprint| state.crashes.lasting_record(now, **it).is_none();
+            let is_over =
+                |it: &&RequestFingerprint| state.crashes.lasting_record(now, **it).is_none();
             let over: Vec<_> = state.stored.iter().filter(is_over).copied().collect();
             state.unstored.extend(over);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
     ServerNotice, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
+use indexmap::IndexSet;
 use log::{info, warn};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, watch};
@@ -39,6 +40,9 @@
 /// line together.
 const MAX_LOGGED_CHANGES: usize = 32;
 
+/// Maximum number of requests whose standing waits to be written to the store.
+const MAX_UNSTORED: usize = 1024;
+
 /// Share of the process's memory that responses of servers may take.
 const RESPONSE_MEMORY_SHARE: f64 = 0.2;
 
@@ -100,6 +104,10 @@
     pub(crate) crash_doubts: CrashDoubts,
     /// Requests that this node has quarantined or cleared and not announced yet.
     pub(crate) unannounced: Vec<RequestFingerprint>,
+    /// Requests whose standing has changed and is to be written to the store.
+    pub(crate) unstored: IndexSet<RequestFingerprint>,
+    /// Requests whose objects in the store this node looks after.
+    pub(crate) stored: IndexSet<RequestFingerprint>,
     pub(crate) peers: PeerTable,
     /// Number of requests since the start of the process.
     pub(crate) requests: usize,
@@ -162,6 +170,8 @@
             crashes: CrashTable::default(),
             crash_doubts: CrashDoubts::default(),
             unannounced: Vec::new(),
+            unstored: IndexSet::new(),
+            stored: IndexSet::new(),
             peers: PeerTable::new(own),
             requests: 0,
             finish_lag: FinishLag::new(settings.cpu_share),
@@ -350,6 +360,7 @@
         let before = state.crashes.last_change();
         let admission = state.crashes.admit(now, request, is_prober);
         if state.crashes.last_change() != before {
+            state.store_later(request);
             self.notify_peers();
         }
         admission
@@ -364,7 +375,12 @@
         let state = &mut *self.state.borrow_mut();
         let before = state.crashes.last_change();
         for record in records {
-            log_quarantine(record.request, state.crashes.merge(now, record));
+            let change = state.crashes.merge(now, record);
+            log_quarantine(record.request, change);
+            // The evidence of several nodes may have come together here first.
+            if change.is_some() && state.peers.is_first_for(now, &record.request.to_string()) {
+                state.store_later(record.request);
+            }
         }
         if state.crashes.last_change() != before {
             state.fleet.accuse_by_evidence(now, state.crashes.evidence());
@@ -494,10 +510,17 @@
         self.on_quarantine(request, change);
     }
 
+    fn store_later(&mut self, request: RequestFingerprint) {
+        if self.unstored.len() < MAX_UNSTORED {
+            self.unstored.insert(request);
+        }
+    }
+
     fn on_quarantine(&mut self, request: RequestFingerprint, change: Option<QuarantineChange>) {
         log_quarantine(request, change);
         if change.is_some() {
             self.unannounced.push(request);
+            self.store_later(request);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod args;
 mod backend;
 mod byte_budget;
+mod crash_store;
 mod fanout;
 mod follow;
 mod gateway;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -153,7 +153,7 @@
     Ok(StoreRevision { era, number })
 }
 
-async fn send(
+pub(crate) async fn send(
     gateway: &Gateway,
     method: Method,
     path: String,
--- a/crates/tier/src/crashes.rs
+++ b/crates/tier/src/crashes.rs
@@ -350,6 +350,18 @@
         Some(CrashRecord { age: now.since(known.changed_at), ..known.record.clone() })
     }
 
+    /// Returns the record of a request if it is quarantined and not over: what must outlast
+    /// the process.
+    #[must_use]
+    pub fn lasting_record(
+        &self,
+        now: BootTime,
+        request: RequestFingerprint,
+    ) -> Option<CrashRecord> {
+        let record = self.record(now, request)?;
+        (record.crashes.len() >= MAX_CRASHES && record.age < RECORD_LIFETIME).then_some(record)
+    }
+
     /// Returns the records that have changed after change `number`.
     #[must_use]
     pub fn updates_after(&self, now: BootTime, number: u64) -> CrashUpdate {
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -183,3 +183,33 @@
     }
     assert_eq!(crashing(), before);
 }
+
+#[tokio::test]
+async fn a_request_that_crashed_servers_is_not_forgotten_when_all_nodes_are_killed() {
+    let (mut fixture, mut further, servers) = cluster().await;
+    let crashing = || servers.iter().map(|(server, _)| server.crashes()).sum::<usize>();
+    let refused = "carobstep_quarantined_requests";
+    fixture.node.request(&get("/search/crashing", "id-first")).await;
+    eventually("the request is stored", async || {
+        fixture.store.object_names("carobstep-crashes").len() == 1
+    })
+    .await;
+    fixture.store.put("carobstep-crashes", "0", Value::from("no record"));
+    let mut nodes: Vec<_> = [&mut fixture.node].into_iter().chain(&mut further).collect();
+    for node in &mut nodes {
+        node.kill();
+    }
+    let before = crashing();
+    for node in &mut nodes {
+        node.restart();
+    }
+    for (number, node) in nodes.iter().enumerate() {
+        eventually("the node knows of it again", async || {
+            node.is_ready().await && node.metric(refused).await == 1.0
+        })
+        .await;
+        let id = format!("id-{number}");
+        assert_eq!(node.request(&get("/search/crashing", &id)).await.status, 503);
+    }
+    assert_eq!(crashing(), before);
+}
