Pass on no refusal of a server for an order that may have run

By reading: a first server refused an order, with its stamp, the answer of a second one was lost, and the caller got the refusal of the first, which promises that the order has not run. A server's response to a request that failed is now passed on only if it makes no such promise.

a_stamped_refusal_is_no_answer_to_an_order_that_may_have_run failed before the change (503 for an order that had run) and passes with it.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -267,9 +267,11 @@
     // Forwards only a failure that a server stamped. A server's refusal must not
     // reach the caller here, because another attempt may have been executed.
     let has_failed = result.outcome == FanoutOutcome::Failed;
-    let failure = result
-        .failure
-        .take_if(|response| has_failed && response.headers.contains_key(headers::SERVER_STAMP));
+    let failure = result.failure.take_if(|response| {
+        has_failed
+            && response.headers.contains_key(headers::SERVER_STAMP)
+            && !headers::promises_not_run(response.status, &response.headers)
+    });
     match failure {
         Some(response) => forward_response(response),
         None => failure_response(&result),
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -44,6 +44,8 @@
     Slow,
     /// The server refuses requests as not executed.
     Shed,
+    /// Like [`Self::Shed`], with the server's stamp.
+    StampedShed,
     /// The server executes requests and responds with status 500.
     Error,
     /// The server executes a request and closes the connection without a response.
@@ -276,6 +278,7 @@
             let executed = !matches!(
                 fault,
                 ServerFault::Shed
+                    | ServerFault::StampedShed
                     | ServerFault::Misdirect
                     | ServerFault::LeavingAndShed
                     | ServerFault::Pause(_)
@@ -330,6 +333,10 @@
                     complete[..complete.len() - 4].to_owned()
                 }
                 ServerFault::Shed => response_text(503, "x-carobstep-not-executed: 1\r\n", ""),
+                ServerFault::StampedShed => {
+                    let headers = format!("{stamp_headers}x-carobstep-not-executed: 1\r\n");
+                    response_text(503, &headers, "")
+                }
                 ServerFault::Leaving => {
                     response_text(200, &format!("{stamp_headers}server-leaving: 1\r\n"), &body)
                 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -186,6 +186,24 @@
     assert_eq!(&response.body[..], b"broken");
 }
 
+#[tokio::test]
+async fn a_stamped_refusal_is_no_answer_to_an_order_that_may_have_run() {
+    let fixture = fixture().await;
+    fixture.single[0].set_fault(ServerFault::StampedShed);
+    fixture.single[1].set_fault(ServerFault::CloseWithoutResponse);
+    let mut retried = 0;
+    for number in 0..8 {
+        let id = format!("id-{number}");
+        let status = fixture.node.request(&post("/order/", &id)).await.status;
+        let has_id = |head: &str| header_value(head, "x-carobstep-request-id").as_ref() == Some(&id);
+        let is_executed = fixture.single[1].executed().iter().any(|head| has_id(head));
+        let is_refused = fixture.single[0].arrivals().iter().any(|it| has_id(&it.head));
+        retried += usize::from(is_executed && is_refused);
+        assert_eq!(status == 502, is_executed, "{id}: status {status}");
+    }
+    assert!(retried > 0, "no order was refused and then executed");
+}
+
 #[tokio::test]
 async fn a_second_answer_reaches_nobody() {
     let fixture = fixture().await;
