--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,14 +11,14 @@
 use carobstep_tier::{
     AccountTable, AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence,
     CrashRecord, CrashTable, DirectoryChange, EvacuationTable, FinishLag, FleetLimits,
-    LifecyclePhase, LimitChange, LimitNotice, LimitRecord, NodeLifecycle, NodeSettings,
-    ObservationLedger, OwnerSupport, PauseRequest, PeerEntry, PeerTable, QuarantineChange,
-    RelayRoom, RequestAdmission, RequestFingerprint, RouteTable, ServerDirectory, ServerFleet,
-    ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
+    LifecyclePhase, LimitChange, LimitNotice, LimitRecord, NodeLifecycle, NodeRegistration,
+    NodeSettings, ObservationLedger, OwnerSupport, PauseRequest, PeerEntry, PeerTable,
+    QuarantineChange, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable, ServerDirectory,
+    ServerFleet, ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
     StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use log::{info, warn};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, watch};
@@ -42,6 +42,9 @@
 /// line together.
 const MAX_LOGGED_CHANGES: usize = 32;
 
+/// Maximum number of requests whose standing waits to be written to the store.
+const MAX_UNSTORED: usize = 1024;
+
 /// Share of the process's memory that responses of servers may take.
 const RESPONSE_MEMORY_SHARE: f64 = 0.2;
 
@@ -113,14 +116,17 @@
     pub(crate) evacuations: EvacuationTable,
     /// Whether the followed peer sends no data in addition to changes in the store.
     pub(crate) follows_old_peer: bool,
+    /// Requests whose standing has changed and is to be written to the store.
+    pub(crate) unstored: IndexSet<RequestFingerprint>,
+    /// Requests whose objects in the store this node looks after.
+    pub(crate) stored: IndexSet<RequestFingerprint>,
     pub(crate) peers: PeerTable,
     /// Number of requests since the start of the process.
     pub(crate) requests: usize,
     pub(crate) finish_lag: FinishLag,
     pub(crate) lifecycle: NodeLifecycle,
     pub(crate) in_flight: usize,
-    /// Era of the store in which this node's registration was last known to exist.
-    pub(crate) registered_era: Option<u64>,
+    pub(crate) registration: NodeRegistration,
     /// Whether a peer has sent its copy of the store's data.
     pub(crate) has_peer_copy: bool,
     pub(crate) pools: SecondaryMap<ServerKey, Rc<ServerPool>>,
@@ -181,12 +187,14 @@
             unannounced: Vec::new(),
             evacuations: EvacuationTable::default(),
             follows_old_peer: false,
+            unstored: IndexSet::new(),
+            stored: IndexSet::new(),
             peers: PeerTable::new(own),
             requests: 0,
             finish_lag: FinishLag::new(settings.cpu_share),
             lifecycle: NodeLifecycle::new(StopTiming::within(settings.bounds.grace)),
             in_flight: 0,
-            registered_era: None,
+            registration: NodeRegistration::default(),
             has_peer_copy: false,
             pools: SecondaryMap::new(),
             byte_budget: Rc::new(ByteBudget::new(max_held_bytes(settings.memory_bytes))),
@@ -377,6 +385,7 @@
         let before = state.crashes.last_change();
         let admission = state.crashes.admit(now, request, is_prober);
         if state.crashes.last_change() != before {
+            state.store_later(request);
             self.notify_peers();
         }
         admission
@@ -391,7 +400,12 @@
         let state = &mut *self.state.borrow_mut();
         let before = state.crashes.last_change();
         for record in records {
-            log_quarantine(record.request, state.crashes.merge(now, record));
+            let change = state.crashes.merge(now, record);
+            log_quarantine(record.request, change);
+            // The evidence of several nodes may have come together here first.
+            if change.is_some() && state.peers.is_first_for(now, &record.request.to_string()) {
+                state.store_later(record.request);
+            }
         }
         if state.crashes.last_change() != before {
             state.fleet.accuse_by_evidence(now, state.crashes.evidence());
@@ -526,10 +540,17 @@
         self.on_quarantine(request, change);
     }
 
+    fn store_later(&mut self, request: RequestFingerprint) {
+        if self.unstored.len() < MAX_UNSTORED {
+            self.unstored.insert(request);
+        }
+    }
+
     fn on_quarantine(&mut self, request: RequestFingerprint, change: Option<QuarantineChange>) {
         log_quarantine(request, change);
         if change.is_some() {
             self.unannounced.push(request);
+            self.store_later(request);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod args;
 mod backend;
 mod byte_budget;
+mod crash_store;
 mod evacuation;
 mod fanout;
 mod follow;
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -23,7 +23,7 @@
 use crate::{
     follow::{is_store_watcher, must_call_store, must_read_evacuations},
     gateway::Gateway,
-    membership::check_registration,
+    membership::{check_registration, check_removal},
     pace::report_paces,
 };
 
@@ -405,7 +405,7 @@
             }
             WatchedKind::Nodes => {
                 let nodes = self.read_nodes(revision.era, objects);
-                check_registration(&self.gateway, revision.era, &nodes);
+                check_registration(&self.gateway, revision, &nodes);
                 self.gateway.update_peers(|peers| peers.replace(revision, nodes));
             }
             WatchedKind::Evacuations => {
@@ -420,6 +420,8 @@
 
     fn apply_events(&mut self, era: u64, page: WatchPage) {
         let mut changes = Vec::new();
+        // Of several events of an object, the last one holds.
+        let mut removed = IndexMap::new();
         for event in page.events {
             let event = match event {
                 Ok(event) => event,
@@ -435,6 +437,7 @@
                 WatchedKind::Nodes => {
                     let removed_at = StoreRevision { era, number: page.revision };
                     self.apply_node_event(removed_at, &event);
+                    removed.insert(event.object.name, (event.removed, removed_at));
                 }
                 WatchedKind::Evacuations => {
                     let revision = StoreRevision { era, number: page.revision };
@@ -445,6 +448,9 @@
                 }
             }
         }
+        for (name, (_, removed_at)) in removed.iter().filter(|(_, (removed, _))| *removed) {
+            check_removal(&self.gateway, *removed_at, name);
+        }
         self.gateway.apply_changes(&changes);
     }
 
