Keep the limits of client accounts over all nodes

Cause: nothing counted the requests of an account; one that flooded took the room of the others.

Change: each account has an owner among the nodes. A node admits requests at once and reports them; when the owner's tokens are short it tells all nodes, which then ask before they admit, at the most 25 ms. A new owner starts from the nodes' reports and withholds its bucket until the others take it for the owner; owners hand out in proportion to the nodes that do. Requests beyond the limit get 429 with the time to the next token, before their body is read; a request that no server ran returns its token. Two messages are appended for the notices. The ledger of shared limits is the one that retry budgets use, which gets an operation to return tokens.

Three real processes under a flood of 46 requests a second keep a limit of 8.

--- a/crates/gateway/src/accounts.rs
+++ b/crates/gateway/src/accounts.rs
@@ -1,6 +1,6 @@
 //! Client accounts of requests: whose key a request carries, and what servers learn of it.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use carobstep_platform::headers;
@@ -9,13 +9,19 @@
 use http_body_util::Full;
 use log::warn;
 
-use crate::{gateway::Gateway, handler::empty_response};
+use crate::{
+    account_quota::{LimitedAccount, terms_of_account},
+    gateway::Gateway,
+    handler::empty_response,
+};
 
 /// Client account of a request that may be served.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestAccess {
     /// Name of the account.
     pub(crate) name: Option<Arc<str>>,
+    /// The account, if its requests are limited.
+    pub(crate) limited: Option<LimitedAccount>,
     /// Priority of the request, by its account and its route.
     pub(crate) priority: RequestPriority,
 }
@@ -27,7 +33,8 @@
     route: &RouteConfig,
     headers: &mut HeaderMap,
 ) -> Option<RequestAccess> {
-    let accounts = &gateway.state.borrow().accounts;
+    let state = &*gateway.state.borrow();
+    let accounts = &state.accounts;
     let account = match accounts.identify(route.is_public, headers::account_key_of(headers)) {
         AccountAccess::Denied => return None,
         AccountAccess::Open => None,
@@ -41,7 +48,12 @@
     if let Some(entry) = entry {
         headers::set_account(headers, Some(&entry.name));
     }
+    let limited = account.zip(entry).and_then(|(account, entry)| {
+        let terms = terms_of_account(gateway, state, account)?;
+        Some(LimitedAccount { account, name: entry.name.clone(), terms })
+    });
     Some(RequestAccess {
+        limited,
         name: entry.map(|entry| entry.name.clone()),
         priority: RequestPriority::new(entry.and_then(|entry| entry.priority), route.priority),
     })
@@ -54,6 +66,13 @@
     response
 }
 
+/// Builds the response to a request beyond the limit of its account.
+pub(crate) fn over_limit_response(wait: Duration) -> Response<Full<Bytes>> {
+    let mut response = empty_response(StatusCode::TOO_MANY_REQUESTS);
+    response.headers_mut().insert(header::RETRY_AFTER, headers::retry_after_value(wait));
+    response
+}
+
 /// Logs the accounts that list the same key, without the key.
 pub(crate) fn log_conflicts(conflicts: &[KeyConflict]) {
     for KeyConflict { holder, other } in conflicts {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,14 +9,16 @@
 use carobstep_platform::StoredObject;
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
-    AccountTable, AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence,
-    CrashRecord, CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange,
-    LimitNotice, LimitRecord, NodeLifecycle, NodeSettings, OwnerSupport, PauseRequest, PeerEntry,
-    PeerTable, QuarantineChange, RelayRoom, RequestAdmission, RequestFingerprint, RouteTable,
-    ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice, ShareLedger,
-    SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
+    AccountKey, AccountTable, AccountUses, AttemptOutcome, AttemptTicket, Configuration,
+    CrashDoubts, CrashEvidence, CrashRecord, CrashTable, DirectoryChange, FinishLag, FleetLimits,
+    LifecyclePhase, LimitChange, LimitNotice, LimitRecord, NodeLifecycle, NodeSettings,
+    OwnedAccounts, OwnerSupport, PauseRequest, PeerEntry, PeerTable, QuarantineChange, RelayRoom,
+    RequestAdmission, RequestFingerprint, RouteTable, ServerDirectory, ServerFleet,
+    ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
+    StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
+use indexmap::IndexSet;
 use log::{info, warn};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, watch};
@@ -69,6 +71,8 @@
     pub(crate) quarantine_notify: Notify,
     /// Wakes the task that asks for tokens of shared retry budgets.
     pub(crate) extra_notify: Notify,
+    /// Wakes the task that tells nodes of accounts that have used up their limits.
+    pub(crate) accounts_notify: Notify,
     /// Start time of the process.
     pub(crate) started: BootTime,
     /// Non-zero random number that distinguishes this process from earlier ones
@@ -89,6 +93,12 @@
     pub(crate) freshness: StoreFreshness,
     pub(crate) routes: RouteTable,
     pub(crate) accounts: AccountTable,
+    /// Requests of client accounts that this node has admitted.
+    pub(crate) account_uses: AccountUses,
+    /// Client accounts whose limits this node shares out.
+    pub(crate) owned_accounts: OwnedAccounts,
+    /// Accounts whose requests are being reported to their owners.
+    pub(crate) reporting: IndexSet<AccountKey>,
     pub(crate) round_robin: WeightedRoundRobin,
     pub(crate) directory: ServerDirectory,
     pub(crate) fleet: ServerFleet,
@@ -159,6 +169,9 @@
             freshness: StoreFreshness::default(),
             routes: RouteTable::default(),
             accounts: AccountTable::default(),
+            account_uses: AccountUses::default(),
+            owned_accounts: OwnedAccounts::default(),
+            reporting: IndexSet::new(),
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
@@ -188,6 +201,7 @@
             links_notify: Notify::new(),
             quarantine_notify: Notify::new(),
             extra_notify: Notify::new(),
+            accounts_notify: Notify::new(),
             started: BootTime::now(),
             incarnation,
             closing: watch::Sender::new(false),
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -14,7 +14,8 @@
 use hyper::body::Incoming;
 
 use crate::{
-    accounts::{RequestAccess, identify, unknown_key_response},
+    account_quota::{admit_request, refund_request},
+    accounts::{RequestAccess, identify, over_limit_response, unknown_key_response},
     backend::{BackendRequest, BackendResponse},
     fanout::{FanoutResult, run_fanout},
     gateway::{Gateway, InFlightGuard},
@@ -88,9 +89,15 @@
         return unknown_key_response();
     };
     report.account = access.name.clone();
+    let limited = access.limited.as_ref();
+    if let Err(wait) = admit_request(gateway, limited).await {
+        report.verdict = RequestVerdict::OverLimit;
+        return over_limit_response(wait);
+    }
     let body = match read_body(&configuration.limits, &head.headers, body).await {
         Ok(body) => body,
         Err(status) => {
+            refund_request(gateway, limited);
             report.verdict = RequestVerdict::BadRequest;
             return empty_response(status);
         }
@@ -102,6 +109,7 @@
     report.fingerprint = Some(fingerprint);
     let admission = gateway.admit(fingerprint);
     if let RequestAdmission::Refused { until } = admission {
+        refund_request(gateway, limited);
         report.verdict = RequestVerdict::Quarantined;
         return unavailable_response(until.since(arrived));
     }
@@ -111,6 +119,9 @@
     let answer_by = plan.answer_by;
     let mut result = run_fanout(gateway, plan, request, scope, |_| {}).await;
     report.record_result(&mut result);
+    if result.outcome == FanoutOutcome::NotRun {
+        refund_request(gateway, limited);
+    }
     match &route.target {
         RouteTarget::Gather(gather) => {
             let response = search_response(gather, &result);
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -11,6 +11,7 @@
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
 
 use crate::{
+    account_quota::announce_short_accounts,
     args::GatewayArgs,
     follow::follow_peer,
     gateway::Gateway,
@@ -104,6 +105,7 @@
     spawn_local(remove_expired(gateway.clone()));
     spawn_local(ask_for_tokens(gateway.clone()));
     spawn_local(ask_for_extra(gateway.clone()));
+    spawn_local(announce_short_accounts(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness_listener));
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -29,6 +29,8 @@
     Contact(Vec<LinkReport>),
     /// A request for tokens of limits that all nodes share.
     Share(ShareRequest),
+    /// Client accounts that have used up their limits.
+    ShortAccounts(ShortAccounts),
 }
 
 /// A reply to a [`PeerRequest`].
@@ -58,6 +60,17 @@
     Contact(Vec<LinkReport>),
     /// Tokens of shared limits, one entry for each of the request.
     Share(Vec<ShareGrant>),
+    /// For each account of the request, whether the peer takes the sender for its owner.
+    Support(Vec<bool>),
+}
+
+/// Word of the node that owns the limits of client accounts that few tokens are left.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ShortAccounts {
+    /// Name of the sender.
+    pub(crate) node: Arc<str>,
+    /// Names of the accounts.
+    pub(crate) accounts: Vec<Arc<str>>,
 }
 
 /// Request for tokens of shared limits to the node that the sender takes for their owner.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    account_quota::apply_notice,
     backend::BackendRequest,
     fanout::{FanoutProgress, run_fanout},
     follow::wait_for_update,
@@ -93,7 +94,7 @@
         }
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
-        PeerRequest::Quota(_) | PeerRequest::Share(_) => {}
+        PeerRequest::Quota(_) | PeerRequest::Share(_) | PeerRequest::ShortAccounts(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -109,6 +110,9 @@
         PeerRequest::Share(request) => {
             replies.send(PeerReply::Share(grant_shares(gateway, &request)));
         }
+        PeerRequest::ShortAccounts(notice) => {
+            replies.send(PeerReply::Support(apply_notice(gateway, &notice)));
+        }
         PeerRequest::Follow(request) => replies.send(wait_for_update(gateway, request).await),
     }
 }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -102,6 +102,8 @@
     NoRoute,
     /// The route needs the key of a client account, and no account has the request's key.
     UnknownKey,
+    /// The client account has used up its limit.
+    OverLimit,
     /// Enough servers responded successfully.
     Answered,
     /// No server executed the request.
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    account_quota::answer_account,
     gateway::{Gateway, GatewayState},
     peer_messages::{PeerReply, PeerRequest, ShareRequest},
 };
@@ -49,7 +50,7 @@
         };
         let grants = match owner {
             None => grant_shares(&gateway, &request),
-            Some(owner) => match call_owner(&gateway, &owner, request).await {
+            Some(owner) => match call_owner(&gateway, &owner, request, ASK_TIMEOUT).await {
                 Ok(grants) => grants,
                 Err(error) => {
                     debug!(peer = owner.as_ref(), error:% = error; "no tokens for retries");
@@ -72,7 +73,8 @@
     }
 }
 
-/// Sends requests for tokens to the node that owns the limits.
+/// Sends requests for tokens to the node that owns the limits, and waits for the reply for
+/// the time `limit`.
 ///
 /// # Errors
 ///
@@ -82,13 +84,14 @@
     gateway: &Gateway,
     owner: &Arc<str>,
     request: ShareRequest,
+    limit: Duration,
 ) -> Result<Vec<ShareGrant>, WireError> {
     let address = gateway.state.borrow().peers.address(owner);
     let unreachable = |text: &str| WireError::new(WireErrorKind::NotSent, text.to_owned());
     let address = address.ok_or_else(|| unreachable("the owner is not known any more"))?;
     let request = PeerRequest::Share(request);
     let calling = gateway.peer_pool.call_typed(address, &request);
-    let reply = timeout(ASK_TIMEOUT, calling)
+    let reply = timeout(limit, calling)
         .await
         .unwrap_or_else(|_| Err(unreachable("the owner did not reply in time")));
     match reply {
@@ -110,6 +113,10 @@
     let state = &mut *gateway.state.borrow_mut();
     let mut grants = Vec::with_capacity(request.asks.len());
     for ask in &request.asks {
+        if let SharedSubject::Account(name) = &ask.subject {
+            grants.push(answer_account(gateway, state, &request.node, (name, ask)));
+            continue;
+        }
         let Some(terms) = terms_of(state, uptime, &ask.subject) else {
             grants.push(ShareGrant::default());
             continue;
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
-//! - client accounts and their keys: [`AccountTable`]
+//! - client accounts and their keys: [`AccountTable`]; limits on their requests:
+//!   [`AccountUses`], [`OwnedAccounts`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - limits on requests that servers name: [`LimitTable`]
 //! - limits that all nodes share: [`ShareLedger`]
@@ -26,6 +27,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod account_quota;
 mod accounts;
 mod crash_doubts;
 mod crashes;
@@ -54,6 +56,7 @@
 mod stats;
 mod update_tree;
 
+pub use account_quota::{AccountDecision, AccountUses, OwnedAccounts, OwnerReply, QuotaTerms};
 pub use accounts::{
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
 };
--- a/crates/tier/src/shares.rs
+++ b/crates/tier/src/shares.rs
@@ -88,6 +88,18 @@
         self.refill(now, subject, terms, share).tokens -= f64::from(used);
     }
 
+    /// Adds tokens that were taken out before and are handed out after all.
+    pub fn credit(
+        &mut self,
+        now: BootTime,
+        subject: &SharedSubject,
+        terms: ShareTerms,
+        tokens: u32,
+    ) {
+        let bucket = self.refill(now, subject, terms, 1.0);
+        bucket.tokens = (bucket.tokens + f64::from(tokens)).min(terms.depth.max(1.0));
+    }
+
     /// Returns the number of tokens at hand; negative if more were used.
     pub fn tokens(
         &mut self,
--- a/crates/tier/src/update_tree.rs
+++ b/crates/tier/src/update_tree.rs
@@ -201,6 +201,17 @@
         usable.map(|peer| rendezvous_score(&peer.entry, key)).all(|score| score < own)
     }
 
+    /// Returns the node that shares out the limit of a client account, by rendezvous hashing
+    /// over the usable nodes. `None` is this node.
+    #[must_use]
+    pub fn account_owner(&self, now: BootTime, account: &str) -> Option<Arc<str>> {
+        let usable = self.live_peers().filter(|peer| peer.is_usable(now));
+        let scored = usable.map(|peer| (rendezvous_score(&peer.entry, account), &peer.entry.name));
+        let best = scored.max_by(|one, other| one.0.total_cmp(&other.0));
+        let own = rendezvous_score(self.own(), account);
+        best.filter(|(score, _)| *score > own).map(|(_, name)| name.clone())
+    }
+
     /// Returns the source of the first node of a zone: the first node of the fleet that
     /// can be followed, or the store.
     fn root_source(&self, now: BootTime) -> UpdateSource {
--- a/crates/tier/tests/accounts.rs
+++ b/crates/tier/tests/accounts.rs
@@ -1,7 +1,12 @@
 //! Client accounts: whose key a request carries, and how much their requests may be.
 
+use std::{ops::Range, sync::Arc, time::Duration};
+
+use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AccountAccess, AccountConfig, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
+    AccountAccess, AccountConfig, AccountDecision, AccountKey, AccountQuota, AccountTable,
+    AccountUses, KeyConflict, OwnedAccounts, OwnerReply, QuotaBounds, QuotaTerms, RequestPriority,
+    RequestRate, SecretKey, ShareAsk, ShareGrant, ShareLedger, SharedSubject,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -117,3 +122,307 @@
     assert_eq!(priorities[0], RequestPriority::new(None, 0));
     assert_eq!(RequestPriority::new(None, 7).level(), 7, "as without accounts");
 }
+
+/// Length of the window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(5);
+
+const BOUNDS: QuotaBounds = QuotaBounds { window: WINDOW, over: 0.1, slack: 20.0 };
+
+/// Time that a message between nodes takes.
+const HOP: Duration = Duration::from_millis(4);
+
+fn ms(millis: u64) -> BootTime {
+    BootTime::ZERO + Duration::from_secs(10) + Duration::from_millis(millis)
+}
+
+/// Nodes with the account `one`, and a network that takes [`HOP`] for each message.
+struct Fleet {
+    table: AccountTable,
+    account: AccountKey,
+    nodes: Vec<Member>,
+    terms: QuotaTerms,
+    messages: Vec<(u64, Message)>,
+    sent: usize,
+    random: StdRng,
+    /// Group of the nodes that each node reaches.
+    groups: Vec<usize>,
+    dead: Vec<bool>,
+    /// Times of admissions.
+    admitted: Vec<u64>,
+    refused: Vec<u64>,
+}
+
+#[derive(Default)]
+struct Member {
+    uses: AccountUses,
+    owned: OwnedAccounts,
+    ledger: ShareLedger,
+}
+
+#[derive(Clone, Copy)]
+enum Message {
+    Ask { from: usize, to: usize, tokens: u32, used: u32, recent: u32 },
+    Reply { to: usize, tokens: u32, used: u32, grant: Option<ShareGrant> },
+    Short { from: usize, to: usize },
+    Support { from: usize, to: usize },
+}
+
+impl Fleet {
+    fn new(nodes: usize, rate: f64, burst: u32, seed: u64) -> Self {
+        let mut table = AccountTable::default();
+        table.configure(Some(&[account("one", &["k"])]));
+        let account = table.named("one").expect("an account");
+        Self {
+            table,
+            account,
+            nodes: (0..nodes).map(|_| Member::default()).collect(),
+            terms: terms(rate, burst),
+            messages: Vec::new(),
+            sent: 0,
+            random: StdRng::seed_from_u64(seed),
+            groups: vec![0; nodes],
+            dead: vec![false; nodes],
+            admitted: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        !self.dead[to] && self.groups[from] == self.groups[to]
+    }
+
+    /// The first node that a node reaches owns the account.
+    fn owner_of(&self, node: usize) -> usize {
+        (0..self.nodes.len()).find(|to| self.reaches(node, *to)).expect("itself")
+    }
+
+    fn send(&mut self, at: u64, message: Message) {
+        self.sent += 1;
+        self.messages.push((at + HOP.as_millis() as u64, message));
+    }
+
+    fn ask(&mut self, at: u64, node: usize, tokens: u32) {
+        let (used, recent) =
+            self.nodes[node].uses.report(ms(at), self.account, &self.terms).unwrap_or_default();
+        let to = self.owner_of(node);
+        self.send(at, Message::Ask { from: node, to, tokens, used, recent });
+    }
+
+    fn request(&mut self, at: u64, node: usize) {
+        assert!(self.table.get(self.account).is_some());
+        match self.nodes[node].uses.decide(ms(at), self.account, &self.terms) {
+            AccountDecision::Admit => {
+                self.admitted.push(at);
+                self.ask(at, node, 0);
+            }
+            AccountDecision::Ask => self.ask(at, node, 1),
+            AccountDecision::Refuse(wait) => {
+                assert!(wait > Duration::ZERO);
+                self.refused.push(at);
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: u64, message: Message) {
+        let (now, name) = (ms(at), Arc::<str>::from("one"));
+        let node_name = |node: usize| Arc::<str>::from(format!("node-{node}"));
+        match message {
+            Message::Ask { from, to, tokens, used, recent } => {
+                if !self.reaches(from, to) {
+                    self.send(at, Message::Reply { to: from, tokens, used, grant: None });
+                    return;
+                }
+                let subject = SharedSubject::Account(name.clone());
+                let ask = ShareAsk { subject, tokens, used, recent };
+                let count = self.nodes.len() as u32;
+                let Member { owned, ledger, .. } = &mut self.nodes[to];
+                let sender = (&name, &node_name(from), count);
+                let grant = owned.answer(now, ledger, &self.terms, sender, &ask);
+                if !owned.due_notices(now).is_empty() {
+                    for node in (0..self.nodes.len()).filter(|node| *node != to) {
+                        self.send(at, Message::Short { from: to, to: node });
+                    }
+                }
+                self.send(at, Message::Reply { to: from, tokens, used, grant: Some(grant) });
+            }
+            Message::Reply { to, tokens, used, grant } => {
+                let count = self.nodes.len() as u32;
+                let uses = &mut self.nodes[to].uses;
+                let reply = match grant {
+                    Some(grant) => {
+                        uses.on_answered(now, self.account, &self.terms, grant);
+                        OwnerReply::Granted(grant)
+                    }
+                    None => {
+                        uses.on_lost(now, self.account, used);
+                        OwnerReply::Lost { nodes: count }
+                    }
+                };
+                if tokens == 0 {
+                    return;
+                }
+                match uses.decide_asked(now, self.account, &self.terms, reply) {
+                    AccountDecision::Admit => self.admitted.push(at),
+                    AccountDecision::Refuse(_) => self.refused.push(at),
+                    AccountDecision::Ask => panic!("asked twice"),
+                }
+            }
+            Message::Short { from, to } => {
+                if self.reaches(from, to) {
+                    self.nodes[to].uses.on_short(now, self.account);
+                    if self.owner_of(to) == from {
+                        self.send(at, Message::Support { from: to, to: from });
+                    }
+                }
+            }
+            Message::Support { from, to } => {
+                if self.reaches(from, to) {
+                    self.nodes[to].owned.on_support(now, "one", &node_name(from));
+                }
+            }
+        }
+    }
+
+    /// Plays requests at a rate, each at a random node of `nodes` that is alive.
+    fn run(&mut self, span: Range<u64>, per_second: f64, nodes: Range<usize>) {
+        for at in span {
+            let mut due = Vec::new();
+            for entry in std::mem::take(&mut self.messages) {
+                if entry.0 <= at { due.push(entry.1) } else { self.messages.push(entry) }
+            }
+            for message in due {
+                self.deliver(at, message);
+            }
+            if self.random.random_bool((per_second / 1000.0).min(1.0)) {
+                let node = self.random.random_range(nodes.clone());
+                if !self.dead[node] {
+                    self.request(at, node);
+                }
+            }
+        }
+    }
+
+    /// Returns the most admissions in any window.
+    fn busiest(&self) -> usize {
+        let mut times = self.admitted.clone();
+        times.sort_unstable();
+        let window = WINDOW.as_millis() as u64;
+        let count =
+            |start: u64| times.iter().filter(move |at| (start..start + window).contains(at));
+        times.iter().map(|start| count(*start).count()).max().unwrap_or(0)
+    }
+
+    fn admitted_in(&self, span: Range<u64>) -> usize {
+        self.admitted.iter().filter(|at| span.contains(at)).count()
+    }
+}
+
+fn terms(rate: f64, burst: u32) -> QuotaTerms {
+    let rate = RequestRate::try_from(rate).expect("a rate");
+    QuotaTerms::new(AccountQuota { rate, burst }, BOUNDS)
+}
+
+fn allowed(rate: f64, burst: u32) -> usize {
+    ((rate * WINDOW.as_secs_f64() + f64::from(burst)) * 1.1 + 20.0) as usize
+}
+
+struct FloodCase {
+    rate: f64,
+    burst: u32,
+    flood: f64,
+    /// Nodes that get the requests.
+    nodes: usize,
+}
+
+const FLOOD_CASES: [FloodCase; 5] = [
+    FloodCase { rate: 25.0, burst: 50, flood: 130.0, nodes: 64 },
+    FloodCase { rate: 25.0, burst: 50, flood: 130.0, nodes: 3 },
+    FloodCase { rate: 5.0, burst: 10, flood: 30.0, nodes: 64 },
+    FloodCase { rate: 1.0, burst: 1, flood: 20.0, nodes: 64 },
+    FloodCase { rate: 0.3, burst: 0, flood: 100.0, nodes: 64 },
+];
+
+#[test]
+fn a_flooding_account_gets_its_limit_and_not_more() {
+    for FloodCase { rate, burst, flood, nodes } in FLOOD_CASES {
+        for seed in 0..4 {
+            let mut fleet = Fleet::new(64, rate, burst, seed);
+            fleet.run(0..20_000, flood, 0..nodes);
+            let (most, allowed) = (fleet.busiest(), allowed(rate, burst));
+            assert!(most <= allowed, "{rate} {flood} {seed}: {most} of {allowed}");
+            let least = (rate * 20.0 + f64::from(burst)).floor() as usize;
+            let got = fleet.admitted.len();
+            assert!(got >= least * 9 / 10, "{rate} {flood} {seed}: {got} of {least}");
+        }
+    }
+}
+
+#[test]
+fn an_account_within_its_limit_is_never_refused_and_costs_one_call_each() {
+    for (rate, burst) in [(25.0, 50), (5.0, 10), (1.0, 1), (0.3, 1)] {
+        for seed in 0..4 {
+            let mut fleet = Fleet::new(64, rate, burst, seed);
+            fleet.run(0..60_000, rate / 1.6, 0..64);
+            fleet.run(60_000..60_050, 0.0, 0..64);
+            assert_eq!(fleet.refused.len(), 0, "{rate} {seed}");
+            let calls = fleet.admitted.len() * 2;
+            assert!(fleet.sent <= calls + 126, "{rate} {seed}: {} of {calls}", fleet.sent);
+        }
+    }
+}
+
+#[test]
+fn a_killed_owner_neither_frees_nor_stops_a_flood() {
+    for seed in 0..6 {
+        let mut fleet = Fleet::new(64, 25.0, 50, seed);
+        fleet.run(0..6_000, 130.0, 0..64);
+        fleet.dead[0] = true;
+        fleet.run(6_000..16_000, 130.0, 0..64);
+        let (most, allowed) = (fleet.busiest(), allowed(25.0, 50));
+        assert!(most <= allowed, "{seed}: {most} of {allowed}");
+        let got = fleet.admitted_in(6_500..16_000);
+        assert!(got >= 200, "{seed}: {got} of 237");
+    }
+}
+
+#[test]
+fn a_cut_zone_and_the_others_keep_the_limit_together() {
+    for seed in 0..6 {
+        let mut fleet = Fleet::new(63, 25.0, 50, seed);
+        fleet.run(0..6_000, 130.0, 0..63);
+        for node in 42..63 {
+            fleet.groups[node] = 1;
+        }
+        fleet.run(6_000..16_000, 130.0, 0..63);
+        let (most, allowed) = (fleet.busiest(), allowed(25.0, 50));
+        assert!(most <= allowed, "{seed}: {most} of {allowed}");
+        let got = fleet.admitted_in(8_000..16_000);
+        assert!(got >= 150, "{seed}: {got} of 200");
+    }
+}
+
+#[test]
+fn a_lower_limit_holds_at_once() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(64, 25.0, 50, seed);
+        fleet.run(0..6_000, 60.0, 0..64);
+        fleet.terms = terms(5.0, 5);
+        fleet.admitted.retain(|at| *at >= 6_000);
+        fleet.run(6_000..16_000, 60.0, 0..64);
+        let (most, allowed) = (fleet.busiest(), allowed(5.0, 5));
+        assert!(most <= allowed, "{seed}: {most} of {allowed}");
+    }
+}
+
+#[test]
+fn the_token_of_a_request_that_did_not_run_is_used_again() {
+    let mut fleet = Fleet::new(1, 0.001, 1, 1);
+    for at in 0..200 {
+        if fleet.nodes[0].uses.decide(ms(at), fleet.account, &fleet.terms) == AccountDecision::Admit
+        {
+            fleet.nodes[0].uses.refund(ms(at), fleet.account);
+            continue;
+        }
+        panic!("refused at {at} although nothing ran");
+    }
+}
--- a/tests/gateway/accounts.rs
+++ b/tests/gateway/accounts.rs
@@ -1,5 +1,7 @@
 //! Client accounts: keys, what servers learn of them, and quotas over several nodes.
 
+use std::time::Duration;
+
 use carobstep_bench::HttpCall;
 use serde_json::{Value, json};
 
@@ -7,9 +9,13 @@
     Fixture,
     backend::{StandinServer, header_value},
     configuration, fixture, get,
-    node::eventually,
+    limits::{LOAD_TIME, run_calls},
+    node::{GatewayNode, eventually},
 };
 
+/// Limits of accounts in the settings: at most `(rate * 4 + burst) * 1.1 + 5` requests in 4 s.
+const BOUNDS: &str = "bounds.quota_window_s=4\nbounds.quota_over=0.1\nbounds.quota_slack=5\n";
+
 const ACCOUNT: &str = "x-carobstep-tenant";
 
 /// A configuration with client accounts and a public route.
@@ -28,7 +34,7 @@
     // What a client sends as the account's name does not count.
     let call = get(path, id).header(ACCOUNT, "forged");
     match key {
-        Some(key) => call.header("authorization", &format!("Token {key}")),
+        Some(key) => call.header("authorization", format!("Token {key}")),
         None => call,
     }
 }
@@ -131,3 +137,49 @@
         (401, 200)
     );
 }
+
+/// Three nodes with unequal load: one account floods, another one sends little.
+#[tokio::test]
+async fn nodes_together_keep_the_limit_of_an_account() {
+    let mut fixture = fixture().await;
+    fixture.node.kill();
+    let started = [("front-a-1", "a"), ("front-a-2", "a"), ("front-b-1", "b")];
+    let nodes = started
+        .map(|(name, zone)| GatewayNode::start_with(name, zone, fixture.store.address, BOUNDS));
+    let accounts = json!([
+        { "name": "one", "api_keys": ["secret-1"], "rate_per_s": 8, "burst": 4 },
+        { "name": "two", "api_keys": ["secret-2"], "rate_per_s": 3, "burst": 2 },
+    ]);
+    fixture.store.put("config", "main", with_accounts(2, accounts));
+    for node in &nodes {
+        node.wait_ready().await;
+        eventually("the nodes know each other and the accounts", async || {
+            node.metric("carobstep_nodes").await == 3.0
+                && node.metric("carobstep_configuration_version").await == 2.0
+        })
+        .await;
+    }
+    let nodes = nodes.each_ref();
+    let last = [nodes[2]];
+    let (flood, small) = tokio::join!(
+        run_calls(&nodes, &[30, 12, 4], |id| call("/fetch/", id, Some("secret-1"))),
+        run_calls(&last, &[2], |id| call("/fetch/", id, Some("secret-2"))),
+    );
+    assert!(small.iter().all(|outcome| outcome.status == 200), "within its limit");
+    let (served, refused): (Vec<_>, Vec<_>) =
+        flood.iter().partition(|outcome| outcome.status == 200);
+    let window = Duration::from_secs(4);
+    let in_window =
+        |start| served.iter().filter(|it| (start..start + window).contains(&it.sent)).count();
+    let most = served.iter().map(|outcome| in_window(outcome.sent)).max().unwrap_or(0);
+    assert!(most <= 44, "{most} requests in 4 s");
+    let least = 8 * LOAD_TIME.as_secs() as usize * 9 / 10;
+    assert!(served.len() >= least, "{} requests in {LOAD_TIME:?}", served.len());
+    assert!(refused.iter().all(|outcome| outcome.status == 429 && outcome.has_retry_after));
+    let mut times: Vec<_> = refused.iter().map(|outcome| outcome.took).collect();
+    times.sort();
+    let median = times[times.len() / 2];
+    assert!(median < Duration::from_millis(50), "{median:?}");
+    let line = nodes[0].log().into_iter().find(|line| line["verdict"] == "over_limit");
+    assert_eq!(line.expect("a line")["account"], "one");
+}
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use carobstep_bench::HttpCall;
 use tokio::{
     task::JoinSet,
     time::{interval, sleep},
@@ -32,7 +33,7 @@
 const WINDOW: Duration = Duration::from_secs(4);
 
 /// Duration of the load.
-const LOAD_TIME: Duration = Duration::from_secs(8);
+pub(crate) const LOAD_TIME: Duration = Duration::from_secs(8);
 
 /// Most requests that a server with a limit may get in [`WINDOW`].
 fn allowed(per_second: f64) -> usize {
@@ -49,15 +50,23 @@
 }
 
 /// A response that a caller got.
-struct CallerOutcome {
-    sent: Instant,
-    status: u16,
-    took: Duration,
-    has_retry_after: bool,
+pub(crate) struct CallerOutcome {
+    pub(crate) sent: Instant,
+    pub(crate) status: u16,
+    pub(crate) took: Duration,
+    pub(crate) has_retry_after: bool,
 }
 
-/// Sends requests to the nodes at `rates` requests per second for [`LOAD_TIME`].
 async fn run_load(nodes: &[&GatewayNode], rates: &[u32]) -> Vec<CallerOutcome> {
+    run_calls(nodes, rates, |id| get("/fetch/", id)).await
+}
+
+/// Sends requests to the nodes at `rates` requests per second for [`LOAD_TIME`].
+pub(crate) async fn run_calls(
+    nodes: &[&GatewayNode],
+    rates: &[u32],
+    call_of: fn(&str) -> HttpCall,
+) -> Vec<CallerOutcome> {
     let mut callers = JoinSet::new();
     for (number, (node, rate)) in nodes.iter().zip(rates).enumerate() {
         let (address, rate) = (node.callers, *rate);
@@ -66,7 +75,7 @@
             let mut ticks = interval(Duration::from_secs(1) / rate);
             for request in 0..LOAD_TIME.as_secs() as u32 * rate {
                 ticks.tick().await;
-                let call = get("/fetch/", &format!("id-{number}-{request}"));
+                let call = call_of(&format!("id-{number}-{request}"));
                 requests.spawn(async move {
                     let sent = Instant::now();
                     let client = carobstep_bench::HttpClient::default();
