--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -35,6 +35,8 @@
     /// Like [`PeerRequest::Follow`], with further data. A node that doesn't know it can't
     /// decode it.
     FollowExtended(Box<FollowRequest>, Vec<Extension>),
+    /// Client accounts that have used up their limits.
+    ShortAccounts(ShortAccounts),
 }
 
 /// Further data of a message. The receiver skips kinds that it doesn't know.
@@ -101,6 +103,17 @@
     /// Like [`PeerReply::News`], with further data; only in reply to
     /// [`PeerRequest::FollowExtended`].
     ExtendedNews(Box<StoreUpdate>, Vec<Extension>),
+    /// For each account of the request, whether the peer takes the sender for its owner.
+    Support(Vec<bool>),
+}
+
+/// Word of the node that owns the limits of client accounts that few tokens are left.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ShortAccounts {
+    /// Name of the sender.
+    pub(crate) node: Arc<str>,
+    /// Names of the accounts.
+    pub(crate) accounts: Vec<Arc<str>>,
 }
 
 /// Request for tokens of shared limits to the node that the sender takes for their owner.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    account_quota::apply_notice,
     backend::BackendRequest,
     fanout::{FanoutProgress, run_fanout},
     follow::wait_for_update,
@@ -90,7 +91,10 @@
         PeerRequest::FollowExtended(follow, _) => merge_follower(gateway, follow),
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
-        PeerRequest::Quota(_) | PeerRequest::Share(_) | PeerRequest::Observations(_) => {}
+        PeerRequest::Quota(_)
+        | PeerRequest::Share(_)
+        | PeerRequest::Observations(_)
+        | PeerRequest::ShortAccounts(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -117,6 +121,9 @@
         PeerRequest::FollowExtended(request, extensions) => {
             replies.send(wait_for_update(gateway, *request, Some(&extensions)).await);
         }
+        PeerRequest::ShortAccounts(notice) => {
+            replies.send(PeerReply::Support(apply_notice(gateway, &notice)));
+        }
     }
 }
 
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,6 +9,8 @@
 //!   [`ServerDirectory`]
 //! - client accounts and their keys: [`AccountTable`]
 //! - zones whose servers get no requests: [`EvacuationTable`]
+//! - client accounts and their keys: [`AccountTable`]; limits on their requests:
+//!   [`AccountUses`], [`OwnedAccounts`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - failures of servers that the nodes of a zone tell each other: [`ObservationLedger`]
 //! - limits on requests that servers name: [`LimitTable`]
@@ -28,6 +30,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod account_quota;
 mod accounts;
 mod crash_doubts;
 mod crashes;
@@ -60,6 +63,7 @@
 mod stats;
 mod update_tree;
 
+pub use account_quota::{AccountDecision, AccountUses, OwnedAccounts, OwnerReply, QuotaTerms};
 pub use accounts::{
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
 };
