--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,7 @@
         FollowRequest, PeerReply, PeerRequest,
     },
     quota::grant_tokens,
+    shares::grant_shares,
 };
 
 /// Time reserved for the transfer of a peer's reply: the network latency between two
@@ -88,7 +89,7 @@
         PeerRequest::FollowExtended(follow, _) => merge_follower(gateway, follow),
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
         PeerRequest::Contact(links) => gateway.merge_links(links),
-        PeerRequest::Quota(_) => {}
+        PeerRequest::Quota(_) | PeerRequest::Share(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -103,6 +104,9 @@
         PeerRequest::Quota(request) => {
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
+        PeerRequest::Share(request) => {
+            replies.send(PeerReply::Share(grant_shares(gateway, &request)));
+        }
         PeerRequest::Follow(request) => {
             replies.send(wait_for_update(gateway, request, None).await);
         }
