Let the stand-in of a link reset connections before it forwards anything

callers_are_refused_at_once_while_no_node_reaches_servers::they_are_reset got 502 for 503: a node counted a lost zone as reached, since it was. A trace of what the relay forwards showed answers to probes on links with the state "Reset": the relay looked at its two branches in random order, and on two threads a request and its response could pass in the first look.

The fault is now looked at first. No bound or expectation has changed.

--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -137,13 +137,15 @@
         let (server_reader, server_writer) = server.into_split();
         let subscribe = || self.faults.subscribe();
         tokio::select! {
+            // Otherwise a request and its response may pass before the fault is looked at.
+            biased;
+            _ = faults.wait_for(|faults| faults.of(owner) == LinkFault::Reset) => {}
             () = async {
                 tokio::join!(
                     pump(client_reader, server_writer, subscribe(), owner, false),
                     pump(server_reader, client_writer, subscribe(), owner, true),
                 );
             } => {}
-            _ = faults.wait_for(|faults| faults.of(owner) == LinkFault::Reset) => {}
         }
     }
 }
