--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -195,7 +195,8 @@
     for number in 0..8 {
         let id = format!("id-{number}");
         let status = fixture.node.request(&post("/order/", &id)).await.status;
-        let has_id = |head: &str| header_value(head, "x-carobstep-request-id").as_ref() == Some(&id);
+        let has_id =
+            |head: &str| header_value(head, "x-carobstep-request-id").as_ref() == Some(&id);
         let is_executed = fixture.single[1].executed().iter().any(|head| has_id(head));
         let is_refused = fixture.single[0].arrivals().iter().any(|it| has_id(&it.head));
         retried += usize::from(is_executed && is_refused);
