--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -47,6 +47,10 @@
     pub struct ServiceKey;
 }
 
+/// Maximum number of pauses of removed servers that are remembered; the oldest is forgotten
+/// first.
+const MAX_REMOVED_PAUSES: usize = 256;
+
 /// Number of connections that a node may always open to a server.
 const MIN_CONNECTIONS: u32 = 4;
 
@@ -117,6 +121,8 @@
     pace_events: Vec<PaceEvent>,
     /// Zones whose servers get no requests.
     evacuated_zones: Vec<Arc<str>>,
+    /// Pauses of servers that were removed: their entries may lapse while they live on.
+    removed_pauses: IndexMap<ServerIncarnation, BootTime>,
     /// Limits on requests that servers name.
     limit_table: LimitTable,
     /// Latency statistics per class of requests.
@@ -167,6 +173,7 @@
             pace_rule: PaceRule::default(),
             pace_events: Vec::new(),
             evacuated_zones: Vec::new(),
+            removed_pauses: IndexMap::new(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
             zone_links: ZoneLinks::default(),
@@ -267,6 +274,7 @@
         let mut state = ServerState::new(now, entry.clone(), service, self.pace_rule);
         state.quota = self.limit_table.rate_of(&incarnation).map(NodeShare::new);
         state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
+        state.paused_until = self.removed_pauses.shift_remove(&incarnation).unwrap_or_default();
         let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
         self.id_hashes.insert(id_hash(&entry.id), key);
@@ -279,6 +287,14 @@
     fn remove_server(&mut self, key: ServerKey) {
         let Some(server) = self.servers.remove(key) else { return };
         self.id_hashes.swap_remove(&id_hash(&server.entry.id));
+        if server.paused_until > BootTime::ZERO {
+            let ServerEntry { id, born_ms, .. } = &server.entry;
+            let incarnation = ServerIncarnation { id: id.clone(), born_ms: *born_ms };
+            self.removed_pauses.insert(incarnation, server.paused_until);
+            if self.removed_pauses.len() > MAX_REMOVED_PAUSES {
+                self.removed_pauses.shift_remove_index(0);
+            }
+        }
         if let Some(service) = self.services.get_mut(server.service) {
             service.servers.retain(|other| *other != key);
         }
