--- a/crates/gateway/src/accounts.rs
+++ b/crates/gateway/src/accounts.rs
@@ -20,6 +20,8 @@
 pub(crate) struct RequestAccess {
     /// Name of the account.
     pub(crate) name: Option<Arc<str>>,
+    /// Name that counters use: that of the account if it is one of the largest.
+    pub(crate) label: Option<Arc<str>>,
     /// The account, if its requests are limited.
     pub(crate) limited: Option<LimitedAccount>,
     /// Priority of the request, by its account and its route.
@@ -55,6 +57,7 @@
     Some(RequestAccess {
         limited,
         name: entry.map(|entry| entry.name.clone()),
+        label: entry.map(|entry| if entry.is_large { entry.name.clone() } else { "other".into() }),
         priority: RequestPriority::new(entry.and_then(|entry| entry.priority), route.priority),
     })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -479,6 +479,8 @@
                 lost_servers: state.fleet.lost_servers(now),
                 nodes_without_links: state.peers.link_reports().nodes_without_links(),
                 extra_use: state.fleet.extra_use(),
+                client_accounts: state.accounts.len(),
+                short_accounts: state.account_uses.short_accounts(now),
             }
         };
         self.reporter.encode_metrics(readings)
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -89,6 +89,7 @@
         return unknown_key_response();
     };
     report.account = access.name.clone();
+    report.account_label = access.label.clone();
     let limited = access.limited.as_ref();
     if let Err(wait) = admit_request(gateway, limited).await {
         report.verdict = RequestVerdict::OverLimit;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -33,6 +33,7 @@
 pub(crate) struct Reporter {
     registry: Registry,
     requests: IntCounterVec,
+    account_requests: IntCounterVec,
     latencies: HistogramVec,
     attempts: IntCounterVec,
     delegations: IntCounterVec,
@@ -60,6 +61,8 @@
     store_age_ms: IntGauge,
     store_era: IntGauge,
     ready: IntGauge,
+    client_accounts: IntGauge,
+    short_accounts: IntGauge,
     quarantined_requests: IntGauge,
     limited_servers: IntGauge,
     unreachable_zones: IntGauge,
@@ -80,6 +83,8 @@
     pub(crate) store_age: Duration,
     pub(crate) store_era: u64,
     pub(crate) ready: bool,
+    pub(crate) client_accounts: usize,
+    pub(crate) short_accounts: usize,
     pub(crate) quarantined_requests: usize,
     pub(crate) limited_servers: usize,
     pub(crate) unreachable_zones: usize,
@@ -230,6 +235,8 @@
     pub(crate) route: Option<Arc<RouteConfig>>,
     /// Name of the client account.
     pub(crate) account: Option<Arc<str>>,
+    /// Name under which the account is counted.
+    pub(crate) account_label: Option<Arc<str>>,
     pub(crate) caller_timeout: Duration,
     pub(crate) verdict: RequestVerdict,
     pub(crate) shards: usize,
@@ -263,7 +270,16 @@
         let latencies =
             HistogramVec::new(options.buckets(LATENCY_BUCKETS.to_vec()), &["route_kind"])?;
         registry.register(Box::new(latencies.clone()))?;
+        let account_requests = IntCounterVec::new(
+            Opts::new(
+                "carobstep_account_requests_total",
+                "Requests by client account, the smaller ones together, and verdict.",
+            ),
+            &["account", "verdict"],
+        )?;
+        registry.register(Box::new(account_requests.clone()))?;
         Ok(Self {
+            account_requests,
             requests: counters("carobstep_requests_total", "Requests by verdict.", "verdict")?,
             latencies,
             attempts: counters("carobstep_attempts_total", "Attempts at servers by end.", "end")?,
@@ -337,6 +353,14 @@
                     "carobstep_extra_tokens_pooled",
                     "Tokens that this node got from retry budgets that nodes share by demand.",
                 )?,
+                client_accounts: gauge(
+                    "carobstep_client_accounts",
+                    "Client accounts of the configuration in force.",
+                )?,
+                short_accounts: gauge(
+                    "carobstep_short_accounts",
+                    "Client accounts of whose limit few tokens are left, as far as known here.",
+                )?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -386,6 +410,8 @@
         gauges.store_age_ms.set(age);
         gauges.store_era.set(i64::try_from(readings.store_era).unwrap_or(i64::MAX));
         gauges.ready.set(i64::from(readings.ready));
+        gauges.client_accounts.set(readings.client_accounts as i64);
+        gauges.short_accounts.set(readings.short_accounts as i64);
         gauges.quarantined_requests.set(readings.quarantined_requests as i64);
         gauges.limited_servers.set(readings.limited_servers as i64);
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
@@ -430,6 +456,7 @@
             store_age: Duration::ZERO,
             route: None,
             account: None,
+            account_label: None,
             caller_timeout: Duration::ZERO,
             verdict: RequestVerdict::Abandoned,
             shards: 0,
@@ -475,6 +502,10 @@
         let now = BootTime::now();
         let took = now.since(self.arrived);
         self.reporter.requests.with_label_values(&[<&str>::from(self.verdict)]).inc();
+        if let Some(label) = &self.account_label {
+            let labels = [label, <&str>::from(self.verdict)];
+            self.reporter.account_requests.with_label_values(&labels).inc();
+        }
         let latencies = self.reporter.latencies.with_label_values(&[self.route_kind()]);
         latencies.observe(took.as_secs_f64());
         if self.is_ordinary(took) || !self.reporter.allow_line(now) {
--- a/crates/tier/src/accounts.rs
+++ b/crates/tier/src/accounts.rs
@@ -12,6 +12,9 @@
 
 use crate::model::{AccountConfig, AccountQuota};
 
+/// Number of accounts that counters name; the others are counted together.
+const LARGE_ACCOUNTS: usize = 16;
+
 new_key_type! {
     /// Client account in an [`AccountTable`].
     pub struct AccountKey;
@@ -112,6 +115,8 @@
     pub priority: Option<u32>,
     /// Limit on its requests over all nodes, if there is one.
     pub quota: Option<AccountQuota>,
+    /// Whether the account has one of the [`LARGE_ACCOUNTS`] highest rates.
+    pub is_large: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -141,11 +146,17 @@
     pub fn configure(&mut self, accounts: Option<&[AccountConfig]>) -> Vec<KeyConflict> {
         self.is_in_force = accounts.is_some();
         self.holders.clear();
+        let large = large_accounts(accounts.unwrap_or_default());
         let mut conflicts = Vec::new();
         let mut by_name = IndexMap::new();
         for config in accounts.unwrap_or_default() {
             let AccountConfig { name, keys, priority, quota } = config;
-            let entry = AccountEntry { name: name.clone(), priority: *priority, quota: *quota };
+            let entry = AccountEntry {
+                name: name.clone(),
+                priority: *priority,
+                quota: *quota,
+                is_large: large.contains(&name),
+            };
             let account = match self.by_name.swap_remove(name) {
                 Some(account) => {
                     self.accounts[account] = entry;
@@ -220,3 +231,14 @@
         holders.iter().find(|holder| holder.key.matches(presented)).map(|holder| holder.account)
     }
 }
+
+/// Returns the names of the accounts with the highest rates.
+fn large_accounts(accounts: &[AccountConfig]) -> Vec<&Arc<str>> {
+    let mut rates: Vec<_> = accounts
+        .iter()
+        .filter_map(|account| account.quota.map(|quota| (quota.rate, &account.name)))
+        .collect();
+    rates.sort_by(|one, other| other.cmp(one));
+    rates.truncate(LARGE_ACCOUNTS);
+    rates.into_iter().map(|(_, name)| name).collect()
+}
--- a/crates/tier/tests/accounts.rs
+++ b/crates/tier/tests/accounts.rs
@@ -426,3 +426,18 @@
         panic!("refused at {at} although nothing ran");
     }
 }
+
+#[test]
+fn the_accounts_with_the_highest_rates_are_large() {
+    let mut accounts: Vec<_> = (0..30).map(|it| account(&format!("a{it}"), &[])).collect();
+    for (number, account) in accounts.iter_mut().enumerate().skip(1) {
+        let rate = RequestRate::try_from(number as f64).expect("a rate");
+        account.quota = Some(AccountQuota { rate, burst: 0 });
+    }
+    let mut table = AccountTable::default();
+    table.configure(Some(&accounts));
+    for number in 0..30 {
+        let account = table.named(&format!("a{number}")).expect("an account");
+        assert_eq!(table.get(account).map(|it| it.is_large), Some(number >= 14), "{number}");
+    }
+}
--- a/tests/gateway/accounts.rs
+++ b/tests/gateway/accounts.rs
@@ -180,6 +180,13 @@
     times.sort();
     let median = times[times.len() / 2];
     assert!(median < Duration::from_millis(50), "{median:?}");
+    let counted = "carobstep_account_requests_total{account=\"one\",verdict=\"over_limit\"}";
+    let mut sum = 0.0;
+    for node in nodes {
+        sum += node.metric(counted).await;
+        assert_eq!(node.metric("carobstep_client_accounts").await, 2.0);
+    }
+    assert_eq!(sum, refused.len() as f64);
     let line = nodes[0].log().into_iter().find(|line| line["verdict"] == "over_limit");
     assert_eq!(line.expect("a line")["account"], "one");
 }
