Don't repeat reports to nodes that know no limits of accounts

Cause: a node of the version before answers such a report with status 400; the report was repeated every 15 ms, and after 400 ms requests got an equal share only. Found by reading; no test plays two versions.

Change: that answer counts as one of an owner that does not know the limit.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -6,6 +6,7 @@
 use carobstep_tier::{
     AccountDecision, AccountKey, OwnerReply, QuotaTerms, ShareAsk, ShareGrant, SharedSubject,
 };
+use carobstep_wire::WireErrorKind;
 use log::debug;
 use tokio::{
     task::spawn_local,
@@ -113,13 +114,18 @@
     let (gateway, limited) = (gateway.clone(), limited.clone());
     let calling = spawn_local(async move {
         let reply = call_owner(&gateway, &owner, request, REPORT_TIMEOUT).await;
-        if let Err(error) = &reply {
-            debug!(
-                peer = owner.as_ref(), account = limited.name.as_ref(), error:% = error;
-                "the owner of an account's limit did not reply"
-            );
-        }
-        let grant = reply.ok().and_then(|grants| grants.first().copied());
+        let grant = match reply {
+            Ok(grants) => grants.first().copied(),
+            // A node of the version before, which does not know of limits of accounts.
+            Err(error) if error.kind() == WireErrorKind::Codec => Some(ShareGrant::default()),
+            Err(error) => {
+                debug!(
+                    peer = owner.as_ref(), account = limited.name.as_ref(), error:% = error;
+                    "the owner of an account's limit did not reply"
+                );
+                None
+            }
+        };
         record_answer(&gateway, &limited, used, grant);
         grant.filter(|grant| grant.is_known)
     });
