Refuse searches at their arrival that the retry budget can't carry

Cause: while nearly all servers turn away most requests, each failing shard wants three times the extra requests that its retry budget pays for. All searches used it alike, nearly all lacked a few shards, and they failed late.

Change: SearchAdmission estimates the chance that enough shards answer, from the joint failure rates of each shard's servers, the attempts, the time left and the extra requests that the budget can be expected to pay for. Searches leave part of the budget to more urgent priorities; one that is admitted less than a quarter as often as all is let through. It covers the searches of callers; requests to one service, delegated parts and relayed requests are decided as before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,11 +10,12 @@
 use carobstep_store::StoreTransport;
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, Configuration, CrashDoubts, CrashEvidence, CrashRecord,
-    CrashTable, DirectoryChange, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice,
-    LimitRecord, NodeLifecycle, NodeSettings, ObservationLedger, OwnerSupport, PauseRequest,
-    PeerEntry, PeerTable, QuarantineChange, RelayRoom, RequestAdmission, RequestFingerprint,
-    RouteTable, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey, ServerNotice,
-    ShareLedger, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
+    CrashTable, DirectoryChange, FanoutPlan, FinishLag, FleetLimits, LifecyclePhase, LimitChange,
+    LimitNotice, LimitRecord, NodeLifecycle, NodeSettings, ObservationLedger, OwnerSupport,
+    PauseRequest, PeerEntry, PeerTable, QuarantineChange, RelayRoom, RequestAdmission,
+    RequestFingerprint, RouteTable, SearchAdmission, SearchDemand, SearchRefusal, ServerDirectory,
+    ServerFleet, ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
+    StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use indexmap::IndexMap;
@@ -99,6 +100,8 @@
     pub(crate) observations: ObservationLedger,
     /// When nodes of the zone last heard of such failures from this one.
     pub(crate) observation_contacts: IndexMap<Arc<str>, BootTime>,
+    /// Decides which searches can still be served.
+    pub(crate) admission: SearchAdmission,
     /// Room for requests of nodes that have lost their links to servers.
     pub(crate) room: RelayRoom,
     /// Requests that crashed servers.
@@ -168,6 +171,7 @@
             support: OwnerSupport::default(),
             observations: ObservationLedger::default(),
             observation_contacts: IndexMap::new(),
+            admission: SearchAdmission::default(),
             room: RelayRoom::new(BootTime::now()),
             crashes: CrashTable::default(),
             crash_doubts: CrashDoubts::default(),
@@ -398,6 +402,24 @@
         self.apply_changes(&changes);
     }
 
+    /// Decides at its arrival whether a search can still be served.
+    pub(crate) fn admit_search(
+        &self,
+        plan: &FanoutPlan,
+        priority: u32,
+    ) -> Result<(), SearchRefusal> {
+        let state = &mut *self.state.borrow_mut();
+        let demand = SearchDemand {
+            services: &plan.services,
+            min_shards: plan.min_shards,
+            attempts: plan.attempts,
+            priority,
+            deadline: plan.deadline,
+        };
+        let draw = RandomState::new().hash_one(state.requests) as f64 / u64::MAX as f64;
+        state.admission.admit(BootTime::now(), &state.fleet, demand, draw)
+    }
+
     /// Takes on a request of a node that has lost its links to the servers of `shards`
     /// shards, if there is room for it; fails with the time until there is.
     pub(crate) fn take_relayed(&self, shards: usize, priority: u32) -> Result<(), Duration> {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -102,6 +102,13 @@
     let timeout = caller_timeout.min(route.timeout);
     let is_cautious = admission == RequestAdmission::Cautious;
     let (plan, scope) = plan_fanout(gateway, &route, arrived, timeout, is_cautious);
+    if scope.is_search
+        && let Err(refusal) = gateway.admit_search(&plan, route.priority)
+    {
+        report.verdict = RequestVerdict::Hopeless;
+        report.refusal = Some(refusal);
+        return unavailable_response(refusal.retry_in);
+    }
     let answer_by = plan.answer_by;
     let mut result = run_fanout(gateway, plan, request, scope, |_| {}).await;
     report.record_result(&mut result);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -6,7 +6,7 @@
 use carobstep_platform::headers;
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, ExtraUse, FanoutOutcome, MissingShards, RequestFingerprint,
-    RouteConfig, RouteTarget,
+    RouteConfig, RouteTarget, SearchRefusal,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -109,6 +109,8 @@
     NotRun,
     /// The request was not sent, because several servers crashed under it.
     Quarantined,
+    /// The search was not sent, because too few shards could be expected to respond.
+    Hopeless,
     /// Too few servers responded successfully; the request may have been executed.
     Failed,
     /// Too few servers responded before the deadline.
@@ -249,6 +251,8 @@
     pub(crate) failed_attempts: FailedAttempts,
     /// What identifies the request when it comes again.
     pub(crate) fingerprint: Option<RequestFingerprint>,
+    /// Why the search was refused at its arrival, if it was.
+    pub(crate) refusal: Option<SearchRefusal>,
     status: Option<StatusCode>,
 }
 
@@ -461,6 +465,7 @@
             extra_attempts: 0,
             failed_attempts: FailedAttempts::default(),
             fingerprint: None,
+            refusal: None,
             status: None,
         }
     }
@@ -504,6 +509,15 @@
         }
         let id = self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("");
         let route = self.route.as_ref().map_or("", |route| route.name.as_ref());
+        if let Some(refusal) = self.refusal {
+            info!(
+                request_id = id, route = route, chance = refusal.chance,
+                failing_shards = refusal.failing_shards, extra = refusal.extra,
+                retry_ms = refusal.retry_in.as_millis() as u64;
+                "search refused at its arrival"
+            );
+            return;
+        }
         info!(
             request_id = id,
             fingerprint = self.fingerprint.map(|it| it.to_string()).unwrap_or_default().as_str(),
--- a/crates/tier/src/fleet/observations.rs
+++ b/crates/tier/src/fleet/observations.rs
@@ -3,8 +3,8 @@
 use carobstep_clock::BootTime;
 use indexmap::IndexMap;
 
-use super::{ServerFleet, ServerKey, id_hash};
-use crate::observations::{FailureOdds, ServerObservation};
+use super::{ServerFleet, ServerKey, ServiceKey, id_hash};
+use crate::observations::{FailureOdds, ServerObservation, ServerTrouble};
 
 impl ServerFleet {
     /// Returns the attempts since the last call at the servers that have failed lately.
@@ -44,4 +44,22 @@
     pub fn failure_odds(&self, now: BootTime, key: ServerKey) -> FailureOdds {
         self.servers.get(key).map(|server| server.trouble.odds(now)).unwrap_or_default()
     }
+
+    /// Returns the probabilities that an attempt fails at the servers of a service that accept
+    /// requests: none while one of them is sound.
+    #[must_use]
+    pub fn service_failure_odds(&self, now: BootTime, service: ServiceKey) -> FailureOdds {
+        let keys = self.servers_of(service).iter();
+        let available = keys.filter(|key| self.accepts_requests(now, **key));
+        let servers = available.filter_map(|key| self.servers.get(*key));
+        ServerTrouble::joint_odds(now, servers.map(|server| &server.trouble))
+    }
+
+    /// Returns the number of extra requests that the retry budget of a service is likely to
+    /// pay for by `deadline`.
+    #[must_use]
+    pub fn expected_extra(&self, now: BootTime, service: ServiceKey, deadline: BootTime) -> f64 {
+        let state = self.services.get(service);
+        state.map_or(0.0, |state| state.budget.expected_tokens(now, deadline))
+    }
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,6 +9,7 @@
 //!   [`ServerDirectory`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - failures of servers that the nodes of a zone tell each other: [`ObservationLedger`]
+//! - whether a search can still be served: [`SearchAdmission`]
 //! - limits on requests that servers name: [`LimitTable`]
 //! - limits that all nodes share: [`ShareLedger`]
 //! - requests that crash servers: [`CrashTable`]
@@ -26,6 +27,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod admission;
 mod crash_doubts;
 mod crashes;
 mod credit;
@@ -54,6 +56,7 @@
 mod stats;
 mod update_tree;
 
+pub use admission::{SearchAdmission, SearchDemand, SearchRefusal};
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
--- a/crates/tier/src/observations.rs
+++ b/crates/tier/src/observations.rs
@@ -26,7 +26,7 @@
 /// Successful attempts that are assumed in addition to those that one node has observed.
 const PRIOR_OWN_ATTEMPTS: f64 = 2.0;
 
-/// Successful attempts that are assumed in addition to those of a zone.
+/// Successful attempts that are assumed in addition to those of a zone or a service.
 const PRIOR_JOINT_ATTEMPTS: f64 = 0.5;
 
 /// Faded number of failures below which a server counts as sound and is not reported.
@@ -265,6 +265,23 @@
         self.counts(now).odds(prior)
     }
 
+    /// Returns the probabilities that an attempt at one of several servers fails; none if one
+    /// of the servers has not failed.
+    pub(crate) fn joint_odds<'fleet>(
+        now: BootTime,
+        servers: impl Iterator<Item = &'fleet Self>,
+    ) -> FailureOdds {
+        let mut sum = AttemptCounts::default();
+        for server in servers {
+            let counts = server.counts(now);
+            if counts.failures() < MIN_FAILURES {
+                return FailureOdds::default();
+            }
+            sum = sum.scaled_plus(1.0, counts);
+        }
+        sum.odds(PRIOR_JOINT_ATTEMPTS)
+    }
+
     fn counts(&self, now: BootTime) -> AttemptCounts {
         let own = || self.own.at(now, OWN_FADING);
         self.fresh_zone(now)
--- a/crates/tier/src/retry_budget.rs
+++ b/crates/tier/src/retry_budget.rs
@@ -43,6 +43,12 @@
 /// to the owner.
 const POOL_REPLY_TIME: Duration = Duration::from_millis(15);
 
+/// Tokens that a pool which has not been short of them lately grants a request.
+const UNCONTENDED_TOKENS: f64 = 1.0;
+
+/// Least time in which first requests earn an extra one, in seconds.
+const MIN_INCOME_TIME: f64 = 1e-3;
+
 impl FleetLimits {
     /// Returns the pool of each service in each of `zones` availability zones, if the budget
     /// is too small to be divided equally. `window` is the time in which the budget may be
@@ -145,6 +151,23 @@
         self.income.seconds_for(now, missing) <= remaining.as_secs_f64()
     }
 
+    /// Returns the number of extra requests that the budget is likely to pay for by
+    /// `deadline`.
+    pub(crate) fn expected_tokens(&self, now: BootTime, deadline: BootTime) -> f64 {
+        let remaining = deadline.since(now);
+        let mut tokens = self.own.tokens().max(0.0);
+        tokens += remaining.as_secs_f64() / self.income.seconds_for(now, 1.0).max(MIN_INCOME_TIME);
+        if let Some(pool) = &self.pool {
+            tokens += f64::from(pool.tokens(now));
+            if !pool.is_contended(now) && remaining > POOL_REPLY_TIME {
+                tokens += UNCONTENDED_TOKENS;
+            } else {
+                tokens += pool.expected_rate(now) * remaining.as_secs_f64();
+            }
+        }
+        tokens
+    }
+
     /// Returns the number of tokens of the pool to ask for now, and starts to count the
     /// demand anew.
     pub(crate) fn ask(&mut self, now: BootTime) -> u32 {
--- a/crates/tier/tests/observations.rs
+++ b/crates/tier/tests/observations.rs
@@ -12,8 +12,9 @@
 use carobstep_clock::BootTime;
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole,
-    FanoutState, FleetLimits, ObservationLedger, PickScope, RetryPolicy, ServerFleet, ServerKey,
-    ServiceKey, ShardIndex, report_interval,
+    FanoutState, FleetLimits, ObservationLedger, PickScope, RetryPolicy, SearchAdmission,
+    SearchDemand, ServerFleet, ServerKey, ServiceKey, ShardIndex, ShareLedger, SharedSubject,
+    report_interval,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -25,8 +26,8 @@
 const SEARCHES_PER_SECOND: f64 = 38.0;
 const DEADLINE: Duration = Duration::from_millis(600);
 
-/// Number of runs of each load, with different servers that fail.
-const RUNS: u64 = 6;
+/// Number of times that a refused caller returns.
+const MAX_RETURNS: u32 = 2;
 
 /// Time from an attempt to its response, and to its refusal.
 const RESPONSE_TIME: Duration = Duration::from_millis(12);
@@ -57,44 +58,103 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrives,
+    Returns { search: usize },
     Ends { search: usize, shard: u16, attempt: usize, outcome: usize },
     Timer { search: usize },
     Share,
+    Grant,
 }
 
 const OUTCOMES: [AttemptOutcome; 3] =
     [AttemptOutcome::Answered, AttemptOutcome::NotRun, AttemptOutcome::Failed];
 
+/// A kind of searches; the first has half of the load of the second.
+#[derive(Clone, Copy)]
+struct Kind {
+    priority: u32,
+    min_shards: usize,
+    deadline: Duration,
+}
+
+const URGENT: Kind = Kind { priority: 0, min_shards: 14, deadline: Duration::from_millis(300) };
+const USUAL: Kind = Kind { priority: 1, min_shards: SHARDS, deadline: DEADLINE };
+
+/// Time in which the retry budget may be used once.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Number of runs of each load, with different servers that fail.
+const RUNS: u64 = 6;
+
+/// What the nodes do about a trouble.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Measures {
+    None,
+    Sharing,
+    SharingAndPool,
+    Admission,
+}
+
 struct Search {
     node: usize,
+    kind: usize,
     arrived: BootTime,
     state: FanoutState,
     ended: Option<(BootTime, FanoutOutcome)>,
+    /// Number of times that its caller was refused.
+    refusals: u32,
+}
+
+/// What the callers of a kind got during a trouble.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    all: u32,
+    in_time: u32,
+    late: u32,
+    /// Not served, and refused at once.
+    refused: u32,
+    /// Served after they were refused and had returned.
+    returned: u32,
 }
 
 struct Simulation<'case> {
     case: &'case TroubleCase,
-    is_shared: bool,
+    measures: Measures,
+    kinds: &'case [Kind],
+    admission: Vec<SearchAdmission>,
     rng: StdRng,
     now: BootTime,
     events: BinaryHeap<Reverse<(BootTime, usize, Event)>>,
     nodes: Vec<(ServerFleet, Vec<ServiceKey>)>,
     ledgers: Vec<ObservationLedger>,
     failing: HashSet<String>,
+    pools: Vec<ShareLedger>,
     searches: Vec<Search>,
     tickets: Vec<AttemptTicket>,
     /// Attempts at failing servers, and all, by phase: during the trouble, after it.
     attempts: [(u32, u32); 2],
 }
 
+impl Served {
+    fn add(&mut self, other: Self) {
+        self.all += other.all;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.returned += other.returned;
+    }
+}
+
 impl<'case> Simulation<'case> {
-    fn new(case: &'case TroubleCase, is_shared: bool, seed: u64) -> Self {
+    fn new(case: &'case TroubleCase, measures: Measures, kinds: &'case [Kind], seed: u64) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let limits = FleetLimits { retry_slack: 168.0, nodes: NODES as u32, ..LIMITS };
         let nodes: Vec<_> = (0..NODES)
             .map(|number| {
                 let zone = name(ZONES[number % ZONES.len()]);
                 let mut fleet = ServerFleet::new(zone, limits).with_seed(number as u64);
+                if measures >= Measures::SharingAndPool {
+                    fleet.set_extra_pool(limits.extra_pool(Some(WINDOW), ZONES.len()));
+                }
                 let services = add_servers(&mut fleet, SHARDS, &ZONES);
                 (fleet, services)
             })
@@ -109,19 +169,23 @@
         }
         let mut simulation = Self {
             case,
-            is_shared,
+            measures,
+            kinds,
+            admission: vec![SearchAdmission::default(); NODES],
             rng,
             now: at(0),
             events: BinaryHeap::new(),
             nodes,
             ledgers: vec![ObservationLedger::default(); ZONES.len()],
             failing,
+            pools: vec![ShareLedger::default(); ZONES.len()],
             searches: Vec::new(),
             tickets: Vec::new(),
             attempts: [(0, 0); 2],
         };
         simulation.push(at(0), Event::Arrives);
         simulation.push(at(0), Event::Share);
+        simulation.push(at(0), Event::Grant);
         simulation
     }
 
@@ -130,42 +194,63 @@
         self.events.push(Reverse((when, number, event)));
     }
 
-    /// Returns the share of the searches of the trouble that were served in time, and the
-    /// shares of attempts at failing servers during it and after it was forgotten, relative
-    /// to the share of these servers.
-    fn run(mut self) -> (f64, f64, f64) {
+    /// Returns what the callers of each kind got during the trouble, and the shares of
+    /// attempts at failing servers during it and after it was forgotten, relative to the
+    /// share of these servers.
+    fn run(mut self) -> (Vec<Served>, f64, f64) {
         while let Some(Reverse((when, _, event))) = self.events.pop() {
             self.now = when;
             match event {
                 Event::Arrives => self.on_arrival(),
+                Event::Returns { search } => self.start(search),
                 Event::Ends { search, shard, attempt, outcome } => {
                     self.on_end(search, shard, attempt, OUTCOMES[outcome]);
                 }
                 Event::Timer { search } => self.on_timer(search),
                 Event::Share => self.share(),
+                Event::Grant => self.grant(),
             }
         }
-        let (mut count, mut in_time) = (0, 0);
+        let mut served = vec![Served::default(); self.kinds.len()];
         for search in &self.searches {
             if search.arrived < at(TROUBLE.0) || search.arrived >= at(TROUBLE.1) {
                 continue;
             }
-            let (when, outcome) = search.ended.expect("every search ends");
-            count += 1;
-            let is_served = outcome == FanoutOutcome::Answered;
-            in_time += u32::from(is_served && when.since(search.arrived) <= OBJECTIVE);
+            let served = &mut served[search.kind];
+            served.all += 1;
+            match search.ended {
+                None => served.refused += 1,
+                Some((when, FanoutOutcome::Answered)) => {
+                    let is_in_time = when.since(search.arrived) <= OBJECTIVE;
+                    served.in_time += u32::from(is_in_time);
+                    served.late += u32::from(!is_in_time);
+                    served.returned += u32::from(search.refusals > 0);
+                }
+                Some(_) => {}
+            }
         }
         let servers = (SHARDS * ZONES.len()) as f64 / self.failing.len() as f64;
         let share = |(some, all): (u32, u32)| f64::from(some) / f64::from(all) * servers;
-        (f64::from(in_time) / f64::from(count), share(self.attempts[0]), share(self.attempts[1]))
+        (served, share(self.attempts[0]), share(self.attempts[1]))
     }
 
     fn on_arrival(&mut self) {
-        let node = self.rng.random_range(0..NODES);
+        let kind = usize::from(self.kinds.len() > 1 && self.rng.random_range(0..3) > 0);
+        let state = FanoutState::new(self.plan(0, kind, self.now));
+        let search = Search { node: 0, kind, arrived: self.now, state, ended: None, refusals: 0 };
+        self.searches.push(search);
+        self.start(self.searches.len() - 1);
+        let gap = self.rng.random_range(0.0..2.0) / SEARCHES_PER_SECOND;
+        if self.now < at(END) {
+            self.push(self.now + Duration::from_secs_f64(gap), Event::Arrives);
+        }
+    }
+
+    fn plan(&mut self, node: usize, kind: usize, arrived: BootTime) -> FanoutPlan {
         let (fleet, services) = &mut self.nodes[node];
-        let plan = FanoutPlan {
+        FanoutPlan {
             services: services.clone(),
-            min_shards: self.case.min_shards,
+            min_shards: self.kinds[kind].min_shards,
             retry: RetryPolicy::Idempotent,
             attempts: 2,
             class: class(fleet),
@@ -174,17 +259,41 @@
             role: FanoutRole::Entry { has_peers: false },
             is_cautious: false,
             arrived: self.now,
-            answer_by: self.now + OBJECTIVE,
-            deadline: self.now + DEADLINE,
-        };
+            answer_by: (arrived + OBJECTIVE).max(self.now),
+            deadline: arrived + self.kinds[kind].deadline,
+        }
+    }
+
+    /// Starts a search at a node, or refuses it; its caller then returns once or twice.
+    fn start(&mut self, search: usize) {
+        let node = self.rng.random_range(0..NODES);
+        let draw = self.rng.random_range(0.0..1.0);
+        let Search { kind, arrived, refusals, .. } = self.searches[search];
+        let plan = self.plan(node, kind, arrived);
+        let fleet = &mut self.nodes[node].0;
+        if self.measures == Measures::Admission {
+            let demand = SearchDemand {
+                services: &plan.services,
+                min_shards: plan.min_shards,
+                attempts: plan.attempts,
+                priority: self.kinds[kind].priority,
+                deadline: plan.deadline,
+            };
+            if let Err(refusal) = self.admission[node].admit(self.now, fleet, demand, draw) {
+                let returned_at = self.now + refusal.retry_in;
+                assert!(returned_at < plan.deadline && !refusal.retry_in.is_zero());
+                self.searches[search].refusals += 1;
+                if refusals < MAX_RETURNS {
+                    self.push(returned_at, Event::Returns { search });
+                }
+                return;
+            }
+        }
         let mut state = FanoutState::new(plan);
         let actions = state.start(self.now, fleet);
-        self.searches.push(Search { node, arrived: self.now, state, ended: None });
-        self.execute(self.searches.len() - 1, actions);
-        let gap = self.rng.random_range(0.0..2.0) / SEARCHES_PER_SECOND;
-        if self.now < at(END) {
-            self.push(self.now + Duration::from_secs_f64(gap), Event::Arrives);
-        }
+        self.searches[search].node = node;
+        self.searches[search].state = state;
+        self.execute(search, actions);
     }
 
     fn execute(&mut self, search: usize, actions: Vec<FanoutAction>) {
@@ -248,8 +357,24 @@
         }
     }
 
+    fn grant(&mut self) {
+        for (number, (fleet, _)) in self.nodes.iter_mut().enumerate() {
+            let Some(pool) = fleet.extra_pool() else { continue };
+            let terms = pool.terms(WINDOW);
+            for (name, tokens) in fleet.extra_asks(self.now) {
+                let subject = SharedSubject::ExtraRequests(name.clone());
+                let granted =
+                    self.pools[number % ZONES.len()].grant(self.now, &subject, terms, 1.0, tokens);
+                fleet.add_extra_tokens(self.now, self.now, &name, (tokens, granted));
+            }
+        }
+        if self.now < at(END) {
+            self.push(self.now + Duration::from_millis(5), Event::Grant);
+        }
+    }
+
     fn share(&mut self) {
-        if !self.is_shared {
+        if self.measures == Measures::None {
             return;
         }
         for (number, (fleet, _)) in self.nodes.iter_mut().enumerate() {
@@ -290,16 +415,19 @@
     ];
     for case in &cases {
         let label = case.label;
-        let mean = |is_shared| {
+        let kinds = [Kind { priority: 0, min_shards: case.min_shards, deadline: DEADLINE }];
+        let mean = |measures| {
             let mut sums = [0.0; 3];
             for seed in 0..RUNS {
-                let (in_time, at_failing, after) = Simulation::new(case, is_shared, seed).run();
+                let (served, at_failing, after) =
+                    Simulation::new(case, measures, &kinds, seed).run();
+                let in_time = f64::from(served[0].in_time) / f64::from(served[0].all);
                 sums = [sums[0] + in_time, sums[1] + at_failing, sums[2] + after];
             }
             sums.map(|sum| sum / RUNS as f64)
         };
-        let [alone, at_failing_alone, _] = mean(false);
-        let [in_time, at_failing, after] = mean(true);
+        let [alone, at_failing_alone, _] = mean(Measures::None);
+        let [in_time, at_failing, after] = mean(Measures::Sharing);
         eprintln!(
             "{label}: {alone:.3} in time alone, {in_time:.3} shared; attempts at failing servers \
              {at_failing_alone:.3} alone, {at_failing:.3} shared, {after:.3} after"
@@ -312,6 +440,44 @@
     }
 }
 
+#[test]
+fn searches_without_a_chance_are_refused_before_they_use_the_retry_budget() {
+    let case = TroubleCase {
+        label: "80% of the servers turn 60% away",
+        servers: 0.8,
+        attempts: 0.6,
+        outcome: AttemptOutcome::NotRun,
+        min_shards: SHARDS,
+        in_time: 0.0,
+        gain: 0.0,
+    };
+    let kinds = [URGENT, USUAL];
+    let play = |measures| {
+        let mut total = [Served::default(); 2];
+        for seed in 0..RUNS {
+            let (served, _, _) = Simulation::new(&case, measures, &kinds, seed).run();
+            for (total, served) in total.iter_mut().zip(served) {
+                total.add(served);
+            }
+        }
+        total
+    };
+    let [urgent_before, usual_before] = play(Measures::SharingAndPool);
+    let [urgent, usual] = play(Measures::Admission);
+    eprintln!("all admitted: {urgent_before:?} {usual_before:?}\ndecided: {urgent:?} {usual:?}");
+    let share = |served: Served| f64::from(served.in_time + served.late) / f64::from(served.all);
+    assert!(share(urgent) >= share(urgent_before) + 0.08, "{:.3}", share(urgent));
+    let all_before = urgent_before.in_time + usual_before.in_time;
+    assert!(urgent.in_time + usual.in_time > all_before, "fewer than {all_before} served in time");
+    // No kind is served less than a quarter as often as all.
+    let served = urgent.in_time + urgent.late + usual.in_time + usual.late;
+    let all = f64::from(served) / f64::from(urgent.all + usual.all);
+    assert!(share(usual) >= all / 4.0, "{:.3} of {all:.3}", share(usual));
+    let unserved = usual.all - usual.in_time - usual.late;
+    let refused = f64::from(usual.refused) / f64::from(unserved);
+    assert!(refused >= 0.8, "{refused:.3} of those not served were refused");
+}
+
 /// Returns how many of 100 requests of a node in zone `a` go to each server.
 fn picks(fleet: &mut ServerFleet, service: ServiceKey, millis: u64) -> IndexMap<ServerKey, u32> {
     let key = class(fleet);
