--- a/crates/tier/src/accounts.rs
+++ b/crates/tier/src/accounts.rs
@@ -79,6 +79,9 @@
     Denied,
 }
 
+/// Number of priorities of routes that [`RequestPriority::rank`] tells apart.
+const ROUTE_RANKS: u32 = 256;
+
 /// Priority of a request: that of its account decides before that of its route.
 ///
 /// The smaller one comes first.
@@ -99,6 +102,13 @@
         Self { leading, route }
     }
 
+    /// Returns a number that orders priorities as a whole; the smallest comes first.
+    #[must_use]
+    pub const fn rank(self) -> u32 {
+        let route = if self.route < ROUTE_RANKS { self.route } else { ROUTE_RANKS - 1 };
+        self.leading.saturating_mul(ROUTE_RANKS).saturating_add(route)
+    }
+
     /// Returns the deciding priority alone; 0 is the highest.
     #[must_use]
     pub const fn level(self) -> u32 {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -13,6 +13,7 @@
 //!   [`AccountUses`], [`OwnedAccounts`]
 //! - load balancing over backend servers: [`ServerFleet`]
 //! - failures of servers that the nodes of a zone tell each other: [`ObservationLedger`]
+//! - whether a search can still be served: [`SearchAdmission`]
 //! - limits on requests that servers name: [`LimitTable`]
 //! - limits that all nodes share: [`ShareLedger`]
 //! - requests that crash servers: [`CrashTable`]
@@ -32,6 +33,7 @@
 
 mod account_quota;
 mod accounts;
+mod admission;
 mod crash_doubts;
 mod crashes;
 mod credit;
@@ -67,6 +69,7 @@
 pub use accounts::{
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
 };
+pub use admission::{SearchAdmission, SearchDemand, SearchRefusal};
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
