--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::{
     backend::ServerPool,
     byte_budget::ByteBudget,
+    callers::CallerListeners,
     follow::StoreFreshness,
     report::{GaugeReadings, NoticeKind, RelayAdmission, Reporter},
 };
@@ -74,6 +75,8 @@
     /// Set to `true` to stop accepting callers, and to close connections as soon as
     /// they are idle.
     pub(crate) closing: watch::Sender<bool>,
+    /// Connections of callers, of the load balancer and of readers of the metrics.
+    pub(crate) callers: CallerListeners,
 }
 
 /// Mutable state: configuration, known servers and nodes, and lifecycle.
@@ -185,6 +188,7 @@
             started: BootTime::now(),
             incarnation,
             closing: watch::Sender::new(false),
+            callers: CallerListeners::new(settings.memory_bytes, settings.max_descriptors),
             settings,
         }
     }
@@ -454,6 +458,7 @@
                 unreachable_zones: state.fleet.lost_zones(now).len(),
                 lost_servers: state.fleet.lost_servers(now),
                 nodes_without_links: state.peers.link_reports().nodes_without_links(),
+                callers: self.callers.callers.usage(),
             }
         };
         self.reporter.encode_metrics(readings)
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -6,15 +6,17 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    CallerLimits, FanoutOutcome, FanoutPlan, FanoutRole, GatherConfig, LifecyclePhase,
-    PlacementRequest, RequestAdmission, RouteConfig, RouteTarget, merge_records, place_request,
+    FanoutOutcome, FanoutPlan, FanoutRole, GatherConfig, LifecyclePhase, PlacementRequest,
+    RequestAdmission, RouteConfig, RouteTarget, merge_records, place_request,
 };
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::{
     backend::{BackendRequest, BackendResponse},
+    caller_body::{BodyFailure, CallerBody},
+    callers::CallerConnection,
     fanout::{FanoutResult, run_fanout},
     gateway::{Gateway, InFlightGuard},
     peers::DelegatedScope,
@@ -38,16 +40,18 @@
 /// Handles one request and returns the response.
 pub(crate) async fn handle(
     gateway: Rc<Gateway>,
+    caller: Rc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let _in_flight = InFlightGuard::new(&gateway);
     let arrived = BootTime::now();
     let (head, body) = request.into_parts();
+    let body = CallerBody::new(caller.clone(), &head.headers, body);
     let mut report = RequestReport::new(&gateway.reporter, &head.headers, arrived);
     let mut response = respond(&gateway, arrived, head, body, &mut report).await;
     // The load balancer assigns a node to each connection, so that a caller has to
     // open a new connection to reach another node.
-    if gateway.phase() != LifecyclePhase::Ready {
+    if gateway.phase() != LifecyclePhase::Ready || caller.is_evicted() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     report.finish(response.status());
@@ -58,7 +62,7 @@
     gateway: &Rc<Gateway>,
     arrived: BootTime,
     head: Parts,
-    body: Incoming,
+    body: CallerBody,
     report: &mut RequestReport<'_>,
 ) -> Response<Full<Bytes>> {
     let configuration = {
@@ -82,12 +86,16 @@
         return empty_response(StatusCode::NOT_FOUND);
     };
     report.route = Some(route.clone());
-    let body = match read_body(&configuration.limits, &head.headers, body).await {
+    let body = match body.receive(&head.headers).await {
         Ok(body) => body,
-        Err(status) => {
+        Err(BodyFailure::Refused(status)) => {
             report.verdict = RequestVerdict::BadRequest;
             return empty_response(status);
         }
+        Err(BodyFailure::NoRoom) => {
+            report.verdict = RequestVerdict::NotRun;
+            return no_room_response();
+        }
     };
     let caller_timeout = headers::deadline_of(&head.headers).unwrap_or(route.timeout);
     report.caller_timeout = caller_timeout;
@@ -119,23 +127,6 @@
     }
 }
 
-async fn read_body(
-    limits: &CallerLimits,
-    headers: &HeaderMap,
-    body: Incoming,
-) -> Result<Bytes, StatusCode> {
-    let header_bytes: usize =
-        headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    if header_bytes > limits.header_bytes {
-        return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-    }
-    match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
 fn host_of(head: &Parts) -> String {
     let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     host.or_else(|| head.uri.host()).unwrap_or_default().to_owned()
@@ -301,6 +292,13 @@
     response
 }
 
+/// Builds the response to a request that has no room and was not executed.
+pub(crate) fn no_room_response() -> Response<Full<Bytes>> {
+    let mut response = unavailable_response(REFUSED_RETRY_AFTER);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 mod args;
 mod backend;
 mod byte_budget;
+mod caller_body;
+mod callers;
 mod fanout;
 mod follow;
 mod gateway;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     args::GatewayArgs,
+    callers::limit_callers,
     follow::follow_peer,
     gateway::Gateway,
     ingress,
@@ -104,6 +105,7 @@
     spawn_local(ask_for_tokens(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
+    spawn_local(limit_callers(gateway.clone()));
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness_listener));
     spawn_local(ingress::serve_callers(gateway.clone(), caller_listener));
     info!(callers:% = gateway.settings.caller_listener; "started");
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,8 +5,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, FanoutOutcome, MissingShards, RequestFingerprint, RouteConfig,
-    RouteTarget,
+    AttemptKind, AttemptOutcome, CallerFault, FanoutOutcome, MissingShards, RequestFingerprint,
+    RouteConfig, RouteTarget,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -42,6 +42,7 @@
     limited_attempts: IntCounterVec,
     broken_attempts: IntCounter,
     relayed_requests: IntCounterVec,
+    caller_faults: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -65,6 +66,8 @@
     unreachable_zones: IntGauge,
     lost_servers: IntGauge,
     nodes_without_links: IntGauge,
+    caller_connections: IntGauge,
+    caller_bytes: IntGauge,
 }
 
 /// Values for the gauges.
@@ -82,6 +85,8 @@
     pub(crate) unreachable_zones: usize,
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
+    /// Connections of callers, and the bytes that they hold beyond what each one may hold.
+    pub(crate) callers: (usize, usize),
 }
 
 /// Final classification of a request.
@@ -274,6 +279,11 @@
                 "Requests of nodes that have lost their links to servers.",
                 "kind",
             )?,
+            caller_faults: counters(
+                "carobstep_caller_faults_total",
+                "Connections ended and requests refused because of what clients do, by reason.",
+                "reason",
+            )?,
             broken_attempts: {
                 let help = "Attempts whose server closed the connection before it responded.";
                 let counter = IntCounter::new("carobstep_broken_attempts_total", help)?;
@@ -315,6 +325,14 @@
                     "carobstep_nodes_without_links",
                     "Nodes, with this one, that can't reach the servers of some zone.",
                 )?,
+                caller_connections: gauge(
+                    "carobstep_caller_connections",
+                    "Open connections of callers.",
+                )?,
+                caller_bytes: gauge(
+                    "carobstep_caller_bytes",
+                    "Bytes of large requests and unread answers of callers.",
+                )?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -348,6 +366,10 @@
         self.relayed_requests.with_label_values(&[<&str>::from(admission)]).inc();
     }
 
+    pub(crate) fn count_caller_fault(&self, fault: CallerFault) {
+        self.caller_faults.with_label_values(&[<&str>::from(fault)]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -369,6 +391,9 @@
         gauges.unreachable_zones.set(readings.unreachable_zones as i64);
         gauges.lost_servers.set(readings.lost_servers as i64);
         gauges.nodes_without_links.set(readings.nodes_without_links as i64);
+        let (connections, bytes) = readings.callers;
+        gauges.caller_connections.set(connections as i64);
+        gauges.caller_bytes.set(bytes as i64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!(error:% = error; "encoding the metrics failed");
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -15,6 +15,7 @@
 //!   [`LinkReports`], [`RelayRoom`]
 //! - spreading of the store's data over the nodes: [`UpdateSource`], [`SpreadTiming`]
 //! - one request to a service or to every shard of an index: [`FanoutState`]
+//! - what client connections hold together, and which of them end: [`CallerBudget`]
 //! - readiness and graceful shutdown: [`NodeLifecycle`]
 //!
 //! ```
@@ -24,6 +25,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod caller_budget;
 mod crash_doubts;
 mod crashes;
 mod credit;
@@ -49,6 +51,10 @@
 mod stats;
 mod update_tree;
 
+pub use caller_budget::{
+    CallerBounds, CallerBudget, CallerEviction, CallerFault, CallerKey, CallerPhase, MAX_ROOM_WAIT,
+    MIN_PACE,
+};
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! backend servers, and checks what callers and servers observe.
 
 mod backend;
+mod callers;
 mod crashes;
 mod explain;
 mod hostile;
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -19,6 +19,9 @@
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Environment variable with the path of another build of the program, for measurements.
+const PROGRAM_VARIABLE: &str = "CAROBSTEPD_PROGRAM";
+
 /// A running gateway process; dropping it kills the process.
 pub struct GatewayNode {
     pub callers: SocketAddr,
@@ -68,7 +71,9 @@
 
 fn spawn(dir: &Path, metrics: u16) -> Child {
     let log = File::options().create(true).append(true).open(dir.join("log")).expect("a log file");
-    Command::new(env!("CARGO_BIN_EXE_carobstepd"))
+    let program = std::env::var(PROGRAM_VARIABLE)
+        .unwrap_or_else(|_| env!("CARGO_BIN_EXE_carobstepd").to_owned());
+    Command::new(program)
         .args(["gateway", "--metrics", &metrics.to_string()])
         .env("CAROBSTEP_BOOT", dir.join("settings.conf"))
         .stdout(Stdio::from(log))
@@ -171,6 +176,15 @@
         pages * 4096
     }
 
+    /// Returns the largest memory that the process has used so far.
+    pub fn peak_bytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).expect("memory figures");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a line");
+        let kilobytes = line.split_whitespace().next().expect("a field");
+        kilobytes.parse::<usize>().expect("a number") * 1024
+    }
+
     pub fn log_path(&self) -> PathBuf {
         self.dir.join("log")
     }
