--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -4,8 +4,8 @@
 
 use carobstep_logging::LogSink;
 use carobstep_platform::{SETTINGS_VARIABLE, read_settings};
-use carobstep_tier::NodeSettings;
-use carobstep_wire::serve_peers;
+use carobstep_tier::{CallerBounds, NodeSettings};
+use carobstep_wire::{PeerBounds, serve_peers_within};
 use eyre::WrapErr;
 use log::{LevelFilter, info};
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
@@ -97,7 +97,12 @@
     }
     let (bridge, calls) = PeerBridge::new();
     spawn_local(serve_calls(gateway.clone(), calls));
-    spawn_local(serve_peers(peer_listener, Arc::new(bridge), gateway.closing.subscribe()));
+    let settings = &gateway.settings;
+    let bounds = CallerBounds::for_peers(settings.memory_bytes, settings.max_descriptors);
+    let bounds =
+        PeerBounds { max_connections: bounds.max_connections, max_frame_bytes: bounds.max_bytes };
+    let stop = gateway.closing.subscribe();
+    spawn_local(serve_peers_within(peer_listener, Arc::new(bridge), bounds, stop));
     membership::register(&gateway);
     spawn_local(watch_store(gateway.clone()));
     spawn_local(follow_peer(gateway.clone()));
--- a/crates/tier/src/caller_budget.rs
+++ b/crates/tier/src/caller_budget.rs
@@ -43,6 +43,12 @@
 /// servers, other nodes and the store.
 const DESCRIPTOR_SHARE: f64 = 0.6;
 
+/// Share of the process's memory that incomplete requests of other nodes may take.
+const PEER_MEMORY_SHARE: f64 = 0.1;
+
+/// Share of the descriptors that connections of other nodes may take.
+const PEER_DESCRIPTOR_SHARE: f64 = 0.15;
+
 /// Descriptors that aren't sockets.
 const RESERVED_DESCRIPTORS: usize = 200;
 
@@ -83,6 +89,18 @@
         let max_bytes = (memory_bytes as usize).saturating_sub(max_connections * CONNECTION_BYTES);
         Self { max_connections, max_bytes }
     }
+
+    /// Returns the limits of the listener for other nodes, with the same arguments.
+    #[must_use]
+    pub fn for_peers(memory_bytes: Option<usize>, max_descriptors: Option<usize>) -> Self {
+        let memory_bytes = memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES) as f64;
+        let descriptors = max_descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+        let sockets = descriptors.saturating_sub(RESERVED_DESCRIPTORS) as f64;
+        Self {
+            max_connections: ((sockets * PEER_DESCRIPTOR_SHARE) as usize).max(MIN_CONNECTIONS),
+            max_bytes: (memory_bytes * PEER_MEMORY_SHARE) as usize,
+        }
+    }
 }
 
 /// What a connection is used for at the moment.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,7 +25,7 @@
 pub use error::{WireError, WireErrorKind};
 pub use listener::serve_connections;
 pub use reason::{RefusalReason, RequestOutcome, RetryReason};
-pub use server::{PeerHandler, ReplySink, serve_peers};
+pub use server::{PeerBounds, PeerHandler, ReplySink, serve_peers, serve_peers_within};
 pub use shard::{RequestId, ShardReply, ShardRequest, ShardResult};
 pub use stream::probe_interval;
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,12 +3,13 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use h2::{RecvStream, SendStream, server::SendResponse};
+use h2::{Reason, RecvStream, SendStream, server::SendResponse};
 use http::{Request, Response, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{
+        Semaphore,
         mpsc::{UnboundedSender, unbounded_channel},
         watch,
     },
@@ -75,21 +76,76 @@
     }
 }
 
+/// Limits on what all peers together may make a node hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerBounds {
+    /// Maximum number of connections; further ones are closed.
+    pub max_connections: usize,
+    /// Maximum number of bytes of requests that are being received; streams that would
+    /// exceed it are refused as not processed.
+    pub max_frame_bytes: usize,
+}
+
+impl Default for PeerBounds {
+    /// Returns limits that only the transport's own limits restrict.
+    fn default() -> Self {
+        Self { max_connections: Semaphore::MAX_PERMITS, max_frame_bytes: Semaphore::MAX_PERMITS }
+    }
+}
+
+/// Room for connections and frames; cloned handles share it.
+#[derive(Clone, Debug)]
+struct PeerRoom {
+    connections: Arc<Semaphore>,
+    frame_bytes: Arc<Semaphore>,
+}
+
+impl From<PeerBounds> for PeerRoom {
+    fn from(bounds: PeerBounds) -> Self {
+        let permits = |number: usize| Arc::new(Semaphore::new(number.min(Semaphore::MAX_PERMITS)));
+        Self {
+            connections: permits(bounds.max_connections),
+            frame_bytes: permits(bounds.max_frame_bytes),
+        }
+    }
+}
+
 /// Serves peer connections until `stop` becomes `true`, then waits until all streams
 /// in flight have ended.
 pub async fn serve_peers<H: PeerHandler>(
     listener: TcpListener,
     handler: Arc<H>,
     stop: watch::Receiver<bool>,
+) {
+    serve_peers_within(listener, handler, PeerBounds::default(), stop).await;
+}
+
+/// Like [`serve_peers`], within `bounds`.
+pub async fn serve_peers_within<H: PeerHandler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    bounds: PeerBounds,
+    stop: watch::Receiver<bool>,
 ) {
     let connection_stop = stop.clone();
-    let serve = |socket, _| serve_connection(socket, handler.clone(), connection_stop.clone());
+    let room = PeerRoom::from(bounds);
+    let serve = |socket, _| {
+        let (handler, room, stop) = (handler.clone(), room.clone(), connection_stop.clone());
+        async move {
+            let Ok(_permit) = room.connections.clone().try_acquire_owned() else {
+                handler.count_invalid_input();
+                return;
+            };
+            serve_connection(socket, handler, room, stop).await;
+        }
+    };
     serve_connections(listener, stop, serve).await;
 }
 
 async fn serve_connection<H: PeerHandler>(
     socket: TcpStream,
     handler: Arc<H>,
+    room: PeerRoom,
     mut stop: watch::Receiver<bool>,
 ) {
     // With Nagle's algorithm, a small reply would wait for the acknowledgement of
@@ -110,7 +166,7 @@
         tokio::select! {
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, respond))) => {
-                    tokio::spawn(serve_stream(request, respond, handler.clone()));
+                    tokio::spawn(serve_stream(request, respond, handler.clone(), room.clone()));
                 }
                 Some(Err(error)) => {
                     // A protocol error detected by this side, as opposed to a reset or a
@@ -134,9 +190,15 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     handler: Arc<H>,
+    room: PeerRoom,
 ) {
-    let request = match read_request(request).await {
+    let request = match read_request(request, &room).await {
         Ok(request) => request,
+        Err(error) if error.kind() == WireErrorKind::NotSent => {
+            handler.count_invalid_input();
+            respond.send_reset(Reason::REFUSED_STREAM);
+            return;
+        }
         // The peer cancelled the request before it was received completely.
         Err(error) if error.kind() == WireErrorKind::Lost => return,
         Err(_) => {
@@ -190,8 +252,12 @@
     }
 }
 
-async fn read_request<Q: DeserializeOwned>(request: Request<RecvStream>) -> Result<Q, WireError> {
-    let frame = timeout(BODY_TIMEOUT, read_frame(request.into_body())).await.map_err(|_| {
+async fn read_request<Q: DeserializeOwned>(
+    request: Request<RecvStream>,
+    room: &PeerRoom,
+) -> Result<Q, WireError> {
+    let read = read_frame(request.into_body(), &room.frame_bytes);
+    let (frame, _permits) = timeout(BODY_TIMEOUT, read).await.map_err(|_| {
         WireError::new(WireErrorKind::Codec, format!("no complete frame within {BODY_TIMEOUT:?}"))
     })??;
     decode(&frame)
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::RecvStream;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::{
     codec::MAX_FRAME_BYTES,
@@ -51,20 +52,38 @@
     MIN_PROBE_INTERVAL.max(MIN_PROBE_SPACING.saturating_mul(connections))
 }
 
-/// Reads a complete request body of at most [`MAX_FRAME_BYTES`].
-pub(crate) async fn read_frame(mut body: RecvStream) -> Result<Bytes, WireError> {
+/// Reads a complete request body of at most [`MAX_FRAME_BYTES`], taking a permit of `room`
+/// for each byte.
+///
+/// # Errors
+///
+/// An error of the kind [`WireErrorKind::NotSent`] means that there is no room.
+pub(crate) async fn read_frame(
+    mut body: RecvStream,
+    room: &Semaphore,
+) -> Result<(Bytes, Option<SemaphorePermit<'_>>), WireError> {
     let mut frame = BytesMut::new();
+    let mut permits: Option<SemaphorePermit<'_>> = None;
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|error| error_after_send(&error))?;
         if frame.len() + chunk.len() > MAX_FRAME_BYTES {
             let message = format!("frame exceeds {MAX_FRAME_BYTES} bytes");
             return Err(WireError::new(WireErrorKind::Codec, message));
         }
+        let Ok(permit) = room.try_acquire_many(u32::try_from(chunk.len()).unwrap_or(u32::MAX))
+        else {
+            let message = "no room for the frames of peers".to_owned();
+            return Err(WireError::new(WireErrorKind::NotSent, message));
+        };
+        match &mut permits {
+            Some(permits) => permits.merge(permit),
+            None => permits = Some(permit),
+        }
         // A failure to return capacity means that the stream is already closed.
         let _ = body.flow_control().release_capacity(chunk.len());
         frame.extend_from_slice(&chunk);
     }
-    Ok(frame.freeze())
+    Ok((frame.freeze(), permits))
 }
 
 /// Size of the length prefix of each reply frame, in bytes.
