--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -72,6 +72,7 @@
         let received = self.receive_within(max_bytes).await;
         if received.is_ok() {
             self.body = None;
+            self.connection.end_body();
             self.connection.enter(CallerPhase::Working);
         }
         received
@@ -150,7 +151,7 @@
             }
         }
     };
-    if timeout(DISCARD_TIMEOUT, receive).await.is_ok() && connection.phase() == CallerPhase::Head {
-        connection.enter(CallerPhase::Idle);
+    if timeout(DISCARD_TIMEOUT, receive).await.is_ok() {
+        connection.end_body();
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -14,15 +14,16 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    CallerBounds, CallerBudget, CallerFault, CallerKey, CallerLimits, CallerPhase,
+    CallerBounds, CallerBudget, CallerFault, CallerKey, CallerLimits, CallerPhase, MAX_ROOM_WAIT,
+    MAX_SENT_AHEAD,
 };
 use http::HeaderMap;
 use slotmap::SecondaryMap;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    sync::Notify,
-    time::sleep,
+    sync::{Notify, Semaphore, SemaphorePermit},
+    time::{sleep, timeout},
 };
 
 use crate::gateway::Gateway;
@@ -78,8 +79,13 @@
 pub(crate) struct CallerListener {
     budget: RefCell<CallerBudget>,
     connections: RefCell<SecondaryMap<CallerKey, Rc<EvictionSignal>>>,
+    /// Room for requests that were sent ahead.
+    ahead: Semaphore,
 }
 
+/// Permit of a request that was sent ahead; `None` for other requests.
+pub(crate) type TurnPermit<'listener> = Option<SemaphorePermit<'listener>>;
+
 /// Tells the tasks of a connection that it has to end.
 #[derive(Debug, Default)]
 struct EvictionSignal {
@@ -93,6 +99,7 @@
         Self {
             budget: RefCell::new(CallerBudget::new(bounds)),
             connections: RefCell::new(SecondaryMap::new()),
+            ahead: Semaphore::new(MAX_SENT_AHEAD),
         }
     }
 
@@ -121,6 +128,7 @@
                 signal,
                 phase: Cell::new(CallerPhase::Idle),
                 has_read_ahead: Cell::new(false),
+                is_next_ahead: Cell::new(false),
             });
         }
     }
@@ -147,6 +155,9 @@
     phase: Cell<CallerPhase>,
     /// Whether bytes have arrived during the request in progress.
     has_read_ahead: Cell<bool>,
+    /// Whether nothing has arrived since the last answer was sent, so that a request that
+    /// begins was sent ahead.
+    is_next_ahead: Cell<bool>,
 }
 
 impl Drop for CallerConnection {
@@ -188,6 +199,29 @@
         self.listener.budget.borrow_mut().enter(BootTime::now(), self.key, phase);
     }
 
+    /// Waits until a request that was sent ahead may be executed; `None` if there is no
+    /// room for it in time.
+    pub(crate) async fn wait_for_turn(&self, is_sent_ahead: bool) -> Option<TurnPermit<'_>> {
+        if !is_sent_ahead {
+            return Some(None);
+        }
+        let permit = timeout(MAX_ROOM_WAIT, self.listener.ahead.acquire()).await;
+        permit.ok()?.ok().map(Some)
+    }
+
+    /// Whether the request that begins was sent before the last answer was.
+    pub(crate) const fn is_sent_ahead(&self) -> bool {
+        self.is_next_ahead.get()
+    }
+
+    /// Records that everything that has arrived belongs to the request in progress.
+    pub(crate) fn end_body(&self) {
+        self.has_read_ahead.set(false);
+        if self.phase() == CallerPhase::Head {
+            self.enter(CallerPhase::Idle);
+        }
+    }
+
     /// Starts a request; returns whether there is room for its header section.
     pub(crate) fn begin(&self, headers: &HeaderMap) -> bool {
         self.has_read_ahead.set(false);
@@ -220,7 +254,10 @@
 
     fn on_read(&self, bytes: usize) {
         match self.phase.get() {
-            CallerPhase::Idle => self.enter(CallerPhase::Head),
+            CallerPhase::Idle => {
+                self.is_next_ahead.set(false);
+                self.enter(CallerPhase::Head);
+            }
             CallerPhase::Body => self.record_progress(bytes),
             CallerPhase::Working | CallerPhase::Answer => self.has_read_ahead.set(true),
             CallerPhase::Head => {}
@@ -237,6 +274,7 @@
         if self.phase.get() != CallerPhase::Answer {
             return;
         }
+        self.is_next_ahead.set(true);
         self.enter(CallerPhase::Idle);
         if self.has_read_ahead.get() {
             self.enter(CallerPhase::Head);
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -137,13 +137,15 @@
     let limits = caller.limits();
     let mut closing = gateway.closing.subscribe();
     let service = service_fn(|request: Request<Incoming>| {
+        let is_sent_ahead = caller.is_sent_ahead();
         let has_room = caller.begin(request.headers());
         let response = has_room.then(|| handle(gateway.clone(), caller.clone(), request));
         let caller = caller.clone();
         async move {
-            let response = match response {
-                Some(response) => response.await,
-                None => {
+            let turn = caller.wait_for_turn(is_sent_ahead).await;
+            let response = match (response, turn) {
+                (Some(response), Some(_permit)) => response.await,
+                _ => {
                     caller.count_fault(CallerFault::NoRoom);
                     handler::no_room_response()
                 }
--- a/crates/tier/src/caller_budget.rs
+++ b/crates/tier/src/caller_budget.rs
@@ -26,6 +26,10 @@
 /// Longest time for which a body waits for room before its request is refused.
 pub const MAX_ROOM_WAIT: Duration = Duration::from_secs(1);
 
+/// Maximum number of requests in progress that their clients sent before they had the
+/// answer to their last one. Clients that wait for their answers aren't limited.
+pub const MAX_SENT_AHEAD: usize = 4;
+
 /// Memory of a connection with a small request, in bytes: buffers, state of the parser and
 /// of the task, and [`FREE_BYTES`].
 const CONNECTION_BYTES: usize = 16 * 1024;
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -53,7 +53,7 @@
 
 pub use caller_budget::{
     CallerBounds, CallerBudget, CallerEviction, CallerFault, CallerKey, CallerPhase, MAX_ROOM_WAIT,
-    MIN_PACE,
+    MAX_SENT_AHEAD, MIN_PACE,
 };
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use indexmap::IndexMap;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -142,6 +143,8 @@
     served: f64,
     /// Times of the ordinary requests that succeeded, ascending.
     times: Vec<Duration>,
+    /// Number of ordinary requests by the status of their answer, zero if there was none.
+    statuses: IndexMap<u16, usize>,
     ready: usize,
     readiness_checks: usize,
 }
@@ -160,7 +163,7 @@
     for _ in 0..crowd.connections {
         clients.spawn(play(to, crowd.habit, crowd.body_bytes));
     }
-    let (mut sent, mut times) = (0, Vec::new());
+    let (mut sent, mut times, mut statuses) = (0, Vec::new(), IndexMap::new());
     let (mut ready, mut readiness_checks) = (0, 0);
     let end = Instant::now() + time;
     let mut ticks = interval(Duration::from_millis(50));
@@ -173,9 +176,12 @@
         sent += 1;
         let start = Instant::now();
         let client = carobstep_bench::HttpClient::default();
-        if let Ok(Ok(answer)) = timeout(PATIENCE, client.send(node.callers, &call)).await
-            && answer.status == 200
-        {
+        let status = match timeout(PATIENCE, client.send(node.callers, &call)).await {
+            Ok(Ok(answer)) => answer.status.as_u16(),
+            _ => 0,
+        };
+        *statuses.entry(status).or_insert(0) += 1;
+        if status == 200 {
             times.push(start.elapsed());
         }
         if sent % 4 == 0 {
@@ -185,7 +191,7 @@
     }
     times.sort();
     let served = times.len() as f64 / f64::from(sent);
-    Observed { peak_bytes: node.peak_bytes(), served, times, ready, readiness_checks }
+    Observed { peak_bytes: node.peak_bytes(), served, times, statuses, ready, readiness_checks }
 }
 
 /// Starts a node with limits on its memory and descriptors beside that of the fixture.
@@ -223,11 +229,7 @@
         let node = limited_node(&fixture, MEMORY_MB, BODY_BYTES).await;
         let observed = observe(&node, node.callers, &crowd, Duration::from_secs(4)).await;
         if !observed.is_held(MEMORY_MB * 1_000_000) {
-            let Observed { peak_bytes, served, ready, readiness_checks, .. } = observed;
-            failed.push(format!(
-                "{}: {peak_bytes} bytes, {served:.3} served, {ready} of {readiness_checks} ready",
-                crowd.label
-            ));
+            failed.push(format!("{}: {observed:?}", crowd.label));
         }
     }
     assert!(failed.is_empty(), "{failed:#?}");
@@ -324,7 +326,7 @@
         let mut answer = [0; 4096];
         let count = socket.read(&mut answer).await.expect("an answer");
         let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
-        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {answer:?}");
         assert!(!answer.contains("connection: close"), "{answer}");
         sleep(pause).await;
     }
@@ -353,10 +355,11 @@
         let observed = observe(&node, node.callers, &crowd, Duration::from_secs(12)).await;
         let slowest = observed.times.get(observed.times.len() * 99 / 100);
         println!(
-            "{}: {} MB, {:.3} served, p99 {:?}, {} of {} ready",
+            "{}: {} MB, {:.3} served {:?}, p99 {:?}, {} of {} ready",
             crowd.label,
             observed.peak_bytes / 1_000_000,
             observed.served,
+            observed.statuses,
             slowest.copied().unwrap_or_default(),
             observed.ready,
             observed.readiness_checks
