--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -144,7 +144,9 @@
     }
     let receive = async {
         let mut discarded = 0;
-        while let Some(Ok(frame)) = body.frame().await {
+        // Once the answer is sent, the HTTP implementation reports no end of the body.
+        while !body.is_end_stream() {
+            let Some(Ok(frame)) = body.frame().await else { return };
             discarded += frame.data_ref().map_or(0, Bytes::len);
             if discarded > max_bytes {
                 return;
