--- a/crates/tier/tests/caller_budget.rs
+++ b/crates/tier/tests/caller_budget.rs
@@ -109,7 +109,7 @@
         let end = now + case.by;
         let mut fault = None;
         while now < end && fault.is_none() {
-            now = now + STEP;
+            now += STEP;
             budget.record_progress(now, key, case.step_bytes);
             budget.expire(now, &CallerLimits::default());
             fault = budget.take_evictions().pop().map(|eviction| eviction.fault);
@@ -141,7 +141,7 @@
     let deadline = now + MAX_ROOM_WAIT;
     let mut is_held = false;
     while now < deadline && !is_held {
-        now = now + Duration::from_millis(50);
+        now += Duration::from_millis(50);
         budget.record_progress(now, slow, 1000);
         is_held = budget.try_hold(now, newcomer, 100_000);
     }
--- a/crates/wire/tests/peer_streams.rs
+++ b/crates/wire/tests/peer_streams.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use carobstep_config::ServerName;
 use carobstep_wire::{
-    PeerHandler, PeerHealth, PeerHealthUpdate, PeerPool, PeerReply, PeerRequest, RefusalReason,
-    ReplySink, RequestId, RequestOutcome, ShardReply, ShardRequest, ShardResult, WireErrorKind,
-    serve_peers,
+    PeerBounds, PeerHandler, PeerHealth, PeerHealthUpdate, PeerPool, PeerReply, PeerRequest,
+    RefusalReason, ReplySink, RequestId, RequestOutcome, ShardReply, ShardRequest, ShardResult,
+    WireErrorKind, serve_peers, serve_peers_within,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -351,3 +351,32 @@
         assert_eq!(carobstep_wire::decode::<PeerReply>(&frame).unwrap(), reply);
     }
 }
+
+/// Requests that don't fit are refused as not processed, and their room is free again.
+#[tokio::test]
+async fn requests_beyond_the_room_are_refused_as_not_sent() {
+    const ROOM_BYTES: usize = 200_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = Arc::new(EchoHandler::default());
+    let (_stop_sender, stop) = watch::channel(false);
+    let bounds = PeerBounds { max_connections: 3, max_frame_bytes: ROOM_BYTES };
+    tokio::spawn(serve_peers_within(listener, handler.clone(), bounds, stop));
+    let pool = PeerPool::new(None).0;
+    for round in 0..5 {
+        let large = shard_request(round, vec![b'x'; ROOM_BYTES + 1000]);
+        let error = pool.call(address, &large).await.unwrap_err();
+        assert_eq!(error.kind(), WireErrorKind::NotSent, "{error}");
+        let small = shard_request(round, vec![b'x'; ROOM_BYTES / 2]);
+        pool.call(address, &small).await.unwrap();
+    }
+    assert_eq!(handler.bad_inputs.load(Ordering::SeqCst), 5);
+    // Connections over the limit are closed.
+    let mut others = Vec::new();
+    for _ in 0..4 {
+        others.push(TcpStream::connect(address).await.unwrap());
+    }
+    let closed = timeout(Duration::from_secs(2), others[3].read(&mut [0; 100])).await.unwrap();
+    assert!(matches!(closed, Ok(0) | Err(_)), "{closed:?}");
+    pool.call(address, &shard_request(9, "small")).await.unwrap();
+}
