--- a/crates/tier/src/caller_budget.rs
+++ b/crates/tier/src/caller_budget.rs
@@ -23,6 +23,9 @@
 /// link, before it counts as behind.
 const MAX_LEAD: Duration = Duration::from_secs(1);
 
+/// Time for which a connection must have been idle before it may end to make room.
+const MIN_IDLE: Duration = Duration::from_millis(200);
+
 /// Longest time for which a body waits for room before its request is refused.
 pub const MAX_ROOM_WAIT: Duration = Duration::from_secs(1);
 
@@ -381,14 +384,14 @@
         first.unwrap_or(now + MAX_LEAD).max(now)
     }
 
-    /// Returns the connection that has been idle for the longest time, beyond [`MAX_LEAD`].
+    /// Returns the connection that has been idle for the longest time, beyond [`MIN_IDLE`].
     fn find_idle(&self, now: BootTime) -> Option<CallerKey> {
         self.connections
             .iter()
             .filter(|(_, caller)| {
                 !caller.is_evicted
                     && caller.phase == CallerPhase::Idle
-                    && now.since(caller.since) > MAX_LEAD
+                    && now.since(caller.since) > MIN_IDLE
             })
             .min_by_key(|(_, caller)| caller.since)
             .map(|(key, _)| key)
