--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     accounts::log_conflicts,
     backend::ServerPool,
     byte_budget::ByteBudget,
+    callers::CallerListeners,
     follow::StoreFreshness,
     report::{GaugeReadings, NoticeKind, RelayAdmission, Reporter},
 };
@@ -85,6 +86,8 @@
     /// Set to `true` to stop accepting callers, and to close connections as soon as
     /// they are idle.
     pub(crate) closing: watch::Sender<bool>,
+    /// Connections of callers, of the load balancer and of readers of the metrics.
+    pub(crate) callers: CallerListeners,
 }
 
 /// Mutable state: configuration, known servers and nodes, and lifecycle.
@@ -228,6 +231,7 @@
             started: BootTime::now(),
             incarnation,
             closing: watch::Sender::new(false),
+            callers: CallerListeners::new(settings.memory_bytes, settings.max_descriptors),
             settings,
         }
     }
@@ -535,6 +539,7 @@
                 extra_use: state.fleet.extra_use(),
                 client_accounts: state.accounts.len(),
                 short_accounts: state.account_uses.short_accounts(now),
+                callers: self.callers.callers.usage(),
             }
         };
         self.reporter.encode_metrics(readings)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,8 @@
 mod args;
 mod backend;
 mod byte_budget;
+mod caller_body;
+mod callers;
 mod crash_store;
 mod evacuation;
 mod fanout;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -4,8 +4,8 @@
 
 use carobstep_logging::LogSink;
 use carobstep_platform::{SETTINGS_VARIABLE, read_settings};
-use carobstep_tier::NodeSettings;
-use carobstep_wire::serve_peers;
+use carobstep_tier::{CallerBounds, NodeSettings};
+use carobstep_wire::{PeerBounds, serve_peers_within};
 use eyre::WrapErr;
 use log::{LevelFilter, info};
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
@@ -13,6 +13,7 @@
 use crate::{
     account_quota::announce_short_accounts,
     args::GatewayArgs,
+    callers::limit_callers,
     crash_store::store_crashes,
     follow::follow_peer,
     gateway::Gateway,
@@ -100,7 +101,12 @@
     }
     let (bridge, calls) = PeerBridge::new();
     spawn_local(serve_calls(gateway.clone(), calls));
-    spawn_local(serve_peers(peer_listener, Arc::new(bridge), gateway.closing.subscribe()));
+    let settings = &gateway.settings;
+    let bounds = CallerBounds::for_peers(settings.memory_bytes, settings.max_descriptors);
+    let bounds =
+        PeerBounds { max_connections: bounds.max_connections, max_frame_bytes: bounds.max_bytes };
+    let stop = gateway.closing.subscribe();
+    spawn_local(serve_peers_within(peer_listener, Arc::new(bridge), bounds, stop));
     membership::register(&gateway);
     spawn_local(watch_store(gateway.clone()));
     spawn_local(follow_peer(gateway.clone()));
@@ -112,6 +118,7 @@
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(store_crashes(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
+    spawn_local(limit_callers(gateway.clone()));
     spawn_local(ingress::serve_readiness(gateway.clone(), readiness_listener));
     spawn_local(ingress::serve_callers(gateway.clone(), caller_listener));
     info!(callers:% = gateway.settings.caller_listener; "started");
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,8 +5,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, EvacuationChange, ExtraUse, FanoutOutcome, MissingShards, PaceEnd,
-    RequestFingerprint, RouteConfig, RouteTarget, SearchRefusal,
+    AttemptKind, AttemptOutcome, CallerFault, EvacuationChange, ExtraUse, FanoutOutcome,
+    MissingShards, PaceEnd, RequestFingerprint, RouteConfig, RouteTarget, SearchRefusal,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -47,6 +47,7 @@
     observations: IntCounterVec,
     evacuation_changes: IntCounterVec,
     pace_ends: IntCounterVec,
+    caller_faults: IntCounterVec,
     gauges: Gauges,
     /// Number of requests served within the latency objective.
     served_in_time: Cell<u64>,
@@ -78,6 +79,8 @@
     extra_paid: IntGauge,
     extra_refused: IntGauge,
     extra_pooled: IntGauge,
+    caller_connections: IntGauge,
+    caller_bytes: IntGauge,
 }
 
 /// Values for the gauges.
@@ -101,6 +104,8 @@
     pub(crate) lost_servers: usize,
     pub(crate) nodes_without_links: usize,
     pub(crate) extra_use: ExtraUse,
+    /// Connections of callers, and the bytes that they hold beyond what each one may hold.
+    pub(crate) callers: (usize, usize),
 }
 
 /// Final classification of a request.
@@ -346,6 +351,11 @@
                 "Evacuations of availability zones that this node has seen start or end.",
                 "kind",
             )?,
+            caller_faults: counters(
+                "carobstep_caller_faults_total",
+                "Connections ended and requests refused because of what clients do, by reason.",
+                "reason",
+            )?,
             broken_attempts: {
                 let help = "Attempts whose server closed the connection before it responded.";
                 let counter = IntCounter::new("carobstep_broken_attempts_total", help)?;
@@ -419,6 +429,14 @@
                     "carobstep_short_accounts",
                     "Client accounts of whose limit few tokens are left, as far as known here.",
                 )?,
+                caller_connections: gauge(
+                    "carobstep_caller_connections",
+                    "Open connections of callers.",
+                )?,
+                caller_bytes: gauge(
+                    "carobstep_caller_bytes",
+                    "Bytes of large requests and unread answers of callers.",
+                )?,
                 ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
             },
             registry,
@@ -468,6 +486,10 @@
         self.evacuation_changes.with_label_values(&[kind]).inc();
     }
 
+    pub(crate) fn count_caller_fault(&self, fault: CallerFault) {
+        self.caller_faults.with_label_values(&[<&str>::from(fault)]).inc();
+    }
+
     pub(crate) fn count_store_call(&self, answered: bool) {
         let outcome = if answered { "answered" } else { "lost" };
         self.store_calls.with_label_values(&[outcome]).inc();
@@ -502,6 +524,9 @@
         gauges.extra_paid.set(count(readings.extra_use.paid));
         gauges.extra_refused.set(count(readings.extra_use.refused));
         gauges.extra_pooled.set(count(readings.extra_use.pooled));
+        let (connections, bytes) = readings.callers;
+        gauges.caller_connections.set(connections as i64);
+        gauges.caller_bytes.set(bytes as i64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!(error:% = error; "encoding the metrics failed");
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -22,6 +22,7 @@
 //!   [`LinkReports`], [`RelayRoom`]
 //! - spreading of the store's data over the nodes: [`UpdateSource`], [`SpreadTiming`]
 //! - one request to a service or to every shard of an index: [`FanoutState`]
+//! - what client connections hold together, and which of them end: [`CallerBudget`]
 //! - readiness and graceful shutdown: [`NodeLifecycle`]
 //!
 //! ```
@@ -34,6 +35,7 @@
 mod account_quota;
 mod accounts;
 mod admission;
+mod caller_budget;
 mod crash_doubts;
 mod crashes;
 mod credit;
@@ -70,6 +72,10 @@
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
 };
 pub use admission::{SearchAdmission, SearchDemand, SearchRefusal};
+pub use caller_budget::{
+    CallerBounds, CallerBudget, CallerEviction, CallerFault, CallerKey, CallerPhase, MAX_ROOM_WAIT,
+    MAX_SENT_AHEAD, MIN_PACE,
+};
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod backend;
+mod callers;
 mod crashes;
 mod evacuation;
 mod explain;
