Keep tokens that come too late for their request

Cause: a request that waited 25 ms for a token was refused, and the token that came afterwards was lost, although the owner had counted it.

Change: the node keeps it for its next requests, for a second.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -1,6 +1,6 @@
 //! Limits of client accounts: asks and tells the owners of the limits, and answers as one.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
@@ -53,7 +53,11 @@
     let mut decision =
         gateway.state.borrow_mut().account_uses.decide(BootTime::now(), *account, terms);
     if decision == AccountDecision::Ask {
-        let reply = match timeout(ASK_WAIT, tell_owner(gateway, limited, 1)).await {
+        let is_waiting = Rc::new(Cell::new(true));
+        let asking = tell_owner(gateway, limited, 1, is_waiting.clone());
+        let reply = timeout(ASK_WAIT, asking).await;
+        is_waiting.set(false);
+        let reply = match reply {
             Ok(Some(grant)) => OwnerReply::Granted(grant),
             Ok(None) | Err(_) => {
                 OwnerReply::Lost { nodes: gateway.state.borrow().peers.registered_nodes() }
@@ -82,18 +86,20 @@
 async fn report_uses(gateway: Rc<Gateway>, limited: LimitedAccount) {
     while gateway.state.borrow().account_uses.has_unreported(limited.account) {
         // The result is recorded; a lost report is repeated.
-        let _ = tell_owner(&gateway, &limited, 0).await;
+        let _ = tell_owner(&gateway, &limited, 0, Rc::new(Cell::new(true))).await;
         sleep(REPORT_INTERVAL).await;
     }
     gateway.state.borrow_mut().reporting.swap_remove(&limited.account);
 }
 
 /// Reports requests to the owner of an account and asks it for tokens; `None` if it does not
-/// know the limit or does not reply.
+/// know the limit or does not reply. Tokens that come when nobody is waiting any more are
+/// kept for the next requests.
 async fn tell_owner(
     gateway: &Rc<Gateway>,
     limited: &LimitedAccount,
     tokens: u32,
+    is_waiting: Rc<Cell<bool>>,
 ) -> Option<ShareGrant> {
     let LimitedAccount { account, name, terms } = limited;
     let now = BootTime::now();
@@ -127,6 +133,11 @@
             }
         };
         record_answer(&gateway, &limited, used, grant);
+        if !is_waiting.get() {
+            let tokens = grant.map_or(0, |grant| grant.tokens);
+            let uses = &mut gateway.state.borrow_mut().account_uses;
+            uses.keep_late(BootTime::now(), limited.account, tokens);
+        }
         grant.filter(|grant| grant.is_known)
     });
     calling.await.ok().flatten()
--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -232,6 +232,14 @@
         }
     }
 
+    /// Keeps tokens that came after their request was decided, for the next ones.
+    pub fn keep_late(&mut self, now: BootTime, account: AccountKey, tokens: u32) {
+        let Some(account) = self.uses.get_mut(account) else { return };
+        for _ in 0..tokens {
+            account.credits.push_back(now + CREDIT_TIME);
+        }
+    }
+
     /// Returns the requests that no owner knows of, which count as reported from now on, and
     /// all those of the last window.
     pub fn report(
--- a/crates/tier/tests/accounts.rs
+++ b/crates/tier/tests/accounts.rs
@@ -441,3 +441,17 @@
         assert_eq!(table.get(account).map(|it| it.is_large), Some(number >= 14), "{number}");
     }
 }
+
+#[test]
+fn a_token_that_comes_late_is_used_by_the_next_request() {
+    let fleet = Fleet::new(1, 0.001, 0, 1);
+    let (mut uses, account, terms) = (AccountUses::default(), fleet.account, fleet.terms);
+    uses.on_short(ms(0), account);
+    assert_eq!(uses.decide(ms(1), account, &terms), AccountDecision::Ask);
+    let lost = OwnerReply::Lost { nodes: 64 };
+    let refused = uses.decide_asked(ms(30), account, &terms, lost);
+    assert!(matches!(refused, AccountDecision::Refuse(_)), "{refused:?}");
+    uses.keep_late(ms(40), account, 1);
+    assert_eq!(uses.decide(ms(41), account, &terms), AccountDecision::Admit);
+    assert_ne!(uses.decide(ms(42), account, &terms), AccountDecision::Admit);
+}
