--- a/crates/tier/src/observations.rs
+++ b/crates/tier/src/observations.rs
@@ -261,6 +261,9 @@
 
     /// Returns the probabilities that an attempt fails.
     pub(crate) fn odds(&self, now: BootTime) -> FailureOdds {
+        if self.is_sound() {
+            return FailureOdds::default();
+        }
         let prior = if self.is_told(now) { PRIOR_JOINT_ATTEMPTS } else { PRIOR_OWN_ATTEMPTS };
         self.counts(now).odds(prior)
     }
@@ -288,6 +291,11 @@
             .map_or_else(own, |zone| zone.scaled_plus(1.0, self.unreported.at(now, ZONE_FADING)))
     }
 
+    /// Returns whether no failure is known at all, which most servers are asked for.
+    fn is_sound(&self) -> bool {
+        self.zone.is_none() && self.own.counts.failures() <= 0.0
+    }
+
     fn fresh_zone(&self, now: BootTime) -> Option<AttemptCounts> {
         let zone = self.zone.filter(|zone| now.since(zone.counted_at) < ZONE_LIFETIME)?;
         Some(zone.at(now, ZONE_FADING))
@@ -300,6 +308,9 @@
 
     /// Returns whether the server has failed lately, here or at other nodes of the zone.
     pub(crate) fn has_failed(&self, now: BootTime) -> bool {
+        if self.is_sound() {
+            return false;
+        }
         let own = self.own.at(now, OWN_FADING).failures();
         let zone = self.fresh_zone(now).map_or(0.0, AttemptCounts::failures);
         own.max(zone) >= MIN_FAILURES
