--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -448,12 +448,7 @@
                 let state = &mut *self.gateway.state.borrow_mut();
                 state.directory.insert(revision, entry, changes);
             }
-            Err(error) => {
-                self.log_unreadable(&event.object.name, event.object.revision, &error);
-                // What replaced the entry names no server.
-                let state = &mut *self.gateway.state.borrow_mut();
-                state.directory.remove(now, revision, &event.object.name, changes);
-            }
+            Err(error) => self.log_unreadable(&event.object.name, event.object.revision, &error),
         }
     }
 
