Allow as many header fields as the parser handles without more cost

The parser's table for all fields that fit into the limit, 4,352, went back to the system after each request: 43 to 45 instead of 21 us of processor time for a request on a release build. Requests of 150, 400 and 1,300 fields are still served.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -37,8 +37,9 @@
 /// Buffer space in bytes beyond the largest allowed header section.
 const BUFFER_MARGIN: usize = 1024;
 
-/// Smallest header field with its line end, in bytes.
-const MIN_FIELD_BYTES: usize = 4;
+/// Maximum number of header fields. The parser allocates a table of that many entries for
+/// each request; with larger ones, the allocator returns the memory to the system each time.
+const MAX_FIELDS: usize = 1600;
 
 /// Time in which a client can read the answer to a request that took too long, before its
 /// connection closes.
@@ -157,7 +158,7 @@
     });
     let max_bytes = (limits.header_bytes + BUFFER_MARGIN).max(MIN_BUFFER_BYTES);
     let mut builder = http1::Builder::new();
-    builder.max_headers(max_bytes / MIN_FIELD_BYTES).max_buf_size(max_bytes);
+    builder.max_headers(MAX_FIELDS).max_buf_size(max_bytes);
     let stream = CallerStream::new(socket, caller.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
