--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,7 @@
 mod membership;
 mod observations;
 mod pace;
-mod peer_messages;
+pub mod peer_messages;
 mod peers;
 mod quarantine;
 mod quota;
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -16,7 +16,7 @@
 /// types of existing ones keep their fields. A node answers a variant that it doesn't know
 /// with status 400.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum PeerRequest {
+pub enum PeerRequest {
     /// A request for some shards, whose servers the receiver calls.
     Delegated(DelegatedRequest),
     /// A call for changes in the store, by long polling.
@@ -41,17 +41,17 @@
 
 /// Further data of a message. The receiver skips kinds that it doesn't know.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Extension {
+pub struct Extension {
     /// Number of an [`ExtensionKind`].
-    pub(crate) kind: u16,
+    pub kind: u16,
     /// Encoded content.
-    pub(crate) content: Bytes,
+    pub content: Bytes,
 }
 
 /// Known kinds of further data; the numbers never change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u16)]
-pub(crate) enum ExtensionKind {
+pub enum ExtensionKind {
     /// In a request, the [`StoreRevision`] of the last change of the evacuations that the
     /// requesting node knows; in a reply, an [`carobstep_tier::EvacuationUpdate`].
     Evacuations = 1,
@@ -59,13 +59,13 @@
 
 impl Extension {
     /// Encodes further data; `None` if it is too large for a message.
-    pub(crate) fn encode<T: Serialize>(kind: ExtensionKind, content: &T) -> Option<Self> {
+    pub fn encode<T: Serialize>(kind: ExtensionKind, content: &T) -> Option<Self> {
         let content = carobstep_wire::encode(content).ok()?;
         Some(Self { kind: kind as u16, content })
     }
 
     /// Decodes the data of one kind; `None` if there is none that can be decoded.
-    pub(crate) fn find<T: DeserializeOwned>(extensions: &[Self], kind: ExtensionKind) -> Option<T> {
+    pub fn find<T: DeserializeOwned>(extensions: &[Self], kind: ExtensionKind) -> Option<T> {
         let extension = extensions.iter().find(|extension| extension.kind == kind as u16)?;
         carobstep_wire::decode(&extension.content).ok()
     }
@@ -73,7 +73,7 @@
 
 /// A reply to a [`PeerRequest`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum PeerReply {
+pub enum PeerReply {
     /// Results of shards: first all that have arrived by the time the response
     /// is due, then each later one.
     Parts(DelegatedParts),
@@ -109,39 +109,40 @@
 
 /// Word of the node that owns the limits of client accounts that few tokens are left.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct ShortAccounts {
+pub struct ShortAccounts {
     /// Name of the sender.
-    pub(crate) node: Arc<str>,
+    pub node: Arc<str>,
     /// Names of the accounts.
-    pub(crate) accounts: Vec<Arc<str>>,
+    pub accounts: Vec<Arc<str>>,
 }
 
 /// Request for tokens of shared limits to the node that the sender takes for their owner.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct ShareRequest {
+pub struct ShareRequest {
     /// Name of the sender.
-    pub(crate) node: Arc<str>,
+    pub node: Arc<str>,
     /// What the sender asks for and reports; may be empty.
-    pub(crate) asks: Vec<ShareAsk>,
+    pub asks: Vec<ShareAsk>,
 }
 
 /// How a request to one service ended that a peer has sent for this node.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct DelegatedOutcome {
-    pub(crate) verdict: DelegatedVerdict,
+pub struct DelegatedOutcome {
+    /// How it ended.
+    pub verdict: DelegatedVerdict,
     /// The server's response, also if it reports a failure.
-    pub(crate) response: Option<DelegatedResponse>,
+    pub response: Option<DelegatedResponse>,
     /// Time after which a refused caller may find servers that accept requests.
-    pub(crate) retry_in: Duration,
+    pub retry_in: Duration,
     /// Servers that recently said that they are leaving.
-    pub(crate) leaving: Vec<ServerIncarnation>,
+    pub leaving: Vec<ServerIncarnation>,
     /// What is known of the peer's links.
-    pub(crate) links: Vec<LinkReport>,
+    pub links: Vec<LinkReport>,
 }
 
 /// Result of a request to one service that a peer has sent for this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum DelegatedVerdict {
+pub enum DelegatedVerdict {
     /// A server responded successfully.
     Answered,
     /// The request may have run, without success.
@@ -154,187 +155,193 @@
 
 /// Response of a server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct DelegatedResponse {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(String, Bytes)>,
+pub struct DelegatedResponse {
+    /// Status code.
+    pub status: u16,
+    /// Header fields.
+    pub headers: Vec<(String, Bytes)>,
     /// Length of the whole body, in bytes.
-    pub(crate) length: usize,
+    pub length: usize,
     /// First part of the body; the others follow.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
 
 /// What a node tells another one of its zone about servers that fail.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct ObservationsRequest {
+pub struct ObservationsRequest {
     /// Name of the sender.
-    pub(crate) node: Arc<str>,
+    pub node: Arc<str>,
     /// Attempts of the sender since its last report.
-    pub(crate) reports: Vec<ServerObservation>,
+    pub reports: Vec<ServerObservation>,
     /// Recent attempts of all nodes of the zone, if the sender adds them up.
-    pub(crate) failing: Option<Vec<ServerObservation>>,
+    pub failing: Option<Vec<ServerObservation>>,
 }
 
 /// Reply to a report.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct ObservationsReply {
+pub struct ObservationsReply {
     /// Recent attempts of all nodes of the zone at the servers that fail.
-    pub(crate) failing: Vec<ServerObservation>,
+    pub failing: Vec<ServerObservation>,
 }
 
 /// Request for tokens to the node that the sender takes for their owner.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct QuotaRequest {
+pub struct QuotaRequest {
     /// Name of the sender.
-    pub(crate) node: Arc<str>,
+    pub node: Arc<str>,
     /// Availability zones for which it takes the receiver for the owner.
-    pub(crate) zones: Vec<Arc<str>>,
+    pub zones: Vec<Arc<str>>,
     /// Tokens that it asks for; may be empty.
-    pub(crate) asks: Vec<QuotaAsk>,
+    pub asks: Vec<QuotaAsk>,
 }
 
 /// Reply to a request for tokens.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct QuotaReply {
+pub struct QuotaReply {
     /// Tokens that the sender may use, one number for each entry of the request.
-    pub(crate) tokens: Vec<u32>,
+    pub tokens: Vec<u32>,
     /// Limits that are known better than in the request.
-    pub(crate) records: Vec<LimitRecord>,
+    pub records: Vec<LimitRecord>,
 }
 
 /// Part of a request that a peer executes: some of its shards, the only one of a request to
 /// one service.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct DelegatedRequest {
+pub struct DelegatedRequest {
     /// Whether the results of the shards are merged.
-    pub(crate) is_search: bool,
+    pub is_search: bool,
     /// Whether the request may run at most once.
-    pub(crate) is_at_most_once: bool,
+    pub is_at_most_once: bool,
     /// Whether servers may have crashed under the request.
-    pub(crate) is_cautious: bool,
+    pub is_cautious: bool,
     /// Whether the sender has lost its links to servers of the shards.
-    pub(crate) is_relay: bool,
+    pub is_relay: bool,
     /// Whether no server was called for the shards before.
-    pub(crate) is_first: bool,
+    pub is_first: bool,
     /// Priority of the route; 0 is the highest.
-    pub(crate) priority: u32,
+    pub priority: u32,
     /// For each shard, the hashed identifiers of the servers that may be called.
-    pub(crate) shards: Vec<Vec<u32>>,
+    pub shards: Vec<Vec<u32>>,
     /// Maximum number of greatest records to return from all shards together.
-    pub(crate) top: u32,
+    pub top: u32,
     /// Maximum number of servers to call for each shard.
-    pub(crate) attempts: u32,
+    pub attempts: u32,
     /// Latency objective of the route; determines the latency class with the timeout.
-    pub(crate) objective: Duration,
+    pub objective: Duration,
     /// Timeout of the route.
-    pub(crate) timeout: Duration,
+    pub timeout: Duration,
     /// Time until the response to the caller is due with the results at hand.
-    pub(crate) answer_in: Duration,
+    pub answer_in: Duration,
     /// Time until the request is abandoned.
-    pub(crate) deadline_in: Duration,
-    pub(crate) method: String,
+    pub deadline_in: Duration,
+    /// Method.
+    pub method: String,
     /// Path and query.
-    pub(crate) target: String,
-    pub(crate) headers: Vec<(String, Bytes)>,
-    pub(crate) body: Bytes,
+    pub target: String,
+    /// Header fields.
+    pub headers: Vec<(String, Bytes)>,
+    /// Body.
+    pub body: Bytes,
     /// Servers that recently said that they are leaving.
-    pub(crate) leaving: Vec<ServerIncarnation>,
+    pub leaving: Vec<ServerIncarnation>,
 }
 
 /// Merged results of some shards of a search.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct DelegatedParts {
+pub struct DelegatedParts {
     /// Shards whose results are included, as positions in the request.
-    pub(crate) shards: Vec<u16>,
+    pub shards: Vec<u16>,
     /// Server stamps, one for each of those shards.
-    pub(crate) stamps: Vec<Bytes>,
+    pub stamps: Vec<Bytes>,
     /// The greatest records of these shards, in descending order.
-    pub(crate) records: Bytes,
+    pub records: Bytes,
     /// Shards for which no server was or will be called, as positions in the request.
-    pub(crate) unasked: Vec<u16>,
+    pub unasked: Vec<u16>,
     /// Shards under which servers may have crashed, as positions in the request. No further
     /// server is called for them.
-    pub(crate) broken: Vec<u16>,
+    pub broken: Vec<u16>,
     /// Servers that recently said that they are leaving.
-    pub(crate) leaving: Vec<ServerIncarnation>,
+    pub leaving: Vec<ServerIncarnation>,
     /// What is known of the peer's links.
-    pub(crate) links: Vec<LinkReport>,
+    pub links: Vec<LinkReport>,
 }
 
 /// Request for changes in the store; the peer waits a while for one before it replies.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct FollowRequest {
+pub struct FollowRequest {
     /// Incarnation of the peer that assigned the change numbers.
-    pub(crate) life: u64,
+    pub life: u64,
     /// Change number of the requesting node's list of servers.
-    pub(crate) servers: u64,
+    pub servers: u64,
     /// Store revision of the requesting node's list of servers, from which a peer that it
     /// has not followed before continues.
-    pub(crate) revision: StoreRevision,
+    pub revision: StoreRevision,
     /// Store revision of the requesting node's list of nodes.
-    pub(crate) nodes: StoreRevision,
+    pub nodes: StoreRevision,
     /// Age of the requesting node's data.
-    pub(crate) age: Duration,
+    pub age: Duration,
     /// Version of the requesting node's configuration.
-    pub(crate) version: u64,
+    pub version: u64,
     /// Servers that said that they are leaving since the last request that this incarnation
     /// of the peer has replied to.
-    pub(crate) leaving: Vec<ServerIncarnation>,
+    pub leaving: Vec<ServerIncarnation>,
     /// Number of the peer's last change of a link report that the requesting node knows.
-    pub(crate) links_known: u64,
+    pub links_known: u64,
     /// Link reports that have changed since the last request that this incarnation of the
     /// peer has replied to.
-    pub(crate) links: Vec<LinkReport>,
+    pub links: Vec<LinkReport>,
     /// Number of the peer's last change of a limit that the requesting node knows.
-    pub(crate) limits_known: u64,
+    pub limits_known: u64,
     /// Limits that have changed since the last request that this incarnation of the peer
     /// has replied to.
-    pub(crate) limits: Vec<LimitRecord>,
+    pub limits: Vec<LimitRecord>,
     /// Number of the peer's last change of a [`CrashRecord`] that the requesting node knows.
-    pub(crate) crashes_known: u64,
+    pub crashes_known: u64,
     /// Requests that crashed servers, if that changed since the last request that this
     /// incarnation of the peer has replied to.
-    pub(crate) crashes: Vec<CrashRecord>,
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// What a peer without fresh store data passes on: what responses have shown of servers
 /// and requests holds without the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct StaleReply {
+pub struct StaleReply {
     /// Age of the peer's store data.
-    pub(crate) age: Duration,
+    pub age: Duration,
     /// Servers that said that they are leaving.
-    pub(crate) leaving: Vec<ServerIncarnation>,
+    pub leaving: Vec<ServerIncarnation>,
     /// Limits on requests.
-    pub(crate) limits: Vec<LimitRecord>,
+    pub limits: Vec<LimitRecord>,
     /// Requests that crashed servers.
-    pub(crate) crashes: Vec<CrashRecord>,
+    pub crashes: Vec<CrashRecord>,
     /// Zones whose servers nodes don't reach.
-    pub(crate) links: Vec<LinkReport>,
+    pub links: Vec<LinkReport>,
 }
 
 /// Store data that a peer passes on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct StoreUpdate {
+pub struct StoreUpdate {
     /// Incarnation of the peer that assigned the change numbers.
-    pub(crate) life: u64,
+    pub life: u64,
     /// Time since the store last confirmed this data, to the peer or to the node
     /// that the peer has it from.
-    pub(crate) age: Duration,
+    pub age: Duration,
     /// Time for which the peer waited for a change before it replied.
-    pub(crate) waited: Duration,
+    pub waited: Duration,
     /// Link reports that have changed.
-    pub(crate) links: LinkUpdate,
+    pub links: LinkUpdate,
     /// Node that the store confirmed this data to.
-    pub(crate) origin: Option<Arc<str>>,
-    pub(crate) servers: DirectoryUpdate,
+    pub origin: Option<Arc<str>>,
+    /// Changes of the list of servers.
+    pub servers: DirectoryUpdate,
     /// Changes of the list of nodes, if there are any.
-    pub(crate) nodes: Option<PeerUpdate>,
+    pub nodes: Option<PeerUpdate>,
     /// Limits on requests that have changed.
-    pub(crate) limits: LimitUpdate,
+    pub limits: LimitUpdate,
     /// Requests that crashed servers, if that changed.
-    pub(crate) crashes: CrashUpdate,
+    pub crashes: CrashUpdate,
     /// Store revision up to which the configuration is current.
-    pub(crate) configuration_revision: StoreRevision,
+    pub configuration_revision: StoreRevision,
     /// Newer configuration, if any: the revision of its object and its content as JSON.
-    pub(crate) configuration: Option<(u64, String)>,
+    pub configuration: Option<(u64, String)>,
 }
