Don't pace servers that are new to a node only

Cause: a node that starts took all servers of its first list for servers that had just started.

Change: servers of the first list that don't say they are cold have no ramp.

--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -51,6 +51,10 @@
 /// first.
 const MAX_REMOVED_PAUSES: usize = 256;
 
+/// Time after the first server within which servers are those of the first list: they are new
+/// to this node, but have not just started.
+const FIRST_LIST_TIME: Duration = Duration::from_secs(2);
+
 /// Number of connections that a node may always open to a server.
 const MIN_CONNECTIONS: u32 = 4;
 
@@ -117,6 +121,8 @@
     /// How extra requests were paid for.
     extra_use: ExtraUse,
     pace_rule: PaceRule,
+    /// When the first server was added.
+    listed_since: Option<BootTime>,
     /// Ends of ramps that were not reported yet.
     pace_events: Vec<PaceEvent>,
     /// Zones whose servers get no requests.
@@ -171,6 +177,7 @@
             extra_pool: None,
             extra_use: ExtraUse::default(),
             pace_rule: PaceRule::default(),
+            listed_since: None,
             pace_events: Vec::new(),
             evacuated_zones: Vec::new(),
             removed_pauses: IndexMap::new(),
@@ -272,6 +279,10 @@
         let service = self.get_or_insert_service(now, &entry.service);
         let incarnation = ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms };
         let mut state = ServerState::new(now, entry.clone(), service, self.pace_rule);
+        let listed_since = *self.listed_since.get_or_insert(now);
+        if entry.cold_left.is_zero() && now.since(listed_since) < FIRST_LIST_TIME {
+            state.skip_pace();
+        }
         state.quota = self.limit_table.rate_of(&incarnation).map(NodeShare::new);
         state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         state.paused_until = self.removed_pauses.shift_remove(&incarnation).unwrap_or_default();
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -243,6 +243,11 @@
         self.pace = Some(ServerPace::new(self.pace_rule, since, self.cold_until));
     }
 
+    /// Lets the server, which has not just started, get as many requests as others.
+    pub(crate) const fn skip_pace(&mut self) {
+        self.pace = None;
+    }
+
     /// Records that the server says that it stays cold for a time.
     pub(crate) fn record_cold(&mut self, now: BootTime, cold_left: Duration) {
         if cold_left.is_zero() {
