Read stored requests that crash servers on one node only

Cause: every node that starts listed the requests that crash servers.

Change: the node that watches the store reads the list and takes over the stored objects; the others learn of the requests with its updates, as of all others.

Result: the tests of crashes pass, with the one that kills all nodes.

--- a/crates/gateway/src/crash_store.rs
+++ b/crates/gateway/src/crash_store.rs
@@ -18,7 +18,7 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use crate::{gateway::Gateway, membership::send};
+use crate::{follow::is_store_watcher, gateway::Gateway, membership::send};
 
 /// Least time between two writes of a node.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
@@ -32,15 +32,21 @@
 /// Interval at which a node looks for objects that have outlived their records.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Reads the stored records, then stores those of this node, for the lifetime of the process.
+/// Stores the records of this node, for the lifetime of the process. The node that watches
+/// the store reads the stored ones first; the others learn of them with its updates.
 pub(crate) async fn store_crashes(gateway: Rc<Gateway>) {
-    while let Err(reason) = read_records(&gateway).await {
-        warn!(reason = reason.as_str(); "requests that crash servers could not be read");
-        pause_after_failure().await;
-    }
+    let mut has_read = false;
     let mut era = store_era(&gateway);
     let mut expiry_at = BootTime::now() + EXPIRY_INTERVAL;
     loop {
+        if !has_read && is_store_watcher(&gateway) {
+            if let Err(reason) = read_records(&gateway).await {
+                warn!(reason = reason.as_str(); "requests that crash servers could not be read");
+                pause_after_failure().await;
+                continue;
+            }
+            has_read = true;
+        }
         sleep(WRITE_INTERVAL).await;
         let now = BootTime::now();
         if store_era(&gateway) != era {
@@ -89,7 +95,7 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Reads all stored records. Takes over the objects of which this node is the prober.
+/// Reads all stored records, and takes over their objects.
 async fn read_records(gateway: &Rc<Gateway>) -> Result<(), String> {
     let mut after: Option<String> = None;
     loop {
@@ -121,16 +127,13 @@
 fn take_over(gateway: &Gateway, records: &[CrashRecord]) {
     let own_changes: IndexSet<_> = gateway.state.borrow().unstored.clone();
     gateway.merge_crashes(records);
-    let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
     for record in records {
         let request = record.request;
         if !own_changes.contains(&request) {
             state.unstored.shift_remove(&request);
         }
-        if state.peers.is_first_for(now, &request.to_string()) {
-            state.stored.insert(request);
-        }
+        state.stored.insert(request);
     }
 }
 
