Forget shared limits only when a new bucket would hold no more

Cause: the owner forgot each limit that was not asked for in 10 s as soon as it got a new one. A new bucket of an account starts full, so an account with a rate of 0.1/s and a burst of 20 got its burst again after a pause of 10 s; in windows longer than that, it exceeded its limit. Change: a bucket is kept until it is full again. Those of limits that servers name start empty and are forgotten as before. Result: the new test failed before (a full bucket after 11 s) and passes.

--- a/crates/tier/src/shares.rs
+++ b/crates/tier/src/shares.rs
@@ -18,7 +18,8 @@
 /// nodes get some as well.
 const GRANT_SHARE: f64 = 0.5;
 
-/// Time after which the owner forgets a limit for which no tokens are asked for.
+/// Time after which the owner forgets a limit for which no tokens are asked for, if it would
+/// not start with more tokens than it has.
 const BUCKET_LIFETIME: Duration = Duration::from_secs(10);
 
 /// What a limit that all nodes share is a limit on. Nodes exchange it: variants are only
@@ -56,6 +57,17 @@
 struct ShareBucket {
     tokens: f64,
     refilled_at: BootTime,
+    per_second: f64,
+    /// Most tokens that a new bucket has.
+    initial: f64,
+}
+
+impl ShareBucket {
+    fn is_forgettable(&self, now: BootTime) -> bool {
+        let age = now.since(self.refilled_at);
+        let tokens = self.tokens + self.per_second * age.as_secs_f64();
+        age >= BUCKET_LIFETIME && tokens >= self.initial
+    }
 }
 
 impl ShareLedger {
@@ -119,16 +131,17 @@
         share: f64,
     ) -> &mut ShareBucket {
         if !self.buckets.contains_key(subject) {
-            self.buckets.retain(|_, bucket| now.since(bucket.refilled_at) < BUCKET_LIFETIME);
+            self.buckets.retain(|_, bucket| !bucket.is_forgettable(now));
         }
         let per_second = terms.per_second * share;
         let most = (terms.depth * share).max(1.0);
         let saved = (per_second * terms.saved.as_secs_f64()).min(most);
-        let new = ShareBucket { tokens: saved, refilled_at: now };
+        let initial = if terms.saved.is_zero() { 0.0 } else { most };
+        let new = ShareBucket { tokens: saved, refilled_at: now, per_second, initial };
         let bucket = self.buckets.entry(subject.clone()).or_insert(new);
         let income = per_second * now.since(bucket.refilled_at).as_secs_f64();
         bucket.tokens = (bucket.tokens + income).min(most);
-        bucket.refilled_at = now;
+        *bucket = ShareBucket { tokens: bucket.tokens, ..new };
         bucket
     }
 
--- a/crates/tier/tests/accounts.rs
+++ b/crates/tier/tests/accounts.rs
@@ -455,3 +455,21 @@
     assert_eq!(uses.decide(ms(41), account, &terms), AccountDecision::Admit);
     assert_ne!(uses.decide(ms(42), account, &terms), AccountDecision::Admit);
 }
+
+#[test]
+fn an_account_that_pauses_does_not_get_its_burst_again_too_early() {
+    let (rate, burst) = (0.1, 20);
+    let bounds = QuotaBounds { window: Duration::from_secs(60), over: 0.0, slack: 0.0 };
+    let quota = AccountQuota { rate: RequestRate::try_from(rate).expect("a rate"), burst };
+    let terms = QuotaTerms::new(quota, bounds).share_terms();
+    let subject = |name: &str| SharedSubject::Account(name.into());
+    let mut ledger = ShareLedger::default();
+    ledger.charge(ms(0), &subject("one"), terms, 1.0, burst);
+    // The ledger forgets limits that are not in use when it gets another one.
+    ledger.grant(ms(11_000), &subject("other"), terms, 1.0, 1);
+    let left = ledger.tokens(ms(11_000), &subject("one"), terms, 1.0);
+    assert!(left <= 1.2, "{left}");
+    // Those that are full again are forgotten.
+    ledger.grant(ms(400_000), &subject("third"), terms, 1.0, 1);
+    assert_eq!(ledger.len(), 1);
+}
