Give a node's equal share of an account's limit once in a window

Cause: each answer of the owner ended the equal share that a node takes when no answer comes in time, and the next late answer began a new one with its part of the burst. With answers after more than 25 ms, a node admitted every request: 167 of 167 in 5 s in the new test, where 13 are its part. Owners also went on telling all nodes that tokens of accounts are short that nobody used any more, and never forgot an account. Change: the share lasts for a window, and an answer only restarts its income. An account without reports is forgotten after a window.

--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -135,6 +135,7 @@
 #[derive(Clone, Copy, Debug)]
 struct EqualShare {
     tokens: f64,
+    begun_at: BootTime,
     refilled_at: BootTime,
 }
 
@@ -153,14 +154,15 @@
         let nodes = f64::from(nodes.max(1));
         let ShareTerms { per_second, depth, .. } = terms.share_terms();
         let share = self.equal_share;
-        let share = share.unwrap_or(EqualShare { tokens: depth / nodes, refilled_at: now });
+        let new = EqualShare { tokens: depth / nodes, begun_at: now, refilled_at: now };
+        let share = share.unwrap_or(new);
         let income = now.since(share.refilled_at).as_secs_f64() * per_second / nodes;
         let mut tokens = (share.tokens + income).min((depth / nodes).max(1.0));
         let is_admitted = tokens >= 1.0;
         if is_admitted {
             tokens -= 1.0;
         }
-        self.equal_share = Some(EqualShare { tokens, refilled_at: now });
+        self.equal_share = Some(EqualShare { tokens, refilled_at: now, ..share });
         is_admitted
     }
 }
@@ -270,7 +272,9 @@
     ) {
         let Some(account) = self.uses.get_mut(account) else { return };
         account.lost_since = None;
-        account.equal_share = None;
+        // Answers that come too late, or between lost ones, must not renew the share.
+        let share = account.equal_share.filter(|share| now.since(share.begun_at) < terms.window);
+        account.equal_share = share.map(|share| EqualShare { refilled_at: now, ..share });
         let tokens = f64::from(grant.level) / 1000.0 * terms.share_terms().depth;
         if grant.is_known && terms.is_short(tokens) {
             account.short_until = Some(now + SHORT_TIME);
@@ -321,6 +325,8 @@
     takeover: Option<Takeover>,
     /// When all nodes last took this one for the owner after a takeover.
     confirmed_at: Option<BootTime>,
+    /// When it is forgotten unless a node reports.
+    kept_until: BootTime,
 }
 
 /// State of an account whose earlier owner may still hand out tokens to other nodes.
@@ -350,8 +356,10 @@
             supporters: IndexMap::new(),
             takeover: None,
             confirmed_at: None,
+            kept_until: now,
         };
         let account = self.accounts.entry(name.clone()).or_insert(new);
+        account.kept_until = now + terms.window + SUPPORT_TIME;
         let shared = terms.share_terms();
         account.reporters.retain(|_, at| now.since(*at) < terms.window + SUPPORT_TIME);
         if account.is_taken_over(now, node, terms, ask) {
@@ -377,7 +385,9 @@
     }
 
     /// Returns the accounts of which all nodes have to be told now that tokens are short.
+    /// Forgets those of which no node has reported requests for a window.
     pub fn due_notices(&mut self, now: BootTime) -> Vec<Arc<str>> {
+        self.accounts.retain(|_, account| now < account.kept_until);
         let mut due = Vec::new();
         for (name, account) in &mut self.accounts {
             let is_due = account.noticed.is_none_or(|(_, last)| now.since(last) >= NOTICE_INTERVAL);
--- a/crates/tier/tests/accounts.rs
+++ b/crates/tier/tests/accounts.rs
@@ -456,6 +456,29 @@
     assert_ne!(uses.decide(ms(42), account, &terms), AccountDecision::Admit);
 }
 
+#[test]
+fn replies_that_come_too_late_do_not_renew_the_equal_share() {
+    const NODES: u32 = 4;
+    let (rate, burst) = (2.0, 20);
+    let fleet = Fleet::new(1, rate, burst, 1);
+    let (mut uses, account, terms) = (AccountUses::default(), fleet.account, fleet.terms);
+    let nothing = ShareGrant { tokens: 0, level: 0, is_known: true };
+    let mut admitted = 0;
+    // Each reply comes after its request was decided.
+    for at in (0..5_000).step_by(30) {
+        uses.on_short(ms(at), account);
+        if uses.decide(ms(at), account, &terms) != AccountDecision::Ask {
+            continue;
+        }
+        let lost = OwnerReply::Lost { nodes: NODES };
+        let decision = uses.decide_asked(ms(at + 25), account, &terms, lost);
+        admitted += usize::from(decision == AccountDecision::Admit);
+        uses.on_answered(ms(at + 29), account, &terms, nothing);
+    }
+    let most = allowed(rate, burst) / NODES as usize;
+    assert!(admitted <= most, "{admitted} of {most}");
+}
+
 #[test]
 fn an_account_that_pauses_does_not_get_its_burst_again_too_early() {
     let (rate, burst) = (0.1, 20);
@@ -473,3 +496,16 @@
     ledger.grant(ms(400_000), &subject("third"), terms, 1.0, 1);
     assert_eq!(ledger.len(), 1);
 }
+
+#[test]
+fn nodes_hear_of_short_tokens_only_while_the_account_is_in_use() {
+    let mut fleet = Fleet::new(1, 5.0, 10, 1);
+    let Member { owned, ledger, .. } = &mut fleet.nodes[0];
+    let (name, node): (Arc<str>, Arc<str>) = ("one".into(), "n0".into());
+    let subject = SharedSubject::Account(name.clone());
+    let ask = ShareAsk { subject, tokens: 0, used: 200, recent: 200 };
+    owned.answer(ms(0), ledger, &fleet.terms, (&name, &node, 1), &ask);
+    assert_eq!(owned.due_notices(ms(1)), [name.clone()]);
+    assert_eq!(owned.due_notices(ms(900)), [name]);
+    assert_eq!(owned.due_notices(ms(60_000)), [] as [Arc<str>; 0]);
+}
