Pace a server after a pause in which its entry lapsed

Cause: a server whose entry comes back during its pause kept the pause, but its share grew from then on, so that it got all its requests at once when the pause ended. Change: the pause is applied as when the server asks for it. Result: the new test failed before (no paced server at the end) and passes.

--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -285,7 +285,10 @@
         }
         state.quota = self.limit_table.rate_of(&incarnation).map(NodeShare::new);
         state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
-        state.paused_until = self.removed_pauses.shift_remove(&incarnation).unwrap_or_default();
+        let paused_until = self.removed_pauses.shift_remove(&incarnation);
+        if let Some(paused_until) = paused_until.filter(|until| now < *until) {
+            state.pause(now, paused_until.since(now));
+        }
         let key = self.servers.insert(state);
         self.server_ids.insert(entry.id.clone(), key);
         self.id_hashes.insert(id_hash(&entry.id), key);
--- a/crates/tier/tests/departures.rs
+++ b/crates/tier/tests/departures.rs
@@ -261,6 +261,18 @@
     }
 }
 
+#[test]
+fn a_server_whose_entry_lapses_in_its_pause_returns_at_a_pace() {
+    let (mut fleet, services) = fleet(1, &["a"], LIMITS);
+    let key = class(&mut fleet);
+    let server = fleet.pick(at(0), services[0], key, PickScope::default()).expect("a server");
+    let entry = fleet.endpoint(server).expect("a server").entry;
+    fleet.pause_server(at(0), server, Duration::from_secs(60));
+    fleet.apply(at(100), &DirectoryChange::Removed(entry.id.clone()));
+    fleet.apply(at(5_000), &DirectoryChange::Changed(entry));
+    assert_eq!(fleet.paced_servers(at(60_000)), 1);
+}
+
 fn report(id: &str, report_number: u64, phase: ServerPhase) -> ServerEntry {
     ServerEntry { report_number, phase, ..entry(id, "s", "a") }
 }
