Open connections to a server that has left an evacuated zone

Cause: the connection pool of a server learned of an evacuation only from its start and end. A server that was registered in another zone meanwhile was chosen, but no connection to it was opened: requests beyond its idle connections were refused. Change: the pool takes over what the fleet says when it is looked up. Result: the new test failed before (a request not answered with 200) and passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -500,6 +500,8 @@
     pub(crate) fn pool(&self, key: ServerKey) -> Option<Rc<ServerPool>> {
         let state = &mut *self.state.borrow_mut();
         if let Some(pool) = state.pools.get(key) {
+            // The server may have moved to another zone.
+            pool.is_evacuated.set(state.fleet.is_evacuated(key));
             return Some(pool.clone());
         }
         let endpoint = state.fleet.endpoint(key)?;
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -51,6 +51,44 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_server_that_leaves_an_evacuated_zone_gets_requests() {
+    let fixture = fixture().await;
+    let [server, other] = &fixture.single[..] else { panic!("two servers") };
+    let node = GatewayNode::start_with("front-a-2", "a", fixture.store.address, EVACUATION);
+    node.wait_ready().await;
+    fixture.store.put("servers", &other.id, server_entry(other, "single", "b", "ready"));
+    eventually("a request to the server", async || {
+        node.request(&get("/fetch/", "id-before")).await;
+        !server.arrivals().is_empty()
+    })
+    .await;
+    fixture.store.put("evacuations", "a", json!({}));
+    eventually("the evacuation is known", async || {
+        node.metric("carobstep_evacuated_zones").await == 1.0
+    })
+    .await;
+    let before = server.arrivals().len();
+    fixture.store.put("servers", &server.id, server_entry(server, "single", "b", "ready"));
+    fixture.store.put("servers", &other.id, server_entry(other, "single", "a", "ready"));
+    eventually("requests to its new zone", async || {
+        node.request(&get("/fetch/", "id-after")).await;
+        server.arrivals().len() > before
+    })
+    .await;
+    // More than there are idle connections.
+    let calls = ["id-1", "id-2", "id-3", "id-4"].map(|id| get("/fetch/", id));
+    let responses = tokio::join!(
+        node.request(&calls[0]),
+        node.request(&calls[1]),
+        node.request(&calls[2]),
+        node.request(&calls[3]),
+    );
+    for response in [responses.0, responses.1, responses.2, responses.3] {
+        assert_eq!(response.status, 200);
+    }
+}
+
 #[tokio::test]
 async fn without_a_bound_in_the_settings_evacuations_cost_no_call() {
     let fixture = fixture().await;
