Don't refuse searches for want of retries that may crash servers

Cause: the two attempts to find out whether a quarantined request still crashes servers are counted when they are admitted. A search that was then refused because the retry budget can't carry it used them up, and was refused for ten minutes more. Change: such searches pass the decision about retries. Result: the new test failed before and passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -458,6 +458,7 @@
             min_shards: plan.min_shards,
             attempts: plan.attempts,
             priority,
+            is_cautious: plan.is_cautious,
             deadline: plan.deadline,
         };
         let draw = RandomState::new().hash_one(state.requests) as f64 / u64::MAX as f64;
--- a/crates/tier/src/admission.rs
+++ b/crates/tier/src/admission.rs
@@ -53,6 +53,9 @@
     pub attempts: u32,
     /// Priority of its kind; 0 is the highest.
     pub priority: u32,
+    /// Whether servers may have crashed under it. Such searches are few, and the attempts to
+    /// find out about one are counted: a refusal here would use them up.
+    pub is_cautious: bool,
     /// Time by which it must be answered.
     pub deadline: BootTime,
 }
@@ -94,8 +97,8 @@
 
 impl SearchAdmission {
     /// Decides about a search; admits all where the nodes don't share retry budgets by demand,
-    /// since a refused search then leaves nothing to those of other nodes. `draw` is a random number from 0 to 1 that spreads the return
-    /// of refused callers.
+    /// since a refused search then leaves nothing to those of other nodes. `draw` is a random
+    /// number from 0 to 1 that spreads the return of refused callers.
     ///
     /// # Errors
     ///
@@ -107,7 +110,7 @@
         demand: SearchDemand<'_>,
         draw: f64,
     ) -> Result<(), SearchRefusal> {
-        if fleet.extra_pool().is_none() {
+        if demand.is_cautious || fleet.extra_pool().is_none() {
             return Ok(());
         }
         let outlook = SearchOutlook::of(now, fleet, demand, self.more_urgent(now, demand.priority));
--- a/crates/tier/tests/observations.rs
+++ b/crates/tier/tests/observations.rs
@@ -11,10 +11,10 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AttemptOutcome, AttemptTicket, FanoutAction, FanoutOutcome, FanoutPlan, FanoutRole,
-    FanoutState, FleetLimits, ObservationLedger, PickScope, RetryPolicy, SearchAdmission,
-    SearchDemand, ServerFleet, ServerKey, ServiceKey, ShardIndex, ShareLedger, SharedSubject,
-    report_interval,
+    AttemptKind, AttemptOutcome, AttemptTicket, ExtraPool, FanoutAction, FanoutOutcome, FanoutPlan,
+    FanoutRole, FanoutState, FleetLimits, ObservationLedger, PickScope, RequestRate, RetryPolicy,
+    SearchAdmission, SearchDemand, ServerFleet, ServerKey, ServiceKey, ShardIndex, ShareLedger,
+    SharedSubject, report_interval,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -277,6 +277,7 @@
                 min_shards: plan.min_shards,
                 attempts: plan.attempts,
                 priority: self.kinds[kind].priority,
+                is_cautious: false,
                 deadline: plan.deadline,
             };
             if let Err(refusal) = self.admission[node].admit(self.now, fleet, demand, draw) {
@@ -478,6 +479,32 @@
     assert!(refused >= 0.8, "{refused:.3} of those not served were refused");
 }
 
+#[test]
+fn a_search_that_may_crash_servers_is_not_refused_for_want_of_retries() {
+    let (mut fleet, services) = fleet(1, &["a", "b"], LIMITS);
+    let rate = RequestRate::try_from(1.0).expect("a rate");
+    fleet.set_extra_pool(Some(ExtraPool { rate, depth: 1.0 }));
+    let key = class(&mut fleet);
+    for millis in 0..20 {
+        let scope = PickScope::default();
+        let server = fleet.pick(at(millis), services[0], key, scope).expect("a server");
+        let ticket = fleet.on_attempt_sent(at(millis), server, key, AttemptKind::First);
+        fleet.on_attempt_ended(at(millis), ticket, AttemptOutcome::Failed);
+    }
+    for is_cautious in [false, true] {
+        let demand = SearchDemand {
+            services: &services,
+            min_shards: 1,
+            attempts: 1,
+            priority: 0,
+            is_cautious,
+            deadline: at(500),
+        };
+        let decision = SearchAdmission::default().admit(at(20), &fleet, demand, 0.5);
+        assert_eq!(decision.is_ok(), is_cautious, "{decision:?}");
+    }
+}
+
 /// Returns how many of 100 requests of a node in zone `a` go to each server.
 fn picks(fleet: &mut ServerFleet, service: ServiceKey, millis: u64) -> IndexMap<ServerKey, u32> {
     let key = class(fleet);
