--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -458,6 +458,7 @@
             min_shards: plan.min_shards,
             attempts: plan.attempts,
             priority,
+            is_cautious: plan.is_cautious,
             deadline: plan.deadline,
         };
         let draw = RandomState::new().hash_one(state.requests) as f64 / u64::MAX as f64;
@@ -500,6 +501,8 @@
     pub(crate) fn pool(&self, key: ServerKey) -> Option<Rc<ServerPool>> {
         let state = &mut *self.state.borrow_mut();
         if let Some(pool) = state.pools.get(key) {
+            // The server may have moved to another zone.
+            pool.is_evacuated.set(state.fleet.is_evacuated(key));
             return Some(pool.clone());
         }
         let endpoint = state.fleet.endpoint(key)?;
