Cold servers: the limit of all nodes together holds

The configuration's cold_per_s was decoded and not enforced; only the pace kept requests to a cold server few. A server that is cold now has a quota next to the one that it may name, and the stricter binds. Its tokens are asked for with the shared limits' messages from the owner of its zone, which hands them out in proportion to its supporters; a node counts for a new owner only when the earlier one no longer counts it. The lifetime and rate of tokens follow from the tolerance in the settings.

--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -527,7 +527,7 @@
     /// Starts an exchange with a server.
     fn send(&mut self, shard: ShardIndex, ticket: AttemptTicket) {
         let gateway = self.gateway.clone();
-        if gateway.state.borrow().fleet.is_limited(ticket.server) {
+        if gateway.state.borrow().fleet.is_limited(BootTime::now(), ticket.server) {
             gateway.reporter.count_limited_attempt(ticket.kind);
         }
         let request = self.request.clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
     PauseRequest, PeerEntry, PeerTable, QuarantineChange, RelayRoom, RequestAdmission,
     RequestFingerprint, RouteTable, SearchAdmission, SearchDemand, SearchRefusal, ServerDirectory,
     ServerFleet, ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
-    StoreRevision, WeightedRoundRobin,
+    StoreRevision, SupportedOwners, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use indexmap::{IndexMap, IndexSet};
@@ -113,6 +113,10 @@
     pub(crate) quotas: ShareLedger,
     /// Nodes that take this one for the owner of limits.
     pub(crate) support: OwnerSupport,
+    /// Nodes that take this one for the owner of the limits on cold servers.
+    pub(crate) cold_support: OwnerSupport,
+    /// Nodes that this one takes for the owners of those limits.
+    pub(crate) cold_owners: SupportedOwners,
     /// Failures of servers that the nodes of the zone have reported to this one.
     pub(crate) observations: ObservationLedger,
     /// When nodes of the zone last heard of such failures from this one.
@@ -193,9 +197,13 @@
             reporting: IndexSet::new(),
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
-            fleet: ServerFleet::new(settings.zone.clone(), limits).with_seed(incarnation),
+            fleet: ServerFleet::new(settings.zone.clone(), limits)
+                .with_seed(incarnation)
+                .with_cold_bounds(settings.bounds.cold),
             quotas: ShareLedger::default(),
             support: OwnerSupport::default(),
+            cold_support: OwnerSupport::default(),
+            cold_owners: SupportedOwners::default(),
             observations: ObservationLedger::default(),
             observation_contacts: IndexMap::new(),
             admission: SearchAdmission::default(),
@@ -329,7 +337,7 @@
             return;
         }
         if let Some(cold_for) = notice.cold_for {
-            self.state.borrow_mut().fleet.record_cold(BootTime::now(), server, cold_for);
+            self.record_cold(server, cold_for);
         }
         match notice.pause {
             PauseRequest::None => {}
@@ -531,7 +539,7 @@
                 quarantined_requests: state.crashes.quarantined(),
                 paced_servers: state.fleet.paced_servers(now),
                 evacuated_zones: state.evacuations.zones().count(),
-                limited_servers: state.fleet.limited_servers(),
+                limited_servers: state.fleet.limited_servers(now),
                 failing_servers: state.fleet.failing_servers(now),
                 unreachable_zones: state.fleet.lost_zones(now).len(),
                 lost_servers: state.fleet.lost_servers(now),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod byte_budget;
 mod caller_body;
 mod callers;
+mod cold;
 mod crash_store;
 mod evacuation;
 mod fanout;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -14,6 +14,7 @@
     account_quota::announce_short_accounts,
     args::GatewayArgs,
     callers::limit_callers,
+    cold::ask_for_cold,
     crash_store::store_crashes,
     follow::follow_peer,
     gateway::Gateway,
@@ -113,6 +114,7 @@
     spawn_local(remove_expired(gateway.clone()));
     spawn_local(ask_for_tokens(gateway.clone()));
     spawn_local(ask_for_extra(gateway.clone()));
+    spawn_local(ask_for_cold(gateway.clone()));
     spawn_local(share_observations(gateway.clone()));
     spawn_local(announce_short_accounts(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     account_quota::answer_account,
+    cold::answer_cold,
     gateway::{Gateway, GatewayState},
     peer_messages::{PeerReply, PeerRequest, ShareRequest},
 };
@@ -117,6 +118,10 @@
             grants.push(answer_account(gateway, state, &request.node, (name, ask)));
             continue;
         }
+        if let SharedSubject::ColdServer(server) = &ask.subject {
+            grants.push(answer_cold(state, &request.node, (server, ask)));
+            continue;
+        }
         let Some(terms) = terms_of(state, uptime, &ask.subject) else {
             grants.push(ShareGrant::default());
             continue;
--- a/crates/tier/src/fanout/tokens.rs
+++ b/crates/tier/src/fanout/tokens.rs
@@ -30,7 +30,7 @@
         if due.is_none_or(|due| due.since(now) * 2 <= latest.since(now)) {
             return true;
         }
-        fleet.count_refused(service, scope);
+        fleet.count_refused(now, service, scope);
         false
     }
 
@@ -48,7 +48,7 @@
             return false;
         }
         let until = self.latest_token(now, fleet);
-        fleet.count_refused(service, scope);
+        fleet.count_refused(now, service, scope);
         fleet.start_waiting(service);
         let progress = &mut self.shards[position];
         progress.token_wait = Some(until);
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -6,6 +6,7 @@
 //! outcomes of this node's own requests (passive health checking); no active
 //! health checks are sent to single servers.
 
+mod cold;
 mod evacuated;
 mod extras;
 mod links;
@@ -26,7 +27,7 @@
     directory::DirectoryChange,
     limits::LimitTable,
     links::ZoneLinks,
-    model::{Configuration, ServerEntry, ServerIncarnation},
+    model::{ColdBounds, Configuration, RequestRate, ServerEntry, ServerIncarnation},
     pace::PaceRule,
     quota::NodeShare,
     retry_budget::RetryBudget,
@@ -114,6 +115,8 @@
     id_hashes: IndexMap<u32, ServerKey>,
     /// Part of the retry budget of each service that the nodes of a zone share by demand.
     extra_pool: Option<ExtraPool>,
+    /// Tolerance of the limits on cold servers, if there are any.
+    cold_bounds: Option<ColdBounds>,
     /// How extra requests were paid for.
     extra_use: ExtraUse,
     pace_rule: PaceRule,
@@ -139,6 +142,8 @@
     budget: RetryBudget,
     max_connections: u32,
     health_path: Option<Arc<str>>,
+    /// Requests per second that each of its servers takes while it is cold, if limited.
+    cold_rate: Option<RequestRate>,
     /// Rank of the highest-ranked search that recently found no available server,
     /// and when that was.
     waiter: (SearchRank, BootTime),
@@ -169,6 +174,7 @@
             server_ids: IndexMap::new(),
             id_hashes: IndexMap::new(),
             extra_pool: None,
+            cold_bounds: None,
             extra_use: ExtraUse::default(),
             pace_rule: PaceRule::default(),
             pace_events: Vec::new(),
@@ -204,8 +210,10 @@
             if let Some(service) = self.services.get_mut(key) {
                 service.max_connections = config.max_connections;
                 service.health_path = config.health_path.clone();
+                service.cold_rate = config.cold_rate;
             }
         }
+        self.limit_all_cold(now);
         let services = &mut self.services;
         self.service_names.retain(|name, key| {
             let is_unused = services.get(*key).is_none_or(|service| service.servers.is_empty());
@@ -228,6 +236,7 @@
             budget,
             max_connections: u32::MAX,
             health_path: None,
+            cold_rate: None,
             waiter: (SearchRank::default(), BootTime::ZERO),
             rotation: 0,
             oldest_waiter: (BootTime::ZERO, BootTime::ZERO),
@@ -262,6 +271,9 @@
             if same_incarnation {
                 server.apply_report(now, entry.clone());
                 server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
+                if let Some(key) = known {
+                    self.limit_cold(now, key);
+                }
                 return None;
             }
         }
@@ -276,6 +288,7 @@
         state.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         state.paused_until = self.removed_pauses.shift_remove(&incarnation).unwrap_or_default();
         let key = self.servers.insert(state);
+        self.limit_cold(now, key);
         self.server_ids.insert(entry.id.clone(), key);
         self.id_hashes.insert(id_hash(&entry.id), key);
         if let Some(service) = self.services.get_mut(service) {
@@ -511,7 +524,7 @@
     ) -> AttemptTicket {
         let hedge_delay = self.classes.hedge_delay(class);
         if let Some(state) = self.servers.get_mut(server) {
-            if let Some(quota) = &mut state.quota {
+            for quota in state.limits_mut(now) {
                 quota.take(now);
             }
             if state.in_flight == 0 {
@@ -543,10 +556,10 @@
         let typical_slowness = self.typical_slowness(now, state);
         let Some(server) = self.servers.get_mut(ticket.server) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
-        if let Some(quota) = server.quota.as_mut().filter(|_| outcome == AttemptOutcome::Unsent) {
-            quota.refund();
-        }
         if outcome == AttemptOutcome::Unsent {
+            for quota in server.limits_mut(ticket.sent) {
+                quota.refund();
+            }
             server.link.on_failure();
         }
         if server.in_flight == 0 && !outcome.is_response() {
--- a/crates/tier/src/fleet/paced.rs
+++ b/crates/tier/src/fleet/paced.rs
@@ -116,5 +116,6 @@
         if let Some(server) = self.servers.get_mut(key) {
             server.record_cold(now, cold_for);
         }
+        self.limit_cold(now, key);
     }
 }
--- a/crates/tier/src/fleet/quotas.rs
+++ b/crates/tier/src/fleet/quotas.rs
@@ -118,8 +118,8 @@
 
     /// Returns whether a server limits its requests.
     #[must_use]
-    pub fn is_limited(&self, key: ServerKey) -> bool {
-        self.servers.get(key).is_some_and(|server| server.quota.is_some())
+    pub fn is_limited(&self, now: BootTime, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(|server| server.is_limited(now))
     }
 
     /// Returns whether any server names a limit on its requests.
@@ -130,8 +130,8 @@
 
     /// Returns the number of servers that limit their requests.
     #[must_use]
-    pub fn limited_servers(&self) -> usize {
-        self.servers.values().filter(|server| server.quota.is_some()).count()
+    pub fn limited_servers(&self, now: BootTime) -> usize {
+        self.servers.values().filter(|server| server.is_limited(now)).count()
     }
 
     /// Returns the zones that have servers which limit their requests.
@@ -186,9 +186,10 @@
             if !self.is_available(now, server) || !scope.is_allowed(*key) {
                 continue;
             }
-            let quota = server.quota.as_ref()?;
-            tokens += quota.tokens(now);
-            rate = Some(rate.unwrap_or(0.0) + quota.expected_rate(now));
+            // The strictest limit decides.
+            tokens += server.limits(now).map(|it| it.tokens(now)).min()?;
+            let least = server.limits(now).map(|it| it.expected_rate(now)).reduce(f64::min)?;
+            rate = Some(rate.unwrap_or(0.0) + least);
         }
         if tokens > state.waiting {
             return None;
@@ -212,11 +213,11 @@
     }
 
     /// Counts a request that is refused because no server of a service has a token for it.
-    pub fn count_refused(&mut self, service: ServiceKey, scope: PickScope<'_>) {
+    pub fn count_refused(&mut self, now: BootTime, service: ServiceKey, scope: PickScope<'_>) {
         let Some(state) = self.services.get(service) else { return };
         for key in &state.servers {
-            let quota = self.servers.get_mut(*key).and_then(|server| server.quota.as_mut());
-            if let Some(quota) = quota.filter(|_| scope.is_allowed(*key)) {
+            let server = self.servers.get_mut(*key).filter(|_| scope.is_allowed(*key));
+            for quota in server.into_iter().flat_map(|server| server.limits_mut(now)) {
                 quota.miss();
             }
         }
@@ -244,12 +245,12 @@
         server: &ServerState,
         limited: LimitedUse,
     ) -> bool {
-        let Some(quota) = &server.quota else { return false };
+        let Some(tokens) = server.limits(now).map(|it| it.tokens(now)).min() else { return false };
         let reserved = match limited {
             LimitedUse::Avoided => return true,
             LimitedUse::Awaited => 0,
             LimitedUse::Free => self.services.get(server.service).map_or(0, |it| it.waiting),
         };
-        quota.tokens(now) <= reserved
+        tokens <= reserved
     }
 }
--- a/crates/tier/src/fleet/selection.rs
+++ b/crates/tier/src/fleet/selection.rs
@@ -198,7 +198,10 @@
                 continue;
             }
             let is_local = server.entry.zone == self.zone;
-            if !scope.is_allowed(key) || !pace_draw.admits(now, step, server, is_local) {
+            // What a cold server gets is limited already: a token that is there is used.
+            let has_cold_token = server.cold_share(now).is_some_and(|it| it.tokens(now) > 0);
+            let is_admitted = has_cold_token || pace_draw.admits(now, step, server, is_local);
+            if !scope.is_allowed(key) || !is_admitted {
                 continue;
             }
             let failure_cost = server.trouble.odds(now).cost(objective, scope.stake, trial_draw);
@@ -215,9 +218,11 @@
         // A server that would have been picked with a token is one to ask tokens for.
         if let Some((score, key)) = best_limited.filter(|_| scope.limited != LimitedUse::Avoided)
             && best.is_none_or(|(least, _)| score < least)
-            && let Some(quota) = self.servers.get_mut(key).and_then(|it| it.quota.as_mut())
+            && let Some(server) = self.servers.get_mut(key)
         {
-            quota.miss();
+            for quota in server.limits_mut(now) {
+                quota.miss();
+            }
         }
         best.map(|(_, key)| key)
     }
@@ -253,7 +258,7 @@
             let is_available = server.is_some_and(|server| server.is_available(now));
             let has_link = server.is_some_and(|server| self.has_link(now, server));
             let in_zone = server.is_some_and(|server| server.entry.zone.as_ref() == zone);
-            let is_limited = server.is_some_and(|server| server.quota.is_some());
+            let is_limited = server.is_some_and(|server| server.is_limited(now));
             let is_suspect = has_link && self.is_suspect(now, *key, class);
             let odds = server.map(|server| server.trouble.odds(now).total()).unwrap_or_default();
             let trouble = (odds * TROUBLE_LEVELS).round() as u32;
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -36,6 +36,7 @@
 mod accounts;
 mod admission;
 mod caller_budget;
+mod cold;
 mod crash_doubts;
 mod crashes;
 mod credit;
@@ -76,6 +77,7 @@
     CallerBounds, CallerBudget, CallerEviction, CallerFault, CallerKey, CallerPhase, MAX_ROOM_WAIT,
     MAX_SENT_AHEAD, MIN_PACE,
 };
+pub use cold::{ColdAsk, ColdTerms, SupportedOwners};
 pub use crash_doubts::CrashDoubts;
 pub use crashes::{
     CrashEvidence, CrashRecord, CrashTable, CrashUpdate, QuarantineChange, RequestAdmission,
--- a/crates/tier/src/quota.rs
+++ b/crates/tier/src/quota.rs
@@ -91,7 +91,7 @@
     /// Returns the share of the zone's limits that this node hands out. `nodes` is the
     /// number of registered nodes, whether this one can reach them or not.
     pub fn share(&mut self, now: BootTime, zone: &str, nodes: u32) -> f64 {
-        let lifetime = support_interval(nodes) * SUPPORT_INTERVALS;
+        let lifetime = support_lifetime(nodes);
         let Some(seen) = self.seen.get_mut(zone) else { return 0.0 };
         seen.retain(|_, seen_at| now.since(*seen_at) < lifetime);
         let share = seen.len() as f64 / f64::from(nodes.max(1));
@@ -116,6 +116,12 @@
     }
 }
 
+/// Returns the time for which a supporter counts that was not heard of.
+#[must_use]
+pub fn support_lifetime(nodes: u32) -> Duration {
+    support_interval(nodes) * SUPPORT_INTERVALS
+}
+
 /// Returns the interval between two requests for tokens to the same owner.
 #[must_use]
 pub fn ask_interval(nodes: u32) -> Duration {
@@ -156,6 +162,8 @@
     income: Option<TokenIncome>,
     /// Maximum number of tokens that this node asks for at once.
     max_asked: f64,
+    /// Time after which an unused token expires.
+    lifetime: Duration,
 }
 
 /// Average rate at which a node gets tokens.
@@ -175,9 +183,16 @@
             short_at: BootTime::ZERO,
             income: None,
             max_asked: rate.per_second().max(MIN_RATE) * MAX_ASKED_TIME.as_secs_f64(),
+            lifetime: TOKEN_LIFETIME,
         }
     }
 
+    /// Sets the time after which an unused token expires.
+    pub(crate) const fn with_lifetime(mut self, lifetime: Duration) -> Self {
+        self.lifetime = lifetime;
+        self
+    }
+
     /// Lets this node ask for more tokens at once than come in during [`MAX_ASKED_TIME`].
     pub(crate) const fn with_max_asked(mut self, tokens: f64) -> Self {
         self.max_asked = self.max_asked.max(tokens);
@@ -241,7 +256,7 @@
         // A reply that was delayed, or a pause of this process, does not extend the lifetime.
         self.batches.retain(|(expires_at, tokens)| *expires_at > now && *tokens > 0);
         if granted > 0 {
-            self.batches.push_back((asked_at + TOKEN_LIFETIME, granted));
+            self.batches.push_back((asked_at + self.lifetime, granted));
         }
     }
 
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -113,6 +113,8 @@
     pub(crate) accused_since: Option<BootTime>,
     /// This node's part of the limit that the server names.
     pub(crate) quota: Option<NodeShare>,
+    /// This node's part of the limit that holds while the server is cold.
+    pub(crate) cold_quota: Option<NodeShare>,
 }
 
 /// Returns the slowness to expect of a server of which nothing is known: that of the
@@ -155,6 +157,7 @@
             is_evacuated: false,
             accused_since: None,
             quota: None,
+            cold_quota: None,
         }
     }
 
@@ -255,6 +258,27 @@
         }
     }
 
+    /// Returns this node's part of the limit that holds because the server is cold.
+    pub(crate) fn cold_share(&self, now: BootTime) -> Option<&NodeShare> {
+        self.cold_quota.as_ref().filter(|_| now < self.cold_until)
+    }
+
+    /// Returns this node's parts of the limits that hold now.
+    pub(crate) fn limits(&self, now: BootTime) -> impl Iterator<Item = &NodeShare> {
+        self.quota.iter().chain(self.cold_share(now))
+    }
+
+    /// Like [`ServerState::limits`].
+    pub(crate) fn limits_mut(&mut self, now: BootTime) -> impl Iterator<Item = &mut NodeShare> {
+        let is_cold = now < self.cold_until;
+        self.quota.iter_mut().chain(self.cold_quota.iter_mut().filter(move |_| is_cold))
+    }
+
+    /// Returns whether requests to the server are limited now.
+    pub(crate) fn is_limited(&self, now: BootTime) -> bool {
+        self.limits(now).next().is_some()
+    }
+
     /// Applies an outcome to the pace; returns why it ended, with the numbers of good and bad
     /// answers, if it did.
     pub(crate) fn observe_pace(
