--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod backend;
 mod callers;
+mod cold;
 mod crashes;
 mod evacuation;
 mod explain;
