Don't refuse what is within the limit of an account while nodes are slow

Cause: the owner handed out a bucket of tokens, whose rate alone fills a window only to rate x window, and a node whose ask took longer than 25 ms had an equal share of the limit, which is less than one token on 64 nodes. Nodes also took different peers for the owner after a failure of any kind of call, and a single report that overtook another one made an owner withhold everything.

Change: the owner counts the requests of the last window by node, grants tokens while they are within rate x window + burst, and beyond only up to half of the tolerance. A request waits 100 ms for its token; a node without a reply admits one request ahead within an equal share, which the reply covers or which is reported. Owners change only for failed calls to the owner, or repeated failures, and the word of an owner that tokens are short counts only at nodes that take the sender for the owner. A new owner withholds tokens once reports show more than a tenth of the tolerance that it does not know of, and takes nodes that have not reported for as busy as those that have.

With a slow owner it holds too, but more than 5 % are refused: a_slow_owner_refuses_hardly_anything_within_the_limit is a known failure.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -4,7 +4,8 @@
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
-    AccountDecision, AccountKey, OwnerReply, QuotaTerms, ShareAsk, ShareGrant, SharedSubject,
+    AccountDecision, AccountKey, OWNER_REPLY_TIMEOUT, OwnerReply, QuotaTerms, ShareAsk, ShareGrant,
+    SharedSubject, TOKEN_WAIT,
 };
 use carobstep_wire::WireErrorKind;
 use log::debug;
@@ -19,12 +20,6 @@
     shares::{call_owner, grant_shares},
 };
 
-/// Longest wait of a request for a token.
-const ASK_WAIT: Duration = Duration::from_millis(25);
-
-/// Timeout of a report of requests to the owner of an account.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Least time between two reports of one account's requests.
 const REPORT_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -55,13 +50,13 @@
     if decision == AccountDecision::Ask {
         let is_waiting = Rc::new(Cell::new(true));
         let asking = tell_owner(gateway, limited, 1, is_waiting.clone());
-        let reply = timeout(ASK_WAIT, asking).await;
+        let reply = timeout(TOKEN_WAIT, asking).await;
         is_waiting.set(false);
+        let nodes = gateway.state.borrow().peers.registered_nodes();
         let reply = match reply {
             Ok(Some(grant)) => OwnerReply::Granted(grant),
-            Ok(None) | Err(_) => {
-                OwnerReply::Lost { nodes: gateway.state.borrow().peers.registered_nodes() }
-            }
+            Err(_) => OwnerReply::Late { nodes },
+            Ok(None) => OwnerReply::Lost { nodes },
         };
         let uses = &mut gateway.state.borrow_mut().account_uses;
         decision = uses.decide_asked(BootTime::now(), *account, terms, reply);
@@ -71,7 +66,7 @@
     match decision {
         AccountDecision::Admit => Ok(()),
         AccountDecision::Refuse(wait) => Err(wait),
-        AccountDecision::Ask => Err(ASK_WAIT),
+        AccountDecision::Ask => Err(TOKEN_WAIT),
     }
 }
 
@@ -119,12 +114,13 @@
     // Ends also if the request no longer waits, so that the report counts only once.
     let (gateway, limited) = (gateway.clone(), limited.clone());
     let calling = spawn_local(async move {
-        let reply = call_owner(&gateway, &owner, request, REPORT_TIMEOUT).await;
+        let reply = call_owner(&gateway, &owner, request, OWNER_REPLY_TIMEOUT).await;
         let grant = match reply {
             Ok(grants) => grants.first().copied(),
             // A node of the version before, which does not know of limits of accounts.
             Err(error) if error.kind() == WireErrorKind::Codec => Some(ShareGrant::default()),
             Err(error) => {
+                gateway.state.borrow_mut().peers.on_owner_failed(BootTime::now(), &owner);
                 debug!(
                     peer = owner.as_ref(), account = limited.name.as_ref(), error:% = error;
                     "the owner of an account's limit did not reply"
@@ -133,7 +129,7 @@
             }
         };
         record_answer(&gateway, &limited, used, grant);
-        if !is_waiting.get() {
+        if tokens > 0 && !is_waiting.get() {
             let tokens = grant.map_or(0, |grant| grant.tokens);
             let uses = &mut gateway.state.borrow_mut().account_uses;
             uses.keep_late(BootTime::now(), limited.account, tokens);
@@ -230,13 +226,16 @@
 pub(crate) fn apply_notice(gateway: &Gateway, notice: &ShortAccounts) -> Vec<bool> {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
+    state.peers.on_owner_heard(&notice.node);
     let mut supported = Vec::with_capacity(notice.accounts.len());
     for name in &notice.accounts {
-        if let Some(account) = state.accounts.named(name) {
+        let owner = state.peers.account_owner(now, name);
+        let is_supported = owner.as_ref() == Some(&notice.node);
+        // Another node may take the sender for the owner only because it is slow itself.
+        if is_supported && let Some(account) = state.accounts.named(name) {
             state.account_uses.on_short(now, account);
         }
-        let owner = state.peers.account_owner(now, name);
-        supported.push(owner.as_ref() == Some(&notice.node));
+        supported.push(is_supported);
     }
     supported
 }
--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -21,9 +21,27 @@
 /// Part of the tolerance that the owner hands out beyond the burst.
 const GIVEN_TOLERANCE: f64 = 0.5;
 
+/// Part of the tolerance that the owner hands out while the requests of the last window are
+/// not beyond it, since it learns of requests late.
+const WITHIN_TOLERANCE: f64 = 0.25;
+
+/// Part of the tolerance that earlier owners may have handed out before a node counts as a
+/// new owner; reports may also overtake each other.
+const EARLIER_TOLERANCE: f64 = 0.1;
+
+/// Part of what comes in during a window up to which an account's requests are usual.
+const MAX_USUAL_USE: f64 = 0.75;
+
+/// Time after which most nodes with requests have reported to a new owner.
+const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_000);
+
 /// Part of the tolerance below which an owner's tokens are short.
 const SHORT_TOLERANCE: f64 = 0.25;
 
+/// Part of the tolerance that the owner must have left for requests to be admitted ahead of
+/// its reply.
+const AHEAD_TOLERANCE: f64 = 0.3;
+
 /// Time for which a node asks before it admits, after the last word that tokens are short.
 const SHORT_TIME: Duration = Duration::from_millis(1_000);
 
@@ -34,10 +52,10 @@
 const SUPPORT_TIME: Duration = Duration::from_millis(1_300);
 
 /// Time for which an owner hands out everything before the first answers are due.
-const FIRST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+const FIRST_ANSWERS_TIME: Duration = Duration::from_millis(400);
 
 /// Time without an answer of any owner after which a node no longer admits at once.
-const DOUBT_TIME: Duration = Duration::from_millis(400);
+const DOUBT_TIME: Duration = Duration::from_millis(200);
 
 /// Longest time for which a refusal holds for the account's next requests to the node.
 const MAX_REFUSAL_HOLD: Duration = Duration::from_millis(20);
@@ -45,6 +63,12 @@
 /// Time for which the token of a request that no server ran may be used by another one.
 const CREDIT_TIME: Duration = Duration::from_millis(1_000);
 
+/// Longest wait of a request for a token.
+pub const TOKEN_WAIT: Duration = Duration::from_millis(100);
+
+/// Timeout of a call to the owner of an account.
+pub const OWNER_REPLY_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Limit of an account, and what is tolerated beyond it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaTerms {
@@ -81,6 +105,11 @@
         self.per_second * self.window.as_secs_f64()
     }
 
+    /// Returns the requests of any window that are within the limit.
+    fn within(&self) -> f64 {
+        self.per_window() + self.burst
+    }
+
     /// Returns the time after which a token has come in.
     fn token_time(&self) -> Duration {
         Duration::try_from_secs_f64(1.0 / self.per_second.max(1e-3)).unwrap_or(self.window)
@@ -103,6 +132,11 @@
 pub enum OwnerReply {
     /// The owner replied.
     Granted(ShareGrant),
+    /// It has not replied in time, and may do so later.
+    Late {
+        /// Number of registered nodes, whether this one can reach them or not.
+        nodes: u32,
+    },
     /// It did not, or does not know the limit; `nodes` is the number of registered nodes.
     Lost {
         /// Number of registered nodes, whether this one can reach them or not.
@@ -124,20 +158,33 @@
     unreported: u32,
     short_until: Option<BootTime>,
     refused_until: Option<BootTime>,
+    /// Whether a request was admitted for which the owner's reply is still to come.
+    is_indebted: bool,
+    /// Whether the owner had hardly any tokens left at its last reply, or there was none.
+    is_denied: bool,
     /// Tokens of requests that no server ran, and when they expire.
     credits: VecDeque<BootTime>,
     /// Since when no owner has answered.
     lost_since: Option<BootTime>,
     /// This node's equal share of the limit while no owner answers.
-    equal_share: Option<EqualShare>,
+    equal_share: Option<TokenBucket>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct EqualShare {
+struct TokenBucket {
     tokens: f64,
     refilled_at: BootTime,
 }
 
+impl TokenBucket {
+    /// Adds the tokens of a share of the limit that have come in.
+    fn refill(&mut self, now: BootTime, terms: ShareTerms, share: f64) {
+        let income = now.since(self.refilled_at).as_secs_f64() * terms.per_second * share;
+        self.tokens = (self.tokens + income).min((terms.depth * share).max(1.0));
+        self.refilled_at = now;
+    }
+}
+
 impl AccountUse {
     fn trim(&mut self, now: BootTime, window: Duration) {
         while self.admitted.front().is_some_and(|at| now.since(*at) >= window) {
@@ -148,19 +195,26 @@
         }
     }
 
+    /// Admits a request ahead of the owner's reply, out of the tolerance: one at a time,
+    /// within an equal share, and none if hardly any tokens are left.
+    fn owe(&mut self, terms: &QuotaTerms, nodes: u32) -> bool {
+        let share = (terms.within() + terms.tolerance) / f64::from(nodes.max(1));
+        let is_within = (self.admitted.len() as f64) < share.max(1.0);
+        let is_admitted = is_within && !self.is_indebted && !self.is_denied;
+        self.is_indebted |= is_admitted;
+        is_admitted
+    }
+
     /// Takes a token from this node's equal share of the limit.
     fn take_equal_share(&mut self, now: BootTime, terms: &QuotaTerms, nodes: u32) -> bool {
-        let nodes = f64::from(nodes.max(1));
-        let ShareTerms { per_second, depth, .. } = terms.share_terms();
-        let share = self.equal_share;
-        let share = share.unwrap_or(EqualShare { tokens: depth / nodes, refilled_at: now });
-        let income = now.since(share.refilled_at).as_secs_f64() * per_second / nodes;
-        let mut tokens = (share.tokens + income).min((depth / nodes).max(1.0));
-        let is_admitted = tokens >= 1.0;
+        let (share, terms) = (1.0 / f64::from(nodes.max(1)), terms.share_terms());
+        let full = TokenBucket { tokens: terms.depth * share, refilled_at: now };
+        let bucket = self.equal_share.get_or_insert(full);
+        bucket.refill(now, terms, share);
+        let is_admitted = bucket.tokens >= 1.0;
         if is_admitted {
-            tokens -= 1.0;
+            bucket.tokens -= 1.0;
         }
-        self.equal_share = Some(EqualShare { tokens, refilled_at: now });
         is_admitted
     }
 }
@@ -211,6 +265,7 @@
         };
         let is_admitted = match reply {
             OwnerReply::Granted(grant) => grant.tokens > 0,
+            OwnerReply::Late { nodes } => account.owe(terms, nodes),
             OwnerReply::Lost { nodes } => account.take_equal_share(now, terms, nodes),
         };
         if is_admitted {
@@ -232,9 +287,18 @@
         }
     }
 
-    /// Keeps tokens that came after their request was decided, for the next ones.
+    /// Applies a reply that came after its request was decided. Its tokens cover a request
+    /// that was admitted ahead of it, and the next ones; such a request is reported to the
+    /// owner if there are none.
     pub fn keep_late(&mut self, now: BootTime, account: AccountKey, tokens: u32) {
         let Some(account) = self.uses.get_mut(account) else { return };
+        let mut tokens = tokens;
+        if std::mem::take(&mut account.is_indebted) {
+            match tokens.checked_sub(1) {
+                Some(rest) => tokens = rest,
+                None => account.unreported = account.unreported.saturating_add(1),
+            }
+        }
         for _ in 0..tokens {
             account.credits.push_back(now + CREDIT_TIME);
         }
@@ -272,6 +336,7 @@
         account.lost_since = None;
         account.equal_share = None;
         let tokens = f64::from(grant.level) / 1000.0 * terms.share_terms().depth;
+        account.is_denied = grant.is_known && tokens < terms.tolerance * AHEAD_TOLERANCE;
         if grant.is_known && terms.is_short(tokens) {
             account.short_until = Some(now + SHORT_TIME);
         }
@@ -282,6 +347,7 @@
         let Some(account) = self.uses.get_mut(account) else { return };
         account.unreported = account.unreported.saturating_add(used);
         account.lost_since = account.lost_since.or(Some(now));
+        account.is_denied = true;
     }
 
     /// Records the word of an owner that an account's tokens are short.
@@ -307,12 +373,7 @@
 
 #[derive(Clone, Debug)]
 struct OwnedAccount {
-    /// When each node has last reported.
-    reporters: IndexMap<Arc<str>, BootTime>,
-    /// Requests that nodes have reported to an owner before, and since when they count.
-    earlier: f64,
-    charged: f64,
-    earlier_at: BootTime,
+    reporters: IndexMap<Arc<str>, AccountReporter>,
     is_short: bool,
     /// When all nodes were first and last told that tokens are short.
     noticed: Option<(BootTime, BootTime)>,
@@ -321,6 +382,52 @@
     takeover: Option<Takeover>,
     /// When all nodes last took this one for the owner after a takeover.
     confirmed_at: Option<BootTime>,
+    /// Since when this node knows of all requests.
+    counted_since: BootTime,
+}
+
+/// Room for requests in the last window of a limit.
+#[derive(Clone, Copy, Debug)]
+struct WindowRoom {
+    /// Requests that are within the limit, as far as this node knows of all.
+    within: f64,
+    /// Requests that the owner hands out at most.
+    most: f64,
+}
+
+/// A node that has reported requests to the owner of an account.
+#[derive(Clone, Debug)]
+struct AccountReporter {
+    seen_at: BootTime,
+    known: RecentRequests,
+    /// Requests that the node has reported to an earlier owner, and until when they count.
+    earlier: u32,
+    earlier_until: BootTime,
+}
+
+/// Requests of the last window.
+#[derive(Clone, Debug, Default)]
+struct RecentRequests {
+    counts: VecDeque<(BootTime, u32)>,
+    sum: u32,
+}
+
+impl RecentRequests {
+    fn add(&mut self, now: BootTime, requests: u32) {
+        if requests > 0 {
+            self.counts.push_back((now, requests));
+            self.sum = self.sum.saturating_add(requests);
+        }
+    }
+
+    /// Returns the number of requests in the window that ends now.
+    fn count(&mut self, now: BootTime, window: Duration) -> u32 {
+        while let Some((_, requests)) = self.counts.pop_front_if(|(at, _)| now.since(*at) >= window)
+        {
+            self.sum = self.sum.saturating_sub(requests);
+        }
+        self.sum
+    }
 }
 
 /// State of an account whose earlier owner may still hand out tokens to other nodes.
@@ -342,35 +449,46 @@
     ) -> ShareGrant {
         let new = OwnedAccount {
             reporters: IndexMap::new(),
-            earlier: 0.0,
-            charged: 0.0,
-            earlier_at: now,
             is_short: false,
             noticed: None,
             supporters: IndexMap::new(),
             takeover: None,
             confirmed_at: None,
+            counted_since: now,
         };
         let account = self.accounts.entry(name.clone()).or_insert(new);
         let shared = terms.share_terms();
-        account.reporters.retain(|_, at| now.since(*at) < terms.window + SUPPORT_TIME);
-        if account.is_taken_over(now, node, terms, ask) {
+        account.reporters.retain(|_, it| now.since(it.seen_at) < terms.window + SUPPORT_TIME);
+        account.record(now, node, terms, ask);
+        if account.is_taken_over(now, terms) {
             let withheld = (shared.depth * (1.0 - 1.0 / f64::from(nodes.max(1)))) as u32;
             account.takeover = Some(Takeover { withheld });
             account.supporters.clear();
+            account.counted_since = now;
             ledger.charge(now, &ask.subject, shared, 1.0, withheld);
         }
         let share = account.share(now, nodes, terms);
+        let earlier = account.count_earlier(now, nodes);
+        let is_clear = earlier <= terms.per_window() * MAX_USUAL_USE
+            || now.since(account.counted_since) >= FIRST_REPORTS_TIME;
         if share >= 1.0
+            && is_clear
             && let Some(takeover) = account.takeover.take()
         {
             account.confirmed_at = Some(now);
             ledger.credit(now, &ask.subject, shared, takeover.withheld);
         }
-        let earlier = account.count_earlier(now, node, terms, ask);
-        ledger.charge(now, &ask.subject, shared, share, ask.used.saturating_add(earlier));
-        let tokens = ledger.grant(now, &ask.subject, shared, share, ask.tokens);
-        let left = ledger.tokens(now, &ask.subject, shared, share);
+        ledger.charge(now, &ask.subject, shared, share, ask.used);
+        let room = account.room(now, earlier, terms, share);
+        let capped = room.most.floor().clamp(0.0, f64::from(ask.tokens)) as u32;
+        let saved = ledger.grant(now, &ask.subject, shared, share, capped);
+        let tokens = room.within.floor().clamp(f64::from(saved), f64::from(capped)) as u32;
+        ledger.charge(now, &ask.subject, shared, share, tokens - saved);
+        if let Some(reporter) = account.reporters.get_mut(node) {
+            reporter.known.add(now, tokens);
+        }
+        let saved = ledger.tokens(now, &ask.subject, shared, share);
+        let left = saved.min(room.most - f64::from(tokens)).max(room.within - f64::from(tokens));
         account.is_short = terms.is_short(left) || share < 1.0;
         let level = (left / shared.depth * 1000.0).clamp(0.0, 1000.0) as u16;
         ShareGrant { tokens, level, is_known: true }
@@ -400,18 +518,12 @@
 }
 
 impl OwnedAccount {
-    /// Returns whether a report shows that another node has owned the account lately: the
-    /// node has sent requests of which this one does not know.
-    fn is_taken_over(
-        &self,
-        now: BootTime,
-        node: &Arc<str>,
-        terms: &QuotaTerms,
-        ask: &ShareAsk,
-    ) -> bool {
+    /// Returns whether reports show that another node has owned the account lately: nodes
+    /// have sent requests of which this one does not know.
+    fn is_taken_over(&self, now: BootTime, terms: &QuotaTerms) -> bool {
         let is_confirmed = self.confirmed_at.is_some_and(|at| now.since(at) < terms.window);
-        let is_unknown = ask.recent > ask.used && !self.reporters.contains_key(node);
-        self.takeover.is_none() && !is_confirmed && is_unknown
+        let is_pending = self.takeover.is_some() || is_confirmed;
+        !is_pending && self.earlier_requests(now) > terms.tolerance * EARLIER_TOLERANCE
     }
 
     /// Returns the share of the limit that this node hands out. The shares of all owners add
@@ -425,29 +537,52 @@
         }
         self.supporters.retain(|_, at| now.since(*at) < SUPPORT_TIME);
         let share = (self.supporters.len() + 1) as f64 / f64::from(nodes.max(1));
-        let tolerated = terms.tolerance / (terms.per_window() + terms.burst).max(1.0);
+        let tolerated = terms.tolerance / terms.within().max(1.0);
         if share >= 1.0 - tolerated * GIVEN_TOLERANCE { 1.0 } else { share }
     }
 
-    /// Returns how many requests of an earlier owner's time have to be charged: those by
-    /// which the last window exceeds the rate.
-    fn count_earlier(
-        &mut self,
-        now: BootTime,
-        node: &Arc<str>,
-        terms: &QuotaTerms,
-        ask: &ShareAsk,
-    ) -> u32 {
-        if now.since(self.earlier_at) >= terms.window {
-            (self.earlier, self.charged, self.earlier_at) = (0.0, 0.0, now);
+    /// Counts the requests that a node reports.
+    fn record(&mut self, now: BootTime, node: &Arc<str>, terms: &QuotaTerms, ask: &ShareAsk) {
+        let new = AccountReporter {
+            seen_at: now,
+            known: RecentRequests::default(),
+            earlier: u32::MAX,
+            earlier_until: now + terms.window,
+        };
+        let reporter = self.reporters.entry(node.clone()).or_insert(new);
+        reporter.seen_at = now;
+        reporter.known.add(now, ask.used);
+        let known = reporter.known.count(now, terms.window);
+        reporter.earlier = reporter.earlier.min(ask.recent.saturating_sub(known));
+    }
+
+    /// Returns how many requests of the last window are known to have been reported to earlier
+    /// owners.
+    fn earlier_requests(&self, now: BootTime) -> f64 {
+        let valid = self.reporters.values().filter(|reporter| now < reporter.earlier_until);
+        valid.map(|reporter| f64::from(reporter.earlier)).sum()
+    }
+
+    /// Returns how many requests of the last window were reported to earlier owners.
+    fn count_earlier(&self, now: BootTime, nodes: u32) -> f64 {
+        let earlier = self.earlier_requests(now);
+        if now.since(self.counted_since) >= FIRST_REPORTS_TIME {
+            return earlier;
         }
-        if self.reporters.insert(node.clone(), now).is_some() {
-            return 0;
+        // The nodes that have not reported yet may have sent as many.
+        earlier * f64::from(nodes) / (self.reporters.len() as f64).max(1.0)
+    }
+
+    /// Returns how many more requests the last window has room for.
+    fn room(&mut self, now: BootTime, earlier: f64, terms: &QuotaTerms, share: f64) -> WindowRoom {
+        let mut count = earlier;
+        for reporter in self.reporters.values_mut() {
+            count += f64::from(reporter.known.count(now, terms.window));
         }
-        self.earlier += f64::from(ask.recent.saturating_sub(ask.used));
-        let excess = (self.earlier - terms.per_window()).max(0.0).floor();
-        let charged = (excess - self.charged).max(0.0);
-        self.charged += charged;
-        charged as u32
+        let is_counted = self.takeover.is_none() && now.since(self.counted_since) >= terms.window;
+        let within = terms.within() + terms.tolerance * WITHIN_TOLERANCE;
+        let most = terms.within() + terms.tolerance * GIVEN_TOLERANCE;
+        let within = if is_counted { within * share - count } else { 0.0 };
+        WindowRoom { within, most: most * share - count }
     }
 }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -67,7 +67,10 @@
 mod stats;
 mod update_tree;
 
-pub use account_quota::{AccountDecision, AccountUses, OwnedAccounts, OwnerReply, QuotaTerms};
+pub use account_quota::{
+    AccountDecision, AccountUses, OWNER_REPLY_TIMEOUT, OwnedAccounts, OwnerReply, QuotaTerms,
+    TOKEN_WAIT,
+};
 pub use accounts::{
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
 };
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -43,6 +43,12 @@
 /// Number of consecutive failures after which a peer no longer counts as live.
 const MAX_LIVE_FAILURES: u32 = 6;
 
+/// Failures in a row after which a peer in its backoff owns no limits of client accounts.
+const MIN_OWNER_FAILURES: u32 = 3;
+
+/// Time for which a peer that did not reply as the owner of a limit is passed over.
+const OWNER_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Maximum number of removals that are remembered for incremental updates; the oldest is
 /// forgotten first.
 const MAX_REMOVED: usize = 1024;
@@ -108,6 +114,8 @@
     pub(crate) full_until: BootTime,
     /// Until when the peer is not asked for store updates.
     stale_until: BootTime,
+    /// Until when the peer is not taken for the owner of the limit of a client account.
+    owner_pause_until: BootTime,
 }
 
 impl PeerState {
@@ -115,6 +123,13 @@
         now >= self.backoff_until
     }
 
+    /// Returns whether the peer may own limits of client accounts. Nodes should agree on that,
+    /// so that a single failure of another kind of call does not count.
+    pub(crate) fn may_own(&self, now: BootTime) -> bool {
+        let is_failing = self.failures >= MIN_OWNER_FAILURES && !self.is_usable(now);
+        !is_failing && now >= self.owner_pause_until
+    }
+
     /// Returns whether the peer's store updates were not found to be stale recently.
     pub(crate) fn is_fresh(&self, now: BootTime) -> bool {
         now >= self.stale_until
@@ -182,6 +197,7 @@
             entry,
             revision,
             backoff_until: BootTime::ZERO,
+            owner_pause_until: BootTime::ZERO,
             failures: 0,
             contact_at: BootTime::ZERO,
             full_until: BootTime::ZERO,
@@ -334,6 +350,20 @@
         }
     }
 
+    /// Records that a peer did not reply as the owner of the limit of a client account.
+    pub fn on_owner_failed(&mut self, now: BootTime, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            state.owner_pause_until = now + OWNER_PAUSE;
+        }
+    }
+
+    /// Records that a peer has acted as the owner of the limit of a client account.
+    pub fn on_owner_heard(&mut self, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            state.owner_pause_until = BootTime::ZERO;
+        }
+    }
+
     /// Returns whether direct calls for `shards` shards would take too much of the
     /// latency objective on this node.
     #[must_use]
--- a/crates/tier/src/update_tree.rs
+++ b/crates/tier/src/update_tree.rs
@@ -202,10 +202,10 @@
     }
 
     /// Returns the node that shares out the limit of a client account, by rendezvous hashing
-    /// over the usable nodes. `None` is this node.
+    /// over the nodes that may own limits. `None` is this node.
     #[must_use]
     pub fn account_owner(&self, now: BootTime, account: &str) -> Option<Arc<str>> {
-        let usable = self.live_peers().filter(|peer| peer.is_usable(now));
+        let usable = self.live_peers().filter(|peer| peer.may_own(now));
         let scored = usable.map(|peer| (rendezvous_score(&peer.entry, account), &peer.entry.name));
         let best = scored.max_by(|one, other| one.0.total_cmp(&other.0));
         let own = rendezvous_score(self.own(), account);
--- a/crates/tier/tests/accounts.rs
+++ b/crates/tier/tests/accounts.rs
@@ -1,12 +1,13 @@
 //! Client accounts: whose key a request carries, and how much their requests may be.
 
-use std::{ops::Range, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{
     AccountAccess, AccountConfig, AccountDecision, AccountKey, AccountQuota, AccountTable,
-    AccountUses, KeyConflict, OwnedAccounts, OwnerReply, QuotaBounds, QuotaTerms, RequestPriority,
-    RequestRate, SecretKey, ShareAsk, ShareGrant, ShareLedger, SharedSubject,
+    AccountUses, KeyConflict, OWNER_REPLY_TIMEOUT, OwnedAccounts, OwnerReply, QuotaBounds,
+    QuotaTerms, RequestPriority, RequestRate, SecretKey, ShareAsk, ShareGrant, ShareLedger,
+    SharedSubject, TOKEN_WAIT,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -128,14 +129,18 @@
 
 const BOUNDS: QuotaBounds = QuotaBounds { window: WINDOW, over: 0.1, slack: 20.0 };
 
-/// Time that a message between nodes takes.
-const HOP: Duration = Duration::from_millis(4);
+/// Time in milliseconds that a message between nodes takes.
+const HOP: u64 = 4;
 
 fn ms(millis: u64) -> BootTime {
     BootTime::ZERO + Duration::from_secs(10) + Duration::from_millis(millis)
 }
 
-/// Nodes with the account `one`, and a network that takes [`HOP`] for each message.
+/// Time for which a node does not take another one for the owner after a call has failed.
+const OWNER_PAUSE: u64 = 1_000;
+
+/// Nodes with the account `one`, and a network that takes [`HOP`] for each message unless
+/// a node is slower.
 struct Fleet {
     table: AccountTable,
     account: AccountKey,
@@ -147,6 +152,12 @@
     /// Group of the nodes that each node reaches.
     groups: Vec<usize>,
     dead: Vec<bool>,
+    /// Times that messages from and to each node take.
+    hops: Vec<Range<u64>>,
+    /// Owners that did not answer each node, and until when it passes over them.
+    failed: Vec<BTreeMap<usize, u64>>,
+    /// Calls that were not answered and have not timed out yet, and whether a request waits.
+    open: BTreeMap<usize, bool>,
     /// Times of admissions.
     admitted: Vec<u64>,
     refused: Vec<u64>,
@@ -161,10 +172,42 @@
 
 #[derive(Clone, Copy)]
 enum Message {
-    Ask { from: usize, to: usize, tokens: u32, used: u32, recent: u32 },
-    Reply { to: usize, tokens: u32, used: u32, grant: Option<ShareGrant> },
-    Short { from: usize, to: usize },
-    Support { from: usize, to: usize },
+    Ask {
+        call: usize,
+        from: usize,
+        to: usize,
+        tokens: u32,
+        used: u32,
+        recent: u32,
+    },
+    Reply {
+        call: usize,
+        to: usize,
+        tokens: u32,
+        used: u32,
+        grant: Option<ShareGrant>,
+    },
+    /// The request that asked for a token waits no longer.
+    AskWait {
+        call: usize,
+        from: usize,
+    },
+    /// The call has timed out.
+    Timeout {
+        call: usize,
+        from: usize,
+        owner: usize,
+        used: u32,
+        is_asked: bool,
+    },
+    Short {
+        from: usize,
+        to: usize,
+    },
+    Support {
+        from: usize,
+        to: usize,
+    },
 }
 
 impl Fleet {
@@ -182,6 +225,9 @@
             random: StdRng::seed_from_u64(seed),
             groups: vec![0; nodes],
             dead: vec![false; nodes],
+            hops: vec![HOP..HOP + 1; nodes],
+            failed: vec![BTreeMap::new(); nodes],
+            open: BTreeMap::new(),
             admitted: Vec::new(),
             refused: Vec::new(),
         }
@@ -191,21 +237,47 @@
         !self.dead[to] && self.groups[from] == self.groups[to]
     }
 
-    /// The first node that a node reaches owns the account.
-    fn owner_of(&self, node: usize) -> usize {
-        (0..self.nodes.len()).find(|to| self.reaches(node, *to)).expect("itself")
+    /// The first node that a node reaches, and that has not failed, owns the account.
+    fn owner_of(&self, at: u64, node: usize) -> usize {
+        let is_failed = |to: &usize| self.failed[node].get(to).is_some_and(|until| at < *until);
+        let mut nodes = 0..self.nodes.len();
+        nodes.find(|to| self.reaches(node, *to) && !is_failed(to)).unwrap_or(node)
     }
 
-    fn send(&mut self, at: u64, message: Message) {
+    /// Sends a message between two nodes; the slower one decides how long it takes.
+    fn send(&mut self, at: u64, (from, to): (usize, usize), message: Message) {
         self.sent += 1;
-        self.messages.push((at + HOP.as_millis() as u64, message));
+        let mut hop = || {
+            let hops = [self.hops[from].clone(), self.hops[to].clone()];
+            hops.into_iter().map(|it| self.random.random_range(it)).max().unwrap_or_default()
+        };
+        let hop = if from == to { 0 } else { hop() };
+        self.messages.push((at + hop, message));
     }
 
     fn ask(&mut self, at: u64, node: usize, tokens: u32) {
         let (used, recent) =
             self.nodes[node].uses.report(ms(at), self.account, &self.terms).unwrap_or_default();
-        let to = self.owner_of(node);
-        self.send(at, Message::Ask { from: node, to, tokens, used, recent });
+        let to = self.owner_of(at, node);
+        let call = self.sent;
+        self.open.insert(call, tokens > 0);
+        self.send(at, (node, to), Message::Ask { call, from: node, to, tokens, used, recent });
+        let after = |wait: Duration| at + wait.as_millis() as u64;
+        let timeout = Message::Timeout { call, from: node, owner: to, used, is_asked: tokens > 0 };
+        self.messages.push((after(OWNER_REPLY_TIMEOUT), timeout));
+        if tokens > 0 {
+            self.messages.push((after(TOKEN_WAIT), Message::AskWait { call, from: node }));
+        }
+    }
+
+    /// Decides about a request that asked for a token.
+    fn decide_asked(&mut self, at: u64, node: usize, reply: OwnerReply) {
+        let uses = &mut self.nodes[node].uses;
+        match uses.decide_asked(ms(at), self.account, &self.terms, reply) {
+            AccountDecision::Admit => self.admitted.push(at),
+            AccountDecision::Refuse(_) => self.refused.push(at),
+            AccountDecision::Ask => panic!("asked twice"),
+        }
     }
 
     fn request(&mut self, at: u64, node: usize) {
@@ -227,9 +299,13 @@
         let (now, name) = (ms(at), Arc::<str>::from("one"));
         let node_name = |node: usize| Arc::<str>::from(format!("node-{node}"));
         match message {
-            Message::Ask { from, to, tokens, used, recent } => {
+            Message::Ask { call, from, to, tokens, used, recent } => {
                 if !self.reaches(from, to) {
-                    self.send(at, Message::Reply { to: from, tokens, used, grant: None });
+                    self.send(
+                        at,
+                        (to, from),
+                        Message::Reply { call, to: from, tokens, used, grant: None },
+                    );
                     return;
                 }
                 let subject = SharedSubject::Account(name.clone());
@@ -237,15 +313,16 @@
                 let count = self.nodes.len() as u32;
                 let Member { owned, ledger, .. } = &mut self.nodes[to];
                 let sender = (&name, &node_name(from), count);
-                let grant = owned.answer(now, ledger, &self.terms, sender, &ask);
+                let grant = Some(owned.answer(now, ledger, &self.terms, sender, &ask));
                 if !owned.due_notices(now).is_empty() {
                     for node in (0..self.nodes.len()).filter(|node| *node != to) {
-                        self.send(at, Message::Short { from: to, to: node });
+                        self.send(at, (to, node), Message::Short { from: to, to: node });
                     }
                 }
-                self.send(at, Message::Reply { to: from, tokens, used, grant: Some(grant) });
+                self.send(at, (to, from), Message::Reply { call, to: from, tokens, used, grant });
             }
-            Message::Reply { to, tokens, used, grant } => {
+            Message::Reply { call, to, tokens, used, grant } => {
+                let Some(is_waiting) = self.open.remove(&call) else { return };
                 let count = self.nodes.len() as u32;
                 let uses = &mut self.nodes[to].uses;
                 let reply = match grant {
@@ -258,20 +335,34 @@
                         OwnerReply::Lost { nodes: count }
                     }
                 };
-                if tokens == 0 {
-                    return;
+                if is_waiting {
+                    self.decide_asked(at, to, reply);
+                } else if tokens > 0 {
+                    uses.keep_late(now, self.account, grant.map_or(0, |grant| grant.tokens));
                 }
-                match uses.decide_asked(now, self.account, &self.terms, reply) {
-                    AccountDecision::Admit => self.admitted.push(at),
-                    AccountDecision::Refuse(_) => self.refused.push(at),
-                    AccountDecision::Ask => panic!("asked twice"),
+            }
+            Message::AskWait { call, from } => {
+                let Some(is_waiting) = self.open.get_mut(&call).filter(|it| **it) else { return };
+                *is_waiting = false;
+                let nodes = self.nodes.len() as u32;
+                self.decide_asked(at, from, OwnerReply::Late { nodes });
+            }
+            Message::Timeout { call, from, owner, used, is_asked } => {
+                if self.open.remove(&call).is_some() {
+                    let uses = &mut self.nodes[from].uses;
+                    uses.on_lost(now, self.account, used);
+                    if is_asked {
+                        uses.keep_late(now, self.account, 0);
+                    }
+                    self.failed[from].insert(owner, at + OWNER_PAUSE);
                 }
             }
             Message::Short { from, to } => {
                 if self.reaches(from, to) {
-                    self.nodes[to].uses.on_short(now, self.account);
-                    if self.owner_of(to) == from {
-                        self.send(at, Message::Support { from: to, to: from });
+                    self.failed[to].remove(&from);
+                    if self.owner_of(at, to) == from {
+                        self.nodes[to].uses.on_short(now, self.account);
+                        self.send(at, (to, from), Message::Support { from: to, to: from });
                     }
                 }
             }
@@ -312,6 +403,16 @@
         times.iter().map(|start| count(*start).count()).max().unwrap_or(0)
     }
 
+    /// Returns how many requests were refused although they were within the limit.
+    fn refused_within(&self, rate: f64, burst: u32) -> usize {
+        let (window, within) = (WINDOW.as_millis() as u64, rate * 5.0 + f64::from(burst));
+        let is_within = |at: &&u64| {
+            let start = (**at + 1).saturating_sub(window);
+            (self.admitted_in(start..**at + 1) as f64) < within.floor()
+        };
+        self.refused.iter().filter(is_within).count()
+    }
+
     fn admitted_in(&self, span: Range<u64>) -> usize {
         self.admitted.iter().filter(|at| span.contains(at)).count()
     }
@@ -371,6 +472,80 @@
     }
 }
 
+struct SlowCase {
+    rate: f64,
+    burst: u32,
+    /// Requests per second while nodes are slow, relative to the usual ones.
+    flood: f64,
+    /// Nodes that are slow; the first one owns the account.
+    slow: Range<usize>,
+}
+
+const SLOW_CASES: [SlowCase; 6] = [
+    SlowCase { rate: 14.0, burst: 14, flood: 7.0, slow: 55..64 },
+    SlowCase { rate: 1.5, burst: 2, flood: 7.0, slow: 55..64 },
+    SlowCase { rate: 1.5, burst: 2, flood: 7.0, slow: 0..9 },
+    SlowCase { rate: 14.0, burst: 14, flood: 1.0, slow: 55..64 },
+    SlowCase { rate: 5.0, burst: 5, flood: 1.0, slow: 0..9 },
+    SlowCase { rate: 0.5, burst: 1, flood: 1.0, slow: 0..9 },
+];
+
+/// A flooding account whose owner is one of the slow nodes.
+const SLOW_OWNER_CASE: SlowCase = SlowCase { rate: 14.0, burst: 14, flood: 7.0, slow: 0..9 };
+
+/// Part of the requests within the limit that may be refused to an account that sends more
+/// than its limit.
+const REFUSED_WITHIN: f64 = 0.05;
+
+/// Plays calls that take 5 to 80 ms, and 40 to 200 ms at nine of the nodes while the account
+/// floods. Returns the requests within the limit, and how many of them were refused.
+fn play_slow(case: &SlowCase, seed: u64) -> (usize, usize) {
+    let SlowCase { rate, burst, flood, ref slow } = *case;
+    let (mut fleet, usual) = (Fleet::new(64, rate, burst, seed), rate / 1.6);
+    fleet.hops = vec![2..41; 64];
+    fleet.run(0..8_000, usual, 0..64);
+    for node in slow.clone() {
+        fleet.hops[node] = 20..101;
+    }
+    fleet.run(8_000..14_000, usual * flood, 0..64);
+    fleet.hops = vec![2..41; 64];
+    fleet.run(14_000..24_000, usual, 0..64);
+    let (most, allowed) = (fleet.busiest(), allowed(rate, burst));
+    assert!(most <= allowed, "{rate} {flood} {seed}: {most} of {allowed}");
+    let refused = fleet.refused_within(rate, burst);
+    if flood <= 1.0 {
+        assert_eq!(fleet.refused.len(), 0, "{rate} {seed}");
+    }
+    (fleet.admitted.len() + refused, refused)
+}
+
+#[test]
+fn slow_nodes_refuse_hardly_anything_within_the_limit() {
+    for (number, case) in SLOW_CASES.iter().enumerate() {
+        for seed in 0..8 {
+            let (all, refused) = play_slow(case, seed);
+            let tolerated = all as f64 * REFUSED_WITHIN;
+            assert!(refused as f64 <= tolerated, "{number} {seed}: {refused} of {all}");
+        }
+    }
+}
+
+#[test]
+fn a_slow_owner_keeps_the_limit() {
+    for seed in 0..8 {
+        play_slow(&SLOW_OWNER_CASE, seed);
+    }
+}
+
+#[test]
+fn a_slow_owner_refuses_hardly_anything_within_the_limit() {
+    for seed in 0..8 {
+        let (all, refused) = play_slow(&SLOW_OWNER_CASE, seed);
+        let tolerated = all as f64 * REFUSED_WITHIN;
+        assert!(refused as f64 <= tolerated, "{seed}: {refused} of {all}");
+    }
+}
+
 #[test]
 fn a_killed_owner_neither_frees_nor_stops_a_flood() {
     for seed in 0..6 {
