--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::atomic::{AtomicU16, AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -22,6 +22,13 @@
 /// Environment variable with the path of another build of the program, for measurements.
 const PROGRAM_VARIABLE: &str = "CAROBSTEPD_PROGRAM";
 
+/// Environment variable with the path of an earlier version of the program, which every second
+/// node runs, to try versions side by side.
+const EARLIER_VARIABLE: &str = "CAROBSTEPD_EARLIER";
+
+/// Number of processes started so far.
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
 /// A running gateway process; dropping it kills the process.
 pub struct GatewayNode {
     pub callers: SocketAddr,
@@ -71,8 +78,11 @@
 
 fn spawn(dir: &Path, metrics: u16) -> Child {
     let log = File::options().create(true).append(true).open(dir.join("log")).expect("a log file");
-    let program = std::env::var(PROGRAM_VARIABLE)
-        .unwrap_or_else(|_| env!("CARGO_BIN_EXE_carobstepd").to_owned());
+    let is_second = !STARTED.fetch_add(1, Ordering::Relaxed).is_multiple_of(2);
+    let earlier = std::env::var(EARLIER_VARIABLE).ok().filter(|_| is_second);
+    let program = earlier
+        .or_else(|| std::env::var(PROGRAM_VARIABLE).ok())
+        .unwrap_or_else(|| env!("CARGO_BIN_EXE_carobstepd").to_owned());
     Command::new(program)
         .args(["gateway", "--metrics", &metrics.to_string()])
         .env("CAROBSTEP_BOOT", dir.join("settings.conf"))
