--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell, collections::hash_map::RandomState, hash::BuildHasher, net::SocketAddr, rc::Rc,
-    sync::Arc, time::Duration,
+    sync::Arc,
 };
 
 use carobstep_clock::BootTime;
@@ -11,12 +11,11 @@
 use carobstep_tier::{
     AccountKey, AccountTable, AccountUses, AttemptOutcome, AttemptTicket, Configuration,
     CrashDoubts, CrashEvidence, CrashRecord, CrashTable, DirectoryChange, EvacuationTable,
-    FanoutPlan, FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice, LimitRecord,
-    NodeLifecycle, NodeRegistration, NodeSettings, ObservationLedger, OwnedAccounts, OwnerSupport,
-    PauseRequest, PeerEntry, PeerTable, QuarantineChange, RelayRoom, RequestAdmission,
-    RequestFingerprint, RouteTable, SearchAdmission, SearchDemand, SearchRefusal, ServerDirectory,
-    ServerFleet, ServerIncarnation, ServerKey, ServerNotice, ShareLedger, SpreadTiming, StopTiming,
-    StoreRevision, WeightedRoundRobin,
+    FinishLag, FleetLimits, LifecyclePhase, LimitChange, LimitNotice, LimitRecord, NodeLifecycle,
+    NodeRegistration, NodeSettings, ObservationLedger, OwnedAccounts, OwnerSupport, PauseRequest,
+    PeerEntry, PeerTable, QuarantineChange, RelayRoom, RequestAdmission, RequestFingerprint,
+    RouteTable, SearchAdmission, ServerDirectory, ServerFleet, ServerIncarnation, ServerKey,
+    ServerNotice, ShareLedger, SpreadTiming, StopTiming, StoreRevision, WeightedRoundRobin,
 };
 use carobstep_wire::PeerPool;
 use indexmap::{IndexMap, IndexSet};
@@ -30,7 +29,7 @@
     byte_budget::ByteBudget,
     callers::CallerListeners,
     follow::StoreFreshness,
-    report::{GaugeReadings, NoticeKind, RelayAdmission, Reporter},
+    report::{GaugeReadings, NoticeKind, Reporter},
 };
 
 /// Number of nodes assumed to share [`FleetLimits`] until the list of nodes is known.
@@ -446,36 +445,6 @@
         self.apply_changes(&changes);
     }
 
-    /// Decides at its arrival whether a search can still be served.
-    pub(crate) fn admit_search(
-        &self,
-        plan: &FanoutPlan,
-        priority: u32,
-    ) -> Result<(), SearchRefusal> {
-        let state = &mut *self.state.borrow_mut();
-        let demand = SearchDemand {
-            services: &plan.services,
-            min_shards: plan.min_shards,
-            attempts: plan.attempts,
-            priority,
-            is_cautious: plan.is_cautious,
-            deadline: plan.deadline,
-        };
-        let draw = RandomState::new().hash_one(state.requests) as f64 / u64::MAX as f64;
-        state.admission.admit(BootTime::now(), &state.fleet, demand, draw)
-    }
-
-    /// Takes on a request of a node that has lost its links to the servers of `shards`
-    /// shards, if there is room for it; fails with the time until there is.
-    pub(crate) fn take_relayed(&self, shards: usize, priority: u32) -> Result<(), Duration> {
-        let state = &mut *self.state.borrow_mut();
-        let seconds = state.peers.own().shard_seconds() * shards as f64;
-        let admission = state.room.try_take(BootTime::now(), seconds, priority);
-        let outcome = if admission.is_ok() { RelayAdmission::Taken } else { RelayAdmission::Full };
-        self.reporter.count_relayed(outcome);
-        admission
-    }
-
     /// Returns the servers that recently said that they are leaving.
     pub(crate) fn recently_leaving(&self) -> Vec<ServerIncarnation> {
         self.state.borrow().directory.recently_leaving(BootTime::now())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod account_quota;
 mod accounts;
+mod admission;
 mod args;
 mod backend;
 mod byte_budget;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,20 +1,24 @@
 //! Metrics, and a log line for each request that failed or was slow.
 
+mod gauges;
+
 use std::{cell::Cell, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, CallerFault, EvacuationChange, ExtraUse, FanoutOutcome,
-    MissingShards, PaceEnd, RequestFingerprint, RouteConfig, RouteTarget, SearchRefusal,
+    AttemptKind, AttemptOutcome, CallerFault, EvacuationChange, FanoutOutcome, MissingShards,
+    PaceEnd, RequestFingerprint, RouteConfig, RouteTarget, SearchRefusal,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
+pub(crate) use self::gauges::GaugeReadings;
+use self::gauges::Gauges;
+
 /// One in this many requests served within the latency objective is logged.
 const SERVED_SAMPLE_INTERVAL: u64 = 256;
 
@@ -57,57 +61,6 @@
     window_lines: Cell<u32>,
 }
 
-/// Gauges, set when the metrics are scraped.
-struct Gauges {
-    version: IntGauge,
-    servers: IntGauge,
-    nodes: IntGauge,
-    in_flight: IntGauge,
-    store_age_ms: IntGauge,
-    store_era: IntGauge,
-    ready: IntGauge,
-    client_accounts: IntGauge,
-    short_accounts: IntGauge,
-    quarantined_requests: IntGauge,
-    limited_servers: IntGauge,
-    failing_servers: IntGauge,
-    evacuated_zones: IntGauge,
-    paced_servers: IntGauge,
-    unreachable_zones: IntGauge,
-    lost_servers: IntGauge,
-    nodes_without_links: IntGauge,
-    extra_paid: IntGauge,
-    extra_refused: IntGauge,
-    extra_pooled: IntGauge,
-    caller_connections: IntGauge,
-    caller_bytes: IntGauge,
-}
-
-/// Values for the gauges.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct GaugeReadings {
-    pub(crate) version: u64,
-    pub(crate) servers: usize,
-    pub(crate) nodes: u32,
-    pub(crate) in_flight: usize,
-    pub(crate) store_age: Duration,
-    pub(crate) store_era: u64,
-    pub(crate) ready: bool,
-    pub(crate) client_accounts: usize,
-    pub(crate) short_accounts: usize,
-    pub(crate) quarantined_requests: usize,
-    pub(crate) limited_servers: usize,
-    pub(crate) failing_servers: usize,
-    pub(crate) evacuated_zones: usize,
-    pub(crate) paced_servers: usize,
-    pub(crate) unreachable_zones: usize,
-    pub(crate) lost_servers: usize,
-    pub(crate) nodes_without_links: usize,
-    pub(crate) extra_use: ExtraUse,
-    /// Connections of callers, and the bytes that they hold beyond what each one may hold.
-    pub(crate) callers: (usize, usize),
-}
-
 /// Final classification of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -289,11 +242,6 @@
             registry.register(Box::new(counters.clone()))?;
             Ok::<_, prometheus::Error>(counters)
         };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
         let options = HistogramOpts::new(
             "carobstep_request_seconds",
             "Time from a request's header section to its answer, by kind of route.",
@@ -367,78 +315,7 @@
                 "Attempts at servers that name a limit on their requests.",
                 "kind",
             )?,
-            gauges: Gauges {
-                version: gauge("carobstep_configuration_version", "Configuration in force.")?,
-                servers: gauge("carobstep_servers", "Backend servers that are believed to exist.")?,
-                nodes: gauge("carobstep_nodes", "Nodes that share the limits.")?,
-                in_flight: gauge("carobstep_requests_in_flight", "Requests not answered yet.")?,
-                store_age_ms: gauge(
-                    "carobstep_store_age_milliseconds",
-                    "Time since the store's last word, by way of peers or not.",
-                )?,
-                store_era: gauge("carobstep_store_era", "Times that the store was restored.")?,
-                quarantined_requests: gauge(
-                    "carobstep_quarantined_requests",
-                    "Requests that are not sent because servers crashed under them.",
-                )?,
-                limited_servers: gauge(
-                    "carobstep_limited_servers",
-                    "Backend servers that name a limit on their requests.",
-                )?,
-                failing_servers: gauge(
-                    "carobstep_failing_servers",
-                    "Backend servers that failed lately, as seen by the nodes of this zone.",
-                )?,
-                paced_servers: gauge(
-                    "carobstep_paced_servers",
-                    "Backend servers that get fewer requests, since they started or recovered.",
-                )?,
-                evacuated_zones: gauge(
-                    "carobstep_evacuated_zones",
-                    "Availability zones whose servers get no requests.",
-                )?,
-                unreachable_zones: gauge(
-                    "carobstep_unreachable_zones",
-                    "Availability zones whose servers this node can't reach.",
-                )?,
-                lost_servers: gauge(
-                    "carobstep_lost_servers",
-                    "Backend servers that don't respond to this node.",
-                )?,
-                nodes_without_links: gauge(
-                    "carobstep_nodes_without_links",
-                    "Nodes, with this one, that can't reach the servers of some zone.",
-                )?,
-                extra_paid: gauge(
-                    "carobstep_extra_requests_paid",
-                    "Retries and hedges that the retry budgets paid for.",
-                )?,
-                extra_refused: gauge(
-                    "carobstep_extra_requests_refused",
-                    "Times that a retry budget could not pay for a retry or hedge.",
-                )?,
-                extra_pooled: gauge(
-                    "carobstep_extra_tokens_pooled",
-                    "Tokens that this node got from retry budgets that nodes share by demand.",
-                )?,
-                client_accounts: gauge(
-                    "carobstep_client_accounts",
-                    "Client accounts of the configuration in force.",
-                )?,
-                short_accounts: gauge(
-                    "carobstep_short_accounts",
-                    "Client accounts of whose limit few tokens are left, as far as known here.",
-                )?,
-                caller_connections: gauge(
-                    "carobstep_caller_connections",
-                    "Open connections of callers.",
-                )?,
-                caller_bytes: gauge(
-                    "carobstep_caller_bytes",
-                    "Bytes of large requests and unread answers of callers.",
-                )?,
-                ready: gauge("carobstep_ready", "Whether the balancer is told that it is ready.")?,
-            },
+            gauges: Gauges::register(&registry)?,
             registry,
             served_in_time: Cell::new(0),
             window_start: Cell::new(BootTime::ZERO),
@@ -501,32 +378,7 @@
 
     /// Returns every metric in the text format of Prometheus.
     pub(crate) fn encode_metrics(&self, readings: GaugeReadings) -> Vec<u8> {
-        let gauges = &self.gauges;
-        gauges.version.set(i64::try_from(readings.version).unwrap_or(i64::MAX));
-        gauges.servers.set(readings.servers as i64);
-        gauges.nodes.set(i64::from(readings.nodes));
-        gauges.in_flight.set(readings.in_flight as i64);
-        let age = i64::try_from(readings.store_age.as_millis()).unwrap_or(i64::MAX);
-        gauges.store_age_ms.set(age);
-        gauges.store_era.set(i64::try_from(readings.store_era).unwrap_or(i64::MAX));
-        gauges.ready.set(i64::from(readings.ready));
-        gauges.client_accounts.set(readings.client_accounts as i64);
-        gauges.short_accounts.set(readings.short_accounts as i64);
-        gauges.quarantined_requests.set(readings.quarantined_requests as i64);
-        gauges.limited_servers.set(readings.limited_servers as i64);
-        gauges.failing_servers.set(readings.failing_servers as i64);
-        gauges.paced_servers.set(readings.paced_servers as i64);
-        gauges.evacuated_zones.set(readings.evacuated_zones as i64);
-        gauges.unreachable_zones.set(readings.unreachable_zones as i64);
-        gauges.lost_servers.set(readings.lost_servers as i64);
-        gauges.nodes_without_links.set(readings.nodes_without_links as i64);
-        let count = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
-        gauges.extra_paid.set(count(readings.extra_use.paid));
-        gauges.extra_refused.set(count(readings.extra_use.refused));
-        gauges.extra_pooled.set(count(readings.extra_use.pooled));
-        let (connections, bytes) = readings.callers;
-        gauges.caller_connections.set(connections as i64);
-        gauges.caller_bytes.set(bytes as i64);
+        self.gauges.set(readings);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!(error:% = error; "encoding the metrics failed");
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -438,21 +438,6 @@
         self.servers.len()
     }
 
-    /// Credits the service's retry budget for a first request. `fraction` is the part
-    /// of the credit that this node gets; for delegated shards two nodes share it.
-    pub fn earn_extra(&mut self, now: BootTime, service: ServiceKey, fraction: f64) {
-        if let Some(state) = self.services.get_mut(service) {
-            state.budget.earn(now, fraction);
-        }
-    }
-
-    /// Returns whether the service's retry budget is likely to pay for an extra request
-    /// by `deadline`.
-    #[must_use]
-    pub fn expects_extra(&self, now: BootTime, service: ServiceKey, deadline: BootTime) -> bool {
-        self.services.get(service).is_some_and(|state| state.budget.expects(now, deadline))
-    }
-
     /// Returns the estimated utilization of a shard's slots (1.0 is full), assuming that
     /// every node has as much demand as this one.
     #[must_use]
@@ -480,21 +465,6 @@
         zones
     }
 
-    /// Takes one extra request from the service's retry budget; returns `false` if the
-    /// budget is exhausted. With less than one request left, the result is random.
-    pub fn try_take_extra(&mut self, now: BootTime, service: ServiceKey) -> bool {
-        let Some(state) = self.services.get_mut(service) else { return false };
-        self.draws = self.draws.wrapping_add(1);
-        let chance = hash_fraction(self.seed, self.draws);
-        let is_taken = state.budget.try_take(now, chance);
-        if is_taken {
-            self.extra_use.paid += 1;
-        } else {
-            self.extra_use.refused += 1;
-        }
-        is_taken
-    }
-
     /// Returns the hashed identifiers of servers, by which a peer looks them up.
     #[must_use]
     pub fn id_hashes(&self, keys: &[ServerKey]) -> Vec<u32> {
--- a/crates/tier/src/fleet/extras.rs
+++ b/crates/tier/src/fleet/extras.rs
@@ -1,10 +1,11 @@
-//! Extra requests that the nodes of an availability zone share by demand.
+//! Extra requests: what first requests earn, and what the nodes of an availability zone share
+//! by demand.
 
 use std::sync::Arc;
 
 use carobstep_clock::BootTime;
 
-use super::ServerFleet;
+use super::{ServerFleet, ServiceKey, hash_fraction};
 use crate::shares::ExtraPool;
 
 /// Extra requests since the start of the process.
@@ -75,4 +76,34 @@
         state.budget.add(now, asked_at, asked, granted);
         self.extra_use.pooled += u64::from(granted);
     }
+
+    /// Credits the service's retry budget for a first request. `fraction` is the part
+    /// of the credit that this node gets; for delegated shards two nodes share it.
+    pub fn earn_extra(&mut self, now: BootTime, service: ServiceKey, fraction: f64) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.budget.earn(now, fraction);
+        }
+    }
+
+    /// Returns whether the service's retry budget is likely to pay for an extra request
+    /// by `deadline`.
+    #[must_use]
+    pub fn expects_extra(&self, now: BootTime, service: ServiceKey, deadline: BootTime) -> bool {
+        self.services.get(service).is_some_and(|state| state.budget.expects(now, deadline))
+    }
+
+    /// Takes one extra request from the service's retry budget; returns `false` if the
+    /// budget is exhausted. With less than one request left, the result is random.
+    pub fn try_take_extra(&mut self, now: BootTime, service: ServiceKey) -> bool {
+        let Some(state) = self.services.get_mut(service) else { return false };
+        self.draws = self.draws.wrapping_add(1);
+        let chance = hash_fraction(self.seed, self.draws);
+        let is_taken = state.budget.try_take(now, chance);
+        if is_taken {
+            self.extra_use.paid += 1;
+        } else {
+            self.extra_use.refused += 1;
+        }
+        is_taken
+    }
 }
