--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -203,6 +203,8 @@
     Limit,
     /// The server names a limit in a form that can't be read; it is ignored.
     UnreadableLimit,
+    /// The server states a load that no server has; it is ignored.
+    ImplausibleLoad,
 }
 
 /// A failed attempt.
