Take the load that servers state out of the choice again, and note what it showed

A node hears a server too rarely for the statement to be true still, and most late parts come from pauses, which no statement announces.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -339,11 +339,6 @@
         if let Some(cold_for) = notice.cold_for {
             self.record_cold(server, cold_for);
         }
-        if let Some(load) = notice.load
-            && !self.state.borrow_mut().fleet.record_load(BootTime::now(), server, load)
-        {
-            self.reporter.count_server_notice(NoticeKind::ImplausibleLoad);
-        }
         match notice.pause {
             PauseRequest::None => {}
             PauseRequest::For(pause) => {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -203,8 +203,6 @@
     Limit,
     /// The server names a limit in a form that can't be read; it is ignored.
     UnreadableLimit,
-    /// The server states a load that no server has; it is ignored.
-    ImplausibleLoad,
 }
 
 /// A failed attempt.
--- a/crates/tier/src/fleet/observations.rs
+++ b/crates/tier/src/fleet/observations.rs
@@ -4,15 +4,9 @@
 use indexmap::IndexMap;
 
 use super::{ServerFleet, ServerKey, ServiceKey, id_hash};
-use crate::model::ServerLoad;
 use crate::observations::{FailureOdds, ServerObservation, ServerTrouble};
 
 impl ServerFleet {
-    /// Records the load that a server states in a response; returns whether it is plausible.
-    pub fn record_load(&mut self, now: BootTime, key: ServerKey, load: ServerLoad) -> bool {
-        self.servers.get_mut(key).is_none_or(|server| server.record_load(now, load))
-    }
-
     /// Returns the attempts since the last call at the servers that have failed lately.
     pub fn take_observations(&mut self, now: BootTime) -> Vec<ServerObservation> {
         let mut reports = Vec::new();
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -65,7 +65,6 @@
 mod routes;
 mod server_state;
 mod shares;
-mod stated_load;
 mod stats;
 mod update_tree;
 
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -7,11 +7,10 @@
 use crate::{
     fleet::ServiceKey,
     links::ServerLink,
-    model::{ServerEntry, ServerLoad, ServerPhase},
+    model::{ServerEntry, ServerPhase},
     observations::ServerTrouble,
     pace::{PaceEnd, PaceRule, PaceSign, ServerPace},
     quota::NodeShare,
-    stated_load::StatedLoad,
     stats::AttemptOutcome,
 };
 
@@ -94,8 +93,6 @@
     health: ObservedHealth,
     /// Until when that holds.
     health_until: BootTime,
-    /// Load that the server has stated.
-    stated: Option<StatedLoad>,
     /// Recent failures.
     pub(crate) trouble: ServerTrouble,
     /// Whether a request has shown something of it since its start or since its links were
@@ -150,7 +147,6 @@
             window: MAX_WINDOW,
             waiting_since: now,
             health: ObservedHealth { slowness: DEFAULT_SLOWNESS },
-            stated: None,
             trouble: ServerTrouble::default(),
             health_until: now + UNOBSERVED_TIME,
             is_observed: false,
@@ -183,11 +179,7 @@
     /// latency. `typical_slowness` is that of a server of which nothing is known.
     pub(crate) fn expected_load(&self, now: BootTime, typical_slowness: f64) -> f64 {
         let health = self.health_at(now, typical_slowness);
-        let times = match &self.stated {
-            Some(stated) => stated.answer_time(now, self.in_flight),
-            None => f64::from(self.in_flight + 1),
-        };
-        times * health.slowness.max(MIN_SLOWNESS)
+        f64::from(self.in_flight + 1) * health.slowness.max(MIN_SLOWNESS)
     }
 
     /// Returns how good the server is at the moment, in comparison with the fastest one of
@@ -254,14 +246,6 @@
         self.pace = Some(ServerPace::new(self.pace_rule, since, self.cold_until));
     }
 
-    /// Records the load that the server states in a response to a request that still counts
-    /// as in flight; returns whether it is plausible.
-    pub(crate) fn record_load(&mut self, now: BootTime, load: ServerLoad) -> bool {
-        let stated = StatedLoad::new(now, load, self.in_flight);
-        self.stated = stated.or(self.stated);
-        stated.is_some()
-    }
-
     /// Records that the server says that it stays cold for a time.
     pub(crate) fn record_cold(&mut self, now: BootTime, cold_left: Duration) {
         if cold_left.is_zero() {
