Keep the limit of an account while its owner is frozen or its links work one way

Cause: an owner whose replies got lost went on counting its own grants and not those of the owner that nodes asked instead, so that both together handed out more after its return. Nodes that took another owner ignored the notices of the new one, believed that tokens were plenty, and admitted at once.

Change: with each report the owner compares a node's requests of the last window with those that it knows of, over a window and the time of a reply; the rest counts in its window and makes it a new owner.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -229,13 +229,11 @@
     state.peers.on_owner_heard(&notice.node);
     let mut supported = Vec::with_capacity(notice.accounts.len());
     for name in &notice.accounts {
-        let owner = state.peers.account_owner(now, name);
-        let is_supported = owner.as_ref() == Some(&notice.node);
-        // Another node may take the sender for the owner only because it is slow itself.
-        if is_supported && let Some(account) = state.accounts.named(name) {
+        if let Some(account) = state.accounts.named(name) {
             state.account_uses.on_short(now, account);
         }
-        supported.push(is_supported);
+        let owner = state.peers.account_owner(now, name);
+        supported.push(owner.as_ref() == Some(&notice.node));
     }
     supported
 }
--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -400,6 +400,8 @@
 struct AccountReporter {
     seen_at: BootTime,
     known: RecentRequests,
+    /// The same with those of the time before that replies may take.
+    settled: RecentRequests,
     /// Requests that the node has reported to an earlier owner, and until when they count.
     earlier: u32,
     earlier_until: BootTime,
@@ -486,6 +488,7 @@
         ledger.charge(now, &ask.subject, shared, share, tokens - saved);
         if let Some(reporter) = account.reporters.get_mut(node) {
             reporter.known.add(now, tokens);
+            reporter.settled.add(now, tokens);
         }
         let saved = ledger.tokens(now, &ask.subject, shared, share);
         let left = saved.min(room.most - f64::from(tokens)).max(room.within - f64::from(tokens));
@@ -546,14 +549,17 @@
         let new = AccountReporter {
             seen_at: now,
             known: RecentRequests::default(),
-            earlier: u32::MAX,
-            earlier_until: now + terms.window,
+            settled: RecentRequests::default(),
+            earlier: 0,
+            earlier_until: now,
         };
         let reporter = self.reporters.entry(node.clone()).or_insert(new);
         reporter.seen_at = now;
         reporter.known.add(now, ask.used);
-        let known = reporter.known.count(now, terms.window);
-        reporter.earlier = reporter.earlier.min(ask.recent.saturating_sub(known));
+        reporter.settled.add(now, ask.used);
+        let known = reporter.settled.count(now, terms.window + OWNER_REPLY_TIMEOUT);
+        reporter.earlier = ask.recent.saturating_sub(known);
+        reporter.earlier_until = now + terms.window;
     }
 
     /// Returns how many requests of the last window are known to have been reported to earlier
