--- a/crates/tier/tests/update_tree.rs
+++ b/crates/tier/tests/update_tree.rs
@@ -210,3 +210,28 @@
     copy.apply_update(update);
     assert_eq!((copy.live_nodes(), copy.revision()), (2, restored));
 }
+
+#[test]
+fn nodes_agree_on_the_owner_of_an_account_unless_it_does_not_reply() {
+    let machines = machines(20, 3);
+    let mut tables = tables(&machines);
+    let owner = |table: &PeerTable, now| table.account_owner(now, "one");
+    let first = tables.values().find_map(|table| owner(table, at(0))).expect("an owner");
+    for (name, table) in &mut tables {
+        if *name == first {
+            assert_eq!(owner(table, at(0)), None, "the node itself");
+            continue;
+        }
+        // One failure of another kind of call changes nothing; a lost call to the owner
+        // does, for a second or until the owner is heard.
+        table.on_failed(at(0), &first);
+        assert_eq!(owner(table, at(1)).as_ref(), Some(&first));
+        table.on_owner_failed(at(1), &first);
+        assert_ne!(owner(table, at(2)).as_ref(), Some(&first));
+        table.on_owner_heard(&first);
+        assert_eq!(owner(table, at(3)).as_ref(), Some(&first));
+        table.on_owner_failed(at(3), &first);
+        assert_ne!(owner(table, at(900)).as_ref(), Some(&first));
+        assert_eq!(owner(table, at(1_100)).as_ref(), Some(&first));
+    }
+}
