Cold servers: the pace does not hold back what a limit bounds already

A pace that falls with slow answers left the rate unused: 11 of 32 requests came in tests/gateway/cold.rs in one of four runs on a busy machine.

--- a/crates/tier/src/fleet/selection.rs
+++ b/crates/tier/src/fleet/selection.rs
@@ -198,9 +198,9 @@
                 continue;
             }
             let is_local = server.entry.zone == self.zone;
-            // What a cold server gets is limited already: a token that is there is used.
-            let has_cold_token = server.cold_share(now).is_some_and(|it| it.tokens(now) > 0);
-            let is_admitted = has_cold_token || pace_draw.admits(now, step, server, is_local);
+            // What a cold server gets may be limited already, whatever its pace.
+            let is_admitted =
+                server.cold_share(now).is_some() || pace_draw.admits(now, step, server, is_local);
             if !scope.is_allowed(key) || !is_admitted {
                 continue;
             }
