Cold servers: one that is as good as the others asks for its part

A request that found a free warm server of the same score asked for no token for the cold one, which then got next to nothing: 2 and 5 of 32 requests in tests/gateway/cold.rs, in two of six runs.

--- a/crates/tier/src/fleet/selection.rs
+++ b/crates/tier/src/fleet/selection.rs
@@ -217,8 +217,11 @@
         }
         // A server that would have been picked with a token is one to ask tokens for.
         if let Some((score, key)) = best_limited.filter(|_| scope.limited != LimitedUse::Avoided)
-            && best.is_none_or(|(least, _)| score < least)
             && let Some(server) = self.servers.get_mut(key)
+            // A cold server that is as good as another one is to get its part as well.
+            && best.is_none_or(|(least, _)| {
+                score < least || (score <= least && server.cold_share(now).is_some())
+            })
         {
             for quota in server.limits_mut(now) {
                 quota.miss();
