Remove the load that servers state, and bound what admission leaves to others

Admission left 40 % of the retry budget to each more urgent priority in use; with accounts of many priorities nothing would be left, so that it is now left to two at most.

--- a/crates/tier/src/admission.rs
+++ b/crates/tier/src/admission.rs
@@ -23,6 +23,10 @@
 /// Share of the retry budget that searches leave to those of each more urgent priority.
 const RESERVED_SHARE: f64 = 0.4;
 
+/// Maximum number of more urgent priorities to which searches leave such a share; more of them
+/// would leave nothing to the least urgent one.
+const MAX_RESERVING: usize = 2;
+
 /// Share of the admitted ones among the searches of a priority, relative to that of all,
 /// below which they are admitted in any case.
 const MIN_RELATIVE_SHARE: f64 = 0.25;
@@ -131,7 +135,8 @@
     /// Returns the number of more urgent priorities of which searches arrived of late.
     fn more_urgent(&self, now: BootTime, priority: u32) -> i32 {
         let urgent = self.kinds.iter().filter(|(other, _)| **other < priority);
-        urgent.filter(|(_, counts)| counts.at(now).arrived >= MIN_ARRIVED).count() as i32
+        let urgent = urgent.filter(|(_, counts)| counts.at(now).arrived >= MIN_ARRIVED);
+        urgent.take(MAX_RESERVING).count() as i32
     }
 
     /// Returns whether too few searches of a priority were admitted compared to all.
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -108,8 +108,8 @@
 pub use model::{
     AccountConfig, AccountQuota, CallerLimits, ColdBounds, Configuration, GatherConfig,
     InvalidRate, LimitNotice, NodeSettings, PauseRequest, QuotaBounds, RequestRate, RetryPolicy,
-    RouteConfig, RouteTarget, ServerEntry, ServerIncarnation, ServerLoad, ServerNotice,
-    ServerPhase, ServiceBounds, ServiceConfig, WeightedService,
+    RouteConfig, RouteTarget, ServerEntry, ServerIncarnation, ServerNotice, ServerPhase,
+    ServiceBounds, ServiceConfig, WeightedService,
 };
 pub use observations::{
     AttemptStake, FailureOdds, ObservationLedger, ServerObservation, report_interval,
--- a/crates/tier/src/model.rs
+++ b/crates/tier/src/model.rs
@@ -247,25 +247,10 @@
     pub pause: PauseRequest,
     /// Limit on its requests that the server names.
     pub limit: LimitNotice,
-    /// Load that the server states.
-    pub load: Option<ServerLoad>,
     /// Time for which the server says that it stays cold.
     pub cold_for: Option<Duration>,
 }
 
-/// Load that a server states in a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServerLoad {
-    /// Requests that the server is working on.
-    pub running: u32,
-    /// Requests that wait for a slot.
-    pub waiting: u32,
-    /// Requests that the server works on concurrently.
-    pub slots: u32,
-    /// Time that work takes on the server's machine at the moment, in percent of the usual.
-    pub work_percent: u32,
-}
-
 /// Pause between requests that a server asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PauseRequest {
