--- a/crates/tier/src/accounts.rs
+++ b/crates/tier/src/accounts.rs
@@ -125,7 +125,7 @@
     pub priority: Option<u32>,
     /// Limit on its requests over all nodes, if there is one.
     pub quota: Option<AccountQuota>,
-    /// Whether the account has one of the [`LARGE_ACCOUNTS`] highest rates.
+    /// Whether the account has one of the highest rates of the configuration.
     pub is_large: bool,
 }
 
