--- a/crates/gateway/src/observations.rs
+++ b/crates/gateway/src/observations.rs
@@ -147,7 +147,6 @@
 ) -> ObservationsReply {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
-    gateway.failures_notify.notify_one();
     if let Some(failing) = &request.failing {
         state.fleet.apply_observations(now, failing);
         return ObservationsReply::default();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -113,6 +113,7 @@
             replies.send(PeerReply::Share(grant_shares(gateway, &request)));
         }
         PeerRequest::Observations(request) => {
+            gateway.failures_notify.notify_one();
             replies.send(PeerReply::Observations(merge_observations(gateway, &request)));
         }
         PeerRequest::Follow(request) => {
