Call the node that adds up failures only with something to report

While a few servers fail now and then, every node of a zone called the first one more than four times a second, which is also the one that calls most servers for the others. All nodes that start also read the stored requests that crash servers, since without other nodes each takes itself for the one that watches the store: one call more for each start.

Change: a node without attempts at failing servers does not call, and is told; a node that starts looks for others first.

--- a/crates/gateway/src/crash_store.rs
+++ b/crates/gateway/src/crash_store.rs
@@ -27,6 +27,9 @@
 /// and whether the store was restored.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time after its start within which a node learns of others, if there are any.
+const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time after its start within which a node learns whether it watches the store.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -46,7 +49,10 @@
     let mut era = store_era(&gateway);
     let mut expiry_at = BootTime::now() + EXPIRY_INTERVAL;
     loop {
-        if !has_read && is_store_watcher(&gateway) {
+        // Without other nodes, each one takes itself for the watcher at first.
+        let knows_nodes = gateway.state.borrow().peers.entries().next().is_some();
+        let is_settled = knows_nodes || BootTime::now().since(gateway.started) >= DISCOVERY_TIME;
+        if !has_read && is_settled && is_store_watcher(&gateway) {
             if let Err(reason) = read_records(&gateway).await {
                 warn!(reason = reason.as_str(); "requests that crash servers could not be read");
                 pause_after_failure().await;
--- a/crates/gateway/src/observations.rs
+++ b/crates/gateway/src/observations.rs
@@ -79,12 +79,16 @@
     }
 }
 
-/// Reports to the first node of the zone; returns whether it knows such calls.
+/// Reports to the first node of the zone, if there is anything to report; returns whether it
+/// knows such calls. It tells nodes without reports, which are most while few servers fail.
 async fn report_to(gateway: &Rc<Gateway>, owner: &Arc<str>) -> bool {
     let (address, request) = {
         let state = &mut *gateway.state.borrow_mut();
         let Some(address) = state.peers.address(owner) else { return true };
         let reports = state.fleet.take_observations(BootTime::now());
+        if reports.is_empty() {
+            return true;
+        }
         let node = state.peers.own().name.clone();
         (address, PeerRequest::Observations(ObservationsRequest { node, reports, failing: None }))
     };
