Give servers of a shard that start together no ramp

Cause: an index that is cut anew gets all servers of its shards at once. Each had a ramp of its own; the first that answered ended it and got nearly all requests of its shard, with others that could do the work beside it.

Change: a server has a ramp only if its service has a warm server.

Result: the new test failed before (three servers on a ramp); the tests of the tier pass but for the one that is known to fail.

--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -295,7 +295,9 @@
         let incarnation = ServerIncarnation { id: entry.id.clone(), born_ms: entry.born_ms };
         let mut state = ServerState::new(now, entry.clone(), service, self.pace_rule);
         let listed_since = *self.listed_since.get_or_insert(now);
-        if entry.cold_left.is_zero() && now.since(listed_since) < FIRST_LIST_TIME {
+        let is_first_list = entry.cold_left.is_zero() && now.since(listed_since) < FIRST_LIST_TIME;
+        // A ramp spares a server what others can do.
+        if is_first_list || !self.has_warm_server(now, service) {
             state.skip_pace();
         }
         state.quota = self.limit_table.rate_of(&incarnation).map(NodeShare::new);
--- a/crates/tier/src/fleet/paced.rs
+++ b/crates/tier/src/fleet/paced.rs
@@ -4,7 +4,7 @@
 
 use carobstep_clock::BootTime;
 
-use super::{ServerFleet, ServerKey, hash_fraction};
+use super::{ServerFleet, ServerKey, ServiceKey, hash_fraction};
 use crate::{
     pace::{PaceEnd, PaceRule},
     server_state::ServerState,
@@ -87,6 +87,13 @@
         self
     }
 
+    /// Returns whether a service has a server that gets its whole share and is not cold.
+    pub(super) fn has_warm_server(&self, now: BootTime, service: ServiceKey) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        let mut servers = state.servers.iter().filter_map(|key| self.servers.get(*key));
+        servers.any(|server| server.is_warm(now))
+    }
+
     /// Draws the random numbers of one choice among `rivals`.
     pub(super) const fn draw_pace(&mut self, rivals: PaceRivals) -> PaceDraw {
         self.draws = self.draws.wrapping_add(1);
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -246,6 +246,11 @@
         self.pace = Some(ServerPace::new(self.pace_rule, since, self.cold_until));
     }
 
+    /// Returns whether the server gets its whole share and is not cold.
+    pub(crate) fn is_warm(&self, now: BootTime) -> bool {
+        self.pace.is_none() && now >= self.cold_until
+    }
+
     /// Lets the server, which has not just started, get as many requests as others.
     pub(crate) const fn skip_pace(&mut self) {
         self.pace = None;
--- a/crates/tier/tests/pace.rs
+++ b/crates/tier/tests/pace.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, AttemptTicket, ClassKey, DirectoryChange, FleetLimits, PaceRule,
@@ -344,3 +344,20 @@
         assert!(expected.contains(&share), "slow for {slow_ms} ms: {share}");
     }
 }
+
+#[test]
+fn servers_of_a_shard_that_start_together_have_no_ramp() {
+    let (mut fleet, _) = fleet(1, &["a", "b"], LIMITS);
+    for zone in ["a", "b", "c"] {
+        let new = ServerEntry {
+            cold_left: Duration::from_millis(3_000),
+            ..entry(&format!("new-{zone}"), "new-shard", zone)
+        };
+        fleet.apply(at(20_000), &DirectoryChange::Changed(new));
+    }
+    assert_eq!(fleet.paced_servers(at(20_001)), 0, "none of them can spare another");
+    let late =
+        ServerEntry { cold_left: Duration::from_millis(3_000), ..entry("late", "new-shard", "c") };
+    fleet.apply(at(30_000), &DirectoryChange::Changed(late));
+    assert_eq!(fleet.paced_servers(at(30_001)), 1);
+}
