Split the owners of account limits from the nodes that ask them

Change: account_owner.rs has the owner's side, moved without a change; the list of parts in the library's text named client accounts twice.

--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,7 +7,6 @@
 //!
 //! - known configuration, routes and servers: [`Configuration`], [`RouteTable`],
 //!   [`ServerDirectory`]
-//! - client accounts and their keys: [`AccountTable`]
 //! - zones whose servers get no requests: [`EvacuationTable`]
 //! - client accounts and their keys: [`AccountTable`]; limits on their requests:
 //!   [`AccountUses`], [`OwnedAccounts`]
@@ -32,6 +31,7 @@
 //! assert_eq!(&merge_records(parts, 1)[..], b"0000000000000002");
 //! ```
 
+mod account_owner;
 mod account_quota;
 mod accounts;
 mod admission;
@@ -68,9 +68,9 @@
 mod stats;
 mod update_tree;
 
+pub use account_owner::OwnedAccounts;
 pub use account_quota::{
-    AccountDecision, AccountUses, OWNER_REPLY_TIMEOUT, OwnedAccounts, OwnerReply, QuotaTerms,
-    TOKEN_WAIT,
+    AccountDecision, AccountUses, OWNER_REPLY_TIMEOUT, OwnerReply, QuotaTerms, TOKEN_WAIT,
 };
 pub use accounts::{
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
