Don't count failed connections against the pace of a server

Cause: a node that lost its links during the ramp of a server took that for bad answers: the share halved and the ramp was given up. Change: a connection that fails says nothing of the pace, as it says nothing in the counts of failures. Result: the new test failed before (a ramp given up after five failed connections). No deployment was played again.

--- a/crates/tier/src/pace.rs
+++ b/crates/tier/src/pace.rs
@@ -57,7 +57,7 @@
     Bad,
 }
 
-/// Why the pace of a server changed.
+/// Why a server no longer gets fewer requests than others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum PaceEnd {
--- a/crates/tier/src/server_state.rs
+++ b/crates/tier/src/server_state.rs
@@ -302,11 +302,13 @@
         let sign = match outcome {
             AttemptOutcome::Answered => PaceSign::Answered(relative),
             AttemptOutcome::NotRun
-            | AttemptOutcome::Unsent
             | AttemptOutcome::Failed
             | AttemptOutcome::Oversized
             | AttemptOutcome::TimedOut => PaceSign::Bad,
-            AttemptOutcome::WrongServer | AttemptOutcome::Cancelled => return None,
+            // A connection that fails says nothing of the server: the links may be lost.
+            AttemptOutcome::Unsent | AttemptOutcome::WrongServer | AttemptOutcome::Cancelled => {
+                return None;
+            }
         };
         if self.pace.is_none() && self.is_observed && now >= self.health_until {
             self.pace = Some(self.lapsed_pace());
--- a/crates/tier/tests/pace.rs
+++ b/crates/tier/tests/pace.rs
@@ -361,3 +361,20 @@
     fleet.apply(at(30_000), &DirectoryChange::Changed(late));
     assert_eq!(fleet.paced_servers(at(30_001)), 1);
 }
+
+#[test]
+fn connections_that_fail_say_nothing_of_the_pace() {
+    let (mut fleet, services) = fleet(1, &["b"], LIMITS);
+    let class = class(&mut fleet);
+    let known = fleet.pick(at(19_000), services[0], class, PickScope::default());
+    let known = [known.expect("a server")];
+    fleet.apply(at(20_000), &DirectoryChange::Changed(entry("new", "shard-0", "a")));
+    let scope = PickScope { excluded: &known, ..PickScope::default() };
+    let new = fleet.pick(at(20_000), services[0], class, scope).expect("another server");
+    for millis in 20_001..20_006 {
+        let ticket = fleet.on_attempt_sent(at(millis), new, class, AttemptKind::First);
+        fleet.on_attempt_ended(at(millis), ticket, AttemptOutcome::Unsent);
+    }
+    assert_eq!(fleet.take_pace_events(), [], "the links of this node may be lost");
+    assert_eq!(fleet.paced_servers(at(20_006)), 1);
+}
