Don't take more tokens from an owner than were asked for

Cause: the number that another node sent was used as it was, and late tokens of an account are kept one by one. Change: a reply is cut to what was asked for. The draw of the admission comes from the random numbers that the other parts use.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,10 +1,11 @@
 //! Decides at its arrival whether work can be done: searches of callers, and requests of
 //! nodes that have lost their links.
 
-use std::{collections::hash_map::RandomState, hash::BuildHasher, time::Duration};
+use std::time::Duration;
 
 use carobstep_clock::BootTime;
 use carobstep_tier::{FanoutPlan, SearchDemand, SearchRefusal};
+use rand::RngExt;
 
 use crate::{gateway::Gateway, report::RelayAdmission};
 
@@ -24,7 +25,7 @@
             is_cautious: plan.is_cautious,
             deadline: plan.deadline,
         };
-        let draw = RandomState::new().hash_one(state.requests) as f64 / u64::MAX as f64;
+        let draw = rand::rng().random_range(0.0..1.0);
         state.admission.admit(BootTime::now(), &state.fleet, demand, draw)
     }
 
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -90,13 +90,16 @@
     let address = gateway.state.borrow().peers.address(owner);
     let unreachable = |text: &str| WireError::new(WireErrorKind::NotSent, text.to_owned());
     let address = address.ok_or_else(|| unreachable("the owner is not known any more"))?;
+    let asks = request.asks.clone();
     let request = PeerRequest::Share(request);
     let calling = gateway.peer_pool.call_typed(address, &request);
     let reply = timeout(limit, calling)
         .await
         .unwrap_or_else(|_| Err(unreachable("the owner did not reply in time")));
     match reply {
-        Ok(PeerReply::Share(grants)) => Ok(grants),
+        Ok(PeerReply::Share(grants)) => {
+            Ok(grants.into_iter().zip(&asks).map(|(grant, ask)| grant.within(ask)).collect())
+        }
         Ok(_) => Err(WireError::new(WireErrorKind::Codec, "another reply".to_owned())),
         Err(error) => {
             if error.kind() != WireErrorKind::Codec {
--- a/crates/tier/src/shares.rs
+++ b/crates/tier/src/shares.rs
@@ -183,6 +183,14 @@
     pub is_known: bool,
 }
 
+impl ShareGrant {
+    /// Returns the grant with at most the tokens that were asked for: another node sent it.
+    #[must_use]
+    pub fn within(self, ask: &ShareAsk) -> Self {
+        Self { tokens: self.tokens.min(ask.tokens), ..self }
+    }
+}
+
 /// Retry budget of the services that nodes of one availability zone share by demand.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExtraPool {
--- a/crates/tier/tests/account_limits.rs
+++ b/crates/tier/tests/account_limits.rs
@@ -598,3 +598,13 @@
     assert_eq!(owned.due_notices(ms(900)), [name]);
     assert_eq!(owned.due_notices(ms(60_000)), [] as [Arc<str>; 0]);
 }
+
+#[test]
+fn a_grant_has_at_most_the_tokens_that_were_asked_for() {
+    let subject = SharedSubject::Account("atelier".into());
+    let ask = ShareAsk { subject, tokens: 1, used: 0, recent: 0 };
+    for (granted, expected) in [(0, 0), (1, 1), (u32::MAX, 1)] {
+        let grant = ShareGrant { tokens: granted, level: 7, is_known: true };
+        assert_eq!(grant.within(&ask), ShareGrant { tokens: expected, ..grant });
+    }
+}
