Exit once the last responses are sent, not once they are built

Callers of a node that stopped got a part of a response: a body of 4 MB, read slowly, ended after 3,904,956 bytes, 2.9 s after SIGTERM with a grace period of 6 s.

A stopping node exited once no request was in progress. A request counts as in progress until its response is built, so that the part which the buffers of the socket didn't hold was dropped with the process.

Responses that are not sent completely now count as well, until the exit.

a_stopping_node_sends_its_last_response_to_the_end failed with the program before the change (3,904,956 of 4,000,000 bytes) and passes with it.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -81,6 +81,8 @@
     connections: RefCell<SecondaryMap<CallerKey, Rc<EvictionSignal>>>,
     /// Room for requests that were sent ahead.
     ahead: Semaphore,
+    /// Number of connections whose answers have not been sent completely.
+    answering: Cell<usize>,
 }
 
 /// Permit of a request that was sent ahead; `None` for other requests.
@@ -100,6 +102,7 @@
             budget: RefCell::new(CallerBudget::new(bounds)),
             connections: RefCell::new(SecondaryMap::new()),
             ahead: Semaphore::new(MAX_SENT_AHEAD),
+            answering: Cell::new(0),
         }
     }
 
@@ -110,6 +113,11 @@
         (budget.connections(), budget.held_bytes())
     }
 
+    /// Returns the number of answers that have not been sent completely.
+    pub(crate) const fn answering(&self) -> usize {
+        self.answering.get()
+    }
+
     /// Registers a new connection, as soon as there is room for it.
     pub(crate) async fn connect(self: &Rc<Self>, gateway: &Rc<Gateway>) -> Rc<CallerConnection> {
         loop {
@@ -162,6 +170,7 @@
 
 impl Drop for CallerConnection {
     fn drop(&mut self) {
+        self.count_answer(false);
         self.listener.budget.borrow_mut().disconnect(self.key);
         self.listener.connections.borrow_mut().remove(self.key);
     }
@@ -195,10 +204,18 @@
     }
 
     pub(crate) fn enter(&self, phase: CallerPhase) {
+        self.count_answer(phase == CallerPhase::Answer);
         self.phase.set(phase);
         self.listener.budget.borrow_mut().enter(BootTime::now(), self.key, phase);
     }
 
+    /// Adjusts the number of answers that have not been sent completely.
+    fn count_answer(&self, is_answering: bool) {
+        let was_answering = self.phase() == CallerPhase::Answer;
+        let answering = &self.listener.answering;
+        answering.set(answering.get() + usize::from(is_answering) - usize::from(was_answering));
+    }
+
     /// Waits until a request that was sent ahead may be executed; `None` if there is no
     /// room for it in time.
     pub(crate) async fn wait_for_turn(&self, is_sent_ahead: bool) -> Option<TurnPermit<'_>> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -501,7 +501,8 @@
 
     pub(crate) fn phase(&self) -> LifecyclePhase {
         let state = self.state.borrow();
-        state.lifecycle.phase(BootTime::now(), state.in_flight)
+        let unfinished = state.in_flight + self.callers.callers.answering();
+        state.lifecycle.phase(BootTime::now(), unfinished)
     }
 
     /// Reads the gauges, and returns every metric in the text format of Prometheus.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -50,8 +50,12 @@
     // Gives the last responses time to leave their sockets.
     sleep(STOP_CHECK_INTERVAL).await;
     let in_flight = gateway.state.borrow().in_flight;
-    if in_flight > 0 {
-        warn!(in_flight = in_flight; "stopped with requests in flight");
+    let answering = gateway.callers.callers.answering();
+    if in_flight + answering > 0 {
+        warn!(
+            in_flight = in_flight, unsent_responses = answering;
+            "stopped with requests in flight"
+        );
     } else {
         info!("stopped");
     }
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -12,7 +12,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Semaphore, watch},
     time::sleep,
 };
 
@@ -22,6 +22,13 @@
 /// Processing time of a slow server.
 const SLOW_PROCESSING_TIME: Duration = Duration::from_millis(150);
 
+/// Number of requests that a server with [`ServerFault::WorkInPath`] executes at once.
+pub const WORK_SLOTS: usize = 8;
+
+/// Part of a path before the milliseconds that its request takes, see
+/// [`ServerFault::WorkInPath`].
+const WORK_PREFIX: &str = "/work-";
+
 /// Part of the path of requests that crash a server with [`ServerFault::CrashOnRequest`].
 pub const CRASHING_PATH: &str = "crashing";
 
@@ -34,6 +41,9 @@
 /// Size of a large response body.
 pub const LARGE_BODY_BYTES: usize = 600_000;
 
+/// Size of a response body that the buffers of a connection don't hold.
+pub const HUGE_BODY_BYTES: usize = 4_000_000;
+
 /// Fault of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerFault {
@@ -42,6 +52,9 @@
     None,
     /// The server responds after [`SLOW_PROCESSING_TIME`].
     Slow,
+    /// The server executes [`WORK_SLOTS`] requests at once, each for as long as its path says
+    /// behind `/work-`, in milliseconds. Others wait.
+    WorkInPath,
     /// The server refuses requests as not executed.
     Shed,
     /// Like [`Self::Shed`], with the server's stamp.
@@ -68,6 +81,8 @@
     Truncate,
     /// The server responds with a body of [`LARGE_BODY_BYTES`].
     Large,
+    /// The server responds with a body of [`HUGE_BODY_BYTES`], more than sockets buffer.
+    Huge,
     /// The server responds that the address belongs to another server (status 421).
     Misdirect,
     /// The server says in each response that it is leaving.
@@ -162,6 +177,7 @@
     /// [`per_request_record`]; `None` if each response holds `record`.
     per_request_service: Option<String>,
     state: Arc<Mutex<ServerState>>,
+    slots: Arc<Semaphore>,
     /// Number of crashes; each closes all connections.
     crashes: Arc<watch::Sender<usize>>,
 }
@@ -184,6 +200,7 @@
             record: [record; 16],
             per_request_service,
             state: Arc::default(),
+            slots: Arc::new(Semaphore::new(WORK_SLOTS)),
             crashes: Arc::new(watch::Sender::new(0)),
         };
         let serving = server.clone();
@@ -304,6 +321,12 @@
                     sleep(SLOW_PROCESSING_TIME).await;
                     response_text(200, &stamp_headers, &body)
                 }
+                ServerFault::WorkInPath => {
+                    let slot = self.slots.acquire().await.expect("the semaphore stays open");
+                    sleep(work_of(&head)).await;
+                    drop(slot);
+                    response_text(200, &stamp_headers, &body)
+                }
                 ServerFault::ExtraResponse => {
                     let other = "x-carobstep-server-stamp: other\r\n\
                         x-carobstep-request-id: other\r\n";
@@ -355,6 +378,9 @@
                 ServerFault::Large => {
                     response_text(200, &stamp_headers, &"x".repeat(LARGE_BODY_BYTES))
                 }
+                ServerFault::Huge => {
+                    response_text(200, &stamp_headers, &"x".repeat(HUGE_BODY_BYTES))
+                }
                 ServerFault::Endless(bytes) => {
                     let (start, rest) = bytes.texts(&stamp_headers);
                     let block = rest.repeat(4096);
@@ -421,6 +447,13 @@
     }
 }
 
+/// Returns the time that the path of a request asks a server to work for.
+fn work_of(head: &str) -> Duration {
+    let digits = head.split_once(WORK_PREFIX).map_or("", |(_, rest)| rest);
+    let end = digits.find(|it: char| !it.is_ascii_digit()).unwrap_or(digits.len());
+    Duration::from_millis(digits[..end].parse().unwrap_or_default())
+}
+
 /// Returns the value of a header.
 pub fn header_value(head: &str, name: &str) -> Option<String> {
     head.lines().find_map(|line| {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod restore;
 mod soak;
+mod stop;
 mod store;
 
 use std::time::{Duration, Instant};
