Refuse what can't end before a stopping node exits

Callers of a node that stopped lost orders: an order with 5 s of work that came on a kept connection 1.0 or 2.0 s after SIGTERM (grace period 6 s) was passed on, and its connection closed at 5.8 s without a response. With 36 orders of 0.5 and 2.5 s at 16 slots, those that waited for a slot were passed on late and cut as well.

Nothing compared a request with the time left when it was passed on, and nothing ended it before the process. A request that can't end before the last responses are due is now refused when it would be passed on: to a server, after a wait, in a retry or hedge, to another node, by a delegate, and once a connection has opened. What is known of the work is the time of earlier requests of the class; an order of which too little is known counts as taking until its deadline. The refusal is immediate, says when the balancer sends the caller elsewhere, and is counted (verdict stopping). What is in flight 0.1 s before the exit is answered with the results that have arrived, or with 504.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -226,12 +226,13 @@
     /// the response says about the server to `on_notice` once its header section is read,
     /// and when the connection was opened.
     ///
-    /// Uses an idle connection if there is one. If the server has closed it and no
+    /// Uses an idle connection if there is one, and asks `may_send` once a new one is open. If the server has closed it and no
     /// byte of the request was sent, tries the next one, then a new connection.
     pub(crate) async fn exchange(
         &self,
         request: &BackendRequest,
         limits: ExchangeLimits,
+        may_send: impl Fn() -> bool,
         on_notice: impl Fn(BootTime, ServerNotice),
     ) -> ExchangeOutcome {
         while let Some(connection) = self.take_idle() {
@@ -265,6 +266,12 @@
                 "the server is leaving, evacuated or asked for a pause",
             );
         }
+        if !may_send() {
+            return ExchangeOutcome::without_response(
+                AttemptOutcome::Unsent,
+                "this node exits before the request could end",
+            );
+        }
         self.exchange_on(connection, request, limits, &on_notice).await.unwrap_or_else(|| {
             ExchangeOutcome::without_response(
                 AttemptOutcome::Unsent,
--- a/crates/gateway/src/fanout.rs
+++ b/crates/gateway/src/fanout.rs
@@ -12,7 +12,7 @@
 use carobstep_tier::{
     AttemptOutcome, AttemptTicket, DelegationIndex, DelegationUpdate, FanoutAction, FanoutOutcome,
     FanoutPlan, FanoutState, MissingShards, PlacementRequest, RequestFingerprint, ServerKey,
-    ShardIndex, place_with_peers,
+    ShardIndex, place_with_peers, return_delay,
 };
 use tokio::{
     sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -34,6 +34,9 @@
 /// 500 ms.
 const CANCEL_DELAY: Duration = Duration::from_millis(250);
 
+/// Interval at which a request in flight checks whether the node is stopping.
+const HORIZON_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Maximum size of the response to a request to one service, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -185,14 +188,12 @@
     mut on_progress: impl FnMut(&FanoutProgress<'_>),
 ) -> FanoutResult {
     let shards = plan.services.len();
-    let deadline = to_instant(plan.deadline);
     let cancel_delay = if shards > 1 { CANCEL_DELAY } else { Duration::ZERO };
     let (events_tx, mut events_rx) = unbounded_channel();
     let fingerprint = request.fingerprint();
     let mut run = FanoutRun {
         gateway,
         request,
-        deadline,
         started: BootTime::now(),
         scope,
         pending_results: vec![None; plan.delegations.len()],
@@ -235,7 +236,6 @@
 struct FanoutRun<'gateway> {
     gateway: &'gateway Rc<Gateway>,
     request: Rc<BackendRequest>,
-    deadline: Instant,
     started: BootTime,
     scope: DelegatedScope,
     /// Results received from each peer and not accepted yet.
@@ -291,7 +291,9 @@
                     }
                 }
             }
-            let next_timer = to_instant(self.state.next_timer(BootTime::now()));
+            let now = BootTime::now();
+            let next_timer = self.state.next_timer(now).min(now + HORIZON_CHECK_INTERVAL);
+            let next_timer = to_instant(next_timer);
             let event = tokio::select! {
                 biased;
                 event = events_rx.recv() => event,
@@ -424,7 +426,7 @@
             objective: self.scope.objective,
             attempts: plan.attempts,
             answer_by: plan.answer_by,
-            deadline: plan.deadline,
+            deadline: self.state.respond_by(),
             number: state.requests,
         };
         let placement = place_with_peers(now, request, &unplaced, &mut state.fleet, &state.peers);
@@ -440,6 +442,11 @@
         let now = BootTime::now();
         let is_refused = outcome == FanoutOutcome::NotRun;
         let token_at = if is_refused { state.fleet.book_return(now, &plan.services) } else { None };
+        if is_refused && state.lifecycle.is_stopping() {
+            let other_nodes = state.peers.other_nodes_in_zone();
+            let balancer_delay = state.lifecycle.balancer_delay(now);
+            return return_delay(balancer_delay, plan.deadline.since(now), other_nodes);
+        }
         let from = state.fleet.available_from(now, &plan.services, plan.min_shards);
         let own_delay = match from {
             Some(from) => from.max(token_at.unwrap_or(from)).since(now),
@@ -519,7 +526,9 @@
         let events_tx = self.events_tx.clone();
         let is_search = self.state.plan().services.len() > 1;
         let response_bytes = if is_search { MAX_PART_BYTES } else { MAX_RESPONSE_BYTES };
-        let limits = ExchangeLimits { deadline: self.deadline, response_bytes };
+        let deadline = to_instant(self.state.respond_by());
+        let limits = ExchangeLimits { deadline, response_bytes };
+        let terms = self.state.plan().terms();
         let task = spawn_local(async move {
             let mut guard = AttemptGuard {
                 gateway: gateway.clone(),
@@ -532,7 +541,11 @@
                         let times = (opened, ticket.sent);
                         gateway.apply_notice(ticket.server, times, pool.incarnation(), notice);
                     };
-                    pool.exchange(&request, limits, on_notice).await
+                    let may_send = || {
+                        let fleet = &gateway.state.borrow().fleet;
+                        fleet.can_end_at(BootTime::now(), terms, ticket.server)
+                    };
+                    pool.exchange(&request, limits, may_send, on_notice).await
                 }
                 None => ExchangeOutcome::without_response(
                     AttemptOutcome::Unsent,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -139,6 +139,9 @@
     report.record_result(&mut result);
     if result.outcome == FanoutOutcome::NotRun {
         refund_request(gateway, limited);
+        if gateway.state.borrow().lifecycle.is_stopping() {
+            report.verdict = RequestVerdict::Stopping;
+        }
     }
     match &route.target {
         RouteTarget::Gather(gather) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -356,7 +356,7 @@
         objective: scope.objective,
         timeout: scope.timeout,
         answer_in: plan.answer_by.since(now).saturating_sub(HOP_MARGIN),
-        deadline_in: plan.deadline.since(now),
+        deadline_in: state.fleet.horizon().limit(plan.deadline).since(now),
         method: request.method.to_string(),
         target: request.target.to_string(),
         headers: copy_headers(&request.headers),
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -81,6 +81,8 @@
     Answered,
     /// No server executed the request.
     NotRun,
+    /// No server executed the request, and this node is stopping.
+    Stopping,
     /// The request was not sent, because several servers crashed under it.
     Quarantined,
     /// The search was not sent, because too few shards could be expected to respond.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -33,7 +33,11 @@
             _ = hangup.recv() => check_settings(&gateway),
         }
     }
-    gateway.state.borrow_mut().lifecycle.stop(BootTime::now());
+    {
+        let state = &mut *gateway.state.borrow_mut();
+        state.lifecycle.stop(BootTime::now());
+        state.fleet.set_horizon(state.lifecycle.horizon());
+    }
     info!(in_flight = gateway.state.borrow().in_flight; "stopping");
     let deregistering = gateway.clone();
     spawn_local(async move { membership::deregister(&deregistering).await });
--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -9,6 +9,7 @@
 mod caution;
 mod delegated;
 mod relayed;
+mod stopping;
 mod tokens;
 
 use std::time::Duration;
@@ -76,6 +77,8 @@
     /// The only attempt in flight while the request is sent with caution.
     canary: Option<(usize, ServerKey)>,
     finished: bool,
+    /// When the request is answered at the latest: at its deadline, or before this node exits.
+    respond_by: BootTime,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -156,6 +159,7 @@
         }
         let delegation_states = vec![DelegationState::Silent; plan.delegations.len()];
         Self {
+            respond_by: plan.deadline,
             plan,
             shards,
             delegation_states,
@@ -176,10 +180,13 @@
     /// for each other shard.
     pub fn start(&mut self, now: BootTime, fleet: &mut ServerFleet) -> Vec<FanoutAction> {
         let mut actions = Vec::with_capacity(self.shards.len());
+        self.apply_horizon(fleet);
         for position in 0..self.shards.len() {
             let service = self.plan.services[position];
-            let is_placed = self.shards[position].delegated
-                || fleet.has_available_server(now, service)
+            let is_delegated = self.shards[position].delegated;
+            let is_placed = is_delegated && fleet.can_end_at_peer(now, self.plan.terms())
+                || !is_delegated
+                    && fleet.has_available_server(now, service)
                     && self.can_get_token(now, fleet, position);
             if !is_placed {
                 self.shards[position].is_out_of_reach = fleet.is_out_of_reach(now, service);
@@ -191,20 +198,24 @@
             return actions;
         }
         for position in 0..self.plan.delegations.len() {
+            if !fleet.can_end_at_peer(now, self.plan.terms()) {
+                self.delegation_states[position] = DelegationState::Ended;
+                continue;
+            }
             actions.push(FanoutAction::Delegate(delegation_at(position)));
             self.in_flight += 1;
         }
         for position in 0..self.shards.len() {
             let service = self.plan.services[position];
+            if self.shards[position].state == ShardState::Abandoned {
+                continue;
+            }
             if self.shards[position].delegated {
                 let is_relayed = !fleet.has_responding_server(now, service);
                 self.shards[position].relays = u32::from(is_relayed);
                 fleet.earn_extra(now, service, DELEGATOR_SHARE);
                 continue;
             }
-            if self.shards[position].state == ShardState::Abandoned {
-                continue;
-            }
             let fraction = match self.plan.role {
                 FanoutRole::Entry { .. } => 1.0,
                 FanoutRole::Delegate { is_first: true } => DELEGATE_SHARE,
@@ -219,9 +230,10 @@
                 continue;
             }
             if !self.send(now, fleet, position, AttemptKind::First, &mut actions) {
-                self.shards[position].retry_at = Some(now + BUSY_RETRY_DELAY);
+                self.wait_or_abandon(now, fleet, position);
             }
         }
+        self.finish_if_done(now, &mut actions);
         actions
     }
 
@@ -264,6 +276,7 @@
         if self.finished {
             return actions;
         }
+        self.apply_horizon(fleet);
         for position in 0..self.plan.delegations.len() {
             let is_silent = self.delegation_states[position] == DelegationState::Silent;
             if is_silent && now >= self.plan.delegations[position].fallback_at {
@@ -300,7 +313,7 @@
     /// Returns when [`FanoutState::on_timer`] is due next.
     #[must_use]
     pub fn next_timer(&self, now: BootTime) -> BootTime {
-        let mut next = self.plan.deadline;
+        let mut next = self.respond_by;
         if now < self.plan.answer_by {
             next = next.min(self.plan.answer_by);
         }
@@ -480,11 +493,11 @@
         }
         // A peer that has called a server may still send its response.
         let needs_credit = !no_server_reached && !self.shards[position].peer_may_have_called;
-        if needs_credit && !fleet.expects_extra(now, service, self.plan.deadline) {
+        if needs_credit && !fleet.expects_extra(now, service, self.respond_by) {
             self.abandon_shard(position);
             return;
         }
-        self.shards[position].retry_at = Some(now + BUSY_RETRY_DELAY);
+        self.wait_or_abandon(now, fleet, position);
     }
 
     fn abandon_shard(&mut self, position: usize) {
@@ -500,14 +513,15 @@
         let all_resolved = self.answered + self.abandoned == total;
         let is_unattainable = total - self.abandoned < self.plan.min_shards;
         let is_delegate = matches!(self.plan.role, FanoutRole::Delegate { .. });
-        if is_delegate && !all_resolved && now < self.plan.deadline {
+        if is_delegate && !all_resolved && now < self.respond_by {
             self.report_if_due(now, actions);
             return;
         }
         let outcome = if has_enough && (all_resolved || now >= self.plan.answer_by) {
             FanoutOutcome::Answered
-        } else if now >= self.plan.deadline {
-            FanoutOutcome::TimedOut
+        } else if now >= self.respond_by {
+            let is_refused = self.is_cut_short() && !self.may_have_run();
+            if is_refused { FanoutOutcome::NotRun } else { FanoutOutcome::TimedOut }
         } else if is_unattainable || all_resolved {
             if self.may_have_run() { FanoutOutcome::Failed } else { FanoutOutcome::NotRun }
         } else {
--- a/crates/tier/src/fanout/attempts.rs
+++ b/crates/tier/src/fanout/attempts.rs
@@ -29,6 +29,9 @@
         let Some(server) = fleet.pick_by_rank(now, service, self.plan.class, scope) else {
             return false;
         };
+        if !fleet.can_end_at(now, self.plan.terms(), server) {
+            return false;
+        }
         if kind == AttemptKind::Extra && !fleet.try_take_extra(now, service) {
             return false;
         }
@@ -91,6 +94,7 @@
             return false;
         };
         if fleet.is_suspect(now, server, self.plan.class)
+            || !fleet.can_end_at(now, self.plan.terms(), server)
             || fleet.slot_utilization(now, service) > MAX_HEDGE_UTILIZATION
             || !fleet.try_take_extra(now, service)
         {
--- a/crates/tier/src/fanout/relayed.rs
+++ b/crates/tier/src/fanout/relayed.rs
@@ -159,12 +159,12 @@
     fn delegate_late(&mut self, now: BootTime, fleet: &mut ServerFleet, position: usize) -> bool {
         let service = self.plan.services[position];
         let progress = &mut self.shards[position];
-        if !progress.needs_peer {
+        if !progress.needs_peer || !fleet.can_end_at_peer(now, self.plan.terms()) {
             return false;
         }
         let is_extra = !progress.called.is_empty() || progress.peer_may_have_called;
         if is_extra && !fleet.try_take_extra(now, service) {
-            if fleet.expects_extra(now, service, self.plan.deadline) {
+            if fleet.expects_extra(now, service, self.respond_by) {
                 progress.needs_peer = false;
                 progress.retry_at = Some(now + BUSY_RETRY_DELAY);
             }
--- a/crates/tier/src/fanout/tokens.rs
+++ b/crates/tier/src/fanout/tokens.rs
@@ -11,7 +11,7 @@
     /// return.
     fn latest_token(&self, now: BootTime, fleet: &ServerFleet) -> BootTime {
         let plan = &self.plan;
-        let end = if now < plan.answer_by { plan.answer_by } else { plan.deadline };
+        let end = if now < plan.answer_by { plan.answer_by } else { self.respond_by };
         now + end.since(now).saturating_sub(fleet.classes.median(plan.class)) / 2
     }
 
--- a/crates/tier/src/fanout_plan.rs
+++ b/crates/tier/src/fanout_plan.rs
@@ -9,6 +9,7 @@
     fleet::{AttemptTicket, ServerKey, ServiceKey},
     model::RetryPolicy,
     stats::ClassKey,
+    stopping::RequestTerms,
 };
 
 /// Position of a shard in the plan.
@@ -110,6 +111,14 @@
     pub deadline: BootTime,
 }
 
+impl FanoutPlan {
+    /// Returns the terms that decide whether a stopping node passes the request on.
+    #[must_use]
+    pub const fn terms(&self) -> RequestTerms {
+        RequestTerms { retry: self.retry, class: self.class, deadline: self.deadline }
+    }
+}
+
 /// Action that the caller must execute.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FanoutAction {
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -14,6 +14,7 @@
 mod paced;
 mod quotas;
 mod selection;
+mod stopping;
 
 use std::{sync::Arc, time::Duration};
 
@@ -34,6 +35,7 @@
     server_state::ServerState,
     shares::ExtraPool,
     stats::{AttemptOutcome, ClassKey, ClassTable},
+    stopping::StopHorizon,
 };
 pub use extras::ExtraUse;
 pub use paced::PaceEvent;
@@ -138,6 +140,8 @@
     limit_table: LimitTable,
     /// Latency statistics per class of requests.
     pub classes: ClassTable,
+    /// When the node sends its last responses, if it is stopping.
+    horizon: StopHorizon,
     /// Links to the servers of each availability zone.
     zone_links: ZoneLinks,
     /// When the links to single servers are examined next.
@@ -192,6 +196,7 @@
             removed_pauses: IndexMap::new(),
             limit_table: LimitTable::default(),
             classes: ClassTable::default(),
+            horizon: StopHorizon::default(),
             zone_links: ZoneLinks::default(),
             next_link_scan: BootTime::ZERO,
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -22,7 +22,8 @@
 //! - spreading of the store's data over the nodes: [`UpdateSource`], [`SpreadTiming`]
 //! - one request to a service or to every shard of an index: [`FanoutState`]
 //! - what client connections hold together, and which of them end: [`CallerBudget`]
-//! - readiness and graceful shutdown: [`NodeLifecycle`]
+//! - readiness and graceful shutdown: [`NodeLifecycle`]; what a stopping node still passes
+//!   on: [`StopHorizon`]
 //!
 //! ```
 //! use carobstep_tier::merge_records;
@@ -66,6 +67,7 @@
 mod server_state;
 mod shares;
 mod stats;
+mod stopping;
 mod update_tree;
 
 pub use account_owner::OwnedAccounts;
@@ -123,4 +125,5 @@
 pub use routes::{RouteTable, WeightedRoundRobin};
 pub use shares::{ExtraPool, ShareAsk, ShareGrant, ShareLedger, ShareTerms, SharedSubject};
 pub use stats::{AttemptOutcome, ClassKey, ClassTable};
+pub use stopping::{RequestTerms, StopHorizon, WorkDemand, WorkEstimate, return_delay};
 pub use update_tree::{SpreadTiming, TreePlace, UpdateSource};
--- a/crates/tier/src/lifecycle.rs
+++ b/crates/tier/src/lifecycle.rs
@@ -5,6 +5,8 @@
 use carobstep_clock::BootTime;
 use strum::Display;
 
+use crate::stopping::StopHorizon;
+
 /// Time that the load balancer needs to take a node out of rotation: two
 /// failed readiness checks at an interval of one second, and one check that was in
 /// progress when the node stopped being ready.
@@ -21,6 +23,9 @@
 /// Part of the grace period that is reserved for exiting the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 
+/// Time before the exit at which the requests in flight get their last responses.
+const LAST_RESPONSE_RESERVE: Duration = Duration::from_millis(100);
+
 /// Phase of a node's lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -55,7 +60,9 @@
 pub struct StopTiming {
     /// When the listener closes.
     pub close_listener: Duration,
-    /// When the process exits even if requests are in flight.
+    /// When the requests that are still in flight are answered without a result.
+    pub last_response: Duration,
+    /// When the process exits even if responses have not been sent completely.
     pub exit: Duration,
 }
 
@@ -64,7 +71,8 @@
     #[must_use]
     pub fn within(grace: Duration) -> Self {
         let exit = grace.saturating_sub(EXIT_RESERVE);
-        Self { close_listener: BALANCER_REMOVAL_DELAY.min(exit / 2), exit }
+        let last_response = exit.saturating_sub(LAST_RESPONSE_RESERVE);
+        Self { close_listener: BALANCER_REMOVAL_DELAY.min(exit / 2), last_response, exit }
     }
 }
 
@@ -132,10 +140,11 @@
     }
 
     /// Returns the time after which the load balancer sends a refused caller to another
-    /// node; zero if this node is not cut off, or has been for long enough.
+    /// node; zero if this node is neither cut off nor stopping, or has been for long enough.
     #[must_use]
     pub fn balancer_delay(&self, now: BootTime) -> Duration {
-        match self.cut_off_since {
+        let since = [self.cut_off_since, self.stopping_since].into_iter().flatten().min();
+        match since {
             Some(since) => (since + BALANCER_REMOVAL_DELAY).since(now),
             None => Duration::ZERO,
         }
@@ -154,7 +163,17 @@
         self.stopping_since.is_some()
     }
 
-    /// Returns the phase at `now`, with `in_flight` requests not answered yet.
+    /// Returns when the node sends its last responses, if it is stopping.
+    #[must_use]
+    pub fn horizon(&self) -> StopHorizon {
+        let since = self.stopping_since;
+        since.map_or_else(StopHorizon::default, |since| {
+            StopHorizon::at(since + self.timing.last_response)
+        })
+    }
+
+    /// Returns the phase at `now`, with `in_flight` requests whose responses have not been
+    /// sent completely.
     #[must_use]
     pub fn phase(&self, now: BootTime, in_flight: usize) -> LifecyclePhase {
         let Some(since) = self.stopping_since else {
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -319,6 +319,12 @@
         self.live_peers().map(|state| &state.entry)
     }
 
+    /// Returns the number of other live nodes in this node's zone.
+    #[must_use]
+    pub fn other_nodes_in_zone(&self) -> usize {
+        self.live_entries().filter(|entry| entry.zone == self.own.zone).count()
+    }
+
     pub(crate) fn live_peers(&self) -> impl Iterator<Item = &PeerState> {
         self.peers.values().filter(|state| state.failures < MAX_LIVE_FAILURES)
     }
--- a/crates/tier/src/stats.rs
+++ b/crates/tier/src/stats.rs
@@ -10,6 +10,7 @@
 use crate::{
     model::{RouteConfig, RouteTarget},
     server_state::AttemptLatency,
+    stopping::WorkEstimate,
 };
 
 /// Latency quantile of the attempts after which a hedge is sent.
@@ -40,6 +41,12 @@
 /// Time added to that quantile, for a busy peer that waits for its turn on the CPU.
 const FALLBACK_MARGIN: Duration = Duration::from_millis(5);
 
+/// Latency quantile of the attempts within which a request usually ends.
+const USUAL_QUANTILE: f64 = 0.9;
+
+/// Latency quantile of the attempts within which all requests are taken to end.
+const LONGEST_QUANTILE: f64 = 0.999;
+
 /// Median latency before enough samples exist, as a fraction of the objective.
 const INITIAL_MEDIAN_SHARE: f64 = 0.12;
 
@@ -194,6 +201,12 @@
         self.get(class).map_or(MIN_HEDGE_DELAY, |stats| stats.median)
     }
 
+    /// Returns what is known of the time that servers take for requests of a class.
+    pub(crate) fn work(&self, class: ClassKey) -> WorkEstimate {
+        self.get(class)
+            .map_or(WorkEstimate { usual: MIN_HEDGE_DELAY, longest: None }, ClassStats::work)
+    }
+
     /// Returns a latency in multiples of the class's median and of its objective.
     pub(crate) fn relative(&self, class: ClassKey, latency: Duration) -> AttemptLatency {
         let seconds = latency.as_secs_f64();
@@ -229,6 +242,15 @@
         }
     }
 
+    fn work(&self) -> WorkEstimate {
+        let is_known = self.latencies.weight() >= MIN_SAMPLES;
+        let quantile = |fraction| self.latencies.quantile(fraction).filter(|_| is_known);
+        WorkEstimate {
+            usual: quantile(USUAL_QUANTILE).unwrap_or(self.objective),
+            longest: quantile(LONGEST_QUANTILE),
+        }
+    }
+
     fn record_delegation(&mut self, latency: Duration) {
         self.delegations.record(latency);
         if self.delegations.weight() < MIN_SAMPLES {
--- a/crates/tier/tests/fanout/main.rs
+++ b/crates/tier/tests/fanout/main.rs
@@ -3,6 +3,7 @@
 mod delegated;
 mod relayed;
 mod retries;
+mod stopping;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/crates/tier/tests/node_state.rs
+++ b/crates/tier/tests/node_state.rs
@@ -7,7 +7,7 @@
 use carobstep_tier::{
     AttemptKind, AttemptOutcome, DirectoryChange, LifecyclePhase, NodeLifecycle, PeerEntry,
     PeerTable, PickScope, ServerDirectory, ServerPhase, ServingReach, StopTiming, StoreRevision,
-    VersionedServer,
+    VersionedServer, return_delay,
 };
 use support::{LIMITS, at, class, entry, fleet, name};
 
@@ -253,6 +253,61 @@
     assert_eq!(delay(&lifecycle, 9_000), 0);
 }
 
+/// When a caller that a stopping node refuses should return.
+struct ReturnCase {
+    name: &'static str,
+    balancer_ms: u64,
+    remaining_ms: u64,
+    other_nodes: usize,
+    return_ms: u64,
+}
+
+/// Guards against callers that a stopping node refuses and that the load balancer sends to
+/// the same node again.
+#[test]
+fn a_caller_refused_by_a_stopping_node_returns_when_it_reaches_another_one() {
+    let cases = [
+        ReturnCase {
+            name: "the balancer has left",
+            balancer_ms: 0,
+            remaining_ms: 8_000,
+            other_nodes: 1,
+            return_ms: 0,
+        },
+        ReturnCase {
+            name: "few nodes: after the balancer has left",
+            balancer_ms: 1_800,
+            remaining_ms: 8_000,
+            other_nodes: 1,
+            return_ms: 1_800,
+        },
+        ReturnCase {
+            name: "little time is left",
+            balancer_ms: 1_800,
+            remaining_ms: 900,
+            other_nodes: 1,
+            return_ms: 300,
+        },
+        ReturnCase {
+            name: "probably another node at once",
+            balancer_ms: 1_800,
+            remaining_ms: 8_000,
+            other_nodes: 22,
+            return_ms: 0,
+        },
+    ];
+    for case in cases {
+        let [balancer, remaining] =
+            [case.balancer_ms, case.remaining_ms].map(Duration::from_millis);
+        let delay = return_delay(balancer, remaining, case.other_nodes);
+        assert_eq!(delay.as_millis(), u128::from(case.return_ms), "{}", case.name);
+    }
+    let mut lifecycle = NodeLifecycle::new(StopTiming::within(Duration::from_secs(6)));
+    lifecycle.stop(at(1_000));
+    let delays = [1_000, 2_800, 3_800, 5_000].map(|millis| lifecycle.balancer_delay(at(millis)));
+    assert_eq!(delays.map(|delay| delay.as_millis()), [2_800, 1_000, 0, 0]);
+}
+
 /// Guards against a node in a zone that is cut off that the balancer keeps, because peers of
 /// the same zone seem to be able to help for a moment.
 #[test]
