Name the revision in every replacement and removal in the store

- A node whose registration was not answered removed its entry without a condition when it stopped.
- A process took over the entry that its predecessor had left, with its revision, so that the predecessor's late removal took it away, condition or not.
- A replacement had no condition: executed late, it put the settings of a former process over those of the next one, for good.
- A removal that the store didn't answer was not repeated, so that the entry of a node that had ended stayed.
- The records of requests that crash servers were replaced and removed without a condition as well.

Calls that change an object are now in one place (store_objects.rs). They name the revision that they mean; without one, it is read first. A node's object holds the incarnation of its process, so that each process writes a revision of its own. A removal is repeated until it is answered.

a_late_removal_by_a_former_process_leaves_the_entry_of_the_next_one (stopped twice), a_node_whose_registration_was_not_answered_removes_only_its_own_entry, a_removal_without_an_answer_is_repeated and a_late_write_of_a_former_process_replaces_no_later_entry failed with the program before the change and pass with it.

--- a/crates/gateway/src/crash_store.rs
+++ b/crates/gateway/src/crash_store.rs
@@ -8,17 +8,20 @@
 
 use carobstep_clock::BootTime;
 use carobstep_platform::{
-    CRASH_KIND, ObjectRequest, ReadFreshness, collection_path, read_crash, read_object, read_page,
-    removal_path, write_crash,
+    CRASH_KIND, ObjectRequest, ReadFreshness, read_crash, read_page, write_crash,
 };
 use carobstep_tier::{CrashRecord, RequestFingerprint};
-use http::{Method, StatusCode};
+use http::Method;
 use indexmap::IndexSet;
 use log::warn;
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use crate::{follow::is_store_watcher, gateway::Gateway, membership::send};
+use crate::{
+    follow::is_store_watcher,
+    gateway::Gateway,
+    store_objects::{Creation, ExistingObject, create_object, remove_object, replace_object, send},
+};
 
 /// Least time between two writes of a node.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
@@ -162,10 +165,9 @@
     let name = request.to_string();
     let record = gateway.state.borrow().crashes.lasting_record(now, request);
     let Some(record) = record else {
-        let path = removal_path(CRASH_KIND, &name, None);
-        let reply = send(gateway, Method::DELETE, path, Vec::new()).await?;
+        remove_object(gateway, (CRASH_KIND, &name), None).await?;
         gateway.state.borrow_mut().stored.shift_remove(&request);
-        return accept(reply.status, &[StatusCode::NOT_FOUND]);
+        return Ok(());
     };
     {
         let state = &mut *gateway.state.borrow_mut();
@@ -175,14 +177,10 @@
         }
     }
     let body = write_crash(&record, epoch_ms()).map_err(|error| error.to_string())?;
-    let reply = send(gateway, Method::POST, collection_path(CRASH_KIND), body).await?;
-    accept(reply.status, &[StatusCode::CONFLICT])?;
+    let creation = create_object(gateway, CRASH_KIND, body).await?;
     gateway.state.borrow_mut().stored.insert(request);
-    if reply.status != StatusCode::CONFLICT {
-        return Ok(());
-    }
-    let stored = read_object(&reply.body).and_then(|object| read_crash(&object, epoch_ms()));
-    if let Ok(stored) = stored {
+    let Creation::Exists(ExistingObject { object, revision }) = creation else { return Ok(()) };
+    if let Ok(stored) = read_crash(&object, epoch_ms()) {
         if (CrashRecord { age: record.age, ..stored.clone() }) == record {
             return Ok(());
         }
@@ -190,12 +188,7 @@
     }
     let merged = gateway.state.borrow().crashes.lasting_record(now, request).unwrap_or(record);
     let body = write_crash(&merged, epoch_ms()).map_err(|error| error.to_string())?;
-    let path = ObjectRequest::Get { kind: CRASH_KIND, name: &name }.path();
-    // An object that was removed meanwhile belongs to a request that was cleared.
-    accept(send(gateway, Method::PUT, path, body).await?.status, &[StatusCode::NOT_FOUND])
-}
-
-fn accept(status: StatusCode, others: &[StatusCode]) -> Result<(), String> {
-    let is_expected = status.is_success() || others.contains(&status);
-    is_expected.then_some(()).ok_or_else(|| format!("status {status}"))
+    // An object that was removed meanwhile belongs to a request that was cleared. Of one that
+    // has changed, the next try reads what it holds now.
+    replace_object(gateway, (CRASH_KIND, &name), revision.number, body).await.map(|_| ())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod report;
 mod shares;
 mod stop;
+mod store_objects;
 mod watcher;
 
 pub use main_entry::main;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -2,23 +2,16 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use carobstep_platform::{
-    NODE_KIND, ObjectRequest, collection_path, headers, read_node, read_object, removal_path,
-    write_node,
-};
-use carobstep_store::ReplyParts;
+use carobstep_platform::{NODE_KIND, node_incarnation, write_node};
 use carobstep_tier::{PeerEntry, StoreRevision};
-use http::{Method, Request, StatusCode, header};
-use http_body_util::Full;
 use log::{info, warn};
 use rand::RngExt;
 use tokio::{task::spawn_local, time::sleep};
 
-use crate::gateway::Gateway;
-
-/// Timeout of one call to the store.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+use crate::{
+    gateway::Gateway,
+    store_objects::{Creation, ExistingObject, create_object, remove_object, replace_object},
+};
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
@@ -26,6 +19,9 @@
 /// Longest pause after repeatedly failed calls.
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(30);
 
+/// Pause after a failed deregistration, since the process ends soon.
+const DEREGISTRATION_PAUSE: Duration = Duration::from_millis(400);
+
 /// Shortest time over which the nodes spread their calls when their entries are gone.
 const MIN_SPREAD_TIME: Duration = Duration::from_millis(1_000);
 
@@ -48,7 +44,7 @@
                 Ok(revision) => {
                     info!(era = revision.era, revision = revision.number; "registered");
                     if !gateway.state.borrow_mut().registration.on_written(revision) {
-                        return;
+                        break;
                     }
                 }
                 Err(reason) => {
@@ -62,6 +58,10 @@
             sleep(pause.mul_f64(rand::rng().random_range(0.5..1.5))).await;
             pause = (pause * 2).min(MAX_RETRY_PAUSE);
         }
+        // The write may have ended after the node was deregistered.
+        if gateway.state.borrow().lifecycle.is_stopping() {
+            deregister(&gateway).await;
+        }
     });
 }
 
@@ -108,68 +108,40 @@
     register_after(gateway, spread.mul_f64(fraction));
 }
 
-/// Deletes the node's object, so that peers no longer follow the node or delegate searches
-/// to it. A call that the store executes late must not remove the entry that the next
-/// process has written.
+/// Removes the node's object, so that peers no longer follow the node or delegate searches
+/// to it. Repeats the call until the store has answered.
 pub(crate) async fn deregister(gateway: &Gateway) {
     let name = gateway.settings.node.as_str();
-    let revision = {
+    let number = {
         let state = gateway.state.borrow();
         // In a restored store, the entry may have another revision.
         let era = state.directory.revision().era;
         state.registration.revision().filter(|written| written.era == era).map(|it| it.number)
     };
-    let path = removal_path(NODE_KIND, name, revision);
-    if let Err(reason) = send(gateway, Method::DELETE, path, Vec::new()).await {
-        warn!(reason = reason.as_str(); "deregistration failed; the node's entry stays in the store");
+    while let Err(reason) = remove_object(gateway, (NODE_KIND, name), number).await {
+        warn!(
+            reason = reason.as_str();
+            "deregistration failed; the node's entry stays in the store until it succeeds"
+        );
+        sleep(DEREGISTRATION_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))).await;
     }
 }
 
-/// Creates the node's object, or replaces the one left by an earlier process. Returns the
-/// revision of the object; its number is zero if the store does not tell.
+/// Creates the node's object, or replaces the one left by an earlier process, so that the
+/// object has a revision that no call of that process names. Returns the revision of the
+/// object; its number is zero if the store does not tell.
 async fn write_node_object(gateway: &Gateway) -> Result<StoreRevision, String> {
     let own = gateway.state.borrow().peers.own().clone();
-    let body = write_node(&own).map_err(|error| error.to_string())?;
-    let reply = send(gateway, Method::POST, collection_path(NODE_KIND), body.clone()).await?;
-    if reply.status != StatusCode::CONFLICT {
-        return revision_of_write(&reply);
-    }
-    // A process that crashed has left the same object, which needs no second call.
-    let stored = read_object(&reply.body).and_then(|object| read_node(&object));
-    if stored.is_ok_and(|node| node == own) {
-        return revision_of(&reply);
-    }
-    let object_path = ObjectRequest::Get { kind: NODE_KIND, name: &own.name }.path();
-    revision_of_write(&send(gateway, Method::PUT, object_path, body).await?)
-}
-
-fn revision_of_write(reply: &ReplyParts) -> Result<StoreRevision, String> {
-    if !reply.status.is_success() {
-        return Err(format!("status {}", reply.status));
+    let body = write_node(&own, gateway.incarnation).map_err(|error| error.to_string())?;
+    let existing = match create_object(gateway, NODE_KIND, body.clone()).await? {
+        Creation::Created(revision) => return Ok(revision),
+        Creation::Exists(existing) => existing,
+    };
+    let ExistingObject { object, revision } = existing;
+    // The answer to an earlier call of this process may be lost.
+    if node_incarnation(&object) == Some(gateway.incarnation) {
+        return Ok(revision);
     }
-    revision_of(reply)
-}
-
-fn revision_of(reply: &ReplyParts) -> Result<StoreRevision, String> {
-    let era = headers::store_era(&reply.headers).map_err(|error| error.to_string())?;
-    let number = read_object(&reply.body).map_or(0, |object| object.revision);
-    Ok(StoreRevision { era, number })
-}
-
-pub(crate) async fn send(
-    gateway: &Gateway,
-    method: Method,
-    path: String,
-    body: Vec<u8>,
-) -> Result<ReplyParts, String> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, gateway.store.address().to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|error| error.to_string())?;
-    let reply = gateway.store.call(request, CALL_TIMEOUT).await;
-    gateway.reporter.count_store_call(reply.is_ok());
-    reply.map_err(|error| error.to_string())
+    let written = replace_object(gateway, (NODE_KIND, &own.name), revision.number, body).await?;
+    written.ok_or_else(|| "the entry was removed meanwhile".to_owned())
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod links;
 mod node;
 mod notices;
+mod registration;
 mod relay;
 mod restore;
 mod soak;
--- a/tests/gateway/node.rs
+++ b/tests/gateway/node.rs
@@ -123,6 +123,13 @@
         self.child = spawn(&self.dir, self.metrics.port());
     }
 
+    /// Changes the settings file; the change holds from the next start on.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let path = self.dir.join("settings.conf");
+        let text = fs::read_to_string(&path).expect("a settings file");
+        fs::write(&path, text.replace(from, to)).expect("a settings file");
+    }
+
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
         // The process may have exited already.
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -14,7 +14,11 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use serde_json::{Value, json};
-use tokio::{net::TcpListener, sync::watch, time::timeout};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 /// Fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +43,9 @@
     /// Revision up to which the history was compacted.
     compacted: u64,
     calls: u64,
+    late_writes: Option<LateWrites>,
+    /// Paths and queries of the removals that were called for.
+    removal_calls: Vec<String>,
     /// Replacements for addresses that nodes register, by the original address.
     aliases: IndexMap<String, String>,
 }
@@ -53,6 +60,27 @@
     changed: watch::Sender<u64>,
 }
 
+/// Writes that are executed late and not answered.
+#[derive(Clone)]
+pub struct LateWrites {
+    /// Kind of the objects.
+    pub kind: &'static str,
+    pub method: Method,
+    /// Number of writes.
+    pub count: usize,
+    pub delay: Duration,
+}
+
+/// A call that changes an object.
+struct WriteCall {
+    method: Method,
+    kind: String,
+    name: String,
+    /// Revision that the object must have.
+    revision: Option<String>,
+    spec: Value,
+}
+
 /// State of the store at one moment.
 pub struct StoreCopy(StoreState);
 
@@ -157,6 +185,33 @@
         self.lock().calls
     }
 
+    /// Executes some of the next writes late and doesn't answer them.
+    pub fn delay_writes(&self, late: LateWrites) {
+        self.lock().late_writes = Some(late);
+    }
+
+    /// Executes and answers all further writes at once.
+    pub fn end_delays(&self) {
+        self.lock().late_writes = None;
+    }
+
+    /// Returns the paths and queries of the removals that nodes called for.
+    pub fn removal_calls(&self) -> Vec<String> {
+        self.lock().removal_calls.clone()
+    }
+
+    /// Returns how many objects of a kind have been removed.
+    pub fn removals(&self, kind: &str) -> usize {
+        let state = self.lock();
+        state.events.iter().filter(|event| event.1 == kind && event.3.is_none()).count()
+    }
+
+    /// Returns the content of an object.
+    pub fn content(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.lock();
+        state.objects.get(&(kind.to_owned(), name.to_owned())).map(|(_, content)| content.clone())
+    }
+
     pub fn object_names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
         state.objects.keys().filter(|key| key.0 == kind).map(|key| key.1.clone()).collect()
@@ -192,18 +247,57 @@
             let number = |key| query.get(key).and_then(|text: &&str| text.parse().ok());
             return match number("watch") {
                 Some(after) => self.watch(&kind, after, number("wait_ms").unwrap_or(0)).await,
+                None if name.is_some() => {
+                    let name = name.unwrap_or_default();
+                    let exists = self.object_names(&kind).contains(&name);
+                    let status = if exists { StatusCode::OK } else { StatusCode::NOT_FOUND };
+                    self.object_response(status, &kind, &name)
+                }
                 None => self.list(&kind),
             };
         }
+        if method == Method::DELETE {
+            self.lock().removal_calls.push(uri.to_string());
+        }
         let body = request.into_body().collect().await.expect("a body").to_bytes();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let name = name.or_else(|| body["meta"]["name"].as_str().map(str::to_owned));
-        let name = name.unwrap_or_default();
+        let call = WriteCall {
+            method,
+            kind,
+            name: name.unwrap_or_default(),
+            revision: query.get("rev").map(|text| (*text).to_owned()),
+            spec: body["spec"].clone(),
+        };
+        let Some(delay) = self.take_delay(&call) else { return self.execute(call) };
+        let store = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            store.execute(call);
+        });
+        std::future::pending().await
+    }
+
+    /// Returns the delay of a write, if it is executed late.
+    fn take_delay(&self, call: &WriteCall) -> Option<Duration> {
+        let mut state = self.lock();
+        let late = state.late_writes.as_mut()?;
+        if late.kind != call.kind || late.method != call.method || late.count == 0 {
+            return None;
+        }
+        late.count -= 1;
+        Some(late.delay)
+    }
+
+    fn execute(&self, call: WriteCall) -> Response<Full<Bytes>> {
+        let WriteCall { method, kind, name, revision, mut spec } = call;
         let exists = self.object_names(&kind).contains(&name);
         match (method, exists) {
             (Method::POST, true) => self.object_response(StatusCode::CONFLICT, &kind, &name),
             (Method::PUT, false) => empty_response(StatusCode::NOT_FOUND),
-            (Method::DELETE, true) if !self.has_revision(&kind, &name, query.get("rev")) => {
+            (Method::DELETE | Method::PUT, true)
+                if !self.has_revision(&kind, &name, revision.as_ref()) =>
+            {
                 self.object_response(StatusCode::CONFLICT, &kind, &name)
             }
             (Method::DELETE, _) => {
@@ -211,7 +305,6 @@
                 empty_response(StatusCode::from_u16(status).expect("a status"))
             }
             _ => {
-                let mut spec = body["spec"].clone();
                 let address = spec["address"].as_str().unwrap_or_default();
                 if let Some(alias) = self.lock().aliases.get(address).cloned() {
                     spec["address"] = alias.into();
@@ -223,11 +316,11 @@
     }
 
     /// Whether an object has the revision that a call requires, if it requires one.
-    fn has_revision(&self, kind: &str, name: &str, required: Option<&&str>) -> bool {
+    fn has_revision(&self, kind: &str, name: &str, required: Option<&String>) -> bool {
         let state = self.lock();
         let stored = state.objects.get(&(kind.to_owned(), name.to_owned()));
         let stored = stored.map(|(revision, _)| revision.to_string());
-        required.is_none_or(|required| stored.as_deref() == Some(*required))
+        required.is_none_or(|required| stored.as_ref() == Some(required))
     }
 
     fn object_response(&self, status: StatusCode, kind: &str, name: &str) -> Response<Full<Bytes>> {
