--- a/crates/gateway/src/crash_store.rs
+++ b/crates/gateway/src/crash_store.rs
@@ -139,10 +139,11 @@
             }
         }
         take_over(gateway, &records);
-        if !page.more || page.last_name.is_none() || page.last_name == after {
+        if !page.more {
             return Ok(());
         }
-        after = page.last_name;
+        let last_name = page.last_name.filter(|name| after.as_ref() != Some(name));
+        after = Some(last_name.ok_or("a page names no object to continue after")?);
     }
 }
 
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -202,12 +202,17 @@
                     Err(error) => self.log_unreadable(&error.to_string(), 0, &error),
                 }
             }
-            if !page.more || page.last_name.is_none() {
+            if !page.more {
                 self.apply_list(first_revision, &objects);
                 self.confirm(first_revision);
                 return Ok(first_revision);
             }
-            after = page.last_name;
+            // An incomplete list must not be taken for a complete one.
+            let last_name = page.last_name.filter(|name| after.as_ref() != Some(name));
+            let Some(last_name) = last_name else {
+                return Err(CallFailure::Other("a page names no object to continue after".into()));
+            };
+            after = Some(last_name);
         }
     }
 
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -79,6 +79,8 @@
     NoStamp,
     /// The server closes the connection within a response.
     Truncate,
+    /// The server executes requests and closes the connection at this place of the response.
+    Cut(CutPlace),
     /// The server responds with a body of [`LARGE_BODY_BYTES`].
     Large,
     /// The server responds with a body of [`HUGE_BODY_BYTES`], more than sockets buffer.
@@ -107,6 +109,69 @@
     }
 }
 
+/// Place of a response at which a server closes the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+pub enum CutPlace {
+    /// Before the first byte.
+    Start,
+    /// Within the status line.
+    StatusLine,
+    /// After the status line.
+    AfterStatusLine,
+    /// Within the name of a header field.
+    FieldName,
+    /// Within the value of the field that states the length.
+    LengthValue,
+    /// After the last field, before the empty line.
+    BeforeEmptyLine,
+    /// Within the line end that ends the header section.
+    WithinEmptyLine,
+    /// Within an informational response.
+    Informational,
+    /// Within the header section that follows an informational response.
+    AfterInformational,
+    /// Within the header section of a response without a length.
+    NoLength,
+    /// Within the header section of a response in chunks.
+    ChunkedHead,
+    /// Before the first chunk.
+    BeforeChunks,
+    /// Within the size of a chunk.
+    ChunkSize,
+    /// Within a chunk.
+    WithinChunk,
+    /// Between the chunks and the empty one that ends the body.
+    BeforeLastChunk,
+}
+
+impl CutPlace {
+    /// Returns what the server sends of a response with these fields and this body.
+    fn text(self, fields: &str, body: &str) -> String {
+        let status = "HTTP/1.1 200 OK\r\n";
+        let length = body.len();
+        let chunked = format!("{status}{fields}transfer-encoding: chunked\r\n");
+        match self {
+            Self::Start => String::new(),
+            Self::StatusLine => "HTTP/1.1 20".to_owned(),
+            Self::AfterStatusLine => status.to_owned(),
+            Self::FieldName => format!("{status}{fields}content-le"),
+            Self::LengthValue => format!("{status}{fields}content-length: {}", length / 10),
+            Self::BeforeEmptyLine => format!("{status}{fields}content-length: {length}\r\n"),
+            Self::WithinEmptyLine => format!("{status}{fields}content-length: 0\r\n\r"),
+            Self::Informational => "HTTP/1.1 100 Contin".to_owned(),
+            Self::AfterInformational => {
+                format!("HTTP/1.1 100 Continue\r\n\r\n{status}{fields}content-length: 0\r\n")
+            }
+            Self::NoLength => format!("{status}{fields}x-more: 1\r\n"),
+            Self::ChunkedHead => chunked,
+            Self::BeforeChunks => format!("{chunked}\r\n"),
+            Self::ChunkSize => format!("{chunked}\r\n1"),
+            Self::WithinChunk => format!("{chunked}\r\n{length:x}\r\n{}", &body[..length / 2]),
+            Self::BeforeLastChunk => format!("{chunked}\r\n{length:x}\r\n{body}\r\n"),
+        }
+    }
+}
+
 /// Where a server sends bytes without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndlessBytes {
@@ -392,6 +457,11 @@
                     self.lock().cancelled += 1;
                     return;
                 }
+                ServerFault::Cut(place) => {
+                    // The gateway may have closed the connection.
+                    let _ = socket.write_all(place.text(&stamp_headers, &body).as_bytes()).await;
+                    return;
+                }
                 ServerFault::Misdirect => response_text(421, "", ""),
                 ServerFault::Error => response_text(500, &stamp_headers, "broken"),
                 ServerFault::CloseWithoutResponse => return,
