Keep deferred removals, and pass on what a new list lacks

Found by playing the directories of four nodes with cut watches, restarts, changes of the watching node, compactions and restores in random order.

- The entry, sent by a peer that didn't know of the removal, ended the deferral.
- A removal of an entry that the watching node doesn't list was not passed on.
- A node that starts, lists in a later era or after a compaction, gave changes since its list to nodes that knew what the list lacks.
- An update that was ignored counted as known.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -216,6 +216,10 @@
                 let is_stale = update.age > gateway.timing.max_age();
                 follow_request.life = update.life;
                 follow_request.servers = update.servers.number;
+                // Of an update that is ignored, the changes are still to be learned.
+                if gateway.state.borrow().directory.is_outdated(&update.servers) {
+                    follow_request.life = 0;
+                }
                 follow_request.limits_known = update.limits.number;
                 follow_request.crashes_known = update.crashes.number;
                 follow_request.links_known = update.links.number;
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -111,6 +111,8 @@
 #[derive(Clone, Copy, Debug)]
 struct DeferredRemoval {
     due_at: BootTime,
+    /// Revision at which the entry was missing; one written later is there again.
+    missing_at: StoreRevision,
     /// Latest revision that is certain to precede the removal.
     known_before: StoreRevision,
 }
@@ -133,6 +135,14 @@
     change: u64,
 }
 
+impl ListedEntry {
+    /// Ends the deferral of the entry's removal if it was written at a revision later than
+    /// that at which it was missing. A peer may still send an earlier one.
+    fn end_deferral(&mut self, written: StoreRevision) {
+        self.deferred = self.deferred.filter(|removal| written <= removal.missing_at);
+    }
+}
+
 impl RemovedEntry {
     /// Returns whether an entry at `revision` is older than the removal.
     fn covers(&self, revision: StoreRevision, entry: &ServerEntry) -> bool {
@@ -205,13 +215,19 @@
         if revision.era < known.era {
             return changes;
         }
-        if self.revision.number == 0 {
-            self.history_since = revision;
-        } else if revision.era > self.revision.era {
+        if known.number > 0 && revision.era > known.era {
             // The store lost the registrations of its last seconds; the servers write
             // them again.
             self.recovered_at = Some(now);
         }
+        if revision > known {
+            // The list says nothing of entries that only peers have known meanwhile.
+            self.history_since = revision;
+        }
+        if known.number == 0 {
+            // A peer that followed this node before knows nothing of it.
+            self.forget_changes();
+        }
         let listed: IndexSet<Arc<str>> = list.iter().map(|(_, entry)| entry.id.clone()).collect();
         let missing: Vec<Arc<str>> =
             self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
@@ -246,14 +262,21 @@
         if was_removed || known.is_some_and(|listed| listed.revision > revision) {
             return;
         }
-        // A report that was delayed on its way may be stored after later ones.
+        // A report that was delayed on its way may be stored after later ones, and a restored
+        // store may hold an earlier one.
         if known.is_some_and(|listed| listed.entry.is_newer_than(&entry)) {
+            if let Some(listed) = self.entries.get_mut(&entry.id) {
+                listed.end_deferral(revision);
+                listed.revision = revision;
+            }
             return;
         }
         let is_unchanged = known.is_some_and(|listed| listed.entry.has_same_content(&entry));
         let is_rewritten = known.is_none_or(|listed| listed.revision != revision);
         self.revision = self.revision.max(revision);
-        let listed = ListedEntry { entry: entry.clone(), revision, deferred: None };
+        let deferred = known.and_then(|listed| listed.deferred);
+        let mut listed = ListedEntry { entry: entry.clone(), revision, deferred };
+        listed.end_deferral(revision);
         self.entries.insert(entry.id.clone(), listed);
         if !is_unchanged {
             changes.push(DirectoryChange::Changed(entry.clone()));
@@ -290,14 +313,18 @@
         id: &str,
         changes: &mut Vec<DirectoryChange>,
     ) {
-        let Some(listed) = self.entries.get_mut(id) else { return };
+        let Some(listed) = self.entries.get_mut(id) else {
+            self.pass_on_removal(revision, id);
+            return;
+        };
         if listed.revision > revision {
             return;
         }
         let grace_end = self.recovered_at.map(|recovered_at| recovered_at + EXPIRY_GRACE);
         if let Some(due_at) = grace_end.filter(|end| now < *end) {
-            let removal = DeferredRemoval { due_at, known_before };
+            let removal = DeferredRemoval { due_at, missing_at: revision, known_before };
             let deferred = listed.deferred.get_or_insert(removal);
+            deferred.missing_at = deferred.missing_at.max(revision);
             // Peers ignore what is known of an earlier era.
             if deferred.known_before.era < known_before.era {
                 deferred.known_before = known_before;
@@ -307,6 +334,31 @@
         self.remove_entry(revision, id, changes);
     }
 
+    /// Records the removal of an entry that this node doesn't list, for peers that may: a
+    /// restored store may have held it, and only some nodes know that it had been removed.
+    fn pass_on_removal(&mut self, revision: StoreRevision, id: &str) {
+        let unknown = RemovedEntry { revision, born_ms: None, report_number: 0 };
+        let removed = match self.tombstones.get(id) {
+            // Nodes that follow each other would tell each other again and again.
+            Some(known) if known.revision >= revision => return,
+            Some(known) => RemovedEntry { revision, ..*known },
+            None => unknown,
+        };
+        let id: Arc<str> = id.into();
+        self.add_tombstone(id.clone(), removed);
+        self.record_change(VersionedServer { revision, id, entry: None });
+    }
+
+    fn add_tombstone(&mut self, id: Arc<str>, removed: RemovedEntry) {
+        self.tombstones.shift_remove(&id);
+        self.tombstones.insert(id, removed);
+        if self.tombstones.len() > MAX_TOMBSTONES
+            && let Some((_, forgotten)) = self.tombstones.shift_remove_index(0)
+        {
+            self.history_since = self.history_since.max(forgotten.revision);
+        }
+    }
+
     fn remove_entry(
         &mut self,
         revision: StoreRevision,
@@ -317,16 +369,18 @@
         let revision = revision.max(listed.revision);
         self.revision = self.revision.max(revision);
         let ServerEntry { born_ms, report_number, .. } = listed.entry;
-        self.tombstones.insert(id.clone(), RemovedEntry { revision, born_ms, report_number });
-        if self.tombstones.len() > MAX_TOMBSTONES
-            && let Some((_, forgotten)) = self.tombstones.shift_remove_index(0)
-        {
-            self.history_since = self.history_since.max(forgotten.revision);
-        }
+        self.add_tombstone(id.clone(), RemovedEntry { revision, born_ms, report_number });
         changes.push(DirectoryChange::Removed(id.clone()));
         self.record_change(VersionedServer { revision, id, entry: None });
     }
 
+    /// Makes peers that know the changes so far get a full snapshot, because changes alone
+    /// don't say what is missing from a list.
+    fn forget_changes(&mut self) {
+        self.last_change += 1;
+        self.changes.clear();
+    }
+
     fn record_change(&mut self, change: VersionedServer) {
         self.last_change += 1;
         self.changes.push_back(change);
@@ -339,7 +393,8 @@
     /// node, or a full snapshot if they are not known any more.
     #[must_use]
     pub fn updates_since(&self, since: StoreRevision) -> DirectoryUpdate {
-        if since.number == 0 || since < self.history_since {
+        // A node that claims the first revision may list what a restored store lacks.
+        if since.number <= FIRST_REVISION || since < self.history_since {
             return self.updates_after(None);
         }
         let mut servers = Vec::new();
@@ -384,12 +439,16 @@
             id: listed.entry.id.clone(),
             entry: Some(listed.entry.clone()),
         };
-        DirectoryUpdate {
-            number: self.last_change,
-            whole: true,
-            revision: self.revision(),
-            servers: self.entries.values().map(server).collect(),
+        let mut servers: Vec<_> = self.entries.values().map(server).collect();
+        // That a server is missing tells nothing of removals behind the claimed revision.
+        let claimed = self.revision();
+        for (id, removed) in &self.tombstones {
+            if removed.revision > claimed && !self.entries.contains_key(id) {
+                let revision = removed.revision;
+                servers.push(VersionedServer { revision, id: id.clone(), entry: None });
+            }
         }
+        DirectoryUpdate { number: self.last_change, whole: true, revision: claimed, servers }
     }
 
     /// Records that a server said that it is leaving, or that a peer said so of it. Until
@@ -473,16 +532,42 @@
         }
     }
 
-    /// Applies an update from a peer; returns the resulting changes. Ignores an update of
-    /// an earlier era of the store.
-    pub fn apply_update(&mut self, now: BootTime, update: DirectoryUpdate) -> Vec<DirectoryChange> {
-        if update.revision.era < self.revision.era {
+    /// Returns whether an update is of an earlier era of the store, so that it is ignored.
+    #[must_use]
+    pub const fn is_outdated(&self, update: &DirectoryUpdate) -> bool {
+        update.revision.era < self.revision.era
+    }
+
+    /// Applies an update from a peer; returns the resulting changes. Ignores an outdated one.
+    pub fn apply_update(
+        &mut self,
+        now: BootTime,
+        mut update: DirectoryUpdate,
+    ) -> Vec<DirectoryChange> {
+        if self.is_outdated(&update) {
             return Vec::new();
         }
+        // An entry that this node has not listed as of a later revision was removed by then.
+        let (known, is_later) = (self.revision, update.revision > self.revision);
+        update.servers.retain(|server| {
+            let is_listed = self.entries.contains_key(&server.id);
+            is_later || server.entry.is_none() || is_listed || server.revision > known
+        });
         if update.whole {
-            let known = update.servers.into_iter();
-            let list = known.filter_map(|server| Some((server.revision, server.entry?))).collect();
-            return self.replace(now, update.revision, list);
+            let (mut list, mut removed) = (Vec::new(), Vec::new());
+            for server in update.servers {
+                match server.entry {
+                    Some(entry) => list.push((server.revision, entry)),
+                    None => removed.push((server.revision, server.id)),
+                }
+            }
+            let mut changes = self.replace(now, update.revision, list);
+            let known = self.revision;
+            for (revision, id) in removed {
+                self.remove_if_older(revision, &id, &mut changes);
+            }
+            self.revision = known;
+            return changes;
         }
         let known = self.revision;
         let mut changes = Vec::new();
@@ -503,8 +588,12 @@
         id: &str,
         changes: &mut Vec<DirectoryChange>,
     ) {
-        if self.entries.get(id).is_some_and(|listed| listed.revision <= revision) {
-            self.remove_entry(revision, id, changes);
+        match self.entries.get(id) {
+            Some(listed) if listed.revision <= revision => {
+                self.remove_entry(revision, id, changes);
+            }
+            Some(_) => {}
+            None => self.pass_on_removal(revision, id),
         }
     }
 
