soak: Series of planned stops beside orders of different length

The soak excused what a node does 2.5 s after SIGTERM, so that it could not see orders that were cut at the end of the grace period. Plans of planned work alone (series of stops and starts that overlap, repeated SIGTERM, SIGHUP at any moment of a stop, configurations, replaced servers) run beside orders of up to 5.5 s on kept connections; any request that reached a server and gets no response is a violation.

--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -381,7 +381,10 @@
             let echo = format!("x-carobstep-request-id: {request_id}\r\n");
             let stamp_headers = format!("x-carobstep-server-stamp: {stamp}\r\n{echo}");
             let response = match fault {
-                ServerFault::None => response_text(200, &stamp_headers, &body),
+                ServerFault::None => {
+                    sleep(work_of(&head)).await;
+                    response_text(200, &stamp_headers, &body)
+                }
                 ServerFault::Slow => {
                     sleep(SLOW_PROCESSING_TIME).await;
                     response_text(200, &stamp_headers, &body)
--- a/tests/gateway/soak/checker.rs
+++ b/tests/gateway/soak/checker.rs
@@ -8,7 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
-    caller::{CALLER_DEADLINE, CallKind, CallRecord, crashing_path},
+    caller::{CallKind, CallRecord, crashing_path},
     cluster::{ATTEMPTS, FaultInterval, MIN_SHARE, NODES, SHARDS, TestCluster},
 };
 use crate::backend::{Arrival, header_value, per_request_record};
@@ -150,7 +150,9 @@
             }
             let allowed = match call.kind {
                 CallKind::Search | CallKind::Crashing { .. } => log.service.starts_with("shard-"),
-                CallKind::Fetch | CallKind::Order => log.service == "single",
+                CallKind::Fetch | CallKind::Order | CallKind::LongOrder { .. } => {
+                    log.service == "single"
+                }
             };
             if !allowed {
                 violations.push(format!("ROUTE: {} of {} executed {id}", log.id, log.service));
@@ -164,7 +166,7 @@
             violations.push(format!("BUDGET: {id} was executed by {servers:?} of {service}"));
         }
     }
-    for call in by_id.values().filter(|call| call.kind == CallKind::Order) {
+    for call in by_id.values().filter(|call| call.kind.is_order()) {
         let count = executions.get(&call.id).copied().unwrap_or(0);
         if count > 1 {
             violations.push(format!("TWICE: {} was executed {count} times", call.id));
@@ -302,9 +304,9 @@
         if let Err(error) = &call.response {
             violations.push(format!("LOST: {} at node {}: {error}", call.id, call.node));
         }
-        if call.ended - call.sent >= CALLER_DEADLINE {
+        if call.ended - call.sent >= call.kind.deadline() {
             past_deadline += 1;
-            if call.ended - call.sent > CALLER_DEADLINE + DEADLINE_TOLERANCE {
+            if call.ended - call.sent > call.kind.deadline() + DEADLINE_TOLERANCE {
                 late.push(call.id.as_str());
             }
         }
@@ -314,5 +316,23 @@
     }
 }
 
+/// LOST: beside planned work alone, no request that reached a server ends without a response.
+pub fn check_planned_work(cluster: &TestCluster, calls: &[CallRecord]) -> Vec<String> {
+    let arrivals = cluster.servers.iter().flat_map(|linked| linked.server.arrivals());
+    let executed: IndexSet<String> =
+        arrivals.filter(|arrival| arrival.executed).map(|it| request_id(&it)).collect();
+    let mut violations = Vec::new();
+    for call in calls.iter().filter(|call| executed.contains(&call.id)) {
+        if let Err(error) = &call.response {
+            let took = call.ended - call.sent;
+            violations.push(format!(
+                "LOST: {} ({:?}) at node {} was cut after {took:?}: {error}",
+                call.id, call.kind, call.node
+            ));
+        }
+    }
+    violations
+}
+
 /// Time after its restart during which a node may still refuse connections.
 const RESTART_TIME: Duration = Duration::from_millis(1_500);
--- a/tests/gateway/soak/cluster.rs
+++ b/tests/gateway/soak/cluster.rs
@@ -15,7 +15,9 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use super::{
-    caller::{CallKind, CallLog, CallRecord, run_caller, run_crashing_caller, send},
+    caller::{
+        CallKind, CallLog, CallRecord, run_caller, run_crashing_caller, run_order_caller, send,
+    },
     faults::{FAULT_TIME, FaultKind, FaultPlan, ServerGroup},
 };
 use crate::{
@@ -43,6 +45,9 @@
 /// Number of concurrent callers.
 const CALLERS: usize = 8;
 
+/// Number of concurrent callers that send long orders beside planned work.
+const ORDER_CALLERS: usize = 8;
+
 /// Longest time from SIGTERM to the exit of a process, as in its settings.
 const GRACE_PERIOD: Duration = Duration::from_secs(6);
 
@@ -150,13 +155,16 @@
         "timeout_ms": 800, "goal_ms": 150 + version / 3 % 3, "priority": 1, "attempts": ATTEMPTS,
         "gather": &shards, "top_k": 4, "oldest_version": MIN_SHARE,
     });
+    let mut long = single("long", "non_idempotent");
+    long["timeout_ms"] = json!(8_000);
+    long["goal_ms"] = json!(6_000);
     let names = shards.iter().map(String::as_str).chain(["single"]);
     let services: Vec<_> = names
         .map(|name| json!({ "name": name, "health_path": HEALTH_PATH, "max_conns": 40 }))
         .collect();
     json!({
         "version": version,
-        "routes": [search, single("fetch", "idempotent"), single("order", "non_idempotent")],
+        "routes": [search, single("fetch", "idempotent"), single("order", "non_idempotent"), long],
         "services": services,
         "limits": { "max_header_bytes": 16384, "max_body_bytes": 65536,
             "header_timeout_ms": 3000, "idle_timeout_ms": 5000 },
@@ -239,6 +247,12 @@
             log.clone(),
             stop.clone(),
         ));
+        if plan.is_planned_work {
+            for number in 0..ORDER_CALLERS {
+                let (addresses, log) = (addresses.clone(), log.clone());
+                callers.spawn(run_order_caller(number, addresses, log, stop.clone()));
+            }
+        }
         let start = Instant::now();
         let mut active: Vec<ActiveFault> = Vec::new();
         let mut planned = plan.faults.iter().peekable();
--- a/tests/gateway/soak/faults.rs
+++ b/tests/gateway/soak/faults.rs
@@ -16,10 +16,15 @@
 /// Distinguishes the random numbers for further faults of a seed.
 const LEARNED_FAULTS: u64 = 0x6c69_6d69_7473;
 
+/// Distinguishes the random numbers for planned work of a seed.
+const PLANNED_WORK: u64 = 0x706c_616e_6e65_6400;
+
 /// All faults of one run, ordered by their beginning.
 #[derive(Clone, Debug)]
 pub struct FaultPlan {
     pub faults: Vec<PlannedFault>,
+    /// Whether operators cause all of them, and orders of different length are sent.
+    pub is_planned_work: bool,
 }
 
 /// A fault, with its beginning after the start of the run and its duration.
@@ -105,7 +110,43 @@
         let mut faults: Vec<_> = (0..count).map(|_| PlannedFault::generate(&mut rng)).collect();
         faults.extend(PlannedFault::generate_learned(seed));
         faults.sort_by_key(|fault| fault.at);
-        Self { faults }
+        Self { faults, is_planned_work: false }
+    }
+
+    /// Generates series of stops and starts that overlap with each other, with signals to
+    /// reload the settings, with new configurations and with servers that are replaced.
+    pub fn generate_planned(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ PLANNED_WORK);
+        let mut faults = Vec::new();
+        let mut add = |at: u64, kind| {
+            let at = Duration::from_millis(at % FAULT_TIME.as_millis() as u64);
+            faults.push(PlannedFault { at, duration: Duration::from_millis(300), kind });
+        };
+        for _ in 0..rng.random_range(1..=3) {
+            let mut at = rng.random_range(0..10_000);
+            let first = rng.random_range(0..NODES);
+            let gap = rng.random_range(50..2_500);
+            for step in 0..rng.random_range(1..=NODES) {
+                let node = (first + step) % NODES;
+                add(at, FaultKind::Stop { node });
+                for _ in 0..rng.random_range(0..3) {
+                    add(at + rng.random_range(0..3_000), FaultKind::Reload { node });
+                }
+                if rng.random_bool(0.3) {
+                    add(at + rng.random_range(0..3_000), FaultKind::Stop { node });
+                }
+                at += gap;
+            }
+        }
+        for _ in 0..rng.random_range(0..6) {
+            add(rng.random_range(0..12_000), FaultKind::Configure);
+        }
+        for _ in 0..rng.random_range(0..4) {
+            let server = rng.random_range(0..SERVERS * (SHARDS + 1));
+            add(rng.random_range(0..8_000), FaultKind::Replace { server });
+        }
+        faults.sort_by_key(|fault| fault.at);
+        Self { faults, is_planned_work: true }
     }
 }
 
--- a/tests/gateway/soak/mod.rs
+++ b/tests/gateway/soak/mod.rs
@@ -5,6 +5,8 @@
 //! seeds manually, several at a time:
 //!
 //!     CAROBSTEP_SOAK_SEEDS=100..150 cargo test --test gateway soak::seeds_by_hand -- --nocapture
+//!
+//! and `CAROBSTEP_STOP_SEEDS` with `soak::planned_seeds_by_hand` those of planned work.
 
 mod caller;
 mod checker;
@@ -19,15 +21,22 @@
 use cluster::TestCluster;
 use faults::FaultPlan;
 
-/// Number of concurrent runs of [`seeds_by_hand`].
+/// Number of concurrent runs of [`run_range`].
 const PARALLEL_RUNS: usize = 5;
 
 /// Runs one seed and returns the violations.
 async fn run_seed(seed: u64) -> Vec<String> {
-    let plan = FaultPlan::generate(seed);
+    run_plan(seed, FaultPlan::generate(seed)).await
+}
+
+/// Runs a plan and returns the violations.
+async fn run_plan(seed: u64, plan: FaultPlan) -> Vec<String> {
     let mut cluster = TestCluster::start().await;
     let calls = cluster.run(&plan).await;
     let mut violations = checker::check_run(&cluster, &calls);
+    if plan.is_planned_work {
+        violations.extend(checker::check_planned_work(&cluster, &calls));
+    }
     violations.extend(cluster.violations.iter().cloned());
     if !violations.is_empty() {
         eprintln!("seed {seed}, faults: {plan:#?}");
@@ -50,13 +59,25 @@
     assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn seeds_by_hand() {
-    let Ok(range) = std::env::var("CAROBSTEP_SOAK_SEEDS") else { return };
+/// Guards against orders that are cut at the end of a planned stop, while stops, starts and
+/// changes overlap.
+#[parameterized(
+    one_series = { 1 },
+    series_that_overlap = { 2 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn planned_work_cuts_no_request(seed: u64) {
+    let violations = run_plan(seed, FaultPlan::generate_planned(seed)).await;
+    assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
+}
+
+/// Runs seeds of the plans that `generate` returns, if the environment names a range.
+async fn run_range(variable: &str, generate: fn(u64) -> FaultPlan) {
+    let Ok(range) = std::env::var(variable) else { return };
     let bounds = range
         .split_once("..")
         .and_then(|(from, to)| Some((from.parse::<u64>().ok()?, to.parse::<u64>().ok()?)));
-    let (from, to) = bounds.expect("CAROBSTEP_SOAK_SEEDS is a range such as 1..50");
+    let (from, to) = bounds.expect("a range such as 1..50");
     let permits = Arc::new(Semaphore::new(PARALLEL_RUNS));
     let mut runs = JoinSet::new();
     for seed in from..to {
@@ -64,7 +85,7 @@
         runs.spawn(async move {
             let _permit = permits.acquire().await.expect("the semaphore stays open");
             let start = Instant::now();
-            let violations = run_seed(seed).await;
+            let violations = run_plan(seed, generate(seed)).await;
             println!("seed {seed}: {} violations, {:?}", violations.len(), start.elapsed());
             (seed, violations)
         });
@@ -78,3 +99,13 @@
     }
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn seeds_by_hand() {
+    run_range("CAROBSTEP_SOAK_SEEDS", FaultPlan::generate).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_seeds_by_hand() {
+    run_range("CAROBSTEP_STOP_SEEDS", FaultPlan::generate_planned).await;
+}
