--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -226,8 +226,9 @@
     /// the response says about the server to `on_notice` once its header section is read,
     /// and when the connection was opened.
     ///
-    /// Uses an idle connection if there is one, and asks `may_send` once a new one is open. If the server has closed it and no
-    /// byte of the request was sent, tries the next one, then a new connection.
+    /// Uses an idle connection if there is one. If the server has closed it and no
+    /// byte of the request was sent, tries the next one, then a new connection. Asks
+    /// `may_send` before it uses a new one, since opening it takes time.
     pub(crate) async fn exchange(
         &self,
         request: &BackendRequest,
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -6,6 +6,7 @@
 use carobstep_bench::HttpClient;
 use http::HeaderMap;
 use indexmap::IndexMap;
+use strum::IntoEnumIterator;
 use tokio::{
     task::JoinSet,
     time::{interval, sleep},
@@ -13,7 +14,7 @@
 use yare::parameterized;
 
 use crate::{
-    backend::{ServerFault, StandinServer, header_value},
+    backend::{CutPlace, ServerFault, StandinServer, header_value},
     configuration, get,
     node::{GatewayNode, eventually},
     post,
@@ -314,3 +315,28 @@
     assert!(refused.is_empty(), "{scope:?}: {refused:?}");
     first_tries.join_all().await;
 }
+
+/// Guards against an order that another node sends for a node without links, and that is
+/// answered with success or executed twice when its response breaks off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_order_that_another_node_sends_is_no_success_when_its_response_breaks_off() {
+    let cluster = LinkCluster::start(2).await;
+    tokio::join!(cluster.call(0, "before"), cluster.call(1, "before"));
+    cluster.set_fault(0, LinkScope::Service("single"), LinkFault::Reset);
+    tokio::join!(cluster.call(0, "noticing"), sleep(DETECTION_TIME));
+    let mut executed = 0;
+    for place in CutPlace::iter() {
+        let single = cluster.servers.iter().filter(|linked| linked.service == "single");
+        for linked in single {
+            linked.server.set_fault(ServerFault::Cut(place));
+        }
+        let id = format!("cut-{place:?}");
+        let response = cluster.nodes[0].request(&post("/order/", &id)).await;
+        let count = cluster.order_executions().get(&id).copied().unwrap_or(0);
+        assert!(count <= 1, "{id} was executed {count} times");
+        let expected = if count == 1 { 502 } else { 503 };
+        assert_eq!(response.status, expected, "{id}");
+        executed += count;
+    }
+    assert!(executed > 0, "no order was sent by the other node");
+}
