Check what becomes of requests behind the last response of a connection

An order that was sent ahead is neither executed nor answered when the response before it closes the connection.

--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpSocket,
+    net::{TcpSocket, TcpStream},
     task::JoinSet,
     time::sleep,
 };
@@ -174,3 +174,28 @@
     let received = response.len();
     assert!(received > HUGE_BODY_BYTES, "{received} bytes of more than {HUGE_BODY_BYTES}");
 }
+
+/// Guards against an order that was sent ahead, behind the last request of a connection, and
+/// that is executed without a response.
+#[tokio::test]
+async fn an_order_behind_the_last_response_of_a_connection_is_not_executed() {
+    let fixture = order_fixture().await;
+    let message = |id: &str, work_ms: u64| {
+        format!(
+            "POST /order/work-{work_ms} HTTP/1.1\r\nhost: 127.0.0.1\r\ncontent-length: 2\r\n\
+             x-carobstep-request-id: {id}\r\nx-carobstep-deadline-ms: 2000\r\n\r\n{{}}"
+        )
+    };
+    let mut socket = TcpStream::connect(fixture.node.callers).await.expect("a connection");
+    let ahead = message("first-", 300) + &message("second-", 300);
+    fixture.node.signal("TERM");
+    super::eventually("the node is not ready", async || !fixture.node.is_ready().await).await;
+    socket.write_all(ahead.as_bytes()).await.expect("two requests");
+    let mut responses = Vec::new();
+    socket.read_to_end(&mut responses).await.expect("the responses and a close");
+    let text = String::from_utf8_lossy(&responses).into_owned();
+    let answers = text.matches("HTTP/1.1 ").count();
+    let executed = ["first-", "second-"].into_iter().filter(|id| has_run(&fixture, id)).count();
+    assert!(text.contains("connection: close"), "{text}");
+    assert!(answers >= executed, "{answers} responses, {executed} executed: {text}");
+}
