--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -54,7 +54,7 @@
 }
 
 /// Opens one connection for each of `orders` with a short order, and sends the order on it
-/// `delay` after the returned future is first polled.
+/// `delay` after that one was answered.
 async fn send_on_kept_connections(
     fixture: &Fixture,
     orders: Vec<(String, u64)>,
