Review case 10: a kill of all processes gives an account its burst again

Within 5 s, 281 requests of an account are sent and run where 218 are allowed; 197 without the kill. The machines of the scripts can have further settings.

--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -566,6 +566,8 @@
     pub name: String,
     pub zone: String,
     pub ip: String,
+    /// Further lines of the settings file.
+    pub more: &'static str,
     dir: PathBuf,
     child: Option<Child>,
 }
@@ -581,12 +583,12 @@
         let dir = std::env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
         fs::create_dir_all(&dir).expect("a folder");
         let (name, zone) = (name.to_owned(), zone.to_owned());
-        Self { name, zone, ip: loopback(number), dir, child: None }
+        Self { name, zone, ip: loopback(number), more: "", dir, child: None }
     }
 
     /// Starts the program with the command of the deploy file.
     pub fn start(&mut self, store: SocketAddr) {
-        let Self { name, zone, ip, dir, .. } = self;
+        let Self { name, zone, ip, more, dir, .. } = self;
         let text = format!(
             "node={name}\nrole=gateway\nclass=front\nserves=front\nip={ip}\nzone={zone}\n\
              region=r\nlisten.front={ip}:8104\nlisten.ready={ip}:8108\nport_range=7380,7395\n\
@@ -602,7 +604,7 @@
              bounds.retry_ratio=0.2\nbounds.retry_window_s=10\nbounds.retry_slack=52\n\
              bounds.recover_s=12\nplatform.addr={store}\nplatform.form=objects\n\
              platform.writes_per_s=400\nplatform.reads_per_s=2000\nplatform.history_s=20\n\
-             platform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n"
+             platform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n{more}"
         );
         fs::write(dir.join("settings.conf"), text).expect("a settings file");
         let log = File::options().create(true).append(true).open(dir.join("log")).expect("a log");
