--- a/review/standin-2/versions.rs
+++ b/review/standin-2/versions.rs
@@ -64,18 +64,18 @@
     }
     thread::sleep(Duration::from_secs(6));
     let reader = reader_of(&record, &machines);
+    let versions = versions();
     if has_trouble() {
         machines[reader].signal("STOP");
         record.line(&format!("{} stands still", machines[reader].name));
     }
     let frozen_at = Instant::now();
-    for number in 1..=VERSIONS {
-        let version = 10 + 3 * number;
-        let service = if number == VERSIONS { "desk-new" } else { "desk-old" };
-        let revision = store.put("config", "main", &configuration(version, service));
-        record.line(&format!("version {version} acknowledged at revision {revision}: {service}"));
+    for (version, content) in &versions {
+        let revision = store.put("config", "main", content);
+        record.line(&format!("version {version} acknowledged at revision {revision}"));
         thread::sleep(VERSION_INTERVAL);
     }
+    record.line("the last version moves /desk/ to desk-new");
     let acknowledged = Instant::now();
     let (mut woken, mut late, mut checked, mut round) = (!has_trouble(), 0, 0, 0);
     while acknowledged.elapsed() < WATCH_TIME {
@@ -141,6 +141,15 @@
     reader.0
 }
 
+/// Returns the versions that come in quick succession; the last one moves a route.
+fn versions() -> Vec<(usize, String)> {
+    let version = |number: usize| {
+        let service = if number == VERSIONS { "desk-new" } else { "desk-old" };
+        (10 + 3 * number, configuration(10 + 3 * number, service))
+    };
+    (1..=VERSIONS).map(version).collect()
+}
+
 /// Returns a configuration that sends `/desk/` to a service.
 fn configuration(version: usize, service: &str) -> String {
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("fitting-{shard:03}")).collect();
