--- a/review/standin-2/replaced.rs
+++ b/review/standin-2/replaced.rs
@@ -61,8 +61,12 @@
             servers.push(server);
         }
     }
-    let old = start("i-2d40f1b6", "desk");
-    store.put("servers", &old.id, &old.entry("desk", "z-b", "ready"));
+    // Of the three servers of the desk, the first is replaced.
+    let desk = ["i-2d40f1b6", "i-41c7e05d", "i-7b9a36f2"].map(|id| start(id, "desk"));
+    for server in &desk {
+        store.put("servers", &server.id, &server.entry("desk", "z-b", "ready"));
+    }
+    let [old, ..] = &desk;
     store.put("config", "main", CONFIGURATION);
     let mut machines =
         vec![Machine::new("front-b-1", "z-b", 1), Machine::new("front-a-1", "z-a", 2)];
@@ -82,7 +86,8 @@
     store.put("servers", &new.id, &new.entry("desk", "z-b", "ready"));
     record.line(&format!("server {} of desk registers", new.id));
     thread::sleep(Duration::from_secs(2));
-    store.put("servers", &old.id, &old.entry("desk", "z-b", "draining"));
+    let draining = old.entry("desk", "z-b", "draining").replace("\"seq\":1", "\"seq\":2");
+    store.put("servers", &old.id, &draining);
     thread::sleep(Duration::from_secs(3));
     store.delete("servers", &old.id);
     thread::sleep(Duration::from_secs(3));
