Name servers by their incarnations between nodes

Cause: nodes named servers to each other by 32 bits of a hash of their ids. The delegate kept the last server with a hash and took the shard's service from it. The message held nothing by which it could tell. Reports of failing servers had the same names, so that failures were laid on another server.

Change: delegated requests name incarnations, reports of failures name ids, in new messages. A node of the version before rejects those, which the wire now tells apart from a malformed reply, and gets hashed names for a minute. A hash that two known servers share stands for neither of them.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -118,7 +118,7 @@
         let grant = match reply {
             Ok(grants) => grants.first().copied(),
             // A node of the version before, which does not know of limits of accounts.
-            Err(error) if error.kind() == WireErrorKind::Codec => Some(ShareGrant::default()),
+            Err(error) if error.kind() == WireErrorKind::Rejected => Some(ShareGrant::default()),
             Err(error) => {
                 gateway.state.borrow_mut().peers.on_owner_failed(BootTime::now(), &owner);
                 debug!(
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -95,7 +95,7 @@
     match call_owner(&gateway, &owner, request, ASK_TIMEOUT).await {
         Ok(grants) => add_tokens(&gateway, asked_at, &asks, &grants),
         // A node of the version before hands out no such tokens.
-        Err(error) if error.kind() == WireErrorKind::Codec => {}
+        Err(error) if error.kind() == WireErrorKind::Rejected => {}
         Err(error) => {
             debug!(peer = owner.as_ref(), error:% = error; "no tokens for cold servers");
         }
--- a/crates/gateway/src/fanout/peer_calls.rs
+++ b/crates/gateway/src/fanout/peer_calls.rs
@@ -7,7 +7,7 @@
 use carobstep_tier::{ClassKey, DelegationUpdate, ShardIndex};
 use carobstep_wire::{ReplyStream, WireError, WireErrorKind};
 use http::StatusCode;
-use log::debug;
+use log::{debug, info};
 
 use super::MAX_RESPONSE_BYTES;
 use crate::{
@@ -48,6 +48,11 @@
     let on_failure = || gateway.state.borrow_mut().peers.on_failed(BootTime::now(), peer);
     let failure_of = |error: &WireError| {
         debug!(peer = peer, error:% = error; "delegation failed");
+        if error.kind() == WireErrorKind::Rejected {
+            info!(peer = peer; "a peer knows no delegated requests that name servers");
+            gateway.state.borrow_mut().peers.on_names_rejected(BootTime::now(), peer);
+            return Some(DelegationUpdate::NotSent);
+        }
         on_failure();
         match error.kind() {
             WireErrorKind::NotSent => Some(DelegationUpdate::NotSent),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -201,7 +201,7 @@
                 gateway.apply_extensions(&peer, called + update.waited, &extensions);
                 Ok(Ok(PeerReply::News(update)))
             }
-            Ok(Err(error)) if is_extended && error.kind() == WireErrorKind::Codec => {
+            Ok(Err(error)) if is_extended && error.kind() == WireErrorKind::Rejected => {
                 info!(peer = peer.as_ref(); "a peer knows no extended calls for changes");
                 old_peers.insert(peer, called + OLD_PEER_MEMORY);
                 continue;
--- a/crates/gateway/src/observations.rs
+++ b/crates/gateway/src/observations.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    gateway::Gateway,
+    gateway::{Gateway, GatewayState},
     peer_messages::{ObservationsReply, ObservationsRequest, PeerReply, PeerRequest},
     report::ObservationCall,
 };
@@ -90,14 +90,24 @@
             return true;
         }
         let node = state.peers.own().name.clone();
-        (address, PeerRequest::Observations(ObservationsRequest { node, reports, failing: None }))
+        let request = ObservationsRequest { node, reports, failing: None };
+        (address, encode_for(state, owner, request))
     };
     gateway.reporter.count_observations(ObservationCall::Reported);
     let calling = gateway.peer_pool.call_typed(address, &request);
     match timeout(CALL_TIMEOUT, calling).await {
-        Ok(Ok(PeerReply::Observations(reply))) => apply_reply(gateway, &reply),
+        Ok(Ok(PeerReply::NamedObservations(reply))) => apply_reply(gateway, &reply),
+        Ok(Ok(PeerReply::Observations(reply))) => {
+            let fleet = &mut gateway.state.borrow_mut().fleet;
+            let failing = fleet.name_observations(&reply.failing);
+            fleet.apply_observations(BootTime::now(), &failing);
+        }
         Ok(Ok(_)) => debug!(peer = owner.as_ref(); "a peer's reply names no failing servers"),
-        Ok(Err(error)) if error.kind() == WireErrorKind::Codec => return false,
+        Ok(Err(error)) if error.kind() == WireErrorKind::Rejected => {
+            gateway.state.borrow_mut().peers.on_names_rejected(BootTime::now(), owner);
+            // It may know these calls with hashed names.
+            return matches!(request, PeerRequest::NamedObservations(_));
+        }
         Ok(Err(_)) | Err(_) => {
             gateway.reporter.count_observations(ObservationCall::Unanswered);
             gateway.state.borrow_mut().peers.on_failed(BootTime::now(), owner);
@@ -106,9 +116,24 @@
     true
 }
 
+/// Returns a message that a node can read, which may be of the version before.
+fn encode_for(
+    state: &GatewayState,
+    peer: &str,
+    request: ObservationsRequest<Arc<str>>,
+) -> PeerRequest {
+    if state.peers.accepts_names(BootTime::now(), peer) {
+        return PeerRequest::NamedObservations(request);
+    }
+    let ObservationsRequest { node, reports, failing } = request;
+    let reports = state.fleet.hash_observations(&reports);
+    let failing = failing.map(|failing| state.fleet.hash_observations(&failing));
+    PeerRequest::Observations(ObservationsRequest { node, reports, failing })
+}
+
 /// Tells the nodes of the zone that have not called lately of failing servers, if there are
 /// any.
-fn tell_zone(gateway: &Rc<Gateway>, interval: Duration, reply: &ObservationsReply) {
+fn tell_zone(gateway: &Rc<Gateway>, interval: Duration, reply: &ObservationsReply<Arc<str>>) {
     let now = BootTime::now();
     let (addresses, node) = {
         let state = &mut *gateway.state.borrow_mut();
@@ -126,20 +151,26 @@
     };
     let failing = Some(reply.failing.clone());
     let request = ObservationsRequest { node, reports: Vec::new(), failing };
-    let request = Rc::new(PeerRequest::Observations(request));
-    for (_, address) in addresses {
-        let (gateway, request) = (gateway.clone(), request.clone());
+    for (name, address) in addresses {
+        let gateway = gateway.clone();
+        let request = encode_for(&gateway.state.borrow(), &name, request.clone());
         gateway.reporter.count_observations(ObservationCall::Told);
         spawn_local(async move {
-            let calling = gateway.peer_pool.call_typed::<_, PeerReply>(address, &*request);
-            if !matches!(timeout(CALL_TIMEOUT, calling).await, Ok(Ok(_))) {
-                debug!(peer:% = address; "a peer was not told of failing servers");
+            let calling = gateway.peer_pool.call_typed::<_, PeerReply>(address, &request);
+            match timeout(CALL_TIMEOUT, calling).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) if error.kind() == WireErrorKind::Rejected => {
+                    gateway.state.borrow_mut().peers.on_names_rejected(BootTime::now(), &name);
+                }
+                Ok(Err(_)) | Err(_) => {
+                    debug!(peer:% = address; "a peer was not told of failing servers");
+                }
             }
         });
     }
 }
 
-fn apply_reply(gateway: &Gateway, reply: &ObservationsReply) {
+fn apply_reply(gateway: &Gateway, reply: &ObservationsReply<Arc<str>>) {
     gateway.state.borrow_mut().fleet.apply_observations(BootTime::now(), &reply.failing);
 }
 
@@ -147,8 +178,8 @@
 /// the zone.
 pub(crate) fn merge_observations(
     gateway: &Gateway,
-    request: &ObservationsRequest,
-) -> ObservationsReply {
+    request: &ObservationsRequest<Arc<str>>,
+) -> ObservationsReply<Arc<str>> {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
     if let Some(failing) = &request.failing {
@@ -161,3 +192,19 @@
     state.observations.merge(now, &request.reports);
     ObservationsReply { failing: state.observations.failing(now) }
 }
+
+/// Like [`merge_observations`], for a node of the version before.
+pub(crate) fn merge_hashed_observations(
+    gateway: &Gateway,
+    request: ObservationsRequest<u32>,
+) -> ObservationsReply<u32> {
+    let ObservationsRequest { node, reports, failing } = request;
+    let named = {
+        let fleet = &gateway.state.borrow().fleet;
+        let failing = failing.map(|failing| fleet.name_observations(&failing));
+        ObservationsRequest { node, reports: fleet.name_observations(&reports), failing }
+    };
+    let reply = merge_observations(gateway, &named);
+    let failing = gateway.state.borrow().fleet.hash_observations(&reply.failing);
+    ObservationsReply { failing }
+}
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -30,13 +30,18 @@
     Contact(Vec<LinkReport>),
     /// A request for tokens of limits that all nodes share.
     Share(ShareRequest),
-    /// Failures of servers that nodes of the zone have observed.
-    Observations(ObservationsRequest),
+    /// Failures of servers that nodes of the zone have observed, by hashed identifier.
+    Observations(ObservationsRequest<u32>),
     /// Like [`PeerRequest::Follow`], with further data. A node that doesn't know it can't
     /// decode it.
     FollowExtended(Box<FollowRequest>, Vec<Extension>),
     /// Client accounts that have used up their limits.
     ShortAccounts(ShortAccounts),
+    /// Like [`PeerRequest::Delegated`], whose `shards` are empty, with the servers that may be
+    /// called for each shard.
+    DelegatedByName(Box<DelegatedRequest>, Vec<Vec<ServerIncarnation>>),
+    /// Like [`PeerRequest::Observations`], by identifier.
+    NamedObservations(ObservationsRequest<Arc<str>>),
 }
 
 /// Further data of a message. The receiver skips kinds that it doesn't know.
@@ -98,13 +103,15 @@
     Contact(Vec<LinkReport>),
     /// Tokens of shared limits, one entry for each of the request.
     Share(Vec<ShareGrant>),
-    /// Failures of servers that all nodes of the zone have observed.
-    Observations(ObservationsReply),
+    /// Failures of servers that all nodes of the zone have observed, by hashed identifier.
+    Observations(ObservationsReply<u32>),
     /// Like [`PeerReply::News`], with further data; only in reply to
     /// [`PeerRequest::FollowExtended`].
     ExtendedNews(Box<StoreUpdate>, Vec<Extension>),
     /// For each account of the request, whether the peer takes the sender for its owner.
     Support(Vec<bool>),
+    /// Like [`PeerReply::Observations`], by identifier.
+    NamedObservations(ObservationsReply<Arc<str>>),
 }
 
 /// Word of the node that owns the limits of client accounts that few tokens are left.
@@ -166,22 +173,23 @@
     pub body: Bytes,
 }
 
-/// What a node tells another one of its zone about servers that fail.
+/// What a node tells another one of its zone about servers that fail, which are named by
+/// `Name`.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct ObservationsRequest {
+pub struct ObservationsRequest<Name> {
     /// Name of the sender.
     pub node: Arc<str>,
     /// Attempts of the sender since its last report.
-    pub reports: Vec<ServerObservation>,
+    pub reports: Vec<ServerObservation<Name>>,
     /// Recent attempts of all nodes of the zone, if the sender adds them up.
-    pub failing: Option<Vec<ServerObservation>>,
+    pub failing: Option<Vec<ServerObservation<Name>>>,
 }
 
 /// Reply to a report.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct ObservationsReply {
+pub struct ObservationsReply<Name> {
     /// Recent attempts of all nodes of the zone at the servers that fail.
-    pub failing: Vec<ServerObservation>,
+    pub failing: Vec<ServerObservation<Name>>,
 }
 
 /// Request for tokens to the node that the sender takes for their owner.
@@ -220,7 +228,8 @@
     pub is_first: bool,
     /// Priority of the route; 0 is the highest.
     pub priority: u32,
-    /// For each shard, the hashed identifiers of the servers that may be called.
+    /// For each shard, the hashed identifiers of the servers that may be called; empty if the
+    /// message names them.
     pub shards: Vec<Vec<u32>>,
     /// Maximum number of greatest records to return from all shards together.
     pub top: u32,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,8 +6,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy, ShardIndex,
-    merge_records,
+    Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy, ServerFleet,
+    ServerIncarnation, ServerKey, ServiceKey, ShardIndex, merge_records,
 };
 use carobstep_wire::{PeerHandler, ReplySink};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -24,7 +24,7 @@
     fanout::{FanoutProgress, run_fanout},
     follow::wait_for_update,
     gateway::{Gateway, GatewayState, InFlightGuard},
-    observations::merge_observations,
+    observations::{merge_hashed_observations, merge_observations},
     peer_messages::{
         DelegatedOutcome, DelegatedParts, DelegatedRequest, DelegatedResponse, DelegatedVerdict,
         FollowRequest, PeerReply, PeerRequest,
@@ -87,6 +87,7 @@
 async fn serve_call(gateway: &Rc<Gateway>, request: PeerRequest, replies: &ReplySink<PeerReply>) {
     match &request {
         PeerRequest::Delegated(delegated) => gateway.mark_leaving(&delegated.leaving),
+        PeerRequest::DelegatedByName(delegated, _) => gateway.mark_leaving(&delegated.leaving),
         PeerRequest::Follow(follow) => merge_follower(gateway, follow),
         PeerRequest::FollowExtended(follow, _) => merge_follower(gateway, follow),
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
@@ -94,11 +95,19 @@
         PeerRequest::Quota(_)
         | PeerRequest::Share(_)
         | PeerRequest::Observations(_)
+        | PeerRequest::NamedObservations(_)
         | PeerRequest::ShortAccounts(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
-        PeerRequest::Delegated(request) => serve_delegated(gateway, request, replies).await,
+        PeerRequest::Delegated(mut request) => {
+            let names = ShardNames::Hashes(std::mem::take(&mut request.shards));
+            serve_delegated(gateway, request, names, replies).await;
+        }
+        PeerRequest::DelegatedByName(request, names) => {
+            let names = ShardNames::Incarnations(names);
+            serve_delegated(gateway, *request, names, replies).await;
+        }
         PeerRequest::Follow(_) | PeerRequest::FollowExtended(..) | PeerRequest::Contact(_)
             if is_stopping =>
         {
@@ -114,7 +123,11 @@
         }
         PeerRequest::Observations(request) => {
             gateway.failures_notify.notify_one();
-            replies.send(PeerReply::Observations(merge_observations(gateway, &request)));
+            replies.send(PeerReply::Observations(merge_hashed_observations(gateway, request)));
+        }
+        PeerRequest::NamedObservations(request) => {
+            gateway.failures_notify.notify_one();
+            replies.send(PeerReply::NamedObservations(merge_observations(gateway, &request)));
         }
         PeerRequest::Follow(request) => {
             replies.send(wait_for_update(gateway, request, None).await);
@@ -140,6 +153,7 @@
 async fn serve_delegated(
     gateway: &Rc<Gateway>,
     request: DelegatedRequest,
+    names: ShardNames,
     replies: &ReplySink<PeerReply>,
 ) {
     let is_serving = matches!(gateway.phase(), LifecyclePhase::Ready | LifecyclePhase::CutOff);
@@ -148,7 +162,7 @@
         return;
     }
     if request.is_relay {
-        let admission = gateway.take_relayed(request.shards.len(), request.priority);
+        let admission = gateway.take_relayed(names.len(), request.priority);
         if let Err(retry_in) = admission {
             replies.send(PeerReply::Full(retry_in));
             return;
@@ -157,7 +171,7 @@
     // A node that stops finishes what it has taken on.
     let _in_flight = InFlightGuard::new(gateway);
     let (is_search, max_records) = (request.is_search, request.top as usize);
-    let Some((plan, request)) = plan_delegated(gateway, request) else {
+    let Some((plan, request)) = plan_delegated(gateway, request, &names) else {
         replies.send(PeerReply::Refused);
         return;
     };
@@ -231,6 +245,35 @@
     }
 }
 
+/// Names of the servers that may be called for each shard of a delegated request.
+#[derive(Debug)]
+enum ShardNames {
+    Incarnations(Vec<Vec<ServerIncarnation>>),
+    /// Hashed identifiers, from a node of the version before.
+    Hashes(Vec<Vec<u32>>),
+}
+
+impl ShardNames {
+    /// Returns the number of shards.
+    fn len(&self) -> usize {
+        match self {
+            Self::Incarnations(names) => names.len(),
+            Self::Hashes(names) => names.len(),
+        }
+    }
+
+    fn find_servers(
+        &self,
+        fleet: &ServerFleet,
+        shard: usize,
+    ) -> Option<(ServiceKey, Vec<ServerKey>)> {
+        match self {
+            Self::Incarnations(names) => fleet.find_servers(names.get(shard)?),
+            Self::Hashes(names) => fleet.find_servers_by_hash(names.get(shard)?),
+        }
+    }
+}
+
 /// Which shards have been reported to the node that delegated them.
 struct ReportedShards {
     /// One entry for each shard.
@@ -282,21 +325,19 @@
 fn plan_delegated(
     gateway: &Gateway,
     delegated: DelegatedRequest,
+    names: &ShardNames,
 ) -> Option<(FanoutPlan, BackendRequest)> {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
     let DelegatedRequest { is_search, is_first, objective, .. } = delegated;
-    let reserve = if is_search {
-        state.finish_lag.reserve(delegated.shards.len(), objective)
-    } else {
-        Duration::ZERO
-    };
+    let reserve =
+        if is_search { state.finish_lag.reserve(names.len(), objective) } else { Duration::ZERO };
     let fleet = &mut state.fleet;
-    let mut services = Vec::with_capacity(delegated.shards.len());
-    let mut allowed = IndexMap::with_capacity(delegated.shards.len());
-    for (position, id_hashes) in delegated.shards.iter().enumerate() {
+    let mut services = Vec::with_capacity(names.len());
+    let mut allowed = IndexMap::with_capacity(names.len());
+    for position in 0..names.len() {
         // A shard without a server that this node knows is abandoned at once.
-        let (service, servers) = fleet.find_servers_by_hash(id_hashes).unwrap_or_default();
+        let (service, servers) = names.find_servers(fleet, position).unwrap_or_default();
         services.push(service);
         allowed.insert(ShardIndex(u16::try_from(position).unwrap_or(u16::MAX)), servers);
     }
@@ -341,16 +382,23 @@
     scope: &DelegatedScope,
 ) -> PeerRequest {
     let now = BootTime::now();
-    let servers = |shard| plan.allowed.get(shard).map(|keys| state.fleet.id_hashes(keys));
-    let shards = delegation.shards.iter().map(|shard| servers(shard).unwrap_or_default());
-    PeerRequest::Delegated(DelegatedRequest {
+    let fleet = &state.fleet;
+    let allowed = |shard| plan.allowed.get(shard).map(Vec::as_slice).unwrap_or_default();
+    let servers = delegation.shards.iter().map(allowed);
+    let is_named = state.peers.accepts_names(now, &delegation.peer);
+    let (names, hashes): (Vec<_>, Vec<_>) = if is_named {
+        (servers.map(|keys| fleet.incarnations(keys)).collect(), Vec::new())
+    } else {
+        (Vec::new(), servers.map(|keys| fleet.id_hashes(keys)).collect())
+    };
+    let request = DelegatedRequest {
         is_search: scope.is_search,
         is_at_most_once: plan.retry == RetryPolicy::AtMostOnce,
         is_cautious: plan.is_cautious,
         is_relay: delegation.is_relay,
         is_first: delegation.is_first,
         priority: scope.priority,
-        shards: shards.collect(),
+        shards: hashes,
         top: scope.max_records,
         attempts: plan.attempts,
         objective: scope.objective,
@@ -362,7 +410,12 @@
         headers: copy_headers(&request.headers),
         body: request.body.clone(),
         leaving: state.directory.recently_leaving(now),
-    })
+    };
+    if is_named {
+        PeerRequest::DelegatedByName(Box::new(request), names)
+    } else {
+        PeerRequest::Delegated(request)
+    }
 }
 
 fn copy_headers(headers: &HeaderMap) -> Vec<(String, Bytes)> {
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -55,7 +55,7 @@
                 Ok(grants) => grants,
                 Err(error) => {
                     debug!(peer = owner.as_ref(), error:% = error; "no tokens for retries");
-                    if error.kind() == WireErrorKind::Codec {
+                    if error.kind() == WireErrorKind::Rejected {
                         unknown_until = asked_at + UNKNOWN_PAUSE;
                     }
                     Vec::new()
@@ -79,7 +79,7 @@
 ///
 /// # Errors
 ///
-/// Fails with kind `Codec` if the node doesn't know such requests, and otherwise if it does
+/// Fails with kind `Rejected` if the node doesn't know such requests, and otherwise if it does
 /// not reply; it then counts as failed.
 pub(crate) async fn call_owner(
     gateway: &Gateway,
@@ -100,9 +100,9 @@
         Ok(PeerReply::Share(grants)) => {
             Ok(grants.into_iter().zip(&asks).map(|(grant, ask)| grant.within(ask)).collect())
         }
-        Ok(_) => Err(WireError::new(WireErrorKind::Codec, "another reply".to_owned())),
+        Ok(_) => Err(WireError::new(WireErrorKind::Rejected, "another reply".to_owned())),
         Err(error) => {
-            if error.kind() != WireErrorKind::Codec {
+            if error.kind() != WireErrorKind::Rejected {
                 gateway.state.borrow_mut().peers.on_failed(BootTime::now(), owner);
             }
             Err(error)
--- a/crates/gateway/tests/peer_frames.rs
+++ b/crates/gateway/tests/peer_frames.rs
@@ -1,24 +1,28 @@
 //! Messages between nodes of different versions, which serve together while machines are
 //! replaced one after the other.
 //!
-//! `frames/first.txt` holds frames as the first version with this protocol encodes them.
-//! Every later version must decode them and encode the same messages in the same way.
+//! `frames/first.txt` holds frames as the first version with this protocol encodes them, and
+//! `frames/second.txt` those of the messages that were added next. Every later version must
+//! decode them and encode the same messages in the same way.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use carobstep_gateway::peer_messages::{
     DelegatedOutcome, DelegatedParts, DelegatedRequest, DelegatedResponse, DelegatedVerdict,
-    FollowRequest, PeerReply, PeerRequest, QuotaReply, QuotaRequest, StaleReply, StoreUpdate,
+    Extension, FollowRequest, ObservationsReply, ObservationsRequest, PeerReply, PeerRequest,
+    QuotaReply, QuotaRequest, ShareRequest, ShortAccounts, StaleReply, StoreUpdate,
 };
 use carobstep_tier::{
     CrashEvidence, CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, LinkReport,
     LinkUpdate, PeerEntry, PeerUpdate, QuotaAsk, RequestFingerprint, RequestRate, ServerEntry,
-    ServerIncarnation, ServerPhase, StoreRevision, VersionedServer,
+    ServerIncarnation, ServerObservation, ServerPhase, ShareAsk, ShareGrant, SharedSubject,
+    StoreRevision, VersionedServer,
 };
 use carobstep_wire::{decode, encode};
 
 const FIRST_VERSION: &str = include_str!("frames/first.txt");
+const SECOND_VERSION: &str = include_str!("frames/second.txt");
 
 /// Name of a message and its frame.
 struct FrameCase {
@@ -192,6 +196,45 @@
     ]
 }
 
+/// Messages that the second version added.
+fn second_cases() -> Vec<FrameCase> {
+    let server = ServerIncarnation { id: name("i-1"), born_ms: Some(1_234) };
+    let subjects = [
+        SharedSubject::Server(server.clone()),
+        SharedSubject::ColdServer(server),
+        SharedSubject::Account(name("account")),
+        SharedSubject::ExtraRequests(name("s1")),
+    ];
+    let ask = |subject| ShareAsk { subject, tokens: 3, used: 300, recent: 70_000 };
+    let share = ShareRequest { node: name("n1"), asks: subjects.map(ask).to_vec() };
+    let grant = ShareGrant { tokens: 3, level: 750, is_known: true };
+    let observation = ServerObservation {
+        server: 4_000_000_000u32,
+        attempts: 35,
+        turned_away: 10,
+        lost: 300,
+        silent: 0,
+    };
+    let reports = ObservationsRequest {
+        node: name("n1"),
+        reports: vec![observation],
+        failing: Some(vec![observation]),
+    };
+    let failing = ObservationsReply { failing: vec![observation] };
+    let accounts = ShortAccounts { node: name("n1"), accounts: vec![name("account")] };
+    let extension = Extension { kind: 1, content: Bytes::from_static(b"content") };
+    let follow = PeerRequest::FollowExtended(Default::default(), vec![extension]);
+    vec![
+        request("share", &PeerRequest::Share(share)),
+        request("observations", &PeerRequest::Observations(reports)),
+        request("follow_extended", &follow),
+        request("short_accounts", &PeerRequest::ShortAccounts(accounts)),
+        reply("share_reply", &PeerReply::Share(vec![grant])),
+        reply("observations_reply", &PeerReply::Observations(failing)),
+        reply("support", &PeerReply::Support(vec![true, false])),
+    ]
+}
+
 fn to_hex(frame: &[u8]) -> String {
     frame.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -203,9 +246,18 @@
 
 #[test]
 fn messages_are_those_of_the_first_version() {
-    let mut known = FIRST_VERSION.lines();
-    for case in cases() {
-        let line = known.next().expect("a frame of the first version");
+    check_frames(FIRST_VERSION, cases());
+}
+
+#[test]
+fn later_messages_are_those_of_the_second_version() {
+    check_frames(SECOND_VERSION, second_cases());
+}
+
+fn check_frames(known: &str, cases: Vec<FrameCase>) {
+    let mut known = known.lines();
+    for case in cases {
+        let line = known.next().expect("a recorded frame");
         let (name, hex) = line.split_once(' ').expect("a name and a frame");
         assert_eq!(name, case.name);
         assert_eq!(to_hex(&case.frame), hex, "{name} is encoded as before");
@@ -225,7 +277,8 @@
     let observations = PeerRequest::Observations(Default::default());
     let accounts = PeerRequest::ShortAccounts(Default::default());
     let follow = PeerRequest::FollowExtended(Default::default(), Vec::new());
-    for message in [share, observations, accounts, follow] {
+    let named = PeerRequest::NamedObservations(Default::default());
+    for message in [share, observations, accounts, follow, named] {
         let frame = encode(&message).expect("a frame");
         assert!(frame[0] >= FIRST_REQUESTS, "{message:?}");
     }
@@ -234,3 +287,16 @@
         assert!(frame[0] >= FIRST_REPLIES, "{message:?}");
     }
 }
+
+/// The same for the second version.
+#[test]
+fn new_messages_are_unknown_to_the_second_version() {
+    const SECOND_REQUESTS: u8 = 9;
+    const SECOND_REPLIES: u8 = 14;
+    let named = PeerRequest::NamedObservations(Default::default());
+    let frame = encode(&named).expect("a frame");
+    assert!(frame[0] >= SECOND_REQUESTS, "{named:?}");
+    let named = PeerReply::NamedObservations(Default::default());
+    let frame = encode(&named).expect("a frame");
+    assert!(frame[0] >= SECOND_REPLIES, "{named:?}");
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -214,7 +214,9 @@
             Ok(PeerReply::Control(_)) => Err(SendFailure::unknown(RefusalReason::ReplyMismatch)),
             Err(error) => Err(match error.kind() {
                 WireErrorKind::NotSent => SendFailure::not_run(RefusalReason::PeerUnreachable),
-                WireErrorKind::Codec => SendFailure::unknown(RefusalReason::ReplyTruncated),
+                WireErrorKind::Codec | WireErrorKind::Rejected => {
+                    SendFailure::unknown(RefusalReason::ReplyTruncated)
+                }
                 WireErrorKind::Lost => SendFailure::unknown(RefusalReason::PeerLost),
             }),
         }
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -10,6 +10,7 @@
 mod evacuated;
 mod extras;
 mod links;
+mod names;
 mod observations;
 mod paced;
 mod quotas;
@@ -38,6 +39,7 @@
     stopping::StopHorizon,
 };
 pub use extras::ExtraUse;
+use names::HashedNames;
 pub use paced::PaceEvent;
 pub use quotas::{LimitChange, LimitedUse};
 pub use selection::{PickScope, SearchRank};
@@ -117,8 +119,8 @@
     service_names: IndexMap<Arc<str>, ServiceKey>,
     servers: SlotMap<ServerKey, ServerState>,
     server_ids: IndexMap<Arc<str>, ServerKey>,
-    /// Servers by the hashed identifiers that nodes exchange with each other.
-    id_hashes: IndexMap<u32, ServerKey>,
+    /// Servers by the hashed identifiers that nodes of the version before exchange.
+    hashed_names: HashedNames,
     /// Part of the retry budget of each service that the nodes of a zone share by demand.
     extra_pool: Option<ExtraPool>,
     /// Tolerance of the limits on cold servers, if there are any.
@@ -184,7 +186,7 @@
             service_names: IndexMap::new(),
             servers: SlotMap::with_key(),
             server_ids: IndexMap::new(),
-            id_hashes: IndexMap::new(),
+            hashed_names: HashedNames::default(),
             extra_pool: None,
             cold_bounds: None,
             extra_use: ExtraUse::default(),
@@ -314,7 +316,7 @@
         let key = self.servers.insert(state);
         self.limit_cold(now, key);
         self.server_ids.insert(entry.id.clone(), key);
-        self.id_hashes.insert(id_hash(&entry.id), key);
+        self.hashed_names.insert(&entry.id, key);
         if let Some(service) = self.services.get_mut(service) {
             service.servers.push(key);
         }
@@ -323,7 +325,7 @@
 
     fn remove_server(&mut self, key: ServerKey) {
         let Some(server) = self.servers.remove(key) else { return };
-        self.id_hashes.swap_remove(&id_hash(&server.entry.id));
+        self.hashed_names.remove(&server.entry.id, key);
         if server.paused_until > BootTime::ZERO {
             let ServerEntry { id, born_ms, .. } = &server.entry;
             let incarnation = ServerIncarnation { id: id.clone(), born_ms: *born_ms };
@@ -488,26 +490,6 @@
         zones
     }
 
-    /// Returns the hashed identifiers of servers, by which a peer looks them up.
-    #[must_use]
-    pub fn id_hashes(&self, keys: &[ServerKey]) -> Vec<u32> {
-        let servers = keys.iter().filter_map(|key| self.servers.get(*key));
-        servers.map(|server| id_hash(&server.entry.id)).collect()
-    }
-
-    /// Looks up servers by their hashed identifiers. Returns the service of the first
-    /// known one and all of them that belong to it, or `None` if none is known.
-    #[must_use]
-    pub fn find_servers_by_hash(&self, id_hashes: &[u32]) -> Option<(ServiceKey, Vec<ServerKey>)> {
-        let known = id_hashes.iter().filter_map(|hash| self.id_hashes.get(hash).copied());
-        let keys: Vec<_> = known.collect();
-        let service = self.servers.get(*keys.first()?)?.service;
-        let in_service = |key: &ServerKey| {
-            self.servers.get(*key).is_some_and(|server| server.service == service)
-        };
-        Some((service, keys.into_iter().filter(in_service).collect()))
-    }
-
     /// Records that a request is sent to a server.
     pub fn on_attempt_sent(
         &mut self,
@@ -578,9 +560,3 @@
     bytes[8..].copy_from_slice(&number.to_le_bytes());
     (xxh3_64(&bytes) >> 11) as f64 / (1u64 << 53) as f64
 }
-
-/// Returns the hashed identifier of a server; collisions are not handled, as a
-/// deployment has too few servers for them to be likely.
-fn id_hash(id: &str) -> u32 {
-    xxh3_64(id.as_bytes()) as u32
-}
--- a/crates/tier/src/fleet/observations.rs
+++ b/crates/tier/src/fleet/observations.rs
@@ -1,19 +1,20 @@
 //! Failures of servers that the nodes of a zone tell each other.
 
+use std::sync::Arc;
+
 use carobstep_clock::BootTime;
 use indexmap::IndexMap;
 
-use super::{ServerFleet, ServerKey, ServiceKey, id_hash};
+use super::{ServerFleet, ServerKey, ServiceKey};
 use crate::observations::{FailureOdds, ServerObservation, ServerTrouble};
 
 impl ServerFleet {
     /// Returns the attempts since the last call at the servers that have failed lately.
-    pub fn take_observations(&mut self, now: BootTime) -> Vec<ServerObservation> {
+    pub fn take_observations(&mut self, now: BootTime) -> Vec<ServerObservation<Arc<str>>> {
         let mut reports = Vec::new();
         for server in self.servers.values_mut() {
             if server.trouble.has_failed(now) {
-                let hash = id_hash(&server.entry.id);
-                reports.extend(server.trouble.take_report(now, hash));
+                reports.extend(server.trouble.take_report(now, &server.entry.id));
             }
         }
         reports
@@ -28,13 +29,12 @@
 
     /// Applies the attempts of all nodes of the zone at the servers that fail; those
     /// that failed before count as sound.
-    pub fn apply_observations(&mut self, now: BootTime, failing: &[ServerObservation]) {
-        let failing: IndexMap<u32, ServerObservation> =
-            failing.iter().map(|it| (it.server, *it)).collect();
+    pub fn apply_observations(&mut self, now: BootTime, failing: &[ServerObservation<Arc<str>>]) {
+        let failing: IndexMap<_, _> = failing.iter().map(|it| (&it.server, it)).collect();
         for server in self.servers.values_mut() {
-            let observation = failing.get(&id_hash(&server.entry.id)).copied();
+            let observation = failing.get(&server.entry.id).copied();
             if observation.is_some() || server.trouble.is_told(now) {
-                server.trouble.set_zone(now, observation.unwrap_or_default());
+                server.trouble.set_zone(now, observation);
             }
         }
     }
--- a/crates/tier/src/observations.rs
+++ b/crates/tier/src/observations.rs
@@ -5,7 +5,7 @@
 //! availability zone report their counts to one of them, which adds them up. All counts
 //! fade within a second or two, and a few requests go on trying a server that fails.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use indexmap::IndexMap;
@@ -85,9 +85,9 @@
 
 /// Attempts at a server in tenths, as nodes report them to each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerObservation {
-    /// Hash of the server's identifier.
-    pub server: u32,
+pub struct ServerObservation<Name> {
+    /// The server's identifier; its hash in messages of the version before.
+    pub server: Name,
     /// Attempts that have ended.
     pub attempts: u16,
     /// Attempts that the server has not run.
@@ -98,6 +98,14 @@
     pub silent: u16,
 }
 
+impl<Name> ServerObservation<Name> {
+    /// Returns the same attempts under another name of the server.
+    pub fn with_name<Other>(&self, server: Other) -> ServerObservation<Other> {
+        let Self { attempts, turned_away, lost, silent, .. } = *self;
+        ServerObservation { server, attempts, turned_away, lost, silent }
+    }
+}
+
 /// Numbers of attempts at a server by their outcomes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct AttemptCounts {
@@ -147,7 +155,7 @@
 /// Attempts at failing servers of all nodes of a zone.
 #[derive(Clone, Debug, Default)]
 pub struct ObservationLedger {
-    servers: IndexMap<u32, ReportedServer>,
+    servers: IndexMap<Arc<str>, ReportedServer>,
 }
 
 impl AttemptCounts {
@@ -191,7 +199,7 @@
         }
     }
 
-    fn to_observation(self, server: u32) -> ServerObservation {
+    fn to_observation(self, server: Arc<str>) -> ServerObservation<Arc<str>> {
         let parts = |count: f64| (count * REPORTED_PARTS).round() as u16;
         ServerObservation {
             server,
@@ -203,8 +211,8 @@
     }
 }
 
-impl From<ServerObservation> for AttemptCounts {
-    fn from(observation: ServerObservation) -> Self {
+impl From<&ServerObservation<Arc<str>>> for AttemptCounts {
+    fn from(observation: &ServerObservation<Arc<str>>) -> Self {
         let count = |parts: u16| f64::from(parts) / REPORTED_PARTS;
         Self {
             attempts: count(observation.attempts),
@@ -317,31 +325,40 @@
     }
 
     /// Returns the attempts since the last report if the server has failed lately.
-    pub(crate) fn take_report(&mut self, now: BootTime, server: u32) -> Option<ServerObservation> {
+    pub(crate) fn take_report(
+        &mut self,
+        now: BootTime,
+        server: &Arc<str>,
+    ) -> Option<ServerObservation<Arc<str>>> {
         if !self.has_failed(now) {
             return None;
         }
         let report = std::mem::take(&mut self.unreported).at(now, ZONE_FADING);
-        Some(report.to_observation(server)).filter(|report| report.attempts > 0)
+        Some(report.to_observation(server.clone())).filter(|report| report.attempts > 0)
     }
 
-    /// Replaces what is known of the zone's attempts.
-    pub(crate) fn set_zone(&mut self, now: BootTime, observation: ServerObservation) {
-        self.zone = Some(FadingCounts { counts: observation.into(), counted_at: now });
+    /// Replaces what is known of the zone's attempts; `None` if there were none.
+    pub(crate) fn set_zone(
+        &mut self,
+        now: BootTime,
+        observation: Option<&ServerObservation<Arc<str>>>,
+    ) {
+        let counts = observation.map(AttemptCounts::from).unwrap_or_default();
+        self.zone = Some(FadingCounts { counts, counted_at: now });
     }
 }
 
 impl ObservationLedger {
     /// Adds the attempts that a node reports.
-    pub fn merge(&mut self, now: BootTime, reports: &[ServerObservation]) {
+    pub fn merge(&mut self, now: BootTime, reports: &[ServerObservation<Arc<str>>]) {
         for report in reports {
-            let reported = self.servers.entry(report.server).or_default();
-            reported.counts.add(now, ZONE_FADING, (*report).into());
+            let reported = self.servers.entry(report.server.clone()).or_default();
+            reported.counts.add(now, ZONE_FADING, report.into());
         }
     }
 
     /// Returns the attempts at the servers that fail, and forgets those that don't any more.
-    pub fn failing(&mut self, now: BootTime) -> Vec<ServerObservation> {
+    pub fn failing(&mut self, now: BootTime) -> Vec<ServerObservation<Arc<str>>> {
         self.servers.retain(|_, it| it.counts.at(now, ZONE_FADING).failures() >= MIN_FAILURES);
         let mut failing = Vec::new();
         for (server, reported) in &mut self.servers {
@@ -349,7 +366,7 @@
             reported.is_told |= counts.failures() >= MIN_TOLD_FAILURES
                 && counts.odds(PRIOR_JOINT_ATTEMPTS).total() >= MIN_TOLD_SHARE;
             if reported.is_told {
-                failing.push(counts.to_observation(*server));
+                failing.push(counts.to_observation(server.clone()));
             }
         }
         failing
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -49,6 +49,9 @@
 /// Time for which a peer that did not reply as the owner of a limit is passed over.
 const OWNER_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Time for which a peer that rejected a message with names of servers gets none.
+const NAMES_REJECTED_TIME: Duration = Duration::from_secs(60);
+
 /// Maximum number of removals that are remembered for incremental updates; the oldest is
 /// forgotten first.
 const MAX_REMOVED: usize = 1024;
@@ -116,6 +119,9 @@
     stale_until: BootTime,
     /// Until when the peer is not taken for the owner of the limit of a client account.
     owner_pause_until: BootTime,
+    /// Until when the peer counts as one of the version before, to which servers are named by
+    /// hashes.
+    names_rejected_until: BootTime,
 }
 
 impl PeerState {
@@ -198,6 +204,7 @@
             revision,
             backoff_until: BootTime::ZERO,
             owner_pause_until: BootTime::ZERO,
+            names_rejected_until: BootTime::ZERO,
             failures: 0,
             contact_at: BootTime::ZERO,
             full_until: BootTime::ZERO,
@@ -356,6 +363,19 @@
         }
     }
 
+    /// Records that a peer does not know messages that name servers by their incarnations.
+    pub fn on_names_rejected(&mut self, now: BootTime, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            state.names_rejected_until = now + NAMES_REJECTED_TIME;
+        }
+    }
+
+    /// Returns whether messages to a peer may name servers by their incarnations.
+    #[must_use]
+    pub fn accepts_names(&self, now: BootTime, name: &str) -> bool {
+        self.peers.get(name).is_none_or(|state| now >= state.names_rejected_until)
+    }
+
     /// Records that a peer did not reply as the owner of the limit of a client account.
     pub fn on_owner_failed(&mut self, now: BootTime, name: &str) {
         if let Some(state) = self.peers.get_mut(name) {
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -182,7 +182,8 @@
     /// # Errors
     ///
     /// `NotSent` when the request was not sent, `Lost` when it was sent and no complete
-    /// reply arrived, `Codec` when a frame is malformed.
+    /// reply arrived, `Codec` when a frame is malformed, `Rejected` when the peer did not
+    /// handle the request.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -458,7 +459,7 @@
                     if response.status() != http::StatusCode::OK {
                         let status = response.status();
                         let message = format!("peer {address} answered with status {status}");
-                        return Err(WireError::new(WireErrorKind::Codec, message));
+                        return Err(WireError::new(WireErrorKind::Rejected, message));
                     }
                     *self = Self::Open(FrameReader::new(response.into_body()));
                 }
@@ -473,7 +474,7 @@
     /// # Errors
     ///
     /// `Lost` when the connection timed out or was closed, `Codec` when a frame is
-    /// malformed.
+    /// malformed, `Rejected` when the peer did not handle the request.
     pub async fn next(&mut self) -> Result<Option<R>, WireError> {
         let address = self.address;
         let connection = &mut self.connection;
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -21,6 +21,9 @@
     NotSent,
     /// The request was sent and no complete reply arrived.
     Lost,
+    /// The peer could not decode the request and has not handled it, for example because it
+    /// runs a version that doesn't know such requests.
+    Rejected,
 }
 
 impl WireError {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod hostile;
 mod limits;
 mod links;
+mod names;
 mod node;
 mod notices;
 mod odd_entries;
