Count what a new owner of a limit does not know as used

Cause: a new bucket was full, whether its owner had just started, had just taken over or had owned the limit all along. The same holds for the equal shares without an owner, and for the zone's pools of retries after an owner was lost.

Change: an owner has the tokens that came in since it knows of all requests: its start, or the loss of the owner before it; all of them after a window. An owner that stops, or finds another node before it, hands its tokens and counts over and passes on what still reaches it. A request asks the next owner if one is gone.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -23,6 +23,9 @@
 /// Least time between two reports of one account's requests.
 const REPORT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Number of owners that a request asks for a token, one after the other.
+const MAX_OWNERS_ASKED: usize = 3;
+
 /// Timeout of a call that tells a node that an account's tokens are short.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -49,7 +52,7 @@
         gateway.state.borrow_mut().account_uses.decide(BootTime::now(), *account, terms);
     if decision == AccountDecision::Ask {
         let is_waiting = Rc::new(Cell::new(true));
-        let asking = tell_owner(gateway, limited, 1, is_waiting.clone());
+        let asking = ask_owners(gateway, limited, is_waiting.clone());
         let reply = timeout(TOKEN_WAIT, asking).await;
         is_waiting.set(false);
         let nodes = gateway.state.borrow().peers.registered_nodes();
@@ -70,6 +73,23 @@
     }
 }
 
+/// Asks the owner of an account for a token, and the next one if it is gone.
+async fn ask_owners(
+    gateway: &Rc<Gateway>,
+    limited: &LimitedAccount,
+    is_waiting: Rc<Cell<bool>>,
+) -> Option<ShareGrant> {
+    let owner = || gateway.state.borrow().peers.account_owner(BootTime::now(), &limited.name);
+    for _ in 0..MAX_OWNERS_ASKED {
+        let asked = owner();
+        let grant = tell_owner(gateway, limited, 1, is_waiting.clone()).await;
+        if grant.is_some() || owner() == asked {
+            return grant;
+        }
+    }
+    None
+}
+
 /// Returns the token of a request that no server has run.
 pub(crate) fn refund_request(gateway: &Gateway, limited: Option<&LimitedAccount>) {
     if let Some(limited) = limited {
@@ -163,6 +183,21 @@
     Some(QuotaTerms::new(quota, gateway.settings.bounds.quota?))
 }
 
+/// Returns since when this node knows of all requests of an account, as its owner.
+pub(crate) fn known_since(
+    gateway: &Gateway,
+    state: &GatewayState,
+    now: BootTime,
+    name: &Arc<str>,
+) -> BootTime {
+    let is_new = !state.owned_accounts.knows(name);
+    // Others may know already that the node is gone which this one takes for the owner.
+    if is_new && state.peers.account_owner(now, name).is_some() {
+        return now;
+    }
+    state.peers.account_known_since(name, gateway.started)
+}
+
 /// Answers a node, which may be this one, as the owner of an account's limit.
 pub(crate) fn answer_account(
     gateway: &Gateway,
@@ -175,7 +210,14 @@
     let Some(terms) = terms else { return ShareGrant::default() };
     let sender = (name, node, state.peers.registered_nodes());
     let now = BootTime::now();
-    let grant = state.owned_accounts.answer(now, &mut state.quotas, &terms, sender, ask);
+    let has_successor = state.owned_accounts.successor(name).is_some();
+    if has_successor && state.peers.account_owner(now, name).is_none() {
+        // It is gone again.
+        state.owned_accounts.forget(name);
+    }
+    let known_since = known_since(gateway, state, now, name);
+    let GatewayState { owned_accounts, quotas, .. } = state;
+    let grant = owned_accounts.answer(now, quotas, &terms, sender, (ask, known_since));
     gateway.accounts_notify.notify_one();
     grant
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -298,7 +298,7 @@
         for (revision, name) in &nodes.removed {
             check_removal(gateway, *revision, name);
         }
-        gateway.update_peers(|peers| peers.apply_update(nodes));
+        gateway.update_peers(|peers| peers.apply_update(BootTime::now(), nodes));
     }
     {
         let known = &mut gateway.state.borrow_mut().configuration_revision;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -185,6 +185,7 @@
             cpu_share: settings.cpu_share,
             link_mbps: settings.link_mbps,
         };
+        let started = BootTime::now();
         let incarnation = RandomState::new().hash_one(settings.node.as_str()).max(1);
         // The connection events of the pool are not needed: each delegation
         // reports the failure of its peer itself.
@@ -196,7 +197,7 @@
             freshness: StoreFreshness::default(),
             routes: RouteTable::default(),
             accounts: AccountTable::default(),
-            account_uses: AccountUses::default(),
+            account_uses: AccountUses::new(started),
             owned_accounts: OwnedAccounts::default(),
             reporting: IndexSet::new(),
             round_robin: WeightedRoundRobin::default(),
@@ -242,7 +243,7 @@
             failures_notify: Notify::new(),
             extra_notify: Notify::new(),
             accounts_notify: Notify::new(),
-            started: BootTime::now(),
+            started,
             incarnation,
             closing: watch::Sender::new(false),
             callers: CallerListeners::new(settings.memory_bytes, settings.max_descriptors),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert_eq!(format!("{status:?}"), format!("{:?}", std::process::ExitCode::from(2)));
 //! ```
 
+mod account_handover;
 mod account_quota;
 mod accounts;
 mod admission;
--- a/crates/gateway/src/main_entry.rs
+++ b/crates/gateway/src/main_entry.rs
@@ -11,6 +11,7 @@
 use tokio::{net::TcpListener, task::LocalSet, task::spawn_local};
 
 use crate::{
+    account_handover::hand_over_accounts,
     account_quota::announce_short_accounts,
     args::GatewayArgs,
     callers::limit_callers,
@@ -117,6 +118,7 @@
     spawn_local(ask_for_cold(gateway.clone()));
     spawn_local(share_observations(gateway.clone()));
     spawn_local(announce_short_accounts(gateway.clone()));
+    spawn_local(hand_over_accounts(gateway.clone()));
     spawn_local(announce_quarantines(gateway.clone()));
     spawn_local(store_crashes(gateway.clone()));
     spawn_local(monitor_links(gateway.clone()));
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use carobstep_tier::{
-    CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate, LinkReport, LinkUpdate,
-    PeerUpdate, QuotaAsk, ServerIncarnation, ServerObservation, ShareAsk, ShareGrant,
-    StoreRevision,
+    AccountHandover, CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate,
+    LinkReport, LinkUpdate, PeerUpdate, QuotaAsk, ServerIncarnation, ServerObservation, ShareAsk,
+    ShareGrant, StoreRevision,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -42,6 +42,8 @@
     DelegatedByName(Box<DelegatedRequest>, Vec<Vec<ServerIncarnation>>),
     /// Like [`PeerRequest::Observations`], by identifier.
     NamedObservations(ObservationsRequest<Arc<str>>),
+    /// Limits of client accounts that the receiver owns from now on.
+    Handover(AccountsHandover),
 }
 
 /// Further data of a message. The receiver skips kinds that it doesn't know.
@@ -123,6 +125,17 @@
     pub accounts: Vec<Arc<str>>,
 }
 
+/// What a node knows of client accounts whose limits it no longer owns.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct AccountsHandover {
+    /// Name of the sender.
+    pub node: Arc<str>,
+    /// Whether the sender is stopping and owns no limits any more.
+    pub is_stopping: bool,
+    /// Accounts that the sender takes the receiver for the owner of.
+    pub accounts: Vec<AccountHandover>,
+}
+
 /// Request for tokens of shared limits to the node that the sender takes for their owner.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ShareRequest {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 };
 
 use crate::{
+    account_handover::apply_handover,
     account_quota::apply_notice,
     backend::BackendRequest,
     fanout::{FanoutProgress, run_fanout},
@@ -30,7 +31,7 @@
         FollowRequest, PeerReply, PeerRequest,
     },
     quota::grant_tokens,
-    shares::grant_shares,
+    shares::answer_shares,
 };
 
 /// Time reserved for the transfer of a peer's reply: the network latency between two
@@ -96,7 +97,8 @@
         | PeerRequest::Share(_)
         | PeerRequest::Observations(_)
         | PeerRequest::NamedObservations(_)
-        | PeerRequest::ShortAccounts(_) => {}
+        | PeerRequest::ShortAccounts(_)
+        | PeerRequest::Handover(_) => {}
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
@@ -119,7 +121,7 @@
             replies.send(PeerReply::Quota(grant_tokens(gateway, &request)));
         }
         PeerRequest::Share(request) => {
-            replies.send(PeerReply::Share(grant_shares(gateway, &request)));
+            replies.send(PeerReply::Share(answer_shares(gateway, request).await));
         }
         PeerRequest::Observations(request) => {
             gateway.failures_notify.notify_one();
@@ -138,6 +140,10 @@
         PeerRequest::ShortAccounts(notice) => {
             replies.send(PeerReply::Support(apply_notice(gateway, &notice)));
         }
+        PeerRequest::Handover(handover) => {
+            apply_handover(gateway, &handover);
+            replies.send(PeerReply::Received);
+        }
     }
 }
 
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
-use carobstep_tier::{ShareAsk, ShareGrant, ShareTerms, SharedSubject};
+use carobstep_tier::{OWNER_REPLY_TIMEOUT, ShareAsk, ShareGrant, ShareTerms, SharedSubject};
 use carobstep_wire::{WireError, WireErrorKind};
 use log::debug;
 use tokio::time::{sleep, timeout};
@@ -110,10 +110,28 @@
     }
 }
 
+/// Answers a request for tokens of another node; passes it on to the node that the account was
+/// handed over to.
+pub(crate) async fn answer_shares(gateway: &Gateway, request: ShareRequest) -> Vec<ShareGrant> {
+    let successor = match &request.asks[..] {
+        [ShareAsk { subject: SharedSubject::Account(name), .. }] => {
+            let state = gateway.state.borrow();
+            let handed_over = state.owned_accounts.successor(name);
+            handed_over.and_then(|_| state.peers.account_owner(BootTime::now(), name))
+        }
+        _ => None,
+    };
+    let Some(successor) = successor else { return grant_shares(gateway, &request) };
+    let limit = OWNER_REPLY_TIMEOUT / 2;
+    call_owner(gateway, &successor, request, limit).await.unwrap_or_else(|error| {
+        debug!(peer = successor.as_ref(), error:% = error; "the next owner did not reply");
+        vec![ShareGrant::default()]
+    })
+}
+
 /// Grants tokens that a node, which may be this one, asks for.
 pub(crate) fn grant_shares(gateway: &Gateway, request: &ShareRequest) -> Vec<ShareGrant> {
     let now = BootTime::now();
-    let uptime = now.since(gateway.started);
     let state = &mut *gateway.state.borrow_mut();
     let mut grants = Vec::with_capacity(request.asks.len());
     for ask in &request.asks {
@@ -125,7 +143,7 @@
             grants.push(answer_cold(state, &request.node, (server, ask)));
             continue;
         }
-        let Some(terms) = terms_of(state, uptime, &ask.subject) else {
+        let Some(terms) = terms_of(gateway, state, &ask.subject) else {
             grants.push(ShareGrant::default());
             continue;
         };
@@ -138,9 +156,16 @@
 }
 
 /// Returns the terms on which this node hands out a limit, if it owns such limits.
-fn terms_of(state: &GatewayState, uptime: Duration, subject: &SharedSubject) -> Option<ShareTerms> {
+fn terms_of(
+    gateway: &Gateway,
+    state: &GatewayState,
+    subject: &SharedSubject,
+) -> Option<ShareTerms> {
     match subject {
-        SharedSubject::ExtraRequests(_) => Some(state.fleet.extra_pool()?.terms(uptime)),
+        SharedSubject::ExtraRequests(_) => {
+            let known_since = state.peers.zone_known_since(gateway.started);
+            Some(state.fleet.extra_pool()?.terms(BootTime::now(), known_since))
+        }
         SharedSubject::Server(_) | SharedSubject::ColdServer(_) | SharedSubject::Account(_) => None,
     }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -11,7 +11,9 @@
     time::{Duration, sleep},
 };
 
-use crate::{gateway::Gateway, main_entry::load_settings, membership};
+use crate::{
+    account_handover::hand_over_all, gateway::Gateway, main_entry::load_settings, membership,
+};
 
 /// Interval at which a stopping node checks whether its next phase has begun.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -39,6 +41,7 @@
         state.fleet.set_horizon(state.lifecycle.horizon());
     }
     info!(in_flight = gateway.state.borrow().in_flight; "stopping");
+    hand_over_all(&gateway);
     let deregistering = gateway.clone();
     spawn_local(async move { membership::deregister(&deregistering).await });
     let mut phase = gateway.phase();
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -411,7 +411,7 @@
             WatchedKind::Nodes => {
                 let nodes = self.read_nodes(revision.era, objects);
                 check_registration(&self.gateway, revision, &nodes);
-                self.gateway.update_peers(|peers| peers.replace(revision, nodes));
+                self.gateway.update_peers(|peers| peers.replace(BootTime::now(), revision, nodes));
             }
             WatchedKind::Evacuations => {
                 let names = objects.iter().map(|object| object.name.as_str().into());
@@ -484,7 +484,9 @@
 
     fn apply_node_event(&mut self, page_revision: StoreRevision, event: &ObjectEvent) {
         if event.removed {
-            self.gateway.update_peers(|peers| peers.remove(page_revision, &event.object.name));
+            self.gateway.update_peers(|peers| {
+                peers.remove(BootTime::now(), page_revision, &event.object.name)
+            });
             return;
         }
         let revision = StoreRevision { number: event.object.revision, ..page_revision };
--- a/crates/tier/src/account_owner.rs
+++ b/crates/tier/src/account_owner.rs
@@ -1,16 +1,18 @@
 //! Owners of the limits on client accounts, who hand out their tokens.
 //!
-//! An owner counts what the nodes report. A node that becomes the owner after another one
-//! hands out only what that one can't have handed out, until all nodes take it for the owner.
+//! An owner counts what the nodes report, and hands its counts over when another node becomes
+//! the owner. A node that becomes the owner without them takes all tokens for used, and hands
+//! out what comes in from then on.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use carobstep_clock::BootTime;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     account_quota::{GIVEN_TOLERANCE, OWNER_REPLY_TIMEOUT, QuotaTerms},
-    shares::{ShareAsk, ShareGrant, ShareLedger},
+    shares::{ShareAsk, ShareGrant, ShareLedger, SharedSubject},
 };
 
 /// Part of the tolerance that the owner hands out while the requests of the last window are
@@ -21,9 +23,6 @@
 /// new owner; reports may also overtake each other.
 const EARLIER_TOLERANCE: f64 = 0.1;
 
-/// Part of what comes in during a window up to which an account's requests are usual.
-const MAX_USUAL_USE: f64 = 0.75;
-
 /// Time after which most nodes with requests have reported to a new owner.
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1_000);
 
@@ -50,13 +49,35 @@
     noticed: Option<(BootTime, BootTime)>,
     /// When each node last said that it takes this one for the owner.
     supporters: IndexMap<Arc<str>, BootTime>,
-    takeover: Option<Takeover>,
+    /// Whether an earlier owner may still hand out tokens to other nodes.
+    is_disputed: bool,
     /// When all nodes last took this one for the owner after a takeover.
     confirmed_at: Option<BootTime>,
     /// When it is forgotten unless a node reports.
     kept_until: BootTime,
-    /// Since when this node knows of all requests.
+    /// Since when the nodes have reported all requests to this one.
     counted_since: BootTime,
+    /// Since when this node knows of all requests.
+    known_since: BootTime,
+    /// The same without what other nodes have handed over.
+    owned_since: BootTime,
+    /// Requests that an earlier owner knew of.
+    handed_over: RecentRequests,
+    /// Node that shares out the limit now, and has what this one knew.
+    successor: Option<Arc<str>>,
+}
+
+/// What an owner knows of an account, for the node that owns it from then on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountHandover {
+    /// Name of the account.
+    pub account: Arc<str>,
+    /// Tokens that are left, in thousandths; negative if more were used.
+    pub millitokens: i64,
+    /// Requests of the last window: how long ago, and how many.
+    pub recent: Vec<(Duration, u32)>,
+    /// Time for which the sender has known of all requests.
+    pub known_for: Duration,
 }
 
 /// Room for requests in the last window of a limit.
@@ -95,6 +116,12 @@
         }
     }
 
+    /// Returns the requests of the window that ends now, by their ages.
+    fn ages(&mut self, now: BootTime, window: Duration) -> Vec<(Duration, u32)> {
+        self.count(now, window);
+        self.counts.iter().map(|(at, requests)| (now.since(*at), *requests)).collect()
+    }
+
     /// Returns the number of requests in the window that ends now.
     fn count(&mut self, now: BootTime, window: Duration) -> u32 {
         while let Some((_, requests)) = self.counts.pop_front_if(|(at, _)| now.since(*at) >= window)
@@ -105,55 +132,34 @@
     }
 }
 
-/// State of an account whose earlier owner may still hand out tokens to other nodes.
-#[derive(Clone, Copy, Debug)]
-struct Takeover {
-    /// Tokens that are handed out only if all nodes take this one for the owner.
-    withheld: u32,
-}
-
 impl OwnedAccounts {
-    /// Answers a node, which may be this one. `nodes` is the number of registered nodes.
+    /// Answers a node, which may be this one. `nodes` is the number of registered nodes, and
+    /// `known_since` the time since which this one knows of all requests.
     pub fn answer(
         &mut self,
         now: BootTime,
         ledger: &mut ShareLedger,
         terms: &QuotaTerms,
         (name, node, nodes): (&Arc<str>, &Arc<str>, u32),
-        ask: &ShareAsk,
+        (ask, known_since): (&ShareAsk, BootTime),
     ) -> ShareGrant {
-        let new = OwnedAccount {
-            reporters: IndexMap::new(),
-            is_short: false,
-            noticed: None,
-            supporters: IndexMap::new(),
-            takeover: None,
-            confirmed_at: None,
-            kept_until: now,
-            counted_since: now,
-        };
-        let account = self.accounts.entry(name.clone()).or_insert(new);
+        let account = self.get_or_insert(now, name, known_since);
+        account.check_takeover(now, known_since);
         account.kept_until = now + terms.window + SUPPORT_TIME;
-        let shared = terms.share_terms();
         account.reporters.retain(|_, it| now.since(it.seen_at) < terms.window + SUPPORT_TIME);
         account.record(now, node, terms, ask);
         if account.is_taken_over(now, terms) {
-            let withheld = (shared.depth * (1.0 - 1.0 / f64::from(nodes.max(1)))) as u32;
-            account.takeover = Some(Takeover { withheld });
+            account.is_disputed = true;
             account.supporters.clear();
             account.counted_since = now;
-            ledger.charge(now, &ask.subject, shared, 1.0, withheld);
+            account.known_since = now;
         }
+        let shared = terms.terms_since(now, account.known_since);
         let share = account.share(now, nodes, terms);
-        let earlier = account.count_earlier(now, nodes);
-        let is_clear = earlier <= terms.per_window() * MAX_USUAL_USE
-            || now.since(account.counted_since) >= FIRST_REPORTS_TIME;
-        if share >= 1.0
-            && is_clear
-            && let Some(takeover) = account.takeover.take()
-        {
+        let earlier = account.count_earlier(now, nodes, terms);
+        if share >= 1.0 && account.is_disputed {
+            account.is_disputed = false;
             account.confirmed_at = Some(now);
-            ledger.credit(now, &ask.subject, shared, takeover.withheld);
         }
         ledger.charge(now, &ask.subject, shared, share, ask.used);
         let room = account.room(now, earlier, terms, share);
@@ -172,6 +178,117 @@
         ShareGrant { tokens, level, is_known: true }
     }
 
+    /// Returns what this node knows of an account that another node owns now; from then on,
+    /// its answers are up to that node. `None` if it knows nothing.
+    pub fn hand_over(
+        &mut self,
+        now: BootTime,
+        ledger: &mut ShareLedger,
+        terms: &QuotaTerms,
+        (name, successor): (&Arc<str>, &Arc<str>),
+    ) -> Option<AccountHandover> {
+        let account = self.accounts.get_mut(name).filter(|it| it.successor.is_none())?;
+        account.successor = Some(successor.clone());
+        let shared = terms.terms_since(now, account.known_since);
+        let subject = SharedSubject::Account(name.clone());
+        let tokens = ledger.tokens(now, &subject, shared, 1.0);
+        ledger.forget(&subject);
+        let mut recent = account.handed_over.ages(now, terms.window);
+        for reporter in account.reporters.values_mut() {
+            recent.extend(reporter.known.ages(now, terms.window));
+        }
+        Some(AccountHandover {
+            account: name.clone(),
+            millitokens: (tokens * 1000.0) as i64,
+            recent,
+            known_for: now.since(account.known_since),
+        })
+    }
+
+    /// Returns the node that an account was handed over to.
+    #[must_use]
+    pub fn successor(&self, name: &str) -> Option<&Arc<str>> {
+        self.accounts.get(name)?.successor.as_ref()
+    }
+
+    /// Forgets an account that could not be handed over: its owner is to find out anew.
+    pub fn forget(&mut self, name: &str) {
+        self.accounts.swap_remove(name);
+    }
+
+    /// Applies what an earlier owner knew of an account that this node owns now.
+    pub fn take_over(
+        &mut self,
+        now: BootTime,
+        ledger: &mut ShareLedger,
+        terms: &QuotaTerms,
+        (handover, known_since): (&AccountHandover, BootTime),
+    ) {
+        let name = &handover.account;
+        let account = self.get_or_insert(now, name, known_since);
+        account.kept_until = now + terms.window + SUPPORT_TIME;
+        account.check_takeover(now, known_since);
+        account.is_disputed = false;
+        account.confirmed_at = Some(now);
+        account.successor = None;
+        // The sender takes all tokens for used that were there before it knew of the requests.
+        let mut used_here = 0;
+        for reporter in account.reporters.values_mut() {
+            let recent = reporter.known.ages(now, terms.window);
+            let since = recent.iter().filter(|(age, _)| *age < handover.known_for);
+            used_here += since.map(|(_, requests)| requests).sum::<u32>();
+        }
+        account.handed_over = RecentRequests::default();
+        let mut recent = handover.recent.clone();
+        recent.sort_unstable_by_key(|(age, _)| std::cmp::Reverse(*age));
+        for (age, requests) in recent {
+            account.handed_over.add(now - age, requests);
+        }
+        account.known_since = now - handover.known_for;
+        let shared = terms.terms_since(now, account.known_since);
+        let tokens = handover.millitokens as f64 / 1000.0 - f64::from(used_here);
+        ledger.set_tokens(now, &SharedSubject::Account(name.clone()), shared, tokens);
+    }
+
+    /// Returns whether no node has reported requests lately.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns whether nodes have reported requests of an account lately.
+    #[must_use]
+    pub fn knows(&self, name: &str) -> bool {
+        self.accounts.contains_key(name)
+    }
+
+    /// Returns the accounts of which nodes have reported requests lately.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.accounts.keys()
+    }
+
+    fn get_or_insert(
+        &mut self,
+        now: BootTime,
+        name: &Arc<str>,
+        known_since: BootTime,
+    ) -> &mut OwnedAccount {
+        self.accounts.entry(name.clone()).or_insert_with(|| OwnedAccount {
+            reporters: IndexMap::new(),
+            is_short: false,
+            noticed: None,
+            supporters: IndexMap::new(),
+            is_disputed: false,
+            confirmed_at: None,
+            kept_until: now,
+            counted_since: now,
+            known_since,
+            owned_since: known_since,
+            handed_over: RecentRequests::default(),
+            successor: None,
+        })
+    }
+
     /// Returns the accounts of which all nodes have to be told now that tokens are short.
     /// Forgets those of which no node has reported requests for a window.
     pub fn due_notices(&mut self, now: BootTime) -> Vec<Arc<str>> {
@@ -179,7 +296,7 @@
         let mut due = Vec::new();
         for (name, account) in &mut self.accounts {
             let is_due = account.noticed.is_none_or(|(_, last)| now.since(last) >= NOTICE_INTERVAL);
-            if !account.is_short || !is_due {
+            if !account.is_short || !is_due || account.successor.is_some() {
                 continue;
             }
             let recent = account.noticed.filter(|(_, last)| now.since(*last) < SUPPORT_TIME);
@@ -198,18 +315,27 @@
 }
 
 impl OwnedAccount {
+    /// Takes all tokens for used if another owner was lost since the last call.
+    fn check_takeover(&mut self, now: BootTime, owned_since: BootTime) {
+        if owned_since > self.owned_since {
+            self.owned_since = owned_since;
+            self.known_since = owned_since;
+            self.counted_since = now;
+        }
+    }
+
     /// Returns whether reports show that another node has owned the account lately: nodes
     /// have sent requests of which this one does not know.
     fn is_taken_over(&self, now: BootTime, terms: &QuotaTerms) -> bool {
         let is_confirmed = self.confirmed_at.is_some_and(|at| now.since(at) < terms.window);
-        let is_pending = self.takeover.is_some() || is_confirmed;
+        let is_pending = self.is_disputed || is_confirmed;
         !is_pending && self.earlier_requests(now) > terms.tolerance * EARLIER_TOLERANCE
     }
 
     /// Returns the share of the limit that this node hands out. The shares of all owners add
     /// up to the whole, or to what is tolerated beyond it.
     fn share(&mut self, now: BootTime, nodes: u32, terms: &QuotaTerms) -> f64 {
-        if self.takeover.is_none() {
+        if !self.is_disputed {
             let Some((first, last)) = self.noticed else { return 1.0 };
             if now.since(last) >= SUPPORT_TIME || now.since(first) < FIRST_ANSWERS_TIME {
                 return 1.0;
@@ -247,8 +373,13 @@
     }
 
     /// Returns how many requests of the last window were reported to earlier owners.
-    fn count_earlier(&self, now: BootTime, nodes: u32) -> f64 {
+    fn count_earlier(&mut self, now: BootTime, nodes: u32, terms: &QuotaTerms) -> f64 {
+        let handed_over = f64::from(self.handed_over.count(now, terms.window));
         let earlier = self.earlier_requests(now);
+        if handed_over > 0.0 {
+            // The earlier owner knew of those that the nodes have reported to it.
+            return handed_over.max(earlier);
+        }
         if now.since(self.counted_since) >= FIRST_REPORTS_TIME {
             return earlier;
         }
@@ -262,7 +393,7 @@
         for reporter in self.reporters.values_mut() {
             count += f64::from(reporter.known.count(now, terms.window));
         }
-        let is_counted = self.takeover.is_none() && now.since(self.counted_since) >= terms.window;
+        let is_counted = !self.is_disputed && now.since(self.counted_since) >= terms.window;
         let within = terms.within() + terms.tolerance * WITHIN_TOLERANCE;
         let most = terms.within() + terms.tolerance * GIVEN_TOLERANCE;
         let within = if is_counted { within * share - count } else { 0.0 };
--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -14,7 +14,7 @@
 use crate::{
     accounts::AccountKey,
     model::{AccountQuota, QuotaBounds},
-    shares::{ShareGrant, ShareTerms},
+    shares::{MIN_SAVED, ShareGrant, ShareTerms},
 };
 
 /// Part of the tolerance that the owner hands out beyond the burst.
@@ -27,6 +27,10 @@
 /// its reply.
 const AHEAD_TOLERANCE: f64 = 0.3;
 
+/// Part of the tolerance that an owner may hand out at once although it does not know what was
+/// used before.
+const UNKNOWN_TOLERANCE: f64 = 0.15;
+
 /// Time for which a node asks before it admits, after the last word that tokens are short.
 const SHORT_TIME: Duration = Duration::from_millis(1_000);
 
@@ -64,13 +68,39 @@
         Self { per_second, burst, tolerance, window: bounds.window }
     }
 
-    /// Returns how the tokens of the limit come in at its owner.
+    /// Returns how the tokens of the limit come in at an owner that has known of all requests
+    /// for a long time.
     #[must_use]
     pub fn share_terms(&self) -> ShareTerms {
         let depth = (self.burst + self.tolerance * GIVEN_TOLERANCE).max(1.0);
-        let saved = Duration::try_from_secs_f64(depth / self.per_second.max(1e-6));
-        let saved = saved.unwrap_or(Duration::MAX);
-        ShareTerms { per_second: self.per_second, depth, saved }
+        ShareTerms { per_second: self.per_second, depth, saved: self.income_time(depth) }
+    }
+
+    /// Returns how they come in at an owner that has known of all requests since `known_since`:
+    /// before, all tokens may have been used. Requests before a window no longer count.
+    pub(crate) fn terms_since(&self, now: BootTime, known_since: BootTime) -> ShareTerms {
+        let known_for = now.since(known_since);
+        if known_for >= self.window {
+            return self.share_terms();
+        }
+        let saved = known_for + self.income_time(self.tolerance * UNKNOWN_TOLERANCE);
+        ShareTerms { saved: saved.max(MIN_SAVED), ..self.share_terms() }
+    }
+
+    /// Returns the tokens that have come in since the start of a process.
+    fn tokens_since(&self, now: BootTime, started: BootTime) -> f64 {
+        let (terms, known_for) = (self.share_terms(), now.since(started));
+        let has_all = known_for >= self.window;
+        if has_all {
+            terms.depth
+        } else {
+            terms.depth.min(terms.per_second * known_for.as_secs_f64())
+        }
+    }
+
+    fn income_time(&self, tokens: f64) -> Duration {
+        let time = Duration::try_from_secs_f64(tokens / self.per_second.max(1e-6));
+        time.unwrap_or(Duration::MAX)
     }
 
     pub(crate) fn is_short(&self, tokens: f64) -> bool {
@@ -124,6 +154,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AccountUses {
     uses: SecondaryMap<AccountKey, AccountUse>,
+    /// When the process started, which knows of no requests before.
+    started: BootTime,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -144,6 +176,8 @@
     lost_since: Option<BootTime>,
     /// This node's equal share of the limit while no owner answers.
     equal_share: Option<EqualShare>,
+    /// Tokens that the owner had left at its last reply.
+    last_level: Option<(BootTime, f64)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -188,13 +222,24 @@
         is_admitted
     }
 
-    /// Takes a token from this node's equal share of the limit.
-    fn take_equal_share(&mut self, now: BootTime, terms: &QuotaTerms, nodes: u32) -> bool {
-        let (part, terms) = (1.0 / f64::from(nodes.max(1)), terms.share_terms());
-        let full = TokenBucket { tokens: terms.depth * part, refilled_at: now };
-        let share = self.equal_share.get_or_insert(EqualShare { bucket: full, begun_at: now });
+    /// Takes a token from this node's equal share of the limit, which begins with its share of
+    /// the tokens that the owner had left.
+    fn take_equal_share(
+        &mut self,
+        now: BootTime,
+        terms: &QuotaTerms,
+        nodes: u32,
+        started: BootTime,
+    ) -> bool {
+        let part = 1.0 / f64::from(nodes.max(1));
+        let recent = self.last_level.filter(|(at, _)| now.since(*at) < terms.window);
+        // Without a word of the owner, tokens were not short, unless it was told to an earlier
+        // process.
+        let left = recent.map_or_else(|| terms.tokens_since(now, started), |(_, level)| level);
+        let bucket = TokenBucket { tokens: left * part, refilled_at: now };
+        let share = self.equal_share.get_or_insert(EqualShare { bucket, begun_at: now });
         let bucket = &mut share.bucket;
-        bucket.refill(now, terms, part);
+        bucket.refill(now, terms.share_terms(), part);
         let is_admitted = bucket.tokens >= 1.0;
         if is_admitted {
             bucket.tokens -= 1.0;
@@ -204,6 +249,12 @@
 }
 
 impl AccountUses {
+    /// Creates the uses of a process that has just started.
+    #[must_use]
+    pub fn new(started: BootTime) -> Self {
+        Self { uses: SecondaryMap::new(), started }
+    }
+
     /// Decides about a request, before anything is known of its body.
     pub fn decide(
         &mut self,
@@ -227,7 +278,10 @@
         let is_short = account.short_until.is_some_and(|until| now < until);
         let is_lost = account.lost_since.is_some_and(|since| now.since(since) >= DOUBT_TIME);
         // What a node must not pass on if it were alone.
-        let most = terms.per_window() + terms.share_terms().depth;
+        let most = match now.since(self.started) < terms.window {
+            true => terms.tokens_since(now, self.started),
+            false => terms.per_window() + terms.share_terms().depth,
+        };
         if is_short || is_lost || account.admitted.len() as f64 >= most {
             return AccountDecision::Ask;
         }
@@ -244,13 +298,14 @@
         terms: &QuotaTerms,
         reply: OwnerReply,
     ) -> AccountDecision {
+        let started = self.started;
         let Some(account) = self.uses.get_mut(account) else {
             return AccountDecision::Refuse(terms.token_time());
         };
         let is_admitted = match reply {
             OwnerReply::Granted(grant) => grant.tokens > 0,
             OwnerReply::Late { nodes } => account.owe(terms, nodes),
-            OwnerReply::Lost { nodes } => account.take_equal_share(now, terms, nodes),
+            OwnerReply::Lost { nodes } => account.take_equal_share(now, terms, nodes, started),
         };
         if is_admitted {
             account.admitted.push_back(now);
@@ -322,6 +377,9 @@
         let is_recent = |share: &EqualShare| now.since(share.begun_at) < terms.window;
         account.equal_share = account.equal_share.filter(is_recent);
         let tokens = f64::from(grant.level) / 1000.0 * terms.share_terms().depth;
+        if grant.is_known {
+            account.last_level = Some((now, tokens));
+        }
         account.is_denied = grant.is_known && tokens < terms.tolerance * AHEAD_TOLERANCE;
         if grant.is_known && terms.is_short(tokens) {
             account.short_until = Some(now + SHORT_TIME);
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -70,7 +70,7 @@
 mod stopping;
 mod update_tree;
 
-pub use account_owner::OwnedAccounts;
+pub use account_owner::{AccountHandover, OwnedAccounts};
 pub use account_quota::{
     AccountDecision, AccountUses, OWNER_REPLY_TIMEOUT, OwnerReply, QuotaTerms, TOKEN_WAIT,
 };
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -101,6 +101,10 @@
     /// Revision since which every removal is in `removed`.
     history_since: StoreRevision,
     removed: IndexMap<Arc<str>, StoreRevision>,
+    /// Nodes that were lost without handing over what they knew, and when that was noticed.
+    pub(crate) lost: IndexMap<Arc<str>, (PeerEntry, BootTime)>,
+    /// Whether this node is stopping, so that others own its limits.
+    pub(crate) is_leaving: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -119,6 +123,8 @@
     stale_until: BootTime,
     /// Until when the peer is not taken for the owner of the limit of a client account.
     owner_pause_until: BootTime,
+    /// Whether the peer is stopping and has handed over the limits that it owned.
+    has_handed_over: bool,
     /// Until when the peer counts as one of the version before, to which servers are named by
     /// hashes.
     names_rejected_until: BootTime,
@@ -133,7 +139,7 @@
     /// so that a single failure of another kind of call does not count.
     pub(crate) fn may_own(&self, now: BootTime) -> bool {
         let is_failing = self.failures >= MIN_OWNER_FAILURES && !self.is_usable(now);
-        !is_failing && now >= self.owner_pause_until
+        !is_failing && !self.has_handed_over && now >= self.owner_pause_until
     }
 
     /// Returns whether the peer's store updates were not found to be stale recently.
@@ -167,6 +173,8 @@
             revision: StoreRevision::default(),
             history_since: StoreRevision::default(),
             removed: IndexMap::new(),
+            lost: IndexMap::new(),
+            is_leaving: false,
         }
     }
 
@@ -195,7 +203,12 @@
         }
         self.removed.shift_remove(&entry.name);
         if let Some(known) = self.peers.get_mut(&entry.name).filter(|known| known.entry == entry) {
-            known.revision = known.revision.max(revision);
+            if known.revision < revision {
+                // Another process on the same machine, maybe of another version.
+                known.revision = revision;
+                known.has_handed_over = false;
+                known.names_rejected_until = BootTime::ZERO;
+            }
             return;
         }
         let state = PeerState {
@@ -204,6 +217,7 @@
             revision,
             backoff_until: BootTime::ZERO,
             owner_pause_until: BootTime::ZERO,
+            has_handed_over: false,
             names_rejected_until: BootTime::ZERO,
             failures: 0,
             contact_at: BootTime::ZERO,
@@ -224,8 +238,9 @@
     }
 
     /// Removes a peer; ignores names that are not known.
-    pub fn remove(&mut self, revision: StoreRevision, name: &str) {
+    pub fn remove(&mut self, now: BootTime, revision: StoreRevision, name: &str) {
         self.revision = self.revision.max(revision);
+        self.record_lost(now, name);
         let Some((name, _)) = self.peers.swap_remove_entry(name) else { return };
         self.link_reports.remove(&name);
         self.removed.shift_remove(&name);
@@ -238,7 +253,12 @@
     }
 
     /// Replaces all peers with a complete list; unchanged entries keep their state.
-    pub fn replace(&mut self, revision: StoreRevision, listed: Vec<(StoreRevision, PeerEntry)>) {
+    pub fn replace(
+        &mut self,
+        now: BootTime,
+        revision: StoreRevision,
+        listed: Vec<(StoreRevision, PeerEntry)>,
+    ) {
         let known = self.revision;
         if known == StoreRevision::default() {
             self.history_since = revision;
@@ -248,7 +268,7 @@
         let missing: Vec<Arc<str>> =
             self.peers.keys().filter(|name| !names.contains(*name)).cloned().collect();
         for name in missing {
-            self.remove(revision, &name);
+            self.remove(now, revision, &name);
         }
         for (revision, entry) in listed {
             self.insert(revision, entry);
@@ -281,18 +301,18 @@
     }
 
     /// Applies an update from a peer. Ignores one that is older than this table.
-    pub fn apply_update(&mut self, update: PeerUpdate) {
+    pub fn apply_update(&mut self, now: BootTime, update: PeerUpdate) {
         if update.revision < self.revision {
             return;
         }
         if update.whole {
-            self.replace(update.revision, update.changed);
+            self.replace(now, update.revision, update.changed);
             return;
         }
         for (revision, name) in update.removed {
             let known = self.peers.get(&name);
             if known.is_some_and(|known| known.revision <= revision) {
-                self.remove(revision, &name);
+                self.remove(now, revision, &name);
             }
         }
         for (revision, entry) in update.changed {
@@ -360,6 +380,33 @@
             let backoff = BACKOFF * 2u32.pow(state.failures.min(4));
             state.failures += 1;
             state.backoff_until = now + backoff.min(MAX_BACKOFF);
+            if !state.may_own(now) {
+                self.record_lost(now, name);
+            }
+        }
+    }
+
+    /// Records that a peer is stopping and has handed over the limits that it owned.
+    pub fn on_handed_over(&mut self, name: &str) {
+        if let Some(state) = self.peers.get_mut(name) {
+            state.has_handed_over = true;
+        }
+    }
+
+    /// Records that this node is stopping: from now on, others own its limits.
+    pub const fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Records that what a peer knew as the owner of limits is lost.
+    fn record_lost(&mut self, now: BootTime, name: &str) {
+        let Some(state) = self.peers.get(name).filter(|state| !state.has_handed_over) else {
+            return;
+        };
+        self.lost.shift_remove(name);
+        self.lost.insert(state.entry.name.clone(), (state.entry.clone(), now));
+        if self.lost.len() > MAX_REMOVED {
+            self.lost.shift_remove_index(0);
         }
     }
 
@@ -380,6 +427,7 @@
     pub fn on_owner_failed(&mut self, now: BootTime, name: &str) {
         if let Some(state) = self.peers.get_mut(name) {
             state.owner_pause_until = now + OWNER_PAUSE;
+            self.record_lost(now, name);
         }
     }
 
--- a/crates/tier/src/retry_budget.rs
+++ b/crates/tier/src/retry_budget.rs
@@ -15,7 +15,7 @@
     credit::CreditIncome,
     fleet::FleetLimits,
     quota::NodeShare,
-    shares::{ExtraPool, ShareTerms},
+    shares::{ExtraPool, MIN_SAVED, ShareTerms},
 };
 
 /// Fraction of the shared retry budget that the nodes use; the rest covers nodes
@@ -74,11 +74,12 @@
 }
 
 impl ExtraPool {
-    /// Returns the terms on which an owner that has been running for `uptime` hands out the
-    /// pool of a service.
+    /// Returns the terms on which an owner that has known of all requests since `known_since`
+    /// hands out the pool of a service.
     #[must_use]
-    pub fn terms(&self, uptime: Duration) -> ShareTerms {
-        ShareTerms { per_second: self.rate.per_second(), depth: self.depth, saved: uptime }
+    pub fn terms(&self, now: BootTime, known_since: BootTime) -> ShareTerms {
+        let saved = now.since(known_since).max(MIN_SAVED);
+        ShareTerms { per_second: self.rate.per_second(), depth: self.depth, saved }
     }
 }
 
--- a/crates/tier/src/shares.rs
+++ b/crates/tier/src/shares.rs
@@ -22,6 +22,9 @@
 /// not start with more tokens than it has.
 const BUCKET_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Least time of [`ShareTerms::saved`], for which zero has another meaning.
+pub(crate) const MIN_SAVED: Duration = Duration::from_nanos(1);
+
 /// What a limit that all nodes share is a limit on. Nodes exchange it: variants are only
 /// appended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -43,10 +46,22 @@
     pub per_second: f64,
     /// Maximum number of tokens that add up while none are asked for; at least one.
     pub depth: f64,
-    /// Time for which tokens have added up when the first ones are asked for.
+    /// Time for which tokens may have added up: that for which the owner has known of all
+    /// requests. Zero if tokens add up from the first request for them on.
     pub saved: Duration,
 }
 
+impl ShareTerms {
+    /// Returns the tokens that an owner of a share of the limit may have at hand at most.
+    pub(crate) fn most(&self, share: f64) -> f64 {
+        let depth = (self.depth * share).max(1.0);
+        if self.saved.is_zero() {
+            return depth;
+        }
+        (self.per_second * share * self.saved.as_secs_f64()).min(depth)
+    }
+}
+
 /// Tokens that this node hands out as the owner of limits.
 #[derive(Clone, Debug, Default)]
 pub struct ShareLedger {
@@ -100,16 +115,21 @@
         self.refill(now, subject, terms, share).tokens -= f64::from(used);
     }
 
-    /// Adds tokens that were taken out before and are handed out after all.
-    pub fn credit(
+    /// Replaces the tokens at hand by those that an earlier owner had left.
+    pub fn set_tokens(
         &mut self,
         now: BootTime,
         subject: &SharedSubject,
         terms: ShareTerms,
-        tokens: u32,
+        tokens: f64,
     ) {
-        let bucket = self.refill(now, subject, terms, 1.0);
-        bucket.tokens = (bucket.tokens + f64::from(tokens)).min(terms.depth.max(1.0));
+        let most = terms.most(1.0);
+        self.refill(now, subject, terms, 1.0).tokens = tokens.min(most);
+    }
+
+    /// Forgets a limit that another node shares out from now on.
+    pub fn forget(&mut self, subject: &SharedSubject) {
+        self.buckets.swap_remove(subject);
     }
 
     /// Returns the number of tokens at hand; negative if more were used.
@@ -134,10 +154,9 @@
             self.buckets.retain(|_, bucket| !bucket.is_forgettable(now));
         }
         let per_second = terms.per_second * share;
-        let most = (terms.depth * share).max(1.0);
-        let saved = (per_second * terms.saved.as_secs_f64()).min(most);
+        let most = terms.most(share);
         let initial = if terms.saved.is_zero() { 0.0 } else { most };
-        let new = ShareBucket { tokens: saved, refilled_at: now, per_second, initial };
+        let new = ShareBucket { tokens: initial, refilled_at: now, per_second, initial };
         let bucket = self.buckets.entry(subject.clone()).or_insert(new);
         let income = per_second * now.since(bucket.refilled_at).as_secs_f64();
         bucket.tokens = (bucket.tokens + income).min(most);
--- a/crates/tier/src/update_tree.rs
+++ b/crates/tier/src/update_tree.rs
@@ -209,7 +209,33 @@
         let scored = usable.map(|peer| (rendezvous_score(&peer.entry, account), &peer.entry.name));
         let best = scored.max_by(|one, other| one.0.total_cmp(&other.0));
         let own = rendezvous_score(self.own(), account);
-        best.filter(|(score, _)| *score > own).map(|(_, name)| name.clone())
+        best.filter(|(score, _)| self.is_leaving || *score > own).map(|(_, name)| name.clone())
+    }
+
+    /// Returns since when this node, which runs since `started`, has known of all requests of
+    /// a client account if it owns its limit: since the last node was lost that came before it.
+    #[must_use]
+    pub fn account_known_since(&self, account: &str, started: BootTime) -> BootTime {
+        let own = rendezvous_score(self.own(), account);
+        self.known_since(started, |entry| rendezvous_score(entry, account) > own)
+    }
+
+    /// The same for the limits that the first node of this zone shares out.
+    #[must_use]
+    pub fn zone_known_since(&self, started: BootTime) -> BootTime {
+        let own = self.own_rank();
+        self.known_since(started, |entry| {
+            entry.zone == self.own().zone && TreeRank::from(entry).is_before(&own)
+        })
+    }
+
+    fn known_since(
+        &self,
+        started: BootTime,
+        mut comes_before: impl FnMut(&PeerEntry) -> bool,
+    ) -> BootTime {
+        let lost = self.lost.values().filter(|(entry, at)| *at > started && comes_before(entry));
+        lost.map(|(_, at)| *at).max().unwrap_or(started)
     }
 
     /// Returns the source of the first node of a zone: the first node of the fleet that
--- a/crates/tier/tests/account_limits.rs
+++ b/crates/tier/tests/account_limits.rs
@@ -50,6 +50,8 @@
     /// Times of admissions.
     admitted: Vec<u64>,
     refused: Vec<u64>,
+    /// Since when the owner knows of all requests.
+    known_since: BootTime,
 }
 
 #[derive(Default)]
@@ -123,6 +125,7 @@
             open: BTreeMap::new(),
             admitted: Vec::new(),
             refused: Vec::new(),
+            known_since: BootTime::ZERO,
         }
     }
 
@@ -209,7 +212,8 @@
                 let count = self.nodes.len() as u32;
                 let Member { owned, ledger, .. } = &mut self.nodes[to];
                 let sender = (&name, &node_name(from), count);
-                let grant = Some(owned.answer(now, ledger, &self.terms, sender, &ask));
+                let grant =
+                    Some(owned.answer(now, ledger, &self.terms, sender, (&ask, self.known_since)));
                 if !owned.due_notices(now).is_empty() {
                     for node in (0..self.nodes.len()).filter(|node| *node != to) {
                         self.send(at, (to, node), Message::Short { from: to, to: node });
@@ -593,7 +597,7 @@
     let (name, node): (Arc<str>, Arc<str>) = ("one".into(), "n0".into());
     let subject = SharedSubject::Account(name.clone());
     let ask = ShareAsk { subject, tokens: 0, used: 200, recent: 200 };
-    owned.answer(ms(0), ledger, &fleet.terms, (&name, &node, 1), &ask);
+    owned.answer(ms(0), ledger, &fleet.terms, (&name, &node, 1), (&ask, fleet.known_since));
     assert_eq!(owned.due_notices(ms(1)), std::slice::from_ref(&name));
     assert_eq!(owned.due_notices(ms(900)), [name]);
     assert_eq!(owned.due_notices(ms(60_000)), [] as [Arc<str>; 0]);
--- a/crates/tier/tests/observations.rs
+++ b/crates/tier/tests/observations.rs
@@ -361,7 +361,7 @@
     fn grant(&mut self) {
         for (number, (fleet, _)) in self.nodes.iter_mut().enumerate() {
             let Some(pool) = fleet.extra_pool() else { continue };
-            let terms = pool.terms(WINDOW);
+            let terms = pool.terms(self.now, self.now - WINDOW);
             for (name, tokens) in fleet.extra_asks(self.now) {
                 let subject = SharedSubject::ExtraRequests(name.clone());
                 let granted =
--- a/crates/tier/tests/retry_pool.rs
+++ b/crates/tier/tests/retry_pool.rs
@@ -54,10 +54,12 @@
             callers.push((fleet, service));
         }
         let mut ledger = ShareLedger::default();
+        let mut known_since = at(0) - WINDOW;
         let interval = 1_000 * case.zones as u64 / case.requests;
         for millis in 0..30_000u64 {
             if case.owner_lost_at == Some(millis) {
                 ledger = ShareLedger::default();
+                known_since = at(millis);
             }
             if millis.is_multiple_of(interval) {
                 let position = (millis / interval) as usize % callers.len();
@@ -75,7 +77,9 @@
                     fleet.expects_extra(at(millis), *service, *deadline)
                 });
             }
-            let Some(terms) = pool.as_ref().map(|pool: &ExtraPool| pool.terms(WINDOW)) else {
+            let Some(terms) =
+                pool.as_ref().map(|pool: &ExtraPool| pool.terms(at(millis), known_since))
+            else {
                 continue;
             };
             // A call to the owner takes a few milliseconds.
--- a/crates/tier/tests/update_tree.rs
+++ b/crates/tier/tests/update_tree.rs
@@ -182,32 +182,35 @@
     let machines = machines(20, 2);
     let mut source = PeerTable::new(machines[0].clone());
     let listed = machines[..10].iter().map(|node| (rev(5), node.clone())).collect();
-    source.replace(rev(10), listed);
+    source.replace(at(0), rev(10), listed);
     let mut copy = PeerTable::new(machines[1].clone());
-    copy.apply_update(source.updates_since(copy.revision()));
+    copy.apply_update(at(0), source.updates_since(copy.revision()));
     assert_eq!((copy.live_nodes(), copy.revision()), (10, rev(10)));
     source.insert(rev(12), machines[12].clone());
-    source.remove(rev(13), "node-4");
+    source.remove(at(0), rev(13), "node-4");
     let update = source.updates_since(copy.revision());
     assert!(!update.whole);
     let changed: Vec<_> = update.changed.iter().map(|(_, node)| &*node.name).collect();
     assert_eq!(changed, ["node-0", "node-12"]);
     let mut other = PeerTable::new(machines[2].clone());
-    other.apply_update(source.updates_since(other.revision()));
-    copy.apply_update(update);
+    other.apply_update(at(0), source.updates_since(other.revision()));
+    copy.apply_update(at(0), update);
     assert_eq!((copy.live_nodes(), copy.revision()), (10, rev(13)));
     // A peer that has the same data gives nothing but itself.
     let same = other.updates_since(copy.revision());
     let unknown = same.changed.iter().filter(|(revision, _)| *revision < rev(13)).count();
     assert_eq!((same.whole, unknown), (false, 0));
     // An older list changes nothing; one of a later era replaces everything.
-    copy.apply_update(PeerUpdate { revision: rev(11), whole: true, ..PeerUpdate::default() });
+    copy.apply_update(
+        at(0),
+        PeerUpdate { revision: rev(11), whole: true, ..PeerUpdate::default() },
+    );
     assert_eq!(copy.live_nodes(), 10);
     let restored = StoreRevision { era: 1, number: 3 };
-    source.replace(restored, vec![(restored, machines[1].clone())]);
+    source.replace(at(0), restored, vec![(restored, machines[1].clone())]);
     let update = source.updates_since(copy.revision());
     assert!(update.whole);
-    copy.apply_update(update);
+    copy.apply_update(at(0), update);
     assert_eq!((copy.live_nodes(), copy.revision()), (2, restored));
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Runs the gateway as a process against stand-ins for the platform's store and for
 //! backend servers, and checks what callers and servers observe.
 
+mod account_restarts;
 mod accounts;
 mod backend;
 mod callers;
