Withhold a node's part of the retry budget for a window after its start

Cause: a process started with half of its node's part of each retry budget, although the process before it may just have used the whole part. All nodes restarted in turn while every try wants a retry: 75 retries in 10 s, 64 are allowed.

Change: the part becomes available when a window has passed since the start. Until then a node retries what its first requests earn.

Tests that relied on the half of a part use it up by name instead.

--- a/crates/tier/tests/shared_budget.rs
+++ b/crates/tier/tests/shared_budget.rs
@@ -12,6 +12,9 @@
     BootTime::from_millis(10_000 + millis)
 }
 
+/// Time in which the budget may be used once.
+const WINDOW: Duration = Duration::from_secs(10);
+
 /// Nodes that share a budget, and the load on each in a window of 10 s.
 struct SharedCase {
     label: &'static str,
@@ -27,9 +30,11 @@
     min_used: f64,
 }
 
-fn start_node(number: u64, limits: FleetLimits) -> (ServerFleet, ServiceKey) {
-    let mut fleet = ServerFleet::new(Arc::from("a"), limits).with_seed(number);
-    let service = fleet.get_or_insert_service(at(0), &Arc::from("shard-0"));
+/// Starts a process at a time, which knows of the service at once or from the start of the test.
+fn start_node(number: u64, limits: FleetLimits, started: BootTime) -> (ServerFleet, ServiceKey) {
+    let fleet = ServerFleet::new(Arc::from("a"), limits);
+    let mut fleet = fleet.with_seed(number).with_start(started, WINDOW);
+    let service = fleet.get_or_insert_service(started.max(at(0)), &Arc::from("shard-0"));
     (fleet, service)
 }
 
@@ -78,7 +83,8 @@
         let limits = FleetLimits { retry_ratio: 0.2, retry_slack: slack, nodes };
         let (mut sent, mut first) = (0, 0);
         for number in 0..nodes + restarts {
-            let (mut fleet, service) = start_node(u64::from(number), limits);
+            let started = if number < nodes { at(0) - WINDOW } else { at(0) };
+            let (mut fleet, service) = start_node(u64::from(number), limits, started);
             let mut left = wanted;
             for step in 0..requests {
                 first += 1;
@@ -98,3 +104,48 @@
         assert!(f64::from(sent) >= min_used * allowed, "{label}: {sent} of {allowed}");
     }
 }
+
+/// Guards against processes that use a node's part of the budget after their predecessors have
+/// used it: after a calm time in which nodes save their parts, every try wants a retry, and all
+/// nodes are restarted in turn, at once, or several times.
+#[test]
+fn restarted_processes_do_not_use_the_budget_again() {
+    const NODES: u64 = 6;
+    const CALM_TIME: u64 = 40_000;
+    let limits = FleetLimits { retry_ratio: 0.2, retry_slack: 52.0, nodes: NODES as u32 };
+    struct RestartCase {
+        label: &'static str,
+        /// Times in milliseconds after the calm time, for each node the times of its restarts.
+        restarts: fn(node: u64) -> Vec<u64>,
+    }
+    let cases = [
+        RestartCase { label: "in turn", restarts: |node| vec![1_000 + node * 1_000] },
+        RestartCase { label: "at once", restarts: |_| vec![1_000] },
+        RestartCase { label: "three times", restarts: |_| vec![1_000, 3_000, 6_000] },
+    ];
+    for case in cases {
+        let (mut sent, mut first) = (Vec::new(), Vec::new());
+        for node in 0..NODES {
+            let (mut fleet, mut service) = start_node(node, limits, at(0) - WINDOW);
+            let restarts = (case.restarts)(node);
+            for millis in (0..CALM_TIME + 20_000).step_by(100) {
+                if restarts.iter().any(|restart| CALM_TIME + restart == millis) {
+                    (fleet, service) = start_node(node, limits, at(millis));
+                }
+                if millis % 1_000 == 0 {
+                    first.push(millis);
+                    fleet.earn_extra(at(millis), service, 1.0);
+                }
+                if millis >= CALM_TIME && fleet.try_take_extra(at(millis), service) {
+                    sent.push(millis);
+                }
+            }
+        }
+        for start in (CALM_TIME..CALM_TIME + 10_000).step_by(100) {
+            let window = start..start + WINDOW.as_millis() as u64;
+            let count = |times: &[u64]| times.iter().filter(|at| window.contains(*at)).count();
+            let (sent, allowed) = (count(&sent), 0.2 * count(&first) as f64 + limits.retry_slack);
+            assert!(sent as f64 <= allowed, "{}, from {start}: {sent} of {allowed}", case.label);
+        }
+    }
+}
--- a/crates/tier/tests/support/mod.rs
+++ b/crates/tier/tests/support/mod.rs
@@ -35,10 +35,13 @@
     }
 }
 
-/// Builds the fleet of a node in zone `a`, with one server per shard in each of `zones`.
+/// Builds the fleet of a node in zone `a`, with one server per shard in each of `zones`. Half of
+/// its slack for retries is used up.
 pub fn fleet(shards: usize, zones: &[&str], limits: FleetLimits) -> (ServerFleet, Vec<ServiceKey>) {
-    let mut fleet = ServerFleet::new(name("a"), limits);
+    let half = FleetLimits { retry_slack: limits.retry_slack / 2.0, ..limits };
+    let mut fleet = ServerFleet::new(name("a"), half);
     let services = add_servers(&mut fleet, shards, zones);
+    fleet.set_limits(limits);
     (fleet, services)
 }
 
--- a/tests/gateway/account_restarts.rs
+++ b/tests/gateway/account_restarts.rs
@@ -66,7 +66,7 @@
 }
 
 fn call(id: &str, key: &str) -> HttpCall {
-    get("/fetch/", id).header("authorization", &format!("Token {key}"))
+    get("/fetch/", id).header("authorization", format!("Token {key}"))
 }
 
 /// Sends requests to the nodes in turn; one that can't be reached is passed over. Returns when
