Take a status outside 200 to 599 for a failure of the server

What callers saw: a `101 Switching Protocols` that nobody had asked for, with the server's stamp; 600 and 999 as well.

Cause: the HTTP library ends an exchange with a 101 like with a final response, and the gateway took everything that it got for one, from servers and from nodes that had called them.

Change: such a status fails the attempt, which may have run, and its connection is closed.

--- a/crates/gateway/src/backend.rs
+++ b/crates/gateway/src/backend.rs
@@ -344,6 +344,12 @@
                 ));
             }
         };
+        let status = response.status();
+        if !is_final(status) {
+            // The connection is closed: what follows on it has no meaning in HTTP.
+            let reason = format!("status {status} is no final response to this request");
+            return Some(ExchangeOutcome::without_response(AttemptOutcome::Failed, reason));
+        }
         self.record_notice(connection.opened, request, &response, on_notice);
         let reading = read_response(response, limits.response_bytes, reservation.clone());
         let outcome = match timeout_at(deadline, reading).await {
@@ -472,6 +478,12 @@
     }
 }
 
+/// Returns whether a status can end an exchange that asked for no other protocol (RFC 9110, 15:
+/// codes outside 100 to 599 are invalid, and informational ones precede the response).
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether a response is certain to be that of the request: it names the request,
 /// or nothing else was sent on the connection.
 fn is_certain_answer(
--- a/crates/gateway/src/fanout/peer_calls.rs
+++ b/crates/gateway/src/fanout/peer_calls.rs
@@ -11,7 +11,7 @@
 
 use super::MAX_RESPONSE_BYTES;
 use crate::{
-    backend::BackendResponse,
+    backend::{BackendResponse, is_final},
     gateway::Gateway,
     peer_messages::{
         DelegatedOutcome, DelegatedParts, DelegatedResponse, DelegatedVerdict, PeerReply,
@@ -199,7 +199,7 @@
     if body.len() > length {
         return None;
     }
-    let status = StatusCode::from_u16(status).ok()?;
+    let status = StatusCode::from_u16(status).ok().filter(|status| is_final(*status))?;
     let headers = read_headers(&headers)?;
     Some(BackendResponse::new(status, headers, body.freeze(), reservation))
 }
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -100,6 +100,8 @@
     CrashOnRequest,
     /// The server sends the start of a response and then bytes without end.
     Endless(EndlessBytes),
+    /// The server responds with this text as the status.
+    Status(&'static str),
 }
 
 impl ServerFault {
@@ -468,6 +470,12 @@
                     let _ = socket.write_all(place.text(&stamp_headers, &body).as_bytes()).await;
                     return;
                 }
+                ServerFault::Status(status) => {
+                    let length = body.len();
+                    format!(
+                        "HTTP/1.1 {status}\r\n{stamp_headers}content-length: {length}\r\n\r\n{body}"
+                    )
+                }
                 ServerFault::Misdirect => response_text(421, "", ""),
                 ServerFault::Error => response_text(500, &stamp_headers, "broken"),
                 ServerFault::CloseWithoutResponse => return,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod restore;
 mod soak;
+mod statuses;
 mod stop;
 mod store;
 
