Let new processes ask for tokens before they admit requests of accounts

Change: a process that has just started hands out only what comes in, and asks the owner before it admits a request, until a window has passed.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -198,7 +198,7 @@
             routes: RouteTable::default(),
             accounts: AccountTable::default(),
             account_uses: AccountUses::new(started),
-            owned_accounts: OwnedAccounts::default(),
+            owned_accounts: OwnedAccounts::new(started),
             reporting: IndexSet::new(),
             round_robin: WeightedRoundRobin::default(),
             directory: ServerDirectory::default(),
--- a/crates/tier/src/account_owner.rs
+++ b/crates/tier/src/account_owner.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct OwnedAccounts {
     accounts: IndexMap<Arc<str>, OwnedAccount>,
+    /// When the process started.
+    started: BootTime,
 }
 
 #[derive(Clone, Debug)]
@@ -133,6 +135,12 @@
 }
 
 impl OwnedAccounts {
+    /// Creates the accounts of a process that has just started.
+    #[must_use]
+    pub fn new(started: BootTime) -> Self {
+        Self { accounts: IndexMap::new(), started }
+    }
+
     /// Answers a node, which may be this one. `nodes` is the number of registered nodes, and
     /// `known_since` the time since which this one knows of all requests.
     pub fn answer(
@@ -143,6 +151,7 @@
         (name, node, nodes): (&Arc<str>, &Arc<str>, u32),
         (ask, known_since): (&ShareAsk, BootTime),
     ) -> ShareGrant {
+        let started = self.started;
         let account = self.get_or_insert(now, name, known_since);
         account.check_takeover(now, known_since);
         account.kept_until = now + terms.window + SUPPORT_TIME;
@@ -154,7 +163,7 @@
             account.counted_since = now;
             account.known_since = now;
         }
-        let shared = terms.terms_since(now, account.known_since);
+        let shared = terms.terms_since(now, account.known_since, started);
         let share = account.share(now, nodes, terms);
         let earlier = account.count_earlier(now, nodes, terms);
         if share >= 1.0 && account.is_disputed {
@@ -187,9 +196,10 @@
         terms: &QuotaTerms,
         (name, successor): (&Arc<str>, &Arc<str>),
     ) -> Option<AccountHandover> {
+        let started = self.started;
         let account = self.accounts.get_mut(name).filter(|it| it.successor.is_none())?;
         account.successor = Some(successor.clone());
-        let shared = terms.terms_since(now, account.known_since);
+        let shared = terms.terms_since(now, account.known_since, started);
         let subject = SharedSubject::Account(name.clone());
         let tokens = ledger.tokens(now, &subject, shared, 1.0);
         ledger.forget(&subject);
@@ -224,7 +234,7 @@
         terms: &QuotaTerms,
         (handover, known_since): (&AccountHandover, BootTime),
     ) {
-        let name = &handover.account;
+        let (name, started) = (&handover.account, self.started);
         let account = self.get_or_insert(now, name, known_since);
         account.kept_until = now + terms.window + SUPPORT_TIME;
         account.check_takeover(now, known_since);
@@ -245,7 +255,7 @@
             account.handed_over.add(now - age, requests);
         }
         account.known_since = now - handover.known_for;
-        let shared = terms.terms_since(now, account.known_since);
+        let shared = terms.terms_since(now, account.known_since, started);
         let tokens = handover.millitokens as f64 / 1000.0 - f64::from(used_here);
         ledger.set_tokens(now, &SharedSubject::Account(name.clone()), shared, tokens);
     }
--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -27,9 +27,9 @@
 /// its reply.
 const AHEAD_TOLERANCE: f64 = 0.3;
 
-/// Part of the tolerance that an owner may hand out at once although it does not know what was
-/// used before.
-const UNKNOWN_TOLERANCE: f64 = 0.15;
+/// Part of the tolerance that a node may hand out at once when it takes over from an owner of
+/// which it knows nothing.
+const TAKEOVER_TOLERANCE: f64 = 0.1;
 
 /// Time for which a node asks before it admits, after the last word that tokens are short.
 const SHORT_TIME: Duration = Duration::from_millis(1_000);
@@ -78,24 +78,25 @@
 
     /// Returns how they come in at an owner that has known of all requests since `known_since`:
     /// before, all tokens may have been used. Requests before a window no longer count.
-    pub(crate) fn terms_since(&self, now: BootTime, known_since: BootTime) -> ShareTerms {
+    /// A process that has been running before it became the owner hands out some at once.
+    pub(crate) fn terms_since(
+        &self,
+        now: BootTime,
+        known_since: BootTime,
+        started: BootTime,
+    ) -> ShareTerms {
         let known_for = now.since(known_since);
         if known_for >= self.window {
             return self.share_terms();
         }
-        let saved = known_for + self.income_time(self.tolerance * UNKNOWN_TOLERANCE);
+        let ahead = if known_since > started { self.tolerance * TAKEOVER_TOLERANCE } else { 0.0 };
+        let saved = known_for + self.income_time(ahead);
         ShareTerms { saved: saved.max(MIN_SAVED), ..self.share_terms() }
     }
 
     /// Returns the tokens that have come in since the start of a process.
     fn tokens_since(&self, now: BootTime, started: BootTime) -> f64 {
-        let (terms, known_for) = (self.share_terms(), now.since(started));
-        let has_all = known_for >= self.window;
-        if has_all {
-            terms.depth
-        } else {
-            terms.depth.min(terms.per_second * known_for.as_secs_f64())
-        }
+        self.terms_since(now, started, started).most(1.0)
     }
 
     fn income_time(&self, tokens: f64) -> Duration {
@@ -278,11 +279,10 @@
         let is_short = account.short_until.is_some_and(|until| now < until);
         let is_lost = account.lost_since.is_some_and(|since| now.since(since) >= DOUBT_TIME);
         // What a node must not pass on if it were alone.
-        let most = match now.since(self.started) < terms.window {
-            true => terms.tokens_since(now, self.started),
-            false => terms.per_window() + terms.share_terms().depth,
-        };
-        if is_short || is_lost || account.admitted.len() as f64 >= most {
+        let most = terms.per_window() + terms.share_terms().depth;
+        // A new process has not heard which accounts are short.
+        let is_new = now.since(self.started) < terms.window;
+        if is_short || is_lost || is_new || account.admitted.len() as f64 >= most {
             return AccountDecision::Ask;
         }
         account.admitted.push_back(now);
