Check delegated names by a digest of the services

Change: delegated requests have the hashes again, which stand for no server if several known ones share them, and one digest of the services' names, with which the delegate checks what it has found. A retry budget that was withheld becomes available with the next first request, not only with the next retry.

--- a/crates/gateway/src/fanout/peer_calls.rs
+++ b/crates/gateway/src/fanout/peer_calls.rs
@@ -49,7 +49,7 @@
     let failure_of = |error: &WireError| {
         debug!(peer = peer, error:% = error; "delegation failed");
         if error.kind() == WireErrorKind::Rejected {
-            info!(peer = peer; "a peer knows no delegated requests that name servers");
+            info!(peer = peer; "a peer knows no delegated requests with a digest of their services");
             gateway.state.borrow_mut().peers.on_names_rejected(BootTime::now(), peer);
             return Some(DelegationUpdate::NotSent);
         }
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use carobstep_tier::{
     AccountHandover, CrashRecord, CrashUpdate, DirectoryUpdate, LimitRecord, LimitUpdate,
-    LinkReport, LinkUpdate, PeerUpdate, QuotaAsk, ServerIncarnation, ServerObservation, ShareAsk,
-    ShareGrant, StoreRevision,
+    LinkReport, LinkUpdate, PeerUpdate, QuotaAsk, ServerIncarnation, ServerObservation,
+    ServicesDigest, ShareAsk, ShareGrant, StoreRevision,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -37,9 +37,8 @@
     FollowExtended(Box<FollowRequest>, Vec<Extension>),
     /// Client accounts that have used up their limits.
     ShortAccounts(ShortAccounts),
-    /// Like [`PeerRequest::Delegated`], whose `shards` are empty, with the servers that may be
-    /// called for each shard.
-    DelegatedByName(Box<DelegatedRequest>, Vec<Vec<ServerIncarnation>>),
+    /// Like [`PeerRequest::Delegated`], with the digest of the services of the shards.
+    DelegatedChecked(Box<DelegatedRequest>, ServicesDigest),
     /// Like [`PeerRequest::Observations`], by identifier.
     NamedObservations(ObservationsRequest<Arc<str>>),
     /// Limits of client accounts that the receiver owns from now on.
@@ -241,8 +240,7 @@
     pub is_first: bool,
     /// Priority of the route; 0 is the highest.
     pub priority: u32,
-    /// For each shard, the hashed identifiers of the servers that may be called; empty if the
-    /// message names them.
+    /// For each shard, the hashed identifiers of the servers that may be called.
     pub shards: Vec<Vec<u32>>,
     /// Maximum number of greatest records to return from all shards together.
     pub top: u32,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,8 +6,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy, ServerFleet,
-    ServerIncarnation, ServerKey, ServiceKey, ShardIndex, merge_records,
+    Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy, ServicesDigest,
+    ShardIndex, merge_records,
 };
 use carobstep_wire::{PeerHandler, ReplySink};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -88,7 +88,7 @@
 async fn serve_call(gateway: &Rc<Gateway>, request: PeerRequest, replies: &ReplySink<PeerReply>) {
     match &request {
         PeerRequest::Delegated(delegated) => gateway.mark_leaving(&delegated.leaving),
-        PeerRequest::DelegatedByName(delegated, _) => gateway.mark_leaving(&delegated.leaving),
+        PeerRequest::DelegatedChecked(delegated, _) => gateway.mark_leaving(&delegated.leaving),
         PeerRequest::Follow(follow) => merge_follower(gateway, follow),
         PeerRequest::FollowExtended(follow, _) => merge_follower(gateway, follow),
         PeerRequest::Crashes(records) => gateway.merge_crashes(records),
@@ -102,13 +102,9 @@
     }
     let is_stopping = gateway.state.borrow().lifecycle.is_stopping();
     match request {
-        PeerRequest::Delegated(mut request) => {
-            let names = ShardNames::Hashes(std::mem::take(&mut request.shards));
-            serve_delegated(gateway, request, names, replies).await;
-        }
-        PeerRequest::DelegatedByName(request, names) => {
-            let names = ShardNames::Incarnations(names);
-            serve_delegated(gateway, *request, names, replies).await;
+        PeerRequest::Delegated(request) => serve_delegated(gateway, request, None, replies).await,
+        PeerRequest::DelegatedChecked(request, digest) => {
+            serve_delegated(gateway, *request, Some(digest), replies).await;
         }
         PeerRequest::Follow(_) | PeerRequest::FollowExtended(..) | PeerRequest::Contact(_)
             if is_stopping =>
@@ -159,7 +155,7 @@
 async fn serve_delegated(
     gateway: &Rc<Gateway>,
     request: DelegatedRequest,
-    names: ShardNames,
+    digest: Option<ServicesDigest>,
     replies: &ReplySink<PeerReply>,
 ) {
     let is_serving = matches!(gateway.phase(), LifecyclePhase::Ready | LifecyclePhase::CutOff);
@@ -168,7 +164,7 @@
         return;
     }
     if request.is_relay {
-        let admission = gateway.take_relayed(names.len(), request.priority);
+        let admission = gateway.take_relayed(request.shards.len(), request.priority);
         if let Err(retry_in) = admission {
             replies.send(PeerReply::Full(retry_in));
             return;
@@ -177,7 +173,7 @@
     // A node that stops finishes what it has taken on.
     let _in_flight = InFlightGuard::new(gateway);
     let (is_search, max_records) = (request.is_search, request.top as usize);
-    let Some((plan, request)) = plan_delegated(gateway, request, &names) else {
+    let Some((plan, request)) = plan_delegated(gateway, request, digest) else {
         replies.send(PeerReply::Refused);
         return;
     };
@@ -251,35 +247,6 @@
     }
 }
 
-/// Names of the servers that may be called for each shard of a delegated request.
-#[derive(Debug)]
-enum ShardNames {
-    Incarnations(Vec<Vec<ServerIncarnation>>),
-    /// Hashed identifiers, from a node of the version before.
-    Hashes(Vec<Vec<u32>>),
-}
-
-impl ShardNames {
-    /// Returns the number of shards.
-    fn len(&self) -> usize {
-        match self {
-            Self::Incarnations(names) => names.len(),
-            Self::Hashes(names) => names.len(),
-        }
-    }
-
-    fn find_servers(
-        &self,
-        fleet: &ServerFleet,
-        shard: usize,
-    ) -> Option<(ServiceKey, Vec<ServerKey>)> {
-        match self {
-            Self::Incarnations(names) => fleet.find_servers(names.get(shard)?),
-            Self::Hashes(names) => fleet.find_servers_by_hash(names.get(shard)?),
-        }
-    }
-}
-
 /// Which shards have been reported to the node that delegated them.
 struct ReportedShards {
     /// One entry for each shard.
@@ -331,22 +298,31 @@
 fn plan_delegated(
     gateway: &Gateway,
     delegated: DelegatedRequest,
-    names: &ShardNames,
+    digest: Option<ServicesDigest>,
 ) -> Option<(FanoutPlan, BackendRequest)> {
     let now = BootTime::now();
     let state = &mut *gateway.state.borrow_mut();
     let DelegatedRequest { is_search, is_first, objective, .. } = delegated;
-    let reserve =
-        if is_search { state.finish_lag.reserve(names.len(), objective) } else { Duration::ZERO };
+    let reserve = if is_search {
+        state.finish_lag.reserve(delegated.shards.len(), objective)
+    } else {
+        Duration::ZERO
+    };
     let fleet = &mut state.fleet;
-    let mut services = Vec::with_capacity(names.len());
-    let mut allowed = IndexMap::with_capacity(names.len());
-    for position in 0..names.len() {
+    let mut services = Vec::with_capacity(delegated.shards.len());
+    let mut allowed = IndexMap::with_capacity(delegated.shards.len());
+    for (position, id_hashes) in delegated.shards.iter().enumerate() {
         // A shard without a server that this node knows is abandoned at once.
-        let (service, servers) = names.find_servers(fleet, position).unwrap_or_default();
+        let (service, servers) = fleet.find_servers_by_hash(id_hashes).unwrap_or_default();
         services.push(service);
         allowed.insert(ShardIndex(u16::try_from(position).unwrap_or(u16::MAX)), servers);
     }
+    let named = delegated.shards.iter().zip(&services).filter(|(names, _)| !names.is_empty());
+    let found = fleet.services_digest(named.map(|(_, service)| *service));
+    if digest.is_some_and(|digest| found != Some(digest)) {
+        debug!("the names of servers in a delegated request mean others here, or none");
+        allowed.values_mut().for_each(Vec::clear);
+    }
     let plan = FanoutPlan {
         services,
         min_shards: usize::from(!is_search),
@@ -388,15 +364,13 @@
     scope: &DelegatedScope,
 ) -> PeerRequest {
     let now = BootTime::now();
-    let fleet = &state.fleet;
-    let allowed = |shard| plan.allowed.get(shard).map(Vec::as_slice).unwrap_or_default();
-    let servers = delegation.shards.iter().map(allowed);
-    let is_named = state.peers.accepts_names(now, &delegation.peer);
-    let (names, hashes): (Vec<_>, Vec<_>) = if is_named {
-        (servers.map(|keys| fleet.incarnations(keys)).collect(), Vec::new())
-    } else {
-        (Vec::new(), servers.map(|keys| fleet.id_hashes(keys)).collect())
-    };
+    let servers = |shard| plan.allowed.get(shard).map(|keys| state.fleet.id_hashes(keys));
+    let shards = delegation.shards.iter().map(|shard| servers(shard).unwrap_or_default());
+    let shards: Vec<_> = shards.collect();
+    let services = delegation.shards.iter().filter_map(|it| plan.services.get(usize::from(it.0)));
+    let named = shards.iter().zip(services).filter(|(names, _)| !names.is_empty());
+    let digest = state.fleet.services_digest(named.map(|(_, service)| *service));
+    let is_checked = state.peers.accepts_names(now, &delegation.peer);
     let request = DelegatedRequest {
         is_search: scope.is_search,
         is_at_most_once: plan.retry == RetryPolicy::AtMostOnce,
@@ -404,7 +378,7 @@
         is_relay: delegation.is_relay,
         is_first: delegation.is_first,
         priority: scope.priority,
-        shards: hashes,
+        shards,
         top: scope.max_records,
         attempts: plan.attempts,
         objective: scope.objective,
@@ -417,10 +391,9 @@
         body: request.body.clone(),
         leaving: state.directory.recently_leaving(now),
     };
-    if is_named {
-        PeerRequest::DelegatedByName(Box::new(request), names)
-    } else {
-        PeerRequest::Delegated(request)
+    match digest.filter(|_| is_checked) {
+        Some(digest) => PeerRequest::DelegatedChecked(Box::new(request), digest),
+        None => PeerRequest::Delegated(request),
     }
 }
 
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -40,6 +40,7 @@
 };
 pub use extras::ExtraUse;
 use names::HashedNames;
+pub use names::ServicesDigest;
 pub use paced::PaceEvent;
 pub use quotas::{LimitChange, LimitedUse};
 pub use selection::{PickScope, SearchRank};
@@ -119,7 +120,7 @@
     service_names: IndexMap<Arc<str>, ServiceKey>,
     servers: SlotMap<ServerKey, ServerState>,
     server_ids: IndexMap<Arc<str>, ServerKey>,
-    /// Servers by the hashed identifiers that nodes of the version before exchange.
+    /// Servers by the hashed identifiers that nodes exchange with each other.
     hashed_names: HashedNames,
     /// Part of the retry budget of each service that the nodes of a zone share by demand.
     extra_pool: Option<ExtraPool>,
@@ -153,6 +154,7 @@
 
 #[derive(Debug)]
 struct ServiceState {
+    name: Arc<str>,
     servers: Vec<ServerKey>,
     budget: RetryBudget,
     max_connections: u32,
@@ -259,6 +261,7 @@
         }
         let budget = RetryBudget::new(now, self.limits, self.extra_pool, self.budget_start);
         let key = self.services.insert(ServiceState {
+            name: name.clone(),
             servers: Vec::new(),
             budget,
             max_connections: u32::MAX,
--- a/crates/tier/src/fleet/names.rs
+++ b/crates/tier/src/fleet/names.rs
@@ -1,16 +1,22 @@
 //! Names by which nodes tell each other of servers.
 //!
-//! Nodes name a server by its incarnation, which is unambiguous. Nodes of the version before
-//! name it by a hash of its identifier, which several servers may share: such a name stands
-//! for none of them.
+//! A message names a server by a short hash of its identifier, since it names hundreds. A hash
+//! that several known servers share stands for none of them. As the receiver may not know the
+//! server that is meant, but another one with its hash, the message has a digest of the services
+//! as well, with which the receiver checks what it has found.
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{ServerFleet, ServerKey, ServiceKey};
-use crate::{model::ServerIncarnation, observations::ServerObservation};
+use crate::observations::ServerObservation;
+
+/// Digest of the names of the services that a message is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServicesDigest(u64);
 
 /// Servers by the hash of their identifiers.
 #[derive(Clone, Debug, Default)]
@@ -42,28 +48,6 @@
 }
 
 impl ServerFleet {
-    /// Returns the names of servers for another node.
-    #[must_use]
-    pub fn incarnations(&self, keys: &[ServerKey]) -> Vec<ServerIncarnation> {
-        let servers = keys.iter().filter_map(|key| self.servers.get(*key));
-        servers.map(|server| (&server.entry).into()).collect()
-    }
-
-    /// Looks up servers that another node names. Returns the service of the first known one
-    /// and all of them that belong to it, or `None` if none is known.
-    #[must_use]
-    pub fn find_servers(
-        &self,
-        names: &[ServerIncarnation],
-    ) -> Option<(ServiceKey, Vec<ServerKey>)> {
-        let known = names.iter().filter_map(|name| {
-            let key = *self.server_ids.get(&name.id)?;
-            let is_same = self.servers.get(key)?.entry.born_ms == name.born_ms;
-            is_same.then_some(key)
-        });
-        self.in_one_service(known.collect())
-    }
-
     /// Returns the hashed identifiers of servers, without those that other servers share.
     #[must_use]
     pub fn id_hashes(&self, keys: &[ServerKey]) -> Vec<u32> {
@@ -72,12 +56,33 @@
         hashes.filter(|hash| self.hashed_names.find(*hash).is_some()).collect()
     }
 
-    /// Looks up servers by their hashed identifiers, like [`ServerFleet::find_servers`].
-    /// Identifiers that several servers share stand for none of them.
+    /// Looks up servers by their hashed identifiers. Returns the service of the first known one
+    /// and all of them that belong to it, or `None` if none is known. Identifiers that several
+    /// servers share stand for none of them.
     #[must_use]
     pub fn find_servers_by_hash(&self, id_hashes: &[u32]) -> Option<(ServiceKey, Vec<ServerKey>)> {
         let known = id_hashes.iter().filter_map(|hash| self.hashed_names.find(*hash));
-        self.in_one_service(known.collect())
+        let keys: Vec<_> = known.collect();
+        let service = self.servers.get(*keys.first()?)?.service;
+        let in_service = |key: &ServerKey| {
+            self.servers.get(*key).is_some_and(|server| server.service == service)
+        };
+        Some((service, keys.into_iter().filter(in_service).collect()))
+    }
+
+    /// Returns the digest of services in this order; `None` if one of them is not known.
+    #[must_use]
+    pub fn services_digest(
+        &self,
+        services: impl Iterator<Item = ServiceKey>,
+    ) -> Option<ServicesDigest> {
+        let mut names = Vec::new();
+        for key in services {
+            let name = &self.services.get(key)?.name;
+            names.extend_from_slice(&(name.len() as u64).to_le_bytes());
+            names.extend_from_slice(name.as_bytes());
+        }
+        Some(ServicesDigest(xxh3_64(&names)))
     }
 
     /// Returns the attempts that a node of the version before reports, by identifier.
@@ -102,14 +107,6 @@
         let hashed = named.iter().map(|it| it.with_name(id_hash(&it.server)));
         hashed.filter(|it| self.hashed_names.find(it.server).is_some()).collect()
     }
-
-    fn in_one_service(&self, keys: Vec<ServerKey>) -> Option<(ServiceKey, Vec<ServerKey>)> {
-        let service = self.servers.get(*keys.first()?)?.service;
-        let in_service = |key: &ServerKey| {
-            self.servers.get(*key).is_some_and(|server| server.service == service)
-        };
-        Some((service, keys.into_iter().filter(in_service).collect()))
-    }
 }
 
 /// Returns the hashed identifier of a server.
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -100,7 +100,7 @@
 pub use finish_lag::FinishLag;
 pub use fleet::{
     AttemptKind, AttemptTicket, ExtraUse, FleetLimits, LimitChange, LimitedUse, PaceEvent,
-    PickScope, SearchRank, ServerEndpoint, ServerFleet, ServerKey, ServiceKey,
+    PickScope, SearchRank, ServerEndpoint, ServerFleet, ServerKey, ServiceKey, ServicesDigest,
 };
 pub use lifecycle::{LifecyclePhase, NodeLifecycle, ServingReach, StopTiming};
 pub use limits::{LimitRecord, LimitTable, LimitUpdate};
--- a/crates/tier/src/retry_budget.rs
+++ b/crates/tier/src/retry_budget.rs
@@ -128,9 +128,18 @@
         }
     }
 
+    /// Makes the tokens available that were withheld, once the time for it has come.
+    fn release(&mut self, now: BootTime) {
+        if self.withheld_until.is_some_and(|until| now >= until) {
+            self.withheld_until = None;
+            self.own.fill();
+        }
+    }
+
     /// Adds the credit that a first request earns. `fraction` is the part of the credit that
     /// this node gets.
     pub(crate) fn earn(&mut self, now: BootTime, fraction: f64) {
+        self.release(now);
         self.own.earn_fraction(fraction);
         self.income.record(now, self.own.ratio() * fraction);
     }
@@ -138,10 +147,7 @@
     /// Takes one extra request; returns `false` if there is none. With less than one
     /// request left, the result is random: `chance` is a random number from 0 to 1.
     pub(crate) fn try_take(&mut self, now: BootTime, chance: f64) -> bool {
-        if self.withheld_until.is_some_and(|until| now >= until) {
-            self.withheld_until = None;
-            self.own.fill();
-        }
+        self.release(now);
         let Some(pool) = &mut self.pool else { return self.own.try_take_fraction(now, chance) };
         if pool.tokens(now) > 0 {
             pool.take(now);
