--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -51,11 +51,6 @@
         self.tokens = self.tokens.min(max_tokens);
     }
 
-    /// Adds as many tokens as the bucket takes.
-    pub const fn fill(&mut self) {
-        self.tokens = self.max_tokens;
-    }
-
     /// Changes the ratio and keeps the tokens; a ratio of zero drops them.
     pub fn set_ratio(&mut self, ratio: f64) {
         self.ratio = ratio;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -204,8 +204,7 @@
             directory: ServerDirectory::default(),
             fleet: ServerFleet::new(settings.zone.clone(), limits)
                 .with_seed(incarnation)
-                .with_cold_bounds(settings.bounds.cold)
-                .with_start(started, settings.bounds.retry_window.unwrap_or_default()),
+                .with_cold_bounds(settings.bounds.cold),
             quotas: ShareLedger::default(),
             support: OwnerSupport::default(),
             cold_support: OwnerSupport::default(),
--- a/crates/tier/src/fleet.rs
+++ b/crates/tier/src/fleet.rs
@@ -32,7 +32,7 @@
     model::{ColdBounds, Configuration, RequestRate, ServerEntry, ServerIncarnation},
     pace::PaceRule,
     quota::NodeShare,
-    retry_budget::{BudgetStart, RetryBudget},
+    retry_budget::RetryBudget,
     server_state::ServerState,
     shares::ExtraPool,
     stats::{AttemptOutcome, ClassKey, ClassTable},
@@ -126,7 +126,6 @@
     extra_pool: Option<ExtraPool>,
     /// Tolerance of the limits on cold servers, if there are any.
     cold_bounds: Option<ColdBounds>,
-    budget_start: BudgetStart,
     /// How extra requests were paid for.
     extra_use: ExtraUse,
     /// Whether an extra request lacked a token since tokens were last asked for.
@@ -192,7 +191,6 @@
             hashed_names: HashedNames::default(),
             extra_pool: None,
             cold_bounds: None,
-            budget_start: BudgetStart::default(),
             extra_use: ExtraUse::default(),
             lacks_extra: false,
             pace_rule: PaceRule::default(),
@@ -215,14 +213,6 @@
         self
     }
 
-    /// Sets when the process started, before which an earlier one may have used up this node's
-    /// part of the retry budgets, and the time in which the budgets may be used once.
-    #[must_use]
-    pub const fn with_start(mut self, started: BootTime, window: Duration) -> Self {
-        self.budget_start = BudgetStart { started, window };
-        self
-    }
-
     /// Replaces the shared limits and adjusts the retry budgets of all services.
     pub fn set_limits(&mut self, limits: FleetLimits) {
         self.limits = limits;
@@ -259,7 +249,7 @@
         if let Some(key) = self.service_names.get(name) {
             return *key;
         }
-        let budget = RetryBudget::new(now, self.limits, self.extra_pool, self.budget_start);
+        let budget = RetryBudget::new(now, self.limits, self.extra_pool);
         let key = self.services.insert(ServiceState {
             name: name.clone(),
             servers: Vec::new(),
--- a/crates/tier/src/retry_budget.rs
+++ b/crates/tier/src/retry_budget.rs
@@ -32,6 +32,10 @@
 /// Equal share of a node, in requests, below which a pool is worth its messages.
 const MIN_EQUAL_SHARE: f64 = 3.0;
 
+/// Fraction of its maximum extra-request tokens that a node starts with; before a
+/// restart it may have used its share of the window already.
+const INITIAL_BUDGET_SHARE: f64 = 0.5;
+
 /// Part of the pool's depth that one node may ask for at once.
 const MAX_ASKED_SHARE: f64 = 0.25;
 
@@ -83,40 +87,20 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RetryBudget {
     own: TokenBucket,
-    /// When the node's own tokens become available: an earlier process may have used them, whose
-    /// requests count until then.
-    withheld_until: Option<BootTime>,
     /// What the first requests of late have earned for the budget.
     income: CreditIncome,
     /// This node's part of the pool.
     pool: Option<NodeShare>,
 }
 
-/// When a process started, and the time in which the retry budget may be used once.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct BudgetStart {
-    pub(crate) started: BootTime,
-    pub(crate) window: Duration,
-}
-
 impl RetryBudget {
-    pub(crate) fn new(
-        now: BootTime,
-        limits: FleetLimits,
-        pool: Option<ExtraPool>,
-        start: BudgetStart,
-    ) -> Self {
-        let BudgetStart { started, window } = start;
-        let withheld_until = Some(started + window).filter(|until| now < *until);
+    pub(crate) fn new(now: BootTime, limits: FleetLimits, pool: Option<ExtraPool>) -> Self {
         let max_tokens = limits.max_own_tokens(pool.is_some());
         let ratio = limits.retry_ratio * USABLE_BUDGET_SHARE;
-        let mut own = TokenBucket::new(ratio, 0.0, now).with_tokens(if withheld_until.is_some() {
-            0.0
-        } else {
-            max_tokens
-        });
+        let mut own =
+            TokenBucket::new(ratio, 0.0, now).with_tokens(max_tokens * INITIAL_BUDGET_SHARE);
         own.set_max_tokens(max_tokens);
-        Self { own, withheld_until, income: CreditIncome::new(now), pool: pool.map(node_share) }
+        Self { own, income: CreditIncome::new(now), pool: pool.map(node_share) }
     }
 
     /// Replaces the limits.
@@ -128,18 +112,9 @@
         }
     }
 
-    /// Makes the tokens available that were withheld, once the time for it has come.
-    fn release(&mut self, now: BootTime) {
-        if self.withheld_until.is_some_and(|until| now >= until) {
-            self.withheld_until = None;
-            self.own.fill();
-        }
-    }
-
     /// Adds the credit that a first request earns. `fraction` is the part of the credit that
     /// this node gets.
     pub(crate) fn earn(&mut self, now: BootTime, fraction: f64) {
-        self.release(now);
         self.own.earn_fraction(fraction);
         self.income.record(now, self.own.ratio() * fraction);
     }
@@ -147,7 +122,6 @@
     /// Takes one extra request; returns `false` if there is none. With less than one
     /// request left, the result is random: `chance` is a random number from 0 to 1.
     pub(crate) fn try_take(&mut self, now: BootTime, chance: f64) -> bool {
-        self.release(now);
         let Some(pool) = &mut self.pool else { return self.own.try_take_fraction(now, chance) };
         if pool.tokens(now) > 0 {
             pool.take(now);
