Let a running node find a zone's pool of retries full again

Cause: with the pool counted from the loss of its last owner, the retries of a fleet whose owners are lost used 145 of 300, where a_few_nodes_that_call_the_servers _use_the_budget_of_all asks for 150 (seen in a run of the tests without load).

Change: as before, a pool is full after the process has run for long; the unused part of the budget covers a second one.

--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -163,8 +163,7 @@
 ) -> Option<ShareTerms> {
     match subject {
         SharedSubject::ExtraRequests(_) => {
-            let known_since = state.peers.zone_known_since(gateway.started);
-            Some(state.fleet.extra_pool()?.terms(BootTime::now(), known_since))
+            Some(state.fleet.extra_pool()?.terms(BootTime::now(), gateway.started))
         }
         SharedSubject::Server(_) | SharedSubject::ColdServer(_) | SharedSubject::Account(_) => None,
     }
--- a/crates/tier/src/update_tree.rs
+++ b/crates/tier/src/update_tree.rs
@@ -217,24 +217,10 @@
     #[must_use]
     pub fn account_known_since(&self, account: &str, started: BootTime) -> BootTime {
         let own = rendezvous_score(self.own(), account);
-        self.known_since(started, |entry| rendezvous_score(entry, account) > own)
-    }
-
-    /// The same for the limits that the first node of this zone shares out.
-    #[must_use]
-    pub fn zone_known_since(&self, started: BootTime) -> BootTime {
-        let own = self.own_rank();
-        self.known_since(started, |entry| {
-            entry.zone == self.own().zone && TreeRank::from(entry).is_before(&own)
-        })
-    }
-
-    fn known_since(
-        &self,
-        started: BootTime,
-        mut comes_before: impl FnMut(&PeerEntry) -> bool,
-    ) -> BootTime {
-        let lost = self.lost.values().filter(|(entry, at)| *at > started && comes_before(entry));
+        let lost = self
+            .lost
+            .values()
+            .filter(|(entry, at)| *at > started && rendezvous_score(entry, account) > own);
         lost.map(|(_, at)| *at).max().unwrap_or(started)
     }
 
