Look for ambiguous hashes only while there are any

Cause: each server that a delegated request names was looked up once more, to leave out hashes that several servers share.

Change: the number of shared hashes is counted.

--- a/crates/tier/src/fleet/names.rs
+++ b/crates/tier/src/fleet/names.rs
@@ -22,22 +22,34 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct HashedNames {
     keys: IndexMap<u32, Vec<ServerKey>>,
+    /// Number of servers beyond the first of each hash.
+    shared: usize,
 }
 
 impl HashedNames {
     pub(super) fn insert(&mut self, id: &str, key: ServerKey) {
-        self.keys.entry(id_hash(id)).or_default().push(key);
+        let keys = self.keys.entry(id_hash(id)).or_default();
+        keys.push(key);
+        self.shared += usize::from(keys.len() > 1);
     }
 
     pub(super) fn remove(&mut self, id: &str, key: ServerKey) {
         let hash = id_hash(id);
         let Some(keys) = self.keys.get_mut(&hash) else { return };
-        keys.retain(|other| *other != key);
+        let Some(position) = keys.iter().position(|other| *other == key) else { return };
+        keys.swap_remove(position);
         if keys.is_empty() {
             self.keys.swap_remove(&hash);
+        } else {
+            self.shared -= 1;
         }
     }
 
+    /// Returns whether a hash stands for exactly one of the servers, of which it is one.
+    fn is_unambiguous(&self, hash: u32) -> bool {
+        self.shared == 0 || self.find(hash).is_some()
+    }
+
     /// Returns the server with a hashed identifier; `None` if there is none or more than one.
     pub(super) fn find(&self, hash: u32) -> Option<ServerKey> {
         match self.keys.get(&hash)?[..] {
@@ -53,7 +65,7 @@
     pub fn id_hashes(&self, keys: &[ServerKey]) -> Vec<u32> {
         let servers = keys.iter().filter_map(|key| self.servers.get(*key));
         let hashes = servers.map(|server| id_hash(&server.entry.id));
-        hashes.filter(|hash| self.hashed_names.find(*hash).is_some()).collect()
+        hashes.filter(|hash| self.hashed_names.is_unambiguous(*hash)).collect()
     }
 
     /// Looks up servers by their hashed identifiers. Returns the service of the first known one
