Add up the requests of a new owner without overflow

Cause: counts that nodes report were added as 32-bit numbers when an owner takes over; a sum beyond them would end the process in a build with overflow checks. Found by reading.

Change: they are added as floating-point numbers, like the tokens that they are taken from.

Result: the tests of account_owners pass. No test of its own.

--- a/crates/tier/src/account_owner.rs
+++ b/crates/tier/src/account_owner.rs
@@ -242,11 +242,11 @@
         account.confirmed_at = Some(now);
         account.successor = None;
         // The sender takes all tokens for used that were there before it knew of the requests.
-        let mut used_here = 0;
+        let mut used_here = 0.0;
         for reporter in account.reporters.values_mut() {
             let recent = reporter.known.ages(now, terms.window);
             let since = recent.iter().filter(|(age, _)| *age < handover.known_for);
-            used_here += since.map(|(_, requests)| requests).sum::<u32>();
+            used_here += since.map(|(_, requests)| f64::from(*requests)).sum::<f64>();
         }
         account.handed_over = RecentRequests::default();
         let mut recent = handover.recent.clone();
@@ -256,7 +256,7 @@
         }
         account.known_since = now - handover.known_for;
         let shared = terms.terms_since(now, account.known_since, started);
-        let tokens = handover.millitokens as f64 / 1000.0 - f64::from(used_here);
+        let tokens = handover.millitokens as f64 / 1000.0 - used_here;
         ledger.set_tokens(now, &SharedSubject::Account(name.clone()), shared, tokens);
     }
 
