Don't let a configured limit overflow the time for which tokens add up

Cause: the time is a sum with one that is the longest possible for extreme limits; the sum would end the process. Found by reading.

Change: the sum saturates.

Result: the tests of account_owners and names pass. No test of its own.

--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -90,7 +90,7 @@
             return self.share_terms();
         }
         let ahead = if known_since > started { self.tolerance * TAKEOVER_TOLERANCE } else { 0.0 };
-        let saved = known_for + self.income_time(ahead);
+        let saved = known_for.saturating_add(self.income_time(ahead));
         ShareTerms { saved: saved.max(MIN_SAVED), ..self.share_terms() }
     }
 
