--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 # that they can be read. It needs no network.
 set -eu
 cd "$(dirname "$0")"
-python3 - standin-3/tier.py 1[1-5]/case.py <<'P'
+python3 - standin-3/tier.py 1[1-5]/*.py <<'P'
 import ast, os, sys
 
 for path in sys.argv[1:]:
