Set what servers are told of a request after its hop-by-hop fields are gone

The request's id and Host could be taken away as well, so that a client got 502 or 503; and a server could take its stamp away from clients.

Cause: the account was set in the client's own header section when its key was identified; the fields that Connection lists were removed later, also those that the node had set, and whatever the receiver needs. A Connection with a byte outside ASCII was passed over as a whole.

Change: one function for each direction turns received fields into forwarded ones: hop-by-hop fields go first, except Host and the fields of the platform's protocol, then the account is set. Identifying the key changes nothing any more. A delegate that receives a key sets the account by it.

A failed try of the test: a node whose links are reset answers 502 now and then when it tries them again, so that relayed requests are repeated there. The test hop_by_hop_headers_are_removed now checks both directions.

--- a/crates/gateway/src/accounts.rs
+++ b/crates/gateway/src/accounts.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use carobstep_platform::headers;
+use carobstep_platform::headers::{self, ForwardedAccount};
 use carobstep_tier::{AccountAccess, KeyConflict, RequestPriority, RouteConfig};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
@@ -20,6 +20,8 @@
 pub(crate) struct RequestAccess {
     /// Name of the account.
     pub(crate) name: Option<Arc<str>>,
+    /// Whether the configuration has accounts.
+    is_in_force: bool,
     /// Name that counters use: that of the account if it is one of the largest.
     pub(crate) label: Option<Arc<str>>,
     /// The account, if its requests are limited.
@@ -28,34 +30,39 @@
     pub(crate) priority: RequestPriority,
 }
 
-/// Finds the client account of a request, and puts its name in the place of its key. Returns
-/// `None` if the route needs a key that no account has.
+impl RequestAccess {
+    /// Returns what servers learn of the account.
+    pub(crate) fn forwarded_account(&self) -> ForwardedAccount<'_> {
+        match &self.name {
+            Some(name) => ForwardedAccount::Named(name),
+            None if self.is_in_force => ForwardedAccount::Absent,
+            None => ForwardedAccount::AsSent,
+        }
+    }
+}
+
+/// Finds the client account of a request. Returns `None` if the route needs a key that no
+/// account has.
 pub(crate) fn identify(
     gateway: &Gateway,
     route: &RouteConfig,
-    headers: &mut HeaderMap,
+    headers: &HeaderMap,
 ) -> Option<RequestAccess> {
     let state = &*gateway.state.borrow();
     let accounts = &state.accounts;
     let account = match accounts.identify(route.is_public, headers::account_key_of(headers)) {
         AccountAccess::Denied => return None,
-        AccountAccess::Open => None,
-        AccountAccess::Anonymous => {
-            headers::set_account(headers, None);
-            None
-        }
+        AccountAccess::Open | AccountAccess::Anonymous => None,
         AccountAccess::Known(account) => Some(account),
     };
     let entry = account.and_then(|account| accounts.get(account));
-    if let Some(entry) = entry {
-        headers::set_account(headers, Some(&entry.name));
-    }
     let limited = account.zip(entry).and_then(|(account, entry)| {
         let terms = terms_of_account(gateway, state, account)?;
         Some(LimitedAccount { account, name: entry.name.clone(), terms })
     });
     Some(RequestAccess {
         limited,
+        is_in_force: accounts.is_in_force(),
         name: entry.map(|entry| entry.name.clone()),
         label: entry.map(|entry| if entry.is_large { entry.name.clone() } else { "other".into() }),
         priority: RequestPriority::new(entry.and_then(|entry| entry.priority), route.priority),
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -63,7 +63,7 @@
 async fn respond(
     gateway: &Rc<Gateway>,
     arrived: BootTime,
-    mut head: Parts,
+    head: Parts,
     body: CallerBody,
     report: &mut RequestReport<'_>,
 ) -> Response<Full<Bytes>> {
@@ -88,7 +88,7 @@
         return empty_response(StatusCode::NOT_FOUND);
     };
     report.route = Some(route.clone());
-    let Some(access) = identify(gateway, &route, &mut head.headers) else {
+    let Some(access) = identify(gateway, &route, &head.headers) else {
         report.verdict = RequestVerdict::UnknownKey;
         return unknown_key_response();
     };
@@ -114,7 +114,7 @@
     };
     let caller_timeout = headers::deadline_of(&head.headers).unwrap_or(route.timeout);
     report.caller_timeout = caller_timeout;
-    let request = Rc::new(backend_request(head, body));
+    let request = Rc::new(backend_request(head, body, &access));
     let fingerprint = request.fingerprint();
     report.fingerprint = Some(fingerprint);
     let admission = gateway.admit(fingerprint);
@@ -237,12 +237,10 @@
     (plan, scope)
 }
 
-/// Builds the request to forward, without the headers that concern the caller's
-/// connection.
-fn backend_request(head: Parts, body: Bytes) -> BackendRequest {
+/// Builds the request to forward, whether this node or another one calls the servers.
+fn backend_request(head: Parts, body: Bytes, access: &RequestAccess) -> BackendRequest {
     let mut forwarded = head.headers;
-    headers::remove_connection_headers(&mut forwarded);
-    forwarded.remove(header::EXPECT);
+    headers::forward_request(&mut forwarded, access.forwarded_account());
     if !body.is_empty() {
         forwarded.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
@@ -305,7 +303,7 @@
     let mut response = Response::new(Full::new(backend.body));
     *response.status_mut() = backend.status;
     *response.headers_mut() = backend.headers;
-    headers::remove_connection_headers(response.headers_mut());
+    headers::forward_response(response.headers_mut());
     response
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,13 +4,13 @@
 
 use bytes::Bytes;
 use carobstep_clock::BootTime;
-use carobstep_platform::headers;
+use carobstep_platform::headers::{self, ForwardedAccount};
 use carobstep_tier::{
-    Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy, ServicesDigest,
-    ShardIndex, merge_records,
+    AccountAccess, Delegation, FanoutOutcome, FanoutPlan, FanoutRole, LifecyclePhase, RetryPolicy,
+    ServicesDigest, ShardIndex, merge_records,
 };
 use carobstep_wire::{PeerHandler, ReplySink};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use indexmap::IndexMap;
 use log::debug;
 use tokio::{
@@ -342,9 +342,15 @@
         deadline: now + delegated.deadline_in,
     };
     let mut headers = read_headers(&delegated.headers)?;
-    // The sender may not have the configuration yet that introduces accounts.
-    if state.accounts.is_in_force() {
-        headers::remove_account_key(&mut headers);
+    // A sender that forwards a key does not have the configuration yet that introduces accounts.
+    if state.accounts.is_in_force() && headers.contains_key(header::AUTHORIZATION) {
+        let account = match state.accounts.identify(true, headers::account_key_of(&headers)) {
+            AccountAccess::Known(account) => state.accounts.get(account),
+            AccountAccess::Open | AccountAccess::Anonymous | AccountAccess::Denied => None,
+        };
+        let forwarded = account
+            .map_or(ForwardedAccount::Absent, |account| ForwardedAccount::Named(&account.name));
+        headers::set_account(&mut headers, forwarded);
     }
     let request = BackendRequest {
         method: delegated.method.parse().ok()?,
--- a/tests/gateway/accounts.rs
+++ b/tests/gateway/accounts.rs
@@ -16,10 +16,10 @@
 /// Limits of accounts in the settings: at most `(rate * 4 + burst) * 1.1 + 5` requests in 4 s.
 const BOUNDS: &str = "bounds.quota_window_s=4\nbounds.quota_over=0.1\nbounds.quota_slack=5\n";
 
-const ACCOUNT: &str = "x-carobstep-tenant";
+pub const ACCOUNT: &str = "x-carobstep-tenant";
 
 /// A configuration with client accounts and a public route.
-fn with_accounts(version: u64, accounts: Value) -> Value {
+pub fn with_accounts(version: u64, accounts: Value) -> Value {
     let mut configuration = configuration(version);
     let mut public = configuration["routes"][1].clone();
     public["name"] = json!("public");
@@ -39,12 +39,12 @@
     }
 }
 
-fn executed(fixture: &Fixture) -> Vec<String> {
+pub fn executed(fixture: &Fixture) -> Vec<String> {
     fixture.shards.iter().chain(&fixture.single).flat_map(StandinServer::executed).collect()
 }
 
 /// Puts a configuration into force on the fixture's node.
-async fn configure(fixture: &Fixture, configuration: Value) {
+pub async fn configure(fixture: &Fixture, configuration: Value) {
     let version = configuration["version"].as_f64().expect("a number");
     fixture.store.put("config", "main", configuration);
     eventually("the configuration is in force", async || {
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -102,6 +102,8 @@
     Endless(EndlessBytes),
     /// The server responds with this text as the status.
     Status(&'static str),
+    /// The server's responses have this value of `Connection`.
+    Connection(&'static str),
 }
 
 impl ServerFault {
@@ -440,6 +442,10 @@
                     let headers = format!("{stamp_headers}server-limit: {rate}\r\n");
                     response_text(200, &headers, &body)
                 }
+                ServerFault::Connection(options) => {
+                    let headers = format!("connection: {options}\r\n{stamp_headers}");
+                    response_text(200, &headers, &body)
+                }
                 ServerFault::LeavingAndShed => {
                     let headers = "x-carobstep-not-executed: 1\r\nserver-leaving: 1\r\n";
                     response_text(503, headers, "")
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod cut_responses;
 mod evacuation;
 mod explain;
+mod hop_by_hop;
 mod hostile;
 mod limits;
 mod links;
