Count by whose word requests of accounts are admitted

The new counter carobstep_account_admissions_total{source} tells tokens from what a node admits on its own.

--- a/crates/gateway/src/account_quota.rs
+++ b/crates/gateway/src/account_quota.rs
@@ -67,7 +67,10 @@
         spawn_local(report_uses(gateway.clone(), limited.clone()));
     }
     match decision {
-        AccountDecision::Admit => Ok(()),
+        AccountDecision::Admit(source) => {
+            gateway.reporter.count_admission(source);
+            Ok(())
+        }
         AccountDecision::Refuse(wait) => Err(wait),
         AccountDecision::Ask => Err(TOKEN_WAIT),
     }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -7,8 +7,8 @@
 use carobstep_clock::BootTime;
 use carobstep_platform::headers;
 use carobstep_tier::{
-    AttemptKind, AttemptOutcome, CallerFault, EvacuationChange, FanoutOutcome, MissingShards,
-    PaceEnd, RequestFingerprint, RouteConfig, RouteTarget, SearchRefusal,
+    AdmissionSource, AttemptKind, AttemptOutcome, CallerFault, EvacuationChange, FanoutOutcome,
+    MissingShards, PaceEnd, RequestFingerprint, RouteConfig, RouteTarget, SearchRefusal,
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
@@ -38,6 +38,7 @@
     registry: Registry,
     requests: IntCounterVec,
     account_requests: IntCounterVec,
+    account_admissions: IntCounterVec,
     latencies: HistogramVec,
     attempts: IntCounterVec,
     delegations: IntCounterVec,
@@ -261,6 +262,11 @@
         registry.register(Box::new(account_requests.clone()))?;
         Ok(Self {
             account_requests,
+            account_admissions: counters(
+                "carobstep_account_admissions_total",
+                "Requests of client accounts with limits, by whose word they were admitted.",
+                "source",
+            )?,
             requests: counters("carobstep_requests_total", "Requests by verdict.", "verdict")?,
             latencies,
             attempts: counters("carobstep_attempts_total", "Attempts at servers by end.", "end")?,
@@ -329,6 +335,10 @@
         self.attempts.with_label_values(&[<&str>::from(outcome)]).inc();
     }
 
+    pub(crate) fn count_admission(&self, source: AdmissionSource) {
+        self.account_admissions.with_label_values(&[<&str>::from(source)]).inc();
+    }
+
     pub(crate) fn count_delegation(&self, outcome: DelegationOutcome) {
         self.delegations.with_label_values(&[<&str>::from(outcome)]).inc();
     }
--- a/crates/tier/src/account_quota.rs
+++ b/crates/tier/src/account_quota.rs
@@ -123,11 +123,27 @@
     }
 }
 
+/// On whose word a request of an account is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum AdmissionSource {
+    /// Nobody's: the owner is told afterwards.
+    AtOnce,
+    /// The owner's.
+    Token,
+    /// The owner's for an earlier request that did not use it.
+    KeptToken,
+    /// Nobody's: the owner has not replied in time.
+    AheadOfReply,
+    /// Nobody's: no owner replies.
+    EqualShare,
+}
+
 /// What to do with a request of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AccountDecision {
     /// It is admitted, and counted.
-    Admit,
+    Admit(AdmissionSource),
     /// The owner has to be asked for a token first.
     Ask,
     /// It is refused; a token is expected after this time.
@@ -271,7 +287,7 @@
         account.trim(now, terms.window);
         if account.credits.pop_front().is_some() {
             account.admitted.push_back(now);
-            return AccountDecision::Admit;
+            return AccountDecision::Admit(AdmissionSource::KeptToken);
         }
         if let Some(until) = account.refused_until.filter(|until| now < *until) {
             return AccountDecision::Refuse(until.since(now).max(terms.token_time()));
@@ -287,7 +303,7 @@
         }
         account.admitted.push_back(now);
         account.unreported = account.unreported.saturating_add(1);
-        AccountDecision::Admit
+        AccountDecision::Admit(AdmissionSource::AtOnce)
     }
 
     /// Decides about a request for which the owner was asked for a token.
@@ -302,14 +318,19 @@
         let Some(account) = self.uses.get_mut(account) else {
             return AccountDecision::Refuse(terms.token_time());
         };
-        let is_admitted = match reply {
-            OwnerReply::Granted(grant) => grant.tokens > 0,
-            OwnerReply::Late { nodes } => account.owe(terms, nodes),
-            OwnerReply::Lost { nodes } => account.take_equal_share(now, terms, nodes, started),
+        let (is_admitted, source) = match reply {
+            OwnerReply::Granted(grant) => (grant.tokens > 0, AdmissionSource::Token),
+            OwnerReply::Late { nodes } => {
+                (account.owe(terms, nodes), AdmissionSource::AheadOfReply)
+            }
+            OwnerReply::Lost { nodes } => {
+                let is_admitted = account.take_equal_share(now, terms, nodes, started);
+                (is_admitted, AdmissionSource::EqualShare)
+            }
         };
         if is_admitted {
             account.admitted.push_back(now);
-            return AccountDecision::Admit;
+            return AccountDecision::Admit(source);
         }
         let wait = terms.token_time();
         account.refused_until = Some(now + wait.min(MAX_REFUSAL_HOLD));
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -72,7 +72,8 @@
 
 pub use account_owner::{AccountHandover, OwnedAccounts};
 pub use account_quota::{
-    AccountDecision, AccountUses, OWNER_REPLY_TIMEOUT, OwnerReply, QuotaTerms, TOKEN_WAIT,
+    AccountDecision, AccountUses, AdmissionSource, OWNER_REPLY_TIMEOUT, OwnerReply, QuotaTerms,
+    TOKEN_WAIT,
 };
 pub use accounts::{
     AccountAccess, AccountEntry, AccountKey, AccountTable, KeyConflict, RequestPriority, SecretKey,
--- a/crates/tier/tests/account_limits.rs
+++ b/crates/tier/tests/account_limits.rs
@@ -5,8 +5,8 @@
 use carobstep_clock::BootTime;
 use carobstep_tier::{
     AccountConfig, AccountDecision, AccountKey, AccountQuota, AccountTable, AccountUses,
-    OWNER_REPLY_TIMEOUT, OwnedAccounts, OwnerReply, QuotaBounds, QuotaTerms, RequestRate, ShareAsk,
-    ShareGrant, ShareLedger, SharedSubject, TOKEN_WAIT,
+    AdmissionSource, OWNER_REPLY_TIMEOUT, OwnedAccounts, OwnerReply, QuotaBounds, QuotaTerms,
+    RequestRate, ShareAsk, ShareGrant, ShareLedger, SharedSubject, TOKEN_WAIT,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -173,7 +173,7 @@
     fn decide_asked(&mut self, at: u64, node: usize, reply: OwnerReply) {
         let uses = &mut self.nodes[node].uses;
         match uses.decide_asked(ms(at), self.account, &self.terms, reply) {
-            AccountDecision::Admit => self.admitted.push(at),
+            AccountDecision::Admit(_) => self.admitted.push(at),
             AccountDecision::Refuse(_) => self.refused.push(at),
             AccountDecision::Ask => panic!("asked twice"),
         }
@@ -182,7 +182,7 @@
     fn request(&mut self, at: u64, node: usize) {
         assert!(self.table.get(self.account).is_some());
         match self.nodes[node].uses.decide(ms(at), self.account, &self.terms) {
-            AccountDecision::Admit => {
+            AccountDecision::Admit(_) => {
                 self.admitted.push(at);
                 self.ask(at, node, 0);
             }
@@ -526,8 +526,8 @@
 fn the_token_of_a_request_that_did_not_run_is_used_again() {
     let mut fleet = Fleet::new(1, 0.001, 1, 1);
     for at in 0..200 {
-        if fleet.nodes[0].uses.decide(ms(at), fleet.account, &fleet.terms) == AccountDecision::Admit
-        {
+        let decision = fleet.nodes[0].uses.decide(ms(at), fleet.account, &fleet.terms);
+        if matches!(decision, AccountDecision::Admit(_)) {
             fleet.nodes[0].uses.refund(ms(at), fleet.account);
             continue;
         }
@@ -545,8 +545,9 @@
     let refused = uses.decide_asked(ms(30), account, &terms, lost);
     assert!(matches!(refused, AccountDecision::Refuse(_)), "{refused:?}");
     uses.keep_late(ms(40), account, 1);
-    assert_eq!(uses.decide(ms(41), account, &terms), AccountDecision::Admit);
-    assert_ne!(uses.decide(ms(42), account, &terms), AccountDecision::Admit);
+    let kept = AccountDecision::Admit(AdmissionSource::KeptToken);
+    assert_eq!(uses.decide(ms(41), account, &terms), kept);
+    assert!(!matches!(uses.decide(ms(42), account, &terms), AccountDecision::Admit(_)));
 }
 
 #[test]
@@ -565,7 +566,7 @@
         }
         let lost = OwnerReply::Lost { nodes: NODES };
         let decision = uses.decide_asked(ms(at + 25), account, &terms, lost);
-        admitted += usize::from(decision == AccountDecision::Admit);
+        admitted += usize::from(matches!(decision, AccountDecision::Admit(_)));
         uses.on_answered(ms(at + 29), account, &terms, nothing);
     }
     let most = allowed(rate, burst) / NODES as usize;
